Place by best fit under guarantees that stay reclaimable

Every guarantee is allotted accelerators that make up its shape, disjoint from all others; only a job inside its own workspace's allotment is safe from eviction. Allotments without jobs hold nothing and move where that saves an eviction. Room is found by an index by count in racks and failure domains; waiting jobs are looked at by class.

--- /dev/null
+++ b/dragonflyrun/src/job/allotment.rs
@@ -0,0 +1,151 @@
+//! Keeping every guarantee allotted when workers come and go.
+
+use crate::{
+    job::{
+        guarantee::{GuaranteeId, Guarantees},
+        inventory::Inventory,
+        packing::pack,
+        placement::Seat,
+        slots::WorkerId,
+    },
+    utils::{HashMap, Name},
+};
+
+/// Workers up to which the exact search is tried.
+const SMALL_CLUSTER: usize = 64;
+
+impl Guarantees {
+    /// Moves allotments away from the workers in `changed` that can't honour them, and allots
+    /// what is not allotted yet.
+    pub(super) fn settle(&mut self, inventory: &mut Inventory, changed: &[WorkerId]) {
+        for worker in changed {
+            self.leave(inventory, *worker);
+        }
+        let lacking = self.lacking();
+        let whole = lacking.iter().all(|id| self.complete(inventory, *id));
+        if !whole {
+            self.allot_anew(inventory);
+        }
+    }
+
+    /// Returns the guarantees that the hardware in service does not permit.
+    pub(super) fn lacking(&self) -> Vec<GuaranteeId> {
+        let lacks = |id: &GuaranteeId| {
+            let entry = &self.entries[*id];
+            let tasks: u32 = entry.shares.iter().map(|s| s.tasks).sum();
+            tasks < entry.shape.tasks
+        };
+        (0..self.entries.len()).filter(lacks).collect()
+    }
+
+    /// Takes back what is allotted on a worker that is not usable, or has fewer accelerators than
+    /// are allotted. Where a job holds its place, the rest of its allotment stays next to it.
+    fn leave(&mut self, inventory: &mut Inventory, worker: WorkerId) {
+        let usable = inventory.worker(worker).usable();
+        if usable && !inventory.is_over_allotted(worker) {
+            return;
+        }
+        for id in self.on(worker).to_vec() {
+            if self.entries[id].movable() {
+                self.take_back(inventory, id, |_| true);
+            } else {
+                self.take_back(inventory, id, |s| s.worker == worker && s.used == 0);
+            }
+        }
+    }
+
+    /// Allots all guarantees without jobs anew: those hardest to place first; if that leaves one
+    /// out, by exact search; if that fails too, the hardware does not permit them all, and
+    /// workspaces take turns.
+    fn allot_anew(&mut self, inventory: &mut Inventory) {
+        let mut movable: Vec<GuaranteeId> = (0..self.entries.len())
+            .filter(|id| self.entries[*id].movable())
+            .collect();
+        movable.sort_by_key(|id| {
+            let entry = &self.entries[*id];
+            let shape = entry.shape;
+            (
+                std::cmp::Reverse((shape.accelerators, shape.adjacency, shape.tasks)),
+                *id,
+            )
+        });
+        self.take_back_all(inventory, &movable);
+        let held = (0..self.entries.len()).filter(|id| !self.entries[*id].movable());
+        for id in held.collect::<Vec<_>>() {
+            self.complete(inventory, id);
+        }
+        let mut one_by_one = movable.iter();
+        if one_by_one.all(|id| self.complete(inventory, *id)) {
+            return;
+        }
+        self.take_back_all(inventory, &movable);
+        if !self.allot_exactly(inventory, &movable) {
+            self.allot_in_turns(inventory, movable);
+        }
+    }
+
+    fn take_back_all(&mut self, inventory: &mut Inventory, ids: &[GuaranteeId]) {
+        for id in ids {
+            self.take_back(inventory, *id, |_| true);
+        }
+    }
+
+    fn allot_exactly(&mut self, inventory: &mut Inventory, ids: &[GuaranteeId]) -> bool {
+        let seats: Vec<Seat> = inventory
+            .ids()
+            .map(|w| inventory.open.seat(w))
+            .filter(|s| s.value > 0)
+            .collect();
+        if seats.len() > SMALL_CLUSTER {
+            return false;
+        }
+        let shapes: Vec<_> = ids.iter().map(|id| self.entries[*id].shape).collect();
+        let Some(found) = pack(&seats, &shapes) else {
+            return false;
+        };
+        for (id, parts) in ids.iter().zip(found) {
+            self.allot(inventory, *id, &parts);
+        }
+        true
+    }
+
+    /// Allots one guarantee after the other, each time to the workspace that has the smallest
+    /// share of what it was promised.
+    fn allot_in_turns(&mut self, inventory: &mut Inventory, ids: Vec<GuaranteeId>) {
+        let mut shares: HashMap<Name, Satisfied> = HashMap::default();
+        for (entry, id) in self.entries.iter().zip(0..) {
+            let share = shares.entry(entry.workspace.clone()).or_default();
+            share.promised += u64::from(entry.accelerators());
+            if !ids.contains(&id) {
+                share.allotted += u64::from(entry.accelerators());
+            }
+        }
+        let mut left = ids;
+        while !left.is_empty() {
+            let share = |id: &GuaranteeId| {
+                let entry = &self.entries[*id];
+                shares.get(&entry.workspace).map_or(0, Satisfied::permille)
+            };
+            let next = (0..left.len()).min_by_key(|at| (share(&left[*at]), *at));
+            let id = left.remove(next.unwrap_or(0));
+            if self.complete(inventory, id)
+                && let Some(share) = shares.get_mut(&self.entries[id].workspace)
+            {
+                share.allotted += u64::from(self.entries[id].accelerators());
+            }
+        }
+    }
+}
+
+/// What a workspace has of what it was promised, in accelerators.
+#[derive(Clone, Copy, Debug, Default)]
+struct Satisfied {
+    allotted: u64,
+    promised: u64,
+}
+
+impl Satisfied {
+    fn permille(&self) -> u64 {
+        self.allotted * 1_000 / self.promised.max(1)
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/job/estimate.rs
@@ -0,0 +1,82 @@
+//! Run times, learned from what workers report and trusted over what submitters declare.
+//!
+//! Declared run times are off by factors, but the same workspace tends to be off by the same
+//! factor. So the ratio of real to declared run time is learned for each kind of job, as a mean
+//! of logarithms in which one extreme value counts for little.
+
+use std::time::Duration;
+
+use crate::{
+    job::JobSpec,
+    utils::{HashMap, Name},
+};
+
+/// The share of the newest run in the learned mean, once a kind is known.
+const NEWEST_SHARE: f64 = 0.15;
+
+/// Kinds that are told apart; jobs of any further kind are taken at their word.
+const MOST_KINDS: usize = 16_384;
+
+/// What is assumed of a job that declares nothing and whose kind has never run.
+const UNKNOWN_MS: f64 = 600_000.0;
+
+/// Run times learned.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Estimates {
+    kinds: HashMap<Kind, Learned>,
+}
+
+/// Jobs that are taken to be alike.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+struct Kind {
+    workspace: Name,
+    tasks: u32,
+    accelerators: u32,
+    declared: bool,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Learned {
+    runs: u32,
+    log_mean: f64,
+}
+
+impl Estimates {
+    /// Takes note that a job ran for `ran_ms` in all.
+    pub(super) fn learn(&mut self, spec: &JobSpec, ran_ms: u64) {
+        let value = (ran_ms.max(1) as f64 / base(spec)).ln();
+        let kind = Kind::of(spec);
+        if self.kinds.len() >= MOST_KINDS && !self.kinds.contains_key(&kind) {
+            return;
+        }
+        let learned = self.kinds.entry(kind).or_default();
+        learned.runs = learned.runs.saturating_add(1);
+        let share = NEWEST_SHARE.max(1.0 / f64::from(learned.runs));
+        learned.log_mean += share * (value - learned.log_mean);
+    }
+
+    /// Returns how long a job of this kind runs in all.
+    pub(super) fn run_time(&self, spec: &JobSpec) -> Duration {
+        let learned = self.kinds.get(&Kind::of(spec));
+        let factor = learned.map_or(1.0, |l| l.log_mean.exp());
+        Duration::from_millis((base(spec) * factor) as u64)
+    }
+}
+
+impl Kind {
+    fn of(spec: &JobSpec) -> Self {
+        Self {
+            workspace: spec.workspace.clone(),
+            tasks: spec.tasks,
+            accelerators: spec.accelerators,
+            declared: spec.run_time_ms > 0,
+        }
+    }
+}
+
+fn base(spec: &JobSpec) -> f64 {
+    match spec.run_time_ms {
+        0 => UNKNOWN_MS,
+        ms => ms as f64,
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/job/guarantee.rs
@@ -0,0 +1,385 @@
+//! The allotment of accelerators to guarantees.
+//!
+//! Each guarantee is allotted accelerators that make up its shape on workers in service, no two
+//! guarantees the same ones. A job of the owner that lies within an allotment is covered by it;
+//! every other job borrows and may be evicted. So as long as each guarantee has an allotment, its
+//! shape is free, held by its owner, or to be had by evicting borrowers alone.
+//!
+//! An allotment with no job in it holds no accelerator. It is moved wherever that lets a job
+//! start without an eviction, or a covered job keep its place.
+
+use crate::{
+    job::{
+        JobId, Shape,
+        inventory::Inventory,
+        placement::{Part, Seat, pick, scope_of},
+        slots::WorkerId,
+    },
+    utils::{HashMap, Name},
+    version::{Adjacency, Version},
+};
+
+/// The number of a guarantee in the tables of one scheduler.
+pub(super) type GuaranteeId = usize;
+
+/// All guarantees with their allotments.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Guarantees {
+    pub(super) entries: Vec<Entry>,
+    by_workspace: HashMap<Name, Vec<GuaranteeId>>,
+    on_worker: HashMap<WorkerId, Vec<GuaranteeId>>,
+}
+
+/// One guarantee.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) workspace: Name,
+    pub(super) shape: Shape,
+    /// The allotment; empty where the hardware in service does not permit one.
+    pub(super) shares: Vec<Share>,
+    /// The covered jobs.
+    pub(super) jobs: Vec<JobId>,
+    /// Whether the document still has it.
+    wanted: bool,
+}
+
+/// The part of an allotment on one worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Share {
+    pub(super) worker: WorkerId,
+    /// Tasks of the guaranteed shape.
+    pub(super) tasks: u32,
+    /// Accelerators that covered jobs hold.
+    pub(super) used: u32,
+}
+
+impl Entry {
+    /// Returns the accelerators of the whole shape.
+    pub(super) fn accelerators(&self) -> u32 {
+        self.shape.tasks.saturating_mul(self.shape.accelerators)
+    }
+
+    /// Returns whether nothing holds the allotment in its place.
+    pub(super) fn movable(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    fn unused(&self) -> u32 {
+        let used: u32 = self.shares.iter().map(|s| s.used).sum();
+        self.accelerators().saturating_sub(used)
+    }
+
+    /// Returns what is not used of each share.
+    fn seats(&self, inventory: &Inventory) -> Vec<Seat> {
+        let seat = |share: &Share| Seat {
+            value: share.tasks * self.shape.accelerators - share.used,
+            ..inventory.open.seat(share.worker)
+        };
+        let usable = |share: &&Share| inventory.worker(share.worker).usable();
+        self.shares.iter().filter(usable).map(seat).collect()
+    }
+}
+
+impl Guarantees {
+    /// Takes over the guarantees of `version`; returns the jobs that are no longer covered.
+    pub(super) fn configure(&mut self, version: &Version, inventory: &mut Inventory) -> Vec<JobId> {
+        for entry in &mut self.entries {
+            entry.wanted = false;
+        }
+        let mut workspaces: Vec<_> = version.workspaces().collect();
+        workspaces.sort_by(|a, b| a.name.cmp(&b.name));
+        for workspace in workspaces {
+            for guarantee in &workspace.guarantees {
+                let shape = Shape {
+                    tasks: guarantee.tasks,
+                    accelerators: guarantee.accelerators,
+                    adjacency: guarantee.adjacency,
+                };
+                self.want(&workspace.name, shape);
+            }
+        }
+        self.drop_unwanted(inventory)
+    }
+
+    /// Returns the guarantees of `workspace`.
+    pub(super) fn of(&self, workspace: &Name) -> &[GuaranteeId] {
+        self.by_workspace.get(workspace).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the guarantees with a share on `worker`.
+    pub(super) fn on(&self, worker: WorkerId) -> &[GuaranteeId] {
+        self.on_worker.get(&worker).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns a guarantee of `workspace` with unused room for `shape`, and where in it. One that
+    /// is partly used comes first, so that others stay whole.
+    pub(super) fn room(
+        &self,
+        inventory: &Inventory,
+        workspace: &Name,
+        shape: &Shape,
+    ) -> Option<(GuaranteeId, Vec<Part>)> {
+        let mut ids: Vec<_> = self.of(workspace).to_vec();
+        ids.sort_by_key(|id| self.entries[*id].unused());
+        ids.into_iter().find_map(|id| {
+            let plan = pick(&self.entries[id].seats(inventory), shape)?;
+            Some((id, plan.parts))
+        })
+    }
+
+    /// Covers `job` of `workspace`, with `size` accelerators a task at `parts`, by a guarantee:
+    /// one whose allotment is there already, or one whose allotment can be moved there.
+    pub(super) fn cover(
+        &mut self,
+        inventory: &mut Inventory,
+        workspace: &Name,
+        job: &JobId,
+        parts: &[Part],
+        size: u32,
+    ) -> Option<GuaranteeId> {
+        let mut ids: Vec<_> = self.of(workspace).to_vec();
+        ids.sort_by_key(|id| self.entries[*id].unused());
+        let there = ids.iter().find(|id| self.contains(**id, parts, size));
+        let id = match there {
+            Some(id) => *id,
+            None => ids
+                .into_iter()
+                .find(|id| self.move_to(inventory, *id, parts, size))?,
+        };
+        let entry = &mut self.entries[id];
+        entry.jobs.push(job.clone());
+        for part in parts {
+            if let Some(share) = entry.shares.iter_mut().find(|s| s.worker == part.worker) {
+                share.used += part.tasks * size;
+            }
+        }
+        Some(id)
+    }
+
+    /// Takes note that `job` at `parts` is covered no longer.
+    pub(super) fn uncover(&mut self, id: GuaranteeId, job: &JobId, parts: &[Part], size: u32) {
+        let entry = &mut self.entries[id];
+        entry.jobs.retain(|j| j != job);
+        for part in parts {
+            if let Some(share) = entry.shares.iter_mut().find(|s| s.worker == part.worker) {
+                share.used = share.used.saturating_sub(part.tasks * size);
+            }
+        }
+    }
+
+    /// Allots `parts` to a guarantee.
+    pub(super) fn allot(&mut self, inventory: &mut Inventory, id: GuaranteeId, parts: &[Part]) {
+        let size = self.entries[id].shape.accelerators;
+        for part in parts {
+            inventory.allot(part.worker, i64::from(part.tasks * size));
+            let shares = &mut self.entries[id].shares;
+            match shares.iter_mut().find(|s| s.worker == part.worker) {
+                Some(share) => share.tasks += part.tasks,
+                None => {
+                    shares.push(Share {
+                        worker: part.worker,
+                        tasks: part.tasks,
+                        used: 0,
+                    });
+                    self.on_worker.entry(part.worker).or_default().push(id);
+                }
+            }
+        }
+    }
+
+    /// Takes back the shares of a guarantee that `which` names; returns them.
+    pub(super) fn take_back(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+        which: impl Fn(&Share) -> bool,
+    ) -> Vec<Part> {
+        let entry = &mut self.entries[id];
+        let size = entry.shape.accelerators;
+        let mut taken = Vec::new();
+        entry.shares.retain(|share| {
+            let take = which(share);
+            if take {
+                taken.push(Part {
+                    worker: share.worker,
+                    tasks: share.tasks,
+                });
+            }
+            !take
+        });
+        for part in &taken {
+            inventory.allot(part.worker, -i64::from(part.tasks * size));
+            if let Some(ids) = self.on_worker.get_mut(&part.worker) {
+                ids.retain(|other| *other != id);
+            }
+        }
+        taken
+    }
+
+    /// Allots the tasks that a guarantee lacks, next to those it has; returns whether it is whole.
+    pub(super) fn complete(&mut self, inventory: &mut Inventory, id: GuaranteeId) -> bool {
+        let entry = &self.entries[id];
+        let allotted: u32 = entry.shares.iter().map(|s| s.tasks).sum();
+        let missing = entry.shape.tasks.saturating_sub(allotted);
+        if missing == 0 {
+            return true;
+        }
+        let shape = Shape {
+            tasks: missing,
+            ..entry.shape
+        };
+        let found = match entry.shares.first() {
+            None => inventory.open.find(&shape),
+            Some(share) => {
+                let at = inventory.open.seat(share.worker);
+                let seats = neighbours(inventory, &at, &shape);
+                pick(&seats, &shape).map(|plan| plan.parts)
+            }
+        };
+        let Some(parts) = found else { return false };
+        self.allot(inventory, id, &parts);
+        true
+    }
+
+    fn want(&mut self, workspace: &Name, shape: Shape) {
+        let known = self
+            .entries
+            .iter_mut()
+            .find(|e| !e.wanted && e.workspace == *workspace && e.shape == shape);
+        match known {
+            Some(entry) => entry.wanted = true,
+            None => self.entries.push(Entry {
+                workspace: workspace.clone(),
+                shape,
+                shares: Vec::new(),
+                jobs: Vec::new(),
+                wanted: true,
+            }),
+        }
+    }
+
+    /// Drops the guarantees that the document no longer has, and numbers the rest anew.
+    fn drop_unwanted(&mut self, inventory: &mut Inventory) -> Vec<JobId> {
+        let mut uncovered = Vec::new();
+        for id in 0..self.entries.len() {
+            if !self.entries[id].wanted {
+                self.take_back(inventory, id, |_| true);
+                uncovered.append(&mut self.entries[id].jobs);
+            }
+        }
+        self.entries.retain(|e| e.wanted);
+        self.by_workspace.clear();
+        self.on_worker.clear();
+        for (entry, id) in self.entries.iter().zip(0..) {
+            let ids = self.by_workspace.entry(entry.workspace.clone());
+            ids.or_default().push(id);
+            for share in &entry.shares {
+                self.on_worker.entry(share.worker).or_default().push(id);
+            }
+        }
+        uncovered
+    }
+
+    fn contains(&self, id: GuaranteeId, parts: &[Part], size: u32) -> bool {
+        let entry = &self.entries[id];
+        parts.iter().all(|part| {
+            let share = entry.shares.iter().find(|s| s.worker == part.worker);
+            share.is_some_and(|s| {
+                s.tasks * entry.shape.accelerators >= s.used + part.tasks * size //
+            })
+        })
+    }
+
+    /// Moves the allotment of a guarantee without jobs so that it contains `parts`. Allotments
+    /// without jobs that are in the way are moved elsewhere; where one of them can't be, all
+    /// stays as it was.
+    fn move_to(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+        parts: &[Part],
+        size: u32,
+    ) -> bool {
+        let entry = &self.entries[id];
+        if !entry.movable() {
+            return false;
+        }
+        let Some(wanted) = rounded(inventory, &entry.shape, parts, size) else {
+            return false;
+        };
+        let mut moved = vec![(id, self.take_back(inventory, id, |_| true))];
+        let done = self.clear(inventory, id, &wanted, &mut moved)
+            && {
+                self.allot(inventory, id, &wanted);
+                self.complete(inventory, id)
+            }
+            && moved[1..]
+                .iter()
+                .all(|(other, _)| self.complete(inventory, *other));
+        if !done {
+            for (other, _) in &moved {
+                self.take_back(inventory, *other, |_| true);
+            }
+            for (other, before) in &moved {
+                self.allot(inventory, *other, before);
+            }
+        }
+        done
+    }
+
+    /// Takes back allotments without jobs until `wanted` is open; adds them to `moved`.
+    fn clear(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+        wanted: &[Part],
+        moved: &mut Vec<(GuaranteeId, Vec<Part>)>,
+    ) -> bool {
+        let size = self.entries[id].shape.accelerators;
+        wanted.iter().all(|part| {
+            while inventory.open.value(part.worker) < part.tasks * size {
+                let in_the_way = self.on(part.worker).iter().copied();
+                let movable = in_the_way.filter(|o| *o != id && self.entries[*o].movable());
+                let Some(other) = movable.min_by_key(|o| self.entries[*o].accelerators()) else {
+                    return false;
+                };
+                let before = self.take_back(inventory, other, |_| true);
+                moved.push((other, before));
+            }
+            true
+        })
+    }
+}
+
+/// Returns the tasks of `shape` that cover `parts`, if they are near enough to each other and no
+/// more than the shape has.
+fn rounded(inventory: &Inventory, shape: &Shape, parts: &[Part], size: u32) -> Option<Vec<Part>> {
+    let scope = |p: &Part| scope_of(&inventory.open.seat(p.worker), shape.adjacency);
+    let first = parts.first().map(scope)?;
+    if parts.iter().any(|p| scope(p) != first) {
+        return None;
+    }
+    let wanted: Vec<Part> = parts
+        .iter()
+        .map(|part| Part {
+            worker: part.worker,
+            tasks: (part.tasks * size).div_ceil(shape.accelerators),
+        })
+        .collect();
+    let tasks: u32 = wanted.iter().map(|p| p.tasks).sum();
+    (tasks <= shape.tasks).then_some(wanted)
+}
+
+/// Returns workers near enough to `at` to take the rest of `shape`, those with most room first.
+fn neighbours(inventory: &mut Inventory, at: &Seat, shape: &Shape) -> Vec<Seat> {
+    let most = shape.tasks as usize;
+    match shape.adjacency {
+        Adjacency::Worker => vec![*at],
+        Adjacency::Rack => inventory.open.rack_of(at.worker),
+        Adjacency::FailureDomain => {
+            let mut domains = inventory.open.roomiest_by_domain(most);
+            domains.swap_remove(at.domain)
+        }
+        Adjacency::Any => inventory.open.roomiest(most),
+    }
+}
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -1,24 +1,117 @@
 //! The scheduling policy: which waiting job starts where, and which running one makes room.
+//!
+//! [`Scheduler`] keeps the tables and is told of every change; `pass.rs` holds the decisions.
 
 use std::{
-    collections::BTreeMap,
-    sync::Arc, //
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
 };
 
 use crate::{
     connection::Placement,
-    job::{Decision, JobId, JobSpec, LiveJob, Unreachable, UsageReport, WorkerInfo},
-    utils::{HashMap, Name, Timestamp},
-    version::Version,
+    job::{
+        Decision, JobId, JobSpec, LiveJob, Shape, Unreachable, UsageReport, WorkerInfo,
+        estimate::Estimates,
+        guarantee::{GuaranteeId, Guarantees},
+        inventory::Inventory,
+        placement::Part,
+        quarantine::Quarantine,
+        queue::{Aged, Queue},
+        slots::WorkerId,
+    },
+    utils::{HashMap, HashSet, Name, Timestamp},
+    version::{Limits, Version},
 };
 
+/// Ended jobs whose late usage is still learned from.
+const REMEMBERED_JOBS: usize = 4_096;
+
+/// Time without a new worker after which the workers known are taken to be all there are. An entry
+/// that has just started hears its agents one after the other, and must not call a job impossible
+/// because it has not heard enough of them yet.
+const SETTLED_AFTER: Duration = Duration::from_secs(5);
+
 /// The decision table that the planner asks.
-#[derive(Debug, Default)]
+///
+/// It does no I/O and reads no clock; the planner tells it what happens and carries out what
+/// [`Scheduler::decide`] returns.
+#[derive(Clone, Debug, Default)]
 pub struct Scheduler {
-    version: Option<Arc<Version>>,
-    workers: BTreeMap<Name, WorkerInfo>,
-    running: HashMap<JobId, (JobSpec, Vec<Placement>)>,
-    waiting: BTreeMap<u64, LiveJob>,
+    pub(super) version: Option<Arc<Version>>,
+    pub(super) limits: Limits,
+    pub(super) inventory: Inventory,
+    pub(super) guarantees: Guarantees,
+    pub(super) queue: Queue,
+    pub(super) jobs: HashMap<JobId, Entry>,
+    pub(super) estimates: Estimates,
+    pub(super) quarantine: Quarantine,
+    /// Jobs of each workspace that hold accelerators or are pledged some.
+    pub(super) holding: HashMap<Name, BTreeSet<Aged>>,
+    /// Jobs that wait for the rest of their pledge.
+    pub(super) pledged: BTreeSet<Aged>,
+    /// Workers whose state has changed since the guarantees were last settled.
+    pub(super) changed: Vec<WorkerId>,
+    /// Workspaces whose borrowing jobs may now be covered by a guarantee.
+    pub(super) uncovered: BTreeSet<Name>,
+    /// Whether something has changed since the last pass over the queue.
+    pub(super) stale: bool,
+    pub(super) last_pass: Timestamp,
+    last_new_worker: Timestamp,
+    pub(super) settled: bool,
+    /// Members of running gangs on workers that were not heard of yet. A planner that takes over
+    /// knows the placements from the log before it hears the agents.
+    unheard: HashMap<Name, Vec<(JobId, u32)>>,
+    /// Shapes of ended jobs, for usage that is reported late.
+    ended: HashMap<JobId, JobSpec>,
+    ended_order: std::collections::VecDeque<JobId>,
+}
+
+/// What the scheduler keeps of a live job.
+#[derive(Clone, Debug)]
+pub(super) struct Entry {
+    pub(super) spec: JobSpec,
+    pub(super) accepted: u64,
+    pub(super) waiting_since: Timestamp,
+    pub(super) evictions: u32,
+    /// The guarantee that covers it.
+    pub(super) cover: Option<GuaranteeId>,
+    pub(super) stage: Stage,
+}
+
+/// Where a job is between waiting and running.
+#[derive(Clone, Debug)]
+pub(super) enum Stage {
+    /// It waits for room.
+    Waits,
+    /// Room was chosen; it starts when all of it is vacant.
+    Pledged(Vec<Part>),
+    /// It holds its accelerators.
+    Holds(Hold),
+}
+
+/// The accelerators that a job holds.
+#[derive(Clone, Debug)]
+pub(super) struct Hold {
+    pub(super) parts: Vec<Part>,
+    pub(super) since: Timestamp,
+    /// Whether the planner was told to stop it.
+    pub(super) stopping: bool,
+}
+
+/// A guarantee that the hardware in service does not permit together with the others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnmetGuarantee {
+    /// The workspace.
+    pub workspace: Name,
+    /// The shape.
+    pub shape: Shape,
+}
+
+impl Entry {
+    pub(super) fn accelerators(&self) -> u32 {
+        self.spec.tasks.saturating_mul(self.spec.accelerators)
+    }
 }
 
 impl Scheduler {
@@ -27,50 +120,157 @@
         Self::default()
     }
 
-    /// Puts a document in force.
+    /// Puts a document in force: guarantees, quotas, limits, and which failure domains are in
+    /// service. What runs in one that is out of service is evicted by the next decisions.
     pub fn configure(&mut self, version: &Arc<Version>) {
+        self.limits = version.limits;
+        for id in self.inventory.ids() {
+            let domain = &self.inventory.worker(id).info.failure_domain;
+            let in_service = version.in_service(domain);
+            if self.inventory.worker(id).in_service != in_service {
+                self.inventory.change(id, |w| w.in_service = in_service);
+                self.changed.push(id);
+            }
+        }
+        let before = self.covers();
+        self.guarantees.configure(version, &mut self.inventory);
+        self.restore_covers(before);
+        self.uncovered
+            .extend(version.workspaces().map(|w| w.name.clone()));
         self.version = Some(version.clone());
+        self.stale = true;
     }
 
     /// Takes note of a new or changed worker.
-    pub fn worker_up(&mut self, _now: Timestamp, info: WorkerInfo) {
-        self.workers.insert(info.name.clone(), info);
+    pub fn worker_up(&mut self, now: Timestamp, info: WorkerInfo) {
+        let version = self.version.as_ref();
+        let in_service = version.is_some_and(|v| v.in_service(&info.failure_domain));
+        let known = self.inventory.id(&info.name);
+        if let Some(id) = known
+            && self.inventory.worker(id).up
+            && self.inventory.worker(id).info == info
+        {
+            return;
+        }
+        let id = self.inventory.up(info, in_service);
+        if known != Some(id) {
+            self.last_new_worker = now;
+            self.settled = false;
+            self.hold_unheard(id);
+        }
+        self.changed.push(id);
+        self.stale = true;
     }
 
-    /// Takes note that a worker is lost, silent or leaving.
-    pub fn worker_down(&mut self, _now: Timestamp, worker: &Name) {
-        self.workers.remove(worker);
+    /// Takes note that a worker is lost, silent or leaving: nothing starts there. What it holds
+    /// stays held until the planner says that those jobs wait again or are gone.
+    pub fn worker_down(&mut self, now: Timestamp, worker: &Name) {
+        if let Some(id) = self.inventory.id(worker)
+            && self.inventory.worker(id).up
+        {
+            self.inventory.change(id, |w| w.up = false);
+            self.drop_pledges_on(now, id);
+            self.changed.push(id);
+            self.stale = true;
+        }
     }
 
-    /// Takes note of a job that was accepted, or has stopped and waits again.
-    pub fn job_waits(&mut self, _now: Timestamp, job: &LiveJob) {
-        self.running.remove(&job.job);
-        self.waiting.insert(job.accepted, job.clone());
+    /// Takes note of a job that was accepted, or has stopped on all its workers for certain and
+    /// waits again.
+    pub fn job_waits(&mut self, now: Timestamp, job: &LiveJob) {
+        if let Some(entry) = self.jobs.get(&job.job) {
+            if !matches!(entry.stage, Stage::Holds(_)) {
+                return;
+            }
+            self.let_go(&job.job);
+        }
+        let evictions = self.jobs.get(&job.job).map_or(0, |e| e.evictions);
+        if !job.cancelled {
+            self.queue.insert(&job.spec, job.accepted, &job.job);
+        }
+        self.jobs
+            .insert(job.job.clone(), Entry::new(now, job, evictions));
+        self.stale = true;
     }
 
-    /// Takes note of a job that is reserved or running at its placements.
-    pub fn job_runs(&mut self, _now: Timestamp, job: &LiveJob) {
-        self.waiting.remove(&job.accepted);
-        let held = (job.spec.clone(), job.placements.clone());
-        self.running.insert(job.job.clone(), held);
+    /// Takes note of a job that is reserved or running at its placements, also when a planner
+    /// takes over.
+    pub fn job_runs(&mut self, now: Timestamp, job: &LiveJob) {
+        if let Some(entry) = self.jobs.get(&job.job) {
+            if matches!(entry.stage, Stage::Holds(_)) {
+                return;
+            }
+            self.let_go(&job.job);
+            self.queue.remove(&job.spec, job.accepted, &job.job);
+        }
+        self.jobs.insert(job.job.clone(), Entry::new(now, job, 0));
+        let mut parts = Vec::new();
+        for Placement { worker, tasks } in &job.placements {
+            match self.inventory.id(worker) {
+                Some(worker) => parts.push(Part {
+                    worker,
+                    tasks: *tasks,
+                }),
+                None => {
+                    let unheard = self.unheard.entry(worker.clone()).or_default();
+                    unheard.push((job.job.clone(), *tasks));
+                }
+            }
+        }
+        self.hold(now, &job.job, parts);
+        self.uncovered.insert(job.spec.workspace.clone());
+        self.stale = true;
     }
 
-    /// Takes note of a job that has ended.
+    /// Takes note of a job that has ended on all its workers for certain.
     pub fn job_gone(&mut self, _now: Timestamp, job: &JobId) {
-        self.running.remove(job);
-        self.waiting.retain(|_, w| w.job != *job);
+        self.let_go(job);
+        let Some(entry) = self.jobs.remove(job) else {
+            return;
+        };
+        self.queue.remove(&entry.spec, entry.accepted, job);
+        self.remember(job, entry.spec);
+        self.stale = true;
     }
 
     /// Takes note that a worker could not start what it was given.
-    pub fn start_failed(&mut self, _now: Timestamp, _worker: &Name) {}
+    pub fn start_failed(&mut self, now: Timestamp, worker: &Name) {
+        if let Some(id) = self.inventory.id(worker)
+            && self.quarantine.failed(now, id, &self.limits)
+        {
+            log::warn!(worker:% = worker; "worker_set_aside");
+            self.inventory.change(id, |w| w.set_aside = true);
+            self.drop_pledges_on(now, id);
+            self.changed.push(id);
+            self.stale = true;
+        }
+    }
 
     /// Takes note that a worker has started what it was given.
-    pub fn start_succeeded(&mut self, _now: Timestamp, _worker: &Name) {}
+    pub fn start_succeeded(&mut self, _now: Timestamp, worker: &Name) {
+        if let Some(id) = self.inventory.id(worker) {
+            self.quarantine.succeeded(id);
+            if self.inventory.worker(id).set_aside {
+                self.inventory.change(id, |w| w.set_aside = false);
+                self.changed.push(id);
+                self.stale = true;
+            }
+        }
+    }
 
-    /// Takes note of what a job has used.
-    pub fn usage(&mut self, _now: Timestamp, _report: &UsageReport) {}
+    /// Takes note of what a job has used; also after its end, since workers report with a lag.
+    pub fn usage(&mut self, _now: Timestamp, report: &UsageReport) {
+        let live = self.jobs.get(&report.job).map(|e| &e.spec);
+        let Some(spec) = live.or_else(|| self.ended.get(&report.job)) else {
+            return;
+        };
+        if report.finished {
+            self.estimates.learn(spec, report.ran_ms);
+        }
+    }
 
-    /// Checks that a job can be had from the workers known, in service or not.
+    /// Checks that a job can be had: from the document's quota, and from the workers known once no
+    /// new one has come for some seconds.
     ///
     /// # Errors
     ///
@@ -79,70 +279,246 @@
         if spec.tasks == 0 || spec.accelerators == 0 {
             return Err(Unreachable::Empty);
         }
+        let wanted = spec.tasks.saturating_mul(spec.accelerators);
+        if self.quota(&spec.workspace).is_some_and(|q| wanted > q) {
+            return Err(Unreachable::OverQuota);
+        }
+        if !self.settled {
+            return Ok(());
+        }
+        if spec.accelerators > self.inventory.largest_worker() {
+            return Err(Unreachable::TaskTooLarge);
+        }
+        if !self.inventory.could_hold(&spec.shape()) {
+            return Err(Unreachable::GangTooLarge);
+        }
         Ok(())
     }
 
-    /// Returns what is to be done now; what is returned counts as under way.
-    pub fn decide(&mut self, _now: Timestamp) -> Vec<Decision> {
-        let mut free = self.free();
-        let mut decisions = Vec::new();
-        let mut started = Vec::new();
-        for (age, live) in &self.waiting {
-            if let Some(placements) = first_fit(&mut free, &live.spec) {
-                let held = (live.spec.clone(), placements.clone());
-                self.running.insert(live.job.clone(), held);
-                started.push(*age);
-                decisions.push(Decision::Start {
-                    job: live.job.clone(),
-                    placements,
+    /// Returns the guarantees that the hardware in service does not permit together with the
+    /// others, in no order of importance. Which ones are left out is decided in turns: each time
+    /// the workspace that has the smallest share of what it was promised comes first.
+    pub fn unmet(&self) -> Vec<UnmetGuarantee> {
+        let lacking = self.guarantees.lacking().into_iter();
+        lacking
+            .map(|id| {
+                let entry = &self.guarantees.entries[id];
+                UnmetGuarantee {
+                    workspace: entry.workspace.clone(),
+                    shape: entry.shape,
+                }
+            })
+            .collect()
+    }
+
+    /// Returns whether a running job borrows: it lies outside its workspace's guarantees and may
+    /// be evicted for another's.
+    pub fn borrows(&self, job: &JobId) -> bool {
+        let entry = self.jobs.get(job);
+        entry.is_some_and(|e| matches!(e.stage, Stage::Holds(_)) && e.cover.is_none())
+    }
+
+    /// Returns where each guarantee is allotted: its workspace, shape and workers, with tasks of
+    /// the guaranteed shape. Empty placements stand for one that is unmet.
+    pub fn allotments(&self) -> Vec<(UnmetGuarantee, Vec<Placement>)> {
+        let entries = self.guarantees.entries.iter();
+        entries
+            .map(|entry| {
+                let guarantee = UnmetGuarantee {
+                    workspace: entry.workspace.clone(),
+                    shape: entry.shape,
+                };
+                let placements = entry.shares.iter().map(|s| Placement {
+                    worker: self.inventory.worker(s.worker).info.name.clone(),
+                    tasks: s.tasks,
                 });
-            }
+                (guarantee, placements.collect())
+            })
+            .collect()
+    }
+
+    /// Returns what is to be done now; what is returned counts as under way.
+    pub fn decide(&mut self, now: Timestamp) -> Vec<Decision> {
+        if !self.settled && now.since(self.last_new_worker) >= SETTLED_AFTER {
+            self.settled = true;
+            self.stale = true;
+        }
+        self.pass(now)
+    }
+
+    pub(super) fn quota(&self, workspace: &Name) -> Option<u32> {
+        let workspace = self.version.as_ref()?.workspace(workspace)?;
+        workspace.quota_accelerators
+    }
+
+    /// Returns the accelerators that jobs of `workspace` hold or were pledged.
+    pub(super) fn used_by(&self, workspace: &Name) -> u32 {
+        let jobs = self.holding.get(workspace).into_iter().flatten();
+        let entries = jobs.filter_map(|(_, job)| self.jobs.get(job));
+        entries.map(Entry::accelerators).sum()
+    }
+
+    /// Gives `job` the accelerators at `parts`.
+    pub(super) fn hold(&mut self, now: Timestamp, job: &JobId, parts: Vec<Part>) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        for part in &parts {
+            let accelerators = part.tasks.saturating_mul(entry.spec.accelerators);
+            self.inventory.hold(part.worker, job, accelerators);
         }
-        for age in started {
-            self.waiting.remove(&age);
+        entry.stage = Stage::Holds(Hold {
+            parts,
+            since: now,
+            stopping: false,
+        });
+        let aged = (entry.accepted, job.clone());
+        let holding = self.holding.entry(entry.spec.workspace.clone());
+        holding.or_default().insert(aged);
+    }
+
+    /// Holds what running gangs have on a worker that is heard for the first time.
+    fn hold_unheard(&mut self, worker: WorkerId) {
+        let name = self.inventory.worker(worker).info.name.clone();
+        for (job, tasks) in self.unheard.remove(&name).unwrap_or_default() {
+            // What covers it covers only the members known so far.
+            self.uncover(&job);
+            let Some(entry) = self.jobs.get_mut(&job) else {
+                continue;
+            };
+            let Stage::Holds(hold) = &mut entry.stage else {
+                continue;
+            };
+            hold.parts.push(Part { worker, tasks });
+            let accelerators = tasks.saturating_mul(entry.spec.accelerators);
+            self.inventory.hold(worker, &job, accelerators);
+            if hold.stopping {
+                let given_back = i64::from(accelerators);
+                self.inventory.stopping(worker, given_back);
+            }
+            self.uncovered.insert(entry.spec.workspace.clone());
         }
-        decisions
     }
 
-    fn free(&self) -> BTreeMap<Name, u32> {
-        let in_service = |w: &WorkerInfo| {
-            let version = self.version.as_ref();
-            version.is_some_and(|v| v.in_service(&w.failure_domain))
+    /// Takes back what a job holds or was pledged; it waits from then on, but outside the queue.
+    pub(super) fn let_go(&mut self, job: &JobId) {
+        self.uncover(job);
+        for members in self.unheard.values_mut() {
+            members.retain(|(other, _)| other != job);
+        }
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
         };
-        let workers = self.workers.values().filter(|w| in_service(w));
-        let mut free: BTreeMap<Name, u32> =
-            workers.map(|w| (w.name.clone(), w.accelerators)).collect();
-        for (spec, placements) in self.running.values() {
-            for placement in placements {
-                if let Some(left) = free.get_mut(&placement.worker) {
-                    *left = left.saturating_sub(placement.tasks * spec.accelerators);
+        let size = entry.spec.accelerators;
+        let aged = (entry.accepted, job.clone());
+        let workspace = entry.spec.workspace.clone();
+        match std::mem::replace(&mut entry.stage, Stage::Waits) {
+            Stage::Waits => return,
+            Stage::Pledged(parts) => {
+                for part in parts {
+                    let pledged = i64::from(part.tasks * size);
+                    self.inventory.pledge(part.worker, -pledged);
                 }
+                self.pledged.remove(&aged);
             }
+            Stage::Holds(hold) => {
+                for part in hold.parts {
+                    let held = self.inventory.worker(part.worker).of(job);
+                    if hold.stopping {
+                        self.inventory.stopping(part.worker, -i64::from(held));
+                    }
+                    self.inventory.release(part.worker, job);
+                }
+            }
+        }
+        if let Some(holding) = self.holding.get_mut(&workspace) {
+            holding.remove(&aged);
         }
-        free
+        self.uncovered.insert(workspace);
     }
-}
 
-fn first_fit(free: &mut BTreeMap<Name, u32>, spec: &JobSpec) -> Option<Vec<Placement>> {
-    let mut tasks = spec.tasks;
-    let mut placements = Vec::new();
-    for (worker, left) in free.iter() {
-        let here = tasks.min(left / spec.accelerators.max(1));
-        if here > 0 {
-            tasks -= here;
-            placements.push(Placement {
-                worker: worker.clone(),
-                tasks: here,
-            });
+    /// Takes note that `job` is covered no longer.
+    pub(super) fn uncover(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let Some(id) = entry.cover.take() else { return };
+        let size = entry.spec.accelerators;
+        let parts = match &entry.stage {
+            Stage::Waits => return,
+            Stage::Pledged(parts) => parts,
+            Stage::Holds(hold) => &hold.parts,
+        };
+        self.guarantees.uncover(id, job, parts, size);
+        self.changed.extend(parts.iter().map(|p| p.worker));
+        self.uncovered.insert(entry.spec.workspace.clone());
+    }
+
+    /// Takes back the pledges on a worker; those jobs look for room elsewhere.
+    pub(super) fn drop_pledges_on(&mut self, now: Timestamp, worker: WorkerId) {
+        let jobs: Vec<Aged> = self.pledged.iter().cloned().collect();
+        for (_, job) in jobs {
+            let parts = match self.jobs.get(&job).map(|e| &e.stage) {
+                Some(Stage::Pledged(parts)) => parts,
+                _ => continue,
+            };
+            if parts.iter().any(|p| p.worker == worker) {
+                self.wait_again(now, &job);
+            }
         }
     }
-    if tasks > 0 {
-        return None;
+
+    /// Takes a pledge back and puts the job into the queue.
+    pub(super) fn wait_again(&mut self, _now: Timestamp, job: &JobId) {
+        self.let_go(job);
+        if let Some(entry) = self.jobs.get(job) {
+            self.queue.insert(&entry.spec, entry.accepted, job);
+        }
     }
-    for placement in &placements {
-        if let Some(left) = free.get_mut(&placement.worker) {
-            *left -= placement.tasks * spec.accelerators;
+
+    /// Returns which job each guarantee covers, by what does not change with the document.
+    fn covers(&self) -> HashSet<JobId> {
+        let covered = self.jobs.iter().filter(|(_, e)| e.cover.is_some());
+        covered.map(|(job, _)| job.clone()).collect()
+    }
+
+    /// Sets the numbers of the guarantees that cover jobs, after they were numbered anew.
+    fn restore_covers(&mut self, before: HashSet<JobId>) {
+        for job in before {
+            if let Some(entry) = self.jobs.get_mut(&job) {
+                entry.cover = None;
+            }
+        }
+        for (guarantee, id) in self.guarantees.entries.iter().zip(0..) {
+            for job in &guarantee.jobs {
+                if let Some(entry) = self.jobs.get_mut(job) {
+                    entry.cover = Some(id);
+                }
+            }
+        }
+    }
+
+    fn remember(&mut self, job: &JobId, spec: JobSpec) {
+        if self.ended.insert(job.clone(), spec).is_none() {
+            self.ended_order.push_back(job.clone());
+        }
+        if self.ended_order.len() > REMEMBERED_JOBS
+            && let Some(old) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&old);
+        }
+    }
+}
+
+impl Entry {
+    fn new(now: Timestamp, job: &LiveJob, evictions: u32) -> Self {
+        Self {
+            spec: job.spec.clone(),
+            accepted: job.accepted,
+            waiting_since: now,
+            evictions,
+            cover: None,
+            stage: Stage::Waits,
         }
     }
-    Some(placements)
 }
--- /dev/null
+++ b/dragonflyrun/src/job/slots.rs
@@ -0,0 +1,275 @@
+//! An index of workers by a count of accelerators, which finds room for a shape without a look at
+//! every worker.
+//!
+//! The scheduler keeps two: one of what is free, one of what no guarantee has been allotted.
+
+use std::collections::BTreeSet;
+
+use crate::{
+    job::{
+        Shape,
+        placement::{Part, Seat, best_of},
+    },
+    utils::HashMap,
+    version::Adjacency,
+};
+
+/// The number of a worker in the tables of one scheduler.
+pub(super) type WorkerId = usize;
+
+/// Racks that are compared for one placement. The first has the fewest slots to spare; a few more
+/// are looked at because slots don't say how many whole workers a rack keeps.
+const COMPARED_RACKS: usize = 4;
+
+/// A worker's place in the order: fewest accelerators first, then the most broken rack, so that
+/// whole racks come last.
+type Key = (u32, u32, WorkerId);
+
+/// Workers with a count of accelerators each, by rack and failure domain.
+#[derive(Clone, Debug, Default)]
+pub(super) struct SlotIndex {
+    seats: Vec<Seat>,
+    racks: Vec<Rack>,
+    domains: Vec<Scope>,
+    all: Scope,
+    rack_orders: HashMap<u32, BTreeSet<(u32, usize)>>,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Rack {
+    members: Vec<WorkerId>,
+    counts: Counts,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Scope {
+    order: BTreeSet<Key>,
+    counts: Counts,
+}
+
+/// How many workers have each count.
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    workers: Vec<u32>,
+    sum: u32,
+}
+
+impl Counts {
+    fn add(&mut self, value: u32) {
+        let at = value as usize;
+        if self.workers.len() <= at {
+            self.workers.resize(at + 1, 0);
+        }
+        self.workers[at] += 1;
+        self.sum += value;
+    }
+
+    fn remove(&mut self, value: u32) {
+        self.workers[value as usize] -= 1;
+        self.sum -= value;
+    }
+
+    /// Returns how many tasks of `size` accelerators fit.
+    fn slots(&self, size: u32) -> u32 {
+        let counts = self.workers.iter().zip(0u32..);
+        counts
+            .map(|(workers, value)| workers * (value / size))
+            .sum()
+    }
+}
+
+impl SlotIndex {
+    /// Adds a worker without accelerators; workers are added in the order of their numbers.
+    pub(super) fn add(&mut self, rack: usize, domain: usize) -> WorkerId {
+        let worker = self.seats.len();
+        if self.racks.len() <= rack {
+            self.racks.resize_with(rack + 1, Rack::default);
+        }
+        if self.domains.len() <= domain {
+            self.domains.resize_with(domain + 1, Scope::default);
+        }
+        self.seats.push(Seat {
+            worker,
+            rack,
+            domain,
+            value: 0,
+        });
+        self.racks[rack].members.push(worker);
+        self.racks[rack].counts.add(0);
+        self.domains[domain].counts.add(0);
+        self.all.counts.add(0);
+        worker
+    }
+
+    /// Returns the count of `worker`.
+    pub(super) fn value(&self, worker: WorkerId) -> u32 {
+        self.seats[worker].value
+    }
+
+    /// Returns where `worker` stands, with its count.
+    pub(super) fn seat(&self, worker: WorkerId) -> Seat {
+        self.seats[worker]
+    }
+
+    /// Sets the count of `worker`.
+    pub(super) fn set(&mut self, worker: WorkerId, value: u32) {
+        let seat = self.seats[worker];
+        if seat.value == value {
+            return;
+        }
+        self.unlink(seat.rack);
+        for counts in [
+            &mut self.racks[seat.rack].counts,
+            &mut self.domains[seat.domain].counts,
+            &mut self.all.counts,
+        ] {
+            counts.remove(seat.value);
+            counts.add(value);
+        }
+        self.seats[worker].value = value;
+        self.link(seat.rack);
+    }
+
+    /// Returns where `shape` fits best, if it fits.
+    pub(super) fn find(&mut self, shape: &Shape) -> Option<Vec<Part>> {
+        let size = shape.accelerators;
+        match shape.adjacency {
+            Adjacency::Worker => {
+                let needed = shape.tasks.checked_mul(size)?;
+                let (_, _, worker) = self.all.order.range((needed, 0, 0)..).next()?;
+                Some(vec![Part {
+                    worker: *worker,
+                    tasks: shape.tasks,
+                }])
+            }
+            Adjacency::Rack => self.find_rack(shape),
+            Adjacency::FailureDomain => {
+                let fits = self
+                    .domains
+                    .iter()
+                    .filter(|d| d.counts.slots(size) >= shape.tasks);
+                let tightest = fits.min_by_key(|d| d.counts.slots(size))?;
+                self.find_in(tightest, shape)
+            }
+            Adjacency::Any if self.all.counts.slots(size) >= shape.tasks => {
+                self.find_in(&self.all, shape)
+            }
+            Adjacency::Any => None,
+        }
+    }
+
+    /// Returns the members of the racks with the most room for tasks of `size`, `most` racks at
+    /// the most.
+    pub(super) fn roomiest_racks(&mut self, size: u32, most: usize) -> Vec<Vec<Seat>> {
+        let racks: Vec<usize> = self
+            .rack_order(size)
+            .iter()
+            .rev()
+            .take(most)
+            .map(|(_, rack)| *rack)
+            .collect();
+        racks.into_iter().map(|rack| self.seats_of(rack)).collect()
+    }
+
+    /// Returns the workers with the most room in each failure domain, `most` of each at the most.
+    pub(super) fn roomiest_by_domain(&self, most: usize) -> Vec<Vec<Seat>> {
+        let roomiest = |d: &Scope| {
+            let workers = d.order.iter().rev().take(most);
+            workers.map(|(_, _, w)| self.seats[*w]).collect()
+        };
+        self.domains.iter().map(roomiest).collect()
+    }
+
+    /// Returns the workers with the most room, `most` at the most.
+    pub(super) fn roomiest(&self, most: usize) -> Vec<Seat> {
+        let workers = self.all.order.iter().rev().take(most);
+        workers.map(|(_, _, w)| self.seats[*w]).collect()
+    }
+
+    fn find_rack(&mut self, shape: &Shape) -> Option<Vec<Part>> {
+        let racks: Vec<usize> = self
+            .rack_order(shape.accelerators)
+            .range((shape.tasks, 0)..)
+            .take(COMPARED_RACKS)
+            .map(|(_, rack)| *rack)
+            .collect();
+        let plans = racks.into_iter().filter_map(|rack| {
+            let mut seats = self.seats_of(rack);
+            seats.sort_by_key(|s| (s.value, s.worker));
+            best_of(&seats, shape.tasks, shape.accelerators)
+        });
+        plans.max_by_key(|plan| plan.kept).map(|plan| plan.parts)
+    }
+
+    /// Returns the best of three ways to fill the workers of `scope`; only as many workers are
+    /// looked at as the shape has tasks.
+    fn find_in(&self, scope: &Scope, shape: &Shape) -> Option<Vec<Part>> {
+        let Shape {
+            tasks,
+            accelerators,
+            ..
+        } = *shape;
+        let most = tasks as usize;
+        let seat = |key: &Key| self.seats[key.2];
+        let from = (accelerators, 0, 0);
+        let mut seats: Vec<Seat> = scope.order.range(from..).take(most).map(seat).collect();
+        let last = scope.order.range(from..).rev().take(most).map(seat);
+        let whole = tasks.saturating_mul(accelerators);
+        let single = scope.order.range((whole, 0, 0)..).take(1).map(seat);
+        seats.extend(last.chain(single));
+        seats.sort_by_key(|s| (s.value, self.racks[s.rack].counts.sum, s.worker));
+        seats.dedup_by_key(|s| s.worker);
+        best_of(&seats, tasks, accelerators).map(|plan| plan.parts)
+    }
+
+    /// Returns the workers in the rack of `worker`, itself included.
+    pub(super) fn rack_of(&self, worker: WorkerId) -> Vec<Seat> {
+        self.seats_of(self.seats[worker].rack)
+    }
+
+    fn seats_of(&self, rack: usize) -> Vec<Seat> {
+        let members = self.racks[rack].members.iter();
+        members.map(|w| self.seats[*w]).collect()
+    }
+
+    /// Returns the racks by their slots for tasks of `size`. The order is made at the first use
+    /// of a size and kept from then on; there are as many sizes as a worker has accelerators.
+    fn rack_order(&mut self, size: u32) -> &BTreeSet<(u32, usize)> {
+        let racks = &self.racks;
+        self.rack_orders.entry(size).or_insert_with(|| {
+            let slots = racks.iter().zip(0usize..);
+            slots.map(|(r, at)| (r.counts.slots(size), at)).collect()
+        })
+    }
+
+    fn unlink(&mut self, rack: usize) {
+        for (size, order) in &mut self.rack_orders {
+            order.remove(&(self.racks[rack].counts.slots(*size), rack));
+        }
+        self.relink(rack, |order, key| {
+            order.remove(&key);
+        });
+    }
+
+    fn link(&mut self, rack: usize) {
+        for (size, order) in &mut self.rack_orders {
+            order.insert((self.racks[rack].counts.slots(*size), rack));
+        }
+        self.relink(rack, |order, key| {
+            order.insert(key);
+        });
+    }
+
+    /// Takes each member of `rack` in or out of the orders: its key holds the rack's sum.
+    fn relink(&mut self, rack: usize, change: impl Fn(&mut BTreeSet<Key>, Key)) {
+        let Rack { members, counts } = &self.racks[rack];
+        for worker in members {
+            let seat = self.seats[*worker];
+            if seat.value > 0 {
+                let key = (seat.value, counts.sum, *worker);
+                change(&mut self.domains[seat.domain].order, key);
+                change(&mut self.all.order, key);
+            }
+        }
+    }
+}
