Measure the policy on a fake clock beside a naive one

The bench runs both deployments' workloads from data files: bursts, adjacency, guarantees, wrong declarations, impossible jobs, cancellations, failing and lost workers, late usage, a drain and log outages.

--- /dev/null
+++ b/dragonflyrun/benches/measures/simulation/naive.rs
@@ -0,0 +1,174 @@
+//! The naive policy: first come first served, first fit, nothing learned and nothing reserved.
+//!
+//! Each pass starts every waiting job that fits, in the order of arrival. It knows no guarantee,
+//! so an owner whose shape is in use waits. A failure domain out of service is emptied.
+
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
+
+use dragonflyrun::{
+    JobSpec, Name, Timestamp,
+    connection::Placement,
+    job::{Decision, JobId, LiveJob, UsageReport, WorkerInfo},
+    utils::{HashMap, HashSet},
+    version::{Adjacency, Version},
+};
+
+use super::Policy;
+
+/// First come first served with first fit.
+#[derive(Default)]
+pub(crate) struct Naive {
+    version: Option<Arc<Version>>,
+    workers: BTreeMap<Name, (WorkerInfo, bool)>,
+    waiting: BTreeMap<u64, LiveJob>,
+    running: HashMap<JobId, (JobSpec, Vec<Placement>)>,
+    stopping: HashSet<JobId>,
+    stale: bool,
+}
+
+impl Naive {
+    fn free(&self) -> Vec<(WorkerInfo, u32)> {
+        let mut free: BTreeMap<&Name, u32> = BTreeMap::new();
+        for (name, (info, up)) in &self.workers {
+            if *up && self.in_service(info) {
+                free.insert(name, info.accelerators);
+            }
+        }
+        for (spec, placements) in self.running.values() {
+            for p in placements {
+                if let Some(left) = free.get_mut(&p.worker) {
+                    *left -= p.tasks * spec.accelerators;
+                }
+            }
+        }
+        let info = |name: &Name| self.workers[name].0.clone();
+        free.into_iter()
+            .map(|(name, left)| (info(name), left))
+            .collect()
+    }
+
+    fn in_service(&self, info: &WorkerInfo) -> bool {
+        let version = self.version.as_ref();
+        version.is_some_and(|v| v.in_service(&info.failure_domain))
+    }
+
+    /// Returns the first workers, in order of their names, that hold the job with its adjacency.
+    pub(crate) fn first_fit(free: &[(WorkerInfo, u32)], spec: &JobSpec) -> Option<Vec<Placement>> {
+        let scope = |info: &WorkerInfo| match spec.adjacency {
+            Adjacency::Any => Name::from(""),
+            Adjacency::FailureDomain => info.failure_domain.clone(),
+            Adjacency::Rack => info.rack.clone(),
+            Adjacency::Worker => info.name.clone(),
+        };
+        let mut scopes: Vec<Name> = free.iter().map(|(info, _)| scope(info)).collect();
+        scopes.dedup();
+        scopes.into_iter().find_map(|wanted| {
+            let mut tasks = spec.tasks;
+            let mut placements = Vec::new();
+            for (info, left) in free.iter().filter(|(info, _)| scope(info) == wanted) {
+                let here = tasks.min(left / spec.accelerators);
+                if here > 0 {
+                    tasks -= here;
+                    placements.push(Placement {
+                        worker: info.name.clone(),
+                        tasks: here,
+                    });
+                }
+            }
+            (tasks == 0).then_some(placements)
+        })
+    }
+}
+
+impl Policy for Naive {
+    fn configure(&mut self, version: &Arc<Version>) {
+        self.version = Some(version.clone());
+        self.stale = true;
+    }
+
+    fn worker_up(&mut self, _now: Timestamp, info: WorkerInfo) {
+        self.workers.insert(info.name.clone(), (info, true));
+        self.stale = true;
+    }
+
+    fn worker_down(&mut self, _now: Timestamp, worker: &Name) {
+        if let Some((_, up)) = self.workers.get_mut(worker) {
+            *up = false;
+        }
+    }
+
+    fn job_waits(&mut self, _now: Timestamp, job: &LiveJob) {
+        self.running.remove(&job.job);
+        self.stopping.remove(&job.job);
+        self.waiting.insert(job.accepted, job.clone());
+        self.stale = true;
+    }
+
+    fn job_gone(&mut self, _now: Timestamp, job: &JobId) {
+        self.running.remove(job);
+        self.stopping.remove(job);
+        self.waiting.retain(|_, w| w.job != *job);
+        self.stale = true;
+    }
+
+    fn start_failed(&mut self, _now: Timestamp, _worker: &Name) {}
+
+    fn start_succeeded(&mut self, _now: Timestamp, _worker: &Name) {}
+
+    fn usage(&mut self, _now: Timestamp, _report: &UsageReport) {}
+
+    fn is_possible(&self, spec: &JobSpec) -> bool {
+        let workers = self.workers.values();
+        let empty: Vec<_> = workers.map(|(w, _)| (w.clone(), w.accelerators)).collect();
+        Self::first_fit(&empty, spec).is_some()
+    }
+
+    fn decide(&mut self, _now: Timestamp) -> Vec<Decision> {
+        if !std::mem::take(&mut self.stale) {
+            return Vec::new();
+        }
+        let mut decisions = Vec::new();
+        for (job, (_, placements)) in &self.running {
+            let out = |p: &Placement| !self.in_service(&self.workers[&p.worker].0);
+            if placements.iter().any(out) && !self.stopping.contains(job) {
+                decisions.push(Decision::Evict {
+                    job: job.clone(),
+                    for_job: None,
+                });
+            }
+        }
+        decisions.sort_by_key(|d| match d {
+            Decision::Evict { job, .. } => job.clone(),
+            _ => Name::from(""),
+        });
+        for decision in &decisions {
+            if let Decision::Evict { job, .. } = decision {
+                self.stopping.insert(job.clone());
+            }
+        }
+        let mut free = self.free();
+        let mut started = Vec::new();
+        for (age, live) in &self.waiting {
+            let Some(placements) = Self::first_fit(&free, &live.spec) else {
+                continue;
+            };
+            for p in &placements {
+                if let Some((_, left)) = free.iter_mut().find(|(info, _)| info.name == p.worker) {
+                    *left -= p.tasks * live.spec.accelerators;
+                }
+            }
+            let held = (live.spec.clone(), placements.clone());
+            self.running.insert(live.job.clone(), held);
+            started.push(*age);
+            decisions.push(Decision::Start {
+                job: live.job.clone(),
+                placements,
+            });
+        }
+        self.waiting.retain(|age, _| !started.contains(age));
+        decisions
+    }
+}
--- /dev/null
+++ b/dragonflyrun/benches/measures/simulation/world.rs
@@ -0,0 +1,649 @@
+//! The event loop: a fake clock, fake workers, and a planner that carries out what the policy
+//! decides.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+};
+
+use dragonflyrun::{
+    Name, Timestamp,
+    connection::Placement,
+    job::{Decision, LiveJob, UsageReport, WorkerInfo},
+    utils::{HashMap, HashSet},
+    version::{Guarantee, Version},
+};
+
+use super::{
+    Figures, Naive, Policy, Workload,
+    workload::{PlannedJob, WorkerSpan},
+};
+
+/// From a decision to tasks that run: reservation, record on the log, go.
+const START_MS: u64 = 400;
+
+/// A stop with a checkpoint.
+const STOP_MS: u64 = 1_500;
+
+/// A stop of a member that doesn't answer: its lease has lapsed for certain.
+const LAPSE_MS: u64 = 6_000;
+
+/// The share of stops in which a member doesn't answer, and no checkpoint is saved.
+const SILENT_STOPS: f64 = 0.03;
+
+/// The start from a checkpoint, during which no work is done.
+const RESTORE_MS: u64 = 5_000;
+
+/// Silence after which a worker counts as lost.
+const SILENCE_MS: u64 = 2_000;
+
+/// How long an owner may wait for a guaranteed shape: a stop that lapses, a start, and a tick.
+pub(crate) const RECLAIM_BOUND_MS: u64 = LAPSE_MS + START_MS + 2 * TICK_MS;
+
+/// How often the policy is asked while nothing happens.
+const TICK_MS: u64 = 1_000;
+
+/// When the first job may arrive; the workers have been up for a while then.
+pub(crate) const CLOCK_START_MS: u64 = 10_000;
+
+/// Jobs of at least so many accelerators count as large: two whole workers.
+pub(crate) const LARGE: u32 = 16;
+
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    Arrive(usize),
+    Started(usize, u32),
+    Ended(usize, u32),
+    Stopped(usize, u32),
+    Usage(usize),
+    DrainFrom,
+    DrainTo,
+    OutageFrom,
+    OutageTo,
+    WorkerDies(usize),
+    WorkerSilent(usize),
+    WorkerBack(usize),
+    Cancel(usize),
+    Tick,
+}
+
+/// Where a job is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Stage {
+    Unborn,
+    Waits,
+    Starts,
+    /// It has run since then, or is being restored until then.
+    Runs(u64),
+    /// It is being stopped, with or without a member that does not answer.
+    Stops,
+    Over,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub(super) plan: PlannedJob,
+    pub(super) live: LiveJob,
+    pub(super) stage: Stage,
+    /// Work that was done and saved.
+    saved_ms: u64,
+    pub(super) first_start: Option<u64>,
+    pub(super) finished: Option<u64>,
+    entitled_since: Option<u64>,
+    pub(super) refused: bool,
+}
+
+impl Job {
+    pub(super) fn accelerators(&self) -> u32 {
+        self.plan.spec.tasks * self.plan.spec.accelerators
+    }
+
+    fn holds(&self) -> bool {
+        matches!(self.stage, Stage::Starts | Stage::Runs(_) | Stage::Stops)
+    }
+}
+
+/// One run of one workload under one policy.
+pub(crate) struct World<'a> {
+    workload: &'a Workload,
+    policy: &'a mut dyn Policy,
+    now_ms: u64,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    workers: Vec<WorkerInfo>,
+    by_name: HashMap<Name, usize>,
+    held: Vec<u32>,
+    dead: Vec<bool>,
+    drained: bool,
+    outage_until: Option<u64>,
+    jobs: Vec<Job>,
+    by_id: HashMap<Name, usize>,
+    live: BTreeMap<usize, ()>,
+    version: std::sync::Arc<Version>,
+    reclaimed_for: HashSet<Name>,
+    pub(super) figures: Figures,
+}
+
+impl<'a> World<'a> {
+    /// Runs `workload` with the jobs of `seed` under `policy` until all jobs are over.
+    pub(crate) fn run(workload: &'a Workload, seed: u64, policy: &'a mut dyn Policy) -> Figures {
+        let workers = workload.workers();
+        let jobs: Vec<Job> = workload.jobs(seed).into_iter().zip(0..).map(job).collect();
+        let mut world = Self {
+            workload,
+            policy,
+            now_ms: 0,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            by_name: workers
+                .iter()
+                .zip(0..)
+                .map(|(w, i)| (w.name.clone(), i))
+                .collect(),
+            held: vec![0; workers.len()],
+            dead: vec![false; workers.len()],
+            workers,
+            drained: false,
+            outage_until: None,
+            by_id: jobs
+                .iter()
+                .zip(0..)
+                .map(|(j, i)| (j.live.job.clone(), i))
+                .collect(),
+            jobs,
+            live: BTreeMap::new(),
+            version: workload.version(1, None),
+            reclaimed_for: HashSet::default(),
+            figures: Figures::default(),
+        };
+        world.prepare();
+        while let Some(Reverse((at, _, event))) = world.events.pop() {
+            world.account(at);
+            world.now_ms = at;
+            world.handle(event);
+            world.decide();
+            if event == Event::Tick && !world.is_over() {
+                world.watch_guarantees();
+                world.push(at + TICK_MS, Event::Tick);
+            }
+        }
+        let mut figures = std::mem::take(&mut world.figures);
+        figures.finish(
+            &world.jobs,
+            world.workers.iter().map(|w| w.accelerators).sum(),
+        );
+        figures
+    }
+
+    fn prepare(&mut self) {
+        self.policy.configure(&self.version);
+        for worker in &self.workers {
+            self.policy.worker_up(Timestamp::default(), worker.clone());
+        }
+        self.policy.decide(Timestamp::from_millis(CLOCK_START_MS));
+        self.now_ms = CLOCK_START_MS;
+        for at in 0..self.jobs.len() {
+            self.push(
+                CLOCK_START_MS + self.jobs[at].plan.arrives_ms,
+                Event::Arrive(at),
+            );
+        }
+        let events = self.workload.events.clone();
+        self.push(events.drain.from_s * 1_000, Event::DrainFrom);
+        self.push(events.drain.to_s * 1_000, Event::DrainTo);
+        for outage in &events.log_outages {
+            self.push(outage.from_s * 1_000, Event::OutageFrom);
+            self.push(outage.to_s * 1_000, Event::OutageTo);
+        }
+        for WorkerSpan {
+            worker,
+            from_s,
+            to_s,
+        } in events.lost_workers
+        {
+            self.push(from_s * 1_000, Event::WorkerDies(worker));
+            self.push(from_s * 1_000 + SILENCE_MS, Event::WorkerSilent(worker));
+            self.push(to_s * 1_000, Event::WorkerBack(worker));
+        }
+        for (cancellation, at) in events.cancellations.iter().zip(0..) {
+            self.push(cancellation.at_s * 1_000, Event::Cancel(at));
+        }
+        self.push(self.now_ms, Event::Tick);
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn now(&self) -> Timestamp {
+        Timestamp::from_millis(self.now_ms)
+    }
+
+    fn is_over(&self) -> bool {
+        self.live.is_empty() && self.jobs.iter().all(|j| j.stage == Stage::Over)
+    }
+
+    fn handle(&mut self, event: Event) {
+        // What needs a record on the log waits until the log is back.
+        if let Some(until) = self.outage_until
+            && let Event::Arrive(_) | Event::Stopped(..) | Event::Started(..) = event
+        {
+            self.push(until, event);
+            return;
+        }
+        match event {
+            Event::Arrive(at) => self.arrive(at),
+            Event::Started(at, attempt) if self.is_current(at, attempt) => self.started(at),
+            Event::Ended(at, attempt) if self.is_current(at, attempt) => self.ended(at),
+            Event::Stopped(at, attempt) if self.is_current(at, attempt) => self.stopped(at),
+            Event::Started(..) | Event::Ended(..) | Event::Stopped(..) => {}
+            Event::Usage(at) => {
+                let report = UsageReport {
+                    job: self.jobs[at].live.job.clone(),
+                    ran_ms: self.jobs[at].plan.run_ms,
+                    finished: true,
+                };
+                self.policy.usage(self.now(), &report);
+            }
+            Event::DrainFrom => self.configure(true),
+            Event::DrainTo => self.configure(false),
+            Event::OutageFrom => {
+                let outages = &self.workload.events.log_outages;
+                let this = outages.iter().find(|o| o.from_s * 1_000 == self.now_ms);
+                self.outage_until = this.map(|o| o.to_s * 1_000);
+            }
+            Event::OutageTo => self.outage_until = None,
+            Event::WorkerDies(worker) => self.dead[worker] = true,
+            Event::WorkerSilent(worker) => self.lose(worker),
+            Event::WorkerBack(worker) => {
+                self.dead[worker] = false;
+                let info = self.workers[worker].clone();
+                self.policy.worker_up(self.now(), info);
+            }
+            Event::Cancel(at) => self.cancel(self.workload.events.cancellations[at].share),
+            Event::Tick => {}
+        }
+    }
+
+    fn is_current(&self, at: usize, attempt: u32) -> bool {
+        self.jobs[at].live.attempt == attempt && self.jobs[at].stage != Stage::Over
+    }
+
+    fn arrive(&mut self, at: usize) {
+        if !self.policy.is_possible(&self.jobs[at].plan.spec) {
+            assert!(self.jobs[at].plan.impossible, "a possible job was refused");
+            self.jobs[at].refused = true;
+            self.jobs[at].stage = Stage::Over;
+            return;
+        }
+        self.live.insert(at, ());
+        self.wait(at);
+    }
+
+    fn wait(&mut self, at: usize) {
+        self.jobs[at].stage = Stage::Waits;
+        self.jobs[at].live.placements.clear();
+        let now = self.now();
+        self.policy.job_waits(now, &self.jobs[at].live);
+    }
+
+    fn started(&mut self, at: usize) {
+        if self.jobs[at].stage != Stage::Starts {
+            return;
+        }
+        let placements = self.jobs[at].live.placements.clone();
+        let now = self.now();
+        let mut failed = false;
+        for p in &placements {
+            let worker = self.by_name[&p.worker];
+            if self.fails(worker) {
+                self.policy.start_failed(now, &p.worker);
+                failed = true;
+            } else if !self.dead[worker] {
+                self.policy.start_succeeded(now, &p.worker);
+            } else {
+                failed = true;
+            }
+        }
+        if failed {
+            self.figures.failed_starts += 1;
+            self.release(at);
+            self.wait(at);
+            return;
+        }
+        let job = &mut self.jobs[at];
+        job.first_start.get_or_insert(self.now_ms);
+        let restored = match job.saved_ms {
+            0 => self.now_ms,
+            _ => self.now_ms + RESTORE_MS,
+        };
+        job.stage = Stage::Runs(restored);
+        let ends = restored + job.plan.run_ms - job.saved_ms;
+        let attempt = job.live.attempt;
+        self.push(ends, Event::Ended(at, attempt));
+    }
+
+    fn fails(&self, worker: usize) -> bool {
+        let spans = &self.workload.events.failing_workers;
+        let now_s = self.now_ms / 1_000;
+        spans
+            .iter()
+            .any(|s| s.worker == worker && (s.from_s..s.to_s).contains(&now_s))
+    }
+
+    fn ended(&mut self, at: usize) {
+        // An end that an eviction has overtaken is no end: the checkpoint was taken before.
+        if !matches!(self.jobs[at].stage, Stage::Runs(_)) || self.is_broken(at) {
+            return;
+        }
+        self.jobs[at].finished = Some(self.now_ms);
+        self.over(at);
+        let lag_ms = self.workload.events.usage_lag_s * 1_000;
+        self.push(self.now_ms + lag_ms, Event::Usage(at));
+    }
+
+    /// Returns whether a member of the job is on a dead worker.
+    fn is_broken(&self, at: usize) -> bool {
+        let placements = &self.jobs[at].live.placements;
+        placements
+            .iter()
+            .any(|p| self.dead[self.by_name[&p.worker]])
+    }
+
+    fn over(&mut self, at: usize) {
+        self.release(at);
+        self.jobs[at].stage = Stage::Over;
+        self.live.remove(&at);
+        let now = self.now();
+        self.policy.job_gone(now, &self.jobs[at].live.job);
+    }
+
+    fn stopped(&mut self, at: usize) {
+        self.release(at);
+        if self.jobs[at].live.cancelled {
+            self.over(at);
+        } else {
+            self.wait(at);
+        }
+    }
+
+    fn release(&mut self, at: usize) {
+        if !self.jobs[at].holds() {
+            return;
+        }
+        let size = self.jobs[at].plan.spec.accelerators;
+        for p in std::mem::take(&mut self.jobs[at].live.placements) {
+            self.held[self.by_name[&p.worker]] -= p.tasks * size;
+        }
+    }
+
+    /// Begins to stop a job; work since the last checkpoint is kept if all members answer.
+    fn stop(&mut self, at: usize, evicted: bool) {
+        let job = &mut self.jobs[at];
+        let since = match job.stage {
+            Stage::Runs(since) => since,
+            Stage::Starts => self.now_ms,
+            _ => return,
+        };
+        let draw = (job.plan.stop_draw + f64::from(job.live.attempt) * 0.618) % 1.0;
+        let worked = self.now_ms.saturating_sub(since);
+        let silent = draw < SILENT_STOPS || self.is_broken(at);
+        let job = &mut self.jobs[at];
+        if silent {
+            let lost = worked * u64::from(job.accelerators());
+            match evicted {
+                true => self.figures.lost_to_evictions_ms += lost,
+                false => self.figures.lost_to_failures_ms += lost,
+            }
+        } else {
+            job.saved_ms += worked;
+            job.live.checkpointed = true;
+        }
+        job.stage = Stage::Stops;
+        let attempt = job.live.attempt;
+        let takes = if silent { LAPSE_MS } else { STOP_MS };
+        self.push(self.now_ms + takes, Event::Stopped(at, attempt));
+    }
+
+    fn configure(&mut self, drained: bool) {
+        self.drained = drained;
+        let domain = &self.workload.events.drain.failure_domain;
+        let offset = self.version.offset + 1;
+        self.version = self.workload.version(offset, drained.then_some(domain));
+        self.policy.configure(&self.version);
+    }
+
+    /// A worker counts as lost: gangs with a member there are broken.
+    fn lose(&mut self, worker: usize) {
+        let name = self.workers[worker].name.clone();
+        let now = self.now();
+        self.policy.worker_down(now, &name);
+        for at in self.live.keys().copied().collect::<Vec<_>>() {
+            let job = &self.jobs[at];
+            if job.live.placements.iter().any(|p| p.worker == name) {
+                self.stop(at, false);
+            }
+        }
+    }
+
+    fn cancel(&mut self, share: f64) {
+        for at in self.live.keys().copied().collect::<Vec<_>>() {
+            let job = &mut self.jobs[at];
+            if job.plan.cancel_draw >= share || job.live.cancelled {
+                continue;
+            }
+            job.live.cancelled = true;
+            match job.stage {
+                Stage::Waits => self.over(at),
+                _ => self.stop(at, false),
+            }
+        }
+    }
+
+    fn decide(&mut self) {
+        // Without the log the planner starts no gang and records no stop.
+        if self.outage_until.is_some() {
+            return;
+        }
+        for decision in self.policy.decide(self.now()) {
+            match decision {
+                Decision::Start { job, placements } => self.start(self.by_id[&job], placements),
+                Decision::Evict { job, for_job } => {
+                    let at = self.by_id[&job];
+                    self.figures.evictions += 1;
+                    if let Some(for_job) = for_job
+                        && self.reclaimed_for.insert(for_job)
+                    {
+                        self.figures.reclaims += 1;
+                    }
+                    self.stop(at, true);
+                }
+                Decision::Impossible { job, .. } => {
+                    let at = self.by_id[&job];
+                    assert!(self.jobs[at].plan.impossible, "a possible job was ended");
+                    self.jobs[at].refused = true;
+                    self.over(at);
+                }
+            }
+        }
+    }
+
+    /// Carries out a start after checking what no policy may get wrong.
+    fn start(&mut self, at: usize, placements: Vec<Placement>) {
+        let spec = self.jobs[at].plan.spec.clone();
+        assert_eq!(self.jobs[at].stage, Stage::Waits, "a job was started twice");
+        let used = placements.iter().map(|p| {
+            let worker = &self.workers[self.by_name[&p.worker]];
+            (worker.clone(), p.tasks * spec.accelerators)
+        });
+        let used: Vec<(WorkerInfo, u32)> = used.collect();
+        let whole = Naive::first_fit(&used, &spec);
+        assert!(whole.is_some(), "the placement is not near enough");
+        for (worker, accelerators) in used {
+            let held = &mut self.held[self.by_name[&worker.name]];
+            *held += accelerators;
+            assert!(*held <= worker.accelerators, "a worker was given too much");
+            assert!(self.version.in_service(&worker.failure_domain));
+        }
+        let job = &mut self.jobs[at];
+        job.live.placements = placements;
+        job.live.attempt += 1;
+        job.stage = Stage::Starts;
+        let attempt = job.live.attempt;
+        self.push(self.now_ms + START_MS, Event::Started(at, attempt));
+    }
+
+    /// Adds up what happens until `to`.
+    fn account(&mut self, to: u64) {
+        let ms = to - self.now_ms;
+        if ms == 0 {
+            return;
+        }
+        let idle = self.idle();
+        let total: u32 = idle.iter().map(|(_, free)| free).sum();
+        let able: u32 = (0..self.workers.len())
+            .filter(|w| self.is_able(*w))
+            .map(|w| self.workers[w].accelerators)
+            .sum();
+        let waiting = self.live.keys().map(|at| &self.jobs[*at]);
+        let waiting = waiting.filter(|j| j.stage == Stage::Waits && !j.plan.impossible);
+        let largest = waiting.max_by_key(|j| j.accelerators());
+        let wasted = largest.is_some_and(|j| Naive::first_fit(&idle, &j.plan.spec).is_none());
+        let figures = &mut self.figures;
+        figures.idle_ms += ms * u64::from(total);
+        figures.able_ms += ms * u64::from(able);
+        if wasted {
+            figures.fragmented_ms += ms * u64::from(total);
+        }
+        if self.drained {
+            self.account_drain(ms, to, able);
+        }
+    }
+
+    fn account_drain(&mut self, ms: u64, to: u64, able: u32) {
+        let empty: Vec<_> = (0..self.workers.len())
+            .filter(|w| self.is_able(*w))
+            .map(|w| (self.workers[w].clone(), self.workers[w].accelerators))
+            .collect();
+        let (mut demand, mut work) = (0, 0);
+        for at in self.live.keys() {
+            let job = &self.jobs[*at];
+            if let Stage::Runs(since) = job.stage {
+                let worked = to.saturating_sub(since.max(self.now_ms));
+                work += worked * u64::from(job.accelerators());
+            }
+            if !job.plan.impossible && Naive::first_fit(&empty, &job.plan.spec).is_some() {
+                demand += job.accelerators();
+            }
+        }
+        self.figures.drain_work_ms += work;
+        self.figures.drain_allowed_ms += ms * u64::from(able.min(demand));
+    }
+
+    fn is_able(&self, worker: usize) -> bool {
+        let in_service = self
+            .version
+            .in_service(&self.workers[worker].failure_domain);
+        in_service && !self.dead[worker] && !self.fails(worker)
+    }
+
+    fn idle(&self) -> Vec<(WorkerInfo, u32)> {
+        let able = (0..self.workers.len()).filter(|w| self.is_able(*w));
+        able.map(|w| {
+            let free = self.workers[w].accelerators - self.held[w];
+            (self.workers[w].clone(), free)
+        })
+        .collect()
+    }
+
+    /// Counts owners that have waited too long for a shape that they are guaranteed. A waiting
+    /// job is entitled if its shape is that of a guarantee which no job of its workspace holds.
+    fn watch_guarantees(&mut self) {
+        let mut entitled = HashSet::default();
+        if self.outage_until.is_none() {
+            for workspace in self.version.workspaces() {
+                self.entitled(&workspace.name, &workspace.guarantees, &mut entitled);
+            }
+        }
+        for at in self.live.keys() {
+            let job = &mut self.jobs[*at];
+            if !entitled.contains(at) {
+                job.entitled_since = None;
+                continue;
+            }
+            let since = *job.entitled_since.get_or_insert(self.now_ms);
+            if self.now_ms - since > RECLAIM_BOUND_MS {
+                self.figures.violations += 1;
+                job.entitled_since = None;
+            }
+        }
+    }
+
+    fn entitled(&self, name: &Name, guarantees: &[Guarantee], into: &mut HashSet<usize>) {
+        let mut left = guarantees.to_vec();
+        let jobs = self
+            .live
+            .keys()
+            .filter(|at| self.jobs[**at].plan.spec.workspace == *name);
+        let mut holding: Vec<&Job> = jobs
+            .clone()
+            .map(|at| &self.jobs[*at])
+            .filter(|j| j.holds())
+            .collect();
+        holding.sort_by_key(|j| Reverse(j.accelerators()));
+        for job in holding {
+            let spec = &job.plan.spec;
+            let fits = |g: &&Guarantee| {
+                spec.tasks <= g.tasks
+                    && spec.accelerators <= g.accelerators
+                    && spec.adjacency <= g.adjacency
+            };
+            let smallest = left
+                .iter()
+                .filter(fits)
+                .min_by_key(|g| g.tasks * g.accelerators);
+            if let Some(g) = smallest.copied() {
+                let at = left.iter().position(|l| *l == g);
+                left.swap_remove(at.expect("it was found"));
+            }
+        }
+        for at in jobs {
+            let spec = &self.jobs[*at].plan.spec;
+            if self.jobs[*at].stage != Stage::Waits {
+                continue;
+            }
+            let same = left.iter().position(|g| {
+                spec.tasks == g.tasks
+                    && spec.accelerators == g.accelerators
+                    && spec.adjacency == g.adjacency
+            });
+            if let Some(i) = same {
+                left.swap_remove(i);
+                into.insert(*at);
+            }
+        }
+    }
+}
+
+fn job((plan, number): (PlannedJob, u64)) -> Job {
+    let live = LiveJob {
+        job: format!("job-{number}").into(),
+        spec: plan.spec.clone(),
+        accepted: number + 1,
+        attempt: 0,
+        placements: Vec::new(),
+        checkpointed: false,
+        cancelled: false,
+    };
+    Job {
+        plan,
+        live,
+        stage: Stage::Unborn,
+        saved_ms: 0,
+        first_start: None,
+        finished: None,
+        entitled_since: None,
+        refused: false,
+    }
+}
