--- a/dragonflyrun/src/job/guarantee.rs
+++ b/dragonflyrun/src/job/guarantee.rs
@@ -53,6 +53,19 @@
     pub(super) used: u32,
 }
 
+/// A job that looks for a guarantee to cover it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cover<'a> {
+    pub(super) workspace: &'a Name,
+    pub(super) job: &'a JobId,
+    /// Where it runs or is to run.
+    pub(super) parts: &'a [Part],
+    /// Accelerators of each task.
+    pub(super) size: u32,
+    /// A guarantee that is not to cover it.
+    pub(super) not_by: Option<GuaranteeId>,
+}
+
 impl Entry {
     /// Returns the accelerators of the whole shape.
     pub(super) fn accelerators(&self) -> u32 {
@@ -127,17 +140,16 @@
         })
     }
 
-    /// Covers `job` of `workspace`, with `size` accelerators a task at `parts`, by a guarantee:
-    /// one whose allotment is there already, or one whose allotment can be moved there.
+    /// Covers a job by a guarantee of its workspace: one whose allotment is there already, or one
+    /// whose allotment can be moved there.
     pub(super) fn cover(
         &mut self,
         inventory: &mut Inventory,
-        workspace: &Name,
-        job: &JobId,
-        parts: &[Part],
-        size: u32,
+        cover: &Cover<'_>,
     ) -> Option<GuaranteeId> {
-        let mut ids: Vec<_> = self.of(workspace).to_vec();
+        let Cover { parts, size, .. } = *cover;
+        let mut ids: Vec<_> = self.of(cover.workspace).to_vec();
+        ids.retain(|id| cover.not_by != Some(*id));
         ids.sort_by_key(|id| self.entries[*id].unused());
         let there = ids.iter().find(|id| self.contains(**id, parts, size));
         let id = match there {
@@ -146,14 +158,19 @@
                 .into_iter()
                 .find(|id| self.move_to(inventory, *id, parts, size))?,
         };
+        self.cover_by(id, cover);
+        Some(id)
+    }
+
+    /// Covers a job by a guarantee whose allotment contains it.
+    pub(super) fn cover_by(&mut self, id: GuaranteeId, cover: &Cover<'_>) {
         let entry = &mut self.entries[id];
-        entry.jobs.push(job.clone());
-        for part in parts {
+        entry.jobs.push(cover.job.clone());
+        for part in cover.parts {
             if let Some(share) = entry.shares.iter_mut().find(|s| s.worker == part.worker) {
-                share.used += part.tasks * size;
+                share.used += part.tasks * cover.size;
             }
         }
-        Some(id)
     }
 
     /// Takes note that `job` at `parts` is covered no longer.
--- a/dragonflyrun/src/job/inventory.rs
+++ b/dragonflyrun/src/job/inventory.rs
@@ -42,6 +42,7 @@
     held: u32,
     stopping: u32,
     pledged: u32,
+    reserved: u32,
     allotted: u32,
 }
 
@@ -63,11 +64,21 @@
         self.info.accelerators.saturating_sub(self.held)
     }
 
-    /// What jobs that are being stopped will give back goes to the pledges first.
+    /// Returns what is free for a job that has neither pledge nor reservation.
     fn free(&self) -> u32 {
+        self.unpledged().saturating_sub(self.reserved)
+    }
+
+    /// What jobs that are being stopped will give back goes to the pledges first.
+    fn unpledged(&self) -> u32 {
         let unmet = self.pledged.saturating_sub(self.stopping);
         self.vacant().saturating_sub(unmet)
     }
+
+    /// Returns the accelerators that aged jobs have reserved.
+    pub(super) fn reserved(&self) -> u32 {
+        self.reserved
+    }
 }
 
 impl Inventory {
@@ -142,6 +153,22 @@
         self.refresh(id);
     }
 
+    /// Changes the accelerators of a worker that aged jobs have reserved.
+    pub(super) fn reserve(&mut self, id: WorkerId, by: i64) {
+        let worker = &mut self.workers[id];
+        worker.reserved = worker.reserved.saturating_add_signed(by as i32);
+        self.refresh(id);
+    }
+
+    /// Returns what is vacant of a worker for a job that may use what is reserved for others.
+    pub(super) fn with_reserved(&self, id: WorkerId) -> u32 {
+        let worker = &self.workers[id];
+        if !worker.usable() {
+            return 0;
+        }
+        worker.unpledged()
+    }
+
     /// Changes the accelerators of a worker that guarantees have been allotted.
     pub(super) fn allot(&mut self, id: WorkerId, by: i64) {
         let worker = &mut self.workers[id];
@@ -220,6 +247,7 @@
             held: 0,
             stopping: 0,
             pledged: 0,
+            reserved: 0,
             allotted: 0,
         });
         id
--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod queue;
 mod reclaim;
+mod reservation;
 mod scheduler;
 mod slots;
 mod spec;
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -9,7 +9,8 @@
 use crate::{
     connection::Placement,
     job::{
-        Decision, JobId, JobSpec, Scheduler,
+        Decision, JobId, Scheduler,
+        guarantee::{Cover, GuaranteeId},
         placement::{Part, Seat},
         queue::{Aged, Class},
         reclaim::{Eviction, Victim, cheapest},
@@ -36,6 +37,12 @@
 /// Time after which a waiting job may evict younger and smaller ones.
 const AGED_AFTER: Duration = Duration::from_secs(30);
 
+/// What the start of an urgent job is worth at once, in milliseconds of its wait.
+const URGENT_WORTH_MS: u64 = 50_000;
+
+/// How much more an urgent job's wait counts than another's.
+const URGENT_WEIGHT: u64 = 10;
+
 /// Scopes that are compared for an eviction, by the room that they have already.
 const COMPARED_SCOPES: usize = 16;
 
@@ -44,7 +51,7 @@
 
 /// Why a job may evict others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Claim {
+pub(super) enum Claim {
     /// Its workspace has a guarantee with unused room for it.
     Guarantee,
     /// Somebody waits for it.
@@ -158,7 +165,9 @@
                 _ => continue,
             };
             let parts = parts.clone();
-            self.cover(&job, &parts);
+            if !self.is_reserved(&parts) {
+                self.cover(&job, &parts);
+            }
         }
     }
 
@@ -167,15 +176,14 @@
         let Some(entry) = self.jobs.get_mut(job) else {
             return false;
         };
-        let JobSpec {
-            workspace,
-            accelerators,
-            ..
-        } = &entry.spec;
-        let inventory = &mut self.inventory;
-        entry.cover = self
-            .guarantees
-            .cover(inventory, workspace, job, parts, *accelerators);
+        let cover = Cover {
+            workspace: &entry.spec.workspace,
+            job,
+            parts,
+            size: entry.spec.accelerators,
+            not_by: None,
+        };
+        entry.cover = self.guarantees.cover(&mut self.inventory, &cover);
         entry.cover.is_some()
     }
 
@@ -224,8 +232,10 @@
     /// their guarantees, then the oldest.
     fn look_through_queue(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         let classes: Vec<Class> = self.queue.classes().cloned().collect();
-        let ranks = classes.into_iter().filter_map(|class| self.rank(class));
-        let mut heads: BinaryHeap<Reverse<Rank>> = ranks.map(Reverse).collect();
+        let mut heads: BinaryHeap<Reverse<Rank>> = BinaryHeap::new();
+        for class in classes {
+            heads.extend(self.rank(class).map(Reverse));
+        }
         while let Some(Reverse((_, owner, (_, job), class))) = heads.pop() {
             if self.try_start(now, &job, &class, !owner, decisions)
                 && let Some(next) = self.rank(class)
@@ -235,9 +245,9 @@
         }
     }
 
-    fn rank(&self, class: Class) -> Option<Rank> {
+    fn rank(&mut self, class: Class) -> Option<Rank> {
         let first = self.queue.first(&class)?;
-        let owner = self.has_room_by_guarantee(&class);
+        let owner = self.has_room_by_guarantee(&class) || self.make_guarantee_whole(&class);
         Some((class.urgency, !owner, first, class))
     }
 
@@ -248,6 +258,55 @@
         room.is_some()
     }
 
+    /// Tries to empty a guarantee that could hold `class`, by covering the smaller jobs in it by
+    /// other guarantees of the workspace.
+    ///
+    /// A burst of small jobs spills from a small guarantee into a large one. When the jobs of the
+    /// small one end first, the large one stays in use although the small one could cover the
+    /// rest, and a job of the large one's shape would wait.
+    fn make_guarantee_whole(&mut self, class: &Class) -> bool {
+        let shape = class.shape();
+        for id in self.guarantees.of(&class.workspace).to_vec() {
+            let guarantee = &self.guarantees.entries[id];
+            if !guarantee.shape.contains(&shape) || guarantee.movable() {
+                continue;
+            }
+            for job in guarantee.jobs.clone() {
+                self.cover_elsewhere(&job, id);
+            }
+            if self.has_room_by_guarantee(class) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Covers a job by another guarantee than `id` if that can be done. It is taken out of `id`
+    /// first, since the allotment of `id` may be what is in the way of the other.
+    fn cover_elsewhere(&mut self, job: &JobId, id: GuaranteeId) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let parts = match &entry.stage {
+            Stage::Waits => return,
+            Stage::Pledged(parts) => parts,
+            Stage::Holds(hold) => &hold.parts,
+        };
+        let cover = Cover {
+            workspace: &entry.spec.workspace,
+            job,
+            parts,
+            size: entry.spec.accelerators,
+            not_by: Some(id),
+        };
+        self.guarantees.uncover(id, job, parts, cover.size);
+        entry.cover = self.guarantees.cover(&mut self.inventory, &cover);
+        if entry.cover.is_none() {
+            self.guarantees.cover_by(id, &cover);
+            entry.cover = Some(id);
+        }
+    }
+
     /// Starts a job or pledges it room; returns whether it has left the queue.
     fn try_start(
         &mut self,
@@ -260,7 +319,7 @@
         let Some(entry) = self.jobs.get(job) else {
             return false;
         };
-        let (spec, accepted) = (entry.spec.clone(), entry.accepted);
+        let spec = entry.spec.clone();
         if spec.tasks == 0 || spec.accelerators == 0 {
             return false;
         }
@@ -270,13 +329,19 @@
         {
             return false;
         }
+        let waited = now.since(entry.waiting_since);
+        let reservation = self.take_reservation(job);
         if let Some(parts) = self.inventory.free.find(&class.shape()) {
-            self.queue.remove(&spec, accepted, job);
+            self.leave_queue(job);
             self.cover(job, &parts);
             self.start(now, job, parts, decisions);
             return true;
         }
-        let waited = now.since(entry.waiting_since);
+        if let Some(parts) = self.backfill(now, job) {
+            self.leave_queue(job);
+            self.start(now, job, parts, decisions);
+            return true;
+        }
         let claim = if owner {
             Claim::Guarantee
         } else if spec.urgency == Urgency::Urgent {
@@ -286,7 +351,17 @@
         } else {
             return false;
         };
-        self.make_room(now, job, claim, decisions)
+        if self.make_room(now, job, claim, decisions) {
+            return true;
+        }
+        self.reserve(now, job, reservation);
+        false
+    }
+
+    fn leave_queue(&mut self, job: &JobId) {
+        if let Some(entry) = self.jobs.get(job) {
+            self.queue.remove(&entry.spec, entry.accepted, job);
+        }
     }
 
     /// Evicts what keeps `job` from starting, as far as its claim goes, and pledges it the room.
@@ -301,7 +376,14 @@
             return false;
         };
         let shape = entry.spec.shape();
-        let seats = self.seats_to_compare(&entry);
+        let mut seats = self.seats_to_compare(&entry);
+        if claim == Claim::Age {
+            // Another's reservation is respected; this job's own was taken back.
+            for seat in &mut seats {
+                let reserved = self.inventory.worker(seat.worker).reserved();
+                seat.value = seat.value.saturating_sub(reserved);
+            }
+        }
         let victims = self.victims(now, &entry, claim, &seats);
         let found = cheapest(&seats, &shape, &victims);
         match claim {
@@ -318,7 +400,7 @@
                 let Some(eviction) = found.into_iter().next() else {
                     return false;
                 };
-                if claim == Claim::Age && eviction.cost > budget(now, &entry) {
+                if eviction.cost > budget(now, &entry, claim) {
                     return false;
                 }
                 self.cover(job, &eviction.parts);
@@ -397,7 +479,7 @@
     /// Returns workers on which room could be made for a job, with what will be free of each.
     /// Those with the most room need the fewest evictions; to look at all would cost in
     /// proportion to the size of the cluster.
-    fn seats_to_compare(&mut self, entry: &Entry) -> Vec<Seat> {
+    pub(super) fn seats_to_compare(&mut self, entry: &Entry) -> Vec<Seat> {
         let spec = &entry.spec;
         let most = spec.tasks as usize + COMPARED_WORKERS;
         let free = &mut self.inventory.free;
@@ -451,7 +533,7 @@
         Some(Victim {
             job: job.clone(),
             cost: lost_ms
-                .saturating_mul(u64::from(entry.accelerators()))
+                .saturating_mul(bulk(entry))
                 .saturating_mul(u64::from(1 + entry.evictions) * weight),
             holdings: hold
                 .parts
@@ -485,24 +567,36 @@
     }
 }
 
-/// Returns whether `entry` may evict `other`. A covered job is never evicted for another.
-fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
-    if other.cover.is_some() {
-        return false;
-    }
+/// Returns whether `entry` may evict `other`. A covered job is never evicted for another
+/// workspace's.
+pub(super) fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
+    let covered = other.cover.is_some();
     match claim {
-        Claim::Guarantee => true,
-        Claim::Urgency => other.spec.urgency > entry.spec.urgency,
+        Claim::Guarantee => !covered,
+        Claim::Urgency => !covered && other.spec.urgency > entry.spec.urgency,
         Claim::Age => {
-            other.spec.urgency >= entry.spec.urgency
+            // Which of its own jobs go first is a workspace's own affair: the older.
+            (!covered || other.spec.workspace == entry.spec.workspace)
+                && other.spec.urgency >= entry.spec.urgency
                 && other.accepted > entry.accepted
                 && other.accelerators() < entry.accelerators()
         }
     }
 }
 
-/// Returns what evictions for an aged job may cost: as much as its accelerators have missed.
-fn budget(now: Timestamp, entry: &Entry) -> u64 {
+/// Returns the weight of a job in the cost of stopping it and of letting it wait. A large gang
+/// waits longer until it finds room again, so the weight grows with the square.
+fn bulk(entry: &Entry) -> u64 {
+    u64::from(entry.accelerators()).pow(2)
+}
+
+/// Returns what evictions for a job without a guarantee may cost: as much as the job loses by
+/// waiting. The wait of an urgent one counts more, and from the start.
+fn budget(now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
     let waited_ms = now.since(entry.waiting_since).as_millis() as u64;
-    waited_ms * u64::from(entry.accelerators())
+    let worth_ms = match claim {
+        Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
+        Claim::Age | Claim::Guarantee => waited_ms,
+    };
+    worth_ms.saturating_mul(bulk(entry))
 }
--- /dev/null
+++ b/dragonflyrun/src/job/reservation.rs
@@ -0,0 +1,190 @@
+//! Room that is reserved for jobs which have waited long.
+//!
+//! Without it small jobs fill each hole as it appears, and a large job starves behind them. The
+//! reserved room is where the job is expected to start first, given which jobs it may evict and
+//! when the others end. Until then the room is lent to jobs that it may evict when it is ready, or
+//! that are expected to end before.
+
+use std::time::Duration;
+
+use crate::{
+    job::{
+        JobId, Scheduler,
+        pass::{Claim, may_evict},
+        placement::{Part, Seat, pick},
+        queue::Aged,
+        scheduler::{Entry, Stage},
+    },
+    utils::{HashSet, Timestamp},
+};
+
+/// Usable workers for each reservation, beside the first. With few, one reservation that holds
+/// a failure domain idle is enough.
+const WORKERS_A_RESERVATION: usize = 8;
+
+/// What a job that has outlived its expected run time is taken to need still.
+const OVERDUE: Duration = Duration::from_secs(60);
+
+/// Room that is reserved for one job.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    parts: Vec<Part>,
+    size: u32,
+    /// When the job is expected to start there.
+    ready: Timestamp,
+}
+
+impl Scheduler {
+    /// Takes the reservation of `job` back and returns it.
+    pub(super) fn take_reservation(&mut self, job: &JobId) -> Option<Reservation> {
+        let aged = self.aged(job)?;
+        let reservation = self.reservations.remove(&aged)?;
+        for part in &reservation.parts {
+            let reserved = i64::from(part.tasks * reservation.size);
+            self.inventory.reserve(part.worker, -reserved);
+        }
+        Some(reservation)
+    }
+
+    /// Reserves room for `job`, which can't start yet: the room that it had, as long as that is
+    /// expected to become free in time, or other room.
+    pub(super) fn reserve(&mut self, now: Timestamp, job: &JobId, before: Option<Reservation>) {
+        let workers = self.inventory.ids().len();
+        if self.reservations.len() > workers / WORKERS_A_RESERVATION {
+            return;
+        }
+        let kept = before.filter(|r| r.ready > now && self.is_usable(&r.parts));
+        let Some(reservation) = kept.or_else(|| self.earliest(now, job)) else {
+            return;
+        };
+        let Some(aged) = self.aged(job) else { return };
+        for part in &reservation.parts {
+            let reserved = i64::from(part.tasks * reservation.size);
+            self.inventory.reserve(part.worker, reserved);
+        }
+        self.reservations.insert(aged, reservation);
+    }
+
+    /// Returns whether one of `parts` is on a worker with a reservation.
+    pub(super) fn is_reserved(&self, parts: &[Part]) -> bool {
+        parts
+            .iter()
+            .any(|p| self.inventory.worker(p.worker).reserved() > 0)
+    }
+
+    /// Returns room for `job` that is reserved for others, where it does not delay them.
+    pub(super) fn backfill(&mut self, now: Timestamp, job: &JobId) -> Option<Vec<Part>> {
+        if self.reservations.is_empty() {
+            return None;
+        }
+        let entry = self.jobs.get(job)?;
+        let expected = self.estimates.run_time(&entry.spec);
+        let mut lenders = HashSet::default();
+        let mut closed = HashSet::default();
+        for ((_, holder), reservation) in &self.reservations {
+            let movable = self
+                .jobs
+                .get(holder)
+                .is_some_and(|h| may_evict(h, Claim::Age, entry));
+            let lends = movable || now + expected < reservation.ready;
+            let workers = reservation.parts.iter().map(|p| p.worker);
+            match lends {
+                true => lenders.extend(workers),
+                false => closed.extend(workers),
+            }
+        }
+        lenders.retain(|worker| !closed.contains(worker));
+        let mut seats: Vec<Seat> = lenders
+            .iter()
+            .map(|worker| Seat {
+                value: self.inventory.with_reserved(*worker),
+                ..self.inventory.free.seat(*worker)
+            })
+            .collect();
+        let roomiest = self.inventory.free.roomiest(entry.spec.tasks as usize);
+        seats.extend(
+            roomiest
+                .into_iter()
+                .filter(|s| !lenders.contains(&s.worker)),
+        );
+        pick(&seats, &entry.spec.shape()).map(|plan| plan.parts)
+    }
+
+    /// Returns the room where `job` is expected to start first.
+    fn earliest(&mut self, now: Timestamp, job: &JobId) -> Option<Reservation> {
+        let entry = self.jobs.get(job)?.clone();
+        let shape = entry.spec.shape();
+        let mut seats = self.seats_to_compare(&entry);
+        for seat in &mut seats {
+            let reserved = self.inventory.worker(seat.worker).reserved();
+            seat.value = seat.value.saturating_sub(reserved);
+        }
+        let mut ends = self.ends(now, &entry, &seats);
+        ends.sort_by_key(|e| e.at);
+        let mut at = now;
+        let mut due = ends.into_iter().peekable();
+        loop {
+            while let Some(end) = due.next_if(|e| e.at <= at) {
+                seats[end.seat].value += end.accelerators;
+            }
+            if let Some(plan) = pick(&seats, &shape) {
+                return Some(Reservation {
+                    parts: plan.parts,
+                    size: shape.accelerators,
+                    ready: at.max(now + OVERDUE),
+                });
+            }
+            at = due.peek()?.at;
+        }
+    }
+
+    /// Returns when the accelerators on `seats` are expected to be free for `entry`.
+    fn ends(&self, now: Timestamp, entry: &Entry, seats: &[Seat]) -> Vec<End> {
+        let mut ends = Vec::new();
+        for (seat, i) in seats.iter().zip(0..) {
+            for holding in &self.inventory.worker(seat.worker).jobs {
+                let Some(other) = self.jobs.get(&holding.job) else {
+                    continue;
+                };
+                let Stage::Holds(hold) = &other.stage else {
+                    continue;
+                };
+                // What is being stopped is counted as coming already.
+                if hold.stopping {
+                    continue;
+                }
+                let expected = hold.since + self.estimates.run_time(&other.spec);
+                let at = match may_evict(entry, Claim::Age, other) {
+                    true => now,
+                    false if expected > now => expected,
+                    false => now + OVERDUE,
+                };
+                ends.push(End {
+                    at,
+                    seat: i,
+                    accelerators: holding.accelerators,
+                });
+            }
+        }
+        ends
+    }
+
+    fn is_usable(&self, parts: &[Part]) -> bool {
+        parts
+            .iter()
+            .all(|p| self.inventory.worker(p.worker).usable())
+    }
+
+    fn aged(&self, job: &JobId) -> Option<Aged> {
+        let entry = self.jobs.get(job)?;
+        Some((entry.accepted, job.clone()))
+    }
+}
+
+/// The end of a job on one worker.
+struct End {
+    at: Timestamp,
+    /// The number of the worker among those looked at.
+    seat: usize,
+    accelerators: u32,
+}
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -3,7 +3,7 @@
 //! [`Scheduler`] keeps the tables and is told of every change; `pass.rs` holds the decisions.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
     time::Duration, //
 };
@@ -18,6 +18,7 @@
         placement::Part,
         quarantine::Quarantine,
         queue::{Aged, Queue},
+        reservation::Reservation,
         slots::WorkerId,
     },
     utils::{HashMap, HashSet, Name, Timestamp},
@@ -48,6 +49,8 @@
     pub(super) quarantine: Quarantine,
     /// Jobs of each workspace that hold accelerators or are pledged some.
     pub(super) holding: HashMap<Name, BTreeSet<Aged>>,
+    /// Aged jobs with the room that is reserved for them.
+    pub(super) reservations: BTreeMap<Aged, Reservation>,
     /// Jobs that wait for the rest of their pledge.
     pub(super) pledged: BTreeSet<Aged>,
     /// Workers whose state has changed since the guarantees were last settled.
@@ -201,6 +204,7 @@
                 return;
             }
             self.let_go(&job.job);
+            self.take_reservation(&job.job);
             self.queue.remove(&job.spec, job.accepted, &job.job);
         }
         self.jobs.insert(job.job.clone(), Entry::new(now, job, 0));
@@ -225,6 +229,7 @@
     /// Takes note of a job that has ended on all its workers for certain.
     pub fn job_gone(&mut self, _now: Timestamp, job: &JobId) {
         self.let_go(job);
+        self.take_reservation(job);
         let Some(entry) = self.jobs.remove(job) else {
             return;
         };
--- a/dragonflyrun/src/job/spec.rs
+++ b/dragonflyrun/src/job/spec.rs
@@ -56,6 +56,15 @@
     pub adjacency: Adjacency,
 }
 
+impl Shape {
+    /// Returns whether room for this shape is room for `other` too.
+    pub fn contains(&self, other: &Self) -> bool {
+        self.tasks >= other.tasks
+            && self.accelerators >= other.accelerators
+            && self.adjacency >= other.adjacency
+    }
+}
+
 /// Why a shape can never be had from the workers known.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
