Let full workers be compared for an eviction (trial)

Cause: workers with nothing free were left out of the index, so that evictions only looked at workers with a hole; large jobs' reservations found no place.

--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -494,7 +494,8 @@
             value: self.inventory.coming(seat.worker),
             ..seat
         };
-        seats.into_iter().map(coming).collect()
+        let usable = |seat: &Seat| self.inventory.worker(seat.worker).usable();
+        seats.into_iter().filter(usable).map(coming).collect()
     }
 
     /// Returns the jobs on `seats` that `entry` may evict.
--- a/dragonflyrun/src/job/slots.rs
+++ b/dragonflyrun/src/job/slots.rs
@@ -94,10 +94,12 @@
             domain,
             value: 0,
         });
+        self.unlink(rack);
         self.racks[rack].members.push(worker);
         self.racks[rack].counts.add(0);
         self.domains[domain].counts.add(0);
         self.all.counts.add(0);
+        self.link(rack);
         worker
     }
 
@@ -265,11 +267,9 @@
         let Rack { members, counts } = &self.racks[rack];
         for worker in members {
             let seat = self.seats[*worker];
-            if seat.value > 0 {
-                let key = (seat.value, counts.sum, *worker);
-                change(&mut self.domains[seat.domain].order, key);
-                change(&mut self.all.order, key);
-            }
+            let key = (seat.value, counts.sum, *worker);
+            change(&mut self.domains[seat.domain].order, key);
+            change(&mut self.all.order, key);
         }
     }
 }
