Protect large gangs that fit beside all guarantees

Cause: a large borrower was evicted up to 15 times for owners' small jobs, whose covered jobs had drawn allotments over many workers. Ruled out: too few candidates (mended before). Now a gang as large as a worker gets a temporary guarantee if all others stay allotted; small jobs no longer move allotments, and start inside them where that is free.

--- a/dragonflyrun/src/job/allotment.rs
+++ b/dragonflyrun/src/job/allotment.rs
@@ -16,16 +16,14 @@
 
 impl Guarantees {
     /// Moves allotments away from the workers in `changed` that can't honour them, and allots
-    /// what is not allotted yet.
-    pub(super) fn settle(&mut self, inventory: &mut Inventory, changed: &[WorkerId]) {
+    /// what is not allotted yet. Returns whether all guarantees are allotted.
+    pub(super) fn settle(&mut self, inventory: &mut Inventory, changed: &[WorkerId]) -> bool {
         for worker in changed {
             self.leave(inventory, *worker);
         }
         let lacking = self.lacking();
         let whole = lacking.iter().all(|id| self.complete(inventory, *id));
-        if !whole {
-            self.allot_anew(inventory);
-        }
+        whole || self.allot_anew(inventory)
     }
 
     /// Returns the guarantees that the hardware in service does not permit.
@@ -57,7 +55,7 @@
     /// Allots all guarantees without jobs anew: those hardest to place first; if that leaves one
     /// out, by exact search; if that fails too, the hardware does not permit them all, and
     /// workspaces take turns.
-    fn allot_anew(&mut self, inventory: &mut Inventory) {
+    fn allot_anew(&mut self, inventory: &mut Inventory) -> bool {
         let mut movable: Vec<GuaranteeId> = (0..self.entries.len())
             .filter(|id| self.entries[*id].movable())
             .collect();
@@ -76,12 +74,13 @@
         }
         let mut one_by_one = movable.iter();
         if one_by_one.all(|id| self.complete(inventory, *id)) {
-            return;
+            return self.lacking().is_empty();
         }
         self.take_back_all(inventory, &movable);
         if !self.allot_exactly(inventory, &movable) {
             self.allot_in_turns(inventory, movable);
         }
+        self.lacking().is_empty()
     }
 
     fn take_back_all(&mut self, inventory: &mut Inventory, ids: &[GuaranteeId]) {
--- a/dragonflyrun/src/job/guarantee.rs
+++ b/dragonflyrun/src/job/guarantee.rs
@@ -39,6 +39,8 @@
     pub(super) shares: Vec<Share>,
     /// The covered jobs.
     pub(super) jobs: Vec<JobId>,
+    /// Whether it was made for one running job, and no workspace holds it.
+    pub(super) temporary: bool,
     /// Whether the document still has it.
     wanted: bool,
 }
@@ -53,6 +55,13 @@
     pub(super) used: u32,
 }
 
+/// A guarantee that was given another number, with the jobs that it covers.
+#[derive(Clone, Debug)]
+pub(super) struct Renumbered {
+    pub(super) to: GuaranteeId,
+    pub(super) jobs: Vec<JobId>,
+}
+
 /// A job that looks for a guarantee to cover it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Cover<'a> {
@@ -67,6 +76,17 @@
 }
 
 impl Entry {
+    fn new(workspace: &Name, shape: Shape, temporary: bool) -> Self {
+        Self {
+            workspace: workspace.clone(),
+            shape,
+            shares: Vec::new(),
+            jobs: Vec::new(),
+            temporary,
+            wanted: true,
+        }
+    }
+
     /// Returns the accelerators of the whole shape.
     pub(super) fn accelerators(&self) -> u32 {
         self.shape.tasks.saturating_mul(self.shape.accelerators)
@@ -97,7 +117,7 @@
     /// Takes over the guarantees of `version`; returns the jobs that are no longer covered.
     pub(super) fn configure(&mut self, version: &Version, inventory: &mut Inventory) -> Vec<JobId> {
         for entry in &mut self.entries {
-            entry.wanted = false;
+            entry.wanted = entry.temporary;
         }
         let mut workspaces: Vec<_> = version.workspaces().collect();
         workspaces.sort_by(|a, b| a.name.cmp(&b.name));
@@ -140,6 +160,33 @@
         })
     }
 
+    /// Returns room for `shape` in a guarantee of `workspace` that is free for the taking.
+    pub(super) fn vacant_room(
+        &self,
+        inventory: &Inventory,
+        workspace: &Name,
+        shape: &Shape,
+    ) -> Option<Vec<Part>> {
+        let mut ids: Vec<_> = self.of(workspace).to_vec();
+        ids.sort_by_key(|id| self.entries[*id].unused());
+        ids.into_iter().find_map(|id| {
+            let mut seats = self.entries[id].seats(inventory);
+            for seat in &mut seats {
+                seat.value = seat.value.min(inventory.free.value(seat.worker));
+            }
+            pick(&seats, shape).map(|plan| plan.parts)
+        })
+    }
+
+    /// Returns whether a guarantee of `workspace` is of about this size and not in use.
+    pub(super) fn is_whole_for(&self, workspace: &Name, accelerators: u32) -> bool {
+        let mut ids = self.of(workspace).iter();
+        ids.any(|id| {
+            let entry = &self.entries[*id];
+            entry.movable() && accelerators >= entry.accelerators().div_ceil(2)
+        })
+    }
+
     /// Covers a job by a guarantee of its workspace: one whose allotment is there already, or one
     /// whose allotment can be moved there.
     pub(super) fn cover(
@@ -154,14 +201,65 @@
         let there = ids.iter().find(|id| self.contains(**id, parts, size));
         let id = match there {
             Some(id) => *id,
-            None => ids
-                .into_iter()
-                .find(|id| self.move_to(inventory, *id, parts, size))?,
+            None => ids.into_iter().find(|id| {
+                self.is_worth_moving(*id, parts, size) && self.move_to(inventory, *id, parts, size)
+            })?,
         };
         self.cover_by(id, cover);
         Some(id)
     }
 
+    /// Returns whether a job holds enough of the shape to have the allotment moved to where it
+    /// runs. If any small job drew an allotment to itself, allotments would come to lie scattered
+    /// over workers that are in part held, and large gangs would find no worker whole.
+    fn is_worth_moving(&self, id: GuaranteeId, parts: &[Part], size: u32) -> bool {
+        let held: u32 = parts.iter().map(|p| p.tasks * size).sum();
+        held >= self.entries[id].accelerators().div_ceil(2)
+    }
+
+    /// Keeps a job that no guarantee of its workspace covers from being evicted, if all
+    /// guarantees can still be allotted beside it. It is covered by a temporary guarantee of its
+    /// own shape, which lasts as long as it runs, or until a guarantee needs the room.
+    pub(super) fn protect(
+        &mut self,
+        inventory: &mut Inventory,
+        cover: &Cover<'_>,
+        shape: Shape,
+    ) -> Option<GuaranteeId> {
+        let id = self.entries.len();
+        self.entries.push(Entry::new(cover.workspace, shape, true));
+        if !self.move_to(inventory, id, cover.parts, cover.size) {
+            self.entries.pop();
+            return None;
+        }
+        self.cover_by(id, cover);
+        Some(id)
+    }
+
+    /// Drops a temporary guarantee. The last one takes its number, and is returned if it is
+    /// another.
+    pub(super) fn drop_temporary(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+    ) -> Option<Renumbered> {
+        self.take_back(inventory, id, |_| true);
+        self.entries.swap_remove(id);
+        let from = self.entries.len();
+        if from == id {
+            return None;
+        }
+        for ids in self.on_worker.values_mut() {
+            for other in ids.iter_mut().filter(|other| **other == from) {
+                *other = id;
+            }
+        }
+        Some(Renumbered {
+            to: id,
+            jobs: self.entries[id].jobs.clone(),
+        })
+    }
+
     /// Covers a job by a guarantee whose allotment contains it.
     pub(super) fn cover_by(&mut self, id: GuaranteeId, cover: &Cover<'_>) {
         let entry = &mut self.entries[id];
@@ -262,16 +360,10 @@
         let known = self
             .entries
             .iter_mut()
-            .find(|e| !e.wanted && e.workspace == *workspace && e.shape == shape);
+            .find(|e| !e.wanted && !e.temporary && e.workspace == *workspace && e.shape == shape);
         match known {
             Some(entry) => entry.wanted = true,
-            None => self.entries.push(Entry {
-                workspace: workspace.clone(),
-                shape,
-                shares: Vec::new(),
-                jobs: Vec::new(),
-                wanted: true,
-            }),
+            None => self.entries.push(Entry::new(workspace, shape, false)),
         }
     }
 
@@ -285,11 +377,15 @@
             }
         }
         self.entries.retain(|e| e.wanted);
+        // Temporary ones stand at the end, where they come and go without renumbering the rest.
+        self.entries.sort_by_key(|e| e.temporary);
         self.by_workspace.clear();
         self.on_worker.clear();
         for (entry, id) in self.entries.iter().zip(0..) {
-            let ids = self.by_workspace.entry(entry.workspace.clone());
-            ids.or_default().push(id);
+            if !entry.temporary {
+                let ids = self.by_workspace.entry(entry.workspace.clone());
+                ids.or_default().push(id);
+            }
             for share in &entry.shares {
                 self.on_worker.entry(share.worker).or_default().push(id);
             }
--- a/dragonflyrun/src/job/inventory.rs
+++ b/dragonflyrun/src/job/inventory.rs
@@ -21,6 +21,7 @@
     workers: Vec<Worker>,
     racks: HashMap<(Name, Name), usize>,
     domains: HashMap<Name, usize>,
+    largest_worker: u32,
     /// What is free for whoever has no pledge.
     pub(super) free: SlotIndex,
     /// What no guarantee has been allotted.
@@ -85,6 +86,7 @@
     /// Adds a worker or changes it; returns its number.
     pub(super) fn up(&mut self, mut info: WorkerInfo, in_service: bool) -> WorkerId {
         info.accelerators = info.accelerators.min(MOST_ACCELERATORS);
+        self.largest_worker = self.largest_worker.max(info.accelerators);
         let known = self.ids.get(&info.name).copied().filter(|id| {
             let old = &self.workers[*id].info;
             old.rack == info.rack && old.failure_domain == info.failure_domain
@@ -210,10 +212,9 @@
         slots.values().any(|slots| *slots >= shape.tasks.into())
     }
 
-    /// Returns the accelerators of the largest worker known.
+    /// Returns the accelerators of the largest worker that was ever known.
     pub(super) fn largest_worker(&self) -> u32 {
-        let accelerators = self.workers.iter().map(|w| w.info.accelerators);
-        accelerators.max().unwrap_or(0)
+        self.largest_worker
     }
 
     /// Returns whether all of `parts` is vacant, with `size` accelerators a task.
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -144,12 +144,63 @@
     /// their guarantees before they count as borrowing.
     fn keep_guarantees(&mut self) {
         let changed = std::mem::take(&mut self.changed);
-        self.guarantees.settle(&mut self.inventory, &changed);
-        for workspace in std::mem::take(&mut self.uncovered) {
+        let uncovered = std::mem::take(&mut self.uncovered);
+        if changed.is_empty() && uncovered.is_empty() {
+            return;
+        }
+        if !self.guarantees.settle(&mut self.inventory, &changed) {
+            self.settle_without_temporary();
+        }
+        for workspace in uncovered {
             self.cover_borrowers(&workspace);
         }
     }
 
+    /// Allots the guarantees without regard to temporary ones, and puts those back that still can
+    /// be had.
+    fn settle_without_temporary(&mut self) {
+        let entries = self.guarantees.entries.iter();
+        let temporary = entries.filter(|e| e.temporary).flat_map(|e| &e.jobs);
+        let jobs: Vec<JobId> = temporary.cloned().collect();
+        if jobs.is_empty() {
+            return;
+        }
+        for job in &jobs {
+            self.uncover(job);
+        }
+        self.changed.clear();
+        self.guarantees.settle(&mut self.inventory, &[]);
+        for job in &jobs {
+            self.protect(job);
+        }
+    }
+
+    /// Keeps a running or pledged job that borrows from being evicted, if it is as large as a
+    /// worker and all guarantees can be had beside it. A large gang that is evicted waits long
+    /// until it finds room again; small jobs are evicted in its place.
+    fn protect(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if entry.cover.is_some() || entry.accelerators() < self.inventory.largest_worker() {
+            return;
+        }
+        let parts = match &entry.stage {
+            Stage::Pledged(parts) => parts,
+            Stage::Holds(hold) if !hold.stopping => &hold.parts,
+            Stage::Holds(_) | Stage::Waits => return,
+        };
+        let cover = Cover {
+            workspace: &entry.spec.workspace,
+            job,
+            parts,
+            size: entry.spec.accelerators,
+            not_by: None,
+        };
+        let shape = entry.spec.shape();
+        entry.cover = self.guarantees.protect(&mut self.inventory, &cover, shape);
+    }
+
     fn cover_borrowers(&mut self, workspace: &Name) {
         if self.guarantees.of(workspace).is_empty() {
             return;
@@ -331,10 +382,17 @@
         }
         let waited = now.since(entry.waiting_since);
         let reservation = self.take_reservation(job);
+        if owner && let Some(parts) = self.vacant_room(class) {
+            self.leave_queue(job);
+            self.cover(job, &parts);
+            self.start(now, job, parts, decisions);
+            return true;
+        }
         if let Some(parts) = self.inventory.free.find(&class.shape()) {
             self.leave_queue(job);
             self.cover(job, &parts);
             self.start(now, job, parts, decisions);
+            self.protect(job);
             return true;
         }
         if let Some(parts) = self.backfill(now, job) {
@@ -358,6 +416,12 @@
         false
     }
 
+    fn vacant_room(&self, class: &Class) -> Option<Vec<Part>> {
+        let shape = class.shape();
+        self.guarantees
+            .vacant_room(&self.inventory, &class.workspace, &shape)
+    }
+
     fn leave_queue(&mut self, job: &JobId) {
         if let Some(entry) = self.jobs.get(job) {
             self.queue.remove(&entry.spec, entry.accepted, job);
@@ -386,25 +450,27 @@
         }
         let victims = self.victims(now, &entry, claim, &seats);
         let found = cheapest(&seats, &shape, &victims);
+        let budget = self.budget(now, &entry, claim);
         match claim {
             Claim::Guarantee => {
                 for eviction in found {
-                    if self.cover(job, &eviction.parts) {
+                    if eviction.cost <= budget && self.cover(job, &eviction.parts) {
                         self.pledge(job, eviction, decisions);
                         return true;
                     }
                 }
-                self.take_allotment(now, job, &entry, decisions)
+                self.take_allotment(now, job, &entry, budget, decisions)
             }
             Claim::Urgency | Claim::Age => {
                 let Some(eviction) = found.into_iter().next() else {
                     return false;
                 };
-                if eviction.cost > budget(now, &entry, claim) {
+                if eviction.cost > budget {
                     return false;
                 }
                 self.cover(job, &eviction.parts);
                 self.pledge(job, eviction, decisions);
+                self.protect(job);
                 true
             }
         }
@@ -417,6 +483,7 @@
         now: Timestamp,
         job: &JobId,
         entry: &Entry,
+        budget: u64,
         decisions: &mut Vec<Decision>,
     ) -> bool {
         let shape = entry.spec.shape();
@@ -434,7 +501,7 @@
             .collect();
         let victims = self.victims(now, entry, Claim::Guarantee, &seats);
         for eviction in cheapest(&seats, &shape, &victims) {
-            if self.cover(job, &eviction.parts) {
+            if eviction.cost <= budget && self.cover(job, &eviction.parts) {
                 self.pledge(job, eviction, decisions);
                 return true;
             }
@@ -544,6 +611,29 @@
         })
     }
 
+    /// Returns what evictions for a job may cost: as much as the job loses by waiting. The wait of
+    /// an urgent one counts more, and from the start, and so does that of a job much smaller than
+    /// the guarantee it claims. For a guaranteed shape there is no bound.
+    fn budget(&self, now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
+        let waited = now.since(entry.waiting_since);
+        let waited_ms = waited.as_millis() as u64;
+        let worth_ms = match claim {
+            Claim::Guarantee if self.claims_in_full(waited, entry) => return u64::MAX,
+            Claim::Guarantee | Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
+            Claim::Age => waited_ms,
+        };
+        worth_ms.saturating_mul(bulk(entry))
+    }
+
+    /// Returns whether a job claims most of a guarantee, or has waited long for a part.
+    fn claims_in_full(&self, waited: Duration, entry: &Entry) -> bool {
+        let spec = &entry.spec;
+        waited >= AGED_AFTER
+            || self
+                .guarantees
+                .is_whole_for(&spec.workspace, entry.accelerators())
+    }
+
     /// Ends waiting jobs that can never run.
     fn end_impossible(&mut self, decisions: &mut Vec<Decision>) {
         if !self.settled {
@@ -580,7 +670,7 @@
             (!covered || other.spec.workspace == entry.spec.workspace)
                 && other.spec.urgency >= entry.spec.urgency
                 && other.accepted > entry.accepted
-                && other.accelerators() < entry.accelerators()
+                && other.accelerators() * 2 <= entry.accelerators()
         }
     }
 }
@@ -590,14 +680,3 @@
 fn bulk(entry: &Entry) -> u64 {
     u64::from(entry.accelerators()).pow(2)
 }
-
-/// Returns what evictions for a job without a guarantee may cost: as much as the job loses by
-/// waiting. The wait of an urgent one counts more, and from the start.
-fn budget(now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
-    let waited_ms = now.since(entry.waiting_since).as_millis() as u64;
-    let worth_ms = match claim {
-        Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
-        Claim::Age | Claim::Guarantee => waited_ms,
-    };
-    worth_ms.saturating_mul(bulk(entry))
-}
--- a/dragonflyrun/src/job/reservation.rs
+++ b/dragonflyrun/src/job/reservation.rs
@@ -50,6 +50,10 @@
     /// expected to become free in time, or other room.
     pub(super) fn reserve(&mut self, now: Timestamp, job: &JobId, before: Option<Reservation>) {
         let workers = self.inventory.ids().len();
+        let large = self.inventory.largest_worker();
+        if self.jobs.get(job).is_none_or(|e| e.accelerators() < large) {
+            return;
+        }
         if self.reservations.len() > workers / WORKERS_A_RESERVATION {
             return;
         }
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -323,11 +323,19 @@
         entry.is_some_and(|e| matches!(e.stage, Stage::Holds(_)) && e.cover.is_none())
     }
 
+    /// Returns whether a running job lies outside its workspace's guarantees, but is not evicted
+    /// for another's because all guarantees can be had beside it.
+    pub fn is_protected(&self, job: &JobId) -> bool {
+        let cover = self.jobs.get(job).and_then(|e| e.cover);
+        cover.is_some_and(|id| self.guarantees.entries[id].temporary)
+    }
+
     /// Returns where each guarantee is allotted: its workspace, shape and workers, with tasks of
     /// the guaranteed shape. Empty placements stand for one that is unmet.
     pub fn allotments(&self) -> Vec<(UnmetGuarantee, Vec<Placement>)> {
         let entries = self.guarantees.entries.iter();
         entries
+            .filter(|e| !e.temporary)
             .map(|entry| {
                 let guarantee = UnmetGuarantee {
                     workspace: entry.workspace.clone(),
@@ -455,6 +463,19 @@
             Stage::Holds(hold) => &hold.parts,
         };
         self.guarantees.uncover(id, job, parts, size);
+        let parts = parts.clone();
+        if self.guarantees.entries[id].temporary
+            && let Some(moved) = self.guarantees.drop_temporary(&mut self.inventory, id)
+        {
+            for other in moved.jobs {
+                if let Some(entry) = self.jobs.get_mut(&other) {
+                    entry.cover = Some(moved.to);
+                }
+            }
+        }
+        let Some(entry) = self.jobs.get(job) else {
+            return;
+        };
         self.changed.extend(parts.iter().map(|p| p.worker));
         self.uncovered.insert(entry.spec.workspace.clone());
     }
