--- a/dragonflyrun/benches/measures/simulation/figures.rs
+++ b/dragonflyrun/benches/measures/simulation/figures.rs
@@ -42,6 +42,8 @@
     pub(crate) failed_starts: u32,
     pub(crate) refused: u32,
     pub(crate) unfinished: u32,
+    /// Completion times of the large jobs, for percentiles over several seeds.
+    pub(crate) large_times_s: Vec<f64>,
     #[serde(skip)]
     pub(super) idle_ms: u64,
     #[serde(skip)]
@@ -66,6 +68,8 @@
         self.patient = Spread::of(urgency(Urgency::Patient));
         let large = || jobs.iter().filter(|j| j.accelerators() >= LARGE);
         self.large = Spread::of(large());
+        let times = large().filter_map(|j| Some(seconds(j.finished? - j.live_since())));
+        self.large_times_s = times.collect();
         let waits = large().filter_map(|j| Some(j.first_start? - j.live_since()));
         self.large_longest_wait_s = seconds(waits.max().unwrap_or(0));
         self.makespan_over_bound = makespan_over_bound(jobs, accelerators);
--- a/dragonflyrun/src/job/allotment.rs
+++ b/dragonflyrun/src/job/allotment.rs
@@ -26,6 +26,20 @@
         whole || self.allot_anew(inventory)
     }
 
+    /// Moves allotments without jobs away from `worker`, as far as there is room for them
+    /// elsewhere.
+    pub(super) fn evacuate(&mut self, inventory: &mut Inventory, worker: WorkerId) {
+        for id in self.on(worker).to_vec() {
+            if !self.entries[id].movable() {
+                continue;
+            }
+            let before = self.take_back(inventory, id, |_| true);
+            if !self.complete(inventory, id) {
+                self.allot(inventory, id, &before);
+            }
+        }
+    }
+
     /// Returns the guarantees that the hardware in service does not permit.
     pub(super) fn lacking(&self) -> Vec<GuaranteeId> {
         let lacks = |id: &GuaranteeId| {
--- a/dragonflyrun/src/job/guarantee.rs
+++ b/dragonflyrun/src/job/guarantee.rs
@@ -71,7 +71,7 @@
     pub(super) parts: &'a [Part],
     /// Accelerators of each task.
     pub(super) size: u32,
-    /// A guarantee that is not to cover it.
+    /// A guarantee that is not to cover it, because another job needs that one whole.
     pub(super) not_by: Option<GuaranteeId>,
 }
 
@@ -202,7 +202,8 @@
         let id = match there {
             Some(id) => *id,
             None => ids.into_iter().find(|id| {
-                self.is_worth_moving(*id, parts, size) && self.move_to(inventory, *id, parts, size)
+                let worth = cover.not_by.is_some() || self.is_worth_moving(*id, parts, size);
+                worth && self.move_to(inventory, *id, parts, size)
             })?,
         };
         self.cover_by(id, cover);
--- a/dragonflyrun/src/job/inventory.rs
+++ b/dragonflyrun/src/job/inventory.rs
@@ -24,7 +24,7 @@
     largest_worker: u32,
     /// What is free for whoever has no pledge.
     pub(super) free: SlotIndex,
-    /// What no guarantee has been allotted.
+    /// What no guarantee has been allotted and no aged job has reserved.
     pub(super) open: SlotIndex,
 }
 
@@ -76,6 +76,13 @@
         self.vacant().saturating_sub(unmet)
     }
 
+    /// Returns what guarantees may be allotted. What aged jobs have reserved is left out, so that
+    /// allotments lie elsewhere by the time a large gang could start there.
+    fn open(&self) -> u32 {
+        let taken = self.allotted + self.reserved;
+        self.info.accelerators.saturating_sub(taken)
+    }
+
     /// Returns the accelerators that aged jobs have reserved.
     pub(super) fn reserved(&self) -> u32 {
         self.reserved
@@ -259,7 +266,7 @@
         let (mut free, mut open) = (0, 0);
         if worker.usable() {
             free = worker.free();
-            open = worker.info.accelerators.saturating_sub(worker.allotted);
+            open = worker.open();
         }
         self.free.set(id, free);
         self.open.set(id, open);
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -149,8 +149,10 @@
             return;
         }
         if !self.guarantees.settle(&mut self.inventory, &changed) {
+            self.drop_reservations();
             self.settle_without_temporary();
         }
+        self.clear_reserved();
         for workspace in uncovered {
             self.cover_borrowers(&workspace);
         }
@@ -162,9 +164,6 @@
         let entries = self.guarantees.entries.iter();
         let temporary = entries.filter(|e| e.temporary).flat_map(|e| &e.jobs);
         let jobs: Vec<JobId> = temporary.cloned().collect();
-        if jobs.is_empty() {
-            return;
-        }
         for job in &jobs {
             self.uncover(job);
         }
--- a/dragonflyrun/src/job/reservation.rs
+++ b/dragonflyrun/src/job/reservation.rs
@@ -66,9 +66,29 @@
             let reserved = i64::from(part.tasks * reservation.size);
             self.inventory.reserve(part.worker, reserved);
         }
+        for part in &reservation.parts {
+            self.guarantees.evacuate(&mut self.inventory, part.worker);
+        }
         self.reservations.insert(aged, reservation);
     }
 
+    /// Takes all reservations back.
+    pub(super) fn drop_reservations(&mut self) {
+        let jobs: Vec<Aged> = self.reservations.keys().cloned().collect();
+        for (_, job) in jobs {
+            self.take_reservation(&job);
+        }
+    }
+
+    /// Moves allotments that no job holds any more away from reserved room.
+    pub(super) fn clear_reserved(&mut self) {
+        for reservation in self.reservations.values() {
+            for part in &reservation.parts {
+                self.guarantees.evacuate(&mut self.inventory, part.worker);
+            }
+        }
+    }
+
     /// Returns whether one of `parts` is on a worker with a reservation.
     pub(super) fn is_reserved(&self, parts: &[Part]) -> bool {
         parts
