--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -34,9 +34,15 @@
 /// stopped and resumed.
 const NEARLY_DONE_WEIGHT: u64 = 4;
 
-/// Time after which a waiting job may evict younger and smaller ones.
+/// Time after which a waiting job as large as a worker may evict younger and smaller ones.
 const AGED_AFTER: Duration = Duration::from_secs(30);
 
+/// The same for a smaller job. It finds holes, and would evict others for little.
+const SMALL_AGED_AFTER: Duration = Duration::from_secs(600);
+
+/// How much rather another job is stopped than an urgent one.
+const URGENT_VICTIM_WEIGHT: u64 = 10;
+
 /// What the start of an urgent job is worth at once, in milliseconds of its wait.
 const URGENT_WORTH_MS: u64 = 50_000;
 
@@ -403,7 +409,7 @@
             Claim::Guarantee
         } else if spec.urgency == Urgency::Urgent {
             Claim::Urgency
-        } else if waited >= AGED_AFTER {
+        } else if waited >= self.aged_after(wanted) {
             Claim::Age
         } else {
             return false;
@@ -415,6 +421,13 @@
         false
     }
 
+    fn aged_after(&self, accelerators: u32) -> Duration {
+        match accelerators >= self.inventory.largest_worker() {
+            true => AGED_AFTER,
+            false => SMALL_AGED_AFTER,
+        }
+    }
+
     fn vacant_room(&self, class: &Class) -> Option<Vec<Part>> {
         let shape = class.shape();
         self.guarantees
@@ -596,7 +609,10 @@
         let lost_ms = STOP_AND_RESUME_MS + ran_ms * LOST_PERCENT / 100;
         let expected_ms = self.estimates.run_time(&entry.spec).as_millis() as u64;
         let nearly_done = ran_ms < expected_ms && expected_ms - ran_ms < STOP_AND_RESUME_MS;
-        let weight = if nearly_done { NEARLY_DONE_WEIGHT } else { 1 };
+        let mut weight = if nearly_done { NEARLY_DONE_WEIGHT } else { 1 };
+        if entry.spec.urgency == Urgency::Urgent {
+            weight *= URGENT_VICTIM_WEIGHT;
+        }
         Some(Victim {
             job: job.clone(),
             cost: lost_ms
@@ -662,6 +678,12 @@
 pub(super) fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
     let covered = other.cover.is_some();
     match claim {
+        // A workspace gains nothing if its jobs take turns in its own guarantee.
+        Claim::Guarantee if other.spec.workspace == entry.spec.workspace => {
+            !covered
+                && (other.spec.urgency > entry.spec.urgency
+                    || other.accelerators() * 2 <= entry.accelerators())
+        }
         Claim::Guarantee => !covered,
         Claim::Urgency => !covered && other.spec.urgency > entry.spec.urgency,
         Claim::Age => {
