Lend reserved room to older jobs and to those that end in time

Cause: two reservations held a whole failure domain and a rack for up to half an hour, and an older gang that would have ended in time could not start between.

--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -455,9 +455,10 @@
         let mut seats = self.seats_to_compare(&entry);
         if claim == Claim::Age {
             // Another's reservation is respected; this job's own was taken back.
+            let closed = self.closed_to(now, &entry);
             for seat in &mut seats {
-                let reserved = self.inventory.worker(seat.worker).reserved();
-                seat.value = seat.value.saturating_sub(reserved);
+                let closed = closed.get(&seat.worker).copied().unwrap_or(0);
+                seat.value = seat.value.saturating_sub(closed);
             }
         }
         let victims = self.victims(now, &entry, claim, &seats);
--- a/dragonflyrun/src/job/reservation.rs
+++ b/dragonflyrun/src/job/reservation.rs
@@ -14,8 +14,9 @@
         placement::{Part, Seat, pick},
         queue::Aged,
         scheduler::{Entry, Stage},
+        slots::WorkerId,
     },
-    utils::{HashSet, Timestamp},
+    utils::{HashMap, HashSet, Timestamp},
 };
 
 /// Usable workers for each reservation, beside the first. With few, one reservation that holds
@@ -102,27 +103,17 @@
             return None;
         }
         let entry = self.jobs.get(job)?;
-        let expected = self.estimates.run_time(&entry.spec);
-        let mut lenders = HashSet::default();
-        let mut closed = HashSet::default();
-        for ((_, holder), reservation) in &self.reservations {
-            let movable = self
-                .jobs
-                .get(holder)
-                .is_some_and(|h| may_evict(h, Claim::Age, entry));
-            let lends = movable || now + expected < reservation.ready;
-            let workers = reservation.parts.iter().map(|p| p.worker);
-            match lends {
-                true => lenders.extend(workers),
-                false => closed.extend(workers),
-            }
-        }
-        lenders.retain(|worker| !closed.contains(worker));
+        let closed = self.closed_to(now, entry);
+        let workers = self.reservations.values().flat_map(|r| &r.parts);
+        let lenders: HashSet<WorkerId> = workers.map(|p| p.worker).collect();
         let mut seats: Vec<Seat> = lenders
             .iter()
-            .map(|worker| Seat {
-                value: self.inventory.with_reserved(*worker),
-                ..self.inventory.free.seat(*worker)
+            .map(|worker| {
+                let closed = closed.get(worker).copied().unwrap_or(0);
+                Seat {
+                    value: self.inventory.with_reserved(*worker).saturating_sub(closed),
+                    ..self.inventory.free.seat(*worker)
+                }
             })
             .collect();
         let roomiest = self.inventory.free.roomiest(entry.spec.tasks as usize);
@@ -134,14 +125,35 @@
         pick(&seats, &entry.spec.shape()).map(|plan| plan.parts)
     }
 
+    /// Returns what is reserved of each worker and not lent to `entry`. Room is lent to a job that
+    /// the holder may evict, that is expected to end before the holder could start, or that is
+    /// older than the holder.
+    pub(super) fn closed_to(&self, now: Timestamp, entry: &Entry) -> HashMap<WorkerId, u32> {
+        let expected = self.estimates.run_time(&entry.spec);
+        let mut closed = HashMap::default();
+        for ((accepted, holder), reservation) in &self.reservations {
+            let holder = self.jobs.get(holder);
+            let movable = holder.is_some_and(|h| may_evict(h, Claim::Age, entry));
+            let in_time = now + expected < reservation.ready;
+            if movable || in_time || entry.accepted < *accepted {
+                continue;
+            }
+            for part in &reservation.parts {
+                *closed.entry(part.worker).or_default() += part.tasks * reservation.size;
+            }
+        }
+        closed
+    }
+
     /// Returns the room where `job` is expected to start first.
     fn earliest(&mut self, now: Timestamp, job: &JobId) -> Option<Reservation> {
         let entry = self.jobs.get(job)?.clone();
         let shape = entry.spec.shape();
         let mut seats = self.seats_to_compare(&entry);
+        let closed = self.closed_to(now, &entry);
         for seat in &mut seats {
-            let reserved = self.inventory.worker(seat.worker).reserved();
-            seat.value = seat.value.saturating_sub(reserved);
+            let closed = closed.get(&seat.worker).copied().unwrap_or(0);
+            seat.value = seat.value.saturating_sub(closed);
         }
         let mut ends = self.ends(now, &entry, &seats);
         ends.sort_by_key(|e| e.at);
