Test that every guaranteed shape can be reclaimed; make room in the allotment itself (test red)

The property test found that an owner's job waited for good: room was made anywhere on the allotment's workers, in another split than the allotment has, and then did not count as inside it. Room is now made for exactly the allotment's parts.

--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -19,5 +19,5 @@
 
 pub use book::{JobBook, LiveJob};
 pub use decision::{Decision, UsageReport};
-pub use scheduler::{Scheduler, UnmetGuarantee};
+pub use scheduler::{Allotment, Scheduler, UnmetGuarantee};
 pub use spec::{JobId, JobSpec, Shape, Unreachable, WorkerInfo};
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -13,7 +13,7 @@
         guarantee::{Cover, GuaranteeId},
         placement::{Part, Seat},
         queue::{Aged, Class},
-        reclaim::{Eviction, Victim, cheapest},
+        reclaim::{Eviction, Victim, cheapest, exactly},
         scheduler::{Entry, Stage},
     },
     utils::{HashSet, Name, Timestamp},
@@ -58,8 +58,10 @@
 /// Why a job may evict others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Claim {
-    /// Its workspace has a guarantee with unused room for it.
+    /// Its workspace has a guarantee of about its size, which is not in use.
     Guarantee,
+    /// Its workspace has a larger guarantee with unused room for it.
+    Part,
     /// Somebody waits for it.
     Urgency,
     /// It has waited long.
@@ -405,8 +407,10 @@
             self.start(now, job, parts, decisions);
             return true;
         }
-        let claim = if owner {
+        let claim = if owner && self.guarantees.is_whole_for(&spec.workspace, wanted) {
             Claim::Guarantee
+        } else if owner {
+            Claim::Part
         } else if spec.urgency == Urgency::Urgent {
             Claim::Urgency
         } else if waited >= self.aged_after(wanted) {
@@ -463,16 +467,16 @@
         }
         let victims = self.victims(now, &entry, claim, &seats);
         let found = cheapest(&seats, &shape, &victims);
-        let budget = self.budget(now, &entry, claim);
+        let budget = Self::budget(now, &entry, claim);
         match claim {
-            Claim::Guarantee => {
+            Claim::Guarantee | Claim::Part => {
                 for eviction in found {
                     if eviction.cost <= budget && self.cover(job, &eviction.parts) {
                         self.pledge(job, eviction, decisions);
                         return true;
                     }
                 }
-                self.take_allotment(now, job, &entry, budget, decisions)
+                self.take_allotment(now, job, claim, budget, decisions)
             }
             Claim::Urgency | Claim::Age => {
                 let Some(eviction) = found.into_iter().next() else {
@@ -495,10 +499,13 @@
         &mut self,
         now: Timestamp,
         job: &JobId,
-        entry: &Entry,
+        claim: Claim,
         budget: u64,
         decisions: &mut Vec<Decision>,
     ) -> bool {
+        let Some(entry) = self.jobs.get(job).cloned() else {
+            return false;
+        };
         let shape = entry.spec.shape();
         let room = self
             .guarantees
@@ -512,14 +519,16 @@
                 ..self.inventory.free.seat(part.worker)
             })
             .collect();
-        let victims = self.victims(now, entry, Claim::Guarantee, &seats);
-        for eviction in cheapest(&seats, &shape, &victims) {
-            if eviction.cost <= budget && self.cover(job, &eviction.parts) {
-                self.pledge(job, eviction, decisions);
-                return true;
-            }
+        let victims = self.victims(now, &entry, claim, &seats);
+        let eviction = exactly(&seats, &parts, shape.accelerators, &victims);
+        let Some(eviction) = eviction.filter(|e| e.cost <= budget) else {
+            return false;
+        };
+        let covered = self.cover(job, &eviction.parts);
+        if covered {
+            self.pledge(job, eviction, decisions);
         }
-        false
+        covered
     }
 
     fn drop_borrowed_pledges(&mut self, now: Timestamp, parts: &[Part]) {
@@ -630,26 +639,18 @@
     /// Returns what evictions for a job may cost: as much as the job loses by waiting. The wait of
     /// an urgent one counts more, and from the start, and so does that of a job much smaller than
     /// the guarantee it claims. For a guaranteed shape there is no bound.
-    fn budget(&self, now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
+    fn budget(now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
         let waited = now.since(entry.waiting_since);
         let waited_ms = waited.as_millis() as u64;
         let worth_ms = match claim {
-            Claim::Guarantee if self.claims_in_full(waited, entry) => return u64::MAX,
-            Claim::Guarantee | Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
+            Claim::Guarantee => return u64::MAX,
+            Claim::Part if waited >= AGED_AFTER => return u64::MAX,
+            Claim::Part | Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
             Claim::Age => waited_ms,
         };
         worth_ms.saturating_mul(bulk(entry))
     }
 
-    /// Returns whether a job claims most of a guarantee, or has waited long for a part.
-    fn claims_in_full(&self, waited: Duration, entry: &Entry) -> bool {
-        let spec = &entry.spec;
-        waited >= AGED_AFTER
-            || self
-                .guarantees
-                .is_whole_for(&spec.workspace, entry.accelerators())
-    }
-
     /// Ends waiting jobs that can never run.
     fn end_impossible(&mut self, decisions: &mut Vec<Decision>) {
         if !self.settled {
@@ -679,13 +680,14 @@
 pub(super) fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
     let covered = other.cover.is_some();
     match claim {
+        Claim::Guarantee => !covered,
         // A workspace gains nothing if its jobs take turns in its own guarantee.
-        Claim::Guarantee if other.spec.workspace == entry.spec.workspace => {
+        Claim::Part if other.spec.workspace == entry.spec.workspace => {
             !covered
                 && (other.spec.urgency > entry.spec.urgency
                     || other.accelerators() * 2 <= entry.accelerators())
         }
-        Claim::Guarantee => !covered,
+        Claim::Part => !covered,
         Claim::Urgency => !covered && other.spec.urgency > entry.spec.urgency,
         Claim::Age => {
             // Which of its own jobs go first is a workspace's own affair: the older.
--- a/dragonflyrun/src/job/reclaim.rs
+++ b/dragonflyrun/src/job/reclaim.rs
@@ -46,7 +46,10 @@
     };
     let scopes = seats.chunk_by(|a, b| scope(a) == scope(b));
     let mut found: Vec<Eviction> = scopes
-        .filter_map(|scope| Search::new(scope, tasks, size, victims).run())
+        .filter_map(|scope| {
+            let free = vec![u32::MAX; scope.len()];
+            Search::new(scope, free, tasks, size, victims).run()
+        })
         .collect();
     if shape.adjacency == Adjacency::Worker {
         for part in found.iter_mut().flat_map(|e| &mut e.parts) {
@@ -57,8 +60,23 @@
     found
 }
 
+/// Returns the cheapest way found to make room for exactly `parts`, with `size` accelerators a
+/// task; `seats` tells what will be free of each of their workers.
+pub(super) fn exactly(
+    seats: &[Seat],
+    parts: &[Part],
+    size: u32,
+    victims: &[Victim],
+) -> Option<Eviction> {
+    let most = parts.iter().map(|p| p.tasks * size).collect();
+    let tasks = parts.iter().map(|p| p.tasks).sum();
+    Search::new(seats, most, tasks, size, victims).run()
+}
+
 struct Search<'a> {
+    /// What is free of each worker, and how much of that may be used.
     seats: Vec<Seat>,
+    most: Vec<u32>,
     at: HashMap<WorkerId, usize>,
     tasks: u32,
     size: u32,
@@ -76,7 +94,7 @@
 }
 
 impl<'a> Search<'a> {
-    fn new(seats: &[Seat], tasks: u32, size: u32, victims: &'a [Victim]) -> Self {
+    fn new(seats: &[Seat], most: Vec<u32>, tasks: u32, size: u32, victims: &'a [Victim]) -> Self {
         let at: HashMap<WorkerId, usize> =
             seats.iter().zip(0..).map(|(s, i)| (s.worker, i)).collect();
         let mut on = vec![Vec::new(); seats.len()];
@@ -89,6 +107,7 @@
         }
         Self {
             seats: seats.to_vec(),
+            most,
             at,
             tasks,
             size,
@@ -109,6 +128,9 @@
         }
         self.spare();
         let mut seats = self.seats.clone();
+        for (seat, most) in seats.iter_mut().zip(&self.most) {
+            seat.value = seat.value.min(*most);
+        }
         seats.sort_by_key(|s| (s.value, s.worker));
         let parts = best_of(&seats, self.tasks, self.size)?.parts;
         Some(Eviction {
@@ -119,14 +141,19 @@
     }
 
     fn slots(&self) -> u32 {
-        self.seats.iter().map(|s| s.value / self.size).sum()
+        (0..self.seats.len()).map(|i| self.slots_with(i, 0)).sum()
+    }
+
+    /// Returns how many tasks fit on a seat once `freed` more accelerators are free.
+    fn slots_with(&self, seat: usize, freed: u32) -> u32 {
+        let value = self.seats[seat].value + freed;
+        value.min(self.most[seat]) / self.size
     }
 
     /// Returns the cheapest choice found on one seat: the cheapest victims together, or a single
     /// one that is enough.
     fn choice(&self, seat: usize) -> Option<Choice> {
-        let value = self.seats[seat].value;
-        let slots = value / self.size;
+        let slots = self.slots_with(seat, 0);
         let mut left: Vec<(usize, u32)> = self.on[seat]
             .iter()
             .copied()
@@ -144,13 +171,13 @@
             freed += held;
             together.victims.push(*victim);
             together.cost += self.victims[*victim].cost;
-            together.gain = ((value + freed) / self.size - slots).min(needed);
+            together.gain = (self.slots_with(seat, freed) - slots).min(needed);
             if together.gain > 0 {
                 break;
             }
         }
         let single = left.iter().filter_map(|(victim, held)| {
-            let gain = ((value + held) / self.size - slots).min(needed);
+            let gain = (self.slots_with(seat, *held) - slots).min(needed);
             (gain > 0).then(|| Choice {
                 victims: vec![*victim],
                 cost: self.victims[*victim].cost,
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -111,6 +111,19 @@
     pub shape: Shape,
 }
 
+/// Where a guarantee can be had.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Allotment {
+    /// The workspace.
+    pub workspace: Name,
+    /// The shape.
+    pub shape: Shape,
+    /// The workers, with tasks of the shape; fewer than the shape has where it is unmet.
+    pub placements: Vec<Placement>,
+    /// Whether a job of the workspace holds some of it.
+    pub held: bool,
+}
+
 impl Entry {
     pub(super) fn accelerators(&self) -> u32 {
         self.spec.tasks.saturating_mul(self.spec.accelerators)
@@ -330,22 +343,22 @@
         cover.is_some_and(|id| self.guarantees.entries[id].temporary)
     }
 
-    /// Returns where each guarantee is allotted: its workspace, shape and workers, with tasks of
-    /// the guaranteed shape. Empty placements stand for one that is unmet.
-    pub fn allotments(&self) -> Vec<(UnmetGuarantee, Vec<Placement>)> {
+    /// Returns where each guarantee is allotted.
+    pub fn allotments(&self) -> Vec<Allotment> {
         let entries = self.guarantees.entries.iter();
         entries
             .filter(|e| !e.temporary)
             .map(|entry| {
-                let guarantee = UnmetGuarantee {
-                    workspace: entry.workspace.clone(),
-                    shape: entry.shape,
-                };
                 let placements = entry.shares.iter().map(|s| Placement {
                     worker: self.inventory.worker(s.worker).info.name.clone(),
                     tasks: s.tasks,
                 });
-                (guarantee, placements.collect())
+                Allotment {
+                    workspace: entry.workspace.clone(),
+                    shape: entry.shape,
+                    placements: placements.collect(),
+                    held: !entry.movable(),
+                }
             })
             .collect()
     }
--- /dev/null
+++ b/dragonflyrun/tests/guarantee_reclaim.rs
@@ -0,0 +1,453 @@
+//! Every guaranteed shape can be reclaimed at every step, while others are using it.
+
+#[path = "common/exhaustive.rs"]
+mod exhaustive;
+
+use std::{collections::BTreeMap, env, sync::Arc, time::Duration};
+
+use arbtest::{arbitrary, arbitrary::Unstructured, arbtest};
+use dragonflyrun::{
+    Document, JobSpec, Name, Shape, Timestamp,
+    connection::Placement,
+    job::{Decision, JobId, LiveJob, Scheduler, WorkerInfo},
+    version::{Adjacency, FailureDomain, Guarantee, Section, Urgency, Version, Workspace},
+};
+use exhaustive::{Room, all_fit, is_near};
+
+/// By then a member that does not answer has lost its lease for certain.
+const STOP_BOUND: Duration = Duration::from_secs(6);
+
+/// The planner asks for decisions so often.
+const TICK: Duration = Duration::from_millis(100);
+
+const DEFAULT_SEEDS: u64 = 300;
+
+/// The least input of one run; each event takes a few bytes.
+const BYTES: u64 = 128;
+
+const ADJACENCIES: [Adjacency; 4] = [
+    Adjacency::Any,
+    Adjacency::FailureDomain,
+    Adjacency::Rack,
+    Adjacency::Worker,
+];
+
+/// A planner that carries out decisions, with workers that may not answer.
+#[derive(Clone)]
+struct Cluster {
+    now: Timestamp,
+    scheduler: Scheduler,
+    document: Document,
+    workers: Vec<WorkerInfo>,
+    up: Vec<bool>,
+    jobs: BTreeMap<JobId, Job>,
+    accepted: u64,
+}
+
+#[derive(Clone)]
+struct Job {
+    live: LiveJob,
+    /// When its stop is certain, where it is being stopped.
+    stopped: Option<Timestamp>,
+    evicted: bool,
+}
+
+impl Cluster {
+    fn any(u: &mut Unstructured<'_>) -> arbitrary::Result<Self> {
+        let mut workers = Vec::new();
+        for rack in 0..u.int_in_range(1..=3)? {
+            let failure_domain = u.int_in_range(0..=1)?;
+            for worker in 0..u.int_in_range(1..=2)? {
+                workers.push(WorkerInfo {
+                    name: format!("worker-{rack}-{worker}").into(),
+                    rack: format!("rack-{rack}").into(),
+                    failure_domain: format!("domain-{failure_domain}").into(),
+                    accelerators: u.int_in_range(2..=8)?,
+                });
+            }
+        }
+        let mut cluster = Self {
+            now: Timestamp::from_millis(1),
+            scheduler: Scheduler::new(),
+            document: Document::default(),
+            up: vec![true; workers.len()],
+            workers,
+            jobs: BTreeMap::new(),
+            accepted: 0,
+        };
+        cluster.document.sections.insert("all".into(), section(u)?);
+        cluster.configure();
+        for worker in cluster.workers.clone() {
+            cluster.scheduler.worker_up(cluster.now, worker);
+        }
+        cluster.step();
+        Ok(cluster)
+    }
+
+    fn configure(&mut self) {
+        let version = Arc::new(Version::new(1, self.document.clone()));
+        self.scheduler.configure(&version);
+    }
+
+    /// Lets anything happen that may happen.
+    fn disturb(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        match u.int_in_range(0..=9)? {
+            0 => self.drain_or_return(u)?,
+            1 => self.lose_or_return(u)?,
+            2 => {
+                let section = section(u)?;
+                self.document.sections.insert("all".into(), section);
+                self.configure();
+            }
+            3 | 4 => {
+                if !self.jobs.is_empty() {
+                    let job = u
+                        .choose(&self.jobs.keys().cloned().collect::<Vec<_>>())?
+                        .clone();
+                    self.jobs.remove(&job);
+                    self.scheduler.job_gone(self.now, &job);
+                }
+            }
+            5 => self.now = self.now + Duration::from_secs(u.int_in_range(1..=60)?),
+            _ => {
+                let workspace = format!("workspace-{}", u.int_in_range(0..=2)?);
+                let shape = shape(u)?;
+                let urgency = u.choose(&[Urgency::Urgent, Urgency::Normal, Urgency::Patient])?;
+                self.submit(workspace.into(), shape, *urgency);
+            }
+        }
+        Ok(())
+    }
+
+    fn drain_or_return(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let domains = self.document.sections.values_mut();
+        let mut domains: Vec<_> = domains.flat_map(|s| &mut s.failure_domains).collect();
+        let at = u.choose_index(domains.len())?;
+        domains[at].in_service = !domains[at].in_service;
+        self.configure();
+        Ok(())
+    }
+
+    fn lose_or_return(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let at = u.choose_index(self.workers.len())?;
+        let worker = self.workers[at].clone();
+        self.up[at] = !self.up[at];
+        if self.up[at] {
+            self.scheduler.worker_up(self.now, worker);
+            return Ok(());
+        }
+        self.scheduler.worker_down(self.now, &worker.name);
+        // The planner stops the rest of each gang that has lost a member.
+        for job in self.jobs.values_mut() {
+            if job.live.placements.iter().any(|p| p.worker == worker.name) {
+                job.stopped.get_or_insert(self.now + STOP_BOUND);
+            }
+        }
+        Ok(())
+    }
+
+    fn submit(&mut self, workspace: Name, shape: Shape, urgency: Urgency) -> JobId {
+        self.accepted += 1;
+        let job: JobId = format!("job-{}", self.accepted).into();
+        let live = LiveJob {
+            job: job.clone(),
+            spec: JobSpec {
+                workspace,
+                urgency,
+                tasks: shape.tasks,
+                accelerators: shape.accelerators,
+                adjacency: shape.adjacency,
+                run_time_ms: 60_000,
+                program: "".into(),
+            },
+            accepted: self.accepted,
+            attempt: 0,
+            placements: Vec::new(),
+            checkpointed: false,
+            cancelled: false,
+        };
+        self.scheduler.job_waits(self.now, &live);
+        let waiting = Job {
+            live,
+            stopped: None,
+            evicted: false,
+        };
+        self.jobs.insert(job.clone(), waiting);
+        job
+    }
+
+    /// Confirms the stops that are due and carries out decisions; returns the evicted jobs.
+    fn step(&mut self) -> Vec<JobId> {
+        for job in self.jobs.values_mut() {
+            if job.stopped.is_some_and(|at| at <= self.now) {
+                job.stopped = None;
+                job.evicted = false;
+                job.live.placements.clear();
+                self.scheduler.job_waits(self.now, &job.live);
+            }
+        }
+        let mut evicted = Vec::new();
+        let before = self.scheduler.clone();
+        for decision in self.scheduler.decide(self.now) {
+            match decision {
+                Decision::Start { job, placements } => self.start(&job, placements),
+                Decision::Evict { job, for_job } => {
+                    let evictee = self.jobs.get_mut(&job).expect("the job is known");
+                    assert!(!evictee.evicted, "{job} was evicted twice");
+                    evictee.evicted = true;
+                    // It may be stopping already, because it has lost a member.
+                    evictee.stopped.get_or_insert(self.now + STOP_BOUND);
+                    if for_job.is_some() {
+                        self.check_borrower(&before, &job, for_job.as_ref());
+                    }
+                    evicted.push(job);
+                }
+                Decision::Impossible { job, .. } => {
+                    self.jobs.remove(&job);
+                    self.scheduler.job_gone(self.now, &job);
+                }
+            }
+        }
+        evicted
+    }
+
+    /// A job inside its workspace's guarantees makes way for nobody but an older job of its own
+    /// workspace.
+    fn check_borrower(&self, before: &Scheduler, job: &JobId, for_job: Option<&JobId>) {
+        let workspace = |job: &JobId| self.jobs[job].live.spec.workspace.clone();
+        let own = for_job.is_some_and(|f| workspace(f) == workspace(job));
+        let unmet_before = !before.unmet().is_empty() || !self.scheduler.unmet().is_empty();
+        assert!(
+            own || unmet_before || before.borrows(job) || self.scheduler.borrows(job),
+            "{job} was inside its workspace's guarantees"
+        );
+    }
+
+    fn start(&mut self, job: &JobId, placements: Vec<Placement>) {
+        let live = &mut self.jobs.get_mut(job).expect("the job is known").live;
+        assert!(live.placements.is_empty(), "{job} was started twice");
+        live.placements = placements;
+        live.attempt += 1;
+        let live = live.clone();
+        self.check_placements(&live.placements, &live.spec.shape(), true);
+        for p in &live.placements {
+            let held: u32 = self.jobs.values().map(|j| held(&j.live, &p.worker)).sum();
+            assert!(held <= self.worker(&p.worker).accelerators);
+        }
+    }
+
+    fn worker(&self, name: &Name) -> &WorkerInfo {
+        self.workers
+            .iter()
+            .find(|w| w.name == *name)
+            .expect("it is known")
+    }
+
+    fn is_usable(&self, worker: &WorkerInfo) -> bool {
+        let at = self
+            .workers
+            .iter()
+            .position(|w| w.name == worker.name)
+            .expect("it is known");
+        let mut domains = self
+            .document
+            .sections
+            .values()
+            .flat_map(|s| &s.failure_domains);
+        let in_service = domains.any(|d| d.name == worker.failure_domain && d.in_service);
+        in_service && self.up[at]
+    }
+
+    fn check_placements(&self, placements: &[Placement], shape: &Shape, usable: bool) {
+        let tasks: u32 = placements.iter().map(|p| p.tasks).sum();
+        assert_eq!(tasks, shape.tasks);
+        let first = self.worker(&placements[0].worker);
+        for p in placements {
+            let worker = self.worker(&p.worker);
+            assert!(
+                is_near(first, worker, shape),
+                "{placements:?} for {shape:?}"
+            );
+            assert!(
+                !usable || self.is_usable(worker),
+                "{worker:?} is out of service"
+            );
+        }
+    }
+
+    /// Each guarantee is free, held by its owner, or to be had by evicting borrowers alone; or
+    /// the hardware does not permit all of them, which every way of placing them confirms.
+    fn check(&self) {
+        let allotments = self.scheduler.allotments();
+        for worker in &self.workers {
+            let of = |p: &&Placement| p.worker == worker.name;
+            let mut taken = 0;
+            let mut own: BTreeMap<&Name, u32> = BTreeMap::new();
+            for a in &allotments {
+                for p in a.placements.iter().filter(of) {
+                    taken += p.tasks * a.shape.accelerators;
+                    *own.entry(&a.workspace).or_default() += p.tasks * a.shape.accelerators;
+                }
+            }
+            for (id, job) in &self.jobs {
+                let held = held(&job.live, &worker.name);
+                if held == 0 || job.stopped.is_some() || self.scheduler.borrows(id) {
+                    continue;
+                }
+                if self.scheduler.is_protected(id) {
+                    taken += held;
+                    continue;
+                }
+                let left = own.get_mut(&job.live.spec.workspace);
+                let left = left.expect("a job was covered without a guarantee");
+                assert!(
+                    *left >= held,
+                    "{id} is not inside its workspace's guarantees"
+                );
+                *left -= held;
+            }
+            assert!(taken <= worker.accelerators, "{worker:?} is promised twice");
+        }
+        for a in allotments
+            .iter()
+            .filter(|a| !a.held && !a.placements.is_empty())
+        {
+            self.check_placements(&a.placements, &a.shape, true);
+        }
+        if !self.scheduler.unmet().is_empty() {
+            self.check_unmet();
+        }
+    }
+
+    fn check_unmet(&self) {
+        let allotments = self.scheduler.allotments();
+        let usable = self.workers.iter().filter(|w| self.is_usable(w));
+        let mut rooms: Vec<Room> = usable
+            .map(|worker| Room {
+                worker: worker.clone(),
+                left: worker.accelerators,
+            })
+            .collect();
+        for a in allotments.iter().filter(|a| a.held) {
+            for p in &a.placements {
+                for room in rooms.iter_mut().filter(|r| r.worker.name == p.worker) {
+                    room.left -= p.tasks * a.shape.accelerators;
+                }
+            }
+            let tasks: u32 = a.placements.iter().map(|p| p.tasks).sum();
+            if tasks < a.shape.tasks {
+                return;
+            }
+        }
+        let free: Vec<Shape> = allotments
+            .iter()
+            .filter(|a| !a.held)
+            .map(|a| a.shape)
+            .collect();
+        assert_ne!(all_fit(&mut rooms, &free), Some(true), "all could be met");
+    }
+
+    /// The owner of a guarantee that is not in use asks for its shape, and no borrower's worker
+    /// answers.
+    fn check_reclaim(&self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
+        let allotments = self.scheduler.allotments().into_iter();
+        let unused: Vec<_> = allotments
+            .filter(|a| !a.held && !a.placements.is_empty())
+            .collect();
+        if unused.is_empty() {
+            return Ok(());
+        }
+        let wanted = u.choose(&unused)?;
+        let mut cluster = self.clone();
+        let job = cluster.submit(wanted.workspace.clone(), wanted.shape, Urgency::Normal);
+        let until = cluster.now + STOP_BOUND + STOP_BOUND + TICK + TICK;
+        while cluster.now <= until {
+            cluster.step();
+            if !cluster.jobs[&job].live.placements.is_empty() {
+                return Ok(());
+            }
+            cluster.now = cluster.now + TICK;
+        }
+        // Another job of the workspace may have taken it first.
+        let held = |c: &Self| c.scheduler.allotments().iter().filter(|a| a.held).count();
+        assert!(
+            held(&cluster) > held(self),
+            "{wanted:?} was not given back in time"
+        );
+        Ok(())
+    }
+}
+
+fn held(live: &LiveJob, worker: &Name) -> u32 {
+    let here = live.placements.iter().filter(|p| p.worker == *worker);
+    here.map(|p| p.tasks * live.spec.accelerators).sum()
+}
+
+fn shape(u: &mut Unstructured<'_>) -> arbitrary::Result<Shape> {
+    Ok(Shape {
+        tasks: u.int_in_range(1..=3)?,
+        accelerators: u.int_in_range(1..=4)?,
+        adjacency: *u.choose(&ADJACENCIES)?,
+    })
+}
+
+fn section(u: &mut Unstructured<'_>) -> arbitrary::Result<Section> {
+    let mut workspaces = Vec::new();
+    for workspace in 0..u.int_in_range(1..=3)? {
+        let mut guarantees = Vec::new();
+        for _ in 0..u.int_in_range(0..=2)? {
+            let shape = shape(u)?;
+            guarantees.push(Guarantee {
+                tasks: shape.tasks,
+                accelerators: shape.accelerators,
+                adjacency: shape.adjacency,
+            });
+        }
+        workspaces.push(Workspace {
+            name: format!("workspace-{workspace}").into(),
+            guarantees,
+            quota_accelerators: None,
+        });
+    }
+    let domain = |name: &str| FailureDomain {
+        name: name.into(),
+        region: None,
+        in_service: true,
+    };
+    Ok(Section {
+        owners: vec!["operations".into()],
+        workspaces,
+        failure_domains: vec![domain("domain-0"), domain("domain-1")],
+        ..Section::default()
+    })
+}
+
+/// Jobs of all workspaces come and go on all accelerators, operators edit guarantees and take
+/// failure domains out, workers are lost and return. An owner who then asks for its shape finds
+/// it taken for good where the scheduler has let two promises rest on the same accelerators, or
+/// a job that can't be evicted rest on them.
+#[test]
+fn always_reclaimable() {
+    for seed in 0..seeds() {
+        let size = BYTES + BYTES * (seed % 8);
+        arbtest(|u| {
+            let mut cluster = Cluster::any(u)?;
+            while !u.is_empty() {
+                cluster.disturb(u)?;
+                cluster.now = cluster.now + TICK;
+                cluster.step();
+                cluster.check();
+                cluster.check_reclaim(u)?;
+            }
+            Ok(())
+        })
+        .seed(seed << 32 | size)
+        .run();
+    }
+}
+
+/// `DRAGONFLYRUN_SEEDS=10000 cargo test --release --test guarantee_reclaim` runs many more.
+fn seeds() -> u64 {
+    let seeds = env::var("DRAGONFLYRUN_SEEDS").ok();
+    seeds.map_or(DEFAULT_SEEDS, |s| s.parse().expect("a count"))
+}
