--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -85,6 +85,8 @@
         self.keep_guarantees();
         self.start_pledged(now, &mut decisions);
         self.look_through_queue(now, &mut decisions);
+        // An eviction may have left an allotment on a worker that can't honour it.
+        self.keep_guarantees();
         self.end_impossible(&mut decisions);
         decisions
     }
@@ -358,6 +360,7 @@
             not_by: Some(id),
         };
         self.guarantees.uncover(id, job, parts, cover.size);
+        self.changed.extend(parts.iter().map(|p| p.worker));
         entry.cover = self.guarantees.cover(&mut self.inventory, &cover);
         if entry.cover.is_none() {
             self.guarantees.cover_by(id, &cover);
