--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -123,11 +123,14 @@
             }
         }
         for job in stranded {
-            self.wait_again(self.last_pass, &job);
+            self.wait_again(&job);
         }
     }
 
     fn evict(&mut self, job: &JobId, for_job: Option<&JobId>, decisions: &mut Vec<Decision>) {
+        if self.undo_start(job, decisions) {
+            return;
+        }
         let Some(entry) = self.jobs.get_mut(job) else {
             return;
         };
@@ -150,6 +153,17 @@
         });
     }
 
+    /// Takes back a start that was decided in this pass, before the planner has heard of it.
+    fn undo_start(&mut self, job: &JobId, decisions: &mut Vec<Decision>) -> bool {
+        let started = |d: &Decision| matches!(d, Decision::Start { job: j, .. } if j == job);
+        let Some(at) = decisions.iter().position(started) else {
+            return false;
+        };
+        decisions.remove(at);
+        self.wait_again(job);
+        true
+    }
+
     /// Sees to it that each guarantee is allotted, and that workspaces' own jobs count towards
     /// their guarantees before they count as borrowing.
     fn keep_guarantees(&mut self) {
@@ -514,7 +528,7 @@
             .guarantees
             .room(&self.inventory, &entry.spec.workspace, &shape);
         let Some((_, parts)) = room else { return false };
-        self.drop_borrowed_pledges(now, &parts);
+        self.drop_borrowed_pledges(&parts);
         let seats: Vec<Seat> = parts
             .iter()
             .map(|part| Seat {
@@ -534,7 +548,7 @@
         covered
     }
 
-    fn drop_borrowed_pledges(&mut self, now: Timestamp, parts: &[Part]) {
+    fn drop_borrowed_pledges(&mut self, parts: &[Part]) {
         let workers: HashSet<_> = parts.iter().map(|p| p.worker).collect();
         for (_, job) in self.pledged.clone() {
             if let Some(entry) = self.jobs.get(&job)
@@ -542,7 +556,7 @@
                 && let Stage::Pledged(pledged) = &entry.stage
                 && pledged.iter().any(|p| workers.contains(&p.worker))
             {
-                self.wait_again(now, &job);
+                self.wait_again(&job);
             }
         }
     }
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -180,12 +180,12 @@
 
     /// Takes note that a worker is lost, silent or leaving: nothing starts there. What it holds
     /// stays held until the planner says that those jobs wait again or are gone.
-    pub fn worker_down(&mut self, now: Timestamp, worker: &Name) {
+    pub fn worker_down(&mut self, _now: Timestamp, worker: &Name) {
         if let Some(id) = self.inventory.id(worker)
             && self.inventory.worker(id).up
         {
             self.inventory.change(id, |w| w.up = false);
-            self.drop_pledges_on(now, id);
+            self.drop_pledges_on(id);
             self.changed.push(id);
             self.stale = true;
         }
@@ -258,7 +258,7 @@
         {
             log::warn!(worker:% = worker; "worker_set_aside");
             self.inventory.change(id, |w| w.set_aside = true);
-            self.drop_pledges_on(now, id);
+            self.drop_pledges_on(id);
             self.changed.push(id);
             self.stale = true;
         }
@@ -494,7 +494,7 @@
     }
 
     /// Takes back the pledges on a worker; those jobs look for room elsewhere.
-    pub(super) fn drop_pledges_on(&mut self, now: Timestamp, worker: WorkerId) {
+    pub(super) fn drop_pledges_on(&mut self, worker: WorkerId) {
         let jobs: Vec<Aged> = self.pledged.iter().cloned().collect();
         for (_, job) in jobs {
             let parts = match self.jobs.get(&job).map(|e| &e.stage) {
@@ -502,13 +502,13 @@
                 _ => continue,
             };
             if parts.iter().any(|p| p.worker == worker) {
-                self.wait_again(now, &job);
+                self.wait_again(&job);
             }
         }
     }
 
-    /// Takes a pledge back and puts the job into the queue.
-    pub(super) fn wait_again(&mut self, _now: Timestamp, job: &JobId) {
+    /// Takes back what a job has and puts it into the queue.
+    pub(super) fn wait_again(&mut self, job: &JobId) {
         self.let_go(job);
         if let Some(entry) = self.jobs.get(job) {
             self.queue.insert(&entry.spec, entry.accepted, job);
