--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -692,8 +692,8 @@
     }
 }
 
-/// Returns whether `entry` may evict `other`. A covered job is never evicted for another
-/// workspace's.
+/// Returns whether `entry` may evict `other`. A covered job is never evicted for
+/// another.
 pub(super) fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
     let covered = other.cover.is_some();
     match claim {
@@ -707,8 +707,7 @@
         Claim::Part => !covered,
         Claim::Urgency => !covered && other.spec.urgency > entry.spec.urgency,
         Claim::Age => {
-            // Which of its own jobs go first is a workspace's own affair: the older.
-            (!covered || other.spec.workspace == entry.spec.workspace)
+            !covered
                 && other.spec.urgency >= entry.spec.urgency
                 && other.accepted > entry.accepted
                 && other.accelerators() * 2 <= entry.accelerators()
--- a/dragonflyrun/tests/guarantee_reclaim.rs
+++ b/dragonflyrun/tests/guarantee_reclaim.rs
@@ -205,7 +205,7 @@
                     // It may be stopping already, because it has lost a member.
                     evictee.stopped.get_or_insert(self.now + STOP_BOUND);
                     if for_job.is_some() {
-                        self.check_borrower(&before, &job, for_job.as_ref());
+                        self.check_borrower(&before, &job);
                     }
                     evicted.push(job);
                 }
@@ -218,14 +218,12 @@
         evicted
     }
 
-    /// A job inside its workspace's guarantees makes way for nobody but an older job of its own
-    /// workspace. A protected one lies outside; it makes way when an edit adds a guarantee.
-    fn check_borrower(&self, before: &Scheduler, job: &JobId, for_job: Option<&JobId>) {
-        let workspace = |job: &JobId| self.jobs[job].live.spec.workspace.clone();
-        let own = for_job.is_some_and(|f| workspace(f) == workspace(job));
+    /// A job inside its workspace's guarantees makes way for nobody. A protected one lies outside;
+    /// it makes way when an edit adds a guarantee.
+    fn check_borrower(&self, before: &Scheduler, job: &JobId) {
         let unmet_before = !before.unmet().is_empty() || !self.scheduler.unmet().is_empty();
         assert!(
-            own || unmet_before || before.borrows(job) || before.is_protected(job),
+            unmet_before || before.borrows(job) || before.is_protected(job),
             "{job} was inside its workspace's guarantees"
         );
     }
