Let allotments move through reserved room when a guarantee is claimed whole

Cause: one leftover small job held a 1x8 guarantee, and could not be moved into its own small one since reservations left no open room on the way.

--- a/dragonflyrun/benches/measures/simulation/world.rs
+++ b/dragonflyrun/benches/measures/simulation/world.rs
@@ -167,23 +167,6 @@
                 world.push(at + TICK_MS, Event::Tick);
             }
         }
-        if std::env::var("DBG").is_ok() {
-            for j in &world.jobs {
-                if j.accelerators() >= LARGE
-                    && let Some(f) = j.finished
-                {
-                    eprintln!(
-                        "{:?} arr {} first {:?} fin {} run {} attempts {}",
-                        j.plan.spec.shape(),
-                        j.plan.arrives_ms / 1000,
-                        j.first_start.map(|x| x / 1000),
-                        f / 1000,
-                        j.plan.run_ms / 1000,
-                        j.live.attempt
-                    );
-                }
-            }
-        }
         let mut figures = std::mem::take(&mut world.figures);
         figures.finish(
             &world.jobs,
@@ -592,12 +575,6 @@
             let since = *job.entitled_since.get_or_insert(self.now_ms);
             if self.now_ms - since > RECLAIM_BOUND_MS {
                 self.figures.violations += 1;
-                if std::env::var("DBG").is_ok() {
-                    eprintln!(
-                        "VIOL {} {:?} {:?}",
-                        self.now_ms, job.live.job, job.plan.spec
-                    );
-                }
                 job.entitled_since = None;
             }
         }
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -339,6 +339,14 @@
     /// small one end first, the large one stays in use although the small one could cover the
     /// rest, and a job of the large one's shape would wait.
     fn make_guarantee_whole(&mut self, class: &Class) -> bool {
+        // Allotments may have to move into room that aged jobs have reserved.
+        self.lift_reservations();
+        let whole = self.cover_smaller_elsewhere(class);
+        self.put_reservations_back();
+        whole
+    }
+
+    fn cover_smaller_elsewhere(&mut self, class: &Class) -> bool {
         let shape = class.shape();
         for id in self.guarantees.of(&class.workspace).to_vec() {
             let guarantee = &self.guarantees.entries[id];
--- a/dragonflyrun/src/job/reservation.rs
+++ b/dragonflyrun/src/job/reservation.rs
@@ -81,6 +81,25 @@
         }
     }
 
+    /// Lets allotments be moved into reserved room, until the reservations are put back.
+    pub(super) fn lift_reservations(&mut self) {
+        self.change_reserved(-1);
+    }
+
+    /// Ends what [`Self::lift_reservations`] began.
+    pub(super) fn put_reservations_back(&mut self) {
+        self.change_reserved(1);
+    }
+
+    fn change_reserved(&mut self, sign: i64) {
+        for reservation in self.reservations.values() {
+            for part in &reservation.parts {
+                let reserved = i64::from(part.tasks * reservation.size);
+                self.inventory.reserve(part.worker, sign * reserved);
+            }
+        }
+    }
+
     /// Moves allotments that no job holds any more away from reserved room.
     pub(super) fn clear_reserved(&mut self) {
         for reservation in self.reservations.values() {
