Add the appender and echo in heartbeats

Cause: a record whose answer was lost may be on the log; a heartbeat that waited in the buffer of a frozen process proves nothing about now.

--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -33,6 +33,10 @@
 pub struct Heartbeat {
     /// The sender's clock in milliseconds; echoed in lease renewals.
     pub sent_ms: u64,
+    /// The `sent_ms` of the last heartbeat that the sender had received on this link. It proves to
+    /// the receiver that the sender was alive after that moment of the receiver's own clock, also
+    /// where this message has waited in a buffer while the receiver was frozen.
+    pub echo_ms: Option<u64>,
     /// Counts the changes of the report, so that an unchanged one need not be sent again.
     pub change: u64,
     /// What the sender knows of the log.
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -3,8 +3,8 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use crate::{
-    connection::{AuthorKey, LinkSettings, Links, LogClient, Peer},
-    process::{Clock, Counters, EntryView, Freshness, Ledger, Roster, Settings},
+    connection::{LinkSettings, Links, LogClient, Peer},
+    process::{Appender, Clock, Counters, EntryView, Freshness, Ledger, Roster, Settings},
     utils::{Name, Timestamp},
     version::Version,
 };
@@ -27,8 +27,8 @@
     pub links: Links,
     /// The platform's log.
     pub log: LogClient,
-    /// The key with which this process seals its records.
-    pub key: AuthorKey,
+    /// Appends this process's records to the log.
+    pub appender: Appender,
     /// What is folded from the log.
     pub ledger: Mutex<Ledger>,
     /// The peers that were heard.
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one process: settings, the tables shared by its threads, start and stop.
 
+mod appender;
 mod clock;
 mod config;
 mod context;
@@ -10,6 +11,7 @@
 mod roster;
 mod settings;
 
+pub use appender::{AppendError, Appender};
 pub use clock::Clock;
 pub use config::Config;
 pub use context::{Context, link_settings, lock};
--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -17,6 +17,10 @@
     pub peer: Peer,
     /// When it was last heard.
     pub heard: Timestamp,
+    /// A moment of this process's clock after which the peer was alive for certain, by the echo in
+    /// its heartbeats. Unlike `heard` it stays behind where heartbeats waited in a buffer while
+    /// this process was frozen, so leases and freshness are reckoned from it.
+    pub confirmed: Option<Timestamp>,
     /// Its clock in its last heartbeat.
     pub sent_ms: u64,
     /// What it knows of the log.
@@ -39,6 +43,7 @@
         let state = PeerState {
             peer: peer.clone(),
             heard: now,
+            confirmed: None,
             sent_ms: 0,
             log: LogView::default(),
             report: None,
@@ -62,6 +67,8 @@
             return;
         };
         state.heard = now;
+        let echo = heartbeat.echo_ms.map(Timestamp::from_millis);
+        state.confirmed = state.confirmed.max(echo.filter(|at| *at <= now));
         state.sent_ms = heartbeat.sent_ms;
         state.log = heartbeat.log;
         if let Some(report) = heartbeat.report {
