Define the answers of an entry to operators

Cause: the tool and the entry's HTTP side are written in parallel and need one set of types. Change: process/status.rs holds GET /v1/status and the answers under /v1/jobs.

--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod roster;
 mod settings;
+mod status;
 
 pub use clock::Clock;
 pub use config::Config;
@@ -19,3 +20,7 @@
 pub use membership::Membership;
 pub use roster::{PeerState, Roster, SILENCE};
 pub use settings::{RoleSettings, Settings, SettingsError};
+pub use status::{
+    EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
+    ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
+};
