--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod roster;
 mod settings;
+mod status;
 
 pub use appender::{AppendError, Appender};
 pub use clock::Clock;
@@ -21,3 +22,7 @@
 pub use membership::Membership;
 pub use roster::{PeerState, Roster, SILENCE};
 pub use settings::{RoleSettings, Settings, SettingsError};
+pub use status::{
+    EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
+    ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
+};
