--- a/dragonflyrun/src/bin/dragonflyrund.rs
+++ b/dragonflyrun/src/bin/dragonflyrund.rs
@@ -1,3 +1,41 @@
-//! Program.
+//! The daemon: an entry or an agent, as its settings say.
 
-fn main() {}
+use std::{
+    io::Write,
+    process::ExitCode, //
+};
+
+use dragonflyrun::process::{Cli, Daemon};
+
+fn main() -> ExitCode {
+    dragonflyrun::process::logging::start();
+    let settings = match Cli::parse().settings() {
+        Ok(settings) => settings,
+        Err(error) => return fail(&error),
+    };
+    let daemon = match Daemon::start(settings) {
+        Ok(daemon) => daemon,
+        Err(error) => return fail(&error),
+    };
+    announce(&daemon);
+    if let Err(error) = dragonflyrun::process::wait_for_signal() {
+        return fail(&error);
+    }
+    daemon.stop();
+    ExitCode::SUCCESS
+}
+
+/// Tells whoever started the process where it listens, since the settings may leave the port open.
+fn announce(daemon: &Daemon) {
+    let mut line = format!("listening http={}", daemon.http_addr());
+    if let Some(peers) = daemon.peers_addr() {
+        line += &format!(" peers={peers}");
+    }
+    // Nobody may be reading; the process serves all the same.
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
+fn fail(error: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("dragonflyrund: {error}");
+    ExitCode::FAILURE
+}
--- a/dragonflyrun/src/connection/links.rs
+++ b/dragonflyrun/src/connection/links.rs
@@ -103,6 +103,15 @@
     },
 }
 
+/// A link that is up.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Linked {
+    /// The peer.
+    pub peer: Name,
+    /// Tells the link from an earlier one to the same peer.
+    pub link: u64,
+}
+
 /// What the links need to know of their process.
 #[derive(Clone, Debug)]
 pub struct LinkSettings {
@@ -203,11 +212,17 @@
         })
     }
 
-    /// Returns the names of the peers that are linked now, in order.
-    pub fn linked(&self) -> Vec<Name> {
-        let mut names: Vec<Name> = lock(&self.shared.peers).keys().cloned().collect();
-        names.sort();
-        names
+    /// Returns the links that are up now, in order of their peers' names.
+    pub fn linked(&self) -> Vec<Linked> {
+        let mut linked: Vec<Linked> = lock(&self.shared.peers)
+            .iter()
+            .map(|(peer, outbound)| Linked {
+                peer: peer.clone(),
+                link: outbound.link,
+            })
+            .collect();
+        linked.sort();
+        linked
     }
 }
 
--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -9,7 +9,7 @@
 mod seal;
 
 pub use greeting::{Peer, Role};
-pub use links::{LinkEvent, LinkSettings, Links, SendError};
+pub use links::{LinkEvent, LinkSettings, Linked, Links, SendError};
 pub use log_client::{LogClient, LogError, LogPage, LogRecord};
 pub use message::{
     AgentReport, BackendReport, EntryReport, GangMessage, Heartbeat, KeyMessage, KeyVerdict,
--- a/dragonflyrun/src/connection/seal.rs
+++ b/dragonflyrun/src/connection/seal.rs
@@ -79,6 +79,21 @@
         bytes_to_hex(&self.key)
     }
 
+    /// Returns whether `hex` is what [`AuthorKey::to_hex`] prints for this key, in a time that does
+    /// not tell how much of it fits.
+    pub fn matches_hex(&self, hex: &str) -> bool {
+        let Some(theirs) = hex_to_bytes(hex) else {
+            return false;
+        };
+        let sign = |key: &[u8]| {
+            let mut mac = keyed(&self.key);
+            mac.update(key);
+            mac
+        };
+        let theirs = sign(&theirs).finalize().into_bytes();
+        sign(&self.key).verify_slice(&theirs).is_ok()
+    }
+
     /// Returns the author whose key this is.
     pub fn author(&self) -> &Name {
         &self.author
--- /dev/null
+++ b/dragonflyrun/src/process/agent.rs
@@ -0,0 +1,119 @@
+//! The role of an agent: stands beside a backend server and its worker.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering}, //
+};
+
+use crate::{
+    connection::{
+        AgentReport, HttpRequest, HttpResponse, Message, Peer, Report, //
+    },
+    process::{AgentJobs, AgentRequests, AppendError, Context, Folded, Node, RoleSettings},
+    request::BackendAnnouncement,
+    utils::Name,
+};
+
+/// An agent's parts.
+pub(crate) struct AgentNode {
+    cx: Arc<Context>,
+    requests: AgentRequests,
+    jobs: AgentJobs,
+    leaving: AtomicBool,
+}
+
+impl AgentNode {
+    pub(crate) fn new(cx: Arc<Context>) -> Self {
+        let worker = match cx.settings.role {
+            RoleSettings::Agent { worker, .. } => worker,
+            RoleSettings::Entry { .. } => None,
+        };
+        Self {
+            requests: AgentRequests::new(cx.clone()),
+            jobs: AgentJobs::new(cx.clone(), worker),
+            leaving: AtomicBool::new(false),
+            cx,
+        }
+    }
+
+    fn announce(&self, req: &HttpRequest) -> HttpResponse {
+        match serde_json::from_slice::<BackendAnnouncement>(&req.body) {
+            Ok(announcement) => {
+                self.requests.announce(announcement);
+                HttpResponse::text(200, "announced\n")
+            }
+            Err(error) => HttpResponse::text(400, format!("{error}\n")),
+        }
+    }
+}
+
+impl Node for AgentNode {
+    fn on_up(&self, _peer: &Peer) {}
+
+    fn on_down(&self, _peer: &Peer) {}
+
+    fn on_heartbeat(&self, _from: &Name) {}
+
+    fn on_message(&self, from: &Name, message: Message) {
+        match message {
+            Message::Request(message) => self.requests.on_message(from, message),
+            Message::Key(message) => self.requests.on_key_message(from, message),
+            Message::Gang(message) => self.jobs.on_message(from, message),
+            Message::Heartbeat(_) | Message::Records(_) | Message::Missing { .. } => {}
+        }
+    }
+
+    fn on_folded(&self, folded: &Folded) {
+        self.requests.on_folded(self.cx.now(), folded);
+        self.jobs.on_folded(folded);
+    }
+
+    fn on_append_failed(&self, _id: &Name, _error: &AppendError) {}
+
+    fn tick(&self) {
+        self.requests.tick();
+        self.jobs.tick();
+    }
+
+    fn report(&self) -> Report {
+        let (failure_domain, rack) = match &self.cx.settings.role {
+            RoleSettings::Agent {
+                failure_domain,
+                rack,
+                ..
+            } => (failure_domain.clone(), rack.clone()),
+            RoleSettings::Entry { .. } => Default::default(),
+        };
+        Report::Agent(AgentReport {
+            failure_domain,
+            rack,
+            accelerators: self.jobs.worker_accelerators(),
+            backends: self.requests.backends(),
+            members: self.jobs.members(),
+            leaving: self.leaving.load(Ordering::Relaxed),
+        })
+    }
+
+    fn readiness(&self) -> Result<(), &'static str> {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Err("leaving");
+        }
+        if self.cx.links.linked().is_empty() {
+            return Err("not linked to an entry");
+        }
+        Ok(())
+    }
+
+    fn on_http(&self, req: &HttpRequest) -> HttpResponse {
+        match (req.method.as_str(), req.path.as_str()) {
+            ("POST", "/v1/backends") => self.announce(req),
+            _ => HttpResponse::text(404, "no such page\n"),
+        }
+    }
+
+    fn drain(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+        self.requests.stop();
+        self.jobs.stop();
+    }
+}
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -1,6 +1,6 @@
 //! What all threads of one process share.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{net::SocketAddr, sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError}};
 
 use crate::{
     connection::{LinkSettings, Links, LogClient, Peer},
@@ -11,7 +11,7 @@
 
 /// What all threads of one process share.
 ///
-/// Lock order: a thread that needs several of the tables takes them in the order ledger, roster,
+/// Lock order: a thread that needs several of the tables takes them in the order fold order, ledger, roster,
 /// freshness, then those of requests, keys, planner and members, and never calls out to a socket
 /// while it holds one. Handing a message to [`Links::send`] does not wait and is allowed.
 pub struct Context {
@@ -29,8 +29,12 @@
     pub log: LogClient,
     /// Appends this process's records to the log.
     pub appender: Appender,
+    /// Held while records are folded and told to the role, so that it hears of them in order.
+    pub fold_order: Mutex<()>,
     /// What is folded from the log.
     pub ledger: Mutex<Ledger>,
+    /// The address of this process's own listener for peer links, once it is bound.
+    pub own_address: OnceLock<SocketAddr>,
     /// The peers that were heard.
     pub roster: Mutex<Roster>,
     /// What is known of the log's head.
--- /dev/null
+++ b/dragonflyrun/src/process/entry_presence.rs
@@ -0,0 +1,125 @@
+//! Keeps the list of entries on the log true: this entry joins and leaves, and the planner removes
+//! those that are gone without a word.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use crate::{
+    connection::RecordBody,
+    process::{Context, lock},
+    utils::{HashMap, Name, Timestamp},
+};
+
+/// Pause before a record that has not been folded is appended again.
+const AGAIN: Duration = Duration::from_secs(5);
+
+/// Silence after which the planner removes an entry from the list. One that was only cut off joins
+/// again when it reads of its removal.
+const GONE: Duration = Duration::from_secs(30);
+
+/// Keeps the list of entries on the log true.
+pub(crate) struct EntryPresence {
+    cx: Arc<Context>,
+    table: Mutex<Table>,
+}
+
+#[derive(Default)]
+struct Table {
+    last_append: Option<Timestamp>,
+    silent_since: HashMap<Name, Timestamp>,
+}
+
+impl EntryPresence {
+    pub(crate) fn new(cx: Arc<Context>) -> Self {
+        Self {
+            cx,
+            table: Mutex::default(),
+        }
+    }
+
+    /// Appends what is missing on the log, now and then.
+    pub(crate) fn tick(&self, leaving: bool) {
+        if leaving || !self.cx.is_fresh() {
+            return;
+        }
+        let now = self.cx.now();
+        let due = lock(&self.table)
+            .last_append
+            .is_none_or(|at| now.since(at) >= AGAIN);
+        if !due {
+            return;
+        }
+        if !self.is_listed() {
+            self.join(now);
+        } else if self.is_planner() {
+            self.remove_gone(now);
+        }
+    }
+
+    /// Tells on the log that this entry stops.
+    pub(crate) fn leave(&self) {
+        self.cx.appender.append(RecordBody::EntryLeft {
+            entry: self.cx.identity.name.clone(),
+        });
+    }
+
+    fn is_listed(&self) -> bool {
+        let own = self.cx.own_address.get().map(ToString::to_string);
+        let ledger = lock(&self.cx.ledger);
+        let listed = ledger.membership.entries().get(&self.cx.identity.name);
+        listed.map(|a| a.as_ref()) == own.as_deref()
+    }
+
+    fn is_planner(&self) -> bool {
+        lock(&self.cx.ledger).membership.planner() == Some(&self.cx.identity.name)
+    }
+
+    fn join(&self, now: Timestamp) {
+        let Some(address) = self.cx.own_address.get() else {
+            return;
+        };
+        lock(&self.table).last_append = Some(now);
+        self.cx.appender.append(RecordBody::EntryJoined {
+            entry: self.cx.identity.name.clone(),
+            address: address.to_string().into(),
+        });
+    }
+
+    fn remove_gone(&self, now: Timestamp) {
+        let listed: Vec<Name> = {
+            let ledger = lock(&self.cx.ledger);
+            ledger.membership.entries().keys().cloned().collect()
+        };
+        for entry in self.gone(now, &listed) {
+            log::warn!(entry:% = entry; "entry_gone");
+            lock(&self.table).last_append = Some(now);
+            self.cx.appender.append(RecordBody::EntryLeft { entry });
+        }
+    }
+
+    fn gone(&self, now: Timestamp, listed: &[Name]) -> Vec<Name> {
+        let live: Vec<bool> = {
+            let roster = lock(&self.cx.roster);
+            listed
+                .iter()
+                .map(|e| *e == self.cx.identity.name || roster.is_live(now, e))
+                .collect()
+        };
+        let mut table = lock(&self.table);
+        table.silent_since.retain(|entry, _| listed.contains(entry));
+        for (entry, live) in listed.iter().zip(live) {
+            if live {
+                table.silent_since.remove(entry);
+            } else {
+                table.silent_since.entry(entry.clone()).or_insert(now);
+            }
+        }
+        let silent = table.silent_since.iter();
+        silent
+            .filter(|(_, since)| now.since(**since) >= GONE)
+            .map(|(entry, _)| entry.clone())
+            .collect()
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/process/entry_routes.rs
@@ -0,0 +1,117 @@
+//! The paths that an entry serves to callers and operators.
+
+use crate::{
+    connection::{AuthorKey, HttpRequest, HttpResponse},
+    job::JobSpec,
+    process::{
+        EDITOR_HEADER, EntryNode, JobAnswer, JobRefusal, TOKEN_HEADER, entry_requests,
+        entry_status, lock,
+    },
+    utils::Name,
+};
+
+/// Header under which a submitter names its job, so that a repeat is not a second job.
+const JOB_ID_HEADER: &str = "idempotency-key";
+
+/// Characters of a job's name, at the most.
+const JOB_ID_CHARACTERS: usize = 128;
+
+/// Answers a call to one of the paths under `/v1`.
+pub(crate) fn answer(entry: &EntryNode, req: &HttpRequest) -> HttpResponse {
+    let path: Vec<&str> = req.path.trim_start_matches('/').split('/').collect();
+    match (req.method.as_str(), path.as_slice()) {
+        ("POST", ["v1", "services", service, "requests"]) => {
+            entry_requests::answer(&entry.requests, service, req)
+        }
+        ("GET", ["v1", "status"]) => HttpResponse::json(200, &entry_status::status(entry)),
+        ("POST", ["v1", "jobs"]) => as_editor(entry, req, submit),
+        ("GET", ["v1", "jobs"]) => as_editor(entry, req, |entry, _| {
+            HttpResponse::json(200, &entry.jobs.jobs())
+        }),
+        ("GET", ["v1", "jobs", job]) => as_editor(entry, req, |entry, _| show(entry, job)),
+        ("DELETE", ["v1", "jobs", job]) => as_editor(entry, req, |entry, _| {
+            job_answer(&entry.jobs.cancel(&Name::from(*job)))
+        }),
+        _ => HttpResponse::text(404, "no such page\n"),
+    }
+}
+
+/// Runs `act` if the caller holds the key of the editor that it names.
+fn as_editor(
+    entry: &EntryNode,
+    req: &HttpRequest,
+    act: impl FnOnce(&EntryNode, &HttpRequest) -> HttpResponse,
+) -> HttpResponse {
+    let token = req.header(TOKEN_HEADER).unwrap_or_default();
+    let editor = Name::from(req.header(EDITOR_HEADER).unwrap_or_default());
+    let key = AuthorKey::derive(&entry.cx.settings.secret, &editor);
+    if editor.is_empty() || !key.matches_hex(token) {
+        return job_answer(&JobAnswer::NotRun {
+            reason: JobRefusal::Forbidden,
+            retry_after_ms: None,
+        });
+    }
+    act(entry, req)
+}
+
+fn submit(entry: &EntryNode, req: &HttpRequest) -> HttpResponse {
+    let id = req.header(JOB_ID_HEADER).map(Name::from);
+    if id.as_ref().is_some_and(|id| !is_job_id(id)) {
+        return malformed("The job's name has letters, digits, '-', '_' and '.', at most 128.");
+    }
+    match serde_json::from_slice::<JobSpec>(&req.body) {
+        Ok(spec) => job_answer(&entry.jobs.submit(id, spec)),
+        Err(error) => malformed(&error.to_string()),
+    }
+}
+
+fn is_job_id(id: &str) -> bool {
+    let fits = (1..=JOB_ID_CHARACTERS).contains(&id.len());
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    fits && id.chars().all(plain)
+}
+
+fn show(entry: &EntryNode, job: &str) -> HttpResponse {
+    match entry.jobs.job(&Name::from(job)) {
+        Some(status) => HttpResponse::json(200, &status),
+        None => job_answer(&JobAnswer::NotRun {
+            reason: JobRefusal::UnknownJob,
+            retry_after_ms: None,
+        }),
+    }
+}
+
+fn malformed(what: &str) -> HttpResponse {
+    job_answer(&JobAnswer::NotRun {
+        reason: JobRefusal::Malformed(what.to_owned()),
+        retry_after_ms: None,
+    })
+}
+
+fn job_answer(answer: &JobAnswer) -> HttpResponse {
+    let response = HttpResponse::json(status_of(answer), answer);
+    match answer {
+        JobAnswer::NotRun {
+            retry_after_ms: Some(ms),
+            ..
+        } => response.with_header("Retry-After", &ms.div_ceil(1_000).to_string()),
+        _ => response,
+    }
+}
+
+fn status_of(answer: &JobAnswer) -> u16 {
+    match answer {
+        JobAnswer::Accepted { .. } => 202,
+        JobAnswer::Unknown { .. } => 502,
+        JobAnswer::NotRun { reason, .. } => match reason {
+            JobRefusal::Malformed(_) => 400,
+            JobRefusal::Forbidden => 403,
+            JobRefusal::UnknownWorkspace | JobRefusal::UnknownJob => 404,
+            JobRefusal::Impossible(_) => 422,
+            JobRefusal::TooManyJobs
+            | JobRefusal::LogUnavailable
+            | JobRefusal::NotFresh
+            | JobRefusal::Leaving => 503,
+        },
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/process/entry_status.rs
@@ -0,0 +1,112 @@
+//! The system as one entry sees it, for `GET /v1/status`.
+
+use crate::{
+    connection::{BackendReport, Report},
+    process::{
+        EntryNode, PeerState, PeerStatus, ServiceStatus, StatusAnswer, WorkspaceStatus, lock,
+    },
+    utils::{HashMap, Name, Timestamp},
+    version::Version,
+};
+
+/// Returns what the entry says of the system.
+pub(crate) fn status(entry: &EntryNode) -> StatusAnswer {
+    let cx = &entry.cx;
+    let now = cx.now();
+    let fresh = cx.is_fresh();
+    let version = cx.version();
+    let workspaces = workspaces(entry, &version);
+    let (next_offset, planner, term) = {
+        let ledger = lock(&cx.ledger);
+        let membership = &ledger.membership;
+        let planner = membership.planner().cloned();
+        (ledger.next_offset(), planner, membership.term())
+    };
+    let roster = lock(&cx.roster);
+    let backends: Vec<BackendReport> = roster
+        .agents(now)
+        .filter(|(_, report)| version.in_service(&report.failure_domain))
+        .flat_map(|(_, report)| report.backends.clone())
+        .filter(|backend| !backend.leaving)
+        .collect();
+    let peers = roster.all();
+    let peers = peers.into_iter().map(|p| peer_status(now, p)).collect();
+    drop(roster);
+    StatusAnswer {
+        name: cx.identity.name.clone(),
+        role: cx.identity.role,
+        version: version.offset,
+        next_offset,
+        fresh,
+        planner,
+        term,
+        peers,
+        services: services(entry, &version, &backends),
+        workspaces,
+    }
+}
+
+fn peer_status(now: Timestamp, peer: &PeerState) -> PeerStatus {
+    let failure_domain = match &peer.report {
+        Some(Report::Agent(report)) => Some(report.failure_domain.clone()),
+        _ => None,
+    };
+    PeerStatus {
+        name: peer.peer.name.clone(),
+        role: peer.peer.role,
+        version: peer.log.version,
+        live: peer.is_live(now),
+        failure_domain,
+        leaving: peer.is_leaving(),
+    }
+}
+
+fn services(
+    entry: &EntryNode,
+    version: &Version,
+    backends: &[BackendReport],
+) -> Vec<ServiceStatus> {
+    let mut services: Vec<ServiceStatus> = version
+        .services()
+        .map(|service| {
+            let own = backends.iter().filter(|b| b.service == service.name);
+            ServiceStatus {
+                service: service.name.clone(),
+                queued: entry.requests.queued(&service.name),
+                free_slots: own.clone().map(|b| b.free).sum(),
+                slots: own.map(|b| b.slots).sum(),
+            }
+        })
+        .collect();
+    services.sort_by(|a, b| a.service.cmp(&b.service));
+    services
+}
+
+fn workspaces(entry: &EntryNode, version: &Version) -> Vec<WorkspaceStatus> {
+    let mut workspaces: HashMap<Name, WorkspaceStatus> = version
+        .workspaces()
+        .map(|w| {
+            let guaranteed = w.guarantees.iter().map(|g| g.tasks * g.accelerators).sum();
+            let status = WorkspaceStatus {
+                workspace: w.name.clone(),
+                running_accelerators: 0,
+                waiting_jobs: 0,
+                guaranteed_accelerators: guaranteed,
+            };
+            (w.name.clone(), status)
+        })
+        .collect();
+    for job in lock(&entry.cx.ledger).jobs.all_live() {
+        let Some(status) = workspaces.get_mut(&job.spec.workspace) else {
+            continue;
+        };
+        if job.placements.is_empty() {
+            status.waiting_jobs += 1;
+        } else {
+            status.running_accelerators += job.spec.tasks * job.spec.accelerators;
+        }
+    }
+    let mut workspaces: Vec<WorkspaceStatus> = workspaces.into_values().collect();
+    workspaces.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+    workspaces
+}
--- a/dragonflyrun/src/process/freshness.rs
+++ b/dragonflyrun/src/process/freshness.rs
@@ -14,12 +14,16 @@
 /// Age of the last view of the log's head up to which a process is fresh.
 pub const FRESH: Duration = Duration::from_millis(2_000);
 
+/// Time after which an append without an answer, made before, can no longer take effect: the log
+/// drops a request that it has not carried out by then. Longer than any append is tried.
+const DOUBT: Duration = Duration::from_secs(15);
+
 /// What this process knows of the log's head.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Freshness {
     head_seen: Option<Timestamp>,
     reachable: bool,
-    append_pending: bool,
+    in_doubt: Option<Timestamp>,
 }
 
 /// What an entry last said of the log, for the decision whether all agree that it is down.
@@ -39,6 +43,9 @@
     /// Takes note that the log's head was seen at `at`, and all before it is folded.
     pub fn head_seen(&mut self, at: Timestamp) {
         self.head_seen = self.head_seen.max(Some(at));
+        if self.in_doubt.is_some_and(|since| at.since(since) > DOUBT) {
+            self.in_doubt = None;
+        }
     }
 
     /// Takes note of whether this process's own read of the log succeeded.
@@ -47,8 +54,13 @@
     }
 
     /// Takes note of whether an append of this process may have taken effect without an answer.
-    pub fn append_pending(&mut self, pending: bool) {
-        self.append_pending = pending;
+    pub fn append_pending(&mut self, now: Timestamp, pending: bool) {
+        self.in_doubt = pending.then_some(now);
+    }
+
+    /// Returns the time since the log's head was last known to be folded; none before the first.
+    pub fn age(&self, now: Timestamp) -> Option<Duration> {
+        self.head_seen.map(|at| now.since(at))
     }
 
     /// Returns what a heartbeat says of the log.
@@ -58,7 +70,7 @@
             next_offset,
             age_ms: age.and_then(|ms| u64::try_from(ms).ok()),
             reachable: self.reachable,
-            append_pending: self.append_pending,
+            append_pending: self.in_doubt.is_some(),
             version,
         }
     }
@@ -74,7 +86,7 @@
         if self.head_seen.is_some_and(|at| now.since(at) <= FRESH) {
             return true;
         }
-        if self.reachable || self.append_pending || self.head_seen.is_none() {
+        if self.reachable || self.in_doubt.is_some() || self.head_seen.is_none() {
             return false;
         }
         let mut others = entries.iter().filter(|e| !e.gone).peekable();
--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -104,6 +104,9 @@
     /// record then stands behind the claim on the log, and every process skips it alike.
     fn has_authority(&self, record: &Record) -> bool {
         let membership = &self.membership;
+        if let RecordBody::Term { entry, .. } = &record.body {
+            return *entry == record.author;
+        }
         match record.body.planner_term() {
             None => true,
             Some(term) if matches!(record.body, RecordBody::Carried(_)) => {
--- /dev/null
+++ b/dragonflyrun/src/process/logging.rs
@@ -0,0 +1,40 @@
+//! Log lines of key=value pairs, one an event.
+
+use std::io::Write;
+
+use env_logger::{Builder, Env};
+use log::kv::{self, VisitSource};
+
+/// Starts logging to standard error; the environment variable `DRAGONFLYRUN_LOG` sets the level,
+/// `info` where it is absent.
+pub fn start() {
+    let env = Env::new().filter_or("DRAGONFLYRUN_LOG", "info");
+    Builder::from_env(env)
+        .format(|f, record| {
+            let now = f.timestamp_millis();
+            let (level, event) = (record.level(), record.args());
+            write!(f, "time={now} level={level} event={event}")?;
+            let mut pairs = Pairs(Vec::new());
+            // Writing pairs into memory can't fail.
+            let _ = record.key_values().visit(&mut pairs);
+            f.write_all(&pairs.0)?;
+            writeln!(f)
+        })
+        .init();
+}
+
+/// Collects pairs as ` key=value`; a value with a space, a quote or a line end is quoted.
+struct Pairs(Vec<u8>);
+
+impl<'kvs> VisitSource<'kvs> for Pairs {
+    fn visit_pair(&mut self, key: kv::Key<'kvs>, value: kv::Value<'kvs>) -> Result<(), kv::Error> {
+        let value = value.to_string();
+        let plain = !value.is_empty() && !value.contains([' ', '"', '=', '\n', '\r', '\t']);
+        if plain {
+            write!(self.0, " {key}={value}")?;
+        } else {
+            write!(self.0, " {key}={value:?}")?;
+        }
+        Ok(())
+    }
+}
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -1,28 +1,57 @@
 //! What lives for one process: settings, the tables shared by its threads, start and stop.
 
+mod agent;
+mod agent_jobs;
+mod agent_requests;
 mod appender;
+mod cli;
 mod clock;
 mod config;
 mod context;
 mod counters;
+mod daemon;
+mod entry;
+mod entry_jobs;
+mod entry_presence;
+mod entry_requests;
+mod entry_routes;
+mod entry_status;
 mod freshness;
+mod heartbeats;
 mod ledger;
+mod log_reader;
+pub mod logging;
 mod membership;
+mod node;
 mod roster;
+mod routes;
 mod settings;
+mod signal;
 mod status;
 
+pub use agent_jobs::AgentJobs;
+pub use agent_requests::AgentRequests;
 pub use appender::{AppendError, Appender};
+pub use cli::Cli;
 pub use clock::Clock;
 pub use config::Config;
 pub use context::{Context, link_settings, lock};
 pub use counters::Counters;
+pub use daemon::{Daemon, StartError};
+pub use entry_jobs::EntryJobs;
+pub use entry_requests::EntryRequests;
 pub use freshness::{EntryView, FRESH, Freshness};
 pub use ledger::{Folded, Ledger};
 pub use membership::Membership;
+pub use node::Node;
 pub use roster::{PeerState, Roster, SILENCE};
+pub use signal::wait_for_signal;
 pub use settings::{RoleSettings, Settings, SettingsError};
 pub use status::{
     EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
     ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
 };
+
+pub(crate) use agent::AgentNode;
+pub(crate) use entry::EntryNode;
+pub(crate) use entry_presence::EntryPresence;
--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -87,6 +87,11 @@
         self.peers.get(name)
     }
 
+    /// Returns whether `name` may get work now.
+    pub fn is_live(&self, now: Timestamp, name: &Name) -> bool {
+        self.peers.get(name).is_some_and(|p| p.is_live(now))
+    }
+
     /// Returns the peers of `role` that may get work now: linked, not silent, not leaving.
     pub fn live(&self, now: Timestamp, role: Role) -> impl Iterator<Item = &PeerState> {
         self.peers
--- /dev/null
+++ b/dragonflyrun/tests/log_freshness.rs
@@ -0,0 +1,113 @@
+//! When a process may act on what it knows of the log.
+
+use std::time::Duration;
+
+use dragonflyrun::{
+    connection::LogView,
+    process::{EntryView, FRESH, Freshness},
+    utils::Timestamp,
+};
+
+const NEXT_OFFSET: u64 = 40;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn says_down(entry: &str, heard: Timestamp) -> EntryView {
+    EntryView {
+        entry: entry.into(),
+        heard: Some(heard),
+        gone: false,
+        log: LogView {
+            next_offset: NEXT_OFFSET,
+            age_ms: Some(60_000),
+            reachable: false,
+            append_pending: false,
+            version: 3,
+        },
+    }
+}
+
+fn seen_long_ago() -> Freshness {
+    let mut freshness = Freshness::default();
+    freshness.head_seen(at(1_000));
+    freshness.reached(false);
+    freshness
+}
+
+#[test]
+fn head_seen() {
+    let mut freshness = Freshness::default();
+    assert!(!freshness.is_fresh(at(0), 0, &[]));
+    freshness.reached(true);
+    freshness.head_seen(at(1_000));
+    assert!(freshness.is_fresh(at(1_000) + FRESH, NEXT_OFFSET, &[]));
+    let late = at(1_001) + FRESH;
+    assert!(!freshness.is_fresh(late, NEXT_OFFSET, &[]));
+}
+
+/// The log is down and every entry says so. Nobody can have changed anything, so work that needs
+/// the latest state goes on: to callers, bookings work during the outage.
+#[test]
+fn outage_agreed() {
+    let now = at(60_000);
+    let entries = [says_down("entry-1", now), says_down("entry-2", now)];
+    assert!(seen_long_ago().is_fresh(now, NEXT_OFFSET, &entries));
+}
+
+/// One entry is cut off from us but not from the log, where operators may be draining a failure
+/// domain through it. From here it is only silent. A process that took the silence for agreement
+/// would start tasks in the drained failure domain.
+#[test]
+fn one_silent() {
+    let now = at(60_000);
+    let long_ago = at(30_000);
+    let entries = [says_down("entry-1", now), says_down("entry-2", long_ago)];
+    assert!(!seen_long_ago().is_fresh(now, NEXT_OFFSET, &entries));
+    let never = EntryView {
+        heard: None,
+        ..says_down("entry-2", now)
+    };
+    assert!(!seen_long_ago().is_fresh(now, NEXT_OFFSET, &[says_down("entry-1", now), never]));
+    assert!(!seen_long_ago().is_fresh(now, NEXT_OFFSET, &[]));
+}
+
+/// An entry stopped with a goodbye before the outage. It holds nobody up.
+#[test]
+fn leaver_ignored() {
+    let now = at(60_000);
+    let mut left = says_down("entry-2", at(2_000));
+    left.gone = true;
+    let entries = [says_down("entry-1", now), left];
+    assert!(seen_long_ago().is_fresh(now, NEXT_OFFSET, &entries));
+}
+
+/// An entry's append got no answer, or it has read further than we have. What it appended or read
+/// may be a drain that we don't know of.
+#[test]
+fn entry_knows_more() {
+    let now = at(60_000);
+    let mut pending = says_down("entry-2", now);
+    pending.log.append_pending = true;
+    assert!(!seen_long_ago().is_fresh(now, NEXT_OFFSET, &[pending]));
+    let mut ahead = says_down("entry-2", now);
+    ahead.log.next_offset = NEXT_OFFSET + 1;
+    assert!(!seen_long_ago().is_fresh(now, NEXT_OFFSET, &[ahead]));
+    let mut reaching = says_down("entry-2", now);
+    reaching.log.reachable = true;
+    assert!(!seen_long_ago().is_fresh(now, NEXT_OFFSET, &[reaching]));
+}
+
+/// This process's own append got no answer before the log went down. Until the log has been read
+/// well after, the record may stand there unseen.
+#[test]
+fn own_append_in_doubt() {
+    let now = at(60_000);
+    let mut freshness = seen_long_ago();
+    freshness.append_pending(at(2_000), true);
+    let entries = [says_down("entry-1", now)];
+    assert!(!freshness.is_fresh(now, NEXT_OFFSET, &entries));
+    freshness.head_seen(at(2_000) + Duration::from_secs(16));
+    assert!(freshness.is_fresh(now, NEXT_OFFSET, &entries));
+}
--- /dev/null
+++ b/dragonflyrun/tests/record_seals.rs
@@ -0,0 +1,127 @@
+//! Sealed records: who may write what on the log.
+
+use dragonflyrun::connection::{AuthorKey, LogRecord, OpenError, Placement, RecordBody, open};
+use dragonflyrun::process::Ledger;
+use dragonflyrun::utils::Name;
+
+const SECRET: &str = "a secret of the test deployment";
+
+fn key(author: &str) -> AuthorKey {
+    AuthorKey::derive(SECRET, &Name::from(author))
+}
+
+fn term(entry: &str, term: u64) -> RecordBody {
+    RecordBody::Term {
+        entry: entry.into(),
+        term,
+    }
+}
+
+fn ring(term: u64, member: &str) -> RecordBody {
+    RecordBody::Ring {
+        term,
+        members: vec![member.into()],
+    }
+}
+
+fn fold(records: &[(&str, &str, RecordBody)]) -> Ledger {
+    let mut ledger = Ledger::default();
+    for (offset, (author, id, body)) in (0..).zip(records) {
+        let data = key(author).seal(&Name::from(*id), body);
+        ledger.fold(&LogRecord { offset, data }, SECRET);
+    }
+    ledger
+}
+
+#[test]
+fn open_sealed() {
+    let body = term("entry-1", 1);
+    let data = key("entry-1").seal(&"id-1".into(), &body);
+    let record = open(&data, SECRET).unwrap();
+    assert_eq!(&*record.author, "entry-1");
+    assert_eq!(record.body, body);
+}
+
+/// Somebody who can write to the log, but does not hold the author's key, changes a record or
+/// writes one of their own. Were it taken, a stranger could drain a failure domain.
+#[test]
+fn forged_seal() {
+    let sealed = key("entry-1").seal(&"id-1".into(), &term("entry-1", 1));
+    let renamed = sealed.replace("entry-1", "entry-2");
+    assert!(matches!(open(&renamed, SECRET), Err(OpenError::Forged)));
+    let stranger = AuthorKey::derive("another secret of somebody", &"entry-1".into());
+    let data = stranger.seal(&"id-1".into(), &term("entry-1", 1));
+    assert!(matches!(open(&data, SECRET), Err(OpenError::Forged)));
+    assert!(!key("entry-1").matches_hex(&stranger.to_hex()));
+    assert!(key("entry-1").matches_hex(&key("entry-1").to_hex()));
+}
+
+/// A newer version of the program writes a kind of record that this one does not know. It is
+/// skipped; were it an error, an upgrade of one process would stop all others.
+#[test]
+fn unknown_kind() {
+    let sealed = key("entry-1").seal(&"id-1".into(), &term("entry-1", 1));
+    let ledger = {
+        let mut ledger = Ledger::default();
+        let data = "somebody else's bytes".to_owned();
+        ledger.fold(&LogRecord { offset: 0, data }, SECRET);
+        ledger.fold(
+            &LogRecord {
+                offset: 1,
+                data: sealed,
+            },
+            SECRET,
+        );
+        ledger
+    };
+    assert_eq!(ledger.next_offset(), 2);
+    assert_eq!(ledger.membership.term(), 1);
+}
+
+#[test]
+fn random_data() {
+    arbtest::arbtest(|u| {
+        let data: String = u.arbitrary()?;
+        assert!(open(&data, SECRET).is_err());
+        Ok(())
+    });
+}
+
+/// A planner is frozen, another entry claims the next term, and the first appends on waking. Its
+/// records stand behind the claim and must have no effect, or two planners would start gangs on
+/// the same workers.
+#[test]
+fn deposed_planner() {
+    let started = RecordBody::JobStarted {
+        term: 1,
+        job: "job-1".into(),
+        attempt: 1,
+        placements: vec![Placement {
+            worker: "worker-1".into(),
+            tasks: 1,
+        }],
+    };
+    let ledger = fold(&[
+        ("entry-1", "a", term("entry-1", 1)),
+        ("entry-1", "b", ring(1, "agent-1")),
+        ("entry-2", "c", term("entry-2", 2)),
+        ("entry-1", "d", ring(1, "agent-9")),
+        ("entry-1", "e", started),
+        ("entry-1", "f", ring(2, "agent-9")),
+    ]);
+    assert_eq!(ledger.membership.planner(), Some(&Name::from("entry-2")));
+    assert_eq!(ledger.membership.ring(), [Name::from("agent-1")]);
+    assert_eq!(ledger.jobs.all_live().count(), 0);
+}
+
+/// An append's answer is lost and its writer appends the same record again.
+#[test]
+fn second_copy() {
+    let ledger = fold(&[
+        ("entry-1", "a", term("entry-1", 1)),
+        ("entry-1", "b", ring(1, "agent-1")),
+        ("entry-1", "c", ring(1, "agent-2")),
+        ("entry-1", "b", ring(1, "agent-1")),
+    ]);
+    assert_eq!(ledger.membership.ring(), [Name::from("agent-2")]);
+}
