Serve HTTP through hyper, bounded and stopped without a cut

Ruled out: closing by the caller's own 'Connection: close' alone (callers don't all send it). Change: hyper 1 (with hyper-util, http-body-util), its nearest kin, on the runtime that the peer links already need: one request a connection, bounded head, body, held bytes, connections, sender and reader; drain waits for each open connection. oxhttp stays the HTTP client.

--- /dev/null
+++ b/dragonflyrun/src/connection/http_server/body.rs
@@ -0,0 +1,85 @@
+//! Reads a request's body within its limits.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use http_body_util::BodyExt;
+use hyper::{
+    StatusCode,
+    body::{Body, Incoming}, //
+};
+use tokio::time::{Instant, timeout};
+
+use super::HttpLimits;
+
+/// A sender may take this many pauses for a whole body: one that sends a byte a second would
+/// otherwise hold a connection for days.
+const PAUSES_PER_BODY: u32 = 12;
+
+/// Bytes of bodies that all connections hold together.
+#[derive(Debug, Default)]
+pub(super) struct HeldBytes(AtomicUsize);
+
+/// A body; its share of the bytes held goes when this drops, also where the bytes were taken out.
+#[derive(Debug)]
+pub(super) struct HeldBody<'a> {
+    held: &'a HeldBytes,
+    length: usize,
+    pub(super) bytes: Vec<u8>,
+}
+
+impl<'a> HeldBody<'a> {
+    /// Reads `body` to its end.
+    ///
+    /// # Errors
+    ///
+    /// The status that tells the sender which limit it broke. Nothing was handled.
+    pub(super) async fn read(
+        held: &'a HeldBytes,
+        limits: &HttpLimits,
+        mut body: Incoming,
+    ) -> Result<Self, StatusCode> {
+        if body.size_hint().lower() > limits.body_bytes as u64 {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let end = Instant::now() + limits.pause * PAUSES_PER_BODY;
+        let mut whole = Self {
+            held,
+            length: 0,
+            bytes: Vec::new(),
+        };
+        loop {
+            let frame = timeout(limits.pause, body.frame())
+                .await
+                .map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+            let Some(frame) = frame else {
+                return Ok(whole);
+            };
+            let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+            if let Some(data) = frame.data_ref() {
+                whole.push(data, limits)?;
+            }
+            if Instant::now() > end {
+                return Err(StatusCode::REQUEST_TIMEOUT);
+            }
+        }
+    }
+
+    fn push(&mut self, data: &[u8], limits: &HttpLimits) -> Result<(), StatusCode> {
+        if self.bytes.len() + data.len() > limits.body_bytes {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let before = self.held.0.fetch_add(data.len(), Ordering::Relaxed);
+        self.length += data.len();
+        self.bytes.extend_from_slice(data);
+        if before + data.len() > limits.held_bytes {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        Ok(())
+    }
+}
+
+impl Drop for HeldBody<'_> {
+    fn drop(&mut self) {
+        self.held.0.fetch_sub(self.length, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/connection/http_server/connections.rs
@@ -0,0 +1,301 @@
+//! What the connections of one server share, and the life of one connection.
+
+use std::{
+    convert::Infallible,
+    io,
+    pin::Pin,
+    sync::{
+        Arc,
+        Condvar,
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{AtomicU64, Ordering}, //
+    },
+    task::{Context, Poll},
+    time::{Duration, Instant},
+};
+
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::{Bytes, Incoming},
+    header::{CONNECTION, HeaderName},
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf},
+    net::TcpStream,
+    sync::Notify,
+    time::{sleep, timeout}, //
+};
+
+use super::{
+    Handler,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    body::{HeldBody, HeldBytes}, //
+};
+
+/// Bytes of a request's head, at the most.
+const HEAD_BYTES: usize = 16 << 10;
+
+/// Headers of a request, at the most.
+const HEADERS: usize = 64;
+
+/// A reader that goes on reading may take this many pauses for a whole answer.
+const PAUSES_PER_ANSWER: u32 = 12;
+
+/// Time for which what the peer still sends is read after the answer.
+const LINGER: Duration = Duration::from_secs(1);
+
+/// Milliseconds after which a caller that the server refused may come back.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+const OUTCOME: HeaderName = HeaderName::from_static("dragonfly-outcome");
+
+/// What the connections of one server share.
+pub(super) struct Connections {
+    limits: HttpLimits,
+    handler: Arc<Handler>,
+    held: HeldBytes,
+    counts: Mutex<Counts>,
+    changed: Condvar,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    listener_closed: bool,
+    open: usize,
+    in_flight: usize,
+}
+
+/// Counts a connection as open until it is dropped.
+pub(super) struct Open(Arc<Connections>);
+
+/// Counts a request as in flight until its connection has ended.
+struct InFlight(Arc<Connections>);
+
+impl Connections {
+    pub(super) fn new(limits: HttpLimits, handler: Arc<Handler>) -> Self {
+        Self {
+            limits,
+            handler,
+            held: HeldBytes::default(),
+            counts: Mutex::default(),
+            changed: Condvar::new(),
+        }
+    }
+
+    pub(super) fn limits(&self) -> &HttpLimits {
+        &self.limits
+    }
+
+    pub(super) fn open(self: &Arc<Self>) -> Open {
+        self.counts().open += 1;
+        Open(self.clone())
+    }
+
+    pub(super) fn in_flight(&self) -> usize {
+        self.counts().in_flight
+    }
+
+    pub(super) fn listener_closed(&self) {
+        self.counts().listener_closed = true;
+        self.changed.notify_all();
+    }
+
+    pub(super) fn wait_until_none(&self, most: Duration) -> bool {
+        let busy = |counts: &mut Counts| !counts.listener_closed || counts.open > 0;
+        let waited = self.changed.wait_timeout_while(self.counts(), most, busy);
+        let (mut counts, _) = waited.unwrap_or_else(PoisonError::into_inner);
+        !busy(&mut counts)
+    }
+
+    fn counts(&self) -> MutexGuard<'_, Counts> {
+        self.counts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Serves the one request of a connection.
+    ///
+    /// Each answer ends its connection. A connection that is kept for another request could only
+    /// be closed at a stop by guessing that no request is on its way; closing it anyway would cut
+    /// that request off.
+    pub(super) async fn serve(self: &Arc<Self>, stream: TcpStream) {
+        let answered = Arc::new(Notify::new());
+        let written = Arc::new(AtomicU64::new(0));
+        let io = CountingStream {
+            stream,
+            written: written.clone(),
+        };
+        let in_flight = Arc::new(Mutex::new(None));
+        let service = service_fn(|req| {
+            // The guard outlives the answer: it goes when the connection ends.
+            *in_flight.lock().unwrap_or_else(PoisonError::into_inner) = Some(self.begin());
+            let answered = answered.clone();
+            async move {
+                let response = self.answer(req).await;
+                answered.notify_one();
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.limits.pause)
+            .max_buf_size(HEAD_BYTES)
+            .max_headers(HEADERS)
+            .keep_alive(false)
+            .serve_connection(TokioIo::new(io), service);
+        let ended = tokio::select! {
+            ended = connection.without_shutdown() => ended.map_err(|e| e.to_string()),
+            () = self.reader_stalls(&answered, &written) => Err("reader_stalled".to_owned()),
+        };
+        match ended {
+            Ok(parts) => linger(parts.io.into_inner().stream).await,
+            Err(error) => log::debug!(error = error; "http_connection_ended"),
+        }
+    }
+
+    /// Tells a caller for whom there is no connection left to come back later.
+    pub(super) async fn refuse(&self, mut stream: TcpStream) {
+        let answer = format!(
+            "HTTP/1.1 503 Service Unavailable\r\nconnection: close\r\ncontent-length: 0\r\n\
+             dragonfly-outcome: not-run\r\nretry-after: {}\r\n\r\n",
+            RETRY_AFTER_MS.div_ceil(1_000),
+        );
+        let written = timeout(self.limits.pause, stream.write_all(answer.as_bytes())).await;
+        if matches!(written, Ok(Ok(()))) {
+            linger(stream).await;
+        }
+    }
+
+    fn begin(self: &Arc<Self>) -> InFlight {
+        self.counts().in_flight += 1;
+        InFlight(self.clone())
+    }
+
+    async fn answer(self: &Arc<Self>, req: Request<Incoming>) -> Response<Full<Bytes>> {
+        let (head, body) = req.into_parts();
+        let response = match HeldBody::read(&self.held, &self.limits, body).await {
+            Ok(mut body) => {
+                let req = HttpRequest {
+                    method: head.method,
+                    path: head.uri.path().to_owned(),
+                    query: head.uri.query().map(str::to_owned),
+                    headers: head.headers,
+                    body: std::mem::take(&mut body.bytes),
+                };
+                self.handle(req).await
+            }
+            // The handler has not seen the request, so it has not run for certain.
+            Err(status) => HttpResponse::text(status, status.canonical_reason().unwrap_or(""))
+                .with_header(OUTCOME, "not-run")
+                .with_retry_after(RETRY_AFTER_MS),
+        };
+        let mut answer = Response::new(Full::new(Bytes::from(response.body)));
+        *answer.status_mut() = response.status;
+        *answer.headers_mut() = response.headers;
+        answer
+            .headers_mut()
+            .insert(CONNECTION, hyper::header::HeaderValue::from_static("close"));
+        answer
+    }
+
+    async fn handle(self: &Arc<Self>, req: HttpRequest) -> HttpResponse {
+        let handler = self.handler.clone();
+        let handled = tokio::task::spawn_blocking(move || handler(req)).await;
+        handled.unwrap_or_else(|error| {
+            log::error!(error:% = error; "handler_failed");
+            HttpResponse::text(StatusCode::INTERNAL_SERVER_ERROR, "failed")
+        })
+    }
+
+    /// Returns once the answer's reader has paused too long or taken too long altogether.
+    async fn reader_stalls(&self, answered: &Notify, written: &AtomicU64) {
+        answered.notified().await;
+        let mut before = written.load(Ordering::Relaxed);
+        for _ in 0..PAUSES_PER_ANSWER {
+            sleep(self.limits.pause).await;
+            let now = written.load(Ordering::Relaxed);
+            if now == before {
+                return;
+            }
+            before = now;
+        }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.counts().open -= 1;
+        self.0.changed.notify_all();
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.counts().in_flight -= 1;
+    }
+}
+
+/// Closes a connection so that the answer arrives.
+///
+/// Closing a socket with unread bytes resets the connection, and a reset makes the peer's system
+/// throw away the part of the answer that the peer has not read yet. So the writing side is
+/// closed first, and what the peer still sends is read for a while.
+async fn linger(mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let end = Instant::now() + LINGER;
+    let mut buf = [0; 4_096];
+    while let Some(left) = end.checked_duration_since(Instant::now()) {
+        match timeout(left, stream.read(&mut buf)).await {
+            Ok(Ok(n)) if n > 0 => {}
+            _ => return,
+        }
+    }
+}
+
+/// A stream that counts the bytes its peer has taken.
+struct CountingStream {
+    stream: TcpStream,
+    written: Arc<AtomicU64>,
+}
+
+impl AsyncRead for CountingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for CountingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        if let Poll::Ready(Ok(n)) = polled {
+            self.written.fetch_add(n as u64, Ordering::Relaxed);
+        }
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod codec;
 mod greeting;
+mod http_server;
 mod links;
 mod log_client;
 mod message;
@@ -9,6 +10,7 @@
 mod seal;
 
 pub use greeting::{Peer, Role};
+pub use http_server::{Handler, HttpLimits, HttpRequest, HttpResponse, HttpServer};
 pub use links::{LinkEvent, LinkSettings, Links, SendError};
 pub use log_client::{LogClient, LogError, LogPage, LogRecord};
 pub use message::{
