Name a gang's attempt by its term, fence lost attempts, add the worker client

The log keeps, for each attempt, the term of its planner, whether it was fenced, and how many attempts failed.

--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     connection::LogRecord,
-    job::JobId,
+    job::GangId,
     utils::Name, //
 };
 
@@ -269,55 +269,41 @@
     Reserve(TaskOrder),
     /// Planner to agent: the start is on the log, start the tasks.
     Go {
-        /// The planner's term.
+        /// The planner's term, which may be later than that of the gang.
         term: u64,
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
+        /// The gang.
+        gang: GangId,
     },
     /// Planner to agent: stop the member, or give back its reservation.
     Stop {
-        /// The planner's term.
+        /// The planner's term, which may be later than that of the gang.
         term: u64,
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
+        /// The gang.
+        gang: GangId,
         /// Whether to save a checkpoint first.
         checkpoint: bool,
     },
-    /// Entry to agent: all members were heard, the gang's lease goes on.
+    /// Entry to agent: all members of these gangs were heard, their leases go on.
     Renewal {
         /// The `sent_ms` of the heartbeat of this agent that is answered.
         echo_ms: u64,
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
-        /// Milliseconds since the member heard least recently was heard.
+        /// Milliseconds since which every member of the gangs was alive for certain.
         age_ms: u64,
+        /// The `number` of each member of this agent whose gang is renewed.
+        members: Vec<u64>,
     },
     /// Entry to agent: a member is lost, the others stop with a checkpoint.
     Broken {
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
+        /// The gang.
+        gang: GangId,
     },
-    /// Agent to entries: a member's state has changed.
-    Report(MemberReport),
 }
 
-/// What an agent is to run as one member of a gang.
+/// What an agent is to run as one member of a gang; a gang has one member on a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskOrder {
-    /// The planner's term; an order of an older term than the highest seen is refused.
-    pub term: u64,
-    /// The job.
-    pub job: JobId,
-    /// The attempt, from 1.
-    pub attempt: u32,
+    /// The gang. Its term is the planner's; one older than the highest seen is refused.
+    pub gang: GangId,
     /// The number of this member, from 0.
     pub member: u32,
     /// How many members the gang has, one a worker.
@@ -335,13 +321,11 @@
 /// The state of one member, as its agent knows it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberReport {
-    /// The job.
-    pub job: JobId,
-    /// The attempt.
-    pub attempt: u32,
-    /// The number of this member.
-    pub member: u32,
-    /// How many members the gang has.
+    /// Counts the members that the agent's process has had; short, since renewals name it often.
+    pub number: u64,
+    /// The gang.
+    pub gang: GangId,
+    /// How many members the gang has; 0 where the agent was told to stop what it never held.
     pub members: u32,
     /// Its state.
     pub state: MemberState,
--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -7,6 +7,7 @@
 mod message;
 mod record;
 mod seal;
+mod worker_client;
 
 pub use greeting::{Peer, Role};
 pub use links::{LinkEvent, LinkSettings, Links, SendError};
@@ -20,3 +21,6 @@
     Carried, CarriedEntry, CarriedSection, Edit, JobEnd, Placement, Record, RecordBody,
 };
 pub use seal::{AuthorKey, OpenError, RECORD_BYTES, open};
+pub use worker_client::{
+    LeaseState, StartTasks, TaskUsage, WorkerClient, WorkerError, WorkerLease, WorkerView,
+};
--- a/dragonflyrun/src/connection/record.rs
+++ b/dragonflyrun/src/connection/record.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    job::{JobId, JobSpec},
+    job::{JobId, JobSpec, LiveJob},
     utils::Name,
     version::Section, //
 };
@@ -82,6 +82,18 @@
         attempt: u32,
         /// Whether the next attempt goes on from a checkpoint.
         checkpointed: bool,
+        /// Whether a task failed, which a job may do a few times only.
+        failed: bool,
+    },
+    /// The planner can't reach some member of an attempt: no entry renews its leases from here on,
+    /// so that the member is known to have stopped once they have lapsed.
+    JobFenced {
+        /// The planner's term.
+        term: u64,
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: u32,
     },
     /// A job came to its end.
     JobEnded {
@@ -108,6 +120,7 @@
             Self::Ring { term, .. }
             | Self::JobStarted { term, .. }
             | Self::JobStopped { term, .. }
+            | Self::JobFenced { term, .. }
             | Self::JobEnded { term, .. }
             | Self::Carried(
                 Carried::Configuration { term, .. }
@@ -143,20 +156,8 @@
     Job {
         /// The planner's term.
         term: u64,
-        /// The job.
-        job: JobId,
-        /// What it asks for.
-        spec: JobSpec,
-        /// The offset of its acceptance, which orders the queue.
-        accepted: u64,
-        /// The last attempt, 0 before the first.
-        attempt: u32,
-        /// Where that attempt runs; empty while the job waits.
-        placements: Vec<Placement>,
-        /// Whether the next attempt goes on from a checkpoint.
-        checkpointed: bool,
-        /// Whether somebody asked to cancel it.
-        cancelled: bool,
+        /// The job as it was folded.
+        job: Box<LiveJob>,
     },
     /// The terms, entries and key owners.
     Membership {
--- a/dragonflyrun/src/job/book.rs
+++ b/dragonflyrun/src/job/book.rs
@@ -2,17 +2,19 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     connection::{Carried, JobEnd, Placement, RecordBody},
-    job::{JobId, JobSpec},
-    utils::HashMap,
+    job::{GangId, JobId, JobSpec},
+    utils::{HashMap, Name},
 };
 
 /// Ended jobs that are remembered for those who ask about them.
 const REMEMBERED_ENDS: usize = 4_096;
 
 /// A job that was accepted and has not ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LiveJob {
     /// Its name.
     pub job: JobId,
@@ -20,16 +22,60 @@
     pub spec: JobSpec,
     /// The offset of its acceptance, which orders the queue.
     pub accepted: u64,
-    /// The last attempt, 0 before the first.
+    /// The last attempt that reached the log, 0 before the first.
     pub attempt: u32,
+    /// The term of the planner that began that attempt.
+    pub term: u64,
     /// Where that attempt runs; empty while the job waits.
     pub placements: Vec<Placement>,
+    /// Whether the leases of that attempt are no longer renewed.
+    pub fenced: bool,
+    /// How many attempts ended because a task failed.
+    pub failures: u32,
     /// Whether the next attempt goes on from a checkpoint.
     pub checkpointed: bool,
     /// Whether somebody asked to cancel it.
     pub cancelled: bool,
 }
 
+impl LiveJob {
+    /// Returns a job that was accepted at the offset `accepted` and waits for its first attempt.
+    pub fn new(job: JobId, spec: JobSpec, accepted: u64) -> Self {
+        Self {
+            job,
+            spec,
+            accepted,
+            attempt: 0,
+            term: 0,
+            placements: Vec::new(),
+            fenced: false,
+            failures: 0,
+            checkpointed: false,
+            cancelled: false,
+        }
+    }
+
+    /// Returns the last attempt that reached the log.
+    pub fn gang(&self) -> GangId {
+        GangId {
+            job: self.job.clone(),
+            term: self.term,
+            attempt: self.attempt,
+        }
+    }
+
+    /// Returns whether an attempt is placed.
+    pub fn is_placed(&self) -> bool {
+        !self.placements.is_empty()
+    }
+
+    /// Returns whether the log allows `gang` to start on `worker`.
+    pub fn may_start(&self, gang: &GangId, worker: &Name) -> bool {
+        let here = self.placements.iter().any(|p| p.worker == *worker);
+        here && !self.fenced && self.gang() == *gang
+    }
+}
+
 /// The fold of the records on jobs.
 #[derive(Clone, Debug, Default)]
 pub struct JobBook {
@@ -44,30 +90,28 @@
         match body {
             RecordBody::JobAccepted { job, spec } => self.accept(offset, job, spec),
             RecordBody::JobStarted {
+                term,
                 job,
                 attempt,
                 placements,
-                ..
-            } => {
-                if let Some(live) = self.live.get_mut(job)
-                    && *attempt == live.attempt + 1
-                    && live.placements.is_empty()
-                {
-                    live.attempt = *attempt;
-                    live.placements = placements.clone();
-                }
-            }
+            } => self.start(*term, job, *attempt, placements),
             RecordBody::JobStopped {
                 job,
                 attempt,
                 checkpointed,
+                failed,
                 ..
             } => {
-                if let Some(live) = self.live.get_mut(job)
-                    && *attempt == live.attempt
-                {
+                if let Some(live) = self.placed(job, *attempt) {
                     live.placements.clear();
+                    live.fenced = false;
                     live.checkpointed |= *checkpointed;
+                    live.failures += u32::from(*failed);
+                }
+            }
+            RecordBody::JobFenced { job, attempt, .. } => {
+                if let Some(live) = self.placed(job, *attempt) {
+                    live.fenced = true;
                 }
             }
             RecordBody::JobEnded { job, end, .. } => self.end(offset, job, *end),
@@ -76,27 +120,7 @@
                     live.cancelled = true;
                 }
             }
-            RecordBody::Carried(Carried::Job {
-                job,
-                spec,
-                accepted,
-                attempt,
-                placements,
-                checkpointed,
-                cancelled,
-                ..
-            }) => {
-                let carried = LiveJob {
-                    job: job.clone(),
-                    spec: spec.clone(),
-                    accepted: *accepted,
-                    attempt: *attempt,
-                    placements: placements.clone(),
-                    checkpointed: *checkpointed,
-                    cancelled: *cancelled,
-                };
-                self.adopt(carried);
-            }
+            RecordBody::Carried(Carried::Job { job, .. }) => self.adopt(job),
             _ => {}
         }
     }
@@ -120,23 +144,35 @@
         if self.ends.contains_key(job) || self.live.contains_key(job) {
             return;
         }
-        let live = LiveJob {
-            job: job.clone(),
-            spec: spec.clone(),
-            accepted: offset,
-            attempt: 0,
-            placements: Vec::new(),
-            checkpointed: false,
-            cancelled: false,
-        };
+        let live = LiveJob::new(job.clone(), spec.clone(), offset);
         self.live.insert(job.clone(), live);
     }
 
+    /// Takes note of an attempt. A record that was delayed until its planner had given the attempt
+    /// up may follow a later one, and then changes nothing.
+    fn start(&mut self, term: u64, job: &JobId, attempt: u32, placements: &[Placement]) {
+        if let Some(live) = self.live.get_mut(job)
+            && attempt > live.attempt
+            && !live.is_placed()
+        {
+            live.attempt = attempt;
+            live.term = term;
+            live.placements = placements.to_vec();
+        }
+    }
+
+    fn placed(&mut self, job: &JobId, attempt: u32) -> Option<&mut LiveJob> {
+        let live = self.live.get_mut(job)?;
+        (live.is_placed() && live.attempt == attempt).then_some(live)
+    }
+
     /// Takes over a carried job. A process that has folded the records before it holds the same
     /// state already, or has seen the job end.
-    fn adopt(&mut self, carried: LiveJob) {
+    fn adopt(&mut self, carried: &LiveJob) {
         if !self.ends.contains_key(&carried.job) {
-            self.live.entry(carried.job.clone()).or_insert(carried);
+            self.live
+                .entry(carried.job.clone())
+                .or_insert_with(|| carried.clone());
         }
     }
 
