--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod record;
 mod seal;
+mod worker_client;
 
 pub use greeting::{Peer, Role};
 pub use http_server::{Handler, HttpLimits, HttpRequest, HttpResponse, HttpServer};
@@ -22,3 +23,6 @@
     Carried, CarriedEntry, CarriedSection, Edit, JobEnd, Placement, Record, RecordBody,
 };
 pub use seal::{AuthorKey, OpenError, RECORD_BYTES, open};
+pub use worker_client::{
+    LeaseState, StartTasks, TaskUsage, WorkerClient, WorkerError, WorkerLease, WorkerView,
+};
