--- /dev/null
+++ b/standins/src/backend.rs
@@ -0,0 +1,395 @@
+//! A stand-in of a guarded backend server. It announces itself to the agent beside it.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Condvar,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use dragonflyrun::utils::Name;
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{self, Refusal};
+
+/// Time between two announcements.
+const ANNOUNCE_PAUSE: Duration = Duration::from_secs(1);
+
+/// Time that the agent has for an answer to an announcement.
+const ANNOUNCE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Bytes of an answer, at the most.
+const MOST_ANSWER_BYTES: usize = 32 << 20;
+
+/// What a backend server is.
+#[derive(Clone, Debug)]
+pub struct BackendSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The HTTP listener of the agent beside it; none to announce itself to nobody.
+    pub agent: Option<SocketAddr>,
+    /// The address that it announces; none for its own.
+    pub announced: Option<SocketAddr>,
+    /// Its name.
+    pub name: Name,
+    /// The service that it runs.
+    pub service: Name,
+    /// Requests that it runs at once, at the most.
+    pub slots: u32,
+    /// Connections that it takes at once, at the most.
+    pub connections: u32,
+    /// What a request asks for that does not say so itself.
+    pub work: Work,
+}
+
+/// What a request asks for: its body as JSON, or the default where it is not that.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Work {
+    /// Milliseconds for which it runs.
+    pub work_ms: u64,
+    /// Bytes of its answer.
+    pub answer_bytes: usize,
+}
+
+impl Default for Work {
+    fn default() -> Self {
+        Self {
+            work_ms: 5,
+            answer_bytes: 64,
+        }
+    }
+}
+
+/// How the server behaves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BackendMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// It runs each request and answers with status 500.
+    Failing,
+    /// It runs each request and closes the connection in the middle of the answer.
+    Truncating,
+    /// It runs no request and answers with status 503.
+    Refusing,
+}
+
+/// What `POST /control` sets; what is absent stays as it is.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct BackendControl {
+    /// How the server behaves.
+    pub mode: Option<BackendMode>,
+    /// Milliseconds that each run takes longer.
+    pub delay_ms: Option<u64>,
+    /// Whether it announces that it is leaving.
+    pub leaving: Option<bool>,
+    /// Whether it announces itself at all.
+    pub announcing: Option<bool>,
+}
+
+/// One run of a request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Run {
+    /// The request, from its header `Dragonfly-Request`.
+    pub request: Name,
+    /// The key, from its header `Idempotency-Key`.
+    pub key: Option<Name>,
+    /// The service, from its header `Dragonfly-Service`.
+    pub service: Name,
+    /// What [`digest`] gives for its body.
+    pub digest: u64,
+    /// When it began, by the server's clock.
+    pub started_unix_ms: u64,
+    /// When it ended; none while it runs.
+    pub ended_unix_ms: Option<u64>,
+}
+
+/// What `GET /v1/record` answers.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct BackendRecord {
+    /// All runs, in the order of their beginning.
+    pub runs: Vec<Run>,
+    /// The most runs at once.
+    pub most_running: usize,
+    /// Runs that have not ended.
+    pub running: usize,
+    /// Requests that were answered without a run.
+    pub refused: u64,
+}
+
+#[derive(Serialize)]
+struct Announcement<'a> {
+    name: &'a str,
+    service: &'a str,
+    address: String,
+    slots: u32,
+    connections: u32,
+    leaving: bool,
+}
+
+/// A running backend server.
+#[derive(Clone)]
+pub struct Backend {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    settings: BackendSettings,
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    mode: BackendMode,
+    delay: Duration,
+    leaving: bool,
+    silent: bool,
+    record: BackendRecord,
+}
+
+impl Backend {
+    /// Starts a backend server, which announces itself from now on.
+    ///
+    /// # Errors
+    ///
+    /// Where the address can't be bound.
+    pub fn start(settings: BackendSettings) -> io::Result<Self> {
+        let address = settings.address;
+        let shared = Arc::new(Shared {
+            settings,
+            state: Mutex::default(),
+            changed: Condvar::new(),
+        });
+        let served = shared.clone();
+        let address = http::serve(address, move |req| served.answer(req))?;
+        let announcing = shared.clone();
+        thread::Builder::new()
+            .name("announce".to_owned())
+            .spawn(move || announcing.announce(address))?;
+        Ok(Self { address, shared })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it behaves.
+    pub fn control(&self, control: BackendControl) {
+        self.shared.control(control);
+    }
+
+    /// Returns what it ran.
+    pub fn record(&self) -> BackendRecord {
+        self.shared.lock().record.clone()
+    }
+
+    /// Announces that it is leaving and waits until no request has run for `quiet`.
+    pub fn leave(&self, quiet: Duration) {
+        self.control(BackendControl {
+            leaving: Some(true),
+            ..BackendControl::default()
+        });
+        self.shared.wait_until_idle(quiet);
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self, control: BackendControl) {
+        let mut state = self.lock();
+        state.mode = control.mode.unwrap_or(state.mode);
+        state.leaving = control.leaving.unwrap_or(state.leaving);
+        if let Some(announcing) = control.announcing {
+            state.silent = !announcing;
+        }
+        if let Some(ms) = control.delay_ms {
+            state.delay = Duration::from_millis(ms);
+        }
+        self.changed.notify_all();
+    }
+
+    /// Announces the server at a fixed interval, and at once when it begins to leave.
+    fn announce(&self, address: SocketAddr) {
+        let Some(agent) = self.settings.agent else {
+            return;
+        };
+        loop {
+            let (leaving, silent) = {
+                let state = self.lock();
+                (state.leaving, state.silent)
+            };
+            if !silent && let Err(error) = self.announce_once(agent, address, leaving) {
+                log::debug!(agent:% = agent, error:% = error; "announcement_failed");
+            }
+            let state = self.lock();
+            let pending = |s: &mut State| s.leaving == leaving && s.silent == silent;
+            let waited = self
+                .changed
+                .wait_timeout_while(state, ANNOUNCE_PAUSE, pending);
+            drop(waited.unwrap_or_else(PoisonError::into_inner));
+        }
+    }
+
+    fn announce_once(
+        &self,
+        agent: SocketAddr,
+        address: SocketAddr,
+        leaving: bool,
+    ) -> io::Result<()> {
+        let announcement = Announcement {
+            name: &self.settings.name,
+            service: &self.settings.service,
+            address: self.settings.announced.unwrap_or(address).to_string(),
+            slots: self.settings.slots,
+            connections: self.settings.connections,
+            leaving,
+        };
+        let answer = http::call_json(
+            agent,
+            Method::POST,
+            "/v1/backends",
+            &announcement,
+            ANNOUNCE_TIMEOUT,
+        )?;
+        match answer.status.is_success() {
+            true => Ok(()),
+            false => Err(io::Error::other(answer.status.to_string())),
+        }
+    }
+
+    fn answer(&self, req: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
+        match (req.method().clone(), req.uri().path()) {
+            (Method::POST, "/control") => {
+                let control = http::read_json(req)?;
+                self.control(control);
+                Ok(http::json(StatusCode::OK, &control))
+            }
+            (Method::GET, "/v1/record") => Ok(http::json(StatusCode::OK, &self.lock().record)),
+            (Method::POST, "/v1/run") => self.run(req),
+            _ => Err(Refusal::new(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+
+    fn run(&self, req: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
+        let body = http::read_body(req)?;
+        let work = serde_json::from_slice(&body).unwrap_or(self.settings.work);
+        let Some((number, delay)) = self.begin(req, &body) else {
+            let reason = "the server takes no request";
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason));
+        };
+        thread::sleep(Duration::from_millis(work.work_ms) + delay);
+        let mode = self.end(number);
+        let answer = answer_to(&body, work.answer_bytes);
+        match mode {
+            BackendMode::Failing => {
+                let reason = "the server failed";
+                Err(Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, reason))
+            }
+            BackendMode::Truncating => Ok(http::cut_off(answer[..answer.len() / 2].to_vec())),
+            BackendMode::Up | BackendMode::Refusing => Ok(http::bytes(
+                StatusCode::OK,
+                "application/octet-stream",
+                answer,
+            )),
+        }
+    }
+
+    /// Takes note that a run begins; returns its number and its delay.
+    fn begin(&self, req: &Request<Body>, body: &[u8]) -> Option<(usize, Duration)> {
+        let mut state = self.lock();
+        if state.mode == BackendMode::Refusing {
+            state.record.refused += 1;
+            return None;
+        }
+        let record = &mut state.record;
+        record.running += 1;
+        record.most_running = record.most_running.max(record.running);
+        record.runs.push(Run {
+            request: header(req, "Dragonfly-Request").unwrap_or_default(),
+            key: header(req, "Idempotency-Key"),
+            service: header(req, "Dragonfly-Service").unwrap_or_default(),
+            digest: digest(body),
+            started_unix_ms: unix_ms(),
+            ended_unix_ms: None,
+        });
+        Some((record.runs.len() - 1, state.delay))
+    }
+
+    fn end(&self, number: usize) -> BackendMode {
+        let mut state = self.lock();
+        state.record.running -= 1;
+        state.record.runs[number].ended_unix_ms = Some(unix_ms());
+        self.changed.notify_all();
+        state.mode
+    }
+
+    fn wait_until_idle(&self, quiet: Duration) {
+        let mut state = self.lock();
+        loop {
+            let seen = (state.record.running, state.record.runs.len());
+            let unchanged = |s: &mut State| (s.record.running, s.record.runs.len()) == seen;
+            let (next, waited) = self
+                .changed
+                .wait_timeout_while(state, quiet, unchanged)
+                .unwrap_or_else(PoisonError::into_inner);
+            if waited.timed_out() && seen.0 == 0 {
+                return;
+            }
+            state = next;
+        }
+    }
+}
+
+/// Returns a number that tells one body from another.
+pub fn digest(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Returns the answer to a request with `body`: `bytes` bytes that depend on the whole of it, and
+/// each on its place, so that a missing, doubled or swapped piece shows.
+pub fn answer_to(body: &[u8], bytes: usize) -> Vec<u8> {
+    let seed = digest(body);
+    let bytes = bytes.min(MOST_ANSWER_BYTES);
+    let mut answer = Vec::with_capacity(bytes + 16);
+    let mut place = 0_u64;
+    while answer.len() < bytes {
+        let mut hasher = DefaultHasher::new();
+        (seed, place).hash(&mut hasher);
+        answer.extend_from_slice(format!("{:016x}", hasher.finish()).as_bytes());
+        place += 1;
+    }
+    answer.truncate(bytes);
+    answer
+}
+
+fn header(req: &Request<Body>, name: &str) -> Option<Name> {
+    let value = req.headers().get(name)?;
+    value.to_str().ok().map(Name::from)
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/standins/src/http.rs
@@ -0,0 +1,208 @@
+//! What all stand-ins need of an HTTP server and client.
+
+use std::{
+    io::{self, Read},
+    net::{SocketAddr, TcpListener},
+    time::Duration, //
+};
+
+use oxhttp::{
+    Client,
+    Server,
+    model::{Body, Method, Request, Response, StatusCode, header}, //
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Bytes of a body, at the most.
+const BODY_BYTES: u64 = 64 << 20;
+
+/// How often a free port is looked for.
+const BIND_ATTEMPTS: usize = 20;
+
+/// Starts a server at `address` and returns the address that was bound.
+///
+/// The server can name no port that it chose itself, so for port 0 a free one is looked up first;
+/// another process may take it in between, and the next one is tried then.
+///
+/// # Errors
+///
+/// Where the address can't be bound.
+pub fn serve(
+    address: SocketAddr,
+    on_request: impl Fn(&mut Request<Body>) -> Result<Response<Body>, Refusal>
+    + Clone
+    + Send
+    + Sync
+    + 'static,
+) -> io::Result<SocketAddr> {
+    let on_request = move |req: &mut Request<Body>| on_request(req).unwrap_or_else(Refusal::answer);
+    let mut last = io::Error::other("no free port");
+    for _ in 0..BIND_ATTEMPTS {
+        let bound = free_address(address)?;
+        match Server::new(on_request.clone()).bind(bound).spawn() {
+            Ok(_) => return Ok(bound),
+            Err(error) if address.port() != 0 => return Err(error),
+            Err(error) => last = error,
+        }
+    }
+    Err(last)
+}
+
+fn free_address(address: SocketAddr) -> io::Result<SocketAddr> {
+    if address.port() != 0 {
+        return Ok(address);
+    }
+    TcpListener::bind(address)?.local_addr()
+}
+
+/// Returns an answer with `value` as JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    bytes(status, "application/json", body)
+}
+
+/// Why a call was refused.
+#[derive(Debug)]
+pub struct Refusal {
+    status: StatusCode,
+    reason: String,
+}
+
+impl Refusal {
+    /// Returns a refusal with a status and a reason in words.
+    pub fn new(status: StatusCode, reason: impl Into<String>) -> Self {
+        Self {
+            status,
+            reason: reason.into(),
+        }
+    }
+
+    /// Returns the answer that says so.
+    pub fn answer(self) -> Response<Body> {
+        bytes(self.status, "text/plain", self.reason.into_bytes())
+    }
+}
+
+/// Returns an answer with `body`.
+pub fn bytes(status: StatusCode, kind: &'static str, body: Vec<u8>) -> Response<Body> {
+    let mut answer = Response::new(Body::from(body));
+    *answer.status_mut() = status;
+    let kind = header::HeaderValue::from_static(kind);
+    answer.headers_mut().insert(header::CONTENT_TYPE, kind);
+    answer
+}
+
+/// Returns an answer whose connection is closed after `start` of its body, before its end.
+pub fn cut_off(start: Vec<u8>) -> Response<Body> {
+    let body = io::Cursor::new(start).chain(Broken);
+    Response::new(Body::from_read(body))
+}
+
+/// A reader that fails at once, so that the server closes the connection in mid-answer.
+struct Broken;
+
+impl Read for Broken {
+    fn read(&mut self, _: &mut [u8]) -> io::Result<usize> {
+        Err(io::Error::new(io::ErrorKind::ConnectionAborted, "cut off"))
+    }
+}
+
+/// Reads the whole body of `req`.
+///
+/// # Errors
+///
+/// A [`Refusal`] for the sender.
+pub fn read_body(req: &mut Request<Body>) -> Result<Vec<u8>, Refusal> {
+    let mut buf = Vec::new();
+    match req.body_mut().take(BODY_BYTES).read_to_end(&mut buf) {
+        Ok(_) => Ok(buf),
+        Err(error) => Err(Refusal::new(StatusCode::BAD_REQUEST, error.to_string())),
+    }
+}
+
+/// Reads the body of `req` as JSON.
+///
+/// # Errors
+///
+/// A [`Refusal`] for the sender.
+pub fn read_json<T: DeserializeOwned>(req: &mut Request<Body>) -> Result<T, Refusal> {
+    serde_json::from_slice(&read_body(req)?)
+        .map_err(|e| Refusal::new(StatusCode::BAD_REQUEST, e.to_string()))
+}
+
+/// Returns the value of `name` in the query of `req`.
+pub fn query<T: std::str::FromStr>(req: &Request<Body>, name: &str) -> Option<T> {
+    let pairs = req.uri().query()?.split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+}
+
+/// An answer to a client.
+#[derive(Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The headers.
+    pub headers: header::HeaderMap,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// Where it is not a `T`.
+    pub fn json<T: DeserializeOwned>(&self) -> io::Result<T> {
+        serde_json::from_slice(&self.body).map_err(io::Error::other)
+    }
+}
+
+/// Sends one request to `address` and waits for its whole answer.
+///
+/// # Errors
+///
+/// Where no whole answer came.
+pub fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: Vec<u8>,
+    timeout: Duration,
+) -> io::Result<Answer> {
+    let mut req = Request::builder()
+        .method(method)
+        .uri(format!("http://{address}{path}"));
+    for (name, value) in headers {
+        req = req.header(*name, *value);
+    }
+    let req = req.body(Body::from(body)).map_err(io::Error::other)?;
+    let answer = Client::new().with_global_timeout(timeout).request(req)?;
+    let (parts, body) = answer.into_parts();
+    Ok(Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body: body.to_vec()?,
+    })
+}
+
+/// Sends `value` as JSON and waits for the whole answer.
+///
+/// # Errors
+///
+/// Where no whole answer came.
+pub fn call_json(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    value: &impl Serialize,
+    timeout: Duration,
+) -> io::Result<Answer> {
+    let body = serde_json::to_vec(value)?;
+    let headers = [("Content-Type", "application/json")];
+    call(address, method, path, &headers, body, timeout)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,9 @@
-//! Standins.
+//! Small stand-ins of the platform, for dragonflyrun's tests and its quick start only.
+//!
+//! `docs/PLATFORM.md` describes the interfaces that they serve.
+
+pub mod backend;
+pub mod http;
+pub mod log;
+pub mod relay;
+pub mod worker;
--- /dev/null
+++ b/standins/src/log.rs
@@ -0,0 +1,296 @@
+//! A stand-in of the platform's append-only log service, in memory only.
+
+use std::{
+    collections::VecDeque,
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Condvar,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    time::Duration, //
+};
+
+use dragonflyrun::connection::{LogPage, LogRecord};
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{self, Refusal};
+
+/// Records in one answer, at the most.
+const PAGE_RECORDS: usize = 1_000;
+
+/// Bytes of the records in one answer, at the most, but for the first.
+const PAGE_BYTES: usize = 8 << 20;
+
+/// Longest time that a read waits for a record.
+const LONGEST_WAIT: Duration = Duration::from_secs(30);
+
+/// How the service answers.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// Each call is refused at once and has no effect.
+    Refuse,
+    /// No call is answered before the mode changes; only then does it take effect.
+    Hang,
+    /// Each call takes effect, and its connection is closed before the answer's end.
+    LoseAnswers,
+    /// The same for appends only; reads are answered.
+    LoseAppends,
+}
+
+impl LogMode {
+    fn serves_reads(self) -> bool {
+        matches!(self, Self::Up | Self::LoseAppends)
+    }
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Call {
+    Append,
+    Read,
+}
+
+/// What `POST /control` sets; what is absent stays as it is.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogControl {
+    /// How the service answers.
+    pub mode: Option<LogMode>,
+    /// Milliseconds by which each call is delayed.
+    pub delay_ms: Option<u64>,
+    /// Records that are kept; older ones are dropped now and later on.
+    pub keep: Option<usize>,
+}
+
+/// What `GET /control` answers.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct LogStatus {
+    /// How the service answers.
+    pub mode: LogMode,
+    /// The oldest offset that is kept.
+    pub first: u64,
+    /// The offset that the next append will get.
+    pub head: u64,
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Reads that were answered.
+    pub reads: u64,
+}
+
+#[derive(Deserialize)]
+struct Append {
+    records: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Appended {
+    first_offset: u64,
+}
+
+/// A running log service.
+#[derive(Clone)]
+pub struct LogService {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+#[derive(Default)]
+struct Shared {
+    state: Mutex<State>,
+    changed: Condvar,
+}
+
+#[derive(Default)]
+struct State {
+    mode: LogMode,
+    delay: Duration,
+    keep: Option<usize>,
+    first: u64,
+    records: VecDeque<String>,
+    appends: u64,
+    reads: u64,
+}
+
+impl LogService {
+    /// Starts an empty log at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Where the address can't be bound.
+    pub fn start(address: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared::default());
+        let served = shared.clone();
+        let address = http::serve(address, move |req| served.answer(req))?;
+        Ok(Self { address, shared })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it answers.
+    pub fn control(&self, control: LogControl) {
+        self.shared.control(control);
+    }
+
+    /// Returns how it answers and what it holds.
+    pub fn status(&self) -> LogStatus {
+        self.shared.lock().status()
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self, control: LogControl) {
+        let mut state = self.lock();
+        state.mode = control.mode.unwrap_or(state.mode);
+        if let Some(ms) = control.delay_ms {
+            state.delay = Duration::from_millis(ms);
+        }
+        state.keep = control.keep.or(state.keep);
+        state.drop_old();
+        self.changed.notify_all();
+    }
+
+    fn answer(&self, req: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
+        match (req.method().clone(), req.uri().path()) {
+            (Method::POST, "/control") => {
+                self.control(http::read_json(req)?);
+                Ok(http::json(StatusCode::OK, &self.lock().status()))
+            }
+            (Method::GET, "/control") => Ok(http::json(StatusCode::OK, &self.lock().status())),
+            (Method::POST, "/v1/records") => {
+                let append = http::read_json(req)?;
+                self.under_fault(Call::Append, || self.append(append))
+            }
+            (Method::GET, "/v1/records") => self.read(req),
+            _ => Err(Refusal::new(StatusCode::NOT_FOUND, "no such path")),
+        }
+    }
+
+    /// Lets `call` take effect and answers it as the mode says.
+    fn under_fault(
+        &self,
+        kind: Call,
+        call: impl FnOnce() -> Response<Body>,
+    ) -> Result<Response<Body>, Refusal> {
+        let delay = self.lock().delay;
+        if !delay.is_zero() {
+            std::thread::sleep(delay);
+        }
+        let state = self.lock();
+        let state = self
+            .changed
+            .wait_while(state, |s| s.mode == LogMode::Hang)
+            .unwrap_or_else(PoisonError::into_inner);
+        let mode = state.mode;
+        drop(state);
+        match mode {
+            LogMode::Refuse => {
+                let reason = "the log is down";
+                Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason))
+            }
+            LogMode::LoseAppends if kind == Call::Read => Ok(call()),
+            LogMode::LoseAnswers | LogMode::LoseAppends => {
+                call();
+                Ok(http::cut_off(Vec::new()))
+            }
+            LogMode::Up | LogMode::Hang => Ok(call()),
+        }
+    }
+
+    fn append(&self, append: Append) -> Response<Body> {
+        let mut state = self.lock();
+        let first_offset = state.head();
+        state.records.extend(append.records);
+        state.appends += 1;
+        state.drop_old();
+        self.changed.notify_all();
+        http::json(StatusCode::OK, &Appended { first_offset })
+    }
+
+    fn read(&self, req: &Request<Body>) -> Result<Response<Body>, Refusal> {
+        let from = http::query::<u64>(req, "from")
+            .ok_or_else(|| Refusal::new(StatusCode::BAD_REQUEST, "from is required"))?;
+        let limit = http::query(req, "limit").unwrap_or(PAGE_RECORDS);
+        let wait = Duration::from_millis(http::query(req, "wait_ms").unwrap_or(0));
+        self.wait_for(from, wait.min(LONGEST_WAIT));
+        self.under_fault(Call::Read, || {
+            let mut state = self.lock();
+            state.reads += 1;
+            http::json(StatusCode::OK, &state.page(from, limit.min(PAGE_RECORDS)))
+        })
+    }
+
+    /// Waits until there is a record at `from` or a fault is set.
+    fn wait_for(&self, from: u64, wait: Duration) {
+        let none = |state: &mut State| state.mode.serves_reads() && state.head() <= from;
+        let waited = self.changed.wait_timeout_while(self.lock(), wait, none);
+        drop(waited.unwrap_or_else(PoisonError::into_inner));
+    }
+}
+
+impl State {
+    fn head(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    fn status(&self) -> LogStatus {
+        LogStatus {
+            mode: self.mode,
+            first: self.first,
+            head: self.head(),
+            appends: self.appends,
+            reads: self.reads,
+        }
+    }
+
+    fn drop_old(&mut self) {
+        let Some(keep) = self.keep else {
+            return;
+        };
+        while self.records.len() > keep {
+            self.records.pop_front();
+            self.first += 1;
+        }
+    }
+
+    fn page(&self, from: u64, limit: usize) -> LogPage {
+        let from = from.max(self.first);
+        let skip = usize::try_from(from - self.first).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let records = self
+            .records
+            .iter()
+            .zip(self.first..)
+            .skip(skip)
+            .take(limit)
+            .take_while(|(data, _)| {
+                let fits = bytes == 0 || bytes + data.len() <= PAGE_BYTES;
+                bytes += data.len();
+                fits
+            })
+            .map(|(data, offset)| LogRecord {
+                offset,
+                data: data.clone(),
+            })
+            .collect();
+        LogPage {
+            first: self.first,
+            head: self.head(),
+            records,
+        }
+    }
+}
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -1,3 +1,211 @@
-//! Program.
+//! The stand-ins of the platform as processes of their own, and the quick start.
 
-fn main() {}
+use std::{
+    error::Error,
+    io::{self, Write},
+    net::SocketAddr,
+    process::ExitCode,
+    thread,
+    time::Duration, //
+};
+
+use dragonflyrun::utils::Name;
+use gumdrop::Options;
+use standins::{
+    backend::{Backend, BackendSettings, Work},
+    log::LogService,
+    relay::{Relay, RelayControl},
+    worker::{Checkpoints, Worker, WorkerSettings},
+};
+
+/// Time without a request after which a leaving backend server exits. It is longer than the time
+/// within which a leaving server gets no new work.
+const QUIET: Duration = Duration::from_secs(3);
+
+/// Plays the platform's part for dragonflyrun's tests and its quick start.
+#[derive(Options)]
+struct Arguments {
+    /// Print this help.
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Options)]
+enum Command {
+    /// The append-only log service.
+    Log(LogArguments),
+    /// A worker that runs tasks under leases.
+    Worker(WorkerArguments),
+    /// A backend server that announces itself to an agent.
+    Backend(BackendArguments),
+    /// A relay between two TCP ports.
+    Relay(RelayArguments),
+}
+
+#[derive(Options)]
+struct LogArguments {
+    /// Print this help.
+    help: bool,
+    /// IP:port to listen at.
+    #[options(default = "127.0.0.1:0")]
+    listen: String,
+}
+
+#[derive(Options)]
+struct WorkerArguments {
+    /// Print this help.
+    help: bool,
+    /// IP:port to listen at.
+    #[options(default = "127.0.0.1:0")]
+    listen: String,
+    /// The worker's name.
+    #[options(required)]
+    name: String,
+    /// Accelerators that it has.
+    #[options(default = "8")]
+    accelerators: u32,
+    /// The failure domain that it stands in.
+    failure_domain: String,
+    /// Milliseconds by which reported usage lags.
+    #[options(default = "2000", meta = "MS")]
+    usage_lag: u64,
+}
+
+#[derive(Options)]
+struct BackendArguments {
+    /// Print this help.
+    help: bool,
+    /// IP:port to listen at.
+    #[options(default = "127.0.0.1:0")]
+    listen: String,
+    /// IP:port of the agent beside it.
+    agent: Option<SocketAddr>,
+    /// IP:port to announce in place of its own.
+    announced: Option<SocketAddr>,
+    /// The server's name.
+    #[options(required)]
+    name: String,
+    /// The service that it runs.
+    #[options(required)]
+    service: String,
+    /// Requests that it runs at once.
+    #[options(default = "8")]
+    slots: u32,
+    /// Connections that it takes at once.
+    #[options(default = "64")]
+    connections: u32,
+}
+
+#[derive(Options)]
+struct RelayArguments {
+    /// Print this help.
+    help: bool,
+    /// IP:port to listen at.
+    #[options(default = "127.0.0.1:0")]
+    listen: String,
+    /// IP:port to forward to.
+    #[options(required)]
+    target: Option<SocketAddr>,
+    /// Milliseconds by which each piece is delayed.
+    #[options(default = "0", meta = "MS")]
+    delay: u64,
+}
+
+type MainResult = Result<(), Box<dyn Error>>;
+
+fn main() -> ExitCode {
+    env_logger::init();
+    let arguments = Arguments::parse_args_default_or_exit();
+    let Some(command) = arguments.command else {
+        println!("{}", Arguments::usage());
+        println!("{}", Arguments::command_list().unwrap_or_default());
+        return ExitCode::from(2);
+    };
+    match run(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("standins: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(command: Command) -> MainResult {
+    match command {
+        Command::Log(arguments) => {
+            let log = LogService::start(arguments.listen.parse()?)?;
+            serve(log.address())
+        }
+        Command::Worker(arguments) => {
+            let worker = Worker::start(worker_settings(&arguments)?)?;
+            serve(worker.address())
+        }
+        Command::Backend(arguments) => {
+            let backend = Backend::start(backend_settings(&arguments)?)?;
+            announce(backend.address())?;
+            wait_for_termination()?;
+            backend.leave(QUIET);
+            Ok(())
+        }
+        Command::Relay(arguments) => {
+            let target = arguments.target.ok_or("the target is required")?;
+            let relay = Relay::start(arguments.listen.parse()?, target)?;
+            relay.control(RelayControl {
+                delay_ms: Some(arguments.delay),
+                ..RelayControl::default()
+            });
+            serve(relay.address())
+        }
+    }
+}
+
+fn worker_settings(arguments: &WorkerArguments) -> Result<WorkerSettings, Box<dyn Error>> {
+    Ok(WorkerSettings {
+        address: arguments.listen.parse()?,
+        name: Name::from(arguments.name.as_str()),
+        accelerators: arguments.accelerators,
+        failure_domain: Name::from(arguments.failure_domain.as_str()),
+        usage_lag: Duration::from_millis(arguments.usage_lag),
+        checkpoints: Checkpoints::default(),
+    })
+}
+
+fn backend_settings(arguments: &BackendArguments) -> Result<BackendSettings, Box<dyn Error>> {
+    Ok(BackendSettings {
+        address: arguments.listen.parse()?,
+        agent: arguments.agent,
+        announced: arguments.announced,
+        name: Name::from(arguments.name.as_str()),
+        service: Name::from(arguments.service.as_str()),
+        slots: arguments.slots,
+        connections: arguments.connections,
+        work: Work::default(),
+    })
+}
+
+/// Serves until the process is killed.
+fn serve(address: SocketAddr) -> MainResult {
+    announce(address)?;
+    loop {
+        thread::park();
+    }
+}
+
+/// Prints the address for the one that started the process with port 0.
+fn announce(address: SocketAddr) -> io::Result<()> {
+    let mut out = io::stdout().lock();
+    writeln!(out, "listening {address}")?;
+    out.flush()
+}
+
+fn wait_for_termination() -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let kind = tokio::signal::unix::SignalKind::terminate();
+        tokio::signal::unix::signal(kind)?.recv().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/standins/src/worker/mod.rs
@@ -0,0 +1,304 @@
+//! A stand-in of a platform worker: leases on accelerators, and tasks that are only timers.
+
+mod program;
+mod table;
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        Mutex,
+        MutexGuard,
+        PoisonError, //
+    },
+    thread,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use dragonflyrun::utils::Name;
+use oxhttp::model::{Body, Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use crate::http::{self, Refusal};
+
+pub use table::{
+    Checkpoints,
+    Interval,
+    LeaseError,
+    LeaseState,
+    LeaseView,
+    Start,
+    Table,
+    Usage, //
+};
+
+/// Time between two looks at the leases.
+const LOOK_PAUSE: Duration = Duration::from_millis(10);
+
+/// What a worker is.
+#[derive(Clone, Debug)]
+pub struct WorkerSettings {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its name.
+    pub name: Name,
+    /// Accelerators it has.
+    pub accelerators: u32,
+    /// The failure domain it stands in; only written into its record.
+    pub failure_domain: Name,
+    /// The lag with which it reports usage.
+    pub usage_lag: Duration,
+    /// Where its tasks save their progress.
+    pub checkpoints: Checkpoints,
+}
+
+/// How the worker behaves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkerMode {
+    /// As it should.
+    #[default]
+    Up,
+    /// All tasks fail as soon as they are started.
+    Broken,
+    /// Each call is refused at once and has no effect.
+    Refuse,
+    /// Each call takes effect, and its connection is closed before the answer's end.
+    LoseAnswers,
+}
+
+/// What `POST /control` sets; what is absent stays as it is.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct WorkerControl {
+    /// How the worker behaves.
+    pub mode: Option<WorkerMode>,
+    /// Milliseconds by which each call is delayed.
+    pub delay_ms: Option<u64>,
+}
+
+/// What `GET /v1/worker` answers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct WorkerView {
+    /// Its name.
+    pub name: Name,
+    /// Accelerators it has.
+    pub accelerators: u32,
+    /// All leases that were not removed.
+    pub leases: Vec<LeaseView>,
+}
+
+#[derive(Deserialize)]
+struct Obtain {
+    accelerators: u32,
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Renew {
+    ttl_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct Stop {
+    #[serde(default)]
+    checkpoint: bool,
+}
+
+/// A running worker.
+#[derive(Clone)]
+pub struct Worker {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+}
+
+struct Shared {
+    name: Name,
+    accelerators: u32,
+    clock: Instant,
+    table: Mutex<Table>,
+    control: Mutex<(WorkerMode, Duration)>,
+}
+
+impl Worker {
+    /// Starts a worker with no lease.
+    ///
+    /// # Errors
+    ///
+    /// Where the address can't be bound.
+    pub fn start(settings: WorkerSettings) -> io::Result<Self> {
+        let epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let table = Table::new(
+            settings.accelerators,
+            settings.failure_domain,
+            epoch,
+            settings.usage_lag,
+            settings.checkpoints,
+        );
+        let shared = Arc::new(Shared {
+            name: settings.name,
+            accelerators: settings.accelerators,
+            clock: Instant::now(),
+            table: Mutex::new(table),
+            control: Mutex::default(),
+        });
+        let served = shared.clone();
+        let address = http::serve(settings.address, move |req| served.answer(req))?;
+        let looking = shared.clone();
+        thread::Builder::new()
+            .name("tasks".to_owned())
+            .spawn(move || {
+                loop {
+                    looking.look();
+                    thread::sleep(LOOK_PAUSE);
+                }
+            })?;
+        Ok(Self { address, shared })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes how it behaves.
+    pub fn control(&self, control: WorkerControl) {
+        self.shared.set(control);
+    }
+
+    /// Returns the times in which tasks ran.
+    pub fn record(&self) -> Vec<Interval> {
+        self.shared.table().intervals().to_vec()
+    }
+}
+
+impl Shared {
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn look(&self) {
+        let mut table = self.table();
+        table.look(self.clock.elapsed());
+    }
+
+    fn set(&self, control: WorkerControl) {
+        let mut set = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        set.0 = control.mode.unwrap_or(set.0);
+        if let Some(ms) = control.delay_ms {
+            set.1 = Duration::from_millis(ms);
+        }
+        self.table().broken = set.0 == WorkerMode::Broken;
+    }
+
+    fn answer(&self, req: &mut Request<Body>) -> Result<Response<Body>, Refusal> {
+        let path = req.uri().path().to_owned();
+        match (req.method().clone(), path.as_str()) {
+            (Method::POST, "/control") => {
+                let control = http::read_json(req)?;
+                self.set(control);
+                Ok(http::json(StatusCode::OK, &control))
+            }
+            (Method::GET, "/v1/record") => {
+                self.look();
+                Ok(http::json(StatusCode::OK, &self.table().intervals()))
+            }
+            _ => self.under_fault(req, &path),
+        }
+    }
+
+    fn under_fault(&self, req: &mut Request<Body>, path: &str) -> Result<Response<Body>, Refusal> {
+        let (mode, delay) = *self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        thread::sleep(delay);
+        if mode == WorkerMode::Refuse {
+            let reason = "the worker is down";
+            return Err(Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason));
+        }
+        let answer = self.serve(req, path);
+        if mode == WorkerMode::LoseAnswers {
+            return Ok(http::cut_off(Vec::new()));
+        }
+        answer
+    }
+
+    fn serve(&self, req: &mut Request<Body>, path: &str) -> Result<Response<Body>, Refusal> {
+        let method = req.method().clone();
+        if method == Method::GET && path == "/v1/worker" {
+            return Ok(self.view());
+        }
+        let rest = path.strip_prefix("/v1/leases/").ok_or_else(not_found)?;
+        let (lease, verb) = rest.split_once('/').unwrap_or((rest, ""));
+        let lease = Name::from(lease);
+        match (method, verb) {
+            (Method::GET, "") => self.change(&lease, |_, _| Ok(())),
+            (Method::PUT, "") => {
+                let Obtain {
+                    accelerators,
+                    ttl_ms,
+                } = http::read_json(req)?;
+                let ttl = Duration::from_millis(ttl_ms);
+                self.change(&lease, |t, now| t.obtain(now, &lease, accelerators, ttl))
+            }
+            (Method::DELETE, "") => {
+                let now = self.clock.elapsed();
+                self.table().remove(now, &lease);
+                Ok(http::json(StatusCode::OK, &()))
+            }
+            (Method::POST, "renew") => {
+                let Renew { ttl_ms } = http::read_json(req)?;
+                let ttl = Duration::from_millis(ttl_ms);
+                self.change(&lease, |t, now| t.renew(now, &lease, ttl))
+            }
+            (Method::POST, "start") => {
+                let start: Start = http::read_json(req)?;
+                self.change(&lease, |t, now| t.start(now, &lease, start))
+            }
+            (Method::POST, "stop") => {
+                let Stop { checkpoint } = http::read_json(req)?;
+                self.change(&lease, |t, now| t.stop(now, &lease, checkpoint))
+            }
+            _ => Err(not_found()),
+        }
+    }
+
+    fn view(&self) -> Response<Body> {
+        self.look();
+        let leases = self.table().views(self.clock.elapsed());
+        let view = WorkerView {
+            name: self.name.clone(),
+            accelerators: self.accelerators,
+            leases,
+        };
+        http::json(StatusCode::OK, &view)
+    }
+
+    /// Lets `call` act on a lease and answers with what is to be seen of it afterwards.
+    fn change(
+        &self,
+        lease: &Name,
+        call: impl FnOnce(&mut Table, Duration) -> Result<(), LeaseError>,
+    ) -> Result<Response<Body>, Refusal> {
+        let mut table = self.table();
+        let now = self.clock.elapsed();
+        table.look(now);
+        call(&mut table, now).map_err(lease_refused)?;
+        let view = table.view(now, lease).ok_or_else(not_found)?;
+        Ok(http::json(StatusCode::OK, &view))
+    }
+}
+
+fn lease_refused(error: LeaseError) -> Refusal {
+    match error {
+        LeaseError::NotFree => Refusal::new(StatusCode::CONFLICT, "not free"),
+        LeaseError::Conflict => Refusal::new(StatusCode::CONFLICT, "the lease is used otherwise"),
+        LeaseError::Unknown => not_found(),
+        LeaseError::Over => Refusal::new(StatusCode::GONE, "the lease is over"),
+    }
+}
+
+fn not_found() -> Refusal {
+    Refusal::new(StatusCode::NOT_FOUND, "no such path or lease")
+}
--- /dev/null
+++ b/standins/src/worker/table.rs
@@ -0,0 +1,465 @@
+//! Leases and the tasks that run under them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration, //
+};
+
+use dragonflyrun::utils::{HashMap, Name};
+use serde::{Deserialize, Serialize};
+
+use crate::worker::program::{End, Program};
+
+/// Time between two looks at the clock past which the process was frozen in between. Its tasks did
+/// not run while it was.
+const FROZEN: Duration = Duration::from_millis(250);
+
+/// Progress that tasks have saved, by job and member. Workers of one deployment share it.
+#[derive(Clone, Debug, Default)]
+pub struct Checkpoints(Arc<Mutex<HashMap<(Name, u32), Duration>>>);
+
+impl Checkpoints {
+    fn save(&self, job: &Name, member: u32, done: Duration) {
+        let mut saved = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        saved.insert((job.clone(), member), done);
+    }
+
+    fn load(&self, job: &Name, member: u32) -> Duration {
+        let saved = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        saved
+            .get(&(job.clone(), member))
+            .copied()
+            .unwrap_or_default()
+    }
+}
+
+/// Where a lease is in its life.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeaseState {
+    /// It holds the accelerators, and no task runs.
+    Held,
+    /// Its tasks run.
+    Running,
+    /// All its tasks ended well.
+    Finished,
+    /// A task ended badly.
+    Failed,
+    /// Its tasks were stopped.
+    Stopped,
+    /// It was not renewed in time; its tasks were stopped then.
+    Lapsed,
+}
+
+/// What a call on a lease met.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LeaseError {
+    /// The accelerators are not free.
+    NotFree,
+    /// There is no such lease.
+    Unknown,
+    /// The lease has lapsed or its tasks have ended.
+    Over,
+    /// Other tasks run under it.
+    Conflict,
+}
+
+/// What `POST /v1/leases/{lease}/start` asks for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Start {
+    /// The job.
+    pub job: Name,
+    /// The attempt.
+    pub attempt: u32,
+    /// The number of the gang's member.
+    pub member: u32,
+    /// Tasks to start.
+    pub tasks: u32,
+    /// What they run.
+    pub program: Name,
+    /// Whether to go on from a checkpoint.
+    #[serde(default)]
+    pub resume: bool,
+}
+
+/// A time in which the tasks of one member ran together, by the worker's clock.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Interval {
+    /// The job.
+    pub job: Name,
+    /// The attempt.
+    pub attempt: u32,
+    /// The number of the gang's member.
+    pub member: u32,
+    /// When they began to run.
+    pub started_unix_ms: u64,
+    /// When they ceased to run; none while they run.
+    pub stopped_unix_ms: Option<u64>,
+    /// The failure domain of the worker.
+    pub failure_domain: Name,
+}
+
+/// A lease as the worker shows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeaseView {
+    /// Its name.
+    pub lease: Name,
+    /// Where it is in its life.
+    pub state: LeaseState,
+    /// Accelerators that it holds.
+    pub accelerators: u32,
+    /// Milliseconds until it lapses.
+    pub ttl_ms: u64,
+    /// Whether its tasks saved a checkpoint when they were stopped.
+    pub checkpointed: bool,
+    /// What its tasks were seen to use; none while nothing was measured.
+    pub usage: Option<Usage>,
+}
+
+/// What tasks were seen to use.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Usage {
+    /// Milliseconds for which they ran.
+    pub ran_ms: u64,
+    /// Milliseconds since this was measured.
+    pub age_ms: u64,
+}
+
+#[derive(Debug)]
+struct Lease {
+    accelerators: u32,
+    until: Duration,
+    state: LeaseState,
+    checkpointed: bool,
+    run: Option<Run>,
+}
+
+#[derive(Debug)]
+struct Run {
+    start: Start,
+    ends: Option<(Duration, End)>,
+    began: Duration,
+    done_before: Duration,
+    interval: usize,
+}
+
+/// Everything that a worker holds. All times are since the start of its clock.
+#[derive(Debug)]
+pub struct Table {
+    accelerators: u32,
+    failure_domain: Name,
+    /// The clock's start in unix time.
+    epoch: Duration,
+    usage_lag: Duration,
+    checkpoints: Checkpoints,
+    /// Whether all tasks fail as soon as they are started.
+    pub broken: bool,
+    last_look: Duration,
+    leases: BTreeMap<Name, Lease>,
+    intervals: Vec<Interval>,
+}
+
+impl Table {
+    /// Returns an empty table.
+    pub fn new(
+        accelerators: u32,
+        failure_domain: Name,
+        epoch: Duration,
+        usage_lag: Duration,
+        checkpoints: Checkpoints,
+    ) -> Self {
+        Self {
+            accelerators,
+            failure_domain,
+            epoch,
+            usage_lag,
+            checkpoints,
+            broken: false,
+            last_look: Duration::ZERO,
+            leases: BTreeMap::new(),
+            intervals: Vec::new(),
+        }
+    }
+
+    /// Brings all leases and tasks up to `now`. Every other call does this before it acts, so that
+    /// a worker that was frozen finds its lapsed leases before it serves anything.
+    pub fn look(&mut self, now: Duration) {
+        let frozen = now.saturating_sub(self.last_look) > FROZEN;
+        if frozen {
+            self.pause_over(now);
+        }
+        self.last_look = self.last_look.max(now);
+        let names: Vec<Name> = self.leases.keys().cloned().collect();
+        for name in names {
+            self.look_at(&name, now);
+        }
+    }
+
+    fn look_at(&mut self, name: &Name, now: Duration) {
+        let Some(lease) = self.leases.get_mut(name) else {
+            return;
+        };
+        if !lease.is_live() {
+            return;
+        }
+        if lease.until <= now {
+            lease.state = LeaseState::Lapsed;
+            let at = now;
+            self.close_interval(name, at);
+            return;
+        }
+        let ended = lease.run.as_ref().and_then(|r| r.ends);
+        if let Some((at, end)) = ended
+            && lease.state == LeaseState::Running
+            && at <= now
+        {
+            lease.state = match end {
+                End::Well => LeaseState::Finished,
+                End::Badly => LeaseState::Failed,
+            };
+            self.close_interval(name, now);
+        }
+    }
+
+    /// Ends the intervals of all running tasks where the process was frozen, and begins new ones
+    /// at `now` for those whose lease still holds. The time in between is no work done.
+    fn pause_over(&mut self, now: Duration) {
+        let frozen_at = self.last_look;
+        let gap = now - frozen_at;
+        let running: Vec<Name> = self
+            .leases
+            .iter()
+            .filter(|(_, l)| l.state == LeaseState::Running)
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in running {
+            self.close_interval(&name, frozen_at);
+            let Some(lease) = self.leases.get_mut(&name) else {
+                continue;
+            };
+            if lease.until <= now {
+                lease.state = LeaseState::Lapsed;
+                continue;
+            }
+            if let Some(run) = &mut lease.run {
+                run.began += gap;
+                run.ends = run.ends.map(|(at, end)| (at + gap, end));
+            }
+            self.open_interval(&name, now);
+        }
+    }
+
+    /// Obtains a lease. Asking again for one that is held changes nothing but its time to live.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::NotFree`], or [`LeaseError::Over`] where a lease of that name has ended.
+    pub fn obtain(
+        &mut self,
+        now: Duration,
+        name: &Name,
+        accelerators: u32,
+        ttl: Duration,
+    ) -> Result<(), LeaseError> {
+        self.look(now);
+        if let Some(lease) = self.leases.get_mut(name) {
+            return match (lease.is_live(), lease.accelerators == accelerators) {
+                (true, true) => {
+                    lease.until = lease.until.max(now + ttl);
+                    Ok(())
+                }
+                (true, false) => Err(LeaseError::Conflict),
+                (false, _) => Err(LeaseError::Over),
+            };
+        }
+        if accelerators > self.free() {
+            return Err(LeaseError::NotFree);
+        }
+        let lease = Lease {
+            accelerators,
+            until: now + ttl,
+            state: LeaseState::Held,
+            checkpointed: false,
+            run: None,
+        };
+        self.leases.insert(name.clone(), lease);
+        Ok(())
+    }
+
+    /// Sets when a lease lapses, also to an earlier time.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::Over`] where it has lapsed or ended, which is never undone.
+    pub fn renew(&mut self, now: Duration, name: &Name, ttl: Duration) -> Result<(), LeaseError> {
+        self.look(now);
+        self.live(name)?.until = now + ttl;
+        Ok(())
+    }
+
+    /// Starts tasks under a lease. Starting the same ones again changes nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::Over`] where the lease has lapsed or ended.
+    pub fn start(&mut self, now: Duration, name: &Name, start: Start) -> Result<(), LeaseError> {
+        self.look(now);
+        let (broken, checkpoints) = (self.broken, self.checkpoints.clone());
+        let lease = self.live(name)?;
+        if let Some(run) = &lease.run {
+            return match run.start == start {
+                true => Ok(()),
+                false => Err(LeaseError::Conflict),
+            };
+        }
+        let done_before = match start.resume {
+            true => checkpoints.load(&start.job, start.member),
+            false => Duration::ZERO,
+        };
+        let program = match broken {
+            true => Program::Fail(Duration::ZERO),
+            false => Program::parse(&start.program),
+        };
+        lease.run = Some(Run {
+            ends: program
+                .ends(done_before)
+                .map(|(after, end)| (now + after, end)),
+            start,
+            began: now,
+            done_before,
+            interval: 0,
+        });
+        lease.state = LeaseState::Running;
+        self.open_interval(name, now);
+        self.look(now);
+        Ok(())
+    }
+
+    /// Stops the tasks of a lease, or gives back one that holds none.
+    ///
+    /// # Errors
+    ///
+    /// [`LeaseError::Unknown`]; stopping what has ended changes nothing.
+    pub fn stop(&mut self, now: Duration, name: &Name, checkpoint: bool) -> Result<(), LeaseError> {
+        self.look(now);
+        let checkpoints = self.checkpoints.clone();
+        let lease = self.leases.get_mut(name).ok_or(LeaseError::Unknown)?;
+        if !lease.is_live() {
+            return Ok(());
+        }
+        if let Some(run) = &lease.run
+            && checkpoint
+        {
+            checkpoints.save(&run.start.job, run.start.member, run.done(now));
+            lease.checkpointed = true;
+        }
+        lease.state = LeaseState::Stopped;
+        self.close_interval(name, now);
+        Ok(())
+    }
+
+    /// Forgets a lease and stops its tasks.
+    pub fn remove(&mut self, now: Duration, name: &Name) {
+        self.look(now);
+        self.close_interval(name, now);
+        self.leases.remove(name);
+    }
+
+    /// Returns what is to be seen of a lease.
+    pub fn view(&self, now: Duration, name: &Name) -> Option<LeaseView> {
+        let lease = self.leases.get(name)?;
+        let usage = lease
+            .run
+            .as_ref()
+            .and_then(|r| r.usage(now, self.usage_lag));
+        Some(LeaseView {
+            lease: name.clone(),
+            state: lease.state,
+            accelerators: lease.accelerators,
+            ttl_ms: millis(lease.until.saturating_sub(now)),
+            checkpointed: lease.checkpointed,
+            usage,
+        })
+    }
+
+    /// Returns what is to be seen of all leases.
+    pub fn views(&self, now: Duration) -> Vec<LeaseView> {
+        self.leases
+            .keys()
+            .filter_map(|name| self.view(now, name))
+            .collect()
+    }
+
+    /// Returns the times in which tasks ran.
+    pub fn intervals(&self) -> &[Interval] {
+        &self.intervals
+    }
+
+    fn free(&self) -> u32 {
+        let held: u32 = self
+            .leases
+            .values()
+            .filter(|l| l.is_live())
+            .map(|l| l.accelerators)
+            .sum();
+        self.accelerators.saturating_sub(held)
+    }
+
+    fn live(&mut self, name: &Name) -> Result<&mut Lease, LeaseError> {
+        let lease = self.leases.get_mut(name).ok_or(LeaseError::Unknown)?;
+        match lease.is_live() {
+            true => Ok(lease),
+            false => Err(LeaseError::Over),
+        }
+    }
+
+    fn open_interval(&mut self, name: &Name, at: Duration) {
+        let Some(run) = self.leases.get_mut(name).and_then(|l| l.run.as_mut()) else {
+            return;
+        };
+        run.interval = self.intervals.len();
+        self.intervals.push(Interval {
+            job: run.start.job.clone(),
+            attempt: run.start.attempt,
+            member: run.start.member,
+            started_unix_ms: millis(self.epoch + at),
+            stopped_unix_ms: None,
+            failure_domain: self.failure_domain.clone(),
+        });
+    }
+
+    fn close_interval(&mut self, name: &Name, at: Duration) {
+        let Some(run) = self.leases.get(name).and_then(|l| l.run.as_ref()) else {
+            return;
+        };
+        let at = millis(self.epoch + at);
+        if let Some(interval) = self.intervals.get_mut(run.interval) {
+            interval.stopped_unix_ms.get_or_insert(at);
+        }
+    }
+}
+
+impl Lease {
+    fn is_live(&self) -> bool {
+        matches!(self.state, LeaseState::Held | LeaseState::Running)
+    }
+}
+
+impl Run {
+    fn done(&self, now: Duration) -> Duration {
+        self.done_before + now.saturating_sub(self.began)
+    }
+
+    fn usage(&self, now: Duration, lag: Duration) -> Option<Usage> {
+        let measured = now.checked_sub(lag).filter(|at| *at >= self.began)?;
+        Some(Usage {
+            ran_ms: millis(measured - self.began),
+            age_ms: millis(lag),
+        })
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
