--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one process: settings, the tables shared by its threads, start and stop.
 
+mod appender;
 mod clock;
 mod config;
 mod context;
@@ -9,7 +10,9 @@
 mod membership;
 mod roster;
 mod settings;
+mod status;
 
+pub use appender::{AppendError, Appender};
 pub use clock::Clock;
 pub use config::Config;
 pub use context::{Context, link_settings, lock};
@@ -19,3 +22,7 @@
 pub use membership::Membership;
 pub use roster::{PeerState, Roster, SILENCE};
 pub use settings::{RoleSettings, Settings, SettingsError};
+pub use status::{
+    EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
+    ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
+};
