Add the harness of process tests

A deployment of separate processes on free ports, with a relay before the log of each daemon and before each entry's peer listener, and the questions that tests ask the platform's records: longest partial window of a gang, overlapping attempts, starts in a drained failure domain, doubled keys.

--- /dev/null
+++ b/standins/src/harness/caller.rs
@@ -0,0 +1,200 @@
+//! A caller of the system: requests, jobs and questions by HTTP.
+
+use std::{
+    io,
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use dragonflyrun::{
+    connection::{AuthorKey, NotRun},
+    job::JobSpec,
+    process::{JobAnswer, JobStatus, StatusAnswer},
+    utils::Name,
+};
+use oxhttp::model::Method;
+use serde::Deserialize;
+use serde_json::json;
+
+use crate::http::{self, Answer};
+
+/// Time added to a request's deadline before its caller gives the connection up.
+const GRACE: Duration = Duration::from_secs(10);
+
+/// Time that a question has for an answer.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// A final answer to a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RequestOutcome {
+    /// It ran, with this status and body of the backend server.
+    Done {
+        /// The status.
+        status: u16,
+        /// The whole body.
+        body: Vec<u8>,
+    },
+    /// It did not run.
+    NotRun {
+        /// Why.
+        reason: NotRun,
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+    /// It ran once at the most.
+    Unknown,
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub enum Reply {
+    /// A final answer.
+    Final(RequestOutcome),
+    /// No whole answer: the connection was refused or broke. The caller knows nothing.
+    Broken(io::Error),
+}
+
+impl Reply {
+    /// Returns whether the request ran and was answered well.
+    pub fn is_done(&self) -> bool {
+        matches!(self, Self::Final(RequestOutcome::Done { status: 200, .. }))
+    }
+
+    /// Returns whether the answer says that the request did not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Final(RequestOutcome::NotRun { .. }))
+    }
+}
+
+#[derive(Deserialize)]
+struct Refused {
+    reason: NotRun,
+    retry_after_ms: u64,
+}
+
+/// Somebody who sends requests and jobs to one entry.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    entry: SocketAddr,
+    key: Option<(Name, String)>,
+}
+
+impl Caller {
+    /// Returns a caller of the entry at `entry`.
+    pub fn new(entry: SocketAddr) -> Self {
+        Self { entry, key: None }
+    }
+
+    /// Returns a caller that may submit jobs as `editor`.
+    pub fn with_key(self, editor: &str, secret: &str) -> Self {
+        let editor = Name::from(editor);
+        let token = AuthorKey::derive(secret, &editor).to_hex();
+        Self {
+            key: Some((editor, token)),
+            ..self
+        }
+    }
+
+    /// Sends one attempt of a request and waits for its final answer.
+    ///
+    /// # Panics
+    ///
+    /// Where the answer is none of the three that an entry may give.
+    pub fn request(
+        &self,
+        service: &str,
+        key: Option<&str>,
+        attempt: u32,
+        deadline: Duration,
+        body: &[u8],
+    ) -> Reply {
+        let path = format!("/v1/services/{service}/requests");
+        let attempt = attempt.to_string();
+        let deadline_ms = deadline.as_millis().to_string();
+        let mut headers = vec![
+            ("Content-Type", "application/octet-stream"),
+            ("Dragonfly-Attempt", attempt.as_str()),
+            ("Dragonfly-Deadline-Ms", deadline_ms.as_str()),
+        ];
+        headers.extend(key.map(|key| ("Idempotency-Key", key)));
+        let timeout = deadline + GRACE;
+        http::call(
+            self.entry,
+            Method::POST,
+            &path,
+            &headers,
+            body.to_vec(),
+            timeout,
+        )
+        .map_or_else(Reply::Broken, |answer| Reply::Final(outcome(&answer)))
+    }
+
+    /// Submits a job.
+    ///
+    /// # Errors
+    ///
+    /// Where no whole answer came.
+    pub fn submit(&self, job: &str, spec: &JobSpec) -> io::Result<JobAnswer> {
+        let mut value = serde_json::to_value(spec)?;
+        value["job"] = json!(job);
+        let body = serde_json::to_vec(&value)?;
+        self.ask(Method::POST, "/v1/jobs", body)?.json()
+    }
+
+    /// Cancels a job.
+    ///
+    /// # Errors
+    ///
+    /// Where no whole answer came.
+    pub fn cancel(&self, job: &str) -> io::Result<JobAnswer> {
+        let path = format!("/v1/jobs/{job}");
+        self.ask(Method::DELETE, &path, Vec::new())?.json()
+    }
+
+    /// Asks after a job.
+    ///
+    /// # Errors
+    ///
+    /// Where no whole answer came, or the entry does not know the job.
+    pub fn job(&self, job: &str) -> io::Result<JobStatus> {
+        let path = format!("/v1/jobs/{job}");
+        self.ask(Method::GET, &path, Vec::new())?.json()
+    }
+
+    /// Asks the entry for its view of the system.
+    ///
+    /// # Errors
+    ///
+    /// Where no whole answer came.
+    pub fn status(&self) -> io::Result<StatusAnswer> {
+        self.ask(Method::GET, "/v1/status", Vec::new())?.json()
+    }
+
+    fn ask(&self, method: Method, path: &str, body: Vec<u8>) -> io::Result<Answer> {
+        let mut headers = vec![("Content-Type", "application/json")];
+        if let Some((editor, token)) = &self.key {
+            headers.push(("Dragonfly-Editor", editor));
+            headers.push(("Dragonfly-Token", token));
+        }
+        http::call(self.entry, method, path, &headers, body, QUESTION_TIMEOUT)
+    }
+}
+
+fn outcome(answer: &Answer) -> RequestOutcome {
+    let kind = answer.headers.get("Dragonfly-Outcome");
+    match kind.and_then(|k| k.to_str().ok()) {
+        Some("done") => RequestOutcome::Done {
+            status: answer.status.as_u16(),
+            body: answer.body.clone(),
+        },
+        Some("not-run") => match answer.json::<Refused>() {
+            Ok(refused) => RequestOutcome::NotRun {
+                reason: refused.reason,
+                retry_after_ms: refused.retry_after_ms,
+            },
+            Err(error) => panic!("a refusal that does not say why: {error}"),
+        },
+        Some("unknown") => RequestOutcome::Unknown,
+        other => panic!("outcome {other:?} with status {}", answer.status),
+    }
+}
--- /dev/null
+++ b/standins/src/harness/mod.rs
@@ -0,0 +1,18 @@
+//! For tests: a deployment of separate processes, faults in it, and what its records show.
+//!
+//! A step that fails for a reason other than the tested one panics with that reason, as a test
+//! would do itself.
+
+mod caller;
+mod child;
+mod deployment;
+mod records;
+mod wait;
+
+pub use caller::{Caller, Reply, RequestOutcome};
+pub use child::{Child, Signal};
+pub use deployment::{
+    Daemon, Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, StandIn, WORKSPACE, unix_ms,
+};
+pub use records::{Doubled, Span, doubled_keys, in_domain_after, longest_partial, overlapping};
+pub use wait::{PATIENCE, wait_for, wait_until};
--- /dev/null
+++ b/standins/src/harness/wait.rs
@@ -0,0 +1,37 @@
+//! Waiting on conditions in place of sleeping.
+
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
+/// How long a condition is waited for that holds within a few seconds on an idle machine. Generous,
+/// so that a busy machine changes no verdict.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Waits until `probe` returns a value.
+///
+/// # Panics
+///
+/// Where it does not within [`PATIENCE`]; `what` says what was waited for.
+pub fn wait_for<T>(what: &str, mut probe: impl FnMut() -> Option<T>) -> T {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Some(value) = probe() {
+            return value;
+        }
+        assert!(Instant::now() < until, "waited in vain for {what}");
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Waits until `condition` holds.
+///
+/// # Panics
+///
+/// As [`wait_for`].
+pub fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    wait_for(what, || condition().then_some(()));
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! `docs/PLATFORM.md` describes the interfaces that they serve.
 
 pub mod backend;
+pub mod harness;
 pub mod http;
 pub mod log;
 pub mod relay;
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -50,13 +50,12 @@
 }
 
 struct Shared {
-    target: SocketAddr,
     link: Mutex<Link>,
     changed: Condvar,
 }
 
-#[derive(Default)]
 struct Link {
+    target: SocketAddr,
     mode: LinkMode,
     delay: Duration,
     open: Vec<(u64, TcpStream)>,
@@ -73,9 +72,16 @@
     pub fn start(address: SocketAddr, target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
-        let shared = Arc::new(Shared {
+        let link = Link {
             target,
-            link: Mutex::default(),
+            mode: LinkMode::Pass,
+            delay: Duration::ZERO,
+            open: Vec::new(),
+            accepted: 0,
+            most_open: 0,
+        };
+        let shared = Arc::new(Shared {
+            link: Mutex::new(link),
             changed: Condvar::new(),
         });
         let accepting = shared.clone();
@@ -117,6 +123,11 @@
         });
     }
 
+    /// Forwards later connections to `target`.
+    pub fn set_target(&self, target: SocketAddr) {
+        self.shared.lock().target = target;
+    }
+
     /// Returns the most connections that were open at once.
     pub fn most_open(&self) -> usize {
         self.shared.lock().most_open
@@ -144,7 +155,8 @@
     /// Forwards both ways until both sides have closed.
     fn carry(&self, near: &TcpStream) {
         self.wait_while_frozen();
-        let Ok(far) = TcpStream::connect(self.target) else {
+        let target = self.lock().target;
+        let Ok(far) = TcpStream::connect(target) else {
             return;
         };
         let _ = near.set_nodelay(true);
