--- a/standins/src/harness/caller.rs
+++ b/standins/src/harness/caller.rs
@@ -14,7 +14,6 @@
 };
 use oxhttp::model::Method;
 use serde::Deserialize;
-use serde_json::json;
 
 use crate::http::{self, Answer};
 
@@ -135,10 +134,9 @@
     ///
     /// Where no whole answer came.
     pub fn submit(&self, job: &str, spec: &JobSpec) -> io::Result<JobAnswer> {
-        let mut value = serde_json::to_value(spec)?;
-        value["job"] = json!(job);
-        let body = serde_json::to_vec(&value)?;
-        self.ask(Method::POST, "/v1/jobs", body)?.json()
+        let body = serde_json::to_vec(spec)?;
+        let name = [("Idempotency-Key", job)];
+        self.ask(Method::POST, "/v1/jobs", &name, body)?.json()
     }
 
     /// Cancels a job.
@@ -148,7 +146,7 @@
     /// Where no whole answer came.
     pub fn cancel(&self, job: &str) -> io::Result<JobAnswer> {
         let path = format!("/v1/jobs/{job}");
-        self.ask(Method::DELETE, &path, Vec::new())?.json()
+        self.ask(Method::DELETE, &path, &[], Vec::new())?.json()
     }
 
     /// Asks after a job.
@@ -158,7 +156,7 @@
     /// Where no whole answer came, or the entry does not know the job.
     pub fn job(&self, job: &str) -> io::Result<JobStatus> {
         let path = format!("/v1/jobs/{job}");
-        self.ask(Method::GET, &path, Vec::new())?.json()
+        self.ask(Method::GET, &path, &[], Vec::new())?.json()
     }
 
     /// Asks the entry for its view of the system.
@@ -167,11 +165,18 @@
     ///
     /// Where no whole answer came.
     pub fn status(&self) -> io::Result<StatusAnswer> {
-        self.ask(Method::GET, "/v1/status", Vec::new())?.json()
+        self.ask(Method::GET, "/v1/status", &[], Vec::new())?.json()
     }
 
-    fn ask(&self, method: Method, path: &str, body: Vec<u8>) -> io::Result<Answer> {
+    fn ask(
+        &self,
+        method: Method,
+        path: &str,
+        more: &[(&str, &str)],
+        body: Vec<u8>,
+    ) -> io::Result<Answer> {
         let mut headers = vec![("Content-Type", "application/json")];
+        headers.extend(more);
         if let Some((editor, token)) = &self.key {
             headers.push(("Dragonfly-Editor", editor));
             headers.push(("Dragonfly-Token", token));
--- a/standins/src/harness/deployment.rs
+++ b/standins/src/harness/deployment.rs
@@ -498,7 +498,7 @@
     if let Err(error) = fs::write(&path, json) {
         panic!("{name}: the settings can't be written: {error}");
     }
-    let arguments = ["--settings".to_owned(), path.display().to_string()];
+    let arguments = ["--config".to_owned(), path.display().to_string()];
     Child::start(name, "dragonflyrund", &arguments, dir)
 }
 
