--- a/dragonflyrun/src/process/agent.rs
+++ b/dragonflyrun/src/process/agent.rs
@@ -5,6 +5,8 @@
     atomic::{AtomicBool, Ordering}, //
 };
 
+use hyper::{Method, StatusCode};
+
 use crate::{
     connection::{
         AgentReport, HttpRequest, HttpResponse, Message, Peer, Report, //
@@ -40,9 +42,9 @@
         match serde_json::from_slice::<BackendAnnouncement>(&req.body) {
             Ok(announcement) => {
                 self.requests.announce(announcement);
-                HttpResponse::text(200, "announced\n")
+                HttpResponse::text(StatusCode::OK, "announced\n")
             }
-            Err(error) => HttpResponse::text(400, format!("{error}\n")),
+            Err(error) => HttpResponse::text(StatusCode::BAD_REQUEST, &error.to_string()),
         }
     }
 }
@@ -105,9 +107,9 @@
     }
 
     fn on_http(&self, req: &HttpRequest) -> HttpResponse {
-        match (req.method.as_str(), req.path.as_str()) {
-            ("POST", "/v1/backends") => self.announce(req),
-            _ => HttpResponse::text(404, "no such page\n"),
+        match (&req.method, req.path.as_str()) {
+            (&Method::POST, "/v1/backends") => self.announce(req),
+            _ => HttpResponse::text(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
 
--- a/dragonflyrun/src/process/daemon.rs
+++ b/dragonflyrun/src/process/daemon.rs
@@ -21,6 +21,7 @@
     process::{
         AgentNode, Appender, Clock, Context, Counters, EntryNode, Node, RoleSettings, Settings,
         heartbeats::Heartbeats, link_settings, lock, log_reader::LogReader,
+        routes,
     },
     utils::HashSet,
 };
@@ -37,6 +38,15 @@
 /// Time after which a silent peer whose link has ended is forgotten.
 const FORGET: Duration = Duration::from_secs(120);
 
+/// Bytes of one body, at the most. The document's limit may be lower.
+const BODY_BYTES: usize = 16 << 20;
+
+/// Bytes of all bodies that the HTTP listener holds at once, at the most.
+const HELD_BYTES: usize = 96 << 20;
+
+/// Time for which a stopping process waits for its callers to read their answers.
+const READ_OUT: Duration = Duration::from_secs(30);
+
 /// Time for which a leaving process stays, so that its last heartbeats and answers arrive.
 const LAST_WORDS: Duration = Duration::from_millis(300);
 
@@ -117,7 +127,9 @@
     pub fn stop(self) {
         log::info!(name:% = self.cx.identity.name; "stopping");
         self.node.drain();
-        self.http.drain();
+        if !self.http.drain(READ_OUT) {
+            log::warn!(in_flight = self.http.in_flight(); "answers_not_read");
+        }
         thread::sleep(LAST_WORDS);
         self.stopping.store(true, Ordering::Relaxed);
         self.cx.appender.stop();
@@ -256,15 +268,16 @@
 fn serve_http(cx: &Arc<Context>, node: &Arc<dyn Node>) -> Result<HttpServer, StartError> {
     let limits = HttpLimits {
         connections: cx.settings.connections,
-        timeout: cx.settings.http_timeout,
-        ..HttpLimits::default()
+        body_bytes: BODY_BYTES,
+        held_bytes: HELD_BYTES,
+        pause: cx.settings.http_timeout,
     };
     let address = cx.settings.http;
     let (handler, counters) = (node.clone(), cx.clone());
     HttpServer::start(
         address,
         limits,
-        Arc::new(move |req| crate::process::routes::answer(&counters, &*handler, req)),
+        Arc::new(move |req| routes::answer(&counters, &*handler, &req)),
     )
     .map_err(|e| StartError::Bind("/http", address, e))
 }
--- a/dragonflyrun/src/process/entry_routes.rs
+++ b/dragonflyrun/src/process/entry_routes.rs
@@ -1,11 +1,13 @@
 //! The paths that an entry serves to callers and operators.
 
+use hyper::{Method, StatusCode};
+
 use crate::{
     connection::{AuthorKey, HttpRequest, HttpResponse},
     job::JobSpec,
     process::{
         EDITOR_HEADER, EntryNode, JobAnswer, JobRefusal, TOKEN_HEADER, entry_requests,
-        entry_status, lock,
+        entry_status,
     },
     utils::Name,
 };
@@ -19,20 +21,20 @@
 /// Answers a call to one of the paths under `/v1`.
 pub(crate) fn answer(entry: &EntryNode, req: &HttpRequest) -> HttpResponse {
     let path: Vec<&str> = req.path.trim_start_matches('/').split('/').collect();
-    match (req.method.as_str(), path.as_slice()) {
-        ("POST", ["v1", "services", service, "requests"]) => {
+    match (&req.method, path.as_slice()) {
+        (&Method::POST, ["v1", "services", service, "requests"]) => {
             entry_requests::answer(&entry.requests, service, req)
         }
-        ("GET", ["v1", "status"]) => HttpResponse::json(200, &entry_status::status(entry)),
-        ("POST", ["v1", "jobs"]) => as_editor(entry, req, submit),
-        ("GET", ["v1", "jobs"]) => as_editor(entry, req, |entry, _| {
-            HttpResponse::json(200, &entry.jobs.jobs())
+        (&Method::GET, ["v1", "status"]) => HttpResponse::json(StatusCode::OK, &entry_status::status(entry)),
+        (&Method::POST, ["v1", "jobs"]) => as_editor(entry, req, submit),
+        (&Method::GET, ["v1", "jobs"]) => as_editor(entry, req, |entry, _| {
+            HttpResponse::json(StatusCode::OK, &entry.jobs.jobs())
         }),
-        ("GET", ["v1", "jobs", job]) => as_editor(entry, req, |entry, _| show(entry, job)),
-        ("DELETE", ["v1", "jobs", job]) => as_editor(entry, req, |entry, _| {
+        (&Method::GET, ["v1", "jobs", job]) => as_editor(entry, req, |entry, _| show(entry, job)),
+        (&Method::DELETE, ["v1", "jobs", job]) => as_editor(entry, req, |entry, _| {
             job_answer(&entry.jobs.cancel(&Name::from(*job)))
         }),
-        _ => HttpResponse::text(404, "no such page\n"),
+        _ => HttpResponse::text(StatusCode::NOT_FOUND, "no such page\n"),
     }
 }
 
@@ -73,7 +75,7 @@
 
 fn show(entry: &EntryNode, job: &str) -> HttpResponse {
     match entry.jobs.job(&Name::from(job)) {
-        Some(status) => HttpResponse::json(200, &status),
+        Some(status) => HttpResponse::json(StatusCode::OK, &status),
         None => job_answer(&JobAnswer::NotRun {
             reason: JobRefusal::UnknownJob,
             retry_after_ms: None,
@@ -94,24 +96,24 @@
         JobAnswer::NotRun {
             retry_after_ms: Some(ms),
             ..
-        } => response.with_header("Retry-After", &ms.div_ceil(1_000).to_string()),
+        } => response.with_retry_after(*ms),
         _ => response,
     }
 }
 
-fn status_of(answer: &JobAnswer) -> u16 {
+fn status_of(answer: &JobAnswer) -> StatusCode {
     match answer {
-        JobAnswer::Accepted { .. } => 202,
-        JobAnswer::Unknown { .. } => 502,
+        JobAnswer::Accepted { .. } => StatusCode::ACCEPTED,
+        JobAnswer::Unknown { .. } => StatusCode::BAD_GATEWAY,
         JobAnswer::NotRun { reason, .. } => match reason {
-            JobRefusal::Malformed(_) => 400,
-            JobRefusal::Forbidden => 403,
-            JobRefusal::UnknownWorkspace | JobRefusal::UnknownJob => 404,
-            JobRefusal::Impossible(_) => 422,
+            JobRefusal::Malformed(_) => StatusCode::BAD_REQUEST,
+            JobRefusal::Forbidden => StatusCode::FORBIDDEN,
+            JobRefusal::UnknownWorkspace | JobRefusal::UnknownJob => StatusCode::NOT_FOUND,
+            JobRefusal::Impossible(_) => StatusCode::UNPROCESSABLE_ENTITY,
             JobRefusal::TooManyJobs
             | JobRefusal::LogUnavailable
             | JobRefusal::NotFresh
-            | JobRefusal::Leaving => 503,
+            | JobRefusal::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         },
     }
 }
