Check documents whole and fold edits alike in every process

A process that starts behind a gap judged edits without the configuration before them, could accept an administration section that all others refused, and missed an edit that reached the log between the taking and the carrying of the state. An edit with a key unknown to an older process had no verdict there at all. An editor's key could seal a planner's records.

Ruled out: bounding the document by its bytes in JSON, as another version of the program may write it differently and so judge differently; counted items bound it instead. Refusing unknown formats in the fold, as older and newer programs would then disagree.

Change: sections shared by Arc, tables built at the first look, an index of definitions so that one edit is checked without reading the others; all findings with JSON pointers; edits carry the raw section; History knows whether it is whole, adopts a carried state only where it has seen all since and then judges the edits in between; carried states have as_of and the ids of recent edits; the format of the document can be raised by one only, and a program that does not know it stops judging; editors' authors have a prefix of their own.

--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -17,6 +17,7 @@
     RequestMessage, TaskOrder,
 };
 pub use record::{
-    Carried, CarriedEntry, CarriedSection, Edit, JobEnd, Placement, Record, RecordBody,
+    Carried, CarriedConfiguration, CarriedEntry, CarriedSection, Edit, JobEnd, Placement, Record,
+    RecordBody,
 };
-pub use seal::{AuthorKey, OpenError, RECORD_BYTES, open};
+pub use seal::{AuthorKey, OpenError, RECORD_BYTES, editor_of, is_editors_token, open};
--- a/dragonflyrun/src/connection/record.rs
+++ b/dragonflyrun/src/connection/record.rs
@@ -5,7 +5,7 @@
 use crate::{
     job::{JobId, JobSpec},
     utils::Name,
-    version::Section, //
+    version::{Document, RawSection}, //
 };
 
 /// One record: who wrote it, its unique id, and what it says.
@@ -110,7 +110,7 @@
             | Self::JobStopped { term, .. }
             | Self::JobEnded { term, .. }
             | Self::Carried(
-                Carried::Configuration { term, .. }
+                Carried::Configuration(CarriedConfiguration { term, .. })
                 | Carried::Job { term, .. }
                 | Carried::Membership { term, .. },
             ) => Some(*term),
@@ -128,17 +128,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum Carried {
-    /// The whole configuration with the offset of its version.
-    Configuration {
-        /// The planner's term.
-        term: u64,
-        /// The offset of the last accepted edit.
-        version: u64,
-        /// The version of each section.
-        sections: Vec<CarriedSection>,
-        /// The document.
-        document: crate::version::Document,
-    },
+    /// The whole configuration.
+    Configuration(CarriedConfiguration),
     /// A live job.
     Job {
         /// The planner's term.
@@ -171,6 +162,24 @@
     },
 }
 
+/// All that the fold of the edits looks at; see [`History`](crate::version::History).
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CarriedConfiguration {
+    /// The planner's term.
+    pub term: u64,
+    /// The offset up to which the planner had folded the log when it took this state. Edits may
+    /// stand between there and this record.
+    pub as_of: u64,
+    /// The offset of the last accepted edit.
+    pub version: u64,
+    /// The version of each section.
+    pub sections: Vec<CarriedSection>,
+    /// The ids of the last edits, to drop a second copy.
+    pub recent: Vec<Name>,
+    /// The document.
+    pub document: Document,
+}
+
 /// The version of one section in a carried configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CarriedSection {
@@ -197,7 +206,7 @@
     /// The version of the section that the editor saw; 0 for a new section.
     pub base: u64,
     /// The new content; none removes the section.
-    pub content: Option<Section>,
+    pub content: Option<RawSection>,
 }
 
 /// How many tasks of a gang run on one worker.
--- a/dragonflyrun/src/connection/seal.rs
+++ b/dragonflyrun/src/connection/seal.rs
@@ -20,6 +20,10 @@
 /// Bytes of one sealed record, at the most.
 pub const RECORD_BYTES: usize = 4 << 20;
 
+/// Begins the author of an editor's records. No process has such a name, so an editor, who holds
+/// a key of its own, can't write a planner's records.
+const EDITOR_PREFIX: &str = "editor/";
+
 quick_error! {
     /// Why what stands on the log is not a record to act on.
     #[derive(Debug)]
@@ -65,6 +69,17 @@
         }
     }
 
+    /// Derives the key of the editor called `editor` from the deployment's secret.
+    pub fn of_editor(secret: &str, editor: &Name) -> Self {
+        Self::derive(secret, &author_of(editor))
+    }
+
+    /// Returns the key that [`AuthorKey::to_hex`] printed for an editor; none where it is
+    /// malformed.
+    pub fn of_editor_from_hex(editor: &Name, hex: &str) -> Option<Self> {
+        Self::from_hex(&author_of(editor), hex)
+    }
+
     /// Returns the key that [`AuthorKey::to_hex`] printed for `author`; none where it is malformed.
     pub fn from_hex(author: &Name, hex: &str) -> Option<Self> {
         let key = hex_to_bytes(hex.trim())?.try_into().ok()?;
@@ -132,6 +147,24 @@
     })
 }
 
+/// Returns the author of the records that the editor called `editor` writes.
+fn author_of(editor: &str) -> Name {
+    format!("{EDITOR_PREFIX}{editor}").into()
+}
+
+/// Returns the editor, where `author` is one; none for a process.
+pub fn editor_of(author: &str) -> Option<Name> {
+    author.strip_prefix(EDITOR_PREFIX).map(Name::from)
+}
+
+/// Returns whether `token` is the key of the editor called `editor` in hexadecimal.
+pub fn is_editors_token(secret: &str, editor: &str, token: &str) -> bool {
+    let mut mac = keyed(secret.as_bytes());
+    mac.update(author_of(editor).as_bytes());
+    // Compared in constant time, so that a stranger can't find it out byte by byte.
+    hex_to_bytes(token).is_some_and(|bytes| mac.verify_slice(&bytes).is_ok())
+}
+
 fn keyed(key: &[u8]) -> Hmac<Sha256> {
     // HMAC takes a key of any length, so this can't fail.
     #[allow(clippy::unwrap_used)]
--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 
 use crate::{
-    connection::{Carried, LogRecord, Record, RecordBody, open},
+    connection::{Carried, LogRecord, Record, RecordBody, editor_of, open},
     job::JobBook,
     process::Membership,
     utils::{HashSet, Name},
-    version::{History, Verdict},
+    version::{History, LoggedEdit, Verdict},
 };
 
 /// Ids of records that are remembered to drop a second copy. A copy comes from a writer that
@@ -63,7 +63,9 @@
                 return None;
             }
         };
-        if !self.is_new(&record.id) {
+        // The configuration drops copies of edits by a rule of its own, which is alike in a
+        // process that started late and remembers fewer ids.
+        if !matches!(record.body, RecordBody::Edit(_)) && !self.is_new(&record.id) {
             return None;
         }
         let verdict = self.apply(raw.offset, &record);
@@ -83,6 +85,7 @@
             log::warn!(from = self.next_offset, to = first; "log_gap");
             self.next_offset = first;
             self.kept.clear();
+            self.history.gap(first);
         }
     }
 
@@ -102,7 +105,13 @@
     ///
     /// A planner that was frozen may append after its successor has claimed the next term. Its
     /// record then stands behind the claim on the log, and every process skips it alike.
+    ///
+    /// An editor holds a key as well, and could otherwise write a planner's records with it.
     fn has_authority(&self, record: &Record) -> bool {
+        let is_edit = matches!(record.body, RecordBody::Edit(_));
+        if !is_edit && editor_of(&record.author).is_some() {
+            return false;
+        }
         let membership = &self.membership;
         match record.body.planner_term() {
             None => true,
@@ -135,20 +144,20 @@
 
     fn apply(&mut self, offset: u64, record: &Record) -> Option<Verdict> {
         if !self.has_authority(record) {
-            log::warn!(offset = offset, author:% = record.author; "record_of_old_term_skipped");
+            log::warn!(offset = offset, author:% = record.author; "record_without_authority_skipped");
             return None;
         }
         self.membership.fold(offset, &record.body);
         self.jobs.fold(offset, &record.body);
         match &record.body {
-            RecordBody::Edit(edit) => Some(self.history.fold(offset, &record.author, edit)),
-            RecordBody::Carried(Carried::Configuration {
-                version,
-                sections,
-                document,
-                ..
-            }) => {
-                self.history.adopt(*version, sections, document);
+            RecordBody::Edit(edit) => self.history.fold(&LoggedEdit {
+                offset,
+                id: record.id.clone(),
+                editor: editor_of(&record.author).unwrap_or_else(|| record.author.clone()),
+                edit: edit.clone(),
+            }),
+            RecordBody::Carried(Carried::Configuration(carried)) => {
+                self.history.adopt(offset, carried);
                 None
             }
             _ => None,
--- a/dragonflyrun/src/version/check.rs
+++ b/dragonflyrun/src/version/check.rs
@@ -1,36 +1,253 @@
-//! The checks of a document: all findings are collected with their place and reported together.
+//! The checks of what a document says: all findings are collected with their place and reported
+//! together.
+//!
+//! Every process judges an edit by these checks, so a change here is a change of the format: two
+//! programs with different checks would put different configurations in force. `docs/DESIGN.md`,
+//! verdicts, says how a new format is brought in.
+//!
+//! Whether the guarantees fit the hardware can't be known from a document; `dragonflyrun status`
+//! shows what there is.
 
-use std::fmt;
+use crate::{
+    utils::{HashSet, Name},
+    version::{
+        ADMINISTRATION,
+        Adjacency,
+        Document,
+        FailureDomain,
+        Finding,
+        Guarantee,
+        Limits,
+        Section,
+        Service,
+        Workspace,
+        finding::{Findings, Place, shorten},
+        index::Index, //
+    },
+};
 
-use serde::{Deserialize, Serialize};
+/// Characters of a name, at the most.
+pub const NAME_CHARACTERS: usize = 64;
 
-use crate::version::Document;
+/// Sections of a document, at the most.
+pub const SECTIONS: usize = 512;
 
-/// Something wrong in a document.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Finding {
-    /// A JSON pointer to the place.
-    pub place: String,
-    /// What is wrong there, as a whole sentence.
-    pub what: String,
+/// Items of one section, at the most: its owners, workspaces, guarantees, failure domains and
+/// services together.
+pub const SECTION_ITEMS: usize = 2_048;
+
+/// Items of all sections together, at the most, so that the planner can always repeat the whole
+/// configuration in one record of the log.
+pub const DOCUMENT_ITEMS: usize = 16_384;
+
+/// Tasks of one gang, at the most.
+pub const GANG_TASKS: u32 = 256;
+
+/// Accelerators of one worker, at the most, and so also of one task.
+pub const WORKER_ACCELERATORS: u32 = 64;
+
+const HOUR_MS: u64 = 3_600_000;
+const DAY_MS: u64 = 24 * HOUR_MS;
+
+/// Returns all that is wrong in `document`, in the order of its sections.
+pub fn check(document: &Document) -> Vec<Finding> {
+    let mut findings = Findings::default();
+    let root = Place::Root("/sections");
+    if !document.sections.contains_key(ADMINISTRATION) {
+        let what = "It is missing; without it nobody could add a section.";
+        findings.add(root.key(ADMINISTRATION), what);
+    }
+    let mut index = Index::default();
+    for (name, section) in &document.sections {
+        check_section(name, section, &mut findings);
+        index.check(name, section, &mut findings);
+        index.insert(name, section);
+    }
+    findings.into_vec()
 }
 
-impl fmt::Display for Finding {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.place, self.what)
+/// Adds all that is wrong in the section called `name`, without regard to other sections.
+pub(super) fn check_section(name: &Name, section: &Section, findings: &mut Findings) {
+    let root = Place::Root("/sections");
+    let place = root.key(name);
+    check_name(name, place, findings);
+    check_owners(&section.owners, place.key("owners"), findings);
+    if section.format.is_some() && **name != *ADMINISTRATION {
+        let what = "Only the section `administration` sets the format.";
+        findings.add(place.key("format"), what);
+    }
+    if section.format == Some(0) {
+        findings.add(place.key("format"), "It begins at 1.");
+    }
+    if section.items() > SECTION_ITEMS {
+        let what = format!("It has more than {SECTION_ITEMS} items.");
+        findings.add(place, what);
+        return;
+    }
+    check_each(&section.workspaces, place.key("workspaces"), findings);
+    check_each(
+        &section.failure_domains,
+        place.key("failure_domains"),
+        findings,
+    );
+    check_each(&section.services, place.key("services"), findings);
+    if let Some(limits) = &section.limits {
+        check_limits(limits, place.key("limits"), findings);
     }
 }
 
-/// Returns all that is wrong in `document`, in the order of its places.
-pub fn check(document: &Document) -> Vec<Finding> {
-    let mut findings = Vec::new();
-    for (name, section) in &document.sections {
-        if section.owners.is_empty() {
-            findings.push(Finding {
-                place: format!("/sections/{name}/owners"),
-                what: "A section needs an owner.".to_owned(),
-            });
+/// One of the named things that a section lists.
+trait Entry {
+    /// Returns its name.
+    fn name(&self) -> &Name;
+
+    /// Adds what is wrong in it apart from its name.
+    fn check(&self, place: Place<'_>, findings: &mut Findings);
+}
+
+fn check_each<E: Entry>(list: &[E], place: Place<'_>, findings: &mut Findings) {
+    let mut seen = HashSet::default();
+    for (i, entry) in list.iter().enumerate() {
+        let place = place.index(i);
+        check_name(entry.name(), place.key("name"), findings);
+        if !seen.insert(entry.name()) {
+            let what = format!("`{}` stands twice in this section.", shorten(entry.name()));
+            findings.add(place.key("name"), what);
+        }
+        entry.check(place, findings);
+    }
+}
+
+impl Entry for Workspace {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn check(&self, place: Place<'_>, findings: &mut Findings) {
+        let list = place.key("guarantees");
+        for (i, guarantee) in self.guarantees.iter().enumerate() {
+            check_guarantee(guarantee, list.index(i), findings);
+        }
+        let Some(quota) = self.quota_accelerators else {
+            return;
+        };
+        let place = place.key("quota_accelerators");
+        let guaranteed = self.guaranteed_accelerators();
+        if quota == 0 {
+            findings.add(place, "It is zero, so that no job could ever run.");
+        } else if guaranteed > u64::from(quota) {
+            let what = format!("It is below the {guaranteed} accelerators that are guaranteed.");
+            findings.add(place, what);
         }
     }
-    findings
+}
+
+fn check_guarantee(guarantee: &Guarantee, place: Place<'_>, findings: &mut Findings) {
+    let tasks = u64::from(guarantee.tasks);
+    check_range(
+        tasks,
+        1,
+        u64::from(GANG_TASKS),
+        place.key("tasks"),
+        findings,
+    );
+    let accelerators = u64::from(guarantee.accelerators);
+    let most = u64::from(WORKER_ACCELERATORS);
+    check_range(accelerators, 1, most, place.key("accelerators"), findings);
+    if guarantee.adjacency == Adjacency::Worker && accelerators <= most && guarantee.total() > most
+    {
+        let what = format!(
+            "All tasks on one worker need {} accelerators, and no worker has more than {most}.",
+            guarantee.total()
+        );
+        findings.add(place.key("adjacency"), what);
+    }
+}
+
+impl Entry for FailureDomain {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn check(&self, place: Place<'_>, findings: &mut Findings) {
+        if let Some(region) = &self.region {
+            check_name(region, place.key("region"), findings);
+        }
+    }
+}
+
+impl Entry for Service {
+    fn name(&self) -> &Name {
+        &self.name
+    }
+
+    fn check(&self, place: Place<'_>, findings: &mut Findings) {
+        let deadline = place.key("deadline_ms");
+        check_range(self.deadline_ms, 1, HOUR_MS, deadline, findings);
+        let queue = u64::from(self.queue_limit);
+        check_range(queue, 1, 100_000, place.key("queue_limit"), findings);
+        let window = place.key("key_window_ms");
+        check_range(self.key_window_ms, 1_000, DAY_MS, window, findings);
+        if !self.repeatable && self.key_window_ms < self.deadline_ms {
+            // A caller who waits out the deadline and asks again would find its key forgotten.
+            findings.add(window, "A key is forgotten before the request's deadline.");
+        }
+    }
+}
+
+fn check_limits(limits: &Limits, place: Place<'_>, findings: &mut Findings) {
+    let ranges = [
+        ("body_bytes", limits.body_bytes, 1, 16 << 20),
+        ("live_jobs", limits.live_jobs.into(), 1, 100_000),
+        ("retry_percent", limits.retry_percent.into(), 0, 100),
+        ("worker_failures", limits.worker_failures.into(), 1, 1_000),
+        ("quarantine_ms", limits.quarantine_ms, 1_000, DAY_MS),
+    ];
+    for (key, value, least, most) in ranges {
+        check_range(value, least, most, place.key(key), findings);
+    }
+}
+
+fn check_range(value: u64, least: u64, most: u64, place: Place<'_>, findings: &mut Findings) {
+    if !(least..=most).contains(&value) {
+        let what = format!("It has to be between {least} and {most}, and is {value}.");
+        findings.add(place, what);
+    }
+}
+
+fn check_owners(owners: &[Name], place: Place<'_>, findings: &mut Findings) {
+    if owners.is_empty() {
+        findings.add(place, "A section needs an owner.");
+    }
+    let mut seen = HashSet::default();
+    for (i, owner) in owners.iter().enumerate() {
+        check_name(owner, place.index(i), findings);
+        if !seen.insert(owner) {
+            let what = format!("`{}` stands here twice.", shorten(owner));
+            findings.add(place.index(i), what);
+        }
+    }
+}
+
+fn check_name(name: &str, place: Place<'_>, findings: &mut Findings) {
+    if !is_name(name) {
+        let what = format!(
+            "`{}` is not a name: 1 to {NAME_CHARACTERS} of a-z, A-Z, 0-9, `-`, `_`, `.` and `@`, \
+             the first a letter or a digit.",
+            shorten(name).escape_debug()
+        );
+        findings.add(place, what);
+    }
+}
+
+/// Returns whether `text` may name something. A name stands in paths, headers and log lines, so it
+/// has no character that would need quoting there.
+pub fn is_name(text: &str) -> bool {
+    let rest = |b: u8| b.is_ascii_alphanumeric() || b"-_.@".contains(&b);
+    text.len() <= NAME_CHARACTERS
+        && text
+            .bytes()
+            .next()
+            .is_some_and(|b| b.is_ascii_alphanumeric())
+        && text.bytes().all(rest)
 }
--- a/dragonflyrun/src/version/document.rs
+++ b/dragonflyrun/src/version/document.rs
@@ -2,7 +2,10 @@
 //!
 //! `docs/OPERATIONS.md` describes each section with its defaults and an example.
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    sync::Arc, //
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -11,13 +14,30 @@
 /// The section whose owners may add and remove sections and change their owners.
 pub const ADMINISTRATION: &str = "administration";
 
+/// The newest format of the document that this program can judge; see `docs/OPERATIONS.md`,
+/// changes of the format.
+pub const FORMAT: u32 = 1;
+
 /// The whole configuration: sections by name, each owned by a team.
+///
+/// A new version shares the sections that an edit left alone with the one before it: at 160
+/// sections, copying them all took most of the time of a fold.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The sections by name.
     #[serde(default)]
-    pub sections: BTreeMap<Name, Section>,
+    pub sections: BTreeMap<Name, Arc<Section>>,
+}
+
+impl Document {
+    /// Returns the format that the sections are written in.
+    pub fn format(&self) -> u32 {
+        self.sections
+            .get(ADMINISTRATION)
+            .and_then(|s| s.format)
+            .unwrap_or(1)
+    }
 }
 
 /// One team's part of the document.
@@ -29,6 +49,9 @@
 pub struct Section {
     /// Editors who may change this section.
     pub owners: Vec<Name>,
+    /// The format of the whole document, in section `administration` only; none means 1.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub format: Option<u32>,
     /// Workspaces with their guarantees.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub workspaces: Vec<Workspace>,
@@ -43,6 +66,15 @@
     pub limits: Option<Limits>,
 }
 
+impl Section {
+    /// Returns how many things the section lists, guarantees and owners included.
+    pub fn items(&self) -> usize {
+        let guarantees: usize = self.workspaces.iter().map(|w| w.guarantees.len()).sum();
+        let entries = self.workspaces.len() + self.failure_domains.len() + self.services.len();
+        self.owners.len() + entries + guarantees
+    }
+}
+
 /// A customer of the system with what it has been promised.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -57,6 +89,13 @@
     pub quota_accelerators: Option<u32>,
 }
 
+impl Workspace {
+    /// Returns the accelerators of all guarantees together.
+    pub fn guaranteed_accelerators(&self) -> u64 {
+        self.guarantees.iter().map(Guarantee::total).sum()
+    }
+}
+
 /// A shape that a workspace can have at any time, also when others are using it.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -70,6 +109,13 @@
     pub adjacency: Adjacency,
 }
 
+impl Guarantee {
+    /// Returns the accelerators of all tasks together.
+    pub fn total(&self) -> u64 {
+        u64::from(self.tasks) * u64::from(self.accelerators)
+    }
+}
+
 /// How near to each other the tasks of a gang have to be.
 #[derive(
     Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
--- a/dragonflyrun/src/version/mod.rs
+++ b/dragonflyrun/src/version/mod.rs
@@ -2,13 +2,22 @@
 
 mod check;
 mod document;
+mod finding;
 mod history;
+mod index;
+mod parse;
+mod schema;
 mod tables;
 
-pub use check::{Finding, check};
+pub use check::{
+    DOCUMENT_ITEMS, GANG_TASKS, NAME_CHARACTERS, SECTION_ITEMS, SECTIONS, WORKER_ACCELERATORS,
+    check, is_name,
+};
 pub use document::{
-    ADMINISTRATION, Adjacency, Document, FailureDomain, Guarantee, Limits, Section, Service,
-    Urgency, Workspace,
+    ADMINISTRATION, Adjacency, Document, FORMAT, FailureDomain, Guarantee, Limits, Section,
+    Service, Urgency, Workspace,
 };
-pub use history::{History, Verdict};
+pub use finding::Finding;
+pub use history::{History, LoggedEdit, Verdict};
+pub use parse::{DOCUMENT_BYTES, RawSection, parse_document, parse_section};
 pub use tables::Version;
--- a/dragonflyrun/src/version/tables.rs
+++ b/dragonflyrun/src/version/tables.rs
@@ -1,5 +1,7 @@
 //! One version of the configuration with its effective tables.
 
+use std::sync::OnceLock;
+
 use crate::{
     utils::{HashMap, Name},
     version::{Document, FailureDomain, Limits, Service, Workspace},
@@ -14,58 +16,73 @@
     pub document: Document,
     /// The limits in force.
     pub limits: Limits,
+    /// Built at the first look: a process that starts folds a day's edits in one go, and decides
+    /// nothing under any version but the last.
+    tables: OnceLock<Tables>,
+}
+
+#[derive(Clone, Debug)]
+struct Tables {
     workspaces: HashMap<Name, Workspace>,
     failure_domains: HashMap<Name, FailureDomain>,
     services: HashMap<Name, Service>,
 }
 
+impl Tables {
+    fn new(document: &Document) -> Self {
+        let sections = document.sections.values();
+        let workspaces = sections.clone().flat_map(|s| &s.workspaces);
+        let failure_domains = sections.clone().flat_map(|s| &s.failure_domains);
+        let services = sections.flat_map(|s| &s.services);
+        Self {
+            workspaces: workspaces.map(|w| (w.name.clone(), w.clone())).collect(),
+            failure_domains: failure_domains
+                .map(|d| (d.name.clone(), d.clone()))
+                .collect(),
+            services: services.map(|s| (s.name.clone(), s.clone())).collect(),
+        }
+    }
+}
+
 impl Version {
     /// Returns the version that `document` makes at `offset`.
     pub fn new(offset: u64, document: Document) -> Self {
-        let sections = document.sections.values();
-        let limits = sections.clone().find_map(|s| s.limits).unwrap_or_default();
-        let workspaces = sections
-            .clone()
-            .flat_map(|s| &s.workspaces)
-            .map(|w| (w.name.clone(), w.clone()))
-            .collect();
-        let failure_domains = sections
-            .clone()
-            .flat_map(|s| &s.failure_domains)
-            .map(|d| (d.name.clone(), d.clone()))
-            .collect();
-        let services = sections
-            .flat_map(|s| &s.services)
-            .map(|s| (s.name.clone(), s.clone()))
-            .collect();
+        let limits = document.sections.values().find_map(|s| s.limits);
         Self {
             offset,
-            limits,
-            workspaces,
-            failure_domains,
-            services,
+            limits: limits.unwrap_or_default(),
             document,
+            tables: OnceLock::new(),
         }
     }
 
+    fn tables(&self) -> &Tables {
+        self.tables.get_or_init(|| Tables::new(&self.document))
+    }
+
     /// Returns the workspace called `name`.
     pub fn workspace(&self, name: &Name) -> Option<&Workspace> {
-        self.workspaces.get(name)
+        self.tables().workspaces.get(name)
     }
 
     /// Returns all workspaces, in no order.
     pub fn workspaces(&self) -> impl Iterator<Item = &Workspace> {
-        self.workspaces.values()
+        self.tables().workspaces.values()
     }
 
     /// Returns the service called `name`.
     pub fn service(&self, name: &Name) -> Option<&Service> {
-        self.services.get(name)
+        self.tables().services.get(name)
     }
 
     /// Returns all services, in no order.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
-        self.services.values()
+        self.tables().services.values()
+    }
+
+    /// Returns all failure domains, in no order.
+    pub fn failure_domains(&self) -> impl Iterator<Item = &FailureDomain> {
+        self.tables().failure_domains.values()
     }
 
     /// Returns whether tasks and requests may start in the failure domain called `name`.
@@ -73,6 +90,7 @@
     /// One that the document does not name is out of service: nothing may start on a worker whose
     /// settings are mistaken, since no operator could take it out.
     pub fn in_service(&self, name: &Name) -> bool {
-        self.failure_domains.get(name).is_some_and(|d| d.in_service)
+        let failure_domain = self.tables().failure_domains.get(name);
+        failure_domain.is_some_and(|d| d.in_service)
     }
 }
