Explain a document in sentences with warnings

Change: version/explain/: what is guaranteed and borrowed, what happens in a failure domain that is out, deadlines, queues, repeats, limits and who may edit what, each with its JSON pointer.

--- a/dragonflyrun/src/version/document.rs
+++ b/dragonflyrun/src/version/document.rs
@@ -92,7 +92,9 @@
 impl Workspace {
     /// Returns the accelerators of all guarantees together.
     pub fn guaranteed_accelerators(&self) -> u64 {
-        self.guarantees.iter().map(Guarantee::total).sum()
+        let totals = self.guarantees.iter().map(Guarantee::total);
+        // A section that has not been checked yet may hold any numbers.
+        totals.fold(0, u64::saturating_add)
     }
 }
 
--- /dev/null
+++ b/dragonflyrun/src/version/explain/mod.rs
@@ -0,0 +1,150 @@
+//! What the system will do, in sentences, read off a document alone.
+
+mod sentences;
+mod warnings;
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::{
+    utils::Name,
+    version::{Document, Finding, Section, finding::Place}, //
+};
+
+/// What can't be known from a document, however it is written.
+const LIMITS_OF_KNOWLEDGE: &str = "Whether the workers that are there hold all guarantees can't be read off the document; \
+     `dragonflyrun status` shows what there is.";
+
+/// What the system will do under a document.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Explanation {
+    /// What holds for the whole system.
+    pub general: Vec<String>,
+    /// Each thing that the sections define, in their order.
+    pub topics: Vec<Topic>,
+    /// What operators should look at, though it is allowed.
+    pub warnings: Vec<Finding>,
+    /// What can't be known from a document.
+    pub not_known: &'static str,
+}
+
+/// What the system will do about one thing.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Topic {
+    /// A JSON pointer to its definition.
+    pub place: String,
+    /// What kind of thing it is.
+    pub kind: TopicKind,
+    /// Its name.
+    pub name: Name,
+    /// What the system will do, one thing a sentence.
+    pub sentences: Vec<String>,
+}
+
+/// The kinds of things that a document defines.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TopicKind {
+    /// A section with its owners.
+    Section,
+    /// A workspace.
+    Workspace,
+    /// A failure domain.
+    FailureDomain,
+    /// A service.
+    Service,
+    /// The limits of the whole system.
+    Limits,
+}
+
+impl fmt::Display for TopicKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Section => "section",
+            Self::Workspace => "workspace",
+            Self::FailureDomain => "failure domain",
+            Self::Service => "service",
+            Self::Limits => "limits of section",
+        })
+    }
+}
+
+/// Explains a document that has passed the [checks](super::check).
+pub fn explain(document: &Document) -> Explanation {
+    let topics = document
+        .sections
+        .iter()
+        .flat_map(|(name, section)| topics_of(document, name, section))
+        .collect();
+    Explanation {
+        general: sentences::general(document),
+        topics,
+        warnings: warnings::warnings(document),
+        not_known: LIMITS_OF_KNOWLEDGE,
+    }
+}
+
+fn topics_of(document: &Document, name: &Name, section: &Section) -> Vec<Topic> {
+    let root = Place::Root("/sections");
+    let place = root.key(name);
+    let mut topics = vec![Topic {
+        place: place.to_string(),
+        kind: TopicKind::Section,
+        name: name.clone(),
+        sentences: sentences::section(document, name, section),
+    }];
+    let list = place.key("workspaces");
+    let workspaces = section.workspaces.iter().enumerate();
+    topics.extend(workspaces.map(|(i, workspace)| Topic {
+        place: list.index(i).to_string(),
+        kind: TopicKind::Workspace,
+        name: workspace.name.clone(),
+        sentences: sentences::workspace(workspace),
+    }));
+    let list = place.key("failure_domains");
+    let failure_domains = section.failure_domains.iter().enumerate();
+    topics.extend(failure_domains.map(|(i, failure_domain)| Topic {
+        place: list.index(i).to_string(),
+        kind: TopicKind::FailureDomain,
+        name: failure_domain.name.clone(),
+        sentences: sentences::failure_domain(failure_domain),
+    }));
+    let list = place.key("services");
+    let services = section.services.iter().enumerate();
+    topics.extend(services.map(|(i, service)| Topic {
+        place: list.index(i).to_string(),
+        kind: TopicKind::Service,
+        name: service.name.clone(),
+        sentences: sentences::service(service),
+    }));
+    topics.extend(section.limits.as_ref().map(|limits| Topic {
+        place: place.key("limits").to_string(),
+        kind: TopicKind::Limits,
+        name: name.clone(),
+        sentences: sentences::limits(limits),
+    }));
+    topics
+}
+
+impl fmt::Display for Explanation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "The whole system")?;
+        for sentence in &self.general {
+            writeln!(f, "  {sentence}")?;
+        }
+        for topic in &self.topics {
+            writeln!(f, "\n{} {} ({})", topic.kind, topic.name, topic.place)?;
+            for sentence in &topic.sentences {
+                writeln!(f, "  {sentence}")?;
+            }
+        }
+        if !self.warnings.is_empty() {
+            writeln!(f, "\nWarnings")?;
+        }
+        for warning in &self.warnings {
+            writeln!(f, "  {warning}")?;
+        }
+        write!(f, "\n{}", self.not_known)
+    }
+}
--- a/dragonflyrun/src/version/mod.rs
+++ b/dragonflyrun/src/version/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod document;
+mod explain;
 mod finding;
 mod history;
 mod index;
@@ -17,6 +18,7 @@
     ADMINISTRATION, Adjacency, Document, FORMAT, FailureDomain, Guarantee, Limits, Section,
     Service, Urgency, Workspace,
 };
+pub use explain::{Explanation, Topic, TopicKind, explain};
 pub use finding::Finding;
 pub use history::{History, LoggedEdit, Verdict};
 pub use parse::{DOCUMENT_BYTES, RawSection, parse_document, parse_section};
