--- /dev/null
+++ b/dragonflyrun/src/connection/backend_client.rs
@@ -0,0 +1,128 @@
+//! Gives requests to the backend servers beside an agent.
+
+use std::{
+    io::{self, Read},
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use oxhttp::{
+    Client,
+    model::{
+        Body,
+        HeaderMap,
+        Method,
+        Request,
+        Response,
+        StatusCode,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING}, //
+    },
+};
+
+use crate::{
+    connection::{NotRun, Outcome, RequestId},
+    utils::Name, //
+};
+
+/// How long a backend server may pause. The agent waits far beyond the caller's deadline: as long
+/// as the request may be running, its slot is in use.
+const PAUSE: Duration = Duration::from_secs(600);
+
+/// Milliseconds after which a backend server that refused may take a request.
+const REFUSED_RETRY_MS: u64 = 500;
+
+/// The header by which a backend server says in a 503 that it did not run the request.
+const NOT_RUN: &str = "dragonfly-not-run";
+
+/// What a backend server is told of a request.
+#[derive(Clone, Debug)]
+pub struct BackendRequest {
+    /// The request.
+    pub id: RequestId,
+    /// The service.
+    pub service: Name,
+    /// The caller's key.
+    pub key: Option<Name>,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// Gives `req` to the backend server at `address` and waits for its whole answer, of up to `most`
+/// bytes.
+///
+/// "Not run" comes back only where the connection was refused, so that nothing was sent, or where
+/// the backend server itself says so.
+pub fn run_at_backend(address: SocketAddr, req: BackendRequest, most: u64) -> Outcome {
+    let Ok(req) = build(address, req) else {
+        return not_run();
+    };
+    let client = Client::new().with_global_timeout(PAUSE);
+    match client.request(req) {
+        Ok(answer) => read(answer, most),
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => not_run(),
+        Err(error) => {
+            log::warn!(backend:% = address, error:% = error; "backend_answer_lost");
+            Outcome::Unknown
+        }
+    }
+}
+
+fn build(
+    address: SocketAddr,
+    req: BackendRequest,
+) -> Result<Request<Body>, impl std::error::Error> {
+    let mut builder = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}/v1/run"))
+        .header("Dragonfly-Service", &*req.service)
+        .header(
+            "Dragonfly-Request",
+            format!("{}/{}", req.id.entry, req.id.number),
+        );
+    if let Some(key) = &req.key {
+        builder = builder.header("Idempotency-Key", &**key);
+    }
+    builder.body(Body::from(req.body))
+}
+
+fn read(answer: Response<Body>, most: u64) -> Outcome {
+    let status = answer.status();
+    if status == StatusCode::SERVICE_UNAVAILABLE && answer.headers().contains_key(NOT_RUN) {
+        return not_run();
+    }
+    // Without a length the end of the connection would end the body, and one that was cut off
+    // would look like a whole one. The client takes such a body for empty.
+    if !states_length(status, answer.headers()) {
+        log::warn!(status = status.as_u16(); "backend_answer_without_length");
+        return Outcome::Unknown;
+    }
+    let mut body = Vec::new();
+    let read = answer.into_body().take(most + 1).read_to_end(&mut body);
+    match read {
+        Ok(_) if body.len() as u64 <= most => Outcome::Done {
+            status: status.as_u16(),
+            length: body.len() as u64,
+            body,
+        },
+        Ok(_) => {
+            log::warn!(most = most; "backend_answer_too_large");
+            Outcome::Unknown
+        }
+        Err(error) => {
+            log::warn!(error:% = error; "backend_answer_cut_off");
+            Outcome::Unknown
+        }
+    }
+}
+
+fn states_length(status: StatusCode, headers: &HeaderMap) -> bool {
+    let bodiless = status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED;
+    bodiless || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
+fn not_run() -> Outcome {
+    Outcome::NotRun {
+        reason: NotRun::Refused,
+        retry_after_ms: REFUSED_RETRY_MS,
+    }
+}
--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -122,11 +122,19 @@
     Run {
         /// Matches the answer to the request.
         id: RequestId,
+        /// The agent's incarnation, whose clock the deadline is on.
+        incarnation: u64,
         /// The service to run it.
         service: Name,
-        /// The key, where the request may run once only.
+        /// The key, where the caller gave one.
         key: Option<Name>,
-        /// Milliseconds left until the caller's deadline.
+        /// The request that holds the key's grant, where the request may run once only.
+        claim: Option<RequestId>,
+        /// The caller's deadline on the agent's own clock, reckoned from its last heartbeat.
+        ///
+        /// A message that was held up in a frozen process or a broken network can arrive at any
+        /// later time. With a deadline on its own clock the agent sees that, and does not run
+        /// what the caller has long given up.
         deadline_ms: u64,
         /// The whole body.
         #[serde(with = "serde_bytes")]
@@ -219,6 +227,8 @@
         key: Name,
         /// The caller's count of attempts with this key, from 1.
         attempt: u32,
+        /// Milliseconds left until the caller's deadline; after it the request does not start.
+        deadline_ms: u64,
     },
     /// Owner to entry: what it may do.
     Verdict {
--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one connection: peer links, HTTP, and the clients of the platform.
 
+mod backend_client;
 pub mod codec;
 mod greeting;
 mod http_server;
@@ -9,6 +10,7 @@
 mod record;
 mod seal;
 
+pub use backend_client::{BackendRequest, run_at_backend};
 pub use greeting::{Peer, Role};
 pub use http_server::{Handler, HttpLimits, HttpRequest, HttpResponse, HttpServer};
 pub use links::{LinkEvent, LinkSettings, Links, SendError};
--- /dev/null
+++ b/dragonflyrun/src/process/agent_requests.rs
@@ -0,0 +1,376 @@
+//! Carries out what an agent decides about requests and about the keys that it owns.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use crate::{
+    connection::{
+        BackendReport,
+        BackendRequest,
+        KeyMessage,
+        Message,
+        NotRun,
+        Outcome,
+        Peer,
+        RequestId,
+        RequestMessage,
+        Role,
+        run_at_backend, //
+    },
+    process::{Context, RoleSettings, lock, run_pool::RunPool},
+    request::{
+        AgentAction,
+        AgentTable,
+        BackendAnnouncement,
+        KeyClaim,
+        KeyOutcome,
+        KeyOwner,
+        OwnerAction,
+        RunOrder, //
+    },
+    utils::{Name, Timestamp},
+};
+
+/// How often a stop looks whether all requests have ended.
+const STOP_PAUSE: Duration = Duration::from_millis(10);
+
+/// Time for which an owner is told what became of a key.
+const SETTLE: Duration = Duration::from_secs(30);
+
+/// Settlements that wait for an entry to carry them, at the most.
+const SETTLEMENTS: usize = 64;
+
+/// For how long a key is remembered whose service has left the document.
+const DEFAULT_WINDOW: Duration = Duration::from_secs(600);
+
+/// Milliseconds after which a request may be tried elsewhere.
+const ELSEWHERE_RETRY_MS: u64 = 500;
+
+/// Requests at one agent, and the keys that it owns.
+pub struct AgentRequests {
+    cx: Arc<Context>,
+    failure_domain: Name,
+    pool: RunPool,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    table: AgentTable,
+    owner: KeyOwner,
+    /// What could not be told to a key's owner yet.
+    unsettled: Vec<Unsettled>,
+}
+
+struct Unsettled {
+    message: KeyMessage,
+    until: Timestamp,
+}
+
+impl AgentRequests {
+    /// Returns the requests of the agent that `cx` belongs to: none yet.
+    pub fn new(cx: Arc<Context>) -> Arc<Self> {
+        let failure_domain = match &cx.settings.role {
+            RoleSettings::Agent { failure_domain, .. } => failure_domain.clone(),
+            RoleSettings::Entry { .. } => "".into(),
+        };
+        let inner = Inner {
+            table: AgentTable::new(cx.identity.incarnation),
+            owner: KeyOwner::new(cx.identity.name.clone(), cx.now()),
+            unsettled: Vec::new(),
+        };
+        Arc::new(Self {
+            cx,
+            failure_domain,
+            pool: RunPool::new(),
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Takes in a backend server's announcement.
+    pub fn announce(&self, announced: BackendAnnouncement) {
+        lock(&self.inner).table.announce(self.cx.now(), announced);
+    }
+
+    /// Returns what the heartbeat says of the backend servers.
+    pub fn backends(&self) -> Vec<BackendReport> {
+        lock(&self.inner).table.reports(self.cx.now())
+    }
+
+    /// Counts the changes after which a heartbeat goes out at once.
+    pub fn changes(&self) -> u64 {
+        lock(&self.inner).table.changes()
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        lock(&self.inner).table.running()
+    }
+
+    /// Takes in a message from the entry `from`.
+    pub fn on_message(self: &Arc<Self>, from: &Name, message: RequestMessage) {
+        match message {
+            RequestMessage::Run {
+                id,
+                incarnation,
+                service,
+                key,
+                claim,
+                deadline_ms,
+                body,
+            } => {
+                let order = RunOrder {
+                    id,
+                    incarnation,
+                    service,
+                    key,
+                    claim,
+                    deadline: Timestamp::from_millis(deadline_ms),
+                    body,
+                };
+                let in_service = self.cx.version().in_service(&self.failure_domain);
+                self.decide(|now, inner| inner.table.run(now, from, order, in_service));
+            }
+            RequestMessage::Received { id } => {
+                self.decide(|_, inner| inner.table.received(&id));
+            }
+            RequestMessage::Answer { .. } => {}
+        }
+    }
+
+    /// Takes in a message about a key from the entry `from`.
+    pub fn on_key_message(self: &Arc<Self>, from: &Name, message: KeyMessage) {
+        match message {
+            KeyMessage::Claim {
+                id,
+                service,
+                key,
+                attempt,
+                deadline_ms,
+            } => {
+                self.follow_ring();
+                let fresh = self.cx.is_fresh();
+                let window = self.window(&service);
+                let claim = KeyClaim {
+                    from: from.clone(),
+                    id,
+                    service,
+                    key,
+                    attempt,
+                    deadline: self.cx.now() + Duration::from_millis(deadline_ms),
+                    window,
+                };
+                self.decide(|now, inner| inner.owner.claim(now, claim, fresh));
+            }
+            settle @ KeyMessage::Settle { .. } => self.settle(settle),
+            KeyMessage::Verdict { .. } => {}
+        }
+    }
+
+    /// Takes note of a new link to an entry.
+    pub fn on_peer_up(self: &Arc<Self>, peer: &Peer) {
+        if peer.role == Role::Entry {
+            self.decide(|_, inner| inner.table.entry_up(peer));
+        }
+    }
+
+    /// Takes note of the end of a link to an entry.
+    pub fn on_peer_down(self: &Arc<Self>, peer: &Peer) {
+        if peer.role == Role::Entry {
+            self.decide(|_, inner| inner.table.entry_down(peer));
+        }
+    }
+
+    /// Takes note that records of the log were folded; the owners of keys may have changed.
+    pub fn on_folded(&self) {
+        self.follow_ring();
+    }
+
+    /// Does what time alone brings about; to be called every 100 ms.
+    pub fn tick(self: &Arc<Self>) {
+        self.follow_ring();
+        let unsettled = self.decide(|now, inner| {
+            inner.table.tick(now);
+            inner.owner.tick(now);
+            inner.unsettled.retain(|u| u.until > now);
+            std::mem::take(&mut inner.unsettled)
+        });
+        for settlement in unsettled {
+            self.tell_owner(settlement);
+        }
+    }
+
+    /// Refuses new requests from now on; the next heartbeat has to say so.
+    pub fn leave(&self) {
+        lock(&self.inner).table.leave();
+    }
+
+    /// Refuses new requests and waits up to `most` until all others have ended and their answers
+    /// have arrived; returns whether they have.
+    pub fn stop(&self, most: Duration) -> bool {
+        self.leave();
+        let end = Instant::now() + most;
+        while !lock(&self.inner).table.is_idle() {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(STOP_PAUSE);
+        }
+        true
+    }
+
+    /// Decides under the lock and carries out what was decided after it.
+    fn decide<T>(self: &Arc<Self>, decision: impl FnOnce(Timestamp, &mut Inner) -> T) -> T {
+        let (result, actions, verdicts) = {
+            let mut inner = lock(&self.inner);
+            let result = decision(self.cx.now(), &mut inner);
+            let actions = inner.table.take_actions();
+            (result, actions, inner.owner.take_actions())
+        };
+        for action in actions {
+            self.perform(action);
+        }
+        for verdict in verdicts {
+            self.reply(verdict);
+        }
+        result
+    }
+
+    fn perform(self: &Arc<Self>, action: AgentAction) {
+        match action {
+            AgentAction::Start { order, address } => self.start(order, address),
+            AgentAction::Send { to, message } => {
+                if let Err(error) = self.cx.links.send(&to, message) {
+                    log::debug!(peer:% = to, error:% = error; "answer_waits");
+                }
+            }
+            AgentAction::Settle(message) => {
+                let until = self.cx.now() + SETTLE;
+                self.tell_owner(Unsettled { message, until });
+            }
+        }
+    }
+
+    fn start(self: &Arc<Self>, order: RunOrder, address: SocketAddr) {
+        let id = order.id.clone();
+        let this = self.clone();
+        let started = self.pool.run(move || this.run(order, address));
+        if let Err(error) = started {
+            log::error!(error:% = error; "no_thread");
+            self.finished(&id, not_run(NotRun::Busy));
+        }
+    }
+
+    fn run(self: &Arc<Self>, order: RunOrder, address: SocketAddr) {
+        // This thread may have been frozen since the decision; the caller has long been answered.
+        let may_start = lock(&self.inner).table.may_start(self.cx.now(), &order.id);
+        let outcome = if may_start {
+            let most = self.cx.version().limits.body_bytes;
+            let req = BackendRequest {
+                id: order.id.clone(),
+                service: order.service,
+                key: order.key,
+                body: order.body,
+            };
+            run_at_backend(address, req, most)
+        } else {
+            not_run(NotRun::Deadline)
+        };
+        self.finished(&order.id, outcome);
+    }
+
+    fn finished(self: &Arc<Self>, id: &RequestId, outcome: Outcome) {
+        self.decide(|now, inner| inner.table.finished(now, id, outcome));
+    }
+
+    fn reply(&self, action: OwnerAction) {
+        let message = Message::Key(KeyMessage::Verdict {
+            id: action.id,
+            verdict: action.verdict,
+        });
+        // An entry that does not hear of its grant answers at its deadline that it did not run.
+        if let Err(error) = self.cx.links.send(&action.to, message) {
+            log::debug!(peer:% = action.to, error:% = error; "verdict_lost");
+        }
+    }
+
+    /// Takes in a settlement as the owner of the key.
+    fn settle(self: &Arc<Self>, message: KeyMessage) {
+        let KeyMessage::Settle {
+            service,
+            key,
+            id,
+            outcome,
+        } = message
+        else {
+            return;
+        };
+        let fresh = self.cx.is_fresh();
+        let window = self.window(&service);
+        let settled = KeyOutcome {
+            service,
+            key,
+            id,
+            outcome,
+            window,
+        };
+        self.decide(|now, inner| inner.owner.settle(now, settled, fresh));
+    }
+
+    /// Tells a key's owner what became of the key: this agent itself, or through an entry, since
+    /// agents have no links to each other.
+    fn tell_owner(self: &Arc<Self>, settlement: Unsettled) {
+        let KeyMessage::Settle { service, key, .. } = &settlement.message else {
+            return;
+        };
+        let mine = {
+            let inner = lock(&self.inner);
+            let owner = inner.owner.ring().and_then(|r| r.owner(service, key));
+            owner == Some(&self.cx.identity.name)
+        };
+        if mine {
+            self.settle(settlement.message);
+            return;
+        }
+        let entries: Vec<Name> = {
+            let roster = lock(&self.cx.roster);
+            let live = roster.live(self.cx.now(), Role::Entry);
+            live.map(|p| p.peer.name.clone()).collect()
+        };
+        let message = Message::Key(settlement.message.clone());
+        let sent = entries
+            .iter()
+            .any(|entry| self.cx.links.send(entry, message.clone()).is_ok());
+        let mut inner = lock(&self.inner);
+        if !sent && inner.unsettled.len() < SETTLEMENTS {
+            inner.unsettled.push(settlement);
+        }
+    }
+
+    fn follow_ring(&self) {
+        let ledger = lock(&self.cx.ledger);
+        let membership = &ledger.membership;
+        let mut inner = lock(&self.inner);
+        let now = self.cx.now();
+        if membership.ring_changes() > 0 {
+            let changes = membership.ring_changes();
+            inner.owner.set_ring(now, changes, membership.ring());
+        }
+    }
+
+    fn window(&self, service: &Name) -> Duration {
+        let version = self.cx.version();
+        let service = version.service(service);
+        service.map_or(DEFAULT_WINDOW, |s| Duration::from_millis(s.key_window_ms))
+    }
+}
+
+const fn not_run(reason: NotRun) -> Outcome {
+    Outcome::NotRun {
+        reason,
+        retry_after_ms: ELSEWHERE_RETRY_MS,
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/process/entry_requests.rs
@@ -0,0 +1,437 @@
+//! Carries out what an entry decides about callers' requests.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{AtomicU64, Ordering}, //
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use crossbeam::channel::{Sender, bounded};
+use hyper::{StatusCode, header::HeaderName};
+use serde::Serialize;
+
+use crate::{
+    connection::{
+        AgentReport,
+        HttpRequest,
+        HttpResponse,
+        KeyMessage,
+        NotRun,
+        Outcome,
+        Peer,
+        Report,
+        RequestMessage,
+        Role, //
+    },
+    process::{Context, PeerState, lock},
+    request::{
+        AgentView,
+        CallerRequest,
+        EntryAction,
+        EntryTable,
+        Refusal,
+        Ring,
+        ServiceStats,
+        ServiceView,
+        entry_id, //
+    },
+    utils::{HashMap, HashSet, Name},
+    version::{Urgency, Version},
+};
+
+/// Characters of a key, at the most.
+const KEY_BYTES: usize = 200;
+
+/// Milliseconds after which a malformed request may be sent again, mended.
+const MALFORMED_RETRY_MS: u64 = 10_000;
+
+/// How often a stop looks whether all requests have their answers.
+const STOP_PAUSE: Duration = Duration::from_millis(10);
+
+const OUTCOME: HeaderName = HeaderName::from_static("dragonfly-outcome");
+
+/// Callers' requests at one entry.
+pub struct EntryRequests {
+    cx: Arc<Context>,
+    ring_offset: AtomicU64,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    table: EntryTable,
+    waiting: HashMap<u64, Sender<Outcome>>,
+}
+
+/// What the table needs to know of the log, read before it is locked.
+struct LogState {
+    version: Arc<Version>,
+    ring: Option<NewRing>,
+}
+
+struct NewRing {
+    offset: u64,
+    ring: Ring,
+}
+
+impl EntryRequests {
+    /// Returns the requests of the entry that `cx` belongs to: none yet.
+    pub fn new(cx: Arc<Context>) -> Self {
+        let table = EntryTable::new(entry_id(&cx.identity), rand::random());
+        Self {
+            cx,
+            ring_offset: AtomicU64::new(0),
+            inner: Mutex::new(Inner {
+                table,
+                waiting: HashMap::default(),
+            }),
+        }
+    }
+
+    /// Answers `POST /v1/services/{service}/requests`.
+    pub fn handle(&self, service: &str, req: HttpRequest) -> HttpResponse {
+        let outcome = match caller_request(service, req) {
+            Ok(req) => self.submit(req),
+            Err(refusal) => {
+                self.cx.counters.refusal(refusal.reason);
+                self.cx.counters.answer("not_run");
+                refusal.outcome()
+            }
+        };
+        response(outcome)
+    }
+
+    /// Takes in a request and waits for its final answer, up to its deadline.
+    pub fn submit(&self, req: CallerRequest) -> Outcome {
+        let log = self.log_state();
+        let (tx, rx) = bounded(1);
+        let (number, left) = {
+            let mut inner = lock(&self.inner);
+            inner.follow(log);
+            let now = self.cx.now();
+            let number = inner.table.submit(now, req);
+            inner.waiting.insert(number, tx);
+            let deadline = inner.table.deadline(number);
+            self.perform(&mut inner);
+            (number, deadline.map_or(Duration::ZERO, |at| at.since(now)))
+        };
+        if let Ok(outcome) = rx.recv_timeout(left) {
+            return outcome;
+        }
+        let mut inner = lock(&self.inner);
+        inner.table.deadline_passed(self.cx.now(), number);
+        self.perform(&mut inner);
+        inner.waiting.remove(&number);
+        rx.try_recv().unwrap_or(Outcome::Unknown)
+    }
+
+    /// Takes in a message from the agent `from`.
+    pub fn on_message(&self, from: &Name, message: RequestMessage) {
+        if let RequestMessage::Answer { id, outcome, free } = message {
+            let mut inner = lock(&self.inner);
+            let now = self.cx.now();
+            inner.table.answered(now, from, id, outcome, free);
+            self.perform(&mut inner);
+        }
+    }
+
+    /// Takes in a message about a key from the agent `from`.
+    pub fn on_key_message(&self, from: &Name, message: KeyMessage) {
+        let mut inner = lock(&self.inner);
+        match message {
+            KeyMessage::Verdict { id, verdict } => {
+                let now = self.cx.now();
+                inner.table.verdict(now, from, &id, verdict);
+            }
+            settle @ KeyMessage::Settle { .. } => inner.table.relay(settle),
+            KeyMessage::Claim { .. } => {}
+        }
+        self.perform(&mut inner);
+    }
+
+    /// Takes note of a new link to an agent, after the roster has.
+    pub fn on_peer_up(&self, peer: &Peer) {
+        if peer.role == Role::Agent {
+            let mut inner = lock(&self.inner);
+            inner.table.agent_up(self.cx.now(), peer);
+            self.perform(&mut inner);
+        }
+    }
+
+    /// Takes note of the end of a link to an agent, after the roster has.
+    pub fn on_peer_down(&self, peer: &Peer) {
+        if peer.role == Role::Agent {
+            let mut inner = lock(&self.inner);
+            inner.table.agent_down(self.cx.now(), peer);
+            self.perform(&mut inner);
+        }
+        self.on_peer_change();
+    }
+
+    /// Takes note of what the roster knows of one agent; to be called at its heartbeats.
+    pub fn on_report(&self, agent: &Name) {
+        let version = self.cx.version();
+        let view = {
+            let roster = lock(&self.cx.roster);
+            roster.peer(agent).and_then(|p| view(p, &version))
+        };
+        if let Some(view) = view {
+            lock(&self.inner).table.agent_heard(view);
+        }
+    }
+
+    /// Takes note of what the roster knows of all agents.
+    pub fn on_peer_change(&self) {
+        let version = self.cx.version();
+        let views: Vec<AgentView> = {
+            let roster = lock(&self.cx.roster);
+            let peers = roster.all();
+            peers.iter().filter_map(|p| view(p, &version)).collect()
+        };
+        let mut inner = lock(&self.inner);
+        let names: HashSet<Name> = views.iter().map(|v| v.name.clone()).collect();
+        inner.table.retain_agents(|name| names.contains(name));
+        for view in views {
+            inner.table.agent_heard(view);
+        }
+    }
+
+    /// Does what time alone brings about; to be called every 100 ms.
+    pub fn tick(&self) {
+        self.on_peer_change();
+        let log = self.log_state();
+        let mut inner = lock(&self.inner);
+        inner.follow(log);
+        inner.table.tick(self.cx.now());
+        self.perform(&mut inner);
+    }
+
+    /// Refuses new requests and waits up to `most` until all others are answered; returns whether
+    /// they are.
+    pub fn stop(&self, most: Duration) -> bool {
+        lock(&self.inner).table.leave();
+        let end = Instant::now() + most;
+        while !lock(&self.inner).table.is_idle() {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(STOP_PAUSE);
+        }
+        true
+    }
+
+    /// Returns what waits and runs, by service.
+    pub fn stats(&self) -> Vec<ServiceStats> {
+        lock(&self.inner).table.stats()
+    }
+
+    fn log_state(&self) -> LogState {
+        let ledger = lock(&self.cx.ledger);
+        let version = ledger.history.current().clone();
+        let membership = &ledger.membership;
+        let offset = membership.ring_offset();
+        let ring = (self.ring_offset.swap(offset, Ordering::Relaxed) != offset).then(|| NewRing {
+            offset,
+            ring: Ring::new(membership.ring()),
+        });
+        LogState { version, ring }
+    }
+
+    fn perform(&self, inner: &mut Inner) {
+        loop {
+            let actions = inner.table.take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.perform_one(inner, action);
+            }
+        }
+    }
+
+    fn perform_one(&self, inner: &mut Inner, action: EntryAction) {
+        let counters = &self.cx.counters;
+        match action {
+            EntryAction::Send { to, message } => {
+                // The message is needed again only where it was not handed over.
+                if let Err(error) = self.cx.links.send(&to, message.clone()) {
+                    log::debug!(peer:% = to, error:% = error; "not_sent");
+                    inner.table.unsent(self.cx.now(), &to, &message);
+                }
+            }
+            EntryAction::Resend { to, message } => {
+                if let Err(error) = self.cx.links.send(&to, message) {
+                    log::debug!(peer:% = to, error:% = error; "not_sent_again");
+                }
+            }
+            EntryAction::Answer { number, outcome } => {
+                match &outcome {
+                    Outcome::Done { .. } => counters.answer("done"),
+                    Outcome::NotRun { reason, .. } => {
+                        counters.refusal(*reason);
+                        counters.answer("not_run");
+                    }
+                    Outcome::Unknown => counters.answer("unknown"),
+                }
+                if let Some(tx) = inner.waiting.remove(&number) {
+                    // The channel has room for the one answer.
+                    let _ = tx.try_send(outcome);
+                }
+            }
+            EntryAction::Retried(reason) => counters.retry(reason),
+            EntryAction::Event(name) => counters.event(name),
+        }
+    }
+}
+
+impl Inner {
+    fn follow(&mut self, log: LogState) {
+        self.table.set_version(log.version);
+        if let Some(new) = log.ring {
+            self.table.set_ring(new.offset, &new.ring);
+        }
+    }
+}
+
+/// Returns the service that a path of the form `/v1/services/{service}/requests` names.
+pub fn requested_service(path: &str) -> Option<&str> {
+    path.strip_prefix("/v1/services/")?
+        .strip_suffix("/requests")
+        .filter(|service| !service.is_empty() && !service.contains('/'))
+}
+
+fn view(state: &PeerState, version: &Version) -> Option<AgentView> {
+    let Some(Report::Agent(report)) = &state.report else {
+        return None;
+    };
+    let staying = state.linked && !report.leaving;
+    let in_service = version.in_service(&report.failure_domain);
+    Some(AgentView {
+        name: state.peer.name.clone(),
+        incarnation: state.peer.incarnation,
+        sent_ms: state.sent_ms,
+        heard: state.heard,
+        usable: staying && in_service,
+        out_of_service: staying && !in_service,
+        services: services(report),
+    })
+}
+
+fn services(report: &AgentReport) -> Vec<ServiceView> {
+    let mut services: Vec<ServiceView> = Vec::new();
+    for backend in report.backends.iter().filter(|b| !b.leaving) {
+        match services.iter_mut().find(|s| s.service == backend.service) {
+            Some(service) => {
+                service.slots += backend.slots;
+                service.free += backend.free;
+            }
+            None => services.push(ServiceView {
+                service: backend.service.clone(),
+                slots: backend.slots,
+                free: backend.free,
+            }),
+        }
+    }
+    services
+}
+
+fn caller_request(service: &str, req: HttpRequest) -> Result<CallerRequest, Refusal> {
+    let malformed = Refusal::new(NotRun::Malformed, MALFORMED_RETRY_MS);
+    let key = optional(&req, "idempotency-key", |text| {
+        let fits = !text.is_empty() && text.len() <= KEY_BYTES;
+        fits.then(|| Name::from(text))
+    });
+    let attempt = optional(&req, "dragonfly-attempt", |text| text.parse().ok());
+    let deadline_ms = optional(&req, "dragonfly-deadline-ms", |text| text.parse().ok());
+    let urgency = optional(&req, "dragonfly-urgency", urgency);
+    Ok(CallerRequest {
+        service: service.into(),
+        key: key.ok_or(malformed)?,
+        attempt: attempt.ok_or(malformed)?.unwrap_or(1),
+        deadline_ms: deadline_ms.ok_or(malformed)?,
+        urgency: urgency.ok_or(malformed)?,
+        body: req.body,
+    })
+}
+
+/// Reads a header that need not be there; none where it is there and can't be read.
+fn optional<T>(
+    req: &HttpRequest,
+    name: &str,
+    read: impl Fn(&str) -> Option<T>,
+) -> Option<Option<T>> {
+    if !req.headers.contains_key(name) {
+        return Some(None);
+    }
+    req.header(name).and_then(read).map(Some)
+}
+
+fn urgency(text: &str) -> Option<Urgency> {
+    match text {
+        "urgent" => Some(Urgency::Urgent),
+        "normal" => Some(Urgency::Normal),
+        "patient" => Some(Urgency::Patient),
+        _ => None,
+    }
+}
+
+/// What a caller reads in an answer other than "done".
+#[derive(Serialize)]
+struct NotDone {
+    outcome: &'static str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    reason: Option<NotRun>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+fn response(outcome: Outcome) -> HttpResponse {
+    match outcome {
+        Outcome::Done { status, body, .. } => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+            HttpResponse::bytes(status, body).with_header(OUTCOME, "done")
+        }
+        Outcome::NotRun {
+            reason,
+            retry_after_ms,
+        } => {
+            let answer = NotDone {
+                outcome: "not_run",
+                reason: Some(reason),
+                retry_after_ms: Some(retry_after_ms),
+            };
+            HttpResponse::json(not_run_status(reason), &answer)
+                .with_header(OUTCOME, "not-run")
+                .with_retry_after(retry_after_ms)
+        }
+        Outcome::Unknown => {
+            let answer = NotDone {
+                outcome: "unknown",
+                reason: None,
+                retry_after_ms: None,
+            };
+            HttpResponse::json(StatusCode::BAD_GATEWAY, &answer).with_header(OUTCOME, "unknown")
+        }
+    }
+}
+
+const fn not_run_status(reason: NotRun) -> StatusCode {
+    match reason {
+        NotRun::Malformed => StatusCode::BAD_REQUEST,
+        NotRun::UnknownService => StatusCode::NOT_FOUND,
+        NotRun::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        NotRun::QueueFull | NotRun::Deadline | NotRun::Busy | NotRun::RetryBudget => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        NotRun::NoBackend
+        | NotRun::Leaving
+        | NotRun::OutOfService
+        | NotRun::Refused
+        | NotRun::KeyRunning
+        | NotRun::KeyUnsettled
+        | NotRun::NotFresh => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- a/dragonflyrun/src/process/membership.rs
+++ b/dragonflyrun/src/process/membership.rs
@@ -13,6 +13,7 @@
     entries: HashMap<Name, Name>,
     ring: Vec<Name>,
     ring_offset: u64,
+    ring_changes: u64,
     offset: u64,
 }
 
@@ -49,6 +50,8 @@
                     .map(|e| (e.entry.clone(), e.address.clone()))
                     .collect();
                 self.set_ring(offset, ring);
+                // Changes among the records that were missed are counted as one more.
+                self.ring_changes += 1;
             }
             _ => {}
         }
@@ -60,6 +63,7 @@
         if ring != self.ring {
             self.ring = ring;
             self.ring_offset = offset;
+            self.ring_changes += 1;
         }
     }
 
@@ -88,6 +92,12 @@
         self.ring_offset
     }
 
+    /// Counts the changes of the owners that were folded. Whoever looks at it only now and then
+    /// sees by it that it has missed a change.
+    pub fn ring_changes(&self) -> u64 {
+        self.ring_changes
+    }
+
     /// Returns the state as the planner repeats it on the log.
     pub fn carried(&self) -> Option<Carried> {
         let mut entries: Vec<CarriedEntry> = self
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -1,19 +1,24 @@
 //! What lives for one process: settings, the tables shared by its threads, start and stop.
 
+mod agent_requests;
 mod clock;
 mod config;
 mod context;
 mod counters;
+mod entry_requests;
 mod freshness;
 mod ledger;
 mod membership;
 mod roster;
+mod run_pool;
 mod settings;
 
+pub use agent_requests::AgentRequests;
 pub use clock::Clock;
 pub use config::Config;
 pub use context::{Context, link_settings, lock};
 pub use counters::Counters;
+pub use entry_requests::{EntryRequests, requested_service};
 pub use freshness::{EntryView, FRESH, Freshness};
 pub use ledger::{Folded, Ledger};
 pub use membership::Membership;
--- /dev/null
+++ b/dragonflyrun/src/request/agent_table.rs
@@ -0,0 +1,368 @@
+//! All requests of one agent: it alone decides whether a request starts.
+
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+use crate::{
+    connection::{
+        BackendReport, KeyMessage, Message, NotRun, Outcome, Peer, RequestId, RequestMessage,
+    },
+    request::{BackendAnnouncement, BackendChoice, Backends, Refusal},
+    utils::{HashMap, HashSet, Name, Timestamp},
+};
+
+/// Time after which an answer that was not acknowledged is sent again.
+const RESEND: Duration = Duration::from_secs(1);
+
+/// Time for which an answer is kept for an entry that is not linked.
+const KEPT: Duration = Duration::from_secs(30);
+
+/// Bytes of answers that are kept, at the most.
+const KEPT_BYTES: usize = 64 << 20;
+
+/// The farthest deadline; bounds for how long ids are remembered.
+const LONGEST: Duration = Duration::from_secs(3_600);
+
+/// Milliseconds after which a slot may be free again.
+const BUSY_RETRY_MS: u64 = 200;
+
+/// Milliseconds after which another agent or a returned failure domain may be found.
+const ELSEWHERE_RETRY_MS: u64 = 500;
+
+/// A request that an entry wants run.
+#[derive(Clone, Debug)]
+pub struct RunOrder {
+    /// The request.
+    pub id: RequestId,
+    /// The incarnation of this agent that the entry means.
+    pub incarnation: u64,
+    /// The service.
+    pub service: Name,
+    /// The caller's key.
+    pub key: Option<Name>,
+    /// The request that holds the key's grant.
+    pub claim: Option<RequestId>,
+    /// The deadline on this agent's clock.
+    pub deadline: Timestamp,
+    /// The whole body.
+    pub body: Vec<u8>,
+}
+
+/// What the agent is to do.
+#[derive(Clone, Debug)]
+pub enum AgentAction {
+    /// Give the request to the backend server at the address.
+    Start {
+        /// The request.
+        order: RunOrder,
+        /// Where the backend server takes it.
+        address: SocketAddr,
+    },
+    /// Send a message to an entry; what is lost is sent again.
+    Send {
+        /// The entry.
+        to: Name,
+        /// The message.
+        message: Message,
+    },
+    /// Tell a key's owner, through any entry, what became of the key.
+    Settle(KeyMessage),
+}
+
+/// All requests of one agent.
+#[derive(Debug)]
+pub struct AgentTable {
+    incarnation: u64,
+    backends: Backends,
+    runs: HashMap<RequestId, Run>,
+    kept: HashMap<RequestId, Kept>,
+    kept_order: VecDeque<RequestId>,
+    kept_bytes: usize,
+    /// Requests that were decided, until their deadlines; a second copy must not run.
+    decided: HashMap<RequestId, Timestamp>,
+    /// The entries that are linked, by the names in their requests' ids.
+    linked: HashSet<Name>,
+    leaving: bool,
+    changes: u64,
+    out: Vec<AgentAction>,
+}
+
+#[derive(Debug)]
+struct Run {
+    from: Name,
+    backend: Name,
+    service: Name,
+    key: Option<Name>,
+    claim: Option<RequestId>,
+    deadline: Timestamp,
+}
+
+/// An answer that its entry has not acknowledged.
+#[derive(Debug)]
+struct Kept {
+    to: Name,
+    service: Name,
+    outcome: Outcome,
+    settle: Option<KeyMessage>,
+    since: Timestamp,
+    sent_at: Timestamp,
+}
+
+impl AgentTable {
+    /// Returns a table without requests, for the process of this `incarnation`.
+    pub fn new(incarnation: u64) -> Self {
+        Self {
+            incarnation,
+            backends: Backends::default(),
+            runs: HashMap::default(),
+            kept: HashMap::default(),
+            kept_order: VecDeque::new(),
+            kept_bytes: 0,
+            decided: HashMap::default(),
+            linked: HashSet::default(),
+            leaving: false,
+            changes: 0,
+            out: Vec::new(),
+        }
+    }
+
+    /// Returns the actions decided since the last call, in order.
+    pub fn take_actions(&mut self) -> Vec<AgentAction> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes in a backend server's announcement.
+    pub fn announce(&mut self, now: Timestamp, announced: BackendAnnouncement) {
+        if self.backends.announce(now, announced) {
+            self.changes += 1;
+        }
+    }
+
+    /// Returns what the heartbeat says of the backend servers.
+    pub fn reports(&self, now: Timestamp) -> Vec<BackendReport> {
+        self.backends.reports(now)
+    }
+
+    /// Counts the changes that entries should hear of at once: a backend server that came or is
+    /// leaving. Slots in use are not among them, since each answer carries them.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Refuses all new requests from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+        self.changes += 1;
+    }
+
+    /// Returns whether nothing runs and each linked entry has its answers.
+    pub fn is_idle(&self) -> bool {
+        let waited_for = |id: &RequestId| self.linked.contains(&id.entry);
+        self.runs.is_empty() && !self.kept.keys().any(waited_for)
+    }
+
+    /// Returns how many requests run.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Takes in a request from the entry `from`; `in_service` tells whether the agent's failure
+    /// domain is.
+    pub fn run(&mut self, now: Timestamp, from: &Name, order: RunOrder, in_service: bool) {
+        if self.runs.contains_key(&order.id) {
+            return;
+        }
+        if self.kept.contains_key(&order.id) {
+            self.send_kept(now, &order.id);
+            return;
+        }
+        if self.decided.contains_key(&order.id) {
+            return;
+        }
+        let deadline = order.deadline.min(now + LONGEST);
+        self.decided.insert(order.id.clone(), deadline);
+        match self.admit(now, &order, in_service) {
+            Ok(BackendChoice::Free { name, address }) => {
+                let run = Run {
+                    from: from.clone(),
+                    backend: name,
+                    service: order.service.clone(),
+                    key: order.key.clone(),
+                    claim: order.claim.clone(),
+                    deadline,
+                };
+                self.runs.insert(order.id.clone(), run);
+                self.out.push(AgentAction::Start { order, address });
+            }
+            Ok(BackendChoice::Busy) => self.refuse(now, from, &order, NotRun::Busy),
+            Ok(BackendChoice::None) => self.refuse(now, from, &order, NotRun::NoBackend),
+            Err(reason) => self.refuse(now, from, &order, reason),
+        }
+    }
+
+    /// Returns whether a request may still start, right before it does: the process may have been
+    /// frozen since the decision.
+    pub fn may_start(&self, now: Timestamp, id: &RequestId) -> bool {
+        self.runs.get(id).is_some_and(|run| now < run.deadline)
+    }
+
+    /// Takes in what became of a request that was started.
+    pub fn finished(&mut self, now: Timestamp, id: &RequestId, outcome: Outcome) {
+        let Some(run) = self.runs.remove(id) else {
+            return;
+        };
+        let refused =
+            matches!(&outcome, Outcome::NotRun { reason, .. } if *reason == NotRun::Refused);
+        self.backends.give_back(now, &run.backend, refused);
+        let settle = run.settle(&outcome);
+        let kept = Kept {
+            to: run.from,
+            service: run.service,
+            outcome,
+            settle,
+            since: now,
+            sent_at: now,
+        };
+        let entry_gone = !self.linked.contains(&id.entry);
+        if entry_gone && let Some(settle) = kept.settle.clone() {
+            self.out.push(AgentAction::Settle(settle));
+        }
+        self.keep(id.clone(), kept);
+        self.send_kept(now, id);
+    }
+
+    /// Takes note that an entry has an answer.
+    pub fn received(&mut self, id: &RequestId) {
+        self.forget(id);
+    }
+
+    /// Takes note of a new link to an entry.
+    pub fn entry_up(&mut self, entry: &Peer) {
+        self.linked.insert(crate::request::entry_id(entry));
+    }
+
+    /// Takes note that the link to an entry ended. Nobody may be left to tell the owners of keys
+    /// what became of them, so that is done here.
+    pub fn entry_down(&mut self, entry: &Peer) {
+        let id = crate::request::entry_id(entry);
+        self.linked.remove(&id);
+        let kept = self.kept.iter().filter(|(k, _)| k.entry == id);
+        let settles = kept.filter_map(|(_, kept)| kept.settle.clone());
+        self.out.extend(settles.map(AgentAction::Settle));
+    }
+
+    /// Does what time alone brings about; to be called every 100 ms or so.
+    pub fn tick(&mut self, now: Timestamp) {
+        if self.backends.lapse(now) {
+            self.changes += 1;
+        }
+        self.decided.retain(|_, deadline| *deadline > now);
+        let ids: Vec<RequestId> = self.kept_order.iter().cloned().collect();
+        for id in ids {
+            let Some(kept) = self.kept.get(&id) else {
+                continue;
+            };
+            let linked = self.linked.contains(&id.entry);
+            if linked && now.since(kept.sent_at) >= RESEND {
+                self.send_kept(now, &id);
+            } else if !linked && now.since(kept.since) >= KEPT {
+                self.forget(&id);
+            }
+        }
+    }
+
+    fn admit(
+        &mut self,
+        now: Timestamp,
+        order: &RunOrder,
+        in_service: bool,
+    ) -> Result<BackendChoice, NotRun> {
+        if self.leaving || order.incarnation != self.incarnation {
+            return Err(NotRun::Leaving);
+        }
+        if now >= order.deadline {
+            return Err(NotRun::Deadline);
+        }
+        if !in_service {
+            return Err(NotRun::OutOfService);
+        }
+        Ok(self.backends.take(now, &order.service))
+    }
+
+    fn refuse(&mut self, now: Timestamp, from: &Name, order: &RunOrder, reason: NotRun) {
+        let retry_after_ms = match reason {
+            NotRun::Busy => BUSY_RETRY_MS,
+            _ => ELSEWHERE_RETRY_MS,
+        };
+        let kept = Kept {
+            to: from.clone(),
+            service: order.service.clone(),
+            outcome: Refusal::new(reason, retry_after_ms).outcome(),
+            settle: None,
+            since: now,
+            sent_at: now,
+        };
+        self.keep(order.id.clone(), kept);
+        self.send_kept(now, &order.id);
+    }
+
+    fn keep(&mut self, id: RequestId, kept: Kept) {
+        self.kept_bytes += kept.bytes();
+        self.kept_order.push_back(id.clone());
+        self.kept.insert(id, kept);
+        while self.kept_bytes > KEPT_BYTES
+            && let Some(oldest) = self.kept_order.front().cloned()
+        {
+            log::warn!(entry:% = oldest.entry, number = oldest.number; "answer_dropped");
+            self.forget(&oldest);
+        }
+    }
+
+    fn forget(&mut self, id: &RequestId) {
+        if let Some(kept) = self.kept.remove(id) {
+            self.kept_bytes -= kept.bytes();
+            self.kept_order.retain(|k| k != id);
+        }
+    }
+
+    fn send_kept(&mut self, now: Timestamp, id: &RequestId) {
+        let Some(kept) = self.kept.get_mut(id) else {
+            return;
+        };
+        kept.sent_at = now;
+        let message = Message::Request(RequestMessage::Answer {
+            id: id.clone(),
+            outcome: kept.outcome.clone(),
+            free: self.backends.free(now, &kept.service),
+        });
+        let to = kept.to.clone();
+        self.out.push(AgentAction::Send { to, message });
+    }
+}
+
+impl Run {
+    /// Returns what the key's owner is to hear where the entry can't tell it. Only that it ran: of
+    /// anything else the entry may know better.
+    fn settle(&self, outcome: &Outcome) -> Option<KeyMessage> {
+        let (Some(key), Some(claim), Outcome::Done { .. }) = (&self.key, &self.claim, outcome)
+        else {
+            return None;
+        };
+        Some(KeyMessage::Settle {
+            service: self.service.clone(),
+            key: key.clone(),
+            id: claim.clone(),
+            outcome: outcome.clone(),
+        })
+    }
+}
+
+impl Kept {
+    fn bytes(&self) -> usize {
+        let body = match &self.outcome {
+            Outcome::Done { body, .. } => body.len(),
+            Outcome::NotRun { .. } | Outcome::Unknown => 0,
+        };
+        let copies = if self.settle.is_some() { 2 } else { 1 };
+        body * copies
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/request/backends.rs
@@ -0,0 +1,191 @@
+//! The backend servers beside one agent and their slots.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    connection::BackendReport,
+    utils::{HashMap, Name, Timestamp},
+};
+
+/// Time after which a backend server that does not renew its announcement gets no new work.
+pub const LAPSE: Duration = Duration::from_secs(3);
+
+/// How long a backend server that refused a connection gets nothing.
+const REFUSED: Duration = Duration::from_millis(500);
+
+/// Slots that one backend server may announce; each may take a thread of the agent.
+const MOST_SLOTS: u32 = 256;
+
+/// Backend servers that one agent takes announcements of.
+const MOST_BACKENDS: usize = 64;
+
+/// What a backend server says of itself, each second.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct BackendAnnouncement {
+    /// Its name.
+    pub name: Name,
+    /// The service it runs.
+    pub service: Name,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Requests it runs at once, at the most.
+    pub slots: u32,
+    /// Connections it takes at once, at the most.
+    pub connections: u32,
+    /// Whether it gets no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// Which backend server runs a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum BackendChoice {
+    /// This one has a free slot.
+    Free {
+        /// Its name.
+        name: Name,
+        /// Where it takes requests.
+        address: SocketAddr,
+    },
+    /// All slots are in use.
+    Busy,
+    /// None runs the service.
+    None,
+}
+
+/// The backend servers beside one agent.
+#[derive(Debug, Default)]
+pub struct Backends {
+    servers: HashMap<Name, Server>,
+}
+
+#[derive(Debug)]
+struct Server {
+    announced: BackendAnnouncement,
+    renewed_at: Timestamp,
+    /// Requests that may be running on it; they count until it has answered or closed their
+    /// connections, also where nobody waits for the answer any more.
+    in_use: u32,
+    refused_until: Timestamp,
+}
+
+impl Backends {
+    /// Takes in an announcement; returns whether it changed anything but the time.
+    pub fn announce(&mut self, now: Timestamp, mut announced: BackendAnnouncement) -> bool {
+        announced.slots = announced.slots.min(MOST_SLOTS);
+        if let Some(server) = self.servers.get_mut(&announced.name) {
+            let changed = server.announced != announced || !server.is_current(now);
+            server.announced = announced;
+            server.renewed_at = now;
+            return changed;
+        }
+        if self.servers.len() >= MOST_BACKENDS {
+            log::warn!(backend:% = announced.name; "announcement_over_limit");
+            return false;
+        }
+        let server = Server {
+            announced,
+            renewed_at: now,
+            in_use: 0,
+            refused_until: Timestamp::default(),
+        };
+        self.servers.insert(server.announced.name.clone(), server);
+        true
+    }
+
+    /// Forgets backend servers that have lapsed and run nothing; returns whether any had.
+    pub fn lapse(&mut self, now: Timestamp) -> bool {
+        let before = self.servers.len();
+        self.servers
+            .retain(|_, s| s.is_current(now) || s.in_use > 0);
+        self.servers.len() != before
+    }
+
+    /// Chooses a backend server for a request of `service` and takes one of its slots.
+    pub fn take(&mut self, now: Timestamp, service: &Name) -> BackendChoice {
+        let mut known = false;
+        let mut best: Option<&mut Server> = None;
+        for server in self.servers.values_mut() {
+            if !server.takes_work(now) || server.announced.service != *service {
+                continue;
+            }
+            known = true;
+            let free = server.free(now);
+            if free > best.as_ref().map_or(0, |b| b.free(now)) {
+                best = Some(server);
+            }
+        }
+        match best {
+            Some(server) => {
+                server.in_use += 1;
+                BackendChoice::Free {
+                    name: server.announced.name.clone(),
+                    address: server.announced.address,
+                }
+            }
+            None if known => BackendChoice::Busy,
+            None => BackendChoice::None,
+        }
+    }
+
+    /// Gives back a slot; `refused` tells that the server did not take the request.
+    pub fn give_back(&mut self, now: Timestamp, name: &Name, refused: bool) {
+        if let Some(server) = self.servers.get_mut(name) {
+            server.in_use = server.in_use.saturating_sub(1);
+            if refused {
+                server.refused_until = now + REFUSED;
+            }
+        }
+    }
+
+    /// Returns the free slots of `service`.
+    pub fn free(&self, now: Timestamp, service: &Name) -> u32 {
+        let servers = self.servers.values();
+        servers
+            .filter(|s| s.announced.service == *service && s.takes_work(now))
+            .map(|s| s.free(now))
+            .sum()
+    }
+
+    /// Returns what the heartbeat says of them, in the order of their names.
+    pub fn reports(&self, now: Timestamp) -> Vec<BackendReport> {
+        let mut reports: Vec<BackendReport> = self
+            .servers
+            .values()
+            .map(|s| BackendReport {
+                name: s.announced.name.clone(),
+                service: s.announced.service.clone(),
+                slots: s.most(),
+                free: s.free(now),
+                leaving: !s.takes_work(now),
+            })
+            .collect();
+        reports.sort_by(|a, b| a.name.cmp(&b.name));
+        reports
+    }
+}
+
+impl Server {
+    fn is_current(&self, now: Timestamp) -> bool {
+        now.since(self.renewed_at) <= LAPSE
+    }
+
+    fn takes_work(&self, now: Timestamp) -> bool {
+        self.is_current(now) && !self.announced.leaving
+    }
+
+    /// Each request has a connection of its own, so both limits bound the requests at once.
+    fn most(&self) -> u32 {
+        self.announced.slots.min(self.announced.connections)
+    }
+
+    fn free(&self, now: Timestamp) -> u32 {
+        if now < self.refused_until {
+            return 0;
+        }
+        self.most().saturating_sub(self.in_use)
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/request/entry_table/keys.rs
@@ -0,0 +1,260 @@
+//! What an entry asks and tells the owners of keys.
+
+use std::time::Duration;
+
+use super::{DEFAULT_RETRY_MS, EntryAction, EntryTable, Pending, Stage};
+use crate::{
+    connection::{KeyMessage, KeyVerdict, Message, NotRun, Outcome, RequestId},
+    request::Refusal,
+    utils::{Name, Timestamp},
+};
+
+/// Pause after which a new owner of a key is in office.
+const UNSETTLED_RETRY_MS: u64 = 3_000;
+
+/// Time for which a grant that comes too late is given back.
+const ABANDONED: Duration = Duration::from_secs(60);
+
+/// Time for which an owner is told what became of a key.
+const SETTLE: Duration = Duration::from_secs(10);
+
+/// Settlements that wait for a link, at the most; without one the owner answers "unknown".
+const SETTLEMENTS: usize = 64;
+
+/// What an owner is to be told once it is linked again.
+#[derive(Debug)]
+pub(super) struct Settlement {
+    owner: Name,
+    message: KeyMessage,
+    until: Timestamp,
+}
+
+impl EntryTable {
+    /// Takes over the owners of keys as of the log's record at `offset`.
+    pub fn set_ring(&mut self, offset: u64, ring: &crate::request::Ring) {
+        if offset != self.ring_offset {
+            self.ring_offset = offset;
+            self.ring = ring.clone();
+        }
+    }
+
+    /// Returns the offset of the record that made the owners known here.
+    pub fn ring_offset(&self) -> u64 {
+        self.ring_offset
+    }
+
+    /// Returns the owner of a key.
+    pub fn owner(&self, service: &Name, key: &Name) -> Option<&Name> {
+        self.ring.owner(service, key)
+    }
+
+    /// Asks the key's owner whether the request may run.
+    pub(super) fn claim(&mut self, now: Timestamp, number: u64) {
+        let id = self.id(number);
+        let Some(pending) = self.requests.get_mut(&number) else {
+            return;
+        };
+        let Some(key) = pending.key.clone() else {
+            return;
+        };
+        let Some(owner) = self.ring.owner(&pending.service, &key).cloned() else {
+            let refusal = Refusal::new(NotRun::KeyUnsettled, UNSETTLED_RETRY_MS);
+            self.give_up_claim(now, number, refusal);
+            return;
+        };
+        pending.stage = Stage::Claiming {
+            owner: owner.clone(),
+        };
+        let left = pending.deadline.since(now).as_millis();
+        let claim = KeyMessage::Claim {
+            id,
+            service: pending.service.clone(),
+            key,
+            attempt: pending.attempt,
+            deadline_ms: u64::try_from(left).unwrap_or(u64::MAX),
+        };
+        self.send_key(owner, claim);
+    }
+
+    /// Takes in an owner's verdict.
+    pub fn verdict(&mut self, now: Timestamp, from: &Name, id: &RequestId, verdict: KeyVerdict) {
+        if id.entry != self.entry {
+            return;
+        }
+        let number = id.number;
+        let asked = Stage::Claiming {
+            owner: from.clone(),
+        };
+        match self.requests.get(&number) {
+            Some(pending) if pending.stage == asked => self.heed(now, number, from, verdict),
+            Some(_) => {}
+            None => self.give_back(from, number, &verdict),
+        }
+    }
+
+    fn heed(&mut self, now: Timestamp, number: u64, owner: &Name, verdict: KeyVerdict) {
+        match verdict {
+            KeyVerdict::Granted => self.granted(now, number, owner),
+            KeyVerdict::Known(outcome) if !super::answers::is_whole(&outcome) => {
+                self.out.push(EntryAction::Event("answer_cut_off"));
+                self.claim(now, number);
+            }
+            KeyVerdict::Known(outcome) => self.finish(number, outcome),
+            KeyVerdict::Refused {
+                reason,
+                retry_after_ms,
+            } => {
+                let refusal = Refusal::new(reason, retry_after_ms);
+                self.finish(number, refusal.outcome());
+            }
+            KeyVerdict::Unknown => self.finish(number, Outcome::Unknown),
+        }
+    }
+
+    fn granted(&mut self, now: Timestamp, number: u64, owner: &Name) {
+        let Some(pending) = self.requests.get_mut(&number) else {
+            return;
+        };
+        pending.granted_by = Some(owner.clone());
+        let waiting = pending.waiting(number);
+        let version = self.version.clone();
+        let room = match version.service(&pending.service) {
+            Some(service) => self.make_room(now, service, waiting),
+            None => Err(Refusal::new(NotRun::UnknownService, DEFAULT_RETRY_MS)),
+        };
+        match room {
+            Ok(()) => self.enqueue(now, number),
+            Err(refusal) => self.finish(number, refusal.outcome()),
+        }
+    }
+
+    /// Gives back a grant that came after its request had been answered "not run"; the owner would
+    /// take the key for running until its deadline. A grant of any other request is a second copy
+    /// and must not be given back, since the request may have run.
+    fn give_back(&mut self, owner: &Name, number: u64, verdict: &KeyVerdict) {
+        let abandoned = self.abandoned.iter().find(|a| a.claim == number);
+        let message = abandoned.map(|a| a.message.clone());
+        if let (Some(message), KeyVerdict::Granted) = (message, verdict) {
+            self.send_key(owner.clone(), message);
+        }
+    }
+
+    /// Ends a request whose claim has no verdict. It was handed to no agent and won't be.
+    pub(super) fn give_up_claim(&mut self, now: Timestamp, number: u64, refusal: Refusal) {
+        let claim = self.id(number);
+        let Some(pending) = self.requests.get(&number) else {
+            return;
+        };
+        // An earlier attempt with this key may have run, which only the owner knows.
+        let outcome = if pending.attempt > 1 {
+            Outcome::Unknown
+        } else {
+            refusal.outcome()
+        };
+        if let (Stage::Claiming { owner }, Some(key)) = (&pending.stage, &pending.key) {
+            let owner = owner.clone();
+            let message = KeyMessage::Settle {
+                service: pending.service.clone(),
+                key: key.clone(),
+                id: claim,
+                outcome: refusal.outcome(),
+            };
+            self.abandoned.push(Abandoned {
+                claim: number,
+                message: message.clone(),
+                until: now + ABANDONED,
+            });
+            self.send_key(owner, message);
+        }
+        self.finish(number, outcome);
+    }
+
+    /// Tells the owner that granted the key, and the one who owns it now, what became of it.
+    pub(super) fn settle(&mut self, number: u64, pending: &Pending, outcome: &Outcome) {
+        let (Some(granter), Some(key)) = (&pending.granted_by, &pending.key) else {
+            return;
+        };
+        let message = KeyMessage::Settle {
+            service: pending.service.clone(),
+            key: key.clone(),
+            id: self.id(number),
+            outcome: outcome.clone(),
+        };
+        let current = self.ring.owner(&pending.service, key).cloned();
+        if let Some(current) = current.filter(|c| c != granter) {
+            self.send_key(current, message.clone());
+        }
+        self.send_key(granter.clone(), message);
+    }
+
+    /// Passes on what an agent says of a key whose entry is gone.
+    pub fn relay(&mut self, settle: KeyMessage) {
+        if let KeyMessage::Settle { service, key, .. } = &settle
+            && let Some(owner) = self.ring.owner(service, key).cloned()
+        {
+            self.send_key(owner, settle);
+        }
+    }
+
+    pub(super) fn key_unsent(&mut self, now: Timestamp, to: &Name, message: &KeyMessage) {
+        match message {
+            KeyMessage::Claim { id, .. } => {
+                let refusal = Refusal::new(NotRun::KeyUnsettled, UNSETTLED_RETRY_MS);
+                self.give_up_claim(now, id.number, refusal);
+            }
+            KeyMessage::Settle { .. } if self.settlements.len() < SETTLEMENTS => {
+                self.settlements.push(Settlement {
+                    owner: to.clone(),
+                    message: message.clone(),
+                    until: now + SETTLE,
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Ends the claims at an owner that is lost.
+    pub(super) fn owner_lost(&mut self, now: Timestamp, owner: &Name) {
+        let asked = Stage::Claiming {
+            owner: owner.clone(),
+        };
+        let lost: Vec<u64> = self
+            .requests
+            .iter()
+            .filter(|(_, p)| p.stage == asked)
+            .map(|(number, _)| *number)
+            .collect();
+        for number in lost {
+            let refusal = Refusal::new(NotRun::KeyUnsettled, UNSETTLED_RETRY_MS);
+            self.give_up_claim(now, number, refusal);
+        }
+    }
+
+    /// Tries again what could not be handed over, and forgets what is too old.
+    pub(super) fn tick_keys(&mut self, now: Timestamp) {
+        self.abandoned.retain(|a| a.until > now);
+        for settlement in std::mem::take(&mut self.settlements) {
+            if settlement.until <= now {
+                self.out.push(EntryAction::Event("settlement_lost"));
+            } else if self.loads.is_silent(now, &settlement.owner) {
+                self.settlements.push(settlement);
+            } else {
+                self.send_key(settlement.owner, settlement.message);
+            }
+        }
+    }
+
+    fn send_key(&mut self, to: Name, message: KeyMessage) {
+        let message = Message::Key(message);
+        self.out.push(EntryAction::Send { to, message });
+    }
+}
+
+/// A claim whose request was answered without a verdict.
+#[derive(Debug)]
+pub(super) struct Abandoned {
+    claim: u64,
+    /// What gives the grant back.
+    message: KeyMessage,
+    until: Timestamp,
+}
--- /dev/null
+++ b/dragonflyrun/src/request/entry_table/peers.rs
@@ -0,0 +1,146 @@
+//! Agents that come, go, fall silent, or are replaced.
+
+use std::time::Duration;
+
+use super::{Dispatch, EntryTable, NO_BACKEND_GRACE, NO_BACKEND_RETRY_MS};
+use crate::{
+    connection::{NotRun, Outcome, Peer},
+    request::{AgentView, Refusal, load::Sample},
+    utils::{Name, Timestamp},
+};
+
+/// Time that a link has to come back before what went over it is taken for lost.
+const LINK_GRACE: Duration = Duration::from_secs(1);
+
+/// Pause before a request is sent again over a new link, which is not yet open when it is told.
+const RESEND: Duration = Duration::from_millis(100);
+
+/// How often it is sent again; a single one may still meet a link that is not open.
+const RESENDS: u32 = 3;
+
+impl EntryTable {
+    /// Takes note of an agent's state.
+    pub fn agent_heard(&mut self, view: AgentView) {
+        self.loads.update(view);
+    }
+
+    /// Forgets all agents but those for which `keep` holds.
+    pub fn retain_agents(&mut self, keep: impl Fn(&Name) -> bool) {
+        self.loads.retain(keep);
+    }
+
+    /// Takes note of a new link to an agent.
+    pub fn agent_up(&mut self, now: Timestamp, peer: &Peer) {
+        for number in self.dispatches_of(&peer.name) {
+            let Some(dispatch) = self.dispatches.get_mut(&number) else {
+                continue;
+            };
+            if dispatch.incarnation == peer.incarnation {
+                dispatch.lost_at = None;
+                dispatch.resend_at = Some(now + RESEND);
+                dispatch.resends_left = RESENDS;
+            } else {
+                self.lose(now, number);
+            }
+        }
+    }
+
+    /// Takes note that the link to an agent ended.
+    pub fn agent_down(&mut self, now: Timestamp, peer: &Peer) {
+        for dispatch in self.dispatches.values_mut() {
+            if dispatch.agent == peer.name && dispatch.incarnation == peer.incarnation {
+                dispatch.lost_at = Some(now);
+                dispatch.resend_at = None;
+            }
+        }
+        self.owner_lost(now, &peer.name);
+    }
+
+    /// Does what time alone brings about; to be called every 100 ms or so.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.expire_due(now);
+        self.tick_dispatches(now);
+        self.tick_keys(now);
+        let services: Vec<Name> = self.services.keys().cloned().collect();
+        for service in &services {
+            self.pump(now, service);
+            self.refuse_bare(now, service);
+        }
+    }
+
+    fn tick_dispatches(&mut self, now: Timestamp) {
+        let numbers: Vec<u64> = self.dispatches.keys().copied().collect();
+        for number in numbers {
+            let Some(dispatch) = self.dispatches.get(&number) else {
+                continue;
+            };
+            if self.is_lost(now, dispatch) {
+                self.lose(now, number);
+            } else if dispatch.resend_at.is_some_and(|at| at <= now) {
+                self.resend_later(now, number);
+                self.resend(number);
+            }
+        }
+    }
+
+    fn resend_later(&mut self, now: Timestamp, number: u64) {
+        if let Some(dispatch) = self.dispatches.get_mut(&number) {
+            dispatch.resends_left = dispatch.resends_left.saturating_sub(1);
+            let again = (dispatch.resends_left > 0).then_some(now + RESEND * 3);
+            dispatch.resend_at = again;
+        }
+    }
+
+    /// Returns whether no answer is to be waited for any more. From a silent agent one may still
+    /// come, so only what may be repeated is given up for silence.
+    fn is_lost(&self, now: Timestamp, dispatch: &Dispatch) -> bool {
+        if let Some(at) = dispatch.lost_at {
+            return now.since(at) >= LINK_GRACE;
+        }
+        let request = self.requests.get(&dispatch.request);
+        request.is_some_and(|r| r.repeatable) && self.loads.is_silent(now, &dispatch.agent)
+    }
+
+    fn lose(&mut self, now: Timestamp, number: u64) {
+        if let Some(dispatch) = self.end(now, number, Sample::Failed, None) {
+            self.conclude(now, &dispatch, Outcome::Unknown);
+        }
+    }
+
+    /// Refuses what waits for a service that no agent has had for a while.
+    fn refuse_bare(&mut self, now: Timestamp, service: &Name) {
+        let capacity = self.loads.capacity(now, service);
+        let Some(state) = self.services.get_mut(service) else {
+            return;
+        };
+        if capacity.slots > 0 || state.queue.is_empty() {
+            state.bare_since = None;
+            return;
+        }
+        let since = *state.bare_since.get_or_insert(now);
+        if now.since(since) < NO_BACKEND_GRACE {
+            return;
+        }
+        let reason = if capacity.out_of_service {
+            NotRun::OutOfService
+        } else {
+            NotRun::NoBackend
+        };
+        let waiting: Vec<u64> = state.queue.all().map(|w| w.number).collect();
+        for number in waiting {
+            let refusal = Refusal::new(reason, NO_BACKEND_RETRY_MS);
+            self.finish(number, refusal.outcome());
+        }
+    }
+
+    fn dispatches_of(&self, agent: &Name) -> Vec<u64> {
+        let mut numbers: Vec<u64> = self
+            .dispatches
+            .iter()
+            .filter(|(_, d)| d.agent == *agent)
+            .map(|(number, _)| *number)
+            .collect();
+        numbers.sort_unstable();
+        numbers
+    }
+}
--- a/dragonflyrun/src/request/mod.rs
+++ b/dragonflyrun/src/request/mod.rs
@@ -1,1 +1,34 @@
-//! What lives for one request.
+//! What lives for one request: admission, the queue, routing, retries, and keys that run once.
+//!
+//! All of it decides without input and output; `process::EntryRequests` and
+//! `process::AgentRequests` carry the decisions out. See `docs/DESIGN.md`, requests.
+
+mod agent_table;
+mod backends;
+mod caller;
+mod entry_table;
+mod key_owner;
+mod load;
+mod retry_budget;
+mod ring;
+mod run_time;
+mod wait_queue;
+
+pub use agent_table::{AgentAction, AgentTable, RunOrder};
+pub use backends::{BackendAnnouncement, BackendChoice, Backends, LAPSE};
+pub use caller::{CallerRequest, Refusal};
+pub use entry_table::{EntryAction, EntryTable, ServiceStats};
+pub use key_owner::{KeyClaim, KeyOutcome, KeyOwner, OwnerAction};
+pub use load::{AgentLoads, AgentView, ServiceView};
+pub use retry_budget::RetryBudget;
+pub use ring::Ring;
+pub use run_time::RunTime;
+pub use wait_queue::{WaitQueue, Waiting};
+
+use crate::{connection::Peer, utils::Name};
+
+/// Returns the name that stands in the ids of an entry's requests: its own, with the number that
+/// tells its process from an earlier one of the same name.
+pub fn entry_id(entry: &Peer) -> Name {
+    format!("{}#{}", entry.name, entry.incarnation).into()
+}
