--- a/dragonflyrun/src/process/agent_requests.rs
+++ b/dragonflyrun/src/process/agent_requests.rs
@@ -79,7 +79,7 @@
         };
         let inner = Inner {
             table: AgentTable::new(cx.identity.incarnation),
-            owner: KeyOwner::new(cx.identity.name.clone(), cx.now()),
+            owner: KeyOwner::new(&cx.identity, cx.now()),
             unsettled: Vec::new(),
         };
         Arc::new(Self {
@@ -149,6 +149,8 @@
                 service,
                 key,
                 attempt,
+                incarnation,
+                sent_ms,
                 deadline_ms,
             } => {
                 self.follow_ring();
@@ -160,7 +162,9 @@
                     service,
                     key,
                     attempt,
-                    deadline: self.cx.now() + Duration::from_millis(deadline_ms),
+                    incarnation,
+                    sent: Timestamp::from_millis(sent_ms),
+                    deadline: Timestamp::from_millis(deadline_ms),
                     window,
                 };
                 self.decide(|now, inner| inner.owner.claim(now, claim, fresh));
--- a/dragonflyrun/src/process/entry_requests.rs
+++ b/dragonflyrun/src/process/entry_requests.rs
@@ -16,18 +16,16 @@
 
 use crate::{
     connection::{
-        AgentReport,
         HttpRequest,
         HttpResponse,
         KeyMessage,
         NotRun,
         Outcome,
         Peer,
-        Report,
         RequestMessage,
         Role, //
     },
-    process::{Context, PeerState, lock},
+    process::{Context, lock},
     request::{
         AgentView,
         CallerRequest,
@@ -36,7 +34,6 @@
         Refusal,
         Ring,
         ServiceStats,
-        ServiceView,
         entry_id, //
     },
     utils::{HashMap, HashSet, Name},
@@ -176,7 +173,7 @@
         let version = self.cx.version();
         let view = {
             let roster = lock(&self.cx.roster);
-            roster.peer(agent).and_then(|p| view(p, &version))
+            roster.peer(agent).and_then(|p| AgentView::of(p, &version))
         };
         if let Some(view) = view {
             lock(&self.inner).table.agent_heard(view);
@@ -189,7 +186,10 @@
         let views: Vec<AgentView> = {
             let roster = lock(&self.cx.roster);
             let peers = roster.all();
-            peers.iter().filter_map(|p| view(p, &version)).collect()
+            peers
+                .iter()
+                .filter_map(|p| AgentView::of(p, &version))
+                .collect()
         };
         let mut inner = lock(&self.inner);
         let names: HashSet<Name> = views.iter().map(|v| v.name.clone()).collect();
@@ -303,41 +303,6 @@
         .filter(|service| !service.is_empty() && !service.contains('/'))
 }
 
-fn view(state: &PeerState, version: &Version) -> Option<AgentView> {
-    let Some(Report::Agent(report)) = &state.report else {
-        return None;
-    };
-    let staying = state.linked && !report.leaving;
-    let in_service = version.in_service(&report.failure_domain);
-    Some(AgentView {
-        name: state.peer.name.clone(),
-        incarnation: state.peer.incarnation,
-        sent_ms: state.sent_ms,
-        heard: state.heard,
-        usable: staying && in_service,
-        out_of_service: staying && !in_service,
-        services: services(report),
-    })
-}
-
-fn services(report: &AgentReport) -> Vec<ServiceView> {
-    let mut services: Vec<ServiceView> = Vec::new();
-    for backend in report.backends.iter().filter(|b| !b.leaving) {
-        match services.iter_mut().find(|s| s.service == backend.service) {
-            Some(service) => {
-                service.slots += backend.slots;
-                service.free += backend.free;
-            }
-            None => services.push(ServiceView {
-                service: backend.service.clone(),
-                slots: backend.slots,
-                free: backend.free,
-            }),
-        }
-    }
-    services
-}
-
 fn caller_request(service: &str, req: HttpRequest) -> Result<CallerRequest, Refusal> {
     let malformed = Refusal::new(NotRun::Malformed, MALFORMED_RETRY_MS);
     let key = optional(&req, "idempotency-key", |text| {
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -1,6 +1,7 @@
 //! What lives for one process: settings, the tables shared by its threads, start and stop.
 
 mod agent_requests;
+mod appender;
 mod clock;
 mod config;
 mod context;
@@ -12,8 +13,10 @@
 mod roster;
 mod run_pool;
 mod settings;
+mod status;
 
 pub use agent_requests::AgentRequests;
+pub use appender::{AppendError, Appender};
 pub use clock::Clock;
 pub use config::Config;
 pub use context::{Context, link_settings, lock};
@@ -24,3 +27,7 @@
 pub use membership::Membership;
 pub use roster::{PeerState, Roster, SILENCE};
 pub use settings::{RoleSettings, Settings, SettingsError};
+pub use status::{
+    EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
+    ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
+};
--- a/dragonflyrun/src/request/entry_table.rs
+++ b/dragonflyrun/src/request/entry_table.rs
@@ -57,6 +57,16 @@
 /// heartbeat that comes late must not empty the queue.
 const NO_BACKEND_GRACE: Duration = Duration::from_secs(1);
 
+/// Time without a sign of life of our own that means that this process was frozen.
+const FROZEN: Duration = Duration::from_secs(1);
+
+/// Time after a freeze for which no key is claimed.
+///
+/// Requests that came during the freeze look like new ones, but their callers have given up and
+/// may have tried again elsewhere. A first attempt that comes so late can meet an owner that does
+/// not know of the second.
+const RESUMED: Duration = Duration::from_secs(1);
+
 /// What the entry is to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EntryAction {
@@ -115,6 +125,8 @@
     abandoned: Vec<Abandoned>,
     settlements: Vec<Settlement>,
     leaving: bool,
+    seen_at: Option<Timestamp>,
+    resumed_until: Timestamp,
     choices: usize,
     rng: SmallRng,
     out: Vec<EntryAction>,
@@ -198,6 +210,8 @@
             abandoned: Vec::new(),
             settlements: Vec::new(),
             leaving: false,
+            seen_at: None,
+            resumed_until: Timestamp::default(),
             choices: CHOICES,
             rng: SmallRng::seed_from_u64(seed),
             out: Vec::new(),
@@ -243,6 +257,7 @@
 
     /// Takes in a caller's request; returns its number. The answer may be among the actions.
     pub fn submit(&mut self, now: Timestamp, req: CallerRequest) -> u64 {
+        self.notice_freeze(now);
         let number = self.number();
         let repeat = req.key.is_some() && req.attempt > 1;
         match self.admit(now, number, req) {
@@ -267,6 +282,15 @@
         std::mem::take(&mut self.out)
     }
 
+    /// Takes note that this process runs at `now`; has to be called by whatever comes first after
+    /// a freeze.
+    fn notice_freeze(&mut self, now: Timestamp) {
+        if self.seen_at.is_some_and(|at| now.since(at) > FROZEN) {
+            self.resumed_until = now + RESUMED;
+        }
+        self.seen_at = Some(now);
+    }
+
     fn number(&mut self) -> u64 {
         self.next_number += 1;
         self.next_number
@@ -290,6 +314,9 @@
         let pending = self.check(now, service, req)?;
         self.budget.earn(version.limits.retry_percent);
         let must_claim = !pending.repeatable;
+        if must_claim && now < self.resumed_until {
+            return Err(Refusal::new(NotRun::NotFresh, LEAVING_RETRY_MS));
+        }
         let repeat = must_claim && pending.attempt > 1;
         let waiting = pending.waiting(number);
         // A repeat may be answered from the owner's record without any slot.
@@ -450,17 +477,13 @@
         if view.incarnation != sent.incarnation || matches!(pending.stage, Stage::Answered { .. }) {
             return None;
         }
-        // The agent's clock had passed `sent_ms` when we heard it, so this is no later on its
-        // clock than the deadline is on ours.
-        let left = pending.deadline.since(view.heard).as_millis();
-        let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
         Some(Message::Request(RequestMessage::Run {
             id: self.id(dispatch),
             incarnation: sent.incarnation,
             service: pending.service.clone(),
             key: pending.key.clone(),
             claim: pending.granted_by.as_ref().map(|_| self.id(sent.request)),
-            deadline_ms: view.sent_ms.saturating_add(left_ms),
+            deadline_ms: view.clock_at(pending.deadline),
             body: pending.body.clone(),
         }))
     }
--- a/dragonflyrun/src/request/entry_table/keys.rs
+++ b/dragonflyrun/src/request/entry_table/keys.rs
@@ -57,21 +57,24 @@
         let Some(key) = pending.key.clone() else {
             return;
         };
-        let Some(owner) = self.ring.owner(&pending.service, &key).cloned() else {
+        let owner = self.ring.owner(&pending.service, &key);
+        let Some(view) = owner.and_then(|owner| self.loads.view(owner)) else {
             let refusal = Refusal::new(NotRun::KeyUnsettled, UNSETTLED_RETRY_MS);
             self.give_up_claim(now, number, refusal);
             return;
         };
+        let owner = view.name.clone();
         pending.stage = Stage::Claiming {
             owner: owner.clone(),
         };
-        let left = pending.deadline.since(now).as_millis();
         let claim = KeyMessage::Claim {
             id,
             service: pending.service.clone(),
             key,
             attempt: pending.attempt,
-            deadline_ms: u64::try_from(left).unwrap_or(u64::MAX),
+            incarnation: view.incarnation,
+            sent_ms: view.clock_at(now),
+            deadline_ms: view.clock_at(pending.deadline),
         };
         self.send_key(owner, claim);
     }
--- a/dragonflyrun/src/request/entry_table/peers.rs
+++ b/dragonflyrun/src/request/entry_table/peers.rs
@@ -58,6 +58,7 @@
 
     /// Does what time alone brings about; to be called every 100 ms or so.
     pub fn tick(&mut self, now: Timestamp) {
+        self.notice_freeze(now);
         self.expire_due(now);
         self.tick_dispatches(now);
         self.tick_keys(now);
--- a/dragonflyrun/src/request/key_owner.rs
+++ b/dragonflyrun/src/request/key_owner.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use crate::{
-    connection::{KeyVerdict, NotRun, Outcome, RequestId},
+    connection::{KeyVerdict, NotRun, Outcome, Peer, RequestId},
     process::FRESH,
     request::{Refusal, Ring},
     utils::{HashMap, Name, Timestamp},
@@ -49,7 +49,11 @@
     pub key: Name,
     /// The caller's count of attempts, from 1.
     pub attempt: u32,
-    /// The caller's deadline.
+    /// The owner's incarnation that the entry means.
+    pub incarnation: u64,
+    /// When the entry sent it, at the earliest, on the owner's clock.
+    pub sent: Timestamp,
+    /// The caller's deadline on the owner's clock.
     pub deadline: Timestamp,
     /// For how long the service's keys are remembered.
     pub window: Duration,
@@ -84,7 +88,7 @@
 /// The keys that one agent owns.
 #[derive(Debug)]
 pub struct KeyOwner {
-    me: Name,
+    me: Peer,
     started: Timestamp,
     /// The latest change of owners last.
     epochs: Vec<Epoch>,
@@ -109,6 +113,8 @@
 #[derive(Debug)]
 struct Record {
     state: KeyState,
+    /// The highest attempt seen. The caller of a lower one has given it up.
+    attempt: u32,
     forget_at: Timestamp,
 }
 
@@ -127,10 +133,10 @@
 }
 
 impl KeyOwner {
-    /// Returns the owner called `me`, whose process started at `started`.
-    pub fn new(me: Name, started: Timestamp) -> Self {
+    /// Returns the owner `me`, whose process started at `started`.
+    pub fn new(me: &Peer, started: Timestamp) -> Self {
         Self {
-            me,
+            me: me.clone(),
             started,
             epochs: Vec::new(),
             keys: HashMap::default(),
@@ -174,6 +180,11 @@
     /// Takes in a claim; `fresh` tells whether this process knows the latest state of the log.
     pub fn claim(&mut self, now: Timestamp, claim: KeyClaim, fresh: bool) {
         let id = KeyId::of(&claim);
+        let mut overtaken = false;
+        if let Some(record) = self.keys.get_mut(&id) {
+            overtaken = claim.attempt < record.attempt;
+            record.attempt = record.attempt.max(claim.attempt);
+        }
         let verdict = match self.keys.get_mut(&id).map(|r| &mut r.state) {
             Some(KeyState::Ran { outcome, .. }) => known(outcome),
             Some(KeyState::Granted { holder, .. }) if *holder == claim.id => KeyVerdict::Granted,
@@ -187,6 +198,10 @@
                 return;
             }
             Some(KeyState::Granted { .. }) => KeyVerdict::Unknown,
+            // The caller may have been told "not run" for a later attempt; that must stay true.
+            Some(KeyState::NotRun) if overtaken => {
+                refused(Refusal::new(NotRun::KeyUnsettled, RETRY_MS))
+            }
             Some(KeyState::NotRun) => match self.may_grant(now, &claim, fresh) {
                 Ok(()) => self.grant(now, &claim),
                 // Another owner may have granted it meanwhile.
@@ -277,12 +292,18 @@
     fn may_grant(&self, now: Timestamp, claim: &KeyClaim, fresh: bool) -> Result<(), Refusal> {
         let unsettled = Refusal::new(NotRun::KeyUnsettled, RETRY_MS);
         let epoch = self.epochs.last().ok_or(unsettled)?;
-        if epoch.ring.owner(&claim.service, &claim.key) != Some(&self.me) {
+        if epoch.ring.owner(&claim.service, &claim.key) != Some(&self.me.name) {
             return Err(unsettled);
         }
         if now.since(epoch.since) < SETTLING {
             return Err(unsettled);
         }
+        // Held up in a frozen process or a broken network, it may be older than a change of
+        // owners, and its caller may have tried again at the one before.
+        let late = claim.incarnation != self.me.incarnation || now.since(claim.sent) > FRESH;
+        if late {
+            return Err(unsettled);
+        }
         if !fresh {
             return Err(Refusal::new(NotRun::NotFresh, RETRY_MS));
         }
@@ -297,7 +318,7 @@
 
     /// Returns for how long this process has owned the key without interruption.
     fn owned_for(&self, now: Timestamp, claim: &KeyClaim) -> Duration {
-        let mine = |e: &&Epoch| e.ring.owner(&claim.service, &claim.key) == Some(&self.me);
+        let mine = |e: &&Epoch| e.ring.owner(&claim.service, &claim.key) == Some(&self.me.name);
         let first = self.epochs.iter().rev().take_while(mine).last();
         first.map_or(Duration::ZERO, |e| now.since(e.since.max(self.started)))
     }
@@ -310,6 +331,7 @@
                 until,
                 waiters: Vec::new(),
             },
+            attempt: claim.attempt,
             forget_at: until.max(now) + claim.window,
         };
         self.replace(KeyId::of(claim), record);
@@ -342,8 +364,10 @@
                 outcome: self.affordable(settled.outcome.clone()),
             }
         };
+        let attempt = self.keys.get(&key).map_or(1, |r| r.attempt);
         let record = Record {
             state,
+            attempt,
             forget_at: now + settled.window,
         };
         self.replace(key, record);
