--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! What lives for one connection: peer links, HTTP, and the clients of the platform.
 
+mod backend_client;
 pub mod codec;
 mod greeting;
 mod http_server;
@@ -10,6 +11,7 @@
 mod seal;
 mod worker_client;
 
+pub use backend_client::{BackendRequest, run_at_backend};
 pub use greeting::{Peer, Role};
 pub use http_server::{Handler, HttpLimits, HttpRequest, HttpResponse, HttpServer};
 pub use links::{LinkEvent, LinkSettings, Linked, Links, SendError};
