--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -273,6 +273,8 @@
         term: u64,
         /// The gang.
         gang: GangId,
+        /// An offset of the log at which the start is known to stand, there or before.
+        offset: u64,
     },
     /// Planner to agent: stop the member, or give back its reservation.
     Stop {
@@ -335,15 +337,17 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
-    /// The order was refused; nothing is held.
+    /// The order was refused or the worker did not start it; nothing is held.
     Refused,
     /// The accelerators are held under a worker lease; no task runs.
     Reserved,
     /// The tasks run.
     Running,
+    /// The tasks are being stopped, or the reservation is being given back.
+    Stopping,
     /// All tasks ended well.
     Finished,
-    /// A task ended badly or could not be started.
+    /// A task ended badly.
     Failed,
     /// The tasks were stopped, or the reservation was given back.
     Stopped {
