Add the planner, jobs at entries and members at agents

Thin but whole: terms, reservation, start on the log, gang leases, stops, fences, carried state. Roster numbers its reports so that a change is seen without comparing them (shared file, small).

--- a/dragonflyrun/src/job/election.rs
+++ b/dragonflyrun/src/job/election.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Returns the name of the entry.
+    pub fn me(&self) -> &Name {
+        &self.me
+    }
+
     /// Returns the term that this process holds.
     pub fn held(&self) -> Option<u64> {
         self.held
@@ -73,7 +78,9 @@
 
     /// Returns the term to claim, where it is time to.
     pub fn tick(&mut self, now: Timestamp, view: &ElectionView) -> Option<u64> {
-        let pending = self.claimed.is_some_and(|(_, at)| now.since(at) < CLAIM_WAIT);
+        let pending = self
+            .claimed
+            .is_some_and(|(_, at)| now.since(at) < CLAIM_WAIT);
         if self.held.is_some() || pending {
             return None;
         }
@@ -88,7 +95,11 @@
             // Nobody holds a term, or this process's predecessor did, which is gone for certain.
             _ => Duration::ZERO,
         };
-        let turn = if was_me { Duration::ZERO } else { TURN * view.rank };
+        let turn = if was_me {
+            Duration::ZERO
+        } else {
+            TURN * view.rank
+        };
         if !view.fresh || now.since(since) < silence + turn {
             return None;
         }
--- a/dragonflyrun/src/job/gang.rs
+++ b/dragonflyrun/src/job/gang.rs
@@ -127,13 +127,22 @@
     phase: Phase,
     /// An offset of the log at which the start is known to stand, there or before.
     recorded: Option<u64>,
+    /// When all members were first known to run.
+    began: Option<Timestamp>,
     next_order: Timestamp,
 }
 
 impl Gang {
     /// Returns a gang that is to be reserved at `placements`.
     pub fn reserve(now: Timestamp, id: GangId, job: LiveJob, placements: &[Placement]) -> Self {
-        Self::new(now, id, job, placements, Phase::Reserving { since: now }, None)
+        Self::new(
+            now,
+            id,
+            job,
+            placements,
+            Phase::Reserving { since: now },
+            None,
+        )
     }
 
     /// Returns the gang of a job that the log, as of `offset`, says is placed, and of whose members
@@ -173,6 +182,7 @@
             index,
             phase,
             recorded,
+            began: None,
             next_order: now,
         }
     }
@@ -211,6 +221,11 @@
         }
     }
 
+    /// Returns for how long it has run.
+    pub fn ran(&self, now: Timestamp) -> Duration {
+        self.began.map_or(Duration::ZERO, |at| now.since(at))
+    }
+
     /// Returns whether it is stopping or over.
     pub fn is_stopping(&self) -> bool {
         matches!(self.phase, Phase::Stopping(_) | Phase::Closed)
@@ -233,10 +248,13 @@
                 obeyed: None,
             };
         }
-        if job.cancelled {
+        let (cancelled, fenced) = (job.cancelled, job.fenced);
+        self.job = job;
+        if cancelled {
             self.stop(now, StopReason::Cancelled);
+        } else if fenced {
+            self.stop(now, StopReason::MemberLost);
         }
-        self.job = job;
     }
 
     /// Takes note that the start is on the log at `offset`.
@@ -337,7 +355,10 @@
             .is_some_and(|i| self.members[*i].seen == Some(MemberState::Finished));
         // After a change of planner an agent may not be linked yet; that has its own timeout.
         let never_heard = matches!(self.phase, Phase::Starting { .. })
-            && self.index.get(worker).is_some_and(|i| self.members[*i].seen.is_none());
+            && self
+                .index
+                .get(worker)
+                .is_some_and(|i| self.members[*i].seen.is_none());
         if !finished && !never_heard {
             self.stop(now, StopReason::MemberLost);
         }
@@ -388,6 +409,7 @@
             {
                 log::info!(job:% = self.id.job, attempt = self.id.attempt; "gang_running");
                 self.phase = Phase::Running { since: now };
+                self.began = Some(now);
             }
             Phase::Starting { since } if now.since(since) > START_WAIT => {
                 self.stop(now, StopReason::NotStarted);
--- a/dragonflyrun/src/job/retention.rs
+++ b/dragonflyrun/src/job/retention.rs
@@ -52,6 +52,14 @@
         self.queue.push_back((item, written));
     }
 
+    /// Takes note of a record on `item` at `offset`. The whole state needs all records since it was
+    /// last repeated, so the first of them counts.
+    pub fn changed(&mut self, now: Timestamp, item: Item, offset: u64) {
+        if !self.items.contains_key(&item) {
+            self.written(now, item, offset);
+        }
+    }
+
     /// Takes note that `item` is to be repeated at once: the log changed between the moment at
     /// which it was read and that at which it was repeated, so a reader that starts at the repeated
     /// state would miss the change.
@@ -67,7 +75,7 @@
     }
 
     /// Returns what is to be repeated now, where the log ends at `next_offset`. What is returned
-    /// counts as written, and is due again where it does not reach the log.
+    /// counts as written; [`Retention::outdated`] makes it due again where it is not.
     pub fn due(&mut self, now: Timestamp, next_offset: u64) -> Vec<Item> {
         let mut due = Vec::new();
         while due.len() < AT_ONCE {
@@ -84,7 +92,7 @@
                 break;
             };
             if current {
-                self.items.remove(&item);
+                self.written(now, item.clone(), next_offset);
                 due.push(item);
             }
         }
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -1,10 +1,12 @@
 //! What lives for one process: settings, the tables shared by its threads, start and stop.
 
+mod agent_jobs;
 mod appender;
 mod clock;
 mod config;
 mod context;
 mod counters;
+mod entry_jobs;
 mod freshness;
 mod ledger;
 mod membership;
@@ -12,11 +14,13 @@
 mod settings;
 mod status;
 
+pub use agent_jobs::AgentJobs;
 pub use appender::{AppendError, Appender};
 pub use clock::Clock;
 pub use config::Config;
 pub use context::{Context, link_settings, lock};
 pub use counters::Counters;
+pub use entry_jobs::EntryJobs;
 pub use freshness::{EntryView, FRESH, Freshness};
 pub use ledger::{Folded, Ledger};
 pub use membership::Membership;
--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -27,6 +27,8 @@
     pub log: LogView,
     /// Its last report; none before the first.
     pub report: Option<Report>,
+    /// Differs from what it was whenever the report may differ from what it was.
+    pub report_number: u64,
     /// Whether it is linked now.
     pub linked: bool,
 }
@@ -35,6 +37,7 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     peers: HashMap<Name, PeerState>,
+    reports: u64,
 }
 
 impl Roster {
@@ -47,6 +50,7 @@
             sent_ms: 0,
             log: LogView::default(),
             report: None,
+            report_number: 0,
             linked: true,
         };
         self.peers.insert(peer.name.clone(), state);
@@ -73,6 +77,8 @@
         state.log = heartbeat.log;
         if let Some(report) = heartbeat.report {
             state.report = Some(report);
+            self.reports += 1;
+            state.report_number = self.reports;
         }
     }
 
