--- a/dragonflyrun/benches/measures/simulation/world.rs
+++ b/dragonflyrun/benches/measures/simulation/world.rs
@@ -627,15 +627,8 @@
 }
 
 fn job((plan, number): (PlannedJob, u64)) -> Job {
-    let live = LiveJob {
-        job: format!("job-{number}").into(),
-        spec: plan.spec.clone(),
-        accepted: number + 1,
-        attempt: 0,
-        placements: Vec::new(),
-        checkpointed: false,
-        cancelled: false,
-    };
+    let id = format!("job-{number}").into();
+    let live = LiveJob::new(id, plan.spec.clone(), number + 1);
     Job {
         plan,
         live,
