Keep an entry's gang decisions in a table without I/O

The shell had decided on silence, renewals and reports under two locks; the table holds all of it, so that the fault tests run the same code.

--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -13,7 +13,8 @@
     connection::{GangMessage, JobEnd, MemberReport, MemberState, RecordBody},
     job::{
         Close, Decision, Election, ElectionView, Gang, GangAction, GangId, Item, JobId, JobSpec,
-        LiveJob, Retention, Ring, Scheduler, StopReason, Unreachable, UsageReport, WorkerInfo,
+        LiveJob, Notice, Retention, Ring, Scheduler, StopReason, Unreachable, UsageReport,
+        WorkerInfo,
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     version::Version,
@@ -57,12 +58,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum PlannerAction {
     /// Send an order.
-    Send {
-        /// The agent.
-        to: Name,
-        /// The order.
-        message: GangMessage,
-    },
+    Send(Notice),
     /// Append a record, and tell [`Planner::appended`] its id.
     Append {
         /// The record.
@@ -205,6 +201,9 @@
 
     /// Takes note of a new configuration.
     pub fn configure(&mut self, version: &Arc<Version>) {
+        if version.offset == self.version.offset {
+            return;
+        }
         self.version = version.clone();
         self.scheduler.configure(version);
     }
@@ -239,19 +238,19 @@
         agent: &Name,
         members: &[MemberReport],
         knows_worker: bool,
-    ) -> Vec<PlannerAction> {
+    ) -> Vec<Notice> {
         let Some(term) = self.election.held() else {
             return Vec::new();
         };
         let mut absent = self.jobs_on(agent);
-        let mut actions = Vec::new();
+        let mut notices = Vec::new();
         for member in members {
             if self.gang_mut(&member.gang).is_some() {
                 absent.retain(|job| *job != member.gang.job);
                 self.member_state(now, agent, member);
             } else if is_held(member.state) {
                 // An attempt that was given up before the log had it, or that has ended.
-                actions.push(PlannerAction::Send {
+                notices.push(Notice {
                     to: agent.clone(),
                     message: GangMessage::Stop {
                         term,
@@ -267,7 +266,7 @@
                 gang.report(now, agent, None);
             }
         }
-        actions
+        notices
     }
 
     /// Returns what is to be done now; to be called every 100 ms.
@@ -379,7 +378,7 @@
         let GangId { term, attempt, .. } = *gang.id();
         match action {
             GangAction::Send { to, message } => {
-                actions.push(PlannerAction::Send { to, message });
+                actions.push(PlannerAction::Send(Notice { to, message }));
             }
             GangAction::RecordStart => {
                 let body = RecordBody::JobStarted {
--- /dev/null
+++ b/dragonflyrun/src/process/entry_table.rs
@@ -0,0 +1,296 @@
+//! What an entry decides about gangs: which it renews, and what it does as planner.
+//!
+//! The table does no I/O and reads no clock, so that the tests run it against failures on a clock
+//! of their own; [`EntryJobs`](crate::process::EntryJobs) carries out what it returns.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    connection::{Carried, CarriedSection, RecordBody, Report, Role},
+    job::{
+        AUTONOMY, ElectionView, Item, JobId, JobRecord, JobSpec, Notice, Planner, PlannerAction,
+        PlannerView, Purpose, Renewals, Unreachable, WorkerInfo,
+    },
+    process::{Folded, Ledger, PeerState, Roster, SILENCE},
+    utils::{HashMap, HashSet, Name, Timestamp},
+    version::Version,
+};
+
+/// Time between two ticks that shows that this process was frozen in between. What its peers sent
+/// then still waits to be read, so nobody counts as silent until it was.
+const FROZEN: Duration = Duration::from_millis(1_000);
+
+/// What was last taken from an agent's state in the roster.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Taken {
+    incarnation: u64,
+    report_number: u64,
+    /// Whether its worker may get work.
+    up: bool,
+}
+
+/// What the log and the roster say at one moment.
+#[derive(Clone, Debug)]
+pub struct TickView {
+    /// What the planner needs.
+    pub planner: PlannerView,
+    /// The agents that were heard lately.
+    pub heard: HashSet<Name>,
+}
+
+impl TickView {
+    /// Reads what the entry called `me` knows; `fresh` says whether that is the latest state.
+    pub fn read(now: Timestamp, me: &Name, fresh: bool, ledger: &Ledger, roster: &Roster) -> Self {
+        let membership = &ledger.membership;
+        let next_offset = ledger.next_offset();
+        let planner = membership.planner().cloned();
+        let planner_heard = planner
+            .as_ref()
+            .and_then(|p| roster.peer(p))
+            .is_some_and(|p| p.is_live(now));
+        let smaller = roster
+            .live(now, Role::Entry)
+            .filter(|p| p.peer.name < *me)
+            .count();
+        let folded_by_all = membership
+            .entries()
+            .keys()
+            .filter(|name| *name != me)
+            .map(|name| roster.peer(name))
+            .filter(|peer| !peer.is_some_and(|p| p.is_leaving() && !p.linked))
+            .map(|peer| peer.map_or(0, |p| p.log.next_offset))
+            .fold(next_offset, u64::min);
+        let heard = roster
+            .of_role(Role::Agent)
+            .filter(|p| now.since(p.heard) <= SILENCE)
+            .map(|p| p.peer.name.clone())
+            .collect();
+        Self {
+            planner: PlannerView {
+                election: ElectionView {
+                    term: membership.term(),
+                    planner_heard,
+                    planner,
+                    fresh,
+                    rank: u32::try_from(smaller).unwrap_or(u32::MAX),
+                },
+                next_offset,
+                folded_by_all,
+                owners: membership.ring().to_vec(),
+            },
+            heard,
+        }
+    }
+}
+
+/// The gangs of one entry.
+#[derive(Debug)]
+pub struct EntryTable {
+    renewals: Renewals,
+    planner: Planner,
+    agents: HashMap<Name, Taken>,
+    last_tick: Timestamp,
+    /// Until when no agent counts as silent.
+    grace: Timestamp,
+    /// When this entry last knew the latest state of the log.
+    fresh_at: Option<Timestamp>,
+}
+
+impl EntryTable {
+    /// Returns the table of the entry called `me` as its process starts.
+    pub fn new(now: Timestamp, me: Name, version: Arc<Version>) -> Self {
+        Self {
+            renewals: Renewals::default(),
+            planner: Planner::new(me, version),
+            agents: HashMap::default(),
+            last_tick: now,
+            grace: now + SILENCE,
+            fresh_at: None,
+        }
+    }
+
+    /// Returns the term that this process holds as planner; none where it is not planner.
+    pub fn term(&self) -> Option<u64> {
+        self.planner.term()
+    }
+
+    /// Checks that a job can be had from the workers known.
+    ///
+    /// # Errors
+    ///
+    /// Why it can never be had.
+    pub fn possible(&self, spec: &JobSpec) -> Result<(), Unreachable> {
+        self.planner.possible(spec)
+    }
+
+    /// Takes note of a heartbeat of `peer`, and returns what it and others are to be told.
+    pub fn on_heartbeat(&mut self, now: Timestamp, peer: &PeerState) -> Vec<Notice> {
+        let agent = &peer.peer.name;
+        let mut notices = self.take_report(now, agent, peer);
+        let renewal = self
+            .renewals
+            .heard(now, agent, peer.confirmed, peer.sent_ms);
+        let may_renew = self.fresh_at.is_some_and(|at| now.since(at) <= AUTONOMY);
+        if let Some(message) = renewal.filter(|_| may_renew) {
+            let to = agent.clone();
+            notices.push(Notice { to, message });
+        }
+        notices
+    }
+
+    /// Takes note that the link to an agent ended.
+    ///
+    /// It gets no new work from then on. What it runs goes on: the link may come back, and an agent
+    /// whose process was replaced may go on with its members.
+    pub fn on_down(&mut self, now: Timestamp, agent: &Name) {
+        if let Some(taken) = self.agents.get_mut(agent) {
+            taken.up = false;
+            self.planner.worker_down(now, agent);
+        }
+    }
+
+    /// Follows a record that was folded last into `ledger`.
+    pub fn on_folded(&mut self, now: Timestamp, folded: &Folded, ledger: &Ledger) {
+        let body = &folded.record.body;
+        let job = job_of(body);
+        let live = job.and_then(|j| ledger.jobs.live(j));
+        match body {
+            RecordBody::JobStopped { job, .. } | RecordBody::JobEnded { job, .. } => {
+                self.renewals.settled(job);
+            }
+            _ => {
+                if let Some(live) = live.filter(|l| l.fenced) {
+                    self.renewals.fence(live.gang());
+                }
+            }
+        }
+        self.planner.configure(ledger.history.current());
+        let record = JobRecord {
+            offset: folded.offset,
+            record: &folded.record,
+            live,
+            ended: job.and_then(|j| ledger.jobs.ended(j)),
+        };
+        if self.planner.on_record(now, record) {
+            // Each agent's next heartbeat counts as a change and so reaches the new planner.
+            self.agents
+                .values_mut()
+                .for_each(|agent| agent.report_number = 0);
+        }
+    }
+
+    /// Takes note of the id of a record that was queued for `purpose`.
+    pub fn appended(&mut self, id: Name, purpose: Purpose) {
+        self.planner.appended(id, purpose);
+    }
+
+    /// Takes note that a record of this process is not known to be on the log.
+    pub fn append_failed(&mut self, now: Timestamp, id: &Name) {
+        self.planner.append_failed(now, id);
+    }
+
+    /// Returns what is to be done now; to be called every 100 ms.
+    pub fn tick(&mut self, now: Timestamp, view: &TickView) -> Vec<PlannerAction> {
+        if now.since(self.last_tick) > FROZEN {
+            self.grace = now + SILENCE;
+        }
+        self.last_tick = now;
+        if view.planner.election.fresh {
+            self.fresh_at = Some(now);
+        }
+        self.renewals.tick(now);
+        if now >= self.grace {
+            self.drop_silent(now, &view.heard);
+        }
+        self.planner.tick(now, &view.planner)
+    }
+
+    /// Drops the agents that have been silent for so long that their members count as lost.
+    fn drop_silent(&mut self, now: Timestamp, heard: &HashSet<Name>) {
+        let silent: Vec<Name> = self
+            .agents
+            .keys()
+            .filter(|agent| !heard.contains(*agent))
+            .cloned()
+            .collect();
+        for agent in silent {
+            log::info!(agent:% = agent; "agent_lost");
+            self.agents.remove(&agent);
+            self.renewals.gone(&agent);
+            self.planner.worker_down(now, &agent);
+            self.planner.worker_lost(now, &agent);
+        }
+    }
+
+    fn take_report(&mut self, now: Timestamp, agent: &Name, peer: &PeerState) -> Vec<Notice> {
+        let Some(Report::Agent(report)) = &peer.report else {
+            return Vec::new();
+        };
+        let knows_worker = report.accelerators > 0;
+        let taken = Taken {
+            incarnation: peer.peer.incarnation,
+            report_number: peer.report_number,
+            up: knows_worker && peer.is_live(now),
+        };
+        if self.agents.insert(agent.clone(), taken) == Some(taken) {
+            return Vec::new();
+        }
+        if taken.up {
+            let info = WorkerInfo {
+                name: agent.clone(),
+                rack: report.rack.clone(),
+                failure_domain: report.failure_domain.clone(),
+                accelerators: report.accelerators,
+            };
+            self.planner.worker_up(now, info);
+        } else {
+            self.planner.worker_down(now, agent);
+        }
+        let mut notices = self
+            .planner
+            .report(now, agent, &report.members, knows_worker);
+        let members = report.members.clone();
+        notices.extend(self.renewals.report(agent, taken.incarnation, members));
+        notices
+    }
+}
+
+/// Returns a state as it is on the log now, to be repeated in a record; none where it is over.
+pub fn carried_body(ledger: &Ledger, item: &Item) -> Option<Carried> {
+    let term = ledger.membership.term();
+    match item {
+        Item::Membership => ledger.membership.carried(),
+        Item::Configuration => {
+            let version = ledger.history.current();
+            let sections = ledger.history.sections().iter();
+            Some(Carried::Configuration {
+                term,
+                version: version.offset,
+                sections: sections
+                    .map(|(section, version)| CarriedSection {
+                        section: section.clone(),
+                        version: *version,
+                    })
+                    .collect(),
+                document: version.document.clone(),
+            })
+        }
+        Item::Job(job) => ledger.jobs.live(job).map(|live| Carried::Job {
+            term,
+            job: Box::new(live.clone()),
+        }),
+    }
+}
+
+fn job_of(body: &RecordBody) -> Option<&JobId> {
+    match body {
+        RecordBody::JobAccepted { job, .. }
+        | RecordBody::JobStarted { job, .. }
+        | RecordBody::JobStopped { job, .. }
+        | RecordBody::JobFenced { job, .. }
+        | RecordBody::JobEnded { job, .. }
+        | RecordBody::JobCancelled { job } => Some(job),
+        RecordBody::Carried(Carried::Job { job, .. }) => Some(&job.job),
+        _ => None,
+    }
+}
--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -93,6 +93,11 @@
         self.peers.get(name)
     }
 
+    /// Returns all peers of `role`, silent ones among them.
+    pub fn of_role(&self, role: Role) -> impl Iterator<Item = &PeerState> {
+        self.peers.values().filter(move |p| p.peer.role == role)
+    }
+
     /// Returns the peers of `role` that may get work now: linked, not silent, not leaving.
     pub fn live(&self, now: Timestamp, role: Role) -> impl Iterator<Item = &PeerState> {
         self.peers
