--- /dev/null
+++ b/standins/src/editor.rs
@@ -0,0 +1,113 @@
+//! An operator who edits the document by records on the log, as the command-line tool does.
+
+use std::{
+    io,
+    net::SocketAddr,
+    process,
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use dragonflyrun::{
+    connection::{AuthorKey, Edit, LogClient, RecordBody},
+    process::Ledger,
+    utils::Name,
+    version::Section,
+};
+
+/// Time that the log has for an answer.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Records of one read of the log.
+const PAGE_RECORDS: usize = 1_000;
+
+/// An operator with access to the log.
+#[derive(Clone, Debug)]
+pub struct Editor {
+    client: LogClient,
+    name: Name,
+    secret: Name,
+}
+
+impl Editor {
+    /// Returns the editor called `name` of the deployment with `secret` whose log is at `log`.
+    pub fn new(log: SocketAddr, name: &str, secret: &str) -> Self {
+        Self {
+            client: LogClient::new(&log.to_string(), TIMEOUT),
+            name: Name::from(name),
+            secret: Name::from(secret),
+        }
+    }
+
+    /// Folds the whole log, as every process does.
+    ///
+    /// # Errors
+    ///
+    /// Where the log can't be read.
+    pub fn ledger(&self) -> io::Result<Ledger> {
+        let mut ledger = Ledger::default();
+        loop {
+            let page = self
+                .client
+                .read(ledger.next_offset(), PAGE_RECORDS, Duration::ZERO)
+                .map_err(io::Error::other)?;
+            for record in &page.records {
+                ledger.fold(record, &self.secret);
+            }
+            if ledger.next_offset() >= page.head || page.records.is_empty() {
+                return Ok(ledger);
+            }
+        }
+    }
+
+    /// Edits a section and returns the offset of the accepted edit.
+    ///
+    /// # Errors
+    ///
+    /// Where the log does not take it, or it is rejected.
+    pub fn edit(&self, section: &str, content: Section) -> io::Result<u64> {
+        let section = Name::from(section);
+        let base = self.ledger()?.history.sections().get(&section).copied();
+        let body = RecordBody::Edit(Edit {
+            section: section.clone(),
+            base: base.unwrap_or(0),
+            content: Some(content),
+        });
+        let id = Name::from(unique("edit"));
+        let record = AuthorKey::derive(&self.secret, &self.name).seal(&id, &body);
+        let offset = self.client.append(&[record]).map_err(io::Error::other)?;
+        let ledger = self.ledger()?;
+        match ledger.history.sections().get(&section) {
+            Some(version) if *version == offset => Ok(offset),
+            _ => Err(io::Error::other("the edit was rejected")),
+        }
+    }
+
+    /// Takes a failure domain out of service or returns it; returns the offset of the edit.
+    ///
+    /// # Errors
+    ///
+    /// As [`Editor::edit`], and where no section names the failure domain.
+    pub fn set_in_service(&self, domain: &str, in_service: bool) -> io::Result<u64> {
+        let ledger = self.ledger()?;
+        let sections = &ledger.history.current().document.sections;
+        let found = sections.iter().find_map(|(name, section)| {
+            let place = section
+                .failure_domains
+                .iter()
+                .position(|d| *d.name == *domain)?;
+            Some((name, section, place))
+        });
+        let (name, section, place) = found.ok_or_else(|| io::Error::other("unknown domain"))?;
+        let mut section = section.clone();
+        section.failure_domains[place].in_service = in_service;
+        self.edit(name, section)
+    }
+}
+
+/// Returns a name that no other call in any process on this machine returns at the same time.
+pub fn unique(prefix: &str) -> String {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+    format!("{prefix}-{}-{number}", process::id())
+}
--- a/standins/src/harness/deployment.rs
+++ b/standins/src/harness/deployment.rs
@@ -4,13 +4,11 @@
     env, fs,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
-    process,
-    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use dragonflyrun::{
-    connection::{AuthorKey, Edit, LogClient, RecordBody, Role},
+    connection::Role,
     process::{Config, Ledger},
     utils::Name,
     version::{Adjacency, FailureDomain, Guarantee, Section, Service, Urgency, Workspace},
@@ -20,8 +18,9 @@
 
 use crate::{
     backend::{BackendControl, BackendRecord},
+    caller::Caller,
+    editor::{Editor, unique},
     harness::{
-        Caller,
         Child,
         child::address_in,
         wait_for,
@@ -50,9 +49,6 @@
 /// Time that a stand-in has for an answer.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Records of one read of the log.
-const PAGE_RECORDS: usize = 1_000;
-
 /// What is to be started.
 #[derive(Clone, Debug)]
 pub struct DeploymentBuilder {
@@ -280,59 +276,39 @@
         self.log.control(&control);
     }
 
+    /// Returns the operator of the deployment.
+    pub fn editor(&self) -> Editor {
+        Editor::new(self.log.address, EDITOR, SECRET)
+    }
+
     /// Folds the whole log, as every process does.
     ///
     /// # Panics
     ///
     /// Where the log can't be read.
     pub fn ledger(&self) -> Ledger {
-        let client = LogClient::new(&self.log.address.to_string(), TIMEOUT);
-        let mut ledger = Ledger::default();
-        loop {
-            let page = client
-                .read(ledger.next_offset(), PAGE_RECORDS, Duration::ZERO)
-                .unwrap_or_else(|e| panic!("the log can't be read: {e}"));
-            for record in &page.records {
-                ledger.fold(record, SECRET);
-            }
-            if ledger.next_offset() >= page.head || page.records.is_empty() {
-                return ledger;
-            }
-        }
+        let ledger = self.editor().ledger();
+        ledger.unwrap_or_else(|e| panic!("the log can't be read: {e}"))
     }
 
-    /// Appends an edit of a section and returns its offset.
+    /// Edits a section and returns the offset of the edit.
     ///
     /// # Panics
     ///
     /// Where the log does not take it or it is rejected.
     pub fn edit(&self, section: &str, content: Section) -> u64 {
-        let section = Name::from(section);
-        let base = self.ledger().history.sections().get(&section).copied();
-        let body = RecordBody::Edit(Edit {
-            section,
-            base: base.unwrap_or(0),
-            content: Some(content),
-        });
-        let id = Name::from(unique("edit"));
-        let record = AuthorKey::derive(SECRET, &Name::from(EDITOR)).seal(&id, &body);
-        let offset = LogClient::new(&self.log.address.to_string(), TIMEOUT)
-            .append(&[record])
-            .unwrap_or_else(|e| panic!("the edit was not appended: {e}"));
-        let version = self.ledger().history.current().offset;
-        assert_eq!(version, offset, "the edit was not accepted");
-        offset
+        let edited = self.editor().edit(section, content);
+        edited.unwrap_or_else(|e| panic!("{section}: {e}"))
     }
 
     /// Takes a failure domain out of service or returns it; returns the edit's offset.
+    ///
+    /// # Panics
+    ///
+    /// As [`Deployment::edit`].
     pub fn set_in_service(&self, domain: &str, in_service: bool) -> u64 {
-        let mut section = self.domains_section();
-        for known in &mut section.failure_domains {
-            if *known.name == *domain {
-                known.in_service = in_service;
-            }
-        }
-        self.edit("failure-domains", section)
+        let edited = self.editor().set_in_service(domain, in_service);
+        edited.unwrap_or_else(|e| panic!("{domain}: {e}"))
     }
 
     /// Kills the entry with this number and starts its successor with the same settings, at the
@@ -539,12 +515,6 @@
     dir
 }
 
-fn unique(prefix: &str) -> String {
-    static NUMBER: AtomicU32 = AtomicU32::new(0);
-    let number = NUMBER.fetch_add(1, Ordering::Relaxed);
-    format!("{prefix}-{}-{number}", process::id())
-}
-
 /// Returns the time by the clock that the stand-ins write into their records.
 pub fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/standins/src/harness/mod.rs
+++ b/standins/src/harness/mod.rs
@@ -3,13 +3,11 @@
 //! A step that fails for a reason other than the tested one panics with that reason, as a test
 //! would do itself.
 
-mod caller;
 mod child;
 mod deployment;
 mod records;
 mod wait;
 
-pub use caller::{Caller, Reply, RequestOutcome};
 pub use child::{Child, Signal};
 pub use deployment::{
     Daemon, Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, StandIn, WORKSPACE, unix_ms,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,8 @@
 //! `docs/PLATFORM.md` describes the interfaces that they serve.
 
 pub mod backend;
+pub mod caller;
+pub mod editor;
 pub mod harness;
 pub mod http;
 pub mod log;
