--- a/standins/src/harness/deployment.rs
+++ b/standins/src/harness/deployment.rs
@@ -4,6 +4,7 @@
     env, fs,
     net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
+    sync::{Condvar, Mutex, PoisonError},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -47,7 +48,7 @@
 const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
 /// Time that a stand-in has for an answer.
-const TIMEOUT: Duration = Duration::from_secs(10);
+const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What is to be started.
 #[derive(Clone, Debug)]
@@ -134,7 +135,10 @@
     /// The backend servers.
     pub backends: Vec<StandIn>,
     builder: DeploymentBuilder,
+    lost_intervals: Vec<Interval>,
     dir: PathBuf,
+    // Given back last.
+    _permit: Permit,
 }
 
 impl Deployment {
@@ -151,6 +155,7 @@
     }
 
     fn start_log(builder: DeploymentBuilder) -> Self {
+        let permit = Permit::take();
         let dir = scratch_dir();
         let log = StandIn::start("log", &["log"], &dir);
         Self {
@@ -160,7 +165,9 @@
             workers: Vec::new(),
             backends: Vec::new(),
             builder,
+            lost_intervals: Vec::new(),
             dir,
+            _permit: permit,
         }
     }
 
@@ -394,9 +401,42 @@
         records
             .filter_map(|w| w.ask::<Vec<Interval>>("/v1/record"))
             .flatten()
+            .chain(self.lost_intervals.iter().cloned())
             .collect()
     }
 
+    /// Returns the times in which tasks of one job ran.
+    pub fn intervals_of(&self, job: &str) -> Vec<Interval> {
+        let mut intervals = self.intervals();
+        intervals.retain(|i| *i.job == *job);
+        intervals
+    }
+
+    /// Returns how many members of a job's attempt run now.
+    pub fn running_members(&self, job: &str, attempt: u32) -> usize {
+        let intervals = self.intervals_of(job);
+        let running = |i: &&Interval| i.attempt == attempt && i.stopped_unix_ms.is_none();
+        intervals.iter().filter(running).count()
+    }
+
+    /// Kills a worker with its tasks. Its record up to now is kept.
+    pub fn kill_worker(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        let record: Vec<Interval> = worker.ask("/v1/record").unwrap_or_default();
+        worker.child.kill();
+        let killed = unix_ms();
+        self.lost_intervals
+            .extend(record.into_iter().map(|i| Interval {
+                stopped_unix_ms: i.stopped_unix_ms.or(Some(killed)),
+                ..i
+            }));
+    }
+
+    /// Returns a caller of each entry.
+    pub fn callers(&self) -> Vec<Caller> {
+        (0..self.entries.len()).map(|n| self.caller(n)).collect()
+    }
+
     /// Returns what all backend servers that answer have run.
     pub fn backend_records(&self) -> Vec<BackendRecord> {
         let records = self.backends.iter();
@@ -506,6 +546,32 @@
     }
 }
 
+/// Deployments of one test program that run at once, at the most. More would only slow each other
+/// down.
+const DEPLOYMENTS: usize = 2;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// The right to run a deployment.
+struct Permit;
+
+impl Permit {
+    fn take() -> Self {
+        let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+        let running = ENDED.wait_while(running, |running| *running >= DEPLOYMENTS);
+        *running.unwrap_or_else(PoisonError::into_inner) += 1;
+        Self
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        *RUNNING.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        ENDED.notify_one();
+    }
+}
+
 /// Makes a directory for the settings and logs of one deployment.
 fn scratch_dir() -> PathBuf {
     let dir = env::temp_dir().join(unique("dragonflyrun"));
--- /dev/null
+++ b/standins/src/harness/load.rs
@@ -0,0 +1,226 @@
+//! Callers that keep asking while faults come and go.
+
+use std::{
+    collections::BTreeMap,
+    io::ErrorKind,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering}, //
+    },
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use dragonflyrun::utils::Name;
+
+use crate::{
+    backend::{BackendRecord, answer_to},
+    caller::{Caller, Reply, RequestOutcome},
+    harness::{SERVICE, wait_until},
+};
+
+/// Longest pause of a caller that was told to come back.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// What the callers ask for.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadShape {
+    /// Callers that each have one request under way.
+    pub callers: usize,
+    /// Milliseconds that each request runs.
+    pub work_ms: u64,
+    /// Bytes of each answer.
+    pub answer_bytes: usize,
+    /// Milliseconds that each attempt may take.
+    pub deadline_ms: u64,
+    /// Attempts of one request, at the most.
+    pub attempts: u32,
+}
+
+impl Default for LoadShape {
+    fn default() -> Self {
+        Self {
+            callers: 8,
+            work_ms: 20,
+            answer_bytes: 500,
+            deadline_ms: 3_000,
+            attempts: 12,
+        }
+    }
+}
+
+/// One request with all that its caller was told.
+#[derive(Debug)]
+pub struct Asked {
+    /// Its key.
+    pub key: Name,
+    /// The answer that is right.
+    pub answer: Vec<u8>,
+    /// The reply to each attempt.
+    pub replies: Vec<Reply>,
+}
+
+impl Asked {
+    /// Returns whether it got a good answer.
+    pub fn is_done(&self) -> bool {
+        self.replies.iter().any(Reply::is_done)
+    }
+
+    /// Returns whether a connection broke after it had been accepted, or the outcome is unknown.
+    pub fn was_cut_off(&self) -> bool {
+        self.replies.iter().any(|reply| match reply {
+            Reply::Broken(error) => error.kind() != ErrorKind::ConnectionRefused,
+            Reply::Final(outcome) => *outcome == RequestOutcome::Unknown,
+        })
+    }
+
+    fn is_surely_not_run(&self) -> bool {
+        self.replies.iter().all(|reply| match reply {
+            Reply::Broken(error) => error.kind() == ErrorKind::ConnectionRefused,
+            Reply::Final(outcome) => matches!(outcome, RequestOutcome::NotRun { .. }),
+        })
+    }
+
+    fn has_wrong_answer(&self) -> bool {
+        self.replies.iter().any(|reply| match reply {
+            Reply::Final(RequestOutcome::Done { status: 200, body }) => *body != self.answer,
+            _ => false,
+        })
+    }
+}
+
+/// A running load. Each request goes to one entry after another until it is done.
+pub struct Load {
+    shared: Arc<Shared>,
+    threads: Vec<JoinHandle<Vec<Asked>>>,
+}
+
+struct Shared {
+    callers: Vec<Caller>,
+    shape: LoadShape,
+    stopping: AtomicBool,
+    done: AtomicUsize,
+}
+
+impl Load {
+    /// Starts callers that use the entries of `callers` in turn.
+    pub fn start(callers: Vec<Caller>, shape: LoadShape) -> Self {
+        let shared = Arc::new(Shared {
+            callers,
+            shape,
+            stopping: AtomicBool::new(false),
+            done: AtomicUsize::new(0),
+        });
+        let threads = (0..shape.callers)
+            .map(|number| {
+                let shared = shared.clone();
+                thread::spawn(move || shared.ask_on(number))
+            })
+            .collect();
+        Self { shared, threads }
+    }
+
+    /// Waits until `more` further requests are done.
+    ///
+    /// # Panics
+    ///
+    /// Where they are not within [`PATIENCE`](crate::harness::PATIENCE).
+    pub fn wait_for_done(&self, more: usize) {
+        let wanted = self.shared.done.load(Ordering::Relaxed) + more;
+        wait_until("answers under load", || {
+            self.shared.done.load(Ordering::Relaxed) >= wanted
+        });
+    }
+
+    /// Lets each caller finish its request and returns all that were asked.
+    ///
+    /// # Panics
+    ///
+    /// Where a caller got an answer that no entry may give.
+    pub fn stop(self) -> Vec<Asked> {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        let asked = self.threads.into_iter().map(|thread| match thread.join() {
+            Ok(asked) => asked,
+            Err(panic) => std::panic::resume_unwind(panic),
+        });
+        asked.flatten().collect()
+    }
+}
+
+impl Shared {
+    fn ask_on(&self, number: usize) -> Vec<Asked> {
+        let mut asked = Vec::new();
+        while !self.stopping.load(Ordering::Relaxed) {
+            asked.push(self.ask(number, asked.len()));
+        }
+        asked
+    }
+
+    fn ask(&self, caller: usize, number: usize) -> Asked {
+        let shape = &self.shape;
+        let key = Name::from(format!("ticket-{caller}-{number}"));
+        let body = format!(
+            r#"{{"ticket":"{key}","work_ms":{},"answer_bytes":{}}}"#,
+            shape.work_ms, shape.answer_bytes
+        );
+        let mut replies = Vec::new();
+        for attempt in 1..=shape.attempts {
+            let entry = caller + number + attempt as usize;
+            let entry = &self.callers[entry % self.callers.len()];
+            let deadline = Duration::from_millis(shape.deadline_ms);
+            let reply = entry.request(SERVICE, Some(&key), attempt, deadline, body.as_bytes());
+            let pause = pause_after(&reply);
+            replies.push(reply);
+            let Some(pause) = pause else {
+                self.done.fetch_add(1, Ordering::Relaxed);
+                break;
+            };
+            thread::sleep(pause);
+        }
+        Asked {
+            key,
+            answer: answer_to(body.as_bytes(), shape.answer_bytes),
+            replies,
+        }
+    }
+}
+
+/// Returns how long a caller waits before it asks again; none where it has its answer.
+fn pause_after(reply: &Reply) -> Option<Duration> {
+    match reply {
+        Reply::Final(RequestOutcome::Done { .. }) => None,
+        Reply::Final(RequestOutcome::NotRun { retry_after_ms, .. }) => {
+            Some(Duration::from_millis(*retry_after_ms).min(LONGEST_PAUSE))
+        }
+        Reply::Final(RequestOutcome::Unknown) | Reply::Broken(_) => Some(LONGEST_PAUSE),
+    }
+}
+
+/// Returns each answer that the backend servers' records contradict: one that is not the request's
+/// own, "done" without a run, and "not run" for each attempt with a run.
+pub fn untrue_answers(asked: &[Asked], records: &[BackendRecord]) -> Vec<String> {
+    let mut runs: BTreeMap<&str, usize> = BTreeMap::new();
+    for key in records
+        .iter()
+        .flat_map(|r| &r.runs)
+        .filter_map(|r| r.key.as_deref())
+    {
+        *runs.entry(key).or_default() += 1;
+    }
+    let untrue = asked.iter().filter_map(|asked| {
+        let ran = runs.contains_key(&*asked.key);
+        if asked.has_wrong_answer() {
+            Some(format!("{}: the answer to another request", asked.key))
+        } else if asked.is_done() && !ran {
+            Some(format!("{}: done, but never ran", asked.key))
+        } else if asked.is_surely_not_run() && ran {
+            Some(format!(
+                "{}: not run, but ran: {:?}",
+                asked.key, asked.replies
+            ))
+        } else {
+            None
+        }
+    });
+    untrue.collect()
+}
--- a/standins/src/harness/mod.rs
+++ b/standins/src/harness/mod.rs
@@ -5,6 +5,7 @@
 
 mod child;
 mod deployment;
+mod load;
 mod records;
 mod wait;
 
@@ -12,5 +13,6 @@
 pub use deployment::{
     Daemon, Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, StandIn, WORKSPACE, unix_ms,
 };
+pub use load::{Asked, Load, LoadShape, untrue_answers};
 pub use records::{Doubled, Span, doubled_keys, in_domain_after, longest_partial, overlapping};
 pub use wait::{PATIENCE, wait_for, wait_until};
