--- a/standins/src/harness/deployment.rs
+++ b/standins/src/harness/deployment.rs
@@ -9,7 +9,7 @@
 };
 
 use dragonflyrun::{
-    connection::Role,
+    connection::{self, Carried, LogClient, RecordBody, Role},
     process::{Config, Ledger},
     utils::Name,
     version::{Adjacency, FailureDomain, Guarantee, Section, Service, Urgency, Workspace},
@@ -28,7 +28,7 @@
         wait_until, //
     },
     http,
-    log::LogControl,
+    log::{LogControl, LogMode},
     relay::Relay,
     worker::{Interval, WorkerControl},
 };
@@ -50,6 +50,9 @@
 /// Time that a stand-in has for an answer.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Records of one read of the log.
+const PAGE_RECORDS: usize = 1_000;
+
 /// What is to be started.
 #[derive(Clone, Debug)]
 pub struct DeploymentBuilder {
@@ -274,12 +277,7 @@
         Caller::new(self.entries[entry].http).with_key(EDITOR, SECRET)
     }
 
-    /// Sets how the log service answers.
-    ///
-    /// # Panics
-    ///
-    /// Where it does not answer.
-    pub fn control_log(&self, control: LogControl) {
+    fn control_log(&self, control: LogControl) {
         self.log.control(&control);
     }
 
@@ -288,6 +286,38 @@
         Editor::new(self.log.address, EDITOR, SECRET)
     }
 
+    /// Sets the fault of the log service.
+    ///
+    /// # Panics
+    ///
+    /// Where it does not answer.
+    pub fn set_log(&self, mode: LogMode) {
+        self.control_log(LogControl {
+            mode: Some(mode),
+            ..LogControl::default()
+        });
+    }
+
+    /// Waits until the planner has carried the newest configuration forward, and has the log drop
+    /// all records from before.
+    ///
+    /// # Panics
+    ///
+    /// Where it is not carried.
+    pub fn drop_old_records(&self) {
+        let client = LogClient::new(&self.log.address.to_string(), TIMEOUT);
+        let (carried, head) = wait_for("the carried configuration", || {
+            let version = self.ledger().history.current().offset;
+            let page = client.read(version, PAGE_RECORDS, Duration::ZERO).ok()?;
+            let carried = page.records.iter().find(|r| carries(&r.data))?;
+            Some((carried.offset, page.head))
+        });
+        self.control_log(LogControl {
+            keep: usize::try_from(head - carried).ok(),
+            ..LogControl::default()
+        });
+    }
+
     /// Folds the whole log, as every process does.
     ///
     /// # Panics
@@ -546,6 +576,14 @@
     }
 }
 
+fn carries(data: &str) -> bool {
+    let record = connection::open(data, SECRET);
+    matches!(
+        record.map(|r| r.body),
+        Ok(RecordBody::Carried(Carried::Configuration { .. }))
+    )
+}
+
 /// Deployments of one test program that run at once, at the most. More would only slow each other
 /// down.
 const DEPLOYMENTS: usize = 2;
--- /dev/null
+++ b/standins/src/harness/gang.rs
@@ -0,0 +1,96 @@
+//! One gang over several workers, watched from its submission on.
+
+use dragonflyrun::{
+    job::JobSpec,
+    process::{JobAnswer, JobState, JobStatus},
+    utils::Name,
+    version::{Adjacency, Urgency},
+};
+
+use crate::harness::{
+    Deployment,
+    WORKSPACE,
+    longest_partial,
+    overlapping,
+    unix_ms,
+    wait_for,
+    wait_until, //
+};
+
+/// A job for test deployments.
+pub fn job(tasks: u32, accelerators: u32, program: &str) -> JobSpec {
+    JobSpec {
+        workspace: Name::from(WORKSPACE),
+        urgency: Urgency::Normal,
+        tasks,
+        accelerators,
+        adjacency: Adjacency::Any,
+        run_time_ms: 1_000,
+        program: Name::from(program),
+    }
+}
+
+impl Deployment {
+    /// Submits a job through the entries in turn until one accepts it.
+    ///
+    /// # Panics
+    ///
+    /// Where none does.
+    pub fn submit(&self, name: &str, spec: &JobSpec) {
+        let mut callers = self.callers().into_iter().cycle();
+        wait_until("the job's acceptance", || {
+            let answer = callers.next().map(|c| c.submit(name, spec));
+            matches!(answer, Some(Ok(JobAnswer::Accepted { .. })))
+        });
+    }
+
+    /// Asks the entries after a job until one answers.
+    ///
+    /// # Panics
+    ///
+    /// Where none does.
+    pub fn job(&self, name: &str) -> JobStatus {
+        let mut callers = self.callers().into_iter().cycle();
+        wait_for("an answer about the job", || {
+            callers.next().and_then(|c| c.job(name).ok())
+        })
+    }
+
+    /// Waits until a job has come to this end.
+    ///
+    /// # Panics
+    ///
+    /// Where it does not.
+    pub fn wait_for_end(&self, name: &str, end: JobState) {
+        wait_until(&format!("{name} {end:?}"), || self.job(name).state == end);
+    }
+
+    /// Waits until all members of some attempt after `attempt` run, and returns which attempt.
+    ///
+    /// # Panics
+    ///
+    /// Where they do not.
+    pub fn wait_for_gang(&self, name: &str, members: usize, attempt: u32) -> u32 {
+        wait_for(&format!("all members of {name}"), || {
+            let newest = self.intervals_of(name).iter().map(|i| i.attempt).max()?;
+            let all = self.running_members(name, newest) == members;
+            (newest > attempt && all).then_some(newest)
+        })
+    }
+
+    /// Checks what every record has to show at any time.
+    ///
+    /// # Panics
+    ///
+    /// Where two attempts of a job ran at once, or an attempt ran partially for longer than
+    /// `bound_ms`; returns the longest partial time.
+    pub fn check_gang(&self, name: &str, members: usize, bound_ms: u64) -> u64 {
+        let intervals = self.intervals_of(name);
+        let now = unix_ms();
+        assert!(overlapping(&intervals, now).is_empty(), "{intervals:#?}");
+        let partial = longest_partial(&intervals, members, now);
+        assert!(partial.ms <= bound_ms, "{partial:?}: {intervals:#?}");
+        eprintln!("{name}: longest partial time {} ms", partial.ms);
+        partial.ms
+    }
+}
--- a/standins/src/harness/mod.rs
+++ b/standins/src/harness/mod.rs
@@ -5,6 +5,7 @@
 
 mod child;
 mod deployment;
+mod gang;
 mod load;
 mod records;
 mod wait;
@@ -13,6 +14,7 @@
 pub use deployment::{
     Daemon, Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, StandIn, WORKSPACE, unix_ms,
 };
+pub use gang::job;
 pub use load::{Asked, Load, LoadShape, untrue_answers};
 pub use records::{Doubled, Span, doubled_keys, in_domain_after, longest_partial, overlapping};
 pub use wait::{PATIENCE, wait_for, wait_until};
