--- /dev/null
+++ b/standins/src/harness/daemon.rs
@@ -0,0 +1,116 @@
+//! One process of a deployment: a daemon, or a stand-in.
+
+use std::{fs, net::SocketAddr, path::Path, time::Duration};
+
+use dragonflyrun::process::Config;
+use oxhttp::model::Method;
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    harness::child::{Child, address_in},
+    http,
+    relay::Relay, //
+};
+
+/// Time that a stand-in has for an answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A daemon with its place in the deployment.
+pub struct Daemon {
+    /// The process.
+    pub child: Child,
+    /// Where its HTTP listener is.
+    pub http: SocketAddr,
+    /// The link between it and the log.
+    pub log_link: Relay,
+    /// The link before an entry's peer listener, which all its peers use.
+    pub peer_link: Option<Relay>,
+    config: Config,
+}
+
+/// A stand-in with its place in the deployment.
+pub struct StandIn {
+    /// The process.
+    pub child: Child,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl Daemon {
+    pub(super) fn start(
+        name: &str,
+        config: Config,
+        log_link: Relay,
+        peer_link: Option<Relay>,
+        dir: &Path,
+    ) -> Self {
+        let child = start_process(name, &config, dir);
+        let line = child.first_line();
+        let mut daemon = Self {
+            child,
+            http: address_in(&line, "http="),
+            log_link,
+            peer_link,
+            config,
+        };
+        daemon.keep_addresses(&line);
+        daemon
+    }
+
+    /// Returns where its peers reach it.
+    pub(super) fn advertised(&self) -> Option<String> {
+        self.config.advertise.clone()
+    }
+
+    /// Kills it and starts its successor with the same settings, at the same addresses.
+    pub(super) fn restart(&mut self, dir: &Path) {
+        self.child.kill();
+        let name = self.child.name().to_owned();
+        self.child = start_process(&name, &self.config, dir);
+        let line = self.child.first_line();
+        self.keep_addresses(&line);
+    }
+
+    /// Has the daemon listen at the same addresses after a restart.
+    fn keep_addresses(&mut self, line: &str) {
+        self.http = address_in(line, "http=");
+        self.config.http = Some(self.http.to_string());
+        if let Some(peer_link) = &self.peer_link {
+            let peers = address_in(line, "peers=");
+            peer_link.set_target(peers);
+            self.config.peers = Some(peers.to_string());
+        }
+    }
+}
+
+impl StandIn {
+    pub(super) fn start(name: &str, arguments: &[&str], dir: &Path) -> Self {
+        let arguments: Vec<String> = arguments.iter().map(|&a| a.to_owned()).collect();
+        let child = Child::start(name, "standins", &arguments, dir);
+        let address = address_in(&child.first_line(), "");
+        Self { child, address }
+    }
+
+    pub(super) fn control(&self, control: &impl Serialize) {
+        let answer = http::call_json(self.address, Method::POST, "/control", control, TIMEOUT);
+        if let Err(error) = answer {
+            panic!("{}: {error}", self.child.name());
+        }
+    }
+
+    pub(super) fn ask<T: DeserializeOwned>(&self, path: &str) -> Option<T> {
+        http::call(self.address, Method::GET, path, &[], Vec::new(), TIMEOUT)
+            .and_then(|answer| answer.json())
+            .ok()
+    }
+}
+
+fn start_process(name: &str, config: &Config, dir: &Path) -> Child {
+    let path = dir.join(format!("{name}.json"));
+    let json = serde_json::to_vec_pretty(config).unwrap_or_default();
+    if let Err(error) = fs::write(&path, json) {
+        panic!("{name}: the settings can't be written: {error}");
+    }
+    let arguments = ["--config".to_owned(), path.display().to_string()];
+    Child::start(name, "dragonflyrund", &arguments, dir)
+}
--- /dev/null
+++ b/standins/src/harness/document.rs
@@ -0,0 +1,72 @@
+//! The document of test deployments.
+
+use dragonflyrun::{
+    utils::Name,
+    version::{Adjacency, FailureDomain, Guarantee, Section, Service, Urgency, Workspace},
+};
+
+use crate::harness::{EDITOR, SERVICE, WORKSPACE};
+
+/// Returns the sections in the order in which they are put.
+pub(super) fn sections(domains: &[&str], repeatable: bool) -> [(&'static str, Section); 4] {
+    [
+        ("administration", owned()),
+        ("failure-domains", failure_domains(domains)),
+        ("services", services(repeatable)),
+        ("workspaces", workspaces()),
+    ]
+}
+
+fn owned() -> Section {
+    Section {
+        owners: vec![Name::from(EDITOR)],
+        ..Section::default()
+    }
+}
+
+fn failure_domains(names: &[&str]) -> Section {
+    let mut names = names.to_vec();
+    names.sort_unstable();
+    names.dedup();
+    let failure_domains = names.into_iter().map(|name| FailureDomain {
+        name: Name::from(name),
+        region: None,
+        in_service: true,
+    });
+    Section {
+        failure_domains: failure_domains.collect(),
+        ..owned()
+    }
+}
+
+fn services(repeatable: bool) -> Section {
+    let service = Service {
+        name: Name::from(SERVICE),
+        urgency: Urgency::Normal,
+        deadline_ms: 10_000,
+        repeatable,
+        queue_limit: 256,
+        key_window_ms: 600_000,
+    };
+    Section {
+        services: vec![service],
+        ..owned()
+    }
+}
+
+fn workspaces() -> Section {
+    let guarantee = Guarantee {
+        tasks: 1,
+        accelerators: 1,
+        adjacency: Adjacency::Any,
+    };
+    let workspace = Workspace {
+        name: Name::from(WORKSPACE),
+        guarantees: vec![guarantee],
+        quota_accelerators: None,
+    };
+    Section {
+        workspaces: vec![workspace],
+        ..owned()
+    }
+}
--- a/standins/src/harness/mod.rs
+++ b/standins/src/harness/mod.rs
@@ -4,17 +4,21 @@
 //! would do itself.
 
 mod child;
+mod daemon;
 mod deployment;
+mod document;
 mod gang;
 mod load;
+mod permit;
+mod platform;
 mod records;
 mod wait;
 
 pub use child::{Child, Signal};
-pub use deployment::{
-    Daemon, Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, StandIn, WORKSPACE, unix_ms,
-};
+pub use daemon::{Daemon, StandIn};
+pub use deployment::{Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, WORKSPACE};
 pub use gang::job;
 pub use load::{Asked, Load, LoadShape, untrue_answers};
+pub use platform::unix_ms;
 pub use records::{Doubled, Span, doubled_keys, in_domain_after, longest_partial, overlapping};
 pub use wait::{PATIENCE, wait_for, wait_until};
--- /dev/null
+++ b/standins/src/harness/platform.rs
@@ -0,0 +1,170 @@
+//! What tests ask the platform of a deployment, and the faults that they set in it.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use dragonflyrun::{
+    connection::{self, Carried, LogClient, RecordBody},
+    process::Ledger,
+    version::Section,
+};
+
+use crate::{
+    backend::{BackendControl, BackendRecord},
+    editor::Editor,
+    harness::{Deployment, EDITOR, SECRET, wait_for},
+    log::{LogControl, LogMode},
+    worker::{Interval, WorkerControl},
+};
+
+/// Time that the log has for an answer.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Records of one read of the log.
+const PAGE_RECORDS: usize = 1_000;
+
+impl Deployment {
+    /// Returns the operator of the deployment.
+    pub fn editor(&self) -> Editor {
+        Editor::new(self.log.address, EDITOR, SECRET)
+    }
+
+    /// Sets the fault of the log service.
+    ///
+    /// # Panics
+    ///
+    /// Where it does not answer.
+    pub fn set_log(&self, mode: LogMode) {
+        self.log.control(&LogControl {
+            mode: Some(mode),
+            ..LogControl::default()
+        });
+    }
+
+    /// Waits until the planner has carried the newest configuration forward, and has the log drop
+    /// all records from before.
+    ///
+    /// # Panics
+    ///
+    /// Where it is not carried.
+    pub fn drop_old_records(&self) {
+        let client = LogClient::new(&self.log.address.to_string(), TIMEOUT);
+        let (carried, head) = wait_for("the carried configuration", || {
+            let version = self.ledger().history.current().offset;
+            let page = client.read(version, PAGE_RECORDS, Duration::ZERO).ok()?;
+            let carried = page.records.iter().find(|r| carries(&r.data))?;
+            Some((carried.offset, page.head))
+        });
+        self.log.control(&LogControl {
+            keep: usize::try_from(head - carried).ok(),
+            ..LogControl::default()
+        });
+    }
+
+    /// Folds the whole log, as every process does.
+    ///
+    /// # Panics
+    ///
+    /// Where the log can't be read.
+    pub fn ledger(&self) -> Ledger {
+        let ledger = self.editor().ledger();
+        ledger.unwrap_or_else(|e| panic!("the log can't be read: {e}"))
+    }
+
+    /// Edits a section and returns the offset of the edit.
+    ///
+    /// # Panics
+    ///
+    /// Where the log does not take it or it is rejected.
+    pub fn edit(&self, section: &str, content: Section) -> u64 {
+        let edited = self.editor().edit(section, content);
+        edited.unwrap_or_else(|e| panic!("{section}: {e}"))
+    }
+
+    /// Takes a failure domain out of service or returns it; returns the edit's offset.
+    ///
+    /// # Panics
+    ///
+    /// As [`Deployment::edit`].
+    pub fn set_in_service(&self, domain: &str, in_service: bool) -> u64 {
+        let edited = self.editor().set_in_service(domain, in_service);
+        edited.unwrap_or_else(|e| panic!("{domain}: {e}"))
+    }
+
+    /// Waits until the log names a planner and returns the number of that entry.
+    pub fn planner(&self) -> usize {
+        wait_for("a planner", || {
+            let ledger = self.ledger();
+            let planner = ledger.membership.planner()?;
+            self.entries
+                .iter()
+                .position(|e| e.child.name() == &**planner)
+        })
+    }
+
+    /// Returns the times in which tasks ran on all workers that answer.
+    pub fn intervals(&self) -> Vec<Interval> {
+        let records = self.workers.iter();
+        records
+            .filter_map(|w| w.ask::<Vec<Interval>>("/v1/record"))
+            .flatten()
+            .chain(self.lost_intervals.iter().cloned())
+            .collect()
+    }
+
+    /// Returns the times in which tasks of one job ran.
+    pub fn intervals_of(&self, job: &str) -> Vec<Interval> {
+        let mut intervals = self.intervals();
+        intervals.retain(|i| *i.job == *job);
+        intervals
+    }
+
+    /// Returns how many members of a job's attempt run now.
+    pub fn running_members(&self, job: &str, attempt: u32) -> usize {
+        let intervals = self.intervals_of(job);
+        let running = |i: &&Interval| i.attempt == attempt && i.stopped_unix_ms.is_none();
+        intervals.iter().filter(running).count()
+    }
+
+    /// Kills a worker with its tasks. Its record up to now is kept.
+    pub fn kill_worker(&mut self, number: usize) {
+        let worker = &mut self.workers[number];
+        let record: Vec<Interval> = worker.ask("/v1/record").unwrap_or_default();
+        worker.child.kill();
+        let killed = unix_ms();
+        self.lost_intervals
+            .extend(record.into_iter().map(|i| Interval {
+                stopped_unix_ms: i.stopped_unix_ms.or(Some(killed)),
+                ..i
+            }));
+    }
+
+    /// Returns what all backend servers that answer have run.
+    pub fn backend_records(&self) -> Vec<BackendRecord> {
+        let records = self.backends.iter();
+        records.filter_map(|b| b.ask("/v1/record")).collect()
+    }
+
+    /// Sets how a worker behaves.
+    pub fn control_worker(&self, number: usize, control: WorkerControl) {
+        self.workers[number].control(&control);
+    }
+
+    /// Sets how a backend server behaves.
+    pub fn control_backend(&self, number: usize, control: BackendControl) {
+        self.backends[number].control(&control);
+    }
+}
+
+fn carries(data: &str) -> bool {
+    let record = connection::open(data, SECRET);
+    matches!(
+        record.map(|r| r.body),
+        Ok(RecordBody::Carried(Carried::Configuration { .. }))
+    )
+}
+
+/// Returns the time by the clock that the stand-ins write into their records.
+pub fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
--- a/standins/src/worker/mod.rs
+++ b/standins/src/worker/mod.rs
@@ -1,5 +1,6 @@
 //! A stand-in of a platform worker: leases on accelerators, and tasks that are only timers.
 
+mod lease;
 mod program;
 mod table;
 
@@ -22,16 +23,8 @@
 
 use crate::http::{self, Refusal};
 
-pub use table::{
-    Checkpoints,
-    Interval,
-    LeaseError,
-    LeaseState,
-    LeaseView,
-    Start,
-    Table,
-    Usage, //
-};
+pub use lease::{Checkpoints, Interval, LeaseError, LeaseState, LeaseView, Start, Usage};
+pub use table::Table;
 
 /// Time between two looks at the leases.
 const LOOK_PAUSE: Duration = Duration::from_millis(10);
