--- a/dragonflyrun/benches/measures/simulation/workload.rs
+++ b/dragonflyrun/benches/measures/simulation/workload.rs
@@ -145,7 +145,7 @@
     pub(crate) fn version(&self, offset: u64, drained: Option<&Name>) -> Arc<Version> {
         let mut document = self.document.clone();
         for section in document.sections.values_mut() {
-            for domain in &mut section.failure_domains {
+            for domain in &mut Arc::make_mut(section).failure_domains {
                 domain.in_service = Some(&domain.name) != drained;
             }
         }
--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -2,7 +2,6 @@
 
 mod allotment;
 mod book;
-mod gang_id;
 mod decision;
 mod election;
 mod estimate;
@@ -29,7 +28,6 @@
 mod timing;
 
 pub use book::{JobBook, LiveJob};
-pub use gang_id::{GangId, LeaseName};
 pub use decision::{Decision, UsageReport};
 pub use election::{Election, ElectionView, PLANNER_SILENCE};
 pub use gang::{Close, Gang, GangAction, StopReason};
--- a/dragonflyrun/src/job/take_over.rs
+++ b/dragonflyrun/src/job/take_over.rs
@@ -172,8 +172,8 @@
     fn on_carried(&mut self, now: Timestamp, carried: &Carried, folded: &JobRecord<'_>) {
         let offset = folded.offset;
         match carried {
-            Carried::Configuration { version, .. } => {
-                let whole = *version >= self.version.offset;
+            Carried::Configuration(configuration) => {
+                let whole = configuration.version >= self.version.offset;
                 self.repeated(now, Item::Configuration, offset, whole);
             }
             Carried::Membership { .. } => self.repeated(now, Item::Membership, offset, true),
--- a/dragonflyrun/src/lib.rs
+++ b/dragonflyrun/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! Modules are laid out by what their contents live for; `docs/DESIGN.md` explains the choice.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod connection;
 pub mod job;
 pub mod process;
--- a/dragonflyrun/src/process/agent.rs
+++ b/dragonflyrun/src/process/agent.rs
@@ -1,41 +1,53 @@
 //! The role of an agent: stands beside a backend server and its worker.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering}, //
+use std::{
+    io,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering}, //
+    },
+    time::Duration,
 };
 
 use hyper::{Method, StatusCode};
 
 use crate::{
     connection::{
-        AgentReport, HttpRequest, HttpResponse, Message, Peer, Report, //
+        AgentReport,
+        HttpRequest,
+        HttpResponse,
+        Message,
+        Peer,
+        Report, //
     },
     process::{AgentJobs, AgentRequests, AppendError, Context, Folded, Node, RoleSettings},
     request::BackendAnnouncement,
     utils::Name,
 };
 
+/// Time that requests under way have to end when the process stops.
+const STOP_TIME: Duration = Duration::from_secs(60);
+
 /// An agent's parts.
 pub(crate) struct AgentNode {
     cx: Arc<Context>,
-    requests: AgentRequests,
+    requests: Arc<AgentRequests>,
     jobs: AgentJobs,
     leaving: AtomicBool,
 }
 
 impl AgentNode {
-    pub(crate) fn new(cx: Arc<Context>) -> Self {
+    pub(crate) fn new(cx: Arc<Context>) -> io::Result<Self> {
         let worker = match cx.settings.role {
             RoleSettings::Agent { worker, .. } => worker,
             RoleSettings::Entry { .. } => None,
         };
-        Self {
+        Ok(Self {
             requests: AgentRequests::new(cx.clone()),
-            jobs: AgentJobs::new(cx.clone(), worker),
+            jobs: AgentJobs::new(cx.clone(), worker)?,
             leaving: AtomicBool::new(false),
             cx,
-        }
+        })
     }
 
     fn announce(&self, req: &HttpRequest) -> HttpResponse {
@@ -50,9 +62,13 @@
 }
 
 impl Node for AgentNode {
-    fn on_up(&self, _peer: &Peer) {}
+    fn on_up(&self, peer: &Peer) {
+        self.requests.on_peer_up(peer);
+    }
 
-    fn on_down(&self, _peer: &Peer) {}
+    fn on_down(&self, peer: &Peer) {
+        self.requests.on_peer_down(peer);
+    }
 
     fn on_heartbeat(&self, _from: &Name) {}
 
@@ -66,7 +82,7 @@
     }
 
     fn on_folded(&self, folded: &Folded) {
-        self.requests.on_folded(self.cx.now(), folded);
+        self.requests.on_folded();
         self.jobs.on_folded(folded);
     }
 
@@ -106,16 +122,18 @@
         Ok(())
     }
 
-    fn on_http(&self, req: &HttpRequest) -> HttpResponse {
+    fn on_http(&self, req: HttpRequest) -> HttpResponse {
         match (&req.method, req.path.as_str()) {
-            (&Method::POST, "/v1/backends") => self.announce(req),
+            (&Method::POST, "/v1/backends") => self.announce(&req),
             _ => HttpResponse::text(StatusCode::NOT_FOUND, "no such page\n"),
         }
     }
 
     fn drain(&self) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.requests.stop();
+        if !self.requests.stop(STOP_TIME) {
+            log::warn!(running = self.requests.running(); "requests_not_finished");
+        }
         self.jobs.stop();
     }
 }
--- a/dragonflyrun/src/process/cli.rs
+++ b/dragonflyrun/src/process/cli.rs
@@ -35,7 +35,11 @@
     #[options(no_short, help = "address of the HTTP listener", meta = "IP:PORT")]
     pub http: Option<String>,
     /// The listener for peer links.
-    #[options(no_short, help = "address of the listener for peer links", meta = "IP:PORT")]
+    #[options(
+        no_short,
+        help = "address of the listener for peer links",
+        meta = "IP:PORT"
+    )]
     pub peers: Option<String>,
     /// The platform's log service.
     #[options(no_short, help = "address of the log service", meta = "IP:PORT")]
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -1,6 +1,9 @@
 //! What all threads of one process share.
 
-use std::{net::SocketAddr, sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError}};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+};
 
 use crate::{
     connection::{LinkSettings, Links, LogClient, Peer},
--- a/dragonflyrun/src/process/daemon.rs
+++ b/dragonflyrun/src/process/daemon.rs
@@ -16,12 +16,19 @@
 
 use crate::{
     connection::{
-        AuthorKey, HttpLimits, HttpServer, LinkEvent, Links, LogClient, Message, Peer, Role, //
+        AuthorKey,
+        HttpLimits,
+        HttpServer,
+        LinkEvent,
+        Links,
+        LogClient,
+        Message,
+        Peer,
+        Role, //
     },
     process::{
         AgentNode, Appender, Clock, Context, Counters, EntryNode, Node, RoleSettings, Settings,
-        heartbeats::Heartbeats, link_settings, lock, log_reader::LogReader,
-        routes,
+        heartbeats::Heartbeats, link_settings, lock, log_reader::LogReader, routes,
     },
     utils::HashSet,
 };
@@ -87,7 +94,7 @@
             (0..settings.threads).map(|_| bounded(LANE_EVENTS)).unzip();
         let cx = Arc::new(context(settings, lanes)?);
         let peers = listen(&cx)?;
-        let node = node(&cx);
+        let node = node(&cx)?;
         let http = serve_http(&cx, &node)?;
         let mut daemon = Self {
             cx,
@@ -160,7 +167,9 @@
             LogReader::new(&shared.cx, &*shared.node).run(&stop);
         })?;
         let (cx_appender, node_appender) = (cx.clone(), node.clone());
-        spawn(threads, "appender", move || append(&cx_appender, &*node_appender))?;
+        spawn(threads, "appender", move || {
+            append(&cx_appender, &*node_appender)
+        })?;
         let (cx, node, stop) = (cx.clone(), node.clone(), stopping.clone());
         spawn(threads, "ticker", move || tick(&cx, &*node, &stop))
     }
@@ -258,11 +267,14 @@
     Ok(Some(bound))
 }
 
-fn node(cx: &Arc<Context>) -> Arc<dyn Node> {
-    match &cx.settings.role {
+fn node(cx: &Arc<Context>) -> Result<Arc<dyn Node>, StartError> {
+    Ok(match &cx.settings.role {
         RoleSettings::Entry { .. } => Arc::new(EntryNode::new(cx.clone())),
-        RoleSettings::Agent { .. } => Arc::new(AgentNode::new(cx.clone())),
-    }
+        RoleSettings::Agent { .. } => {
+            let node = AgentNode::new(cx.clone());
+            Arc::new(node.map_err(|e| StartError::System(e.to_string()))?)
+        }
+    })
 }
 
 fn serve_http(cx: &Arc<Context>, node: &Arc<dyn Node>) -> Result<HttpServer, StartError> {
@@ -277,7 +289,7 @@
     HttpServer::start(
         address,
         limits,
-        Arc::new(move |req| routes::answer(&counters, &*handler, &req)),
+        Arc::new(move |req| routes::answer(&counters, &*handler, req)),
     )
     .map_err(|e| StartError::Bind("/http", address, e))
 }
--- a/dragonflyrun/src/process/entry.rs
+++ b/dragonflyrun/src/process/entry.rs
@@ -1,8 +1,11 @@
 //! The role of an entry: takes callers' requests and jobs, and may be planner.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering}, //
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering}, //
+    },
+    time::Duration,
 };
 
 use crate::{
@@ -13,6 +16,9 @@
     utils::Name,
 };
 
+/// Time that requests under way have to be answered when the process stops.
+const STOP_TIME: Duration = Duration::from_secs(60);
+
 /// An entry's parts.
 pub(crate) struct EntryNode {
     pub(crate) cx: Arc<Context>,
@@ -39,8 +45,8 @@
 }
 
 impl Node for EntryNode {
-    fn on_up(&self, _peer: &Peer) {
-        self.requests.on_peer_change();
+    fn on_up(&self, peer: &Peer) {
+        self.requests.on_peer_up(peer);
     }
 
     fn on_down(&self, peer: &Peer) {
@@ -50,7 +56,7 @@
 
     fn on_heartbeat(&self, from: &Name) {
         self.jobs.on_heartbeat(from);
-        self.requests.on_peer_change();
+        self.requests.on_report(from);
     }
 
     fn on_message(&self, from: &Name, message: Message) {
@@ -94,7 +100,7 @@
         Ok(())
     }
 
-    fn on_http(&self, req: &HttpRequest) -> HttpResponse {
+    fn on_http(&self, req: HttpRequest) -> HttpResponse {
         entry_routes::answer(self, req)
     }
 
@@ -102,6 +108,8 @@
         self.leaving.store(true, Ordering::Relaxed);
         self.presence.leave();
         self.jobs.stop();
-        self.requests.stop();
+        if !self.requests.stop(STOP_TIME) {
+            log::warn!(name:% = self.cx.identity.name; "requests_not_answered");
+        }
     }
 }
--- a/dragonflyrun/src/process/entry_routes.rs
+++ b/dragonflyrun/src/process/entry_routes.rs
@@ -6,8 +6,8 @@
     connection::{HttpRequest, HttpResponse, is_editors_token},
     job::JobSpec,
     process::{
-        EDITOR_HEADER, EntryNode, JobAnswer, JobRefusal, TOKEN_HEADER, entry_requests,
-        entry_status,
+        EDITOR_HEADER, EntryNode, JobAnswer, JobRefusal, TOKEN_HEADER, entry_status,
+        requested_service,
     },
     utils::Name,
 };
@@ -19,13 +19,18 @@
 const JOB_ID_CHARACTERS: usize = 128;
 
 /// Answers a call to one of the paths under `/v1`.
-pub(crate) fn answer(entry: &EntryNode, req: &HttpRequest) -> HttpResponse {
+pub(crate) fn answer(entry: &EntryNode, req: HttpRequest) -> HttpResponse {
+    if let Some(service) = requested_service(&req.path).map(str::to_owned)
+        && req.method == Method::POST
+    {
+        return entry.requests.handle(&service, req);
+    }
+    let req = &req;
     let path: Vec<&str> = req.path.trim_start_matches('/').split('/').collect();
     match (&req.method, path.as_slice()) {
-        (&Method::POST, ["v1", "services", service, "requests"]) => {
-            entry_requests::answer(&entry.requests, service, req)
+        (&Method::GET, ["v1", "status"]) => {
+            HttpResponse::json(StatusCode::OK, &entry_status::status(entry))
         }
-        (&Method::GET, ["v1", "status"]) => HttpResponse::json(StatusCode::OK, &entry_status::status(entry)),
         (&Method::POST, ["v1", "jobs"]) => as_editor(entry, req, submit),
         (&Method::GET, ["v1", "jobs"]) => as_editor(entry, req, |entry, _| {
             HttpResponse::json(StatusCode::OK, &entry.jobs.jobs())
--- a/dragonflyrun/src/process/entry_status.rs
+++ b/dragonflyrun/src/process/entry_status.rs
@@ -66,13 +66,15 @@
     version: &Version,
     backends: &[BackendReport],
 ) -> Vec<ServiceStatus> {
+    let stats = entry.requests.stats();
     let mut services: Vec<ServiceStatus> = version
         .services()
         .map(|service| {
+            let queued = stats.iter().find(|s| s.service == service.name);
             let own = backends.iter().filter(|b| b.service == service.name);
             ServiceStatus {
                 service: service.name.clone(),
-                queued: entry.requests.queued(&service.name),
+                queued: queued.map_or(0, |s| u32::try_from(s.queued).unwrap_or(u32::MAX)),
                 free_slots: own.clone().map(|b| b.free).sum(),
                 slots: own.map(|b| b.slots).sum(),
             }
--- a/dragonflyrun/src/process/entry_table.rs
+++ b/dragonflyrun/src/process/entry_table.rs
@@ -6,7 +6,7 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    connection::{Carried, CarriedSection, RecordBody, Report, Role},
+    connection::{Carried, RecordBody, Report, Role},
     job::{
         AUTONOMY, ElectionView, Item, JobId, JobRecord, JobSpec, Notice, Planner, PlannerAction,
         PlannerView, Purpose, Renewals, Unreachable, WorkerInfo,
@@ -260,21 +260,7 @@
     let term = ledger.membership.term();
     match item {
         Item::Membership => ledger.membership.carried(),
-        Item::Configuration => {
-            let version = ledger.history.current();
-            let sections = ledger.history.sections().iter();
-            Some(Carried::Configuration {
-                term,
-                version: version.offset,
-                sections: sections
-                    .map(|(section, version)| CarriedSection {
-                        section: section.clone(),
-                        version: *version,
-                    })
-                    .collect(),
-                document: version.document.clone(),
-            })
-        }
+        Item::Configuration => ledger.history.carried(term, ledger.next_offset()),
         Item::Job(job) => ledger.jobs.live(job).map(|live| Carried::Job {
             term,
             job: Box::new(live.clone()),
--- a/dragonflyrun/src/process/heartbeats.rs
+++ b/dragonflyrun/src/process/heartbeats.rs
@@ -1,7 +1,10 @@
 //! Sends this process's signs of life to each linked peer.
 
 use std::{
-    sync::{Mutex, atomic::{AtomicBool, Ordering}},
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -12,7 +15,7 @@
 };
 
 /// Time between two heartbeats to the same peer.
-pub const HEARTBEAT: Duration = Duration::from_millis(250);
+pub(crate) const HEARTBEAT: Duration = Duration::from_millis(250);
 
 /// How often the report is looked at for a change that can't wait for the next heartbeat.
 const LOOK: Duration = Duration::from_millis(25);
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -48,8 +48,8 @@
 pub use membership::Membership;
 pub use node::Node;
 pub use roster::{PeerState, Roster, SILENCE};
-pub use signal::wait_for_signal;
 pub use settings::{RoleSettings, Settings, SettingsError};
+pub use signal::wait_for_signal;
 pub use status::{
     EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
     ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
--- a/dragonflyrun/src/process/node.rs
+++ b/dragonflyrun/src/process/node.rs
@@ -41,7 +41,7 @@
     fn readiness(&self) -> Result<(), &'static str>;
 
     /// Answers a call to the HTTP listener.
-    fn on_http(&self, req: &HttpRequest) -> HttpResponse;
+    fn on_http(&self, req: HttpRequest) -> HttpResponse;
 
     /// Takes no new work from now on, and returns when all that was under way is done.
     fn drain(&self);
--- a/dragonflyrun/src/process/routes.rs
+++ b/dragonflyrun/src/process/routes.rs
@@ -11,7 +11,7 @@
 const METRICS_TYPE: &str = "text/plain; version=0.0.4";
 
 /// Answers a call to the HTTP listener.
-pub(crate) fn answer(cx: &Context, node: &dyn Node, req: &HttpRequest) -> HttpResponse {
+pub(crate) fn answer(cx: &Context, node: &dyn Node, req: HttpRequest) -> HttpResponse {
     match (&req.method, req.path.as_str()) {
         (&Method::GET, "/health") => HttpResponse::text(StatusCode::OK, "ok\n"),
         (&Method::GET, "/metrics") => HttpResponse::bytes(StatusCode::OK, cx.counters.render())
--- a/dragonflyrun/tests/record_seals.rs
+++ b/dragonflyrun/tests/record_seals.rs
@@ -1,7 +1,13 @@
 //! Sealed records: who may write what on the log.
 
 use dragonflyrun::connection::{
-    AuthorKey, LogRecord, OpenError, Placement, RecordBody, is_editors_token, open, //
+    AuthorKey,
+    LogRecord,
+    OpenError,
+    Placement,
+    RecordBody,
+    is_editors_token,
+    open, //
 };
 use dragonflyrun::process::Ledger;
 use dragonflyrun::utils::Name;
--- a/standins/src/editor.rs
+++ b/standins/src/editor.rs
@@ -12,7 +12,7 @@
     connection::{AuthorKey, Edit, LogClient, RecordBody},
     process::Ledger,
     utils::Name,
-    version::Section,
+    version::{RawSection, Section},
 };
 
 /// Time that the log has for an answer.
@@ -71,10 +71,10 @@
         let body = RecordBody::Edit(Edit {
             section: section.clone(),
             base: base.unwrap_or(0),
-            content: Some(content),
+            content: Some(RawSection::from(&content)),
         });
         let id = Name::from(unique("edit"));
-        let record = AuthorKey::derive(&self.secret, &self.name).seal(&id, &body);
+        let record = AuthorKey::of_editor(&self.secret, &self.name).seal(&id, &body);
         let offset = self.client.append(&[record]).map_err(io::Error::other)?;
         let ledger = self.ledger()?;
         match ledger.history.sections().get(&section) {
@@ -99,7 +99,7 @@
             Some((name, section, place))
         });
         let (name, section, place) = found.ok_or_else(|| io::Error::other("unknown domain"))?;
-        let mut section = section.clone();
+        let mut section = Section::clone(section);
         section.failure_domains[place].in_service = in_service;
         self.edit(name, section)
     }
