Derive the editor's token in the stand-ins' caller as the entry checks it

Cause: the harness derived the key of a process of that name; an editor's key has a prefix, so that no editor can write in a process's name. Seen as 403 on each job in a trial of the whole path.

--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -87,7 +87,7 @@
     /// Returns a caller that may submit jobs as `editor`.
     pub fn with_key(self, editor: &str, secret: &str) -> Self {
         let editor = Name::from(editor);
-        let token = AuthorKey::derive(secret, &editor).to_hex();
+        let token = AuthorKey::of_editor(secret, &editor).to_hex();
         Self {
             key: Some((editor, token)),
             ..self
