Test the checks of documents, and that the fold judges as they do

Broken versions, each run once and then put back: index entries of a replaced section not removed: fold_and_check fails; other sections not looked at in a fold: fold_and_check fails; a plain sum of guarantees: any_bytes fails, a panic in the sum.

--- /dev/null
+++ b/dragonflyrun/tests/document_checks.rs
@@ -0,0 +1,383 @@
+//! The checks of a document report all that is wrong, each with its place, and no input makes them
+//! panic.
+
+#![allow(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+mod seeds;
+
+use arbtest::arbitrary::{Result, Unstructured};
+use dragonflyrun::{
+    Document, Name,
+    connection::Edit,
+    version::{
+        Finding, History, LoggedEdit, RawSection, Verdict, check, explain, parse_document,
+        parse_section,
+    },
+};
+use seeds::each_seed;
+use serde_json::{Map, Value, json};
+
+const VALID: &[u8] = include_bytes!("data/murtal.json");
+
+fn lines(findings: &[Finding]) -> String {
+    let lines = findings.iter().map(|f| format!("{f}\n"));
+    lines.collect()
+}
+
+#[test]
+fn valid_document() {
+    let document = parse_document(VALID).unwrap();
+    assert_eq!(lines(&check(&document)), "");
+    let again = serde_json::to_vec(&document).unwrap();
+    assert_eq!(parse_document(&again).unwrap(), document);
+}
+
+#[test]
+fn broken_document() {
+    let document = parse_document(include_bytes!("data/broken.json")).unwrap();
+    let expected = include_str!("data/broken-findings.txt");
+    assert_eq!(lines(&check(&document)), expected);
+}
+
+#[test]
+fn misshapen_document() {
+    let findings = parse_document(include_bytes!("data/misshapen.json")).unwrap_err();
+    let expected = include_str!("data/misshapen-findings.txt");
+    assert_eq!(lines(&findings), expected);
+}
+
+/// An operator pastes a whole document in place of a section, cuts a file off, or sends something
+/// that is no document at all. The answer says so, whatever its size or depth.
+#[test]
+fn foreign_bytes() {
+    let place = |bytes: &[u8]| {
+        parse_section(bytes, "/sections/a").unwrap_err()[0]
+            .place
+            .clone()
+    };
+    assert_eq!(place(VALID), "/sections/a/sections");
+    assert_eq!(place(&VALID[..100]), "/sections/a");
+    assert_eq!(place(&vec![b'['; 100_000]), "/sections/a");
+    assert_eq!(place(&vec![b' '; 5 << 20]), "/sections/a");
+    assert_eq!(place(&[0xff, 0xfe]), "/sections/a");
+    let long = format!("{{\"{}\":1}}", "k".repeat(1 << 20));
+    assert!(place(long.as_bytes()).len() < 200);
+}
+
+/// A hostile section is made of nothing but mistakes; the list of findings ends all the same.
+#[test]
+fn many_findings() {
+    let names = vec!["not a name"; 5_000];
+    let section = json!({ "owners": names });
+    let bytes = serde_json::to_vec(&section).unwrap();
+    let section = parse_section(&bytes, "").unwrap();
+    let mut document = parse_document(VALID).unwrap();
+    document.sections.insert("hostile".into(), section.into());
+    let findings = check(&document);
+    assert!(findings.len() > 10 && findings.len() < 200);
+}
+
+/// Returns the value at `place` of the valid document with `value` in its place.
+fn changed(place: &str, value: Value) -> Document {
+    let mut document: Value = serde_json::from_slice(VALID).unwrap();
+    let (parent, key) = place.rsplit_once('/').unwrap();
+    let parent = document.pointer_mut(parent).unwrap();
+    match parent {
+        Value::Array(list) => list[key.parse::<usize>().unwrap()] = value,
+        _ => parent[key] = value,
+    }
+    parse_document(&serde_json::to_vec(&document).unwrap()).unwrap()
+}
+
+#[test]
+fn each_bound() {
+    let scaling = "/sections/log-yard-scaling";
+    let guarantee = format!("{scaling}/workspaces/1/guarantees");
+    let gang = |tasks: u32, accelerators: u32, adjacency: &str| json!([{ "tasks": tasks, "accelerators": accelerators, "adjacency": adjacency }]);
+    let service = |key: &str| format!("{scaling}/services/0/{key}");
+    let limit = |key: &str| format!("/sections/administration/limits/{key}");
+    let name = |n: usize| json!("n".repeat(n));
+    let good_and_bad = [
+        (
+            guarantee.clone(),
+            gang(256, 64, "any"),
+            gang(257, 64, "any"),
+        ),
+        (guarantee.clone(), gang(1, 1, "any"), gang(0, 1, "any")),
+        (guarantee.clone(), gang(1, 64, "any"), gang(1, 65, "any")),
+        (
+            guarantee.clone(),
+            gang(8, 8, "worker"),
+            gang(9, 8, "worker"),
+        ),
+        (
+            format!("{scaling}/workspaces/0/quota_accelerators"),
+            json!(28),
+            json!(27),
+        ),
+        (format!("{scaling}/workspaces/0/name"), name(64), name(65)),
+        (
+            format!("{scaling}/workspaces/0/name"),
+            json!("a.b_c-d@E9"),
+            json!("-a"),
+        ),
+        (
+            format!("{scaling}/owners/1"),
+            json!("b"),
+            json!("scaling-team"),
+        ),
+        (service("deadline_ms"), json!(1), json!(0)),
+        (service("key_window_ms"), json!(4_000), json!(3_999)),
+        (service("queue_limit"), json!(100_000), json!(100_001)),
+        (
+            service("key_window_ms"),
+            json!(86_400_000),
+            json!(86_400_001),
+        ),
+        (limit("body_bytes"), json!(16 << 20), json!((16 << 20) + 1)),
+        (limit("live_jobs"), json!(100_000), json!(100_001)),
+        (limit("retry_percent"), json!(0), json!(101)),
+        (limit("worker_failures"), json!(1), json!(0)),
+        (limit("quarantine_ms"), json!(1_000), json!(999)),
+    ];
+    for (place, good, bad) in good_and_bad {
+        let findings = check(&changed(&place, good));
+        assert_eq!(lines(&findings), "", "{place}");
+        let findings = check(&changed(&place, bad));
+        assert_eq!(findings.len(), 1, "{place}: {}", lines(&findings));
+        let found = &findings[0].place;
+        assert!(found.starts_with(&place), "{place}: {found}");
+    }
+}
+
+const KEYS: [&str; 22] = [
+    "sections",
+    "administration",
+    "team",
+    "owners",
+    "format",
+    "workspaces",
+    "failure_domains",
+    "services",
+    "limits",
+    "name",
+    "guarantees",
+    "quota_accelerators",
+    "tasks",
+    "accelerators",
+    "adjacency",
+    "region",
+    "in_service",
+    "urgency",
+    "deadline_ms",
+    "repeatable",
+    "body_bytes",
+    "strange",
+];
+
+const TEXTS: [&str; 8] = ["a", "b", "root", "rack", "worker", "urgent", "", "\u{0}/~ü"];
+
+const NUMBERS: [u64; 7] = [0, 1, 8, 256, u32::MAX as u64, u32::MAX as u64 + 1, u64::MAX];
+
+/// Any JSON, mostly with keys that a document has.
+fn any_value(u: &mut Unstructured<'_>, depth: u32) -> Result<Value> {
+    let kinds = if depth == 0 { 4 } else { 8 };
+    Ok(match u.int_in_range(0..=kinds)? {
+        0 => json!(*u.choose(&TEXTS)?),
+        1 => json!(*u.choose(&NUMBERS)?),
+        2 => json!(u.ratio(1, 2)?),
+        3 => Value::Null,
+        4 => json!(u.arbitrary::<f32>()?),
+        5 | 6 => {
+            let mut map = Map::new();
+            for _ in 0..u.int_in_range(0..=4)? {
+                let key = *u.choose(&KEYS)?;
+                map.insert(key.to_owned(), any_value(u, depth - 1)?);
+            }
+            Value::Object(map)
+        }
+        _ => {
+            let length = u.int_in_range(0..=3)?;
+            let list: Result<Vec<Value>> = (0..length).map(|_| any_value(u, depth - 1)).collect();
+            Value::Array(list?)
+        }
+    })
+}
+
+/// Replaces one value in `at` by any other.
+fn mutate(u: &mut Unstructured<'_>, at: &mut Value) -> Result<()> {
+    let inside = u.ratio(9, 10)?;
+    match at {
+        Value::Object(map) if inside && !map.is_empty() => {
+            let index = u.choose_index(map.len())?;
+            mutate(u, map.values_mut().nth(index).unwrap())
+        }
+        Value::Array(list) if inside && !list.is_empty() => {
+            let index = u.choose_index(list.len())?;
+            mutate(u, &mut list[index])
+        }
+        _ => {
+            *at = match at {
+                Value::Number(_) if u.ratio(2, 3)? => json!(*u.choose(&NUMBERS)?),
+                Value::String(_) if u.ratio(2, 3)? => json!(*u.choose(&TEXTS)?),
+                Value::Bool(flag) if u.ratio(2, 3)? => json!(!*flag),
+                _ => any_value(u, 2)?,
+            };
+            Ok(())
+        }
+    }
+}
+
+fn mutated(u: &mut Unstructured<'_>) -> Result<Value> {
+    let mut document = serde_json::from_slice(VALID).unwrap();
+    for _ in 0..u.int_in_range(1..=3)? {
+        mutate(u, &mut document)?;
+    }
+    Ok(document)
+}
+
+/// Operators and strangers send anything. The answer is a list of findings or a document, and the
+/// table of keys and types agrees with the types that the rest of the program uses.
+#[test]
+fn any_document() {
+    let (mut good, mut bad) = (0, 0);
+    each_seed(2_000, 512, |u| {
+        let value = if u.ratio(1, 3)? {
+            any_value(u, 6)?
+        } else {
+            mutated(u)?
+        };
+        let bytes = serde_json::to_vec(&value).unwrap();
+        let parsed = parse_document(&bytes);
+        let typed = serde_json::from_slice::<Document>(&bytes);
+        match (&parsed, &typed) {
+            (Ok(document), typed) => assert_eq!(Some(document), typed.as_ref().ok()),
+            // The types would take an object's values in a list as well, without their keys.
+            (Err(findings), Ok(_)) => {
+                let list = |f: &Finding| f.what == "It has to be an object, and is a list.";
+                assert!(findings.iter().all(list), "{value}: {findings:?}");
+            }
+            (Err(_), Err(_)) => {}
+        }
+        match parsed {
+            Ok(document) => {
+                good += 1;
+                check(&document);
+                let _ = explain(&document).to_string();
+            }
+            Err(findings) => {
+                bad += 1;
+                assert!(!findings.is_empty());
+            }
+        }
+        let _ = parse_section(&bytes, "/sections/a");
+        Ok(())
+    });
+    assert!(
+        good > 200 && bad > 200,
+        "{good} good and {bad} bad documents"
+    );
+}
+
+/// Bytes that are nearly a document, cut, doubled or overwritten.
+#[test]
+fn any_bytes() {
+    // Added up without care, these would overflow.
+    let gang = json!({ "tasks": u32::MAX, "accelerators": u32::MAX });
+    let place = "/sections/log-yard-scaling/workspaces/0/guarantees";
+    assert_eq!(check(&changed(place, json!([gang, gang]))).len(), 5);
+    each_seed(2_000, 64, |u| {
+        let mut bytes = VALID.to_vec();
+        for _ in 0..u.int_in_range(1..=8)? {
+            let at = u.choose_index(bytes.len())?;
+            match u.int_in_range(0..=2)? {
+                0 => bytes[at] = u.arbitrary()?,
+                1 => {
+                    let tail = bytes[at..].to_vec();
+                    bytes.extend(tail);
+                }
+                _ => bytes.truncate(at + 1),
+            }
+        }
+        if let Ok(document) = parse_document(&bytes) {
+            check(&document);
+        }
+        Ok(())
+    });
+}
+
+/// The fold checks an edited section against an index of the others. Its verdict has to be that of
+/// the checks of the whole document, or it would put in force what nobody can carry on from.
+#[test]
+fn fold_and_check() {
+    let root: Name = "root".into();
+    let (mut accepted, mut refused) = (0, 0);
+    each_seed(300, 512, |u| {
+        let mut history = History::default();
+        let mut offset = 0;
+        while !u.is_empty() {
+            offset += 1;
+            let section: Name = (*u.choose(&["administration", "a", "b", "c"])?).into();
+            let content = section_of(u)?;
+            let base = history.sections().get(&section).copied().unwrap_or(0);
+            let mut document = history.current().document.clone();
+            let parsed = content.as_ref().map(|c| c.parse(""));
+            let naive = match parsed {
+                None => {
+                    document.sections.remove(&section);
+                    check(&document).is_empty()
+                }
+                Some(Err(_)) => false,
+                Some(Ok(parsed)) => {
+                    document.sections.insert(section.clone(), parsed.into());
+                    check(&document).is_empty()
+                }
+            };
+            let edit = Edit {
+                section,
+                base,
+                content,
+            };
+            let id = format!("edit-{offset}").into();
+            let editor = root.clone();
+            let verdict = history.fold(&LoggedEdit {
+                offset,
+                id,
+                editor,
+                edit,
+            });
+            match verdict.unwrap() {
+                Verdict::Accepted => {
+                    accepted += 1;
+                    assert!(naive);
+                    assert_eq!(history.current().document, document);
+                    assert_eq!(history.current().offset, offset);
+                }
+                Verdict::Invalid { findings } => {
+                    refused += 1;
+                    assert!(!naive, "{}", lines(&findings));
+                    assert_ne!(history.current().offset, offset);
+                }
+                Verdict::Stale { .. } => panic!("the base is the current version"),
+                Verdict::NotOwner => assert!(history.current().document.sections.is_empty()),
+            }
+        }
+        Ok(())
+    });
+    assert!(accepted > 500 && refused > 500, "{accepted} and {refused}");
+}
+
+fn section_of(u: &mut Unstructured<'_>) -> Result<Option<RawSection>> {
+    let name = |u: &mut Unstructured<'_>| Ok(*u.choose(&["x", "y", "z", "not a name"])?);
+    let mut section = json!({ "owners": ["root"] });
+    match u.int_in_range(0..=6)? {
+        0 => return Ok(None),
+        1 => section["workspaces"] = json!([{ "name": name(u)? }, { "name": name(u)? }]),
+        2 => section["failure_domains"] = json!([{ "name": name(u)? }]),
+        3 => section["services"] = json!([{ "name": name(u)? }]),
+        4 => section["limits"] = json!({}),
+        5 => section["strange"] = json!(1),
+        _ => section["owners"] = json!(["root", "root", name(u)?]),
+    }
+    Ok(Some(serde_json::from_value(section).unwrap()))
+}
