--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -122,6 +122,9 @@
             return false;
         }
         let membership = &self.membership;
+        if let RecordBody::Term { entry, .. } = &record.body {
+            return *entry == record.author;
+        }
         match record.body.planner_term() {
             None => true,
             Some(term) if matches!(record.body, RecordBody::Carried(_)) => {
