--- a/dragonflyrun/src/tool/commands/job.rs
+++ b/dragonflyrun/src/tool/commands/job.rs
@@ -77,6 +77,20 @@
     Err(ToolError::Usage(format!("`{job}` is not a name")))
 }
 
+/// Returns the headers that prove on whose behalf a call is made.
+fn proof(settings: &ToolSettings) -> Result<[Header; 2], ToolError> {
+    Ok([
+        Header {
+            name: EDITOR_HEADER,
+            value: settings.editor()?.to_string(),
+        },
+        Header {
+            name: TOKEN_HEADER,
+            value: settings.key()?.to_hex(),
+        },
+    ])
+}
+
 /// Makes a call that changes something and may be made again, at one entry after the other.
 fn change(
     settings: &ToolSettings,
@@ -86,18 +100,7 @@
     body: Vec<u8>,
     job: &Name,
 ) -> Result<Printed, ToolError> {
-    let editor = settings.editor()?;
-    let token = settings.key()?.to_hex();
-    headers.extend([
-        Header {
-            name: EDITOR_HEADER,
-            value: editor.to_string(),
-        },
-        Header {
-            name: TOKEN_HEADER,
-            value: token,
-        },
-    ]);
+    headers.extend(proof(settings)?);
     let call = Call {
         method,
         path: path.to_owned(),
@@ -152,10 +155,17 @@
 
 /// Asks one entry after the other until one answers.
 fn look<T: DeserializeOwned>(settings: &ToolSettings, path: &str) -> Result<T, ToolError> {
+    let call = Call {
+        headers: proof(settings)?.into(),
+        ..Call::get(path, settings.timeout)
+    };
     let mut errors: Vec<(SocketAddr, CallError)> = Vec::new();
     for address in settings.some_entries()? {
-        let answer = Call::get(path, settings.timeout).make(*address);
-        match answer {
+        match call.make(*address) {
+            Ok(answer) if answer.status == StatusCode::FORBIDDEN => {
+                let what = describe(&JobRefusal::Forbidden);
+                return Err(ToolError::Refused(what));
+            }
             Ok(answer) if answer.status == StatusCode::NOT_FOUND => {
                 let what = "there is no such job, or its end is no longer remembered";
                 return Err(ToolError::Refused(what.to_owned()));
--- a/dragonflyrun/src/tool/publisher.rs
+++ b/dragonflyrun/src/tool/publisher.rs
@@ -13,7 +13,7 @@
     version::{History, LoggedEdit, Verdict},
 };
 
-/// Pause before the log is tried again.
+/// Pause before the log is tried again, unless set otherwise.
 const PAUSE: Duration = Duration::from_millis(200);
 
 /// What became of an edit.
@@ -56,6 +56,7 @@
     reader: &'a mut LogReader<L>,
     key: &'a AuthorKey,
     patience: Duration,
+    pause: Duration,
 }
 
 impl<'a, L: Log> Publisher<'a, L> {
@@ -65,9 +66,15 @@
             reader,
             key,
             patience,
+            pause: PAUSE,
         }
     }
 
+    /// Sets the pause before the log is tried again.
+    pub fn pause(self, pause: Duration) -> Self {
+        Self { pause, ..self }
+    }
+
     /// Reads the log to its head and returns the configuration.
     ///
     /// # Errors
@@ -79,7 +86,7 @@
             match self.reader.catch_up(drop) {
                 Ok(()) => return Ok(&self.reader.ledger().history),
                 Err(error) if Instant::now() >= end => return Err(error),
-                Err(_) => thread::sleep(PAUSE),
+                Err(_) => thread::sleep(self.pause),
             }
         }
     }
@@ -138,7 +145,7 @@
                     Sent::Perhaps | Sent::Yes => Published::Unknown { id, reason },
                 };
             }
-            thread::sleep(PAUSE);
+            thread::sleep(self.pause);
         }
     }
 
--- /dev/null
+++ b/dragonflyrun/tests/operator_edits.rs
@@ -0,0 +1,385 @@
+//! Operators race one another, and lose the answers to their appends; what they are told is true.
+
+#![allow(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+mod seeds;
+
+use std::{cell::RefCell, time::Duration};
+
+use arbtest::arbitrary::{Result as ArbResult, Unstructured};
+use dragonflyrun::{
+    Name,
+    connection::{AuthorKey, Edit, LogError, LogPage, LogRecord, RecordBody},
+    process::Ledger,
+    tool::{Log, LogReader, Opener, Published, Publisher},
+    version::{RawSection, Verdict},
+};
+use seeds::each_seed;
+use serde_json::{Value, json};
+
+const SECRET: &str = "a secret of the deployment";
+
+/// What happens to one call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    /// Nothing.
+    None,
+    /// It is refused and has no effect.
+    Refused,
+    /// It has no effect, and no answer comes.
+    Dropped,
+    /// It takes effect, and the answer is lost.
+    AnswerLost,
+    /// It takes effect after the next call, and no answer comes.
+    Late,
+}
+
+/// A log in memory, with the faults of the next calls; after them all go well, or none.
+#[derive(Default)]
+struct FaultyLog {
+    state: RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    records: Vec<String>,
+    late: Vec<String>,
+    faults: Vec<Fault>,
+    then: Option<Fault>,
+}
+
+impl State {
+    fn next_fault(&mut self) -> Fault {
+        self.faults.pop().or(self.then).unwrap_or(Fault::None)
+    }
+}
+
+impl FaultyLog {
+    /// Sets the faults of the next calls in their order, and of all calls after them.
+    fn fail(&self, faults: &[Fault], then: Fault) {
+        let mut state = self.state.borrow_mut();
+        state.faults = faults.iter().rev().copied().collect();
+        state.then = Some(then);
+    }
+
+    /// Ends all faults; what was on its way arrives.
+    fn heal(&self) {
+        let mut state = self.state.borrow_mut();
+        state.faults.clear();
+        state.then = None;
+        let late = std::mem::take(&mut state.late);
+        state.records.extend(late);
+    }
+
+    fn ledger(&self) -> Ledger {
+        let mut ledger = Ledger::default();
+        for (offset, data) in (0..).zip(&self.state.borrow().records) {
+            let data = data.clone();
+            ledger.fold(&LogRecord { offset, data }, SECRET);
+        }
+        ledger
+    }
+
+    fn version_of(&self, section: &str) -> u64 {
+        let ledger = self.ledger();
+        ledger.history.sections().get(section).copied().unwrap_or(0)
+    }
+}
+
+fn lost<T>() -> Result<T, LogError> {
+    Err(LogError::Uncertain("cut off".to_owned()))
+}
+
+impl Log for &FaultyLog {
+    fn append(&self, records: &[String]) -> Result<u64, LogError> {
+        let mut state = self.state.borrow_mut();
+        let late = std::mem::take(&mut state.late);
+        let fault = state.next_fault();
+        let first = state.records.len() as u64;
+        if matches!(fault, Fault::None | Fault::AnswerLost) {
+            state.records.extend_from_slice(records);
+        }
+        state.records.extend(late);
+        match fault {
+            Fault::None => Ok(first),
+            Fault::Refused => Err(LogError::Refused("status 503".to_owned())),
+            Fault::Dropped | Fault::AnswerLost => lost(),
+            Fault::Late => {
+                state.late.extend_from_slice(records);
+                lost()
+            }
+        }
+    }
+
+    fn read(&self, from: u64, limit: usize) -> Result<LogPage, LogError> {
+        let mut state = self.state.borrow_mut();
+        if state.next_fault() != Fault::None {
+            return lost();
+        }
+        let from = usize::try_from(from).unwrap();
+        let records = state.records.iter().enumerate().skip(from).take(limit);
+        let records = records.map(|(offset, data)| LogRecord {
+            offset: offset as u64,
+            data: data.clone(),
+        });
+        Ok(LogPage {
+            first: 0,
+            head: state.records.len() as u64,
+            records: records.collect(),
+        })
+    }
+}
+
+fn key(editor: &str) -> AuthorKey {
+    AuthorKey::of_editor(SECRET, &editor.into())
+}
+
+fn edit(section: &str, base: u64, content: Option<Value>) -> Edit {
+    Edit {
+        section: section.into(),
+        base,
+        content: content.map(|c| serde_json::from_value::<RawSection>(c).unwrap()),
+    }
+}
+
+/// Publishes an edit with enough patience for all faults to pass, or with none.
+fn publish(log: &FaultyLog, editor: &str, edit: &Edit, patient: bool) -> Published {
+    let patience = if patient {
+        Duration::from_secs(60)
+    } else {
+        Duration::ZERO
+    };
+    let mut reader = LogReader::new(log, Opener::Checked(SECRET.into()));
+    let key = key(editor);
+    let publisher = Publisher::new(&mut reader, &key, patience);
+    publisher.pause(Duration::ZERO).publish(edit)
+}
+
+fn verdict(log: &FaultyLog, editor: &str, edit: &Edit) -> Verdict {
+    match publish(log, editor, edit, true) {
+        Published::Judged { verdict, .. } => verdict,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// A log on which `root` administers, and `alice` owns the section `north`.
+fn started() -> FaultyLog {
+    let log = FaultyLog::default();
+    // A version of 0 means that there is none, so something stands at offset 0.
+    log.state.borrow_mut().records.push("begin".to_owned());
+    let owned = |owner| Some(json!({ "owners": [owner] }));
+    let first = edit("administration", 0, owned("root"));
+    assert_eq!(verdict(&log, "root", &first), Verdict::Accepted);
+    let north = edit("north", 0, owned("alice"));
+    assert_eq!(verdict(&log, "root", &north), Verdict::Accepted);
+    log
+}
+
+fn with_domain(owner: &str, name: &str, in_service: bool) -> Option<Value> {
+    let domains = json!([{ "name": name, "in_service": in_service }]);
+    Some(json!({ "owners": [owner], "failure_domains": domains }))
+}
+
+/// Two operators load the same section, and both send it back. The second would undo the first
+/// one's change without having seen it.
+#[test]
+fn racing_editors() {
+    let log = started();
+    let base = log.version_of("north");
+    let first = edit("north", base, with_domain("alice", "murau", false));
+    let second = edit("north", base, with_domain("alice", "murau", true));
+    assert_eq!(verdict(&log, "alice", &first), Verdict::Accepted);
+    let current = log.version_of("north");
+    assert_eq!(verdict(&log, "alice", &second), Verdict::Stale { current });
+    assert!(!log.ledger().history.current().in_service(&"murau".into()));
+}
+
+/// Somebody edits a section that is another team's, gives it to others, or makes itself an
+/// administrator.
+#[test]
+fn rights_of_owners() {
+    let log = started();
+    let base = log.version_of("north");
+    let owned = |owners: &[&str]| Some(json!({ "owners": owners }));
+    let administration = log.version_of("administration");
+    let refused = [
+        ("mallory", edit("north", base, owned(&["alice"]))),
+        ("mallory", edit("north", base, None)),
+        ("mallory", edit("south", 0, owned(&["mallory"]))),
+        (
+            "mallory",
+            edit("administration", administration, owned(&["mallory"])),
+        ),
+        ("mallory", edit("administration", 0, owned(&["mallory"]))),
+        ("alice", edit("north", base, owned(&["alice", "bob"]))),
+        ("alice", edit("north", base, None)),
+        ("alice", edit("south", 0, owned(&["alice"]))),
+        ("root", edit("administration", administration, None)),
+        ("root", edit("administration", administration, owned(&[]))),
+    ];
+    for (editor, edit) in refused {
+        let verdict = verdict(&log, editor, &edit);
+        assert_ne!(verdict, Verdict::Accepted, "{editor}: {edit:?}");
+    }
+    let allowed = [
+        (
+            "alice",
+            edit("north", base, with_domain("alice", "murau", true)),
+        ),
+        ("root", edit("south", 0, owned(&["bob"]))),
+        (
+            "root",
+            edit("administration", administration, owned(&["root", "bob"])),
+        ),
+    ];
+    for (editor, edit) in allowed {
+        assert_eq!(verdict(&log, editor, &edit), Verdict::Accepted, "{editor}");
+    }
+    let base = log.version_of("south");
+    let removed = verdict(&log, "bob", &edit("south", base, None));
+    assert_eq!(removed, Verdict::Accepted);
+    assert_eq!(log.version_of("south"), 0);
+}
+
+/// Somebody seals an edit with a key of another editor's name that it has made up.
+#[test]
+fn forged_editor() {
+    let log = started();
+    let before = log.ledger().history.current().document.clone();
+    let body = RecordBody::Edit(edit("north", log.version_of("north"), None));
+    for key in [
+        AuthorKey::of_editor("a guess", &"root".into()),
+        AuthorKey::from_hex(&"editor/root".into(), &key("alice").to_hex()).unwrap(),
+    ] {
+        (&log).append(&[key.seal(&"forged".into(), &body)]).unwrap();
+    }
+    assert_eq!(log.ledger().history.current().document, before);
+}
+
+/// The answer to the append is lost after it took effect, and the edit is in force. Sent again as
+/// another edit it would be stale, and the operator would be told "rejected" of a drain that is in
+/// force.
+#[test]
+fn lost_answer() {
+    let log = started();
+    let drain = edit(
+        "north",
+        log.version_of("north"),
+        with_domain("alice", "murau", false),
+    );
+    log.fail(
+        &[Fault::AnswerLost, Fault::Dropped, Fault::AnswerLost],
+        Fault::None,
+    );
+    assert_eq!(verdict(&log, "alice", &drain), Verdict::Accepted);
+    assert_eq!(
+        log.state.borrow().records.len(),
+        5,
+        "one copy more than needed"
+    );
+}
+
+/// The append itself was lost, so it has to be sent again.
+#[test]
+fn lost_append() {
+    let log = started();
+    let drain = edit(
+        "north",
+        log.version_of("north"),
+        with_domain("alice", "murau", false),
+    );
+    log.fail(&[Fault::Dropped, Fault::None, Fault::Refused], Fault::None);
+    assert_eq!(verdict(&log, "alice", &drain), Verdict::Accepted);
+}
+
+/// The append arrives after it has been sent a second time, and after another operator's edit. The
+/// first copy counts, and the second changes nothing.
+#[test]
+fn late_append() {
+    let log = started();
+    let base = log.version_of("north");
+    let drain = edit("north", base, with_domain("alice", "murau", false));
+    log.fail(&[Fault::Late, Fault::None], Fault::None);
+    assert_eq!(verdict(&log, "alice", &drain), Verdict::Accepted);
+    let version = log.version_of("north");
+    let back = edit("north", version, with_domain("alice", "murau", true));
+    assert_eq!(verdict(&log, "alice", &back), Verdict::Accepted);
+    let copy = log.state.borrow().records[3].clone();
+    (&log).append(&[copy]).unwrap();
+    assert!(log.ledger().history.current().in_service(&"murau".into()));
+}
+
+/// The log is down and stays down. Refused calls took no effect, so "not sent" is true. A lost
+/// answer says nothing: the edit may be there, and the operator must not be told that it is not.
+#[test]
+fn lasting_outage() {
+    let log = started();
+    let drain = edit(
+        "north",
+        log.version_of("north"),
+        with_domain("alice", "murau", false),
+    );
+    log.fail(&[], Fault::Refused);
+    let refused = publish(&log, "alice", &drain, false);
+    assert!(matches!(refused, Published::NotSent { .. }), "{refused:?}");
+    for fault in [Fault::AnswerLost, Fault::Dropped, Fault::Late] {
+        log.fail(&[fault], Fault::Refused);
+        let lost = publish(&log, "alice", &drain, false);
+        assert!(matches!(lost, Published::Unknown { .. }), "{lost:?}");
+    }
+}
+
+/// Whatever befalls the calls, an editor is told "accepted" only of what is in force, and "not
+/// sent" or "rejected" only of what never will be.
+#[test]
+fn true_answers() {
+    let faults = [
+        Fault::None,
+        Fault::Refused,
+        Fault::Dropped,
+        Fault::AnswerLost,
+        Fault::Late,
+    ];
+    let (mut judged, mut open) = (0, 0);
+    each_seed(400, 256, |u| {
+        let log = started();
+        while !u.is_empty() {
+            let chosen = some_faults(u, &faults)?;
+            let (patient, then) = if u.ratio(1, 2)? {
+                (true, Fault::None)
+            } else {
+                (false, *u.choose(&faults)?)
+            };
+            let base = log.version_of("north");
+            let base = if u.ratio(1, 4)? {
+                base.saturating_sub(1)
+            } else {
+                base
+            };
+            let name = format!("domain-{}", log.state.borrow().records.len());
+            log.fail(&chosen, then);
+            let change = edit("north", base, with_domain("alice", &name, true));
+            let published = publish(&log, "alice", &change, patient);
+            log.heal();
+            let is_in = log.ledger().history.current().in_service(&Name::from(name));
+            match published {
+                Published::Judged { verdict, .. } => {
+                    judged += 1;
+                    assert_eq!(is_in, verdict == Verdict::Accepted);
+                }
+                Published::NotSent { .. } => assert!(!is_in),
+                Published::Unknown { .. } => open += 1,
+            }
+        }
+        Ok(())
+    });
+    assert!(
+        judged > 1_000 && open > 300,
+        "{judged} judged, {open} unknown"
+    );
+}
+
+fn some_faults(u: &mut Unstructured<'_>, faults: &[Fault]) -> ArbResult<Vec<Fault>> {
+    let length = u.int_in_range(0..=6)?;
+    (0..length).map(|_| u.choose(faults).copied()).collect()
+}
