--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -21,6 +21,7 @@
 mod renewal;
 mod retention;
 mod ring;
+mod reservation;
 mod scheduler;
 mod slots;
 mod spec;
