Simulate failing processes and messages around keys; reckon a deadline once

Ruled out: a copy that reaches the agent's next process (now ignored instead of refused: that process can't say that its predecessor did not run it); the run stayed red with that alone. Change: the deadline on the agent's clock is reckoned once for each handing over.

--- a/dragonflyrun/src/request/agent_table.rs
+++ b/dragonflyrun/src/request/agent_table.rs
@@ -168,7 +168,8 @@
     /// Takes in a request from the entry `from`; `in_service` tells whether the agent's failure
     /// domain is.
     pub fn run(&mut self, now: Timestamp, from: &Name, order: RunOrder, in_service: bool) {
-        if self.runs.contains_key(&order.id) {
+        // Meant for an earlier process of this agent, which may have run it: this one can't say.
+        if order.incarnation != self.incarnation || self.runs.contains_key(&order.id) {
             return;
         }
         if self.kept.contains_key(&order.id) {
@@ -276,7 +277,7 @@
         order: &RunOrder,
         in_service: bool,
     ) -> Result<BackendChoice, NotRun> {
-        if self.leaving || order.incarnation != self.incarnation {
+        if self.leaving {
             return Err(NotRun::Leaving);
         }
         if now >= order.deadline {
--- a/dragonflyrun/src/request/entry_table.rs
+++ b/dragonflyrun/src/request/entry_table.rs
@@ -169,6 +169,9 @@
     agent: Name,
     incarnation: u64,
     sent: Timestamp,
+    /// The deadline on the agent's clock. It is reckoned once: the agent knows a second copy for
+    /// as long as the first one's deadline, and one with a later deadline would run again.
+    deadline_ms: u64,
     /// When the link to the agent ended, unless it is back.
     lost_at: Option<Timestamp>,
     /// When to send it again to the same process of the agent, after a link has come back.
@@ -458,6 +461,7 @@
                 agent: agent.clone(),
                 incarnation: view.incarnation,
                 sent: now,
+                deadline_ms: view.clock_at(pending.deadline),
                 lost_at: None,
                 resend_at: None,
                 resends_left: 0,
@@ -483,7 +487,7 @@
             service: pending.service.clone(),
             key: pending.key.clone(),
             claim: pending.granted_by.as_ref().map(|_| self.id(sent.request)),
-            deadline_ms: view.clock_at(pending.deadline),
+            deadline_ms: sent.deadline_ms,
             body: pending.body.clone(),
         }))
     }
--- /dev/null
+++ b/dragonflyrun/tests/simulation/nodes.rs
@@ -0,0 +1,584 @@
+//! The simulated processes.
+
+use dragonflyrun::{
+    Name, Timestamp,
+    connection::{
+        AgentReport, Heartbeat, KeyMessage, LogView, Message, NotRun, Outcome, Peer, Report,
+        RequestId, RequestMessage, Role,
+    },
+    process::Roster,
+    request::{
+        AgentAction, AgentTable, AgentView, BackendAnnouncement, EntryAction, EntryTable, KeyClaim,
+        KeyOutcome, KeyOwner, Ring, RunOrder, entry_id,
+    },
+    utils::HashMap,
+};
+use rand::Rng;
+use std::time::Duration;
+
+use super::{Backend, Event, Ran, Sim};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// One process.
+pub(super) struct Node {
+    pub(super) peer: Peer,
+    /// Tells a process from an earlier one in the same place.
+    pub(super) life: u64,
+    /// Simulated time minus the process's own clock.
+    born: u64,
+    pub(super) frozen_until: u64,
+    pub(super) log_reachable: bool,
+    head_seen: u64,
+    rings_seen: usize,
+    pub(super) role: NodeRole,
+}
+
+pub(super) enum NodeRole {
+    Entry {
+        table: Box<EntryTable>,
+        roster: Roster,
+        /// The tries that wait for an answer, by the table's number.
+        tries: HashMap<u64, usize>,
+    },
+    Agent {
+        table: Box<AgentTable>,
+        owner: Box<KeyOwner>,
+        backend: Backend,
+    },
+}
+
+#[derive(Clone)]
+pub(super) enum NodeEvent {
+    Tick,
+    Beat,
+    ReadLog,
+    Submit {
+        number_of_try: usize,
+    },
+    Deadline {
+        number: u64,
+    },
+    Up(Peer),
+    Down(Peer),
+    Deliver {
+        from: usize,
+        link: u64,
+        message: Message,
+    },
+    Start(RunOrder),
+    Ended {
+        id: RequestId,
+        outcome: Outcome,
+    },
+}
+
+impl Sim {
+    pub(super) fn start_nodes(&mut self) {
+        for entry in 0..self.setup.entries {
+            self.nodes.push(Node::placeholder(entry, Role::Entry));
+        }
+        for agent in 0..self.setup.backends.len() {
+            self.nodes.push(Node::placeholder(agent, Role::Agent));
+        }
+        let agents = self.agent_names();
+        self.rings.push(agents);
+        for node in 0..self.nodes.len() {
+            self.start(node);
+        }
+    }
+
+    pub(super) fn agent_names(&self) -> Vec<Name> {
+        let agents = self.nodes.iter().filter(|n| n.peer.role == Role::Agent);
+        agents.map(|n| n.peer.name.clone()).collect()
+    }
+
+    /// Starts a process in place of the one before, with nothing but its settings.
+    pub(super) fn start(&mut self, node: usize) {
+        self.lives += 1;
+        let life = self.lives;
+        let incarnation = self.rng.random();
+        let born = self.now - self.rng.random_range(1..900);
+        let seed = self.rng.random();
+        let backend = node.checked_sub(self.setup.entries);
+        let backend = backend.map(|b| self.setup.backends[b]);
+        let now = Timestamp::from_millis(self.now - born);
+        let state = &mut self.nodes[node];
+        state.peer.incarnation = incarnation;
+        state.life = life;
+        state.born = born;
+        state.frozen_until = 0;
+        state.rings_seen = 0;
+        state.head_seen = 0;
+        state.role = match backend {
+            None => {
+                let table = EntryTable::new(entry_id(&state.peer), seed);
+                let mut table = table.with_choices(self.setup.choices);
+                table.set_version(self.version.clone());
+                NodeRole::Entry {
+                    table: Box::new(table),
+                    roster: Roster::default(),
+                    tries: HashMap::default(),
+                }
+            }
+            Some(backend) => NodeRole::Agent {
+                table: Box::new(AgentTable::new(incarnation)),
+                owner: Box::new(KeyOwner::new(&state.peer, now)),
+                backend,
+            },
+        };
+        for event in [NodeEvent::Tick, NodeEvent::Beat, NodeEvent::ReadLog] {
+            let at = self.now + self.rng.random_range(0..100);
+            self.schedule_node(at, node, event);
+        }
+        self.link_all(node);
+    }
+
+    pub(super) fn schedule_node(&mut self, at: u64, node: usize, event: NodeEvent) {
+        let life = self.nodes[node].life;
+        self.schedule(at, Event::Node { node, life, event });
+    }
+
+    pub(super) fn node_event(&mut self, node: usize, life: u64, event: NodeEvent) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        let thaw = self.nodes[node].frozen_until;
+        if self.now < thaw {
+            self.schedule(thaw, Event::Node { node, life, event });
+            return;
+        }
+        match event {
+            NodeEvent::Tick => self.tick(node),
+            NodeEvent::Beat => self.beat(node),
+            NodeEvent::ReadLog => self.read_log(node),
+            NodeEvent::Submit { number_of_try } => self.submit(node, number_of_try),
+            NodeEvent::Deadline { number } => {
+                let now = self.clock(node);
+                if let NodeRole::Entry { table, .. } = &mut self.nodes[node].role {
+                    table.deadline_passed(now, number);
+                }
+            }
+            NodeEvent::Up(peer) => self.peer_changed(node, &peer, true),
+            NodeEvent::Down(peer) => self.peer_changed(node, &peer, false),
+            NodeEvent::Deliver {
+                from,
+                link,
+                message,
+            } => {
+                if self.arrives(from, node, link) {
+                    self.deliver(node, from, message);
+                }
+            }
+            NodeEvent::Start(order) => self.start_run(node, order),
+            NodeEvent::Ended { id, outcome } => {
+                let now = self.clock(node);
+                if let NodeRole::Agent { table, .. } = &mut self.nodes[node].role {
+                    table.finished(now, &id, outcome);
+                }
+            }
+        }
+        self.perform(node);
+    }
+
+    pub(super) fn clock(&self, node: usize) -> Timestamp {
+        Timestamp::from_millis(self.now - self.nodes[node].born)
+    }
+
+    fn is_fresh(&self, node: usize) -> bool {
+        let state = &self.nodes[node];
+        state.head_seen > 0 && self.now - state.head_seen <= 2_000
+    }
+
+    fn tick(&mut self, node: usize) {
+        let now = self.clock(node);
+        let version = self.version.clone();
+        match &mut self.nodes[node].role {
+            NodeRole::Entry { table, roster, .. } => {
+                for peer in roster.all() {
+                    if let Some(view) = AgentView::of(peer, &version) {
+                        table.agent_heard(view);
+                    }
+                }
+                table.tick(now);
+            }
+            NodeRole::Agent { table, owner, .. } => {
+                table.tick(now);
+                owner.tick(now);
+            }
+        }
+        self.schedule_node(self.now + 100, node, NodeEvent::Tick);
+    }
+
+    fn beat(&mut self, node: usize) {
+        let now = self.clock(node);
+        let (entries, slots) = (self.setup.entries, self.setup.slots);
+        let credits = self.setup.credits;
+        let NodeRole::Agent { table, .. } = &mut self.nodes[node].role else {
+            return;
+        };
+        let classes = &self.setup.classes;
+        for class in classes {
+            table.announce(now, announcement(class.service, slots));
+        }
+        let mut report = AgentReport {
+            failure_domain: "murau".into(),
+            backends: table.reports(now),
+            ..AgentReport::default()
+        };
+        for entry in 0..entries {
+            if credits {
+                // Each entry has a fixed part of the slots.
+                let part = slots / entries as u32;
+                let more = u32::from((entry + node) % entries < slots as usize % entries);
+                for backend in &mut report.backends {
+                    (backend.slots, backend.free) = (part + more, part + more);
+                }
+            }
+            let heartbeat = Heartbeat {
+                sent_ms: now.as_millis(),
+                echo_ms: None,
+                change: 0,
+                log: LogView::default(),
+                report: Some(Report::Agent(report.clone())),
+            };
+            self.transmit(node, entry, Message::Heartbeat(Box::new(heartbeat)));
+        }
+        self.schedule_node(self.now + 500, node, NodeEvent::Beat);
+    }
+
+    fn read_log(&mut self, node: usize) {
+        let now = self.clock(node);
+        if self.nodes[node].log_reachable {
+            let seen = self.nodes[node].rings_seen;
+            for change in seen..self.rings.len() {
+                let members = &self.rings[change];
+                match &mut self.nodes[node].role {
+                    NodeRole::Entry { table, .. } => {
+                        table.set_ring(change as u64 + 1, &Ring::new(members));
+                    }
+                    NodeRole::Agent { owner, .. } => {
+                        owner.set_ring(now, change as u64 + 1, members);
+                    }
+                }
+            }
+            self.nodes[node].rings_seen = self.rings.len();
+            self.nodes[node].head_seen = self.now;
+        }
+        let pause = self.rng.random_range(20..300);
+        self.schedule_node(self.now + pause, node, NodeEvent::ReadLog);
+    }
+
+    fn peer_changed(&mut self, node: usize, peer: &Peer, up: bool) {
+        let now = self.clock(node);
+        match &mut self.nodes[node].role {
+            NodeRole::Entry { table, roster, .. } if up => {
+                roster.up(now, peer.clone());
+                table.agent_up(now, peer);
+            }
+            NodeRole::Entry { table, roster, .. } => {
+                roster.down(peer);
+                table.agent_down(now, peer);
+            }
+            NodeRole::Agent { table, .. } if up => table.entry_up(peer),
+            NodeRole::Agent { table, .. } => table.entry_down(peer),
+        }
+    }
+
+    fn deliver(&mut self, node: usize, from: usize, message: Message) {
+        let now = self.clock(node);
+        let fresh = self.is_fresh(node);
+        let version = self.version.clone();
+        let sender = self.nodes[from].peer.name.clone();
+        let state = &mut self.nodes[node];
+        match (&mut state.role, message) {
+            (NodeRole::Entry { table, roster, .. }, Message::Heartbeat(heartbeat)) => {
+                roster.heard(now, &sender, *heartbeat);
+                let view = roster
+                    .peer(&sender)
+                    .and_then(|p| AgentView::of(p, &version));
+                if let Some(view) = view {
+                    table.agent_heard(view);
+                }
+            }
+            (
+                NodeRole::Entry { table, .. },
+                Message::Request(RequestMessage::Answer { id, outcome, free }),
+            ) => {
+                table.answered(now, &sender, id, outcome, free);
+            }
+            (NodeRole::Entry { table, .. }, Message::Key(KeyMessage::Verdict { id, verdict })) => {
+                table.verdict(now, &sender, &id, verdict);
+            }
+            (NodeRole::Entry { table, .. }, Message::Key(settle)) => table.relay(settle),
+            (NodeRole::Agent { table, .. }, Message::Request(message)) => match message {
+                RequestMessage::Run {
+                    id,
+                    incarnation,
+                    service,
+                    key,
+                    claim,
+                    deadline_ms,
+                    body,
+                } => {
+                    let deadline = Timestamp::from_millis(deadline_ms);
+                    let order = RunOrder {
+                        id,
+                        incarnation,
+                        service,
+                        key,
+                        claim,
+                        deadline,
+                        body,
+                    };
+                    table.run(now, &sender, order, true);
+                }
+                RequestMessage::Received { id } => table.received(&id),
+                RequestMessage::Answer { .. } => {}
+            },
+            (NodeRole::Agent { owner, .. }, Message::Key(message)) => {
+                own(now, owner, &sender, message, fresh);
+            }
+            _ => {}
+        }
+    }
+
+    fn start_run(&mut self, node: usize, order: RunOrder) {
+        let now = self.clock(node);
+        let NodeRole::Agent { table, backend, .. } = &self.nodes[node].role else {
+            return;
+        };
+        let (may_start, backend) = (table.may_start(now, &order.id), *backend);
+        let refused = |reason| Outcome::NotRun {
+            reason,
+            retry_after_ms: 500,
+        };
+        let outcome = match backend {
+            _ if !may_start => refused(NotRun::Deadline),
+            Backend::Refuses => refused(NotRun::Refused),
+            Backend::Breaks | Backend::Runs(_) => {
+                let number_of_try = read_try(&order.body);
+                let ticket = self.tries[number_of_try].ticket;
+                self.ran.push(Ran {
+                    ticket,
+                    number_of_try,
+                    at: self.now,
+                });
+                match backend {
+                    Backend::Breaks => Outcome::Unknown,
+                    _ => done(ticket),
+                }
+            }
+        };
+        let ran = !matches!(outcome, Outcome::NotRun { .. });
+        let time = if ran {
+            self.run_time(&order.body, backend)
+        } else {
+            1
+        };
+        let ended = NodeEvent::Ended {
+            id: order.id,
+            outcome,
+        };
+        self.schedule_node(self.now + time, node, ended);
+    }
+
+    fn run_time(&mut self, body: &[u8], backend: Backend) -> u64 {
+        let class = self.tickets[self.tries[read_try(body)].ticket].class;
+        let mean = self.setup.classes[class].run_ms as f64;
+        let slowness = match backend {
+            Backend::Runs(slowness) => slowness,
+            _ => 1.0,
+        };
+        (mean * slowness * self.rng.random_range(0.5..1.5)) as u64 + 1
+    }
+
+    pub(super) fn perform(&mut self, node: usize) {
+        loop {
+            let state = &mut self.nodes[node];
+            let mut busy = false;
+            match &mut state.role {
+                NodeRole::Entry { table, .. } => {
+                    for action in table.take_actions() {
+                        busy = true;
+                        self.entry_action(node, action);
+                    }
+                }
+                NodeRole::Agent { table, owner, .. } => {
+                    let (actions, verdicts) = (table.take_actions(), owner.take_actions());
+                    for action in actions {
+                        busy = true;
+                        self.agent_action(node, action);
+                    }
+                    for action in verdicts {
+                        let (id, verdict) = (action.id, action.verdict);
+                        let message = Message::Key(KeyMessage::Verdict { id, verdict });
+                        self.send(node, &action.to, message);
+                    }
+                }
+            }
+            if !busy {
+                return;
+            }
+        }
+    }
+
+    fn entry_action(&mut self, node: usize, action: EntryAction) {
+        let now = self.clock(node);
+        match action {
+            EntryAction::Send { to, message } => {
+                if !self.send(node, &to, message.clone())
+                    && let NodeRole::Entry { table, .. } = &mut self.nodes[node].role
+                {
+                    table.unsent(now, &to, &message);
+                }
+            }
+            EntryAction::Resend { to, message } => {
+                self.send(node, &to, message);
+            }
+            EntryAction::Answer { number, outcome } => {
+                if let NodeRole::Entry { tries, .. } = &mut self.nodes[node].role {
+                    let number_of_try = tries.remove(&number).expect("answered twice");
+                    self.answer_caller(number_of_try, outcome);
+                }
+            }
+            EntryAction::Retried(_) => self.retries += 1,
+            EntryAction::Event(_) => {}
+        }
+    }
+
+    fn agent_action(&mut self, node: usize, action: AgentAction) {
+        match action {
+            AgentAction::Start { order, .. } => {
+                // Between the decision and the start the process may be frozen.
+                let pause = self.rng.random_range(0..2);
+                self.schedule_node(self.now + pause, node, NodeEvent::Start(order));
+            }
+            AgentAction::Send { to, message } => {
+                self.send(node, &to, message);
+            }
+            AgentAction::Settle(settle) => self.agent_settles(node, settle),
+        }
+    }
+
+    fn agent_settles(&mut self, node: usize, settle: KeyMessage) {
+        let (now, fresh) = (self.clock(node), self.is_fresh(node));
+        let name = self.nodes[node].peer.name.clone();
+        let KeyMessage::Settle { service, key, .. } = &settle else {
+            return;
+        };
+        if let NodeRole::Agent { owner, .. } = &mut self.nodes[node].role
+            && owner.ring().and_then(|r| r.owner(service, key)) == Some(&name)
+        {
+            own(now, owner, &name, settle, fresh);
+            return;
+        }
+        for entry in 0..self.setup.entries {
+            if self.transmit(node, entry, Message::Key(settle.clone())) {
+                return;
+            }
+        }
+    }
+}
+
+impl Node {
+    fn placeholder(index: usize, role: Role) -> Self {
+        let kind = if role == Role::Entry {
+            "entry"
+        } else {
+            "agent"
+        };
+        let peer = Peer {
+            name: format!("{kind}-{index}").into(),
+            role,
+            incarnation: 0,
+        };
+        Self {
+            peer,
+            life: 0,
+            born: 0,
+            frozen_until: 0,
+            log_reachable: true,
+            head_seen: 0,
+            rings_seen: 0,
+            role: NodeRole::Entry {
+                table: Box::new(EntryTable::new("".into(), 0)),
+                roster: Roster::default(),
+                tries: HashMap::default(),
+            },
+        }
+    }
+}
+
+fn own(now: Timestamp, owner: &mut KeyOwner, from: &Name, message: KeyMessage, fresh: bool) {
+    match message {
+        KeyMessage::Claim {
+            id,
+            service,
+            key,
+            attempt,
+            incarnation,
+            sent_ms,
+            deadline_ms,
+        } => {
+            let claim = KeyClaim {
+                from: from.clone(),
+                id,
+                service,
+                key,
+                attempt,
+                incarnation,
+                sent: Timestamp::from_millis(sent_ms),
+                deadline: Timestamp::from_millis(deadline_ms),
+                window: WINDOW,
+            };
+            owner.claim(now, claim, fresh);
+        }
+        KeyMessage::Settle {
+            service,
+            key,
+            id,
+            outcome,
+        } => {
+            let settled = KeyOutcome {
+                service,
+                key,
+                id,
+                outcome,
+                window: WINDOW,
+            };
+            owner.settle(now, settled, fresh);
+        }
+        KeyMessage::Verdict { .. } => {}
+    }
+}
+
+fn announcement(service: &str, slots: u32) -> BackendAnnouncement {
+    BackendAnnouncement {
+        name: format!("backend-{service}").into(),
+        service: service.into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        slots,
+        connections: 64,
+        leaving: false,
+    }
+}
+
+/// The body of a request: the number of the try.
+pub(super) fn body(number_of_try: usize) -> Vec<u8> {
+    (number_of_try as u64).to_le_bytes().to_vec()
+}
+
+fn read_try(body: &[u8]) -> usize {
+    u64::from_le_bytes(body.try_into().expect("a body has 8 bytes")) as usize
+}
+
+/// The answer to a ticket, which depends on nothing else.
+pub(super) fn done(ticket: usize) -> Outcome {
+    let body = vec![ticket as u8; 50 + ticket % 50];
+    Outcome::Done {
+        status: 200,
+        length: body.len() as u64,
+        body,
+    }
+}
