Send only what has changed in heartbeats, under short names

Cause: each request changed the count of free slots, and the whole report went to every entry within 25 ms, up to 40 times a second: 2,657 bytes each with 29 members, far over the 18 KB a second that a node may spend. Change: free slots wait for the next regular heartbeat (answers carry them too) and go without the members; fields of heartbeats have short names. Ruled out: a longer period, which would age the proofs of freshness.

--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -29,19 +29,26 @@
 }
 
 /// A sign of life, with the sender's state where that changed.
+///
+/// Most messages between processes are heartbeats, so their fields have short names on the wire.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// The sender's clock in milliseconds; echoed in lease renewals.
+    #[serde(rename = "s")]
     pub sent_ms: u64,
     /// The `sent_ms` of the last heartbeat that the sender had received on this link. It proves to
     /// the receiver that the sender was alive after that moment of the receiver's own clock, also
     /// where this message has waited in a buffer while the receiver was frozen.
+    #[serde(rename = "e")]
     pub echo_ms: Option<u64>,
     /// Counts the changes of the report, so that an unchanged one need not be sent again.
+    #[serde(rename = "c")]
     pub change: u64,
     /// What the sender knows of the log.
+    #[serde(rename = "l")]
     pub log: LogView,
     /// The report as of `change`; absent where this link has already carried it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
 }
 
@@ -50,6 +57,9 @@
 pub enum Report {
     /// From an agent.
     Agent(AgentReport),
+    /// From an agent of whose report nothing else has changed: its backend servers. Their free
+    /// slots change with every request, and the members, of which there may be many, seldom do.
+    Backends(Vec<BackendReport>),
     /// From an entry.
     Entry(EntryReport),
 }
@@ -58,14 +68,19 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LogView {
     /// The offset after the last record it has folded.
+    #[serde(rename = "n")]
     pub next_offset: u64,
     /// Milliseconds since it was last known to have read up to the log's head.
+    #[serde(rename = "a")]
     pub age_ms: Option<u64>,
     /// Whether its last attempt to read the log succeeded.
+    #[serde(rename = "r")]
     pub reachable: bool,
     /// Whether an append of its own may have taken effect without an answer.
+    #[serde(rename = "p")]
     pub append_pending: bool,
     /// The offset of the configuration in force.
+    #[serde(rename = "v")]
     pub version: u64,
 }
 
--- a/dragonflyrun/src/process/heartbeats.rs
+++ b/dragonflyrun/src/process/heartbeats.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    connection::{Heartbeat, Linked, Message, Report},
+    connection::{BackendReport, Heartbeat, Linked, Message, Report},
     process::{Context, Node, lock},
     utils::{HashMap, Name, Timestamp},
 };
@@ -24,12 +24,21 @@
 #[derive(Default)]
 struct Sent {
     report: Option<Report>,
+    /// Counts the changes of the report.
     change: u64,
-    /// The link that has carried the current report, for each peer.
-    carried: HashMap<Name, u64>,
+    /// The last change of anything but the backend servers.
+    whole_change: u64,
+    carried: HashMap<Name, Carried>,
     last: Timestamp,
 }
 
+/// Up to which change a link has carried the report.
+#[derive(Clone, Copy, Eq, PartialEq)]
+struct Carried {
+    link: u64,
+    change: u64,
+}
+
 /// Sends heartbeats.
 pub(crate) struct Heartbeats<'a> {
     cx: &'a Context,
@@ -58,23 +67,19 @@
         let now = self.cx.now();
         let report = self.node.report();
         let mut sent = lock(&self.sent);
-        let changed = sent.report.as_ref() != Some(&report);
-        if !changed && now.since(sent.last) < HEARTBEAT {
+        let change = Change::between(sent.report.as_ref(), &report);
+        if change != Change::Urgent && now.since(sent.last) < HEARTBEAT {
             return;
         }
-        if changed {
-            sent.change += 1;
-            sent.report = Some(report.clone());
-            sent.carried.clear();
-        }
+        sent.take(report, change);
         sent.last = now;
         for Linked { peer, link } in self.cx.links.linked() {
-            let carried = sent.carried.get(&peer) == Some(&link);
-            let report = (!carried).then_some(&report);
-            let heartbeat = self.heartbeat(now, &peer, sent.change, report);
+            let part = sent.part_for(&peer, link);
+            let heartbeat = self.heartbeat(now, &peer, sent.change, part);
             let message = Message::Heartbeat(Box::new(heartbeat));
             if self.cx.links.send(&peer, message).is_ok() {
-                sent.carried.insert(peer, link);
+                let change = sent.change;
+                sent.carried.insert(peer, Carried { link, change });
             }
         }
     }
@@ -84,7 +89,7 @@
         now: Timestamp,
         peer: &Name,
         change: u64,
-        report: Option<&Report>,
+        report: Option<Report>,
     ) -> Heartbeat {
         let (next_offset, version) = {
             let ledger = lock(&self.cx.ledger);
@@ -99,7 +104,68 @@
             echo_ms,
             change,
             log: lock(&self.cx.freshness).view(now, next_offset, version),
-            report: report.cloned(),
+            report,
+        }
+    }
+}
+
+impl Sent {
+    fn take(&mut self, report: Report, change: Change) {
+        if change == Change::None {
+            return;
+        }
+        self.change += 1;
+        if change != Change::Slots {
+            self.whole_change = self.change;
+        }
+        self.report = Some(report);
+    }
+
+    /// Returns what the link to `peer` has not carried yet.
+    fn part_for(&self, peer: &Name, link: u64) -> Option<Report> {
+        let carried = self.carried.get(peer).filter(|c| c.link == link);
+        match (carried, &self.report) {
+            (Some(c), _) if c.change == self.change => None,
+            (Some(c), Some(Report::Agent(report))) if c.change >= self.whole_change => {
+                Some(Report::Backends(report.backends.clone()))
+            }
+            (_, report) => report.clone(),
+        }
+    }
+}
+
+/// What has changed between two reports.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Change {
+    None,
+    /// Only how many slots are free. Answers to requests tell that too, so it can wait.
+    Slots,
+    /// Something that peers have to know at once, such as a member that ended or a leaver.
+    Urgent,
+}
+
+impl Change {
+    fn between(before: Option<&Report>, after: &Report) -> Self {
+        let (Some(Report::Agent(before)), Report::Agent(after)) = (before, after) else {
+            let same = before == Some(after);
+            return if same { Self::None } else { Self::Urgent };
+        };
+        if before == after {
+            return Self::None;
         }
+        let rest = before.members == after.members
+            && before.leaving == after.leaving
+            && before.accelerators == after.accelerators;
+        if rest && same_but_free(&before.backends, &after.backends) {
+            return Self::Slots;
+        }
+        Self::Urgent
     }
 }
+
+fn same_but_free(before: &[BackendReport], after: &[BackendReport]) -> bool {
+    let same = |(a, b): (&BackendReport, &BackendReport)| {
+        a.name == b.name && a.service == b.service && a.slots == b.slots && a.leaving == b.leaving
+    };
+    before.len() == after.len() && before.iter().zip(after).all(same)
+}
--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -137,7 +137,7 @@
         match &self.report {
             Some(Report::Agent(report)) => report.leaving,
             Some(Report::Entry(report)) => report.leaving,
-            None => false,
+            Some(Report::Backends(_)) | None => false,
         }
     }
 }
--- /dev/null
+++ b/dragonflyrun/tests/peer_roster.rs
@@ -0,0 +1,153 @@
+//! What a process knows of its peers, and which of them get work.
+
+use std::time::Duration;
+
+use dragonflyrun::{
+    connection::{
+        AgentReport,
+        BackendReport,
+        Heartbeat,
+        LogView,
+        MemberReport,
+        MemberState,
+        Peer,
+        Report,
+        Role, //
+    },
+    job::GangId,
+    process::{Roster, SILENCE},
+    utils::{Name, Timestamp},
+};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn peer(incarnation: u64) -> Peer {
+    Peer {
+        name: "worker-1".into(),
+        role: Role::Agent,
+        incarnation,
+    }
+}
+
+fn heartbeat(echo_ms: Option<u64>, report: Option<Report>) -> Heartbeat {
+    Heartbeat {
+        sent_ms: 5,
+        echo_ms,
+        change: 1,
+        log: LogView::default(),
+        report,
+    }
+}
+
+fn backend(free: u32) -> BackendReport {
+    BackendReport {
+        name: "scaling-1".into(),
+        service: "scaling".into(),
+        slots: 8,
+        free,
+        leaving: false,
+    }
+}
+
+fn whole(leaving: bool) -> Report {
+    let gang = GangId {
+        job: "job-1".into(),
+        term: 1,
+        attempt: 1,
+    };
+    Report::Agent(AgentReport {
+        failure_domain: "murau".into(),
+        rack: "murau-1".into(),
+        accelerators: 8,
+        backends: vec![backend(8)],
+        members: vec![MemberReport {
+            number: 1,
+            gang,
+            members: 2,
+            state: MemberState::Running,
+        }],
+        leaving,
+    })
+}
+
+fn heard(report: Option<Report>) -> Roster {
+    let mut roster = Roster::default();
+    roster.up(at(0), peer(1));
+    roster.heard(at(100), &"worker-1".into(), heartbeat(None, report));
+    roster
+}
+
+fn live(roster: &Roster, now: Timestamp) -> bool {
+    roster.is_live(now, &Name::from("worker-1"))
+}
+
+/// An agent is frozen: its link stays up, since the kernel still answers, and nothing is heard.
+/// Requests sent to it would wait until their deadline.
+#[test]
+fn silent_peer() {
+    let roster = heard(Some(whole(false)));
+    assert!(live(&roster, at(100) + SILENCE));
+    assert!(!live(&roster, at(101) + SILENCE));
+    assert_eq!(roster.agents(at(101) + SILENCE).count(), 0);
+}
+
+#[test]
+fn leaving_peer() {
+    assert!(!live(&heard(Some(whole(true))), at(100)));
+}
+
+/// An agent dies and its successor links before the old link has ended. The late end of the old
+/// link must not take the successor out of work.
+#[test]
+fn successor_stays() {
+    let mut roster = heard(Some(whole(false)));
+    roster.up(at(200), peer(2));
+    roster.down(&peer(1));
+    assert!(live(&roster, at(300)));
+    roster.down(&peer(2));
+    assert!(!live(&roster, at(300)));
+}
+
+/// This process was frozen for ten seconds and reads a heartbeat that waited in its buffer. The
+/// peer may be dead by now; only the echo tells how old the sign of life is.
+#[test]
+fn buffered_heartbeat() {
+    let mut roster = heard(None);
+    let name = Name::from("worker-1");
+    roster.heard(at(10_100), &name, heartbeat(Some(50), None));
+    assert_eq!(roster.peer(&name).unwrap().confirmed, Some(at(50)));
+    roster.heard(at(10_200), &name, heartbeat(Some(10_150), None));
+    assert_eq!(roster.peer(&name).unwrap().confirmed, Some(at(10_150)));
+    // Heartbeats that were overtaken, or echo a clock that is not ours, prove nothing new.
+    roster.heard(at(10_300), &name, heartbeat(Some(60), None));
+    roster.heard(at(10_300), &name, heartbeat(Some(99_999), None));
+    assert_eq!(roster.peer(&name).unwrap().confirmed, Some(at(10_150)));
+}
+
+#[test]
+fn report_parts() {
+    let mut roster = heard(Some(whole(false)));
+    let name = Name::from("worker-1");
+    let part = Report::Backends(vec![backend(3)]);
+    roster.heard(at(200), &name, heartbeat(None, Some(part.clone())));
+    roster.heard(at(300), &name, heartbeat(None, None));
+    let (_, report) = roster.agents(at(300)).next().unwrap();
+    assert_eq!(report.backends, [backend(3)]);
+    assert_eq!(report.members.len(), 1);
+    // A part without the whole before it says too little to give the agent work.
+    let only_part = heard(Some(part));
+    assert_eq!(only_part.agents(at(200)).count(), 0);
+}
+
+#[test]
+fn forgotten_peer() {
+    let long = Duration::from_secs(120);
+    let mut roster = heard(Some(whole(false)));
+    roster.forget(at(500_000), long);
+    assert_eq!(roster.all().len(), 1);
+    roster.down(&peer(1));
+    roster.forget(at(500_000), long);
+    assert!(roster.all().is_empty());
+}
