--- a/dragonflyrun/src/job/election.rs
+++ b/dragonflyrun/src/job/election.rs
@@ -37,6 +37,8 @@
     /// The term that this process holds. An entry whose process was replaced claims anew: its
     /// former orders may still arrive somewhere and must be told from its new ones.
     held: Option<u64>,
+    /// The last term seen on the log.
+    term: u64,
     silent_since: Option<Timestamp>,
     claimed: Option<(u64, Timestamp)>,
 }
@@ -47,6 +49,7 @@
         Self {
             me,
             held: None,
+            term: 0,
             silent_since: None,
             claimed: None,
         }
@@ -62,9 +65,15 @@
         self.held
     }
 
+    /// Returns whether `term` was not seen on the log before.
+    pub fn is_new(&self, term: u64) -> bool {
+        term > self.term
+    }
+
     /// Takes note of a term that `planner` has on the log; `mine` says that the record is one of
     /// this process. Returns whether this process has become planner.
     pub fn on_term(&mut self, term: u64, mine: bool) -> bool {
+        self.term = term;
         self.claimed = None;
         self.silent_since = None;
         self.held = mine.then_some(term);
--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -20,10 +20,21 @@
     version::Version,
 };
 
-/// Attempts of one job that may fail beyond those that a bad worker is allowed before it is set
-/// aside, so that one bad worker can't fail a good job.
+/// Workers that one job may bring into disrepute by failing on them. Some jobs can never run, and
+/// must not have all workers set aside one after the other.
+const BLAMED_WORKERS: usize = 2;
+
+/// Attempts of one job that may fail beyond those that it takes to set those workers aside, so that
+/// they can't fail a good job.
 const SPARE_FAILURES: u32 = 2;
 
+/// How long a shape must not be had from the workers known before an accepted job is ended for it.
+/// A planner that was replaced lately may not have heard of a worker that is away for a while.
+const IMPOSSIBLE_FOR: Duration = Duration::from_secs(600);
+
+/// Time between two looks at a job whose shape can't be had.
+const IMPOSSIBLE_PAUSE: Duration = Duration::from_secs(15);
+
 /// Pause before a job is tried again, for each of its failures, and the longest such pause.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(4_000);
@@ -92,6 +103,9 @@
     pub(super) gang: Option<Gang>,
     /// How long its former attempts of this planner ran.
     ran: Duration,
+    impossible_since: Option<Timestamp>,
+    /// Workers that were blamed for its failures.
+    blamed: HashSet<Name>,
 }
 
 /// A record that ends an attempt or a job, until it is on the log.
@@ -129,6 +143,8 @@
             tried: live.attempt,
             gang: None,
             ran: Duration::ZERO,
+            impossible_since: None,
+            blamed: HashSet::default(),
         }
     }
 }
@@ -201,7 +217,7 @@
 
     /// Takes note of a new configuration.
     pub fn configure(&mut self, version: &Arc<Version>) {
-        if version.offset == self.version.offset {
+        if Arc::ptr_eq(version, &self.version) {
             return;
         }
         self.version = version.clone();
@@ -303,6 +319,7 @@
                     if planned.gang.is_some() || self.closing.contains_key(&job) {
                         continue;
                     }
+                    planned.impossible_since = None;
                     planned.tried = planned.tried.max(planned.live.attempt) + 1;
                     let id = GangId {
                         job: job.clone(),
@@ -314,14 +331,24 @@
                     self.place(gang);
                 }
                 Decision::Evict { job, .. } => self.stop_gang(now, &job, StopReason::Evicted),
-                Decision::Impossible { job, why } => {
-                    log::warn!(job:% = job, why:? = why; "job_impossible");
-                    self.end(now, &job, JobEnd::Impossible);
-                }
+                Decision::Impossible { job, why } => self.impossible(now, &job, why),
             }
         }
     }
 
+    fn impossible(&mut self, now: Timestamp, job: &JobId, why: Unreachable) {
+        let Some(planned) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let since = *planned.impossible_since.get_or_insert(now);
+        log::warn!(job:% = job, why:? = why; "job_impossible");
+        if now.since(since) > IMPOSSIBLE_FOR {
+            self.end(now, job, JobEnd::Impossible);
+        } else {
+            self.resting.insert((now + IMPOSSIBLE_PAUSE, job.clone()));
+        }
+    }
+
     fn change_owners(
         &mut self,
         now: Timestamp,
@@ -403,7 +430,7 @@
     }
 
     fn close(&mut self, now: Timestamp, job: &JobId, close: Close) {
-        let limit = self.version.limits.worker_failures + SPARE_FAILURES;
+        let limit = failure_limit(self.version.limits.worker_failures);
         let Some(planned) = self.jobs.get(job) else {
             return;
         };
@@ -510,6 +537,10 @@
                 && planned.gang.is_none()
                 && !self.closing.contains_key(&job)
             {
+                if planned.impossible_since.is_some() {
+                    // It is no longer in the scheduler's queue.
+                    self.scheduler.job_gone(now, &job);
+                }
                 self.scheduler.job_waits(now, &planned.live);
             }
         }
@@ -543,14 +574,22 @@
             return;
         }
         match member.state {
-            MemberState::Failed | MemberState::Refused if young => {
-                self.scheduler.start_failed(now, agent);
-            }
+            MemberState::Failed | MemberState::Refused if young => self.blame(now, job, agent),
             MemberState::Finished => self.scheduler.start_succeeded(now, agent),
             _ => {}
         }
     }
 
+    fn blame(&mut self, now: Timestamp, job: &JobId, worker: &Name) {
+        let Some(planned) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if planned.blamed.contains(worker) || planned.blamed.len() < BLAMED_WORKERS {
+            planned.blamed.insert(worker.clone());
+            self.scheduler.start_failed(now, worker);
+        }
+    }
+
     fn stop_gang(&mut self, now: Timestamp, job: &JobId, reason: StopReason) {
         self.touched.insert(job.clone());
         if let Some(gang) = self.jobs.get_mut(job).and_then(|j| j.gang.as_mut()) {
@@ -599,6 +638,14 @@
     }
 }
 
+/// Returns how many attempts of a job may fail, where a worker is set aside after that many.
+fn failure_limit(worker_failures: u32) -> u32 {
+    let blamed = u32::try_from(BLAMED_WORKERS).unwrap_or(u32::MAX);
+    worker_failures
+        .saturating_mul(blamed)
+        .saturating_add(SPARE_FAILURES)
+}
+
 fn append(body: RecordBody, purpose: Purpose) -> PlannerAction {
     PlannerAction::Append {
         body: Box::new(body),
--- a/dragonflyrun/src/job/renewal.rs
+++ b/dragonflyrun/src/job/renewal.rs
@@ -45,6 +45,9 @@
     finished: u32,
     lost: u32,
     late: u32,
+    /// Whether the members were told that it is broken. They are told once: each of them that
+    /// stops is lost in its turn, and whoever is not reached stops at the end of its lease.
+    told: bool,
 }
 
 /// The gangs and their members as one entry hears them.
@@ -79,12 +82,8 @@
             next.late = known.late;
         }
         self.join(agent, &next);
-        let notices = next
-            .members
-            .iter()
-            .filter(|m| is_lost(m.state))
-            .flat_map(|m| self.broken(&m.gang))
-            .collect();
+        let lost = next.members.iter().filter(|m| is_lost(m.state));
+        let notices = lost.flat_map(|m| self.broken(&m.gang)).collect();
         self.agents.insert(agent.clone(), next);
         notices
     }
@@ -178,10 +177,11 @@
         (age < GANG_LEASE).then_some(age)
     }
 
-    fn broken(&self, gang: &GangId) -> Vec<Notice> {
-        let Some(members) = self.gangs.get(gang) else {
+    fn broken(&mut self, gang: &GangId) -> Vec<Notice> {
+        let Some(members) = self.gangs.get_mut(gang).filter(|g| !g.told) else {
             return Vec::new();
         };
+        members.told = true;
         members
             .states
             .iter()
--- a/dragonflyrun/src/job/retention.rs
+++ b/dragonflyrun/src/job/retention.rs
@@ -34,6 +34,7 @@
 struct Written {
     offset: u64,
     at: Timestamp,
+    outdated: bool,
 }
 
 /// Knows for each live state where the log last has the whole of it.
@@ -47,7 +48,11 @@
 impl Retention {
     /// Takes note that the log has the whole state of `item` at `offset`.
     pub fn written(&mut self, now: Timestamp, item: Item, offset: u64) {
-        let written = Written { offset, at: now };
+        let written = Written {
+            offset,
+            at: now,
+            outdated: false,
+        };
         self.items.insert(item.clone(), written);
         self.queue.push_back((item, written));
     }
@@ -64,7 +69,11 @@
     /// which it was read and that at which it was repeated, so a reader that starts at the repeated
     /// state would miss the change.
     pub fn outdated(&mut self, now: Timestamp, item: Item) {
-        let written = Written { offset: 0, at: now };
+        let written = Written {
+            offset: 0,
+            at: now,
+            outdated: true,
+        };
         self.items.insert(item.clone(), written);
         self.queue.push_front((item, written));
     }
@@ -85,7 +94,7 @@
             let current = self.items.get(item) == Some(written);
             let old = next_offset.saturating_sub(written.offset) > CARRY_RECORDS
                 || now.since(written.at) > CARRY_TIME;
-            if current && !old && written.offset > 0 {
+            if current && !old && !written.outdated {
                 break;
             }
             let Some((item, _)) = self.queue.pop_front() else {
--- a/dragonflyrun/src/job/ring.rs
+++ b/dragonflyrun/src/job/ring.rs
@@ -13,6 +13,9 @@
 /// should not cause two. Until a lost agent is left out, its keys are refused.
 const SETTLE: Duration = Duration::from_millis(4_000);
 
+/// The same where there are no owners yet, and so no key can be granted.
+const FIRST_SETTLE: Duration = Duration::from_millis(1_000);
+
 /// Decides when the owners of keys change.
 #[derive(Debug, Default)]
 pub struct Ring {
@@ -39,8 +42,12 @@
             self.differs_since = None;
         }
         let since = *self.differs_since.get_or_insert(now);
-        let first = owners.is_empty();
-        if !first && now.since(since) < SETTLE {
+        let settle = if owners.is_empty() {
+            FIRST_SETTLE
+        } else {
+            SETTLE
+        };
+        if now.since(since) < settle {
             return None;
         }
         // Asked again after the same time where the record does not reach the log.
--- a/dragonflyrun/src/job/take_over.rs
+++ b/dragonflyrun/src/job/take_over.rs
@@ -14,6 +14,8 @@
     pub offset: u64,
     /// The record.
     pub record: &'a Record,
+    /// The current term.
+    pub term: u64,
     /// The job that it is about, where that is live.
     pub live: Option<&'a LiveJob>,
     /// How that job ended, where it has and that is still remembered.
@@ -26,7 +28,10 @@
     pub fn on_record(&mut self, now: Timestamp, folded: JobRecord<'_>) -> bool {
         let mine = self.pending.remove(&folded.record.id).is_some();
         match &folded.record.body {
-            RecordBody::Term { term, .. } => return self.on_term(now, *term, mine, folded.offset),
+            RecordBody::Term { term, .. } if *term == folded.term => {
+                return self.on_term(now, *term, mine, folded.offset);
+            }
+            RecordBody::Term { .. } => {}
             RecordBody::Edit(_) => self
                 .retention
                 .changed(now, Item::Configuration, folded.offset),
@@ -47,6 +52,10 @@
 
     fn on_term(&mut self, now: Timestamp, term: u64, mine: bool, offset: u64) -> bool {
         self.retention.changed(now, Item::Membership, offset);
+        // A second claim of the term has no effect, also where both are this entry's.
+        if !self.election.is_new(term) {
+            return false;
+        }
         let was_planner = self.term().is_some();
         if self.election.on_term(term, mine) {
             log::info!(term = term; "planner_taken_over");
--- a/dragonflyrun/src/process/entry_table.rs
+++ b/dragonflyrun/src/process/entry_table.rs
@@ -168,6 +168,7 @@
         let record = JobRecord {
             offset: folded.offset,
             record: &folded.record,
+            term: ledger.membership.term(),
             live,
             ended: job.and_then(|j| ledger.jobs.ended(j)),
         };
--- /dev/null
+++ b/dragonflyrun/tests/gang_world/checks.rs
@@ -0,0 +1,106 @@
+//! What must hold of the workers' records, whatever has failed.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use dragonflyrun::{job::START_BOUND, utils::Name};
+
+use super::worker::Ran;
+
+/// When a failure domain was taken out and returned, by the log.
+#[derive(Clone, Debug)]
+pub struct Outage {
+    pub domain: usize,
+    pub from: u64,
+    pub to: u64,
+}
+
+type Gangs<'a> = BTreeMap<(&'a Name, u32), Vec<&'a Ran>>;
+
+fn gangs(ran: &[Ran]) -> Gangs<'_> {
+    let mut gangs = Gangs::new();
+    for r in ran {
+        gangs.entry((&r.job, r.attempt)).or_default().push(r);
+    }
+    gangs
+}
+
+/// Returns the longest time for which some member of one attempt ran and another neither ran nor
+/// had finished.
+pub fn longest_partial(ran: &[Ran], now: u64) -> u64 {
+    gangs(ran).values().map(|g| partial(g, now)).max().unwrap_or(0)
+}
+
+fn partial(gang: &[&Ran], now: u64) -> u64 {
+    let members = gang[0].members;
+    let mut times: BTreeSet<u64> = BTreeSet::new();
+    for r in gang {
+        times.extend([r.start, r.end.unwrap_or(now)]);
+    }
+    let times: Vec<u64> = times.into_iter().collect();
+    let (mut longest, mut window) = (0, 0);
+    for pair in times.windows(2) {
+        let (from, to) = (pair[0], pair[1]);
+        let running: BTreeSet<u32> = gang
+            .iter()
+            .filter(|r| r.start <= from && r.end.unwrap_or(now) >= to)
+            .map(|r| r.member)
+            .collect();
+        let finished: BTreeSet<u32> = gang
+            .iter()
+            .filter(|r| r.finished && r.end.is_some_and(|end| end <= from))
+            .map(|r| r.member)
+            .collect();
+        let whole = running.union(&finished).count() as u32 == members;
+        let is_partial = !running.is_empty() && !whole;
+        window = if is_partial { window + to - from } else { 0 };
+        longest = longest.max(window);
+    }
+    longest
+}
+
+/// Panics where two attempts of one job ran at the same time.
+pub fn one_attempt_at_once(ran: &[Ran], now: u64) {
+    let mut jobs: HashMap<&Name, BTreeMap<u32, (u64, u64)>> = HashMap::new();
+    for r in ran {
+        let attempts = jobs.entry(&r.job).or_default();
+        let end = r.end.unwrap_or(now);
+        let span = attempts.entry(r.attempt).or_insert((r.start, end));
+        *span = (span.0.min(r.start), span.1.max(end));
+    }
+    for (job, attempts) in jobs {
+        let spans: Vec<_> = attempts.into_iter().collect();
+        for pair in spans.windows(2) {
+            let ((a, (_, end)), (b, (start, _))) = (pair[0], pair[1]);
+            assert!(
+                start >= end,
+                "{job}: attempt {b} started at {start}, attempt {a} ran until {end}"
+            );
+        }
+    }
+}
+
+/// Panics where tasks started in a failure domain that had been out for longer than the bound.
+pub fn no_start_in_domain_out(ran: &[Ran], outages: &[Outage]) {
+    let bound = START_BOUND.as_millis() as u64;
+    for r in ran.iter().filter(|r| r.fresh_start) {
+        for o in outages.iter().filter(|o| o.domain == r.domain) {
+            let late = r.start > o.from + bound && r.start < o.to;
+            assert!(
+                !late,
+                "{} attempt {} started at {} in domain {}, out from {} to {}",
+                r.job, r.attempt, r.start, r.domain, o.from, o.to
+            );
+        }
+    }
+}
+
+/// Returns whether some attempt of `job` had all members finish.
+pub fn has_finished(ran: &[Ran], job: &Name) -> bool {
+    gangs(ran)
+        .iter()
+        .filter(|((j, _), _)| *j == job)
+        .any(|(_, gang)| {
+            let done: BTreeSet<u32> = gang.iter().filter(|r| r.finished).map(|r| r.member).collect();
+            done.len() as u32 == gang[0].members
+        })
+}
--- /dev/null
+++ b/dragonflyrun/tests/gang_world/worker.rs
@@ -0,0 +1,312 @@
+//! A fake worker: leases and timers on the world's clock, and a record of what ran when.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use dragonflyrun::{
+    connection::{LeaseState, StartTasks, WorkerError, WorkerLease, WorkerView},
+    job::LeaseName,
+    utils::Name,
+};
+
+/// Progress saved by tasks, by job and member.
+pub type Checkpoints = Rc<RefCell<HashMap<(Name, u32), u64>>>;
+
+/// A time in which the tasks of one member ran.
+#[derive(Clone, Debug)]
+pub struct Ran {
+    pub job: Name,
+    pub attempt: u32,
+    pub member: u32,
+    pub members: u32,
+    pub domain: usize,
+    /// When the start took effect; none where the tasks went on after the worker was frozen.
+    pub fresh_start: bool,
+    pub start: u64,
+    pub end: Option<u64>,
+    pub finished: bool,
+}
+
+struct Lease {
+    accelerators: u32,
+    until: u64,
+    state: LeaseState,
+    checkpointed: bool,
+    run: Option<Run>,
+}
+
+struct Run {
+    tasks: StartTasks,
+    began: u64,
+    done_before: u64,
+    /// How much work it is, and whether it ends well.
+    work: (u64, bool),
+    record: usize,
+}
+
+pub struct FakeWorker {
+    pub name: Name,
+    pub domain: usize,
+    pub accelerators: u32,
+    pub alive: bool,
+    pub frozen: bool,
+    /// Whether all tasks fail as soon as they are started.
+    pub broken: bool,
+    pub epoch: u64,
+    frozen_at: u64,
+    leases: HashMap<Name, Lease>,
+    checkpoints: Checkpoints,
+    pub ran: Vec<Ran>,
+}
+
+impl FakeWorker {
+    pub fn new(name: Name, domain: usize, accelerators: u32, checkpoints: Checkpoints) -> Self {
+        Self {
+            name,
+            domain,
+            accelerators,
+            alive: true,
+            frozen: false,
+            broken: false,
+            epoch: 0,
+            frozen_at: 0,
+            leases: HashMap::new(),
+            checkpoints,
+            ran: Vec::new(),
+        }
+    }
+
+    /// Lets leases lapse and tasks end up to `now`, each at its own time.
+    pub fn look(&mut self, now: u64) {
+        if self.frozen || !self.alive {
+            return;
+        }
+        for lease in self.leases.values_mut() {
+            let ends = lease.run.as_ref().map(Run::ends);
+            if lease.state == LeaseState::Running
+                && let Some(run) = &lease.run
+                && let Some(at) = ends
+                && at <= now
+                && at < lease.until
+            {
+                let well = run.work.1;
+                lease.state = if well {
+                    LeaseState::Finished
+                } else {
+                    LeaseState::Failed
+                };
+                let record = &mut self.ran[run.record];
+                record.end = Some(at);
+                record.finished = well;
+            }
+            let live = matches!(lease.state, LeaseState::Held | LeaseState::Running);
+            if live && lease.until <= now {
+                if lease.state == LeaseState::Running
+                    && let Some(run) = &lease.run
+                {
+                    self.ran[run.record].end = Some(lease.until);
+                }
+                lease.state = LeaseState::Lapsed;
+            }
+        }
+    }
+
+    pub fn freeze(&mut self, now: u64) {
+        self.look(now);
+        self.frozen = true;
+        self.frozen_at = now;
+        for lease in self.leases.values_mut() {
+            if let (LeaseState::Running, Some(run)) = (lease.state, &lease.run) {
+                self.ran[run.record].end = Some(now);
+            }
+        }
+    }
+
+    /// Goes on; what has lapsed in between does not.
+    pub fn thaw(&mut self, now: u64) {
+        self.frozen = false;
+        let gap = now - self.frozen_at;
+        for lease in self.leases.values_mut() {
+            let live = matches!(lease.state, LeaseState::Held | LeaseState::Running);
+            if live && lease.until <= now {
+                lease.state = LeaseState::Lapsed;
+            }
+            if let (LeaseState::Running, Some(run)) = (lease.state, &mut lease.run) {
+                run.began += gap;
+                let again = Ran {
+                    fresh_start: false,
+                    start: now,
+                    end: None,
+                    ..self.ran[run.record].clone()
+                };
+                run.record = self.ran.len();
+                self.ran.push(again);
+            }
+        }
+    }
+
+    pub fn kill(&mut self, now: u64) {
+        self.look(now);
+        for record in &mut self.ran {
+            record.end = record.end.or(Some(now));
+        }
+        self.leases.clear();
+        self.alive = false;
+        self.frozen = false;
+        self.epoch += 1;
+    }
+
+    pub fn view(&mut self, now: u64) -> WorkerView {
+        self.look(now);
+        let leases = self.leases.keys().cloned().collect::<Vec<_>>();
+        WorkerView {
+            name: self.name.clone(),
+            accelerators: self.accelerators,
+            leases: leases.iter().filter_map(|l| self.lease(now, l).ok()).collect(),
+        }
+    }
+
+    pub fn obtain(
+        &mut self,
+        now: u64,
+        name: &Name,
+        accelerators: u32,
+        ttl: u64,
+    ) -> Result<WorkerLease, WorkerError> {
+        self.look(now);
+        if let Some(lease) = self.leases.get_mut(name) {
+            if !matches!(lease.state, LeaseState::Held | LeaseState::Running) {
+                return Err(WorkerError::Over);
+            }
+            lease.until = now + ttl;
+            return self.lease(now, name);
+        }
+        let held: u32 = self
+            .leases
+            .values()
+            .filter(|l| matches!(l.state, LeaseState::Held | LeaseState::Running))
+            .map(|l| l.accelerators)
+            .sum();
+        if held + accelerators > self.accelerators {
+            return Err(WorkerError::NotFree);
+        }
+        let lease = Lease {
+            accelerators,
+            until: now + ttl,
+            state: LeaseState::Held,
+            checkpointed: false,
+            run: None,
+        };
+        self.leases.insert(name.clone(), lease);
+        self.lease(now, name)
+    }
+
+    pub fn renew(&mut self, now: u64, name: &Name, ttl: u64) -> Result<WorkerLease, WorkerError> {
+        self.look(now);
+        self.live(name)?.until = now + ttl;
+        self.lease(now, name)
+    }
+
+    pub fn start(
+        &mut self,
+        now: u64,
+        name: &Name,
+        tasks: &StartTasks,
+    ) -> Result<WorkerLease, WorkerError> {
+        self.look(now);
+        let (domain, record, broken) = (self.domain, self.ran.len(), self.broken);
+        let key = (tasks.job.clone(), tasks.member);
+        let saved = self.checkpoints.borrow().get(&key).copied();
+        let lease = self.live(name)?;
+        if let Some(run) = &lease.run {
+            let same = run.tasks == *tasks;
+            return if same {
+                self.lease(now, name)
+            } else {
+                Err(WorkerError::NotFree)
+            };
+        }
+        let work = if broken { (0, false) } else { work(&tasks.program) };
+        lease.state = LeaseState::Running;
+        lease.run = Some(Run {
+            tasks: tasks.clone(),
+            began: now,
+            done_before: saved.filter(|_| tasks.resume).unwrap_or(0),
+            work,
+            record,
+        });
+        self.ran.push(Ran {
+            job: tasks.job.clone(),
+            attempt: tasks.attempt,
+            member: tasks.member,
+            members: LeaseName::parse(name).expect("a lease of ours").members,
+            domain,
+            fresh_start: true,
+            start: now,
+            end: None,
+            finished: false,
+        });
+        self.lease(now, name)
+    }
+
+    pub fn stop(
+        &mut self,
+        now: u64,
+        name: &Name,
+        checkpoint: bool,
+    ) -> Result<WorkerLease, WorkerError> {
+        self.look(now);
+        let lease = self.leases.get_mut(name).ok_or(WorkerError::Over)?;
+        if matches!(lease.state, LeaseState::Held | LeaseState::Running) {
+            if let Some(run) = &lease.run {
+                self.ran[run.record].end = Some(now);
+                if checkpoint {
+                    let key = (run.tasks.job.clone(), run.tasks.member);
+                    let done = run.done_before + (now - run.began);
+                    self.checkpoints.borrow_mut().insert(key, done);
+                    lease.checkpointed = true;
+                }
+            }
+            lease.state = LeaseState::Stopped;
+        }
+        self.lease(now, name)
+    }
+
+    pub fn remove(&mut self, now: u64, name: &Name) {
+        self.look(now);
+        if let Some(lease) = self.leases.remove(name)
+            && let (LeaseState::Running, Some(run)) = (lease.state, &lease.run)
+        {
+            self.ran[run.record].end = Some(now);
+        }
+    }
+
+    fn live(&mut self, name: &Name) -> Result<&mut Lease, WorkerError> {
+        self.leases
+            .get_mut(name)
+            .filter(|l| matches!(l.state, LeaseState::Held | LeaseState::Running))
+            .ok_or(WorkerError::Over)
+    }
+
+    fn lease(&self, now: u64, name: &Name) -> Result<WorkerLease, WorkerError> {
+        let lease = self.leases.get(name).ok_or(WorkerError::Over)?;
+        Ok(WorkerLease {
+            lease: name.clone(),
+            state: lease.state,
+            accelerators: lease.accelerators,
+            ttl_ms: lease.until.saturating_sub(now),
+            checkpointed: lease.checkpointed,
+            usage: None,
+        })
+    }
+}
+
+impl Run {
+    fn ends(&self) -> u64 {
+        self.began + self.work.0.saturating_sub(self.done_before)
+    }
+}
+
+fn work(program: &str) -> (u64, bool) {
+    let (verb, ms) = program.split_once(':').expect("a program with a time");
+    (ms.parse().expect("milliseconds"), verb == "sleep")
+}
