--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -93,6 +93,11 @@
         self.peers.get(name)
     }
 
+    /// Returns whether `name` may get work now.
+    pub fn is_live(&self, now: Timestamp, name: &Name) -> bool {
+        self.peers.get(name).is_some_and(|p| p.is_live(now))
+    }
+
     /// Returns all peers of `role`, silent ones among them.
     pub fn of_role(&self, role: Role) -> impl Iterator<Item = &PeerState> {
         self.peers.values().filter(move |p| p.peer.role == role)
