Tell records without authority from those in effect

A planner's record that follows its successor's claim on the log changed no table, but was still told to everybody who follows the log. Ruled out: a lost heartbeat, since the reports were sent anew. Folded now says whether the record is in effect.

--- a/dragonflyrun/src/job/members.rs
+++ b/dragonflyrun/src/job/members.rs
@@ -10,6 +10,7 @@
         GangMessage,
         MemberReport,
         MemberState,
+        RecordBody,
         TaskOrder,
         WorkerError,
         WorkerLease,
@@ -110,9 +111,16 @@
         self.members.values().any(|m| m.end().is_none())
     }
 
-    /// Takes note of a term that is on the log.
-    pub fn on_term(&mut self, term: u64) {
-        self.term = self.term.max(term);
+    /// Follows a record of the log that is in effect.
+    pub fn on_record(&mut self, now: Timestamp, body: &RecordBody) {
+        match body {
+            RecordBody::Term { term, .. } => self.term = self.term.max(*term),
+            RecordBody::JobStopped {
+                term, job, attempt, ..
+            } => self.on_settled(now, job, Some((*term, *attempt))),
+            RecordBody::JobEnded { job, .. } => self.on_settled(now, job, None),
+            _ => {}
+        }
     }
 
     /// Stops all members with a checkpoint and takes no order from now on.
@@ -158,7 +166,7 @@
 
     /// Takes note that the log has the end of all attempts of `job` up to `last`, or of the job
     /// itself where `last` is none.
-    pub fn on_settled(&mut self, now: Timestamp, job: &JobId, last: Option<(u64, u32)>) {
+    fn on_settled(&mut self, now: Timestamp, job: &JobId, last: Option<(u64, u32)>) {
         let settled: Vec<u64> = self
             .members
             .iter()
--- a/dragonflyrun/src/process/agent_jobs.rs
+++ b/dragonflyrun/src/process/agent_jobs.rs
@@ -11,7 +11,7 @@
 use crossbeam::channel::{Receiver, Sender, unbounded};
 
 use crate::{
-    connection::{GangMessage, MemberReport, RecordBody, WorkerClient, WorkerError, WorkerLease},
+    connection::{GangMessage, MemberReport, WorkerClient, WorkerError, WorkerLease},
     job::{GangId, Gate, Members, StartCheck, WorkerCall, WorkerOp},
     process::{Context, Folded, RoleSettings, lock},
     utils::{Name, Timestamp},
@@ -78,15 +78,9 @@
 
     /// Follows a record that was folded.
     pub fn on_folded(&self, folded: &Folded) {
-        let now = self.shared.cx.now();
-        let mut members = lock(&self.shared.members);
-        match &folded.record.body {
-            RecordBody::Term { term, .. } => members.on_term(*term),
-            RecordBody::JobStopped {
-                term, job, attempt, ..
-            } => members.on_settled(now, job, Some((*term, *attempt))),
-            RecordBody::JobEnded { job, .. } => members.on_settled(now, job, None),
-            _ => {}
+        if folded.in_effect {
+            let now = self.shared.cx.now();
+            lock(&self.shared.members).on_record(now, &folded.record.body);
         }
     }
 
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -82,7 +82,8 @@
 fn entry_view(roster: &Roster, entry: Name) -> EntryView {
     let peer = roster.peer(&entry);
     EntryView {
-        heard: peer.map(|p| p.heard),
+        // What waited in a buffer while this process was frozen says nothing about now.
+        heard: peer.and_then(|p| p.confirmed),
         gone: peer.is_some_and(|p| p.is_leaving() && !p.linked),
         log: peer.map(|p| p.log).unwrap_or_default(),
         entry,
--- a/dragonflyrun/src/process/entry_table.rs
+++ b/dragonflyrun/src/process/entry_table.rs
@@ -151,6 +151,9 @@
 
     /// Follows a record that was folded last into `ledger`.
     pub fn on_folded(&mut self, now: Timestamp, folded: &Folded, ledger: &Ledger) {
+        if !folded.in_effect {
+            return;
+        }
         let body = &folded.record.body;
         let job = job_of(body);
         let live = job.and_then(|j| ledger.jobs.live(j));
--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -39,6 +39,9 @@
     pub offset: u64,
     /// The record.
     pub record: Record,
+    /// Whether its author had the authority for it. A planner's record that follows its
+    /// successor's claim is folded, so that whoever waits for it sees it, and changes nothing.
+    pub in_effect: bool,
     /// The verdict, where it is an edit.
     pub verdict: Option<Verdict>,
 }
@@ -77,10 +80,17 @@
         if !matches!(record.body, RecordBody::Edit(_)) && !self.is_new(&record.id) {
             return None;
         }
-        let verdict = self.apply(raw.offset, &record);
+        let in_effect = self.has_authority(&record);
+        let verdict = if in_effect {
+            self.apply(raw.offset, &record)
+        } else {
+            log::warn!(offset = raw.offset, author:% = record.author; "record_of_old_term_skipped");
+            None
+        };
         Some(Folded {
             offset: raw.offset,
             record,
+            in_effect,
             verdict,
         })
     }
--- a/dragonflyrun/tests/gang_world/checks.rs
+++ b/dragonflyrun/tests/gang_world/checks.rs
@@ -27,7 +27,11 @@
 /// Returns the longest time for which some member of one attempt ran and another neither ran nor
 /// had finished.
 pub fn longest_partial(ran: &[Ran], now: u64) -> u64 {
-    gangs(ran).values().map(|g| partial(g, now)).max().unwrap_or(0)
+    gangs(ran)
+        .values()
+        .map(|g| partial(g, now))
+        .max()
+        .unwrap_or(0)
 }
 
 fn partial(gang: &[&Ran], now: u64) -> u64 {
@@ -100,7 +104,11 @@
         .iter()
         .filter(|((j, _), _)| *j == job)
         .any(|(_, gang)| {
-            let done: BTreeSet<u32> = gang.iter().filter(|r| r.finished).map(|r| r.member).collect();
+            let done: BTreeSet<u32> = gang
+                .iter()
+                .filter(|r| r.finished)
+                .map(|r| r.member)
+                .collect();
             done.len() as u32 == gang[0].members
         })
 }
--- a/dragonflyrun/tests/gang_world/mod.rs
+++ b/dragonflyrun/tests/gang_world/mod.rs
@@ -21,7 +21,7 @@
     job::{JobSpec, Notice, PlannerAction, Purpose, StartCheck, WorkerCall, WorkerOp},
     process::{TickView, carried_body},
     utils::{Name, Timestamp},
-    version::{ADMINISTRATION, FailureDomain, Limits, Section, Workspace},
+    version::{ADMINISTRATION, FailureDomain, Limits, RawSection, Section, Workspace},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -220,7 +220,9 @@
             RoleTable::Entry(table) => n.alive && table.term().is_some(),
             RoleTable::Agent(_) => false,
         };
-        (0..self.entries).filter(|i| holds(&self.nodes[*i])).collect()
+        (0..self.entries)
+            .filter(|i| holds(&self.nodes[*i]))
+            .collect()
     }
 
     fn new_node(&mut self, i: usize) -> Node {
@@ -412,7 +414,8 @@
         if self.log_loses > 0 {
             for (id, _) in &records {
                 self.nodes[i].pending.insert(id.clone(), true);
-                self.nodes[i].freshness.append_pending(true);
+                let now = self.nodes[i].clock(self.now);
+                self.nodes[i].freshness.append_pending(now, true);
                 self.after(8_000, Event::GiveUp(i, incarnation, id.clone()));
             }
             // It takes effect at once, late, or never.
@@ -434,7 +437,7 @@
     fn append_failed(&mut self, i: usize, id: &Name) {
         let now = self.nodes[i].clock(self.now);
         let unsure = self.nodes[i].pending.values().any(|lost| *lost);
-        self.nodes[i].freshness.append_pending(unsure);
+        self.nodes[i].freshness.append_pending(now, unsure);
         if let RoleTable::Entry(table) = &mut self.nodes[i].table {
             table.append_failed(now, id);
         }
@@ -481,7 +484,7 @@
         let edit = Edit {
             section: ADMINISTRATION.into(),
             base: self.section_version,
-            content: Some(section),
+            content: Some(RawSection::from(&section)),
         };
         self.section_version = self.log.len() as u64;
         self.put("ops", &RecordBody::Edit(edit));
@@ -504,7 +507,10 @@
         let to = self.nodes.iter().position(|n| n.name == notice.to);
         let Some(to) = to else { return };
         if self.trace && !matches!(notice.message, GangMessage::Renewal { .. }) {
-            println!("{} {} to {}: {:?}", self.now, self.nodes[from].name, notice.to, notice.message);
+            println!(
+                "{} {} to {}: {:?}",
+                self.now, self.nodes[from].name, notice.to, notice.message
+            );
         }
         let message = Message::Gang(notice.message);
         // A link may break and come back, with the planner's next copy on it overtaking.
--- a/dragonflyrun/tests/gang_world/node.rs
+++ b/dragonflyrun/tests/gang_world/node.rs
@@ -4,7 +4,13 @@
 
 use dragonflyrun::{
     connection::{
-        AgentReport, EntryReport, Heartbeat, LogRecord, Peer, RecordBody, Report, Role, //
+        AgentReport,
+        EntryReport,
+        Heartbeat,
+        LogRecord,
+        Peer,
+        Report,
+        Role, //
     },
     job::{Gate, Members},
     process::{EntryTable, EntryView, Folded, Freshness, Ledger, Roster},
@@ -82,6 +88,9 @@
 
     /// The same decision as `Context::is_fresh`.
     pub fn is_fresh(&self, now: u64) -> bool {
+        if !self.ledger.history.is_whole() {
+            return false;
+        }
         let others = self.ledger.membership.entries().keys();
         let views: Vec<EntryView> = others
             .filter(|name| **name != self.name)
@@ -96,7 +105,8 @@
             })
             .collect();
         let next_offset = self.ledger.next_offset();
-        self.freshness.is_fresh(self.clock(now), next_offset, &views)
+        self.freshness
+            .is_fresh(self.clock(now), next_offset, &views)
     }
 
     pub fn link_up(&mut self, now: u64, peer: Peer) {
@@ -123,7 +133,11 @@
         }
         self.sent.insert(peer.clone(), (Some(report.clone()), now));
         self.change += u64::from(changed);
-        let echo_ms = self.roster.peer(peer).map(|p| p.sent_ms).filter(|ms| *ms > 0);
+        let echo_ms = self
+            .roster
+            .peer(peer)
+            .map(|p| p.sent_ms)
+            .filter(|ms| *ms > 0);
         let (next_offset, version) = (
             self.ledger.next_offset(),
             self.ledger.history.current().offset,
@@ -171,17 +185,13 @@
         let at = self.clock(now);
         self.pending.remove(&folded.record.id);
         let unsure = self.pending.values().any(|lost| *lost);
-        self.freshness.append_pending(unsure);
+        self.freshness.append_pending(at, unsure);
         match &mut self.table {
             RoleTable::Entry(table) => table.on_folded(at, folded, &self.ledger),
-            RoleTable::Agent(members) => match &folded.record.body {
-                RecordBody::Term { term, .. } => members.on_term(*term),
-                RecordBody::JobStopped {
-                    term, job, attempt, ..
-                } => members.on_settled(at, job, Some((*term, *attempt))),
-                RecordBody::JobEnded { job, .. } => members.on_settled(at, job, None),
-                _ => {}
-            },
+            RoleTable::Agent(members) if folded.in_effect => {
+                members.on_record(at, &folded.record.body);
+            }
+            RoleTable::Agent(_) => {}
         }
     }
 
--- a/dragonflyrun/tests/gang_world/worker.rs
+++ b/dragonflyrun/tests/gang_world/worker.rs
@@ -161,7 +161,10 @@
         WorkerView {
             name: self.name.clone(),
             accelerators: self.accelerators,
-            leases: leases.iter().filter_map(|l| self.lease(now, l).ok()).collect(),
+            leases: leases
+                .iter()
+                .filter_map(|l| self.lease(now, l).ok())
+                .collect(),
         }
     }
 
@@ -225,7 +228,11 @@
                 Err(WorkerError::NotFree)
             };
         }
-        let work = if broken { (0, false) } else { work(&tasks.program) };
+        let work = if broken {
+            (0, false)
+        } else {
+            work(&tasks.program)
+        };
         lease.state = LeaseState::Running;
         lease.run = Some(Run {
             tasks: tasks.clone(),
