Begin anew after a gap of the log, and repeat state in an order that a late reader can follow

A reader that began in the middle of the log skipped the records of every planner, since it did not know the term, and kept jobs that had ended in the gap. A repeated state that was read before a change and written after it could hide the change. Now: the membership is repeated oftener and is what a late reader waits for; jobs and membership carry the offset of their last change, and the newer one wins; what was outdated when it reached the log is repeated at once; tables begin anew after a gap; a log without any planner's record is a new deployment (else nobody would ever be planner on a log that had been used before). A job's name is free again after a count of records that all processes agree on.

--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -22,8 +22,8 @@
     RequestMessage, TaskOrder,
 };
 pub use record::{
-    Carried, CarriedConfiguration, CarriedEntry, CarriedSection, Edit, JobEnd, Placement, Record,
-    RecordBody,
+    Carried, CarriedConfiguration, CarriedEntry, CarriedMembership, CarriedSection, Edit, JobEnd,
+    Placement, Record, RecordBody,
 };
 pub use seal::{
     AuthorKey, OpenError, RECORD_BYTES, editor_of, is_editors_token, open, open_unchecked,
--- a/dragonflyrun/src/connection/record.rs
+++ b/dragonflyrun/src/connection/record.rs
@@ -125,7 +125,7 @@
             | Self::Carried(
                 Carried::Configuration(CarriedConfiguration { term, .. })
                 | Carried::Job { term, .. }
-                | Carried::Membership { term, .. },
+                | Carried::Membership(CarriedMembership { term, .. }),
             ) => Some(*term),
             Self::Edit(_)
             | Self::Term { .. }
@@ -151,16 +151,7 @@
         job: Box<LiveJob>,
     },
     /// The terms, entries and key owners.
-    Membership {
-        /// The planner's term.
-        term: u64,
-        /// The planner.
-        planner: Name,
-        /// Entries with their addresses.
-        entries: Vec<CarriedEntry>,
-        /// Owners of keys.
-        ring: Vec<Name>,
-    },
+    Membership(CarriedMembership),
 }
 
 /// All that the fold of the edits looks at; see [`History`](crate::version::History).
@@ -190,6 +181,21 @@
     pub version: u64,
 }
 
+/// The terms, entries and key owners, as the planner repeats them on the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CarriedMembership {
+    /// The current term, which is the writer's.
+    pub term: u64,
+    /// The offset of the last record that changed them.
+    pub updated: u64,
+    /// The planner.
+    pub planner: Name,
+    /// Entries with their addresses.
+    pub entries: Vec<CarriedEntry>,
+    /// Owners of keys.
+    pub ring: Vec<Name>,
+}
+
 /// An entry in a carried membership.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CarriedEntry {
--- a/dragonflyrun/src/job/book.rs
+++ b/dragonflyrun/src/job/book.rs
@@ -13,6 +13,12 @@
 /// Ended jobs that are remembered for those who ask about them.
 const REMEMBERED_ENDS: usize = 4_096;
 
+/// Records after the end of a job for which its name can't be used again.
+///
+/// All processes have to agree on that, also one that began to read in the middle of the log and
+/// does not know of earlier ends. So it is counted in records, and by fewer than the log keeps.
+const NAME_RECORDS: u64 = 4_000;
+
 /// A job that was accepted and has not ended.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LiveJob {
@@ -22,6 +28,8 @@
     pub spec: JobSpec,
     /// The offset of its acceptance, which orders the queue.
     pub accepted: u64,
+    /// The offset of the last record that changed it.
+    pub updated: u64,
     /// The last attempt that reached the log, 0 before the first.
     pub attempt: u32,
     /// The term of the planner that began that attempt.
@@ -45,6 +53,7 @@
             job,
             spec,
             accepted,
+            updated: accepted,
             attempt: 0,
             term: 0,
             placements: Vec::new(),
@@ -81,7 +90,7 @@
 pub struct JobBook {
     live: HashMap<JobId, LiveJob>,
     ended: BTreeMap<u64, (JobId, JobEnd)>,
-    ends: HashMap<JobId, JobEnd>,
+    ends: HashMap<JobId, (u64, JobEnd)>,
 }
 
 impl JobBook {
@@ -94,7 +103,7 @@
                 job,
                 attempt,
                 placements,
-            } => self.start(*term, job, *attempt, placements),
+            } => self.start(offset, *term, job, *attempt, placements),
             RecordBody::JobStopped {
                 job,
                 attempt,
@@ -103,6 +112,7 @@
                 ..
             } => {
                 if let Some(live) = self.placed(job, *attempt) {
+                    live.updated = offset;
                     live.placements.clear();
                     live.fenced = false;
                     live.checkpointed |= *checkpointed;
@@ -111,12 +121,14 @@
             }
             RecordBody::JobFenced { job, attempt, .. } => {
                 if let Some(live) = self.placed(job, *attempt) {
+                    live.updated = offset;
                     live.fenced = true;
                 }
             }
             RecordBody::JobEnded { job, end, .. } => self.end(offset, job, *end),
             RecordBody::JobCancelled { job } => {
                 if let Some(live) = self.live.get_mut(job) {
+                    live.updated = offset;
                     live.cancelled = true;
                 }
             }
@@ -137,11 +149,12 @@
 
     /// Returns how the job called `job` ended, where that is still remembered.
     pub fn ended(&self, job: &JobId) -> Option<JobEnd> {
-        self.ends.get(job).copied()
+        self.ends.get(job).map(|(_, end)| *end)
     }
 
     fn accept(&mut self, offset: u64, job: &JobId, spec: &JobSpec) {
-        if self.ends.contains_key(job) || self.live.contains_key(job) {
+        let ended = self.ends.get(job);
+        if ended.is_some_and(|(at, _)| offset - at < NAME_RECORDS) || self.live.contains_key(job) {
             return;
         }
         let live = LiveJob::new(job.clone(), spec.clone(), offset);
@@ -150,11 +163,19 @@
 
     /// Takes note of an attempt. A record that was delayed until its planner had given the attempt
     /// up may follow a later one, and then changes nothing.
-    fn start(&mut self, term: u64, job: &JobId, attempt: u32, placements: &[Placement]) {
+    fn start(
+        &mut self,
+        offset: u64,
+        term: u64,
+        job: &JobId,
+        attempt: u32,
+        placements: &[Placement],
+    ) {
         if let Some(live) = self.live.get_mut(job)
             && attempt > live.attempt
             && !live.is_placed()
         {
+            live.updated = offset;
             live.attempt = attempt;
             live.term = term;
             live.placements = placements.to_vec();
@@ -166,13 +187,14 @@
         (live.is_placed() && live.attempt == attempt).then_some(live)
     }
 
-    /// Takes over a carried job. A process that has folded the records before it holds the same
-    /// state already, or has seen the job end.
+    /// Takes over a carried job that is not older than this one. A process that has missed nothing
+    /// holds the same state already, or has seen the job end.
     fn adopt(&mut self, carried: &LiveJob) {
-        if !self.ends.contains_key(&carried.job) {
-            self.live
-                .entry(carried.job.clone())
-                .or_insert_with(|| carried.clone());
+        let known = self.live.get(&carried.job);
+        let older = known.is_some_and(|live| carried.updated < live.updated);
+        let ended = self.ends.get(&carried.job);
+        if !older && ended.is_none_or(|(at, _)| *at < carried.accepted) {
+            self.live.insert(carried.job.clone(), carried.clone());
         }
     }
 
@@ -180,10 +202,11 @@
         if self.live.remove(job).is_none() {
             return;
         }
-        self.ends.insert(job.clone(), end);
+        self.ends.insert(job.clone(), (offset, end));
         self.ended.insert(offset, (job.clone(), end));
         if self.ended.len() > REMEMBERED_ENDS
-            && let Some((_, (old, _))) = self.ended.pop_first()
+            && let Some((at, (old, _))) = self.ended.pop_first()
+            && self.ends.get(&old).is_some_and(|(end, _)| *end == at)
         {
             self.ends.remove(&old);
         }
--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -36,7 +36,7 @@
 pub use members::{Members, WorkerCall};
 pub use planner::{Planner, PlannerAction, PlannerView, Purpose};
 pub use renewal::{LATE, Notice, Renewals};
-pub use retention::{CARRY_RECORDS, CARRY_TIME, Item, Retention};
+pub use retention::{CARRY, Carry, Item, MEMBERSHIP_CARRY, Retention};
 pub use ring::Ring;
 pub use scheduler::{Scheduler, UnmetGuarantee};
 pub use spec::{JobId, JobSpec, Shape, Unreachable, WorkerInfo};
--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -177,6 +177,11 @@
         self.election.held()
     }
 
+    /// Returns the name of the entry.
+    pub fn me(&self) -> &Name {
+        self.election.me()
+    }
+
     /// Checks that a job can be had from the workers known.
     ///
     /// # Errors
--- a/dragonflyrun/src/job/retention.rs
+++ b/dragonflyrun/src/job/retention.rs
@@ -1,4 +1,10 @@
 //! When the planner repeats live state on the log, which keeps records for a limited time only.
+//!
+//! A process that begins to read in the middle of the log first meets the repeated membership,
+//! which tells it whose records are in effect, and from there on every live job and the
+//! configuration within [`CARRY`]. So it knows everything when it reaches the head, if the log
+//! keeps more than [`MEMBERSHIP_CARRY`] and [`CARRY`] together; `docs/OPERATIONS.md` asks for twice
+//! that.
 
 use std::{
     collections::VecDeque,
@@ -10,13 +16,28 @@
     utils::{HashMap, Timestamp},
 };
 
-/// Records on the log after which a state is repeated.
-pub const CARRY_RECORDS: u64 = 4_000;
+/// How old a state may become on the log before it is repeated, whichever comes first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Carry {
+    /// Records that follow it.
+    pub records: u64,
+    /// Time that passes, on a log that is quiet.
+    pub time: Duration,
+}
 
-/// Time after which a state is repeated on a log that is quiet.
-pub const CARRY_TIME: Duration = Duration::from_secs(600);
+/// How often each live job and the configuration are repeated.
+pub const CARRY: Carry = Carry {
+    records: 4_000,
+    time: Duration::from_secs(600),
+};
+
+/// How often the membership is repeated.
+pub const MEMBERSHIP_CARRY: Carry = Carry {
+    records: 500,
+    time: Duration::from_secs(120),
+};
 
-/// States repeated at once, at the most, so that they do not delay other records.
+/// States of one kind repeated at once, at the most, so that they do not delay other records.
 const AT_ONCE: usize = 64;
 
 /// A state that lives on the log.
@@ -38,13 +59,30 @@
 }
 
 /// Knows for each live state where the log last has the whole of it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Retention {
+    membership: Lane,
+    others: Lane,
+}
+
+/// States that are repeated equally often.
+#[derive(Debug)]
+struct Lane {
+    carry: Carry,
     items: HashMap<Item, Written>,
     /// In the order of writing; an element that differs from `items` is out of date.
     queue: VecDeque<(Item, Written)>,
 }
 
+impl Default for Retention {
+    fn default() -> Self {
+        Self {
+            membership: Lane::new(MEMBERSHIP_CARRY),
+            others: Lane::new(CARRY),
+        }
+    }
+}
+
 impl Retention {
     /// Takes note that the log has the whole state of `item` at `offset`.
     pub fn written(&mut self, now: Timestamp, item: Item, offset: u64) {
@@ -53,14 +91,13 @@
             at: now,
             outdated: false,
         };
-        self.items.insert(item.clone(), written);
-        self.queue.push_back((item, written));
+        self.lane(&item).written(item, written);
     }
 
     /// Takes note of a record on `item` at `offset`. The whole state needs all records since it was
     /// last repeated, so the first of them counts.
     pub fn changed(&mut self, now: Timestamp, item: Item, offset: u64) {
-        if !self.items.contains_key(&item) {
+        if !self.lane(&item).items.contains_key(&item) {
             self.written(now, item, offset);
         }
     }
@@ -74,37 +111,75 @@
             at: now,
             outdated: true,
         };
-        self.items.insert(item.clone(), written);
-        self.queue.push_front((item, written));
+        let lane = self.lane(&item);
+        lane.items.insert(item.clone(), written);
+        lane.queue.push_front((item, written));
     }
 
     /// Takes note that `item` is over.
     pub fn over(&mut self, item: &Item) {
-        self.items.remove(item);
+        self.lane(item).items.remove(item);
     }
 
     /// Returns what is to be repeated now, where the log ends at `next_offset`. What is returned
     /// counts as written; [`Retention::outdated`] makes it due again where it is not.
     pub fn due(&mut self, now: Timestamp, next_offset: u64) -> Vec<Item> {
+        let mut due = self.membership.due(now, next_offset);
+        due.extend(self.others.due(now, next_offset));
+        due
+    }
+
+    fn lane(&mut self, item: &Item) -> &mut Lane {
+        match item {
+            Item::Membership => &mut self.membership,
+            Item::Configuration | Item::Job(_) => &mut self.others,
+        }
+    }
+}
+
+impl Lane {
+    fn new(carry: Carry) -> Self {
+        Self {
+            carry,
+            items: HashMap::default(),
+            queue: VecDeque::new(),
+        }
+    }
+
+    fn written(&mut self, item: Item, written: Written) {
+        self.items.insert(item.clone(), written);
+        self.queue.push_back((item, written));
+    }
+
+    fn due(&mut self, now: Timestamp, next_offset: u64) -> Vec<Item> {
+        let again = Written {
+            offset: next_offset,
+            at: now,
+            outdated: false,
+        };
         let mut due = Vec::new();
         while due.len() < AT_ONCE {
             let Some((item, written)) = self.queue.front() else {
                 break;
             };
             let current = self.items.get(item) == Some(written);
-            let old = next_offset.saturating_sub(written.offset) > CARRY_RECORDS
-                || now.since(written.at) > CARRY_TIME;
-            if current && !old && !written.outdated {
+            if current && !self.is_due(now, next_offset, written) {
                 break;
             }
             let Some((item, _)) = self.queue.pop_front() else {
                 break;
             };
             if current {
-                self.written(now, item.clone(), next_offset);
+                self.written(item.clone(), again);
                 due.push(item);
             }
         }
         due
     }
+
+    fn is_due(&self, now: Timestamp, next_offset: u64, written: &Written) -> bool {
+        written.outdated
+            || next_offset.saturating_sub(written.offset) > self.carry.records
+            || now.since(written.at) > self.carry.time
+    }
 }
--- a/dragonflyrun/src/job/take_over.rs
+++ b/dragonflyrun/src/job/take_over.rs
@@ -20,6 +20,8 @@
     pub live: Option<&'a LiveJob>,
     /// How that job ended, where it has and that is still remembered.
     pub ended: Option<JobEnd>,
+    /// Whether a state that the record repeats is still the current one.
+    pub current: bool,
 }
 
 impl Planner {
@@ -73,6 +75,9 @@
     /// shows in the agents' reports.
     fn take_over(&mut self, now: Timestamp, offset: u64) {
         self.step_down(now);
+        // Whoever starts now may find the log without the records that these came from.
+        self.retention.outdated(now, Item::Membership);
+        self.retention.outdated(now, Item::Configuration);
         let jobs: Vec<JobId> = self.jobs.keys().cloned().collect();
         for job in jobs {
             let Some(planned) = self.jobs.get(&job) else {
@@ -181,15 +186,18 @@
     fn on_carried(&mut self, now: Timestamp, carried: &Carried, folded: &JobRecord<'_>) {
         let offset = folded.offset;
         match carried {
-            Carried::Configuration(configuration) => {
-                let whole = configuration.version >= self.version.offset;
-                self.repeated(now, Item::Configuration, offset, whole);
+            Carried::Configuration(_) => {
+                self.repeated(now, Item::Configuration, offset, folded.current);
+            }
+            Carried::Membership(_) => {
+                self.repeated(now, Item::Membership, offset, folded.current);
             }
-            Carried::Membership { .. } => self.repeated(now, Item::Membership, offset, true),
             Carried::Job { job, .. } => match folded.live {
                 Some(live) => {
-                    self.repeated(now, Item::Job(job.job.clone()), offset, *live == **job);
-                    if !self.jobs.contains_key(&job.job) {
+                    let item = Item::Job(job.job.clone());
+                    self.repeated(now, item, offset, folded.current);
+                    let known = self.jobs.get(&job.job);
+                    if known.is_none_or(|k| k.live != *live) {
                         self.learn(now, live);
                     }
                 }
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -60,8 +60,8 @@
         let now = self.now();
         let (next_offset, names) = {
             let ledger = lock(&self.ledger);
-            // It may have missed that a failure domain was taken out.
-            if !ledger.history.is_whole() {
+            // It may have missed that a failure domain was taken out or a planner replaced.
+            if !ledger.is_whole() {
                 return false;
             }
             let names: Vec<Name> = ledger.membership.entries().keys().cloned().collect();
--- a/dragonflyrun/src/process/entry_jobs.rs
+++ b/dragonflyrun/src/process/entry_jobs.rs
@@ -15,8 +15,8 @@
     process::{
         AppendError,
         Context,
-        EntryTable,
         Folded,
+        GangTable,
         JobAnswer,
         JobRefusal,
         JobState,
@@ -43,7 +43,7 @@
 /// The jobs of one entry.
 pub struct EntryJobs {
     cx: Arc<Context>,
-    table: Mutex<EntryTable>,
+    table: Mutex<GangTable>,
     leaving: AtomicBool,
     next_id: AtomicU64,
 }
@@ -51,7 +51,7 @@
 impl EntryJobs {
     /// Returns the jobs of an entry that has just started.
     pub fn new(cx: Arc<Context>) -> Self {
-        let table = EntryTable::new(cx.now(), cx.identity.name.clone(), cx.version());
+        let table = GangTable::new(cx.now(), cx.identity.name.clone(), cx.version());
         Self {
             cx,
             table: Mutex::new(table),
@@ -195,7 +195,7 @@
 
     /// Carries out an action while the table is locked, so that a record can't be folded before
     /// the planner knows its id. None of this waits.
-    fn follow(&self, table: &mut EntryTable, action: PlannerAction, carried: &mut Vec<Item>) {
+    fn follow(&self, table: &mut GangTable, action: PlannerAction, carried: &mut Vec<Item>) {
         match action {
             PlannerAction::Send(Notice { to, message }) => self.send(&to, message),
             PlannerAction::Append { body, purpose } => {
--- a/dragonflyrun/src/process/entry_table.rs
+++ b/dragonflyrun/src/process/gang_table.rs
@@ -12,7 +12,7 @@
         PlannerView, Purpose, Renewals, Unreachable, WorkerInfo,
     },
     process::{Folded, Ledger, PeerState, Roster, SILENCE},
-    utils::{HashMap, HashSet, Name, Timestamp},
+    utils::{HashMap, Name, Timestamp},
     version::Version,
 };
 
@@ -34,8 +34,8 @@
 pub struct TickView {
     /// What the planner needs.
     pub planner: PlannerView,
-    /// The agents that were heard lately.
-    pub heard: HashSet<Name>,
+    /// The agents that have been silent for so long that their members count as lost.
+    pub silent: Vec<Name>,
 }
 
 impl TickView {
@@ -60,9 +60,9 @@
             .filter(|peer| !peer.is_some_and(|p| p.is_leaving() && !p.linked))
             .map(|peer| peer.map_or(0, |p| p.log.next_offset))
             .fold(next_offset, u64::min);
-        let heard = roster
+        let silent = roster
             .of_role(Role::Agent)
-            .filter(|p| now.since(p.heard) <= SILENCE)
+            .filter(|p| now.since(p.heard) > SILENCE)
             .map(|p| p.peer.name.clone())
             .collect();
         Self {
@@ -78,14 +78,14 @@
                 folded_by_all,
                 owners: membership.ring().to_vec(),
             },
-            heard,
+            silent,
         }
     }
 }
 
 /// The gangs of one entry.
 #[derive(Debug)]
-pub struct EntryTable {
+pub struct GangTable {
     renewals: Renewals,
     planner: Planner,
     agents: HashMap<Name, Taken>,
@@ -94,9 +94,10 @@
     grace: Timestamp,
     /// When this entry last knew the latest state of the log.
     fresh_at: Option<Timestamp>,
+    gaps: u64,
 }
 
-impl EntryTable {
+impl GangTable {
     /// Returns the table of the entry called `me` as its process starts.
     pub fn new(now: Timestamp, me: Name, version: Arc<Version>) -> Self {
         Self {
@@ -106,6 +107,7 @@
             last_tick: now,
             grace: now + SILENCE,
             fresh_at: None,
+            gaps: 0,
         }
     }
 
@@ -151,6 +153,9 @@
 
     /// Follows a record that was folded last into `ledger`.
     pub fn on_folded(&mut self, now: Timestamp, folded: &Folded, ledger: &Ledger) {
+        if ledger.gaps() != self.gaps {
+            self.begin_anew(now, ledger);
+        }
         if !folded.in_effect {
             return;
         }
@@ -174,6 +179,7 @@
             term: ledger.membership.term(),
             live,
             ended: job.and_then(|j| ledger.jobs.ended(j)),
+            current: is_current(ledger, body),
         };
         if self.planner.on_record(now, record) {
             // Each agent's next heartbeat counts as a change and so reaches the new planner.
@@ -204,28 +210,34 @@
         }
         self.renewals.tick(now);
         if now >= self.grace {
-            self.drop_silent(now, &view.heard);
+            self.drop_silent(now, &view.silent);
         }
         self.planner.tick(now, &view.planner)
     }
 
     /// Drops the agents that have been silent for so long that their members count as lost.
-    fn drop_silent(&mut self, now: Timestamp, heard: &HashSet<Name>) {
-        let silent: Vec<Name> = self
-            .agents
-            .keys()
-            .filter(|agent| !heard.contains(*agent))
-            .cloned()
-            .collect();
+    fn drop_silent(&mut self, now: Timestamp, silent: &[Name]) {
         for agent in silent {
+            if self.agents.remove(agent).is_none() {
+                continue;
+            }
             log::info!(agent:% = agent; "agent_lost");
-            self.agents.remove(&agent);
-            self.renewals.gone(&agent);
-            self.planner.worker_down(now, &agent);
-            self.planner.worker_lost(now, &agent);
+            self.renewals.gone(agent);
+            self.planner.worker_down(now, agent);
+            self.planner.worker_lost(now, agent);
         }
     }
 
+    /// Forgets everything after a gap of the log: what was missed may be the end of a job or of
+    /// this process's term. The agents' next heartbeats and the carried states fill the table.
+    fn begin_anew(&mut self, now: Timestamp, ledger: &Ledger) {
+        let me = self.planner.me().clone();
+        let fresh_at = self.fresh_at;
+        *self = Self::new(now, me, ledger.history.current().clone());
+        self.fresh_at = fresh_at;
+        self.gaps = ledger.gaps();
+    }
+
     fn take_report(&mut self, now: Timestamp, agent: &Name, peer: &PeerState) -> Vec<Notice> {
         let Some(Report::Agent(report)) = &peer.report else {
             return Vec::new();
@@ -259,11 +271,26 @@
     }
 }
 
+/// Returns whether a state that was repeated is still the current one. Where it is not, something
+/// reached the log between the moment at which it was read and that at which it was repeated.
+fn is_current(ledger: &Ledger, body: &RecordBody) -> bool {
+    match body {
+        RecordBody::Carried(Carried::Configuration(carried)) => {
+            carried.version >= ledger.history.current().offset
+        }
+        RecordBody::Carried(Carried::Membership(carried)) => {
+            ledger.membership.carried().as_ref() == Some(carried)
+        }
+        RecordBody::Carried(Carried::Job { job, .. }) => ledger.jobs.live(&job.job) == Some(&**job),
+        _ => true,
+    }
+}
+
 /// Returns a state as it is on the log now, to be repeated in a record; none where it is over.
 pub fn carried_body(ledger: &Ledger, item: &Item) -> Option<Carried> {
     let term = ledger.membership.term();
     match item {
-        Item::Membership => ledger.membership.carried(),
+        Item::Membership => ledger.membership.carried().map(Carried::Membership),
         Item::Configuration => ledger.history.carried(term, ledger.next_offset()),
         Item::Job(job) => ledger.jobs.live(job).map(|live| Carried::Job {
             term,
--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -27,6 +27,9 @@
     /// The jobs.
     pub jobs: JobBook,
     next_offset: u64,
+    gaps: u64,
+    /// Whether a planner's record was seen since the last gap.
+    planned: bool,
     ids: HashSet<Name>,
     id_order: VecDeque<Name>,
     kept: VecDeque<LogRecord>,
@@ -80,11 +83,13 @@
         if !matches!(record.body, RecordBody::Edit(_)) && !self.is_new(&record.id) {
             return None;
         }
+        self.planned |= record.body.planner_term().is_some();
         let in_effect = self.has_authority(&record);
         let verdict = if in_effect {
             self.apply(raw.offset, &record)
         } else {
-            log::warn!(offset = raw.offset, author:% = record.author; "record_of_old_term_skipped");
+            let author = &record.author;
+            log::warn!(offset = raw.offset, author:% = author; "record_without_authority_skipped");
             None
         };
         Some(Folded {
@@ -98,16 +103,44 @@
     /// Goes on at `first` where the log has dropped the records before it.
     ///
     /// The planner carries what is live forward before the log drops it, so the tables are whole
-    /// again once the records from `first` on are folded.
+    /// again once the records from `first` on are folded. What was known before may have ended in
+    /// between, so the jobs begin anew, with those that are carried.
     pub fn skip_to(&mut self, first: u64) {
         if first > self.next_offset {
             log::warn!(from = self.next_offset, to = first; "log_gap");
             self.next_offset = first;
+            self.gaps += 1;
+            self.planned = false;
             self.kept.clear();
             self.history.gap(first);
+            self.membership.gap();
+            self.jobs = JobBook::default();
         }
     }
 
+    /// Takes note that all records up to the log's head are folded.
+    ///
+    /// Where a process began in the middle of the log and met nothing that a planner wrote, the
+    /// system is new and the log was used for something else before. Without this rule nobody
+    /// would ever be planner there.
+    pub fn reached_head(&mut self) {
+        if !self.membership.is_whole() && !self.planned {
+            log::info!(offset = self.next_offset; "new_deployment");
+            self.membership.begin();
+            self.history.begin();
+        }
+    }
+
+    /// Returns whether nothing is missing that the log may have said.
+    pub fn is_whole(&self) -> bool {
+        self.membership.is_whole() && self.history.is_whole()
+    }
+
+    /// Counts the gaps after which the tables began anew.
+    pub fn gaps(&self) -> u64 {
+        self.gaps
+    }
+
     /// Returns kept records from `from` on, `most` at the most; none where they are not all kept.
     pub fn kept_from(&self, from: u64, most: usize) -> Vec<LogRecord> {
         let Some(first) = self.kept.front().map(|r| r.offset) else {
@@ -136,7 +169,11 @@
             return *entry == record.author;
         }
         match record.body.planner_term() {
-            None => true,
+            // Until it knows the planner, a process can't tell which job records are in effect.
+            None => membership.is_whole() || !is_about_job(&record.body),
+            Some(term) if matches!(record.body, RecordBody::Carried(Carried::Job { .. })) => {
+                membership.is_whole() && term >= membership.term()
+            }
             Some(term) if matches!(record.body, RecordBody::Carried(_)) => {
                 term >= membership.term()
             }
@@ -165,10 +202,6 @@
     }
 
     fn apply(&mut self, offset: u64, record: &Record) -> Option<Verdict> {
-        if !self.has_authority(record) {
-            log::warn!(offset = offset, author:% = record.author; "record_without_authority_skipped");
-            return None;
-        }
         self.membership.fold(offset, &record.body);
         self.jobs.fold(offset, &record.body);
         match &record.body {
@@ -186,3 +219,10 @@
         }
     }
 }
+
+fn is_about_job(body: &RecordBody) -> bool {
+    matches!(
+        body,
+        RecordBody::JobAccepted { .. } | RecordBody::JobCancelled { .. }
+    )
+}
--- a/dragonflyrun/src/process/log_reader.rs
+++ b/dragonflyrun/src/process/log_reader.rs
@@ -116,7 +116,15 @@
         };
         lock(&self.cx.ledger).skip_to(page.first);
         self.fold(&page.records);
-        if lock(&self.cx.ledger).next_offset() >= page.head {
+        let at_head = {
+            let mut ledger = lock(&self.cx.ledger);
+            let at_head = ledger.next_offset() >= page.head;
+            if at_head {
+                ledger.reached_head();
+            }
+            at_head
+        };
+        if at_head {
             lock(&self.cx.freshness).head_seen(asked);
         }
         if !page.records.is_empty() && self.cx.identity.role == Role::Entry {
--- a/dragonflyrun/src/process/membership.rs
+++ b/dragonflyrun/src/process/membership.rs
@@ -1,12 +1,12 @@
 //! Who is planner, which entries there are, and which agents own keys, as the log says.
 
 use crate::{
-    connection::{Carried, CarriedEntry, RecordBody},
+    connection::{Carried, CarriedEntry, CarriedMembership, RecordBody},
     utils::{HashMap, Name},
 };
 
 /// The fold of the records on terms, entries and key owners.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Membership {
     term: u64,
     planner: Option<Name>,
@@ -14,18 +14,39 @@
     ring: Vec<Name>,
     ring_offset: u64,
     ring_changes: u64,
-    offset: u64,
+    /// The offset of the last record that changed it.
+    updated: u64,
+    /// Whether no record is missing that may have changed it.
+    whole: bool,
+}
+
+impl Default for Membership {
+    fn default() -> Self {
+        Self {
+            term: 0,
+            planner: None,
+            entries: HashMap::default(),
+            ring: Vec::new(),
+            ring_offset: 0,
+            ring_changes: 0,
+            updated: 0,
+            whole: true,
+        }
+    }
 }
 
 impl Membership {
     /// Folds the record at `offset`; records of other kinds change nothing.
     pub fn fold(&mut self, offset: u64, body: &RecordBody) {
-        self.offset = offset;
         match body {
             // Two entries may claim the same term; the first on the log has it in every process.
-            RecordBody::Term { entry, term } if *term == self.term + 1 => {
+            // The first term of all is good also for a process that lacks what was before.
+            RecordBody::Term { entry, term }
+                if *term == self.term + 1 && (self.whole || *term == 1) =>
+            {
                 self.term = *term;
                 self.planner = Some(entry.clone());
+                self.whole = true;
             }
             RecordBody::EntryJoined { entry, address } => {
                 self.entries.insert(entry.clone(), address.clone());
@@ -36,25 +57,50 @@
             RecordBody::Ring { term, members } if *term == self.term => {
                 self.set_ring(offset, members);
             }
-            RecordBody::Carried(Carried::Membership {
-                term,
-                planner,
-                entries,
-                ring,
-            }) if *term > self.term => {
-                // Only a process that has missed the records before this one gets here.
-                self.term = *term;
-                self.planner = Some(planner.clone());
-                self.entries = entries
-                    .iter()
-                    .map(|e| (e.entry.clone(), e.address.clone()))
-                    .collect();
-                self.set_ring(offset, ring);
-                // Changes among the records that were missed are counted as one more.
-                self.ring_changes += 1;
+            RecordBody::Carried(Carried::Membership(carried)) => {
+                self.adopt(offset, carried);
+                return;
             }
-            _ => {}
+            _ => return,
+        }
+        self.updated = offset;
+    }
+
+    /// Takes over a carried state that is not older than this one. A process that has missed
+    /// nothing holds the same state already.
+    fn adopt(&mut self, offset: u64, carried: &CarriedMembership) {
+        if self.whole && carried.updated < self.updated || carried.term < self.term {
+            return;
+        }
+        if !self.whole {
+            // Changes among the records that were missed are counted as one more.
+            self.ring_changes += 1;
         }
+        self.whole = true;
+        self.updated = carried.updated;
+        self.term = carried.term;
+        self.planner = Some(carried.planner.clone());
+        self.entries = carried
+            .entries
+            .iter()
+            .map(|e| (e.entry.clone(), e.address.clone()))
+            .collect();
+        self.set_ring(offset, &carried.ring);
+    }
+
+    /// Takes note that records are missing.
+    pub fn gap(&mut self) {
+        self.whole = false;
+    }
+
+    /// Takes note that nothing is missing after all, since there was nothing before.
+    pub fn begin(&mut self) {
+        self.whole = true;
+    }
+
+    /// Returns whether no record is missing that may have changed it.
+    pub fn is_whole(&self) -> bool {
+        self.whole
     }
 
     fn set_ring(&mut self, offset: u64, members: &[Name]) {
@@ -99,7 +145,7 @@
     }
 
     /// Returns the state as the planner repeats it on the log.
-    pub fn carried(&self) -> Option<Carried> {
+    pub fn carried(&self) -> Option<CarriedMembership> {
         let mut entries: Vec<CarriedEntry> = self
             .entries
             .iter()
@@ -109,8 +155,9 @@
             })
             .collect();
         entries.sort_by(|a, b| a.entry.cmp(&b.entry));
-        Some(Carried::Membership {
+        Some(CarriedMembership {
             term: self.term,
+            updated: self.updated,
             planner: self.planner.clone()?,
             entries,
             ring: self.ring.clone(),
--- a/dragonflyrun/src/tool/log_reader.rs
+++ b/dragonflyrun/src/tool/log_reader.rs
@@ -97,6 +97,7 @@
             }
             let next = self.ledger.next_offset();
             if next >= head {
+                self.ledger.reached_head();
                 return Ok(());
             }
             if next == from {
--- a/dragonflyrun/src/version/history.rs
+++ b/dragonflyrun/src/version/history.rs
@@ -170,6 +170,18 @@
         }
     }
 
+    /// Takes note that nothing is missing after all, since no configuration was there before, and
+    /// judges the edits seen since.
+    pub fn begin(&mut self) {
+        if let Standing::Gap { edits, .. } = &mut self.standing {
+            let edits = mem::take(edits);
+            self.standing = Standing::Whole;
+            for edit in &edits {
+                self.fold(edit);
+            }
+        }
+    }
+
     /// Folds a carried configuration that stands at `offset`.
     ///
     /// A process that is whole has no use for it: it holds this state or a later one, and must not
--- a/dragonflyrun/tests/gang_world/node.rs
+++ b/dragonflyrun/tests/gang_world/node.rs
@@ -13,14 +13,14 @@
         Role, //
     },
     job::{Gate, Members},
-    process::{EntryTable, EntryView, Folded, Freshness, Ledger, Roster},
+    process::{EntryView, Folded, Freshness, GangTable, Ledger, Roster},
     utils::{Name, Timestamp},
 };
 
 pub const SECRET: &str = "a secret of the tests";
 
 pub enum RoleTable {
-    Entry(Box<EntryTable>),
+    Entry(Box<GangTable>),
     Agent(Box<Members>),
 }
 
@@ -52,7 +52,7 @@
         let at = Timestamp::from_millis(now + offset);
         let version = ledger.history.current().clone();
         let table = match role {
-            Role::Entry => RoleTable::Entry(Box::new(EntryTable::new(at, name.into(), version))),
+            Role::Entry => RoleTable::Entry(Box::new(GangTable::new(at, name.into(), version))),
             Role::Agent => RoleTable::Agent(Box::new(Members::new(at))),
         };
         Self {
@@ -88,7 +88,7 @@
 
     /// The same decision as `Context::is_fresh`.
     pub fn is_fresh(&self, now: u64) -> bool {
-        if !self.ledger.history.is_whole() {
+        if !self.ledger.is_whole() {
             return false;
         }
         let others = self.ledger.membership.entries().keys();
--- /dev/null
+++ b/dragonflyrun/tests/retention.rs
@@ -0,0 +1,290 @@
+//! The log drops old records: a process that begins in the middle knows all the same what one that
+//! has read everything knows.
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest, //
+};
+use dragonflyrun::{
+    connection::{Edit, LogRecord, Placement, Record, RecordBody},
+    job::{
+        CARRY,
+        ElectionView,
+        JobSpec,
+        LiveJob,
+        MEMBERSHIP_CARRY,
+        PlannerAction,
+        PlannerView, //
+    },
+    process::{GangTable, Ledger, TickView, carried_body},
+    utils::{HashSet, Name, Timestamp},
+    version::{ADMINISTRATION, Adjacency, RawSection, Section, Urgency, Workspace},
+};
+
+const SEEDS: u64 = 12;
+
+/// Records that the log keeps, at the least.
+const KEPT: u64 = CARRY.records + MEMBERSHIP_CARRY.records + 1_000;
+
+/// A planner's entry with a log in memory.
+struct Planner {
+    now: u64,
+    log: Vec<Record>,
+    ledger: Ledger,
+    table: GangTable,
+    /// Records on their way to the log: others may overtake them.
+    queued: Vec<Record>,
+    number: u64,
+}
+
+impl Planner {
+    fn new() -> Self {
+        let ledger = Ledger::default();
+        let version = ledger.history.current().clone();
+        Self {
+            now: 1_000,
+            log: Vec::new(),
+            table: GangTable::new(Timestamp::from_millis(0), "entry-0".into(), version),
+            ledger,
+            queued: Vec::new(),
+            number: 0,
+        }
+    }
+
+    fn put(&mut self, author: &str, body: RecordBody) {
+        let record = self.record(author, body);
+        self.append(record);
+    }
+
+    fn record(&mut self, author: &str, body: RecordBody) -> Record {
+        self.number += 1;
+        Record {
+            id: format!("record-{}", self.number).into(),
+            author: author.into(),
+            body,
+        }
+    }
+
+    fn append(&mut self, record: Record) {
+        self.log.push(record);
+        let offset = self.log.len() as u64 - 1;
+        let now = Timestamp::from_millis(self.now);
+        if let Some(folded) = fold(&mut self.ledger, &self.log, offset) {
+            self.table.on_folded(now, &folded, &self.ledger);
+        }
+    }
+
+    fn tick(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        self.now += 100;
+        let now = Timestamp::from_millis(self.now);
+        let membership = &self.ledger.membership;
+        let view = TickView {
+            planner: PlannerView {
+                election: ElectionView {
+                    term: membership.term(),
+                    planner: membership.planner().cloned(),
+                    planner_heard: false,
+                    fresh: true,
+                    rank: 0,
+                },
+                next_offset: self.ledger.next_offset(),
+                folded_by_all: self.ledger.next_offset(),
+                owners: Vec::new(),
+            },
+            silent: Vec::new(),
+        };
+        for action in self.table.tick(now, &view) {
+            let (body, purpose) = match action {
+                PlannerAction::Append { body, purpose } => (*body, purpose),
+                PlannerAction::Carry(item) => match carried_body(&self.ledger, &item) {
+                    Some(body) => {
+                        let purpose = dragonflyrun::job::Purpose::Carry(item);
+                        (RecordBody::Carried(body), purpose)
+                    }
+                    None => continue,
+                },
+                PlannerAction::Send(_) => continue,
+            };
+            let record = self.record("entry-0", body);
+            self.table.appended(record.id.clone(), purpose);
+            self.queued.push(record);
+        }
+        let ready = u.int_in_range(0..=self.queued.len())?;
+        for record in self.queued.drain(..ready).collect::<Vec<_>>() {
+            self.append(record);
+        }
+        Ok(())
+    }
+
+    /// Something that happens to a job or the membership.
+    fn event(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
+        let term = self.ledger.membership.term();
+        let job: Name = format!("job-{}", u.int_in_range(0..=40)?).into();
+        let live = self.ledger.jobs.live(&job).cloned();
+        let body = match (u.int_in_range(0..=6)?, live) {
+            (0..=1, None) => RecordBody::JobAccepted { job, spec: spec() },
+            (0..=3, Some(live)) if !live.is_placed() => RecordBody::JobStarted {
+                term,
+                job,
+                attempt: live.attempt + 1,
+                placements: vec![Placement {
+                    worker: "worker-0".into(),
+                    tasks: 1,
+                }],
+            },
+            (0..=2, Some(live)) => RecordBody::JobStopped {
+                term,
+                job,
+                attempt: live.attempt,
+                checkpointed: u.arbitrary()?,
+                failed: u.ratio(1, 8)?,
+            },
+            (3, Some(_)) => RecordBody::JobCancelled { job },
+            (4, Some(_)) if u.ratio(1, 30)? => RecordBody::JobEnded {
+                term,
+                job,
+                end: dragonflyrun::connection::JobEnd::Failed,
+            },
+            (5, _) if u.ratio(1, 30)? => RecordBody::EntryJoined {
+                entry: format!("entry-{}", u.int_in_range(1..=5)?).into(),
+                address: "127.0.0.1:1".into(),
+            },
+            (6, _) if u.ratio(1, 30)? => {
+                self.edit();
+                return Ok(());
+            }
+            // Others write to the log too.
+            _ => RecordBody::EntryLeft {
+                entry: "nobody".into(),
+            },
+        };
+        self.put("entry-0", body);
+        Ok(())
+    }
+
+    fn edit(&mut self) {
+        let section = Section {
+            owners: vec!["ops".into()],
+            workspaces: vec![Workspace {
+                name: format!("workspace-{}", self.log.len()).into(),
+                guarantees: Vec::new(),
+                quota_accelerators: None,
+            }],
+            ..Section::default()
+        };
+        let section_name: Name = ADMINISTRATION.into();
+        let sections = self.ledger.history.sections();
+        let edit = Edit {
+            base: sections.get(&section_name).copied().unwrap_or(0),
+            section: section_name,
+            content: Some(RawSection::from(&section)),
+        };
+        self.put("ops", RecordBody::Edit(edit));
+    }
+}
+
+fn spec() -> JobSpec {
+    JobSpec {
+        workspace: "murtal".into(),
+        urgency: Urgency::Normal,
+        tasks: 1,
+        accelerators: 1,
+        adjacency: Adjacency::Any,
+        run_time_ms: 1,
+        program: "sleep:1".into(),
+    }
+}
+
+fn fold(ledger: &mut Ledger, log: &[Record], offset: u64) -> Option<dragonflyrun::process::Folded> {
+    let raw = LogRecord {
+        offset,
+        data: String::new(),
+    };
+    ledger.fold_with(&raw, |_| Ok(log[offset as usize].clone()))
+}
+
+fn live_jobs(ledger: &Ledger) -> Vec<LiveJob> {
+    let mut jobs: Vec<LiveJob> = ledger.jobs.all_live().cloned().collect();
+    jobs.sort_by(|a, b| a.job.cmp(&b.job));
+    jobs
+}
+
+fn late_reader_knows_all(u: &mut Unstructured<'_>) -> Result<()> {
+    let mut planner = Planner::new();
+    planner.put(
+        "entry-0",
+        RecordBody::EntryJoined {
+            entry: "entry-0".into(),
+            address: "127.0.0.1:1".into(),
+        },
+    );
+    planner.edit();
+    while planner.log.len() < 3 * KEPT as usize {
+        planner.tick(u)?;
+        for _ in 0..u.int_in_range(0..=30)? {
+            planner.event(u)?;
+        }
+    }
+    // What was read before the last change is repeated at once.
+    for _ in 0..5 {
+        planner.tick(&mut Unstructured::new(&[0xff; 64]))?;
+    }
+    let head = planner.log.len() as u64;
+    let first = u.int_in_range(1..=head - KEPT)?;
+    let mut late = Ledger::default();
+    late.skip_to(first);
+    for offset in first..head {
+        fold(&mut late, &planner.log, offset);
+    }
+    late.reached_head();
+    assert!(late.is_whole(), "nothing told who is planner");
+    assert_eq!(
+        late.membership.carried(),
+        planner.ledger.membership.carried()
+    );
+    let (known, expected) = (late.history.current(), planner.ledger.history.current());
+    assert_eq!(known.offset, expected.offset);
+    assert_eq!(known.document, expected.document);
+    assert_eq!(live_jobs(&late), live_jobs(&planner.ledger));
+    let names: HashSet<Name> = live_jobs(&late).into_iter().map(|l| l.job).collect();
+    assert!(!names.is_empty(), "the test has no live job");
+    Ok(())
+}
+
+/// The log has dropped what an entry that starts today would need to know of a job that was
+/// accepted last week. A user would notice a job that is never run, or one that runs again.
+#[test]
+fn late_reader() {
+    for seed in 1..=SEEDS {
+        arbtest(late_reader_knows_all).seed(seed << 32 | 0x4_0000);
+    }
+}
+
+/// The log has been used for something else before the system is installed, so its first record
+/// is long gone. A user would notice that the system never takes a job.
+#[test]
+fn new_deployment() {
+    let mut ledger = Ledger::default();
+    ledger.skip_to(500);
+    assert!(!ledger.is_whole());
+    ledger.reached_head();
+    assert!(ledger.is_whole());
+}
+
+/// A process was frozen for longer than the log keeps its records. It holds a job that has ended in
+/// between, and would run it again.
+#[test]
+fn gap_forgets_jobs() {
+    let mut planner = Planner::new();
+    planner.put(
+        "entry-0",
+        RecordBody::JobAccepted {
+            job: "job-0".into(),
+            spec: spec(),
+        },
+    );
+    assert_eq!(planner.ledger.jobs.all_live().count(), 1);
+    planner.ledger.skip_to(10_000);
+    assert_eq!(planner.ledger.jobs.all_live().count(), 0);
+    assert!(!planner.ledger.is_whole());
+}
