--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -104,8 +104,8 @@
     /// How long its former attempts of this planner ran.
     ran: Duration,
     impossible_since: Option<Timestamp>,
-    /// Workers that were blamed for its failures.
-    blamed: HashSet<Name>,
+    /// Workers that were blamed for its failures, and how often.
+    blamed: HashMap<Name, u32>,
 }
 
 /// A record that ends an attempt or a job, until it is on the log.
@@ -144,7 +144,7 @@
             gang: None,
             ran: Duration::ZERO,
             impossible_since: None,
-            blamed: HashSet::default(),
+            blamed: HashMap::default(),
         }
     }
 }
@@ -589,8 +589,14 @@
         let Some(planned) = self.jobs.get_mut(job) else {
             return;
         };
-        if planned.blamed.contains(worker) || planned.blamed.len() < BLAMED_WORKERS {
-            planned.blamed.insert(worker.clone());
+        let known = planned.blamed.len() < BLAMED_WORKERS || planned.blamed.contains_key(worker);
+        if !known {
+            return;
+        }
+        // Once the worker is set aside for it, more failures of the same job prove nothing new.
+        let count = planned.blamed.entry(worker.clone()).or_default();
+        if *count < self.version.limits.worker_failures {
+            *count += 1;
             self.scheduler.start_failed(now, worker);
         }
     }
