--- a/dragonflyrun/src/job/guarantee.rs
+++ b/dragonflyrun/src/job/guarantee.rs
@@ -39,6 +39,8 @@
     pub(super) shares: Vec<Share>,
     /// The covered jobs.
     pub(super) jobs: Vec<JobId>,
+    /// Whether it was made for one running job, and no workspace holds it.
+    pub(super) temporary: bool,
     /// Whether the document still has it.
     wanted: bool,
 }
@@ -53,7 +55,38 @@
     pub(super) used: u32,
 }
 
+/// A guarantee that was given another number, with the jobs that it covers.
+#[derive(Clone, Debug)]
+pub(super) struct Renumbered {
+    pub(super) to: GuaranteeId,
+    pub(super) jobs: Vec<JobId>,
+}
+
+/// A job that looks for a guarantee to cover it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Cover<'a> {
+    pub(super) workspace: &'a Name,
+    pub(super) job: &'a JobId,
+    /// Where it runs or is to run.
+    pub(super) parts: &'a [Part],
+    /// Accelerators of each task.
+    pub(super) size: u32,
+    /// A guarantee that is not to cover it, because another job needs that one whole.
+    pub(super) not_by: Option<GuaranteeId>,
+}
+
 impl Entry {
+    fn new(workspace: &Name, shape: Shape, temporary: bool) -> Self {
+        Self {
+            workspace: workspace.clone(),
+            shape,
+            shares: Vec::new(),
+            jobs: Vec::new(),
+            temporary,
+            wanted: true,
+        }
+    }
+
     /// Returns the accelerators of the whole shape.
     pub(super) fn accelerators(&self) -> u32 {
         self.shape.tasks.saturating_mul(self.shape.accelerators)
@@ -84,7 +117,7 @@
     /// Takes over the guarantees of `version`; returns the jobs that are no longer covered.
     pub(super) fn configure(&mut self, version: &Version, inventory: &mut Inventory) -> Vec<JobId> {
         for entry in &mut self.entries {
-            entry.wanted = false;
+            entry.wanted = entry.temporary;
         }
         let mut workspaces: Vec<_> = version.workspaces().collect();
         workspaces.sort_by(|a, b| a.name.cmp(&b.name));
@@ -127,33 +160,116 @@
         })
     }
 
-    /// Covers `job` of `workspace`, with `size` accelerators a task at `parts`, by a guarantee:
-    /// one whose allotment is there already, or one whose allotment can be moved there.
+    /// Returns room for `shape` in a guarantee of `workspace` that is free for the taking.
+    pub(super) fn vacant_room(
+        &self,
+        inventory: &Inventory,
+        workspace: &Name,
+        shape: &Shape,
+    ) -> Option<Vec<Part>> {
+        let mut ids: Vec<_> = self.of(workspace).to_vec();
+        ids.sort_by_key(|id| self.entries[*id].unused());
+        ids.into_iter().find_map(|id| {
+            let mut seats = self.entries[id].seats(inventory);
+            for seat in &mut seats {
+                seat.value = seat.value.min(inventory.free.value(seat.worker));
+            }
+            pick(&seats, shape).map(|plan| plan.parts)
+        })
+    }
+
+    /// Returns whether a guarantee of `workspace` is of about this size and not in use.
+    pub(super) fn is_whole_for(&self, workspace: &Name, accelerators: u32) -> bool {
+        let mut ids = self.of(workspace).iter();
+        ids.any(|id| {
+            let entry = &self.entries[*id];
+            entry.movable() && accelerators >= entry.accelerators().div_ceil(2)
+        })
+    }
+
+    /// Covers a job by a guarantee of its workspace: one whose allotment is there already, or one
+    /// whose allotment can be moved there.
     pub(super) fn cover(
         &mut self,
         inventory: &mut Inventory,
-        workspace: &Name,
-        job: &JobId,
-        parts: &[Part],
-        size: u32,
+        cover: &Cover<'_>,
     ) -> Option<GuaranteeId> {
-        let mut ids: Vec<_> = self.of(workspace).to_vec();
+        let Cover { parts, size, .. } = *cover;
+        let mut ids: Vec<_> = self.of(cover.workspace).to_vec();
+        ids.retain(|id| cover.not_by != Some(*id));
         ids.sort_by_key(|id| self.entries[*id].unused());
         let there = ids.iter().find(|id| self.contains(**id, parts, size));
         let id = match there {
             Some(id) => *id,
-            None => ids
-                .into_iter()
-                .find(|id| self.move_to(inventory, *id, parts, size))?,
+            None => ids.into_iter().find(|id| {
+                let worth = cover.not_by.is_some() || self.is_worth_moving(*id, parts, size);
+                worth && self.move_to(inventory, *id, parts, size)
+            })?,
         };
+        self.cover_by(id, cover);
+        Some(id)
+    }
+
+    /// Returns whether a job holds enough of the shape to have the allotment moved to where it
+    /// runs. If any small job drew an allotment to itself, allotments would come to lie scattered
+    /// over workers that are in part held, and large gangs would find no worker whole.
+    fn is_worth_moving(&self, id: GuaranteeId, parts: &[Part], size: u32) -> bool {
+        let held: u32 = parts.iter().map(|p| p.tasks * size).sum();
+        held >= self.entries[id].accelerators().div_ceil(2)
+    }
+
+    /// Keeps a job that no guarantee of its workspace covers from being evicted, if all
+    /// guarantees can still be allotted beside it. It is covered by a temporary guarantee of its
+    /// own shape, which lasts as long as it runs, or until a guarantee needs the room.
+    pub(super) fn protect(
+        &mut self,
+        inventory: &mut Inventory,
+        cover: &Cover<'_>,
+        shape: Shape,
+    ) -> Option<GuaranteeId> {
+        let id = self.entries.len();
+        self.entries.push(Entry::new(cover.workspace, shape, true));
+        if !self.move_to(inventory, id, cover.parts, cover.size) {
+            self.entries.pop();
+            return None;
+        }
+        self.cover_by(id, cover);
+        Some(id)
+    }
+
+    /// Drops a temporary guarantee. The last one takes its number, and is returned if it is
+    /// another.
+    pub(super) fn drop_temporary(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+    ) -> Option<Renumbered> {
+        self.take_back(inventory, id, |_| true);
+        self.entries.swap_remove(id);
+        let from = self.entries.len();
+        if from == id {
+            return None;
+        }
+        for ids in self.on_worker.values_mut() {
+            for other in ids.iter_mut().filter(|other| **other == from) {
+                *other = id;
+            }
+        }
+        Some(Renumbered {
+            to: id,
+            jobs: self.entries[id].jobs.clone(),
+        })
+    }
+
+    /// Covers a job by a guarantee whose allotment contains it.
+    pub(super) fn cover_by(&mut self, id: GuaranteeId, cover: &Cover<'_>) {
         let entry = &mut self.entries[id];
-        entry.jobs.push(job.clone());
-        for part in parts {
+        entry.jobs.push(cover.job.clone());
+        for part in cover.parts {
             if let Some(share) = entry.shares.iter_mut().find(|s| s.worker == part.worker) {
-                share.used += part.tasks * size;
+                share.used += part.tasks * cover.size;
             }
         }
-        Some(id)
     }
 
     /// Takes note that `job` at `parts` is covered no longer.
@@ -245,16 +361,10 @@
         let known = self
             .entries
             .iter_mut()
-            .find(|e| !e.wanted && e.workspace == *workspace && e.shape == shape);
+            .find(|e| !e.wanted && !e.temporary && e.workspace == *workspace && e.shape == shape);
         match known {
             Some(entry) => entry.wanted = true,
-            None => self.entries.push(Entry {
-                workspace: workspace.clone(),
-                shape,
-                shares: Vec::new(),
-                jobs: Vec::new(),
-                wanted: true,
-            }),
+            None => self.entries.push(Entry::new(workspace, shape, false)),
         }
     }
 
@@ -268,11 +378,15 @@
             }
         }
         self.entries.retain(|e| e.wanted);
+        // Temporary ones stand at the end, where they come and go without renumbering the rest.
+        self.entries.sort_by_key(|e| e.temporary);
         self.by_workspace.clear();
         self.on_worker.clear();
         for (entry, id) in self.entries.iter().zip(0..) {
-            let ids = self.by_workspace.entry(entry.workspace.clone());
-            ids.or_default().push(id);
+            if !entry.temporary {
+                let ids = self.by_workspace.entry(entry.workspace.clone());
+                ids.or_default().push(id);
+            }
             for share in &entry.shares {
                 self.on_worker.entry(share.worker).or_default().push(id);
             }
--- a/dragonflyrun/src/job/inventory.rs
+++ b/dragonflyrun/src/job/inventory.rs
@@ -21,9 +21,10 @@
     workers: Vec<Worker>,
     racks: HashMap<(Name, Name), usize>,
     domains: HashMap<Name, usize>,
+    largest_worker: u32,
     /// What is free for whoever has no pledge.
     pub(super) free: SlotIndex,
-    /// What no guarantee has been allotted.
+    /// What no guarantee has been allotted and no aged job has reserved.
     pub(super) open: SlotIndex,
 }
 
@@ -42,6 +43,7 @@
     held: u32,
     stopping: u32,
     pledged: u32,
+    reserved: u32,
     allotted: u32,
 }
 
@@ -63,17 +65,35 @@
         self.info.accelerators.saturating_sub(self.held)
     }
 
-    /// What jobs that are being stopped will give back goes to the pledges first.
+    /// Returns what is free for a job that has neither pledge nor reservation.
     fn free(&self) -> u32 {
+        self.unpledged().saturating_sub(self.reserved)
+    }
+
+    /// What jobs that are being stopped will give back goes to the pledges first.
+    fn unpledged(&self) -> u32 {
         let unmet = self.pledged.saturating_sub(self.stopping);
         self.vacant().saturating_sub(unmet)
     }
+
+    /// Returns what guarantees may be allotted. What aged jobs have reserved is left out, so that
+    /// allotments lie elsewhere by the time a large gang could start there.
+    fn open(&self) -> u32 {
+        let taken = self.allotted + self.reserved;
+        self.info.accelerators.saturating_sub(taken)
+    }
+
+    /// Returns the accelerators that aged jobs have reserved.
+    pub(super) fn reserved(&self) -> u32 {
+        self.reserved
+    }
 }
 
 impl Inventory {
     /// Adds a worker or changes it; returns its number.
     pub(super) fn up(&mut self, mut info: WorkerInfo, in_service: bool) -> WorkerId {
         info.accelerators = info.accelerators.min(MOST_ACCELERATORS);
+        self.largest_worker = self.largest_worker.max(info.accelerators);
         let known = self.ids.get(&info.name).copied().filter(|id| {
             let old = &self.workers[*id].info;
             old.rack == info.rack && old.failure_domain == info.failure_domain
@@ -142,6 +162,22 @@
         self.refresh(id);
     }
 
+    /// Changes the accelerators of a worker that aged jobs have reserved.
+    pub(super) fn reserve(&mut self, id: WorkerId, by: i64) {
+        let worker = &mut self.workers[id];
+        worker.reserved = worker.reserved.saturating_add_signed(by as i32);
+        self.refresh(id);
+    }
+
+    /// Returns what is vacant of a worker for a job that may use what is reserved for others.
+    pub(super) fn with_reserved(&self, id: WorkerId) -> u32 {
+        let worker = &self.workers[id];
+        if !worker.usable() {
+            return 0;
+        }
+        worker.unpledged()
+    }
+
     /// Changes the accelerators of a worker that guarantees have been allotted.
     pub(super) fn allot(&mut self, id: WorkerId, by: i64) {
         let worker = &mut self.workers[id];
@@ -183,10 +219,9 @@
         slots.values().any(|slots| *slots >= shape.tasks.into())
     }
 
-    /// Returns the accelerators of the largest worker known.
+    /// Returns the accelerators of the largest worker that was ever known.
     pub(super) fn largest_worker(&self) -> u32 {
-        let accelerators = self.workers.iter().map(|w| w.info.accelerators);
-        accelerators.max().unwrap_or(0)
+        self.largest_worker
     }
 
     /// Returns whether all of `parts` is vacant, with `size` accelerators a task.
@@ -220,6 +255,7 @@
             held: 0,
             stopping: 0,
             pledged: 0,
+            reserved: 0,
             allotted: 0,
         });
         id
@@ -230,7 +266,7 @@
         let (mut free, mut open) = (0, 0);
         if worker.usable() {
             free = worker.free();
-            open = worker.info.accelerators.saturating_sub(worker.allotted);
+            open = worker.open();
         }
         self.free.set(id, free);
         self.open.set(id, open);
--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -19,6 +19,7 @@
 mod queue;
 mod reclaim;
 mod renewal;
+mod reservation;
 mod retention;
 mod ring;
 mod scheduler;
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -9,7 +9,8 @@
 use crate::{
     connection::Placement,
     job::{
-        Decision, JobId, JobSpec, Scheduler,
+        Decision, JobId, Scheduler,
+        guarantee::{Cover, GuaranteeId},
         placement::{Part, Seat},
         queue::{Aged, Class},
         reclaim::{Eviction, Victim, cheapest},
@@ -36,6 +37,12 @@
 /// Time after which a waiting job may evict younger and smaller ones.
 const AGED_AFTER: Duration = Duration::from_secs(30);
 
+/// What the start of an urgent job is worth at once, in milliseconds of its wait.
+const URGENT_WORTH_MS: u64 = 50_000;
+
+/// How much more an urgent job's wait counts than another's.
+const URGENT_WEIGHT: u64 = 10;
+
 /// Scopes that are compared for an eviction, by the room that they have already.
 const COMPARED_SCOPES: usize = 16;
 
@@ -44,7 +51,7 @@
 
 /// Why a job may evict others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Claim {
+pub(super) enum Claim {
     /// Its workspace has a guarantee with unused room for it.
     Guarantee,
     /// Somebody waits for it.
@@ -137,12 +144,62 @@
     /// their guarantees before they count as borrowing.
     fn keep_guarantees(&mut self) {
         let changed = std::mem::take(&mut self.changed);
-        self.guarantees.settle(&mut self.inventory, &changed);
-        for workspace in std::mem::take(&mut self.uncovered) {
+        let uncovered = std::mem::take(&mut self.uncovered);
+        if changed.is_empty() && uncovered.is_empty() {
+            return;
+        }
+        if !self.guarantees.settle(&mut self.inventory, &changed) {
+            self.drop_reservations();
+            self.settle_without_temporary();
+        }
+        self.clear_reserved();
+        for workspace in uncovered {
             self.cover_borrowers(&workspace);
         }
     }
 
+    /// Allots the guarantees without regard to temporary ones, and puts those back that still can
+    /// be had.
+    fn settle_without_temporary(&mut self) {
+        let entries = self.guarantees.entries.iter();
+        let temporary = entries.filter(|e| e.temporary).flat_map(|e| &e.jobs);
+        let jobs: Vec<JobId> = temporary.cloned().collect();
+        for job in &jobs {
+            self.uncover(job);
+        }
+        self.changed.clear();
+        self.guarantees.settle(&mut self.inventory, &[]);
+        for job in &jobs {
+            self.protect(job);
+        }
+    }
+
+    /// Keeps a running or pledged job that borrows from being evicted, if it is as large as a
+    /// worker and all guarantees can be had beside it. A large gang that is evicted waits long
+    /// until it finds room again; small jobs are evicted in its place.
+    fn protect(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        if entry.cover.is_some() || entry.accelerators() < self.inventory.largest_worker() {
+            return;
+        }
+        let parts = match &entry.stage {
+            Stage::Pledged(parts) => parts,
+            Stage::Holds(hold) if !hold.stopping => &hold.parts,
+            Stage::Holds(_) | Stage::Waits => return,
+        };
+        let cover = Cover {
+            workspace: &entry.spec.workspace,
+            job,
+            parts,
+            size: entry.spec.accelerators,
+            not_by: None,
+        };
+        let shape = entry.spec.shape();
+        entry.cover = self.guarantees.protect(&mut self.inventory, &cover, shape);
+    }
+
     fn cover_borrowers(&mut self, workspace: &Name) {
         if self.guarantees.of(workspace).is_empty() {
             return;
@@ -158,7 +215,9 @@
                 _ => continue,
             };
             let parts = parts.clone();
-            self.cover(&job, &parts);
+            if !self.is_reserved(&parts) {
+                self.cover(&job, &parts);
+            }
         }
     }
 
@@ -167,15 +226,14 @@
         let Some(entry) = self.jobs.get_mut(job) else {
             return false;
         };
-        let JobSpec {
-            workspace,
-            accelerators,
-            ..
-        } = &entry.spec;
-        let inventory = &mut self.inventory;
-        entry.cover = self
-            .guarantees
-            .cover(inventory, workspace, job, parts, *accelerators);
+        let cover = Cover {
+            workspace: &entry.spec.workspace,
+            job,
+            parts,
+            size: entry.spec.accelerators,
+            not_by: None,
+        };
+        entry.cover = self.guarantees.cover(&mut self.inventory, &cover);
         entry.cover.is_some()
     }
 
@@ -224,8 +282,10 @@
     /// their guarantees, then the oldest.
     fn look_through_queue(&mut self, now: Timestamp, decisions: &mut Vec<Decision>) {
         let classes: Vec<Class> = self.queue.classes().cloned().collect();
-        let ranks = classes.into_iter().filter_map(|class| self.rank(class));
-        let mut heads: BinaryHeap<Reverse<Rank>> = ranks.map(Reverse).collect();
+        let mut heads: BinaryHeap<Reverse<Rank>> = BinaryHeap::new();
+        for class in classes {
+            heads.extend(self.rank(class).map(Reverse));
+        }
         while let Some(Reverse((_, owner, (_, job), class))) = heads.pop() {
             if self.try_start(now, &job, &class, !owner, decisions)
                 && let Some(next) = self.rank(class)
@@ -235,9 +295,9 @@
         }
     }
 
-    fn rank(&self, class: Class) -> Option<Rank> {
+    fn rank(&mut self, class: Class) -> Option<Rank> {
         let first = self.queue.first(&class)?;
-        let owner = self.has_room_by_guarantee(&class);
+        let owner = self.has_room_by_guarantee(&class) || self.make_guarantee_whole(&class);
         Some((class.urgency, !owner, first, class))
     }
 
@@ -248,6 +308,55 @@
         room.is_some()
     }
 
+    /// Tries to empty a guarantee that could hold `class`, by covering the smaller jobs in it by
+    /// other guarantees of the workspace.
+    ///
+    /// A burst of small jobs spills from a small guarantee into a large one. When the jobs of the
+    /// small one end first, the large one stays in use although the small one could cover the
+    /// rest, and a job of the large one's shape would wait.
+    fn make_guarantee_whole(&mut self, class: &Class) -> bool {
+        let shape = class.shape();
+        for id in self.guarantees.of(&class.workspace).to_vec() {
+            let guarantee = &self.guarantees.entries[id];
+            if !guarantee.shape.contains(&shape) || guarantee.movable() {
+                continue;
+            }
+            for job in guarantee.jobs.clone() {
+                self.cover_elsewhere(&job, id);
+            }
+            if self.has_room_by_guarantee(class) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Covers a job by another guarantee than `id` if that can be done. It is taken out of `id`
+    /// first, since the allotment of `id` may be what is in the way of the other.
+    fn cover_elsewhere(&mut self, job: &JobId, id: GuaranteeId) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let parts = match &entry.stage {
+            Stage::Waits => return,
+            Stage::Pledged(parts) => parts,
+            Stage::Holds(hold) => &hold.parts,
+        };
+        let cover = Cover {
+            workspace: &entry.spec.workspace,
+            job,
+            parts,
+            size: entry.spec.accelerators,
+            not_by: Some(id),
+        };
+        self.guarantees.uncover(id, job, parts, cover.size);
+        entry.cover = self.guarantees.cover(&mut self.inventory, &cover);
+        if entry.cover.is_none() {
+            self.guarantees.cover_by(id, &cover);
+            entry.cover = Some(id);
+        }
+    }
+
     /// Starts a job or pledges it room; returns whether it has left the queue.
     fn try_start(
         &mut self,
@@ -260,7 +369,7 @@
         let Some(entry) = self.jobs.get(job) else {
             return false;
         };
-        let (spec, accepted) = (entry.spec.clone(), entry.accepted);
+        let spec = entry.spec.clone();
         if spec.tasks == 0 || spec.accelerators == 0 {
             return false;
         }
@@ -270,13 +379,26 @@
         {
             return false;
         }
+        let waited = now.since(entry.waiting_since);
+        let reservation = self.take_reservation(job);
+        if owner && let Some(parts) = self.vacant_room(class) {
+            self.leave_queue(job);
+            self.cover(job, &parts);
+            self.start(now, job, parts, decisions);
+            return true;
+        }
         if let Some(parts) = self.inventory.free.find(&class.shape()) {
-            self.queue.remove(&spec, accepted, job);
+            self.leave_queue(job);
             self.cover(job, &parts);
             self.start(now, job, parts, decisions);
+            self.protect(job);
+            return true;
+        }
+        if let Some(parts) = self.backfill(now, job) {
+            self.leave_queue(job);
+            self.start(now, job, parts, decisions);
             return true;
         }
-        let waited = now.since(entry.waiting_since);
         let claim = if owner {
             Claim::Guarantee
         } else if spec.urgency == Urgency::Urgent {
@@ -286,7 +408,23 @@
         } else {
             return false;
         };
-        self.make_room(now, job, claim, decisions)
+        if self.make_room(now, job, claim, decisions) {
+            return true;
+        }
+        self.reserve(now, job, reservation);
+        false
+    }
+
+    fn vacant_room(&self, class: &Class) -> Option<Vec<Part>> {
+        let shape = class.shape();
+        self.guarantees
+            .vacant_room(&self.inventory, &class.workspace, &shape)
+    }
+
+    fn leave_queue(&mut self, job: &JobId) {
+        if let Some(entry) = self.jobs.get(job) {
+            self.queue.remove(&entry.spec, entry.accepted, job);
+        }
     }
 
     /// Evicts what keeps `job` from starting, as far as its claim goes, and pledges it the room.
@@ -301,28 +439,37 @@
             return false;
         };
         let shape = entry.spec.shape();
-        let seats = self.seats_to_compare(&entry);
+        let mut seats = self.seats_to_compare(&entry);
+        if claim == Claim::Age {
+            // Another's reservation is respected; this job's own was taken back.
+            for seat in &mut seats {
+                let reserved = self.inventory.worker(seat.worker).reserved();
+                seat.value = seat.value.saturating_sub(reserved);
+            }
+        }
         let victims = self.victims(now, &entry, claim, &seats);
         let found = cheapest(&seats, &shape, &victims);
+        let budget = self.budget(now, &entry, claim);
         match claim {
             Claim::Guarantee => {
                 for eviction in found {
-                    if self.cover(job, &eviction.parts) {
+                    if eviction.cost <= budget && self.cover(job, &eviction.parts) {
                         self.pledge(job, eviction, decisions);
                         return true;
                     }
                 }
-                self.take_allotment(now, job, &entry, decisions)
+                self.take_allotment(now, job, &entry, budget, decisions)
             }
             Claim::Urgency | Claim::Age => {
                 let Some(eviction) = found.into_iter().next() else {
                     return false;
                 };
-                if claim == Claim::Age && eviction.cost > budget(now, &entry) {
+                if eviction.cost > budget {
                     return false;
                 }
                 self.cover(job, &eviction.parts);
                 self.pledge(job, eviction, decisions);
+                self.protect(job);
                 true
             }
         }
@@ -335,6 +482,7 @@
         now: Timestamp,
         job: &JobId,
         entry: &Entry,
+        budget: u64,
         decisions: &mut Vec<Decision>,
     ) -> bool {
         let shape = entry.spec.shape();
@@ -352,7 +500,7 @@
             .collect();
         let victims = self.victims(now, entry, Claim::Guarantee, &seats);
         for eviction in cheapest(&seats, &shape, &victims) {
-            if self.cover(job, &eviction.parts) {
+            if eviction.cost <= budget && self.cover(job, &eviction.parts) {
                 self.pledge(job, eviction, decisions);
                 return true;
             }
@@ -397,7 +545,7 @@
     /// Returns workers on which room could be made for a job, with what will be free of each.
     /// Those with the most room need the fewest evictions; to look at all would cost in
     /// proportion to the size of the cluster.
-    fn seats_to_compare(&mut self, entry: &Entry) -> Vec<Seat> {
+    pub(super) fn seats_to_compare(&mut self, entry: &Entry) -> Vec<Seat> {
         let spec = &entry.spec;
         let most = spec.tasks as usize + COMPARED_WORKERS;
         let free = &mut self.inventory.free;
@@ -412,7 +560,8 @@
             value: self.inventory.coming(seat.worker),
             ..seat
         };
-        seats.into_iter().map(coming).collect()
+        let usable = |seat: &Seat| self.inventory.worker(seat.worker).usable();
+        seats.into_iter().filter(usable).map(coming).collect()
     }
 
     /// Returns the jobs on `seats` that `entry` may evict.
@@ -451,7 +600,7 @@
         Some(Victim {
             job: job.clone(),
             cost: lost_ms
-                .saturating_mul(u64::from(entry.accelerators()))
+                .saturating_mul(bulk(entry))
                 .saturating_mul(u64::from(1 + entry.evictions) * weight),
             holdings: hold
                 .parts
@@ -461,6 +610,29 @@
         })
     }
 
+    /// Returns what evictions for a job may cost: as much as the job loses by waiting. The wait of
+    /// an urgent one counts more, and from the start, and so does that of a job much smaller than
+    /// the guarantee it claims. For a guaranteed shape there is no bound.
+    fn budget(&self, now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
+        let waited = now.since(entry.waiting_since);
+        let waited_ms = waited.as_millis() as u64;
+        let worth_ms = match claim {
+            Claim::Guarantee if self.claims_in_full(waited, entry) => return u64::MAX,
+            Claim::Guarantee | Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
+            Claim::Age => waited_ms,
+        };
+        worth_ms.saturating_mul(bulk(entry))
+    }
+
+    /// Returns whether a job claims most of a guarantee, or has waited long for a part.
+    fn claims_in_full(&self, waited: Duration, entry: &Entry) -> bool {
+        let spec = &entry.spec;
+        waited >= AGED_AFTER
+            || self
+                .guarantees
+                .is_whole_for(&spec.workspace, entry.accelerators())
+    }
+
     /// Ends waiting jobs that can never run.
     fn end_impossible(&mut self, decisions: &mut Vec<Decision>) {
         if !self.settled {
@@ -485,24 +657,25 @@
     }
 }
 
-/// Returns whether `entry` may evict `other`. A covered job is never evicted for another.
-fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
-    if other.cover.is_some() {
-        return false;
-    }
+/// Returns whether `entry` may evict `other`. A covered job is never evicted for another
+/// workspace's.
+pub(super) fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
+    let covered = other.cover.is_some();
     match claim {
-        Claim::Guarantee => true,
-        Claim::Urgency => other.spec.urgency > entry.spec.urgency,
+        Claim::Guarantee => !covered,
+        Claim::Urgency => !covered && other.spec.urgency > entry.spec.urgency,
         Claim::Age => {
-            other.spec.urgency >= entry.spec.urgency
+            // Which of its own jobs go first is a workspace's own affair: the older.
+            (!covered || other.spec.workspace == entry.spec.workspace)
+                && other.spec.urgency >= entry.spec.urgency
                 && other.accepted > entry.accepted
-                && other.accelerators() < entry.accelerators()
+                && other.accelerators() * 2 <= entry.accelerators()
         }
     }
 }
 
-/// Returns what evictions for an aged job may cost: as much as its accelerators have missed.
-fn budget(now: Timestamp, entry: &Entry) -> u64 {
-    let waited_ms = now.since(entry.waiting_since).as_millis() as u64;
-    waited_ms * u64::from(entry.accelerators())
+/// Returns the weight of a job in the cost of stopping it and of letting it wait. A large gang
+/// waits longer until it finds room again, so the weight grows with the square.
+fn bulk(entry: &Entry) -> u64 {
+    u64::from(entry.accelerators()).pow(2)
 }
