Let members of a gang end one after the other

Ruled out: the absence of a finished member in a report, since a member that is over stays so at the planner. Log lines of lost members name the worker.

--- a/dragonflyrun/src/job/gang.rs
+++ b/dragonflyrun/src/job/gang.rs
@@ -339,6 +339,15 @@
             }
             _ => {}
         }
+        if self.is_stopping() && !state.is_some_and(is_healthy) {
+            log::info!(
+                job:% = self.id.job,
+                attempt = self.id.attempt,
+                worker:% = worker,
+                state:? = state;
+                "member_not_running"
+            );
+        }
         if state.is_some_and(is_stopped)
             && let Phase::Stopping(stopping) = &mut self.phase
         {
@@ -360,6 +369,12 @@
                 .get(worker)
                 .is_some_and(|i| self.members[*i].seen.is_none());
         if !finished && !never_heard {
+            log::info!(
+                job:% = self.id.job,
+                attempt = self.id.attempt,
+                worker:% = worker;
+                "member_silent"
+            );
             self.stop(now, StopReason::MemberLost);
         }
     }
--- a/dragonflyrun/src/job/member.rs
+++ b/dragonflyrun/src/job/member.rs
@@ -42,6 +42,8 @@
     },
     /// Start the tasks, after [`Members::may_start`](crate::job::Members::may_start) has agreed.
     Start(StartTasks),
+    /// Look at the lease, which the worker says is over: its tasks may have ended by themselves.
+    Inspect,
     /// Stop the tasks or give the accelerators back.
     Stop {
         /// Whether to save a checkpoint first.
@@ -83,6 +85,11 @@
     Never,
 }
 
+/// The end of what was stopped before it had anything to save.
+pub(super) const STOPPED: MemberState = MemberState::Stopped {
+    checkpointed: false,
+};
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
     /// The lease is being obtained.
@@ -121,6 +128,8 @@
     seen: Timestamp,
     next_call: Timestamp,
     busy: bool,
+    /// Whether the worker has said that the lease is over, but not how.
+    over: bool,
 }
 
 impl Member {
@@ -155,9 +164,7 @@
     ) -> Self {
         let until = asked + Duration::from_millis(lease.ttl_ms);
         let phase = match lease.state {
-            LeaseState::Held => Phase::Stopping(MemberState::Stopped {
-                checkpointed: false,
-            }),
+            LeaseState::Held => Phase::Stopping(STOPPED),
             LeaseState::Running => Phase::Running,
             _ => Phase::Ended(end_of(lease)),
         };
@@ -184,6 +191,7 @@
             seen: now,
             next_call: now,
             busy: false,
+            over: false,
         }
     }
 
@@ -261,12 +269,13 @@
                 accelerators: self.order.as_ref()?.total_accelerators(),
                 until: self.begun + RESERVATION,
             },
-            Phase::Reserved | Phase::Starting if self.go.is_some() => {
+            Phase::Reserved | Phase::Starting if self.go.is_some() && !self.over => {
                 WorkerOp::Start(self.tasks()?)
             }
             Phase::Reserved => WorkerOp::Renew {
                 until: self.begun + RESERVATION,
             },
+            Phase::Starting | Phase::Running if self.over => WorkerOp::Inspect,
             Phase::Starting | Phase::Running => WorkerOp::Renew { until: self.until },
             Phase::Stopping(_) => WorkerOp::Stop {
                 checkpoint: self.checkpoint,
@@ -279,13 +288,10 @@
 
     /// Stops the member where its time is up or its worker is silent.
     fn expire(&mut self, now: Timestamp) {
-        let stopped = MemberState::Stopped {
-            checkpointed: false,
-        };
         let silent = now.since(self.seen) > WORKER_SILENCE;
         match self.phase {
             Phase::Obtaining | Phase::Reserved if now >= self.begun + RESERVATION => {
-                self.stop(now, false, stopped);
+                self.stop(now, false, STOPPED);
             }
             Phase::Starting | Phase::Running if now + CHECKPOINT_TIME >= self.until || silent => {
                 log::info!(
@@ -294,7 +300,7 @@
                     silent = silent;
                     "gang_lease_ended"
                 );
-                self.stop(now, true, stopped);
+                self.stop(now, true, STOPPED);
             }
             // The worker does not answer, so nothing more can be asked of it: its own clock has
             // stopped the tasks by then.
@@ -365,13 +371,18 @@
                 self.seen_lease(now, asked, lease);
                 self.next_call = now + self.pause();
             }
-            (WorkerOp::Stop { .. }, Err(WorkerError::Over)) => self.stopped(now),
-            (_, Err(WorkerError::Over)) => {
-                let state = MemberState::Stopped {
-                    checkpointed: false,
-                };
-                self.stop(now, false, state);
+            (WorkerOp::Stop { .. } | WorkerOp::Inspect, Err(WorkerError::Over)) => {
+                self.stopped(now);
             }
+            // The tasks may have ended by themselves. To report them as lost would stop the rest
+            // of a gang whose members end one after the other.
+            (WorkerOp::Renew { .. } | WorkerOp::Start(_), Err(WorkerError::Over))
+                if matches!(self.phase, Phase::Starting | Phase::Running) =>
+            {
+                self.over = true;
+                self.next_call = now;
+            }
+            (_, Err(WorkerError::Over)) => self.stop(now, false, STOPPED),
             (WorkerOp::Obtain { .. }, Err(WorkerError::NotFree | WorkerError::Refused(_))) => {
                 self.refused(now);
             }
@@ -388,8 +399,8 @@
             }
             // The tasks may run. Starting them again changes nothing where they do.
             (WorkerOp::Start(_), Err(WorkerError::Uncertain(_))) => {}
-            // Stopping is repeated until the worker answers or its lease has lapsed.
-            (WorkerOp::Stop { .. }, Err(_)) => {}
+            // Both are repeated until the worker answers or its lease has lapsed.
+            (WorkerOp::Stop { .. } | WorkerOp::Inspect, Err(_)) => {}
         }
     }
 
@@ -423,9 +434,7 @@
     fn stopped(&mut self, now: Timestamp) {
         let state = match self.phase {
             Phase::Stopping(state) => state,
-            _ => MemberState::Stopped {
-                checkpointed: false,
-            },
+            _ => STOPPED,
         };
         self.finish(now, state);
     }
--- a/dragonflyrun/src/job/members.rs
+++ b/dragonflyrun/src/job/members.rs
@@ -17,7 +17,8 @@
         WorkerView, //
     },
     job::{
-        GANG_LEASE, GangId, Gate, JobId, LAPSE, LeaseName, StartCheck, WorkerOp, member::Member,
+        GANG_LEASE, GangId, Gate, JobId, LAPSE, LeaseName, StartCheck, WorkerOp,
+        member::{Member, STOPPED},
     },
     utils::{HashMap, HashSet, Name, Timestamp},
 };
@@ -416,17 +417,7 @@
     }
 }
 
-const STOPPED: MemberState = MemberState::Stopped {
-    checkpointed: false,
-};
-
 /// Returns whether the end tells the planner something that it can't learn elsewhere.
 fn is_result(end: MemberState) -> bool {
-    !matches!(
-        end,
-        MemberState::Refused
-            | MemberState::Stopped {
-                checkpointed: false
-            }
-    )
+    !matches!(end, MemberState::Refused | STOPPED)
 }
--- a/dragonflyrun/src/job/renewal.rs
+++ b/dragonflyrun/src/job/renewal.rs
@@ -42,7 +42,8 @@
     members: u32,
     states: HashMap<Name, MemberState>,
     running: u32,
-    finished: u32,
+    /// Members that have finished. They stay so when their agents are gone: the rest goes on.
+    finished: HashSet<Name>,
     lost: u32,
     late: u32,
     /// Whether the members were told that it is broken. They are told once: each of them that
@@ -160,7 +161,8 @@
     /// is not known, or so long ago that a renewal would be worth nothing.
     fn age(&self, now: Timestamp, gang: &GangId) -> Option<Duration> {
         let gang = self.gangs.get(gang)?;
-        if gang.lost > 0 || gang.running + gang.finished != gang.members {
+        let whole = gang.running as usize + gang.finished.len() == gang.members as usize;
+        if gang.lost > 0 || !whole {
             return None;
         }
         if gang.late == 0 {
@@ -214,6 +216,9 @@
             let gang = self.gangs.entry(member.gang.clone()).or_default();
             gang.members = gang.members.max(member.members);
             gang.states.insert(agent.clone(), member.state);
+            if member.state == MemberState::Finished {
+                gang.finished.insert(agent.clone());
+            }
             gang.count(member.state, state.late, |n| n + 1);
         }
     }
@@ -236,7 +241,6 @@
     fn count(&mut self, state: MemberState, late: bool, change: impl Fn(u32) -> u32) {
         match state {
             MemberState::Running => self.running = change(self.running),
-            MemberState::Finished => self.finished = change(self.finished),
             s if is_lost(s) => self.lost = change(self.lost),
             _ => {}
         }
--- a/dragonflyrun/src/process/agent_jobs.rs
+++ b/dragonflyrun/src/process/agent_jobs.rs
@@ -172,6 +172,7 @@
                 }
                 worker.start(lease, tasks)
             }
+            WorkerOp::Inspect => worker.lease(lease),
             WorkerOp::Stop { checkpoint } => worker.stop(lease, *checkpoint),
         };
         if let Err(error) = &answer {
--- a/dragonflyrun/tests/gang_protocol.rs
+++ b/dragonflyrun/tests/gang_protocol.rs
@@ -11,8 +11,8 @@
         WorkerLease, WorkerView,
     },
     job::{
-        GANG_LEASE, GangId, Gate, LAPSE, LeaseName, Members, RESERVATION, StartCheck, WorkerCall,
-        WorkerOp,
+        GANG_LEASE, GangId, Gate, JobSpec, LAPSE, LeaseName, Members, RESERVATION, StartCheck,
+        WorkerCall, WorkerOp,
     },
     utils::{Name, Timestamp},
 };
@@ -302,6 +302,30 @@
     assert!(world.ran().iter().all(|r| r.attempt == 1));
 }
 
+/// The members of a gang end one after the other, here 0.5, 5.5, 10.5 and 15.5 s after its start, and
+/// the host of one that has ended is lost. Those that still have work must not be stopped for it.
+#[test]
+fn members_finish_one_after_the_other() {
+    for seed in 0..10 {
+        let mut world = World::new(seed, ENTRIES, AGENTS);
+        let job = JobSpec {
+            program: "stagger:500".into(),
+            ..sleeping(4, 3, 500)
+        };
+        world.submit(SUBMIT, "job-0", job);
+        world.run(SUBMIT + 3_000);
+        let first = world.workers.iter().position(|w| w.ran[0].member == 0);
+        world.fault(world.now, 10_000, Fault::KillHost(first.expect("it ran")));
+        world.run_to_end(60_000);
+        world.check_records();
+        assert_eq!(world.end(&"job-0".into()), Some(JobEnd::Finished));
+        assert!(
+            world.ran().iter().all(|r| r.attempt == 1 && r.finished),
+            "seed {seed}"
+        );
+    }
+}
+
 /// Each kind of failure of one member, of its worker or of its links, at each step from the
 /// reservation to the run, for a short and for a long time.
 #[test]
--- a/dragonflyrun/tests/gang_world/mod.rs
+++ b/dragonflyrun/tests/gang_world/mod.rs
@@ -651,6 +651,7 @@
                 }
                 WorkerOp::Renew { .. } => worker.renew(now, lease, ttl),
                 WorkerOp::Start(tasks) => worker.start(now, lease, tasks),
+                WorkerOp::Inspect => worker.inspect(now, lease),
                 WorkerOp::Stop { checkpoint } => worker.stop(now, lease, *checkpoint),
             }),
         }
--- a/dragonflyrun/tests/gang_world/worker.rs
+++ b/dragonflyrun/tests/gang_world/worker.rs
@@ -228,11 +228,7 @@
                 Err(WorkerError::NotFree)
             };
         }
-        let work = if broken {
-            (0, false)
-        } else {
-            work(&tasks.program)
-        };
+        let work = if broken { (0, false) } else { work(tasks) };
         lease.state = LeaseState::Running;
         lease.run = Some(Run {
             tasks: tasks.clone(),
@@ -278,6 +274,11 @@
         self.lease(now, name)
     }
 
+    pub fn inspect(&mut self, now: u64, name: &Name) -> Result<WorkerLease, WorkerError> {
+        self.look(now);
+        self.lease(now, name)
+    }
+
     pub fn remove(&mut self, now: u64, name: &Name) {
         self.look(now);
         if let Some(lease) = self.leases.remove(name)
@@ -313,7 +314,17 @@
     }
 }
 
-fn work(program: &str) -> (u64, bool) {
-    let (verb, ms) = program.split_once(':').expect("a program with a time");
-    (ms.parse().expect("milliseconds"), verb == "sleep")
+/// Returns how much work the tasks are, and whether they end well.
+fn work(tasks: &StartTasks) -> (u64, bool) {
+    let (verb, ms) = tasks
+        .program
+        .split_once(':')
+        .expect("a program with a time");
+    let ms: u64 = ms.parse().expect("milliseconds");
+    match verb {
+        "sleep" => (ms, true),
+        // Each member has more to do than the one before it.
+        "stagger" => (ms * u64::from(1 + 10 * tasks.member), true),
+        _ => (ms, false),
+    }
 }
