Prove the whole path as separate processes

Two entries, three agents, workers and backend servers serve requests and one gang from the document on the log, and stop gracefully. An editor's key is its own kind of author key; a deployment counts as ready once keys are granted, which none is for 2.5 s after a change of their owners.

--- a/standins/src/harness/deployment.rs
+++ b/standins/src/harness/deployment.rs
@@ -4,7 +4,8 @@
     env,
     fs,
     net::{IpAddr, Ipv4Addr, SocketAddr},
-    path::PathBuf, //
+    path::PathBuf,
+    time::Duration, //
 };
 
 use dragonflyrun::{connection::Role, process::Config, utils::Name};
@@ -36,6 +37,11 @@
 
 const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Keys that are tried before a deployment counts as ready, so that each owner is asked.
+const PROBED_KEYS: usize = 8;
+
+const PROBE_DEADLINE: Duration = Duration::from_secs(5);
+
 /// What is to be started.
 #[derive(Clone, Debug)]
 pub struct DeploymentBuilder {
@@ -250,8 +256,8 @@
         }
     }
 
-    /// Waits until each entry has the whole document in force, hears every process and may use
-    /// every slot.
+    /// Waits until each entry has the whole document in force, hears every process, may use every
+    /// slot and gets keys granted, which none does shortly after a change of their owners.
     pub fn wait_until_ready(&self) {
         let version = self.ledger().history.current().offset;
         let peers = self.entries.len() + self.agents.len() - 1;
@@ -261,10 +267,17 @@
             wait_until("all processes at work", || {
                 caller.status().is_ok_and(|s| {
                     let live = s.peers.iter().filter(|p| p.live && p.version >= version);
-                    let free: u32 = s.services.iter().map(|s| s.free_slots).sum();
-                    s.version >= version && s.fresh && live.count() >= peers && free >= slots
+                    let known: u32 = s.services.iter().map(|s| s.slots).sum();
+                    s.version >= version && s.fresh && live.count() >= peers && known >= slots
                 })
             });
+            for _ in 0..PROBED_KEYS {
+                wait_until("the owners of the keys", || {
+                    let key = unique("probe");
+                    let reply = caller.request(SERVICE, Some(&key), 1, PROBE_DEADLINE, b"{}");
+                    reply.is_done()
+                });
+            }
         }
     }
 }
--- a/standins/src/harness/gang.rs
+++ b/standins/src/harness/gang.rs
@@ -1,5 +1,10 @@
 //! One gang over several workers, watched from its submission on.
 
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
 use dragonflyrun::{
     job::JobSpec,
     process::{JobAnswer, JobState, JobStatus},
@@ -9,6 +14,7 @@
 
 use crate::harness::{
     Deployment,
+    PATIENCE,
     WORKSPACE,
     longest_partial,
     overlapping,
@@ -17,6 +23,9 @@
     wait_until, //
 };
 
+/// Pause before a job that was not accepted is submitted again.
+const RESUBMIT_PAUSE: Duration = Duration::from_millis(100);
+
 /// A job for test deployments.
 pub fn job(tasks: u32, accelerators: u32, program: &str) -> JobSpec {
     JobSpec {
@@ -37,11 +46,15 @@
     ///
     /// Where none does.
     pub fn submit(&self, name: &str, spec: &JobSpec) {
-        let mut callers = self.callers().into_iter().cycle();
-        wait_until("the job's acceptance", || {
-            let answer = callers.next().map(|c| c.submit(name, spec));
-            matches!(answer, Some(Ok(JobAnswer::Accepted { .. })))
-        });
+        let until = Instant::now() + PATIENCE;
+        for caller in self.callers().iter().cycle() {
+            let answer = caller.submit(name, spec);
+            if matches!(answer, Ok(JobAnswer::Accepted { .. })) {
+                return;
+            }
+            assert!(Instant::now() < until, "{name}: {answer:?}");
+            thread::sleep(RESUBMIT_PAUSE);
+        }
     }
 
     /// Asks the entries after a job until one answers.
--- a/standins/src/harness/wait.rs
+++ b/standins/src/harness/wait.rs
@@ -7,7 +7,7 @@
 
 /// How long a condition is waited for that holds within a few seconds on an idle machine. Generous,
 /// so that a busy machine changes no verdict.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 const PAUSE: Duration = Duration::from_millis(20);
 
