--- a/dragonflyrun/src/lib.rs
+++ b/dragonflyrun/src/lib.rs
@@ -3,10 +3,13 @@
 //!
 //! Modules are laid out by what their contents live for; `docs/DESIGN.md` explains the choice.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod connection;
 pub mod job;
 pub mod process;
 pub mod request;
+pub mod tool;
 pub mod utils;
 pub mod version;
 
--- /dev/null
+++ b/standins/src/harness/mod.rs
@@ -0,0 +1,24 @@
+//! For tests: a deployment of separate processes, faults in it, and what its records show.
+//!
+//! A step that fails for a reason other than the tested one panics with that reason, as a test
+//! would do itself.
+
+mod child;
+mod daemon;
+mod deployment;
+mod document;
+mod gang;
+mod load;
+mod permit;
+mod platform;
+mod records;
+mod wait;
+
+pub use child::{Child, Signal};
+pub use daemon::{Daemon, StandIn};
+pub use deployment::{Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, WORKSPACE};
+pub use gang::job;
+pub use load::{Asked, Load, LoadShape, untrue_answers};
+pub use platform::unix_ms;
+pub use records::{Doubled, Span, doubled_keys, in_domain_after, longest_partial, overlapping};
+pub use wait::{PATIENCE, wait_for, wait_until};
