--- a/dragonflyrun/src/process/entry_requests.rs
+++ b/dragonflyrun/src/process/entry_requests.rs
@@ -11,46 +11,38 @@
 };
 
 use crossbeam::channel::{Sender, bounded};
-use hyper::{StatusCode, header::HeaderName};
-use serde::Serialize;
 
 use crate::{
     connection::{
         HttpRequest,
         HttpResponse,
         KeyMessage,
-        NotRun,
         Outcome,
         Peer,
         RequestMessage,
         Role, //
     },
-    process::{Context, lock},
+    process::{
+        Context,
+        entry_http::{caller_request, response},
+        lock, //
+    },
     request::{
         AgentView,
         CallerRequest,
         EntryAction,
         EntryTable,
-        Refusal,
         Ring,
         ServiceStats,
         entry_id, //
     },
     utils::{HashMap, HashSet, Name},
-    version::{Urgency, Version},
+    version::Version,
 };
 
-/// Characters of a key, at the most.
-const KEY_BYTES: usize = 200;
-
-/// Milliseconds after which a malformed request may be sent again, mended.
-const MALFORMED_RETRY_MS: u64 = 10_000;
-
 /// How often a stop looks whether all requests have their answers.
 const STOP_PAUSE: Duration = Duration::from_millis(10);
 
-const OUTCOME: HeaderName = HeaderName::from_static("dragonfly-outcome");
-
 /// Callers' requests at one entry.
 pub struct EntryRequests {
     cx: Arc<Context>,
@@ -295,108 +287,3 @@
         }
     }
 }
-
-/// Returns the service that a path of the form `/v1/services/{service}/requests` names.
-pub fn requested_service(path: &str) -> Option<&str> {
-    path.strip_prefix("/v1/services/")?
-        .strip_suffix("/requests")
-        .filter(|service| !service.is_empty() && !service.contains('/'))
-}
-
-fn caller_request(service: &str, req: HttpRequest) -> Result<CallerRequest, Refusal> {
-    let malformed = Refusal::new(NotRun::Malformed, MALFORMED_RETRY_MS);
-    let key = optional(&req, "idempotency-key", |text| {
-        let fits = !text.is_empty() && text.len() <= KEY_BYTES;
-        fits.then(|| Name::from(text))
-    });
-    let attempt = optional(&req, "dragonfly-attempt", |text| text.parse().ok());
-    let deadline_ms = optional(&req, "dragonfly-deadline-ms", |text| text.parse().ok());
-    let urgency = optional(&req, "dragonfly-urgency", urgency);
-    Ok(CallerRequest {
-        service: service.into(),
-        key: key.ok_or(malformed)?,
-        attempt: attempt.ok_or(malformed)?.unwrap_or(1),
-        deadline_ms: deadline_ms.ok_or(malformed)?,
-        urgency: urgency.ok_or(malformed)?,
-        body: req.body,
-    })
-}
-
-/// Reads a header that need not be there; none where it is there and can't be read.
-fn optional<T>(
-    req: &HttpRequest,
-    name: &str,
-    read: impl Fn(&str) -> Option<T>,
-) -> Option<Option<T>> {
-    if !req.headers.contains_key(name) {
-        return Some(None);
-    }
-    req.header(name).and_then(read).map(Some)
-}
-
-fn urgency(text: &str) -> Option<Urgency> {
-    match text {
-        "urgent" => Some(Urgency::Urgent),
-        "normal" => Some(Urgency::Normal),
-        "patient" => Some(Urgency::Patient),
-        _ => None,
-    }
-}
-
-/// What a caller reads in an answer other than "done".
-#[derive(Serialize)]
-struct NotDone {
-    outcome: &'static str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    reason: Option<NotRun>,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    retry_after_ms: Option<u64>,
-}
-
-fn response(outcome: Outcome) -> HttpResponse {
-    match outcome {
-        Outcome::Done { status, body, .. } => {
-            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-            HttpResponse::bytes(status, body).with_header(OUTCOME, "done")
-        }
-        Outcome::NotRun {
-            reason,
-            retry_after_ms,
-        } => {
-            let answer = NotDone {
-                outcome: "not_run",
-                reason: Some(reason),
-                retry_after_ms: Some(retry_after_ms),
-            };
-            HttpResponse::json(not_run_status(reason), &answer)
-                .with_header(OUTCOME, "not-run")
-                .with_retry_after(retry_after_ms)
-        }
-        Outcome::Unknown => {
-            let answer = NotDone {
-                outcome: "unknown",
-                reason: None,
-                retry_after_ms: None,
-            };
-            HttpResponse::json(StatusCode::BAD_GATEWAY, &answer).with_header(OUTCOME, "unknown")
-        }
-    }
-}
-
-const fn not_run_status(reason: NotRun) -> StatusCode {
-    match reason {
-        NotRun::Malformed => StatusCode::BAD_REQUEST,
-        NotRun::UnknownService => StatusCode::NOT_FOUND,
-        NotRun::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        NotRun::QueueFull | NotRun::Deadline | NotRun::Busy | NotRun::RetryBudget => {
-            StatusCode::TOO_MANY_REQUESTS
-        }
-        NotRun::NoBackend
-        | NotRun::Leaving
-        | NotRun::OutOfService
-        | NotRun::Refused
-        | NotRun::KeyRunning
-        | NotRun::KeyUnsettled
-        | NotRun::NotFresh => StatusCode::SERVICE_UNAVAILABLE,
-    }
-}
--- a/dragonflyrun/src/request/entry_table.rs
+++ b/dragonflyrun/src/request/entry_table.rs
@@ -6,9 +6,12 @@
 //! it is sent a second time only where the service may be repeated, or to the very same process of
 //! the agent, which knows the request again by its id.
 
+mod admission;
 mod answers;
+mod dispatch;
 mod keys;
 mod peers;
+mod state;
 
 use std::{
     collections::BTreeSet,
@@ -16,24 +19,16 @@
     time::Duration, //
 };
 
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 
 use crate::{
-    connection::{Message, NotRun, Outcome, RequestId, RequestMessage},
-    request::{
-        AgentLoads,
-        CallerRequest,
-        Refusal,
-        RetryBudget,
-        Ring,
-        RunTime,
-        WaitQueue,
-        Waiting, //
-    },
+    connection::{Message, NotRun, Outcome, RequestId},
+    request::{AgentLoads, CallerRequest, RetryBudget, Ring},
     utils::{HashMap, Name, Timestamp},
-    version::{Service, Urgency, Version},
+    version::Version,
 };
 use keys::{Abandoned, Settlement};
+use state::{Dispatch, Due, Pending, ServiceState, Stage};
 
 /// Agents drawn for each choice; `benches/requests.rs` measures 1 and 2.
 const CHOICES: usize = 2;
@@ -47,12 +42,8 @@
 /// Pause after which a caller is told to come back where no better estimate is known.
 const DEFAULT_RETRY_MS: u64 = 500;
 
-const LEAST_RETRY_MS: u64 = 100;
 const MOST_RETRY_MS: u64 = 10_000;
 
-/// Age up to which the run times seen are taken for those to come.
-const RUN_TIME_AGE: Duration = Duration::from_secs(10);
-
 /// Time without any backend server of a service after which those who wait are refused. One
 /// heartbeat that comes late must not empty the queue.
 const NO_BACKEND_GRACE: Duration = Duration::from_secs(1);
@@ -132,68 +123,6 @@
     out: Vec<EntryAction>,
 }
 
-/// A request that has no final answer, or whose key still waits for the truth.
-#[derive(Debug)]
-struct Pending {
-    service: Name,
-    urgency: Urgency,
-    repeatable: bool,
-    key: Option<Name>,
-    attempt: u32,
-    deadline: Timestamp,
-    body: Vec<u8>,
-    stage: Stage,
-    /// The owner that has said that this request may run.
-    granted_by: Option<Name>,
-    /// Whether an agent that had it was lost, so that it may have run whatever comes later.
-    may_have_run: bool,
-}
-
-#[derive(Clone, Debug, Eq, PartialEq)]
-enum Stage {
-    /// The key's owner was asked.
-    Claiming { owner: Name },
-    /// It waits for a slot.
-    Queued,
-    /// An agent has it.
-    Running { dispatch: u64 },
-    /// As `Running`, and the caller was told "unknown" at its deadline.
-    Answered { dispatch: u64 },
-}
-
-/// One handing over of a request to an agent.
-#[derive(Debug)]
-struct Dispatch {
-    request: u64,
-    service: Name,
-    agent: Name,
-    incarnation: u64,
-    sent: Timestamp,
-    /// The deadline on the agent's clock. It is reckoned once: the agent knows a second copy for
-    /// as long as the first one's deadline, and one with a later deadline would run again.
-    deadline_ms: u64,
-    /// When the link to the agent ended, unless it is back.
-    lost_at: Option<Timestamp>,
-    /// When to send it again to the same process of the agent, after a link has come back.
-    resend_at: Option<Timestamp>,
-    resends_left: u32,
-}
-
-#[derive(Debug, Default)]
-struct ServiceState {
-    queue: WaitQueue,
-    run_time: RunTime,
-    sampled_at: Timestamp,
-    running: usize,
-    bare_since: Option<Timestamp>,
-}
-
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-struct Due {
-    at: Timestamp,
-    number: u64,
-}
-
 impl EntryTable {
     /// Returns a table without requests; `entry` is unique to this process, `seed` feeds the
     /// random choices.
@@ -306,192 +235,6 @@
         }
     }
 
-    fn admit(&mut self, now: Timestamp, number: u64, req: CallerRequest) -> Result<(), Refusal> {
-        if self.leaving {
-            return Err(Refusal::new(NotRun::Leaving, LEAVING_RETRY_MS));
-        }
-        let version = self.version.clone();
-        let service = version
-            .service(&req.service)
-            .ok_or(Refusal::new(NotRun::UnknownService, MOST_RETRY_MS))?;
-        let pending = self.check(now, service, req)?;
-        self.budget.earn(version.limits.retry_percent);
-        let must_claim = !pending.repeatable;
-        if must_claim && now < self.resumed_until {
-            return Err(Refusal::new(NotRun::NotFresh, LEAVING_RETRY_MS));
-        }
-        let repeat = must_claim && pending.attempt > 1;
-        let waiting = pending.waiting(number);
-        // A repeat may be answered from the owner's record without any slot.
-        if !repeat {
-            self.make_room(now, service, waiting)?;
-        }
-        self.due.insert(Due {
-            at: pending.deadline,
-            number,
-        });
-        self.requests.insert(number, pending);
-        if must_claim {
-            self.claim(now, number);
-        } else {
-            self.enqueue(now, number);
-        }
-        Ok(())
-    }
-
-    /// Checks what can be checked by the document alone.
-    fn check(
-        &self,
-        now: Timestamp,
-        service: &Service,
-        req: CallerRequest,
-    ) -> Result<Pending, Refusal> {
-        let key_missing = !service.repeatable && req.key.is_none();
-        if req.attempt == 0 || key_missing {
-            return Err(Refusal::new(NotRun::Malformed, MOST_RETRY_MS));
-        }
-        if req.body.len() as u64 > self.version.limits.body_bytes {
-            return Err(Refusal::new(NotRun::TooLarge, MOST_RETRY_MS));
-        }
-        // A grant must have been used or be void long before the owner forgets the key.
-        let most = if service.repeatable {
-            service.deadline_ms
-        } else {
-            service.deadline_ms.min(service.key_window_ms / 2)
-        };
-        let deadline_ms = req.deadline_ms.unwrap_or(most).min(most);
-        Ok(Pending {
-            service: service.name.clone(),
-            urgency: req
-                .urgency
-                .map_or(service.urgency, |u| u.max(service.urgency)),
-            repeatable: service.repeatable,
-            key: req.key,
-            attempt: req.attempt,
-            deadline: now + Duration::from_millis(deadline_ms),
-            body: req.body,
-            stage: Stage::Queued,
-            granted_by: None,
-            may_have_run: false,
-        })
-    }
-
-    /// Makes sure that one more may wait, or says why not.
-    fn make_room(
-        &mut self,
-        now: Timestamp,
-        service: &Service,
-        waiting: Waiting,
-    ) -> Result<(), Refusal> {
-        let capacity = self.loads.capacity(now, &service.name);
-        if capacity.out_of_service {
-            return Err(Refusal::new(NotRun::OutOfService, NO_BACKEND_RETRY_MS));
-        }
-        if capacity.slots == 0 {
-            return Err(Refusal::new(NotRun::NoBackend, NO_BACKEND_RETRY_MS));
-        }
-        let state = self.services.entry(service.name.clone()).or_default();
-        let wait = state.wait(capacity.ours.max(1), state.queue.ahead_of(waiting.urgency));
-        let ready = now + wait + state.needed(now);
-        if waiting.deadline <= now || ready > waiting.deadline {
-            return Err(Refusal::new(
-                NotRun::Deadline,
-                self.retry_after(now, &service.name),
-            ));
-        }
-        if state.queue.len() < service.queue_limit as usize {
-            return Ok(());
-        }
-        let displaced = state.queue.displaced_by(waiting.urgency);
-        let retry_after = self.retry_after(now, &service.name);
-        let refusal = Refusal::new(NotRun::QueueFull, retry_after);
-        let displaced = displaced.ok_or(refusal)?;
-        self.finish(displaced.number, refusal.outcome());
-        Ok(())
-    }
-
-    fn enqueue(&mut self, now: Timestamp, number: u64) {
-        let Some(pending) = self.requests.get_mut(&number) else {
-            return;
-        };
-        pending.stage = Stage::Queued;
-        let waiting = pending.waiting(number);
-        let service = pending.service.clone();
-        let state = self.services.entry(service.clone()).or_default();
-        state.queue.push(waiting);
-        self.pump(now, &service);
-    }
-
-    /// Hands over what waits for `service` while there are free slots.
-    fn pump(&mut self, now: Timestamp, service: &Name) {
-        while let Some(waiting) = self.services.get(service).and_then(|s| s.queue.first()) {
-            if self.is_hopeless(now, service, waiting.deadline) {
-                let retry_after = self.retry_after(now, service);
-                let refusal = Refusal::new(NotRun::Deadline, retry_after);
-                self.finish(waiting.number, refusal.outcome());
-                continue;
-            }
-            let left = waiting.deadline.since(now);
-            let agent = self
-                .loads
-                .choose(now, service, left, self.choices, &mut self.rng);
-            let Some(agent) = agent else {
-                return;
-            };
-            if let Some(state) = self.services.get_mut(service) {
-                state.queue.take(&waiting);
-            }
-            self.dispatch(now, waiting.number, agent);
-        }
-    }
-
-    fn dispatch(&mut self, now: Timestamp, number: u64, agent: Name) {
-        let dispatch = self.number();
-        let (Some(pending), Some(view)) = (self.requests.get_mut(&number), self.loads.view(&agent))
-        else {
-            return;
-        };
-        pending.stage = Stage::Running { dispatch };
-        let service = pending.service.clone();
-        self.dispatches.insert(
-            dispatch,
-            Dispatch {
-                request: number,
-                service: service.clone(),
-                agent: agent.clone(),
-                incarnation: view.incarnation,
-                sent: now,
-                deadline_ms: view.clock_at(pending.deadline),
-                lost_at: None,
-                resend_at: None,
-                resends_left: 0,
-            },
-        );
-        self.loads.sent(&agent, &service);
-        self.services.entry(service).or_default().running += 1;
-        if let Some(message) = self.run_message(dispatch) {
-            self.out.push(EntryAction::Send { to: agent, message });
-        }
-    }
-
-    fn run_message(&self, dispatch: u64) -> Option<Message> {
-        let sent = self.dispatches.get(&dispatch)?;
-        let pending = self.requests.get(&sent.request)?;
-        let view = self.loads.view(&sent.agent)?;
-        if view.incarnation != sent.incarnation || matches!(pending.stage, Stage::Answered { .. }) {
-            return None;
-        }
-        Some(Message::Request(RequestMessage::Run {
-            id: self.id(dispatch),
-            incarnation: sent.incarnation,
-            service: pending.service.clone(),
-            key: pending.key.clone(),
-            claim: pending.granted_by.as_ref().map(|_| self.id(sent.request)),
-            deadline_ms: sent.deadline_ms,
-            body: pending.body.clone(),
-        }))
-    }
-
     /// Gives the caller its final answer and forgets the request.
     fn finish(&mut self, number: u64, outcome: Outcome) {
         let Some(pending) = self.requests.remove(&number) else {
@@ -517,51 +260,4 @@
     fn answer(&mut self, number: u64, outcome: Outcome) {
         self.out.push(EntryAction::Answer { number, outcome });
     }
-
-    /// Returns whether a request can't be answered by its deadline any more; running it would
-    /// take a slot from one that can.
-    fn is_hopeless(&self, now: Timestamp, service: &Name, deadline: Timestamp) -> bool {
-        let needed = self.services.get(service).map(|s| s.needed(now));
-        now + needed.unwrap_or_default() >= deadline
-    }
-
-    /// Returns after how many milliseconds half of what waits will be gone, with a random part so
-    /// that those who are refused together do not come back together.
-    fn retry_after(&mut self, now: Timestamp, service: &Name) -> u64 {
-        let capacity = self.loads.capacity(now, service);
-        let Some(state) = self.services.get(service) else {
-            return DEFAULT_RETRY_MS;
-        };
-        let wait = state.wait(capacity.ours.max(1), state.queue.len() / 2 + 1);
-        let ms = u64::try_from(wait.as_millis()).unwrap_or(MOST_RETRY_MS);
-        let ms = ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS);
-        ms + self.rng.random_range(0..=ms / 2)
-    }
-}
-
-impl Pending {
-    fn waiting(&self, number: u64) -> Waiting {
-        Waiting {
-            number,
-            urgency: self.urgency,
-            deadline: self.deadline,
-        }
-    }
-}
-
-impl ServiceState {
-    /// Returns how long `ahead` requests take to be handed over, with `slots` in turn.
-    fn wait(&self, slots: u32, ahead: usize) -> Duration {
-        let mean_ms = self.run_time.mean_ms().unwrap_or(0.0);
-        let turns = ahead as f64 / f64::from(slots);
-        Duration::from_secs_f64(mean_ms * turns / 1_000.0)
-    }
-
-    /// Returns how long a request takes that starts now.
-    fn needed(&self, now: Timestamp) -> Duration {
-        if now.since(self.sampled_at) > RUN_TIME_AGE {
-            return Duration::ZERO;
-        }
-        self.run_time.mean()
-    }
 }
--- /dev/null
+++ b/dragonflyrun/src/request/entry_table/admission.rs
@@ -0,0 +1,148 @@
+//! Which requests an entry takes in.
+
+use std::time::Duration;
+
+use rand::Rng;
+
+use super::{
+    DEFAULT_RETRY_MS,
+    Due,
+    EntryTable,
+    LEAVING_RETRY_MS,
+    MOST_RETRY_MS,
+    NO_BACKEND_RETRY_MS,
+    Pending,
+    Stage, //
+};
+use crate::{
+    connection::NotRun,
+    request::{CallerRequest, Refusal, Waiting},
+    utils::{Name, Timestamp},
+    version::Service,
+};
+
+const LEAST_RETRY_MS: u64 = 100;
+
+impl EntryTable {
+    pub(super) fn admit(
+        &mut self,
+        now: Timestamp,
+        number: u64,
+        req: CallerRequest,
+    ) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::new(NotRun::Leaving, LEAVING_RETRY_MS));
+        }
+        let version = self.version.clone();
+        let service = version
+            .service(&req.service)
+            .ok_or(Refusal::new(NotRun::UnknownService, MOST_RETRY_MS))?;
+        let pending = self.check(now, service, req)?;
+        self.budget.earn(version.limits.retry_percent);
+        let must_claim = !pending.repeatable;
+        if must_claim && now < self.resumed_until {
+            return Err(Refusal::new(NotRun::NotFresh, LEAVING_RETRY_MS));
+        }
+        let repeat = must_claim && pending.attempt > 1;
+        let waiting = pending.waiting(number);
+        // A repeat may be answered from the owner's record without any slot.
+        if !repeat {
+            self.make_room(now, service, waiting)?;
+        }
+        self.due.insert(Due {
+            at: pending.deadline,
+            number,
+        });
+        self.requests.insert(number, pending);
+        if must_claim {
+            self.claim(now, number);
+        } else {
+            self.enqueue(now, number);
+        }
+        Ok(())
+    }
+
+    /// Checks what can be checked by the document alone.
+    fn check(
+        &self,
+        now: Timestamp,
+        service: &Service,
+        req: CallerRequest,
+    ) -> Result<Pending, Refusal> {
+        let key_missing = !service.repeatable && req.key.is_none();
+        if req.attempt == 0 || key_missing {
+            return Err(Refusal::new(NotRun::Malformed, MOST_RETRY_MS));
+        }
+        if req.body.len() as u64 > self.version.limits.body_bytes {
+            return Err(Refusal::new(NotRun::TooLarge, MOST_RETRY_MS));
+        }
+        // A grant must have been used or be void long before the owner forgets the key.
+        let most = if service.repeatable {
+            service.deadline_ms
+        } else {
+            service.deadline_ms.min(service.key_window_ms / 2)
+        };
+        let deadline_ms = req.deadline_ms.unwrap_or(most).min(most);
+        Ok(Pending {
+            service: service.name.clone(),
+            urgency: req
+                .urgency
+                .map_or(service.urgency, |u| u.max(service.urgency)),
+            repeatable: service.repeatable,
+            key: req.key,
+            attempt: req.attempt,
+            deadline: now + Duration::from_millis(deadline_ms),
+            body: req.body,
+            stage: Stage::Queued,
+            granted_by: None,
+            may_have_run: false,
+        })
+    }
+
+    /// Makes sure that one more may wait, or says why not.
+    pub(super) fn make_room(
+        &mut self,
+        now: Timestamp,
+        service: &Service,
+        waiting: Waiting,
+    ) -> Result<(), Refusal> {
+        let capacity = self.loads.capacity(now, &service.name);
+        if capacity.out_of_service {
+            return Err(Refusal::new(NotRun::OutOfService, NO_BACKEND_RETRY_MS));
+        }
+        if capacity.slots == 0 {
+            return Err(Refusal::new(NotRun::NoBackend, NO_BACKEND_RETRY_MS));
+        }
+        let state = self.services.entry(service.name.clone()).or_default();
+        let wait = state.wait(capacity.ours.max(1), state.queue.ahead_of(waiting.urgency));
+        let ready = now + wait + state.needed(now);
+        if waiting.deadline <= now || ready > waiting.deadline {
+            return Err(Refusal::new(
+                NotRun::Deadline,
+                self.retry_after(now, &service.name),
+            ));
+        }
+        if state.queue.len() < service.queue_limit as usize {
+            return Ok(());
+        }
+        let displaced = state.queue.displaced_by(waiting.urgency);
+        let retry_after = self.retry_after(now, &service.name);
+        let refusal = Refusal::new(NotRun::QueueFull, retry_after);
+        let displaced = displaced.ok_or(refusal)?;
+        self.finish(displaced.number, refusal.outcome());
+        Ok(())
+    }
+
+    /// Returns after how many milliseconds half of what waits will be gone, with a random part so
+    /// that those who are refused together do not come back together.
+    pub(super) fn retry_after(&mut self, now: Timestamp, service: &Name) -> u64 {
+        let capacity = self.loads.capacity(now, service);
+        let Some(state) = self.services.get(service) else {
+            return DEFAULT_RETRY_MS;
+        };
+        let wait = state.wait(capacity.ours.max(1), state.queue.len() / 2 + 1);
+        let ms = u64::try_from(wait.as_millis()).unwrap_or(MOST_RETRY_MS);
+        let ms = ms.clamp(LEAST_RETRY_MS, MOST_RETRY_MS);
+        ms + self.rng.random_range(0..=ms / 2)
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/request/entry_table/dispatch.rs
@@ -0,0 +1,99 @@
+//! Which waiting request goes to which agent, and when.
+
+use super::{Dispatch, EntryAction, EntryTable, Stage};
+use crate::{
+    connection::{Message, NotRun, RequestMessage},
+    request::Refusal,
+    utils::{Name, Timestamp},
+};
+
+impl EntryTable {
+    pub(super) fn enqueue(&mut self, now: Timestamp, number: u64) {
+        let Some(pending) = self.requests.get_mut(&number) else {
+            return;
+        };
+        pending.stage = Stage::Queued;
+        let waiting = pending.waiting(number);
+        let service = pending.service.clone();
+        let state = self.services.entry(service.clone()).or_default();
+        state.queue.push(waiting);
+        self.pump(now, &service);
+    }
+
+    /// Hands over what waits for `service` while there are free slots.
+    pub(super) fn pump(&mut self, now: Timestamp, service: &Name) {
+        while let Some(waiting) = self.services.get(service).and_then(|s| s.queue.first()) {
+            if self.is_hopeless(now, service, waiting.deadline) {
+                let retry_after = self.retry_after(now, service);
+                let refusal = Refusal::new(NotRun::Deadline, retry_after);
+                self.finish(waiting.number, refusal.outcome());
+                continue;
+            }
+            let left = waiting.deadline.since(now);
+            let agent = self
+                .loads
+                .choose(now, service, left, self.choices, &mut self.rng);
+            let Some(agent) = agent else {
+                return;
+            };
+            if let Some(state) = self.services.get_mut(service) {
+                state.queue.take(&waiting);
+            }
+            self.dispatch(now, waiting.number, agent);
+        }
+    }
+
+    fn dispatch(&mut self, now: Timestamp, number: u64, agent: Name) {
+        let dispatch = self.number();
+        let (Some(pending), Some(view)) = (self.requests.get_mut(&number), self.loads.view(&agent))
+        else {
+            return;
+        };
+        pending.stage = Stage::Running { dispatch };
+        let service = pending.service.clone();
+        self.dispatches.insert(
+            dispatch,
+            Dispatch {
+                request: number,
+                service: service.clone(),
+                agent: agent.clone(),
+                incarnation: view.incarnation,
+                sent: now,
+                deadline_ms: view.clock_at(pending.deadline),
+                lost_at: None,
+                resend_at: None,
+                resends_left: 0,
+            },
+        );
+        self.loads.sent(&agent, &service);
+        self.services.entry(service).or_default().running += 1;
+        if let Some(message) = self.run_message(dispatch) {
+            self.out.push(EntryAction::Send { to: agent, message });
+        }
+    }
+
+    pub(super) fn run_message(&self, dispatch: u64) -> Option<Message> {
+        let sent = self.dispatches.get(&dispatch)?;
+        let pending = self.requests.get(&sent.request)?;
+        let view = self.loads.view(&sent.agent)?;
+        if view.incarnation != sent.incarnation || matches!(pending.stage, Stage::Answered { .. }) {
+            return None;
+        }
+        Some(Message::Request(RequestMessage::Run {
+            id: self.id(dispatch),
+            incarnation: sent.incarnation,
+            service: pending.service.clone(),
+            key: pending.key.clone(),
+            claim: pending.granted_by.as_ref().map(|_| self.id(sent.request)),
+            deadline_ms: sent.deadline_ms,
+            body: pending.body.clone(),
+        }))
+    }
+
+    /// Returns whether a request can't be answered by its deadline any more; running it would
+    /// take a slot from one that can.
+    fn is_hopeless(&self, now: Timestamp, service: &Name, deadline: Timestamp) -> bool {
+        let needed = self.services.get(service).map(|s| s.needed(now));
+        now + needed.unwrap_or_default() >= deadline
+    }
+}
--- a/dragonflyrun/src/request/key_owner.rs
+++ b/dragonflyrun/src/request/key_owner.rs
@@ -5,6 +5,8 @@
 //! of owners is so recent that the one before may not know of it, and a later attempt only where
 //! it would remember an earlier one. See `docs/DESIGN.md`, keys.
 
+mod record;
+
 use std::time::Duration;
 
 use crate::{
@@ -13,6 +15,7 @@
     request::{Refusal, Ring},
     utils::{HashMap, Name, Timestamp},
 };
+use record::{KeyId, KeyState, Record, body_bytes, known, refused};
 
 /// Time after a change of owners for which nothing is granted anew: an earlier owner that has not
 /// read of the change stops being fresh within [`FRESH`].
@@ -104,34 +107,6 @@
     ring: Ring,
 }
 
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
-struct KeyId {
-    service: Name,
-    key: Name,
-}
-
-#[derive(Debug)]
-struct Record {
-    state: KeyState,
-    /// The highest attempt seen. The caller of a lower one has given it up.
-    attempt: u32,
-    forget_at: Timestamp,
-}
-
-#[derive(Debug)]
-enum KeyState {
-    /// A request may run, or be running.
-    Granted {
-        holder: RequestId,
-        until: Timestamp,
-        waiters: Vec<KeyClaim>,
-    },
-    /// It is known not to have run.
-    NotRun,
-    /// It has run, or may have.
-    Ran { holder: RequestId, outcome: Outcome },
-}
-
 impl KeyOwner {
     /// Returns the owner `me`, whose process started at `started`.
     pub fn new(me: &Peer, started: Timestamp) -> Self {
@@ -404,42 +379,3 @@
         });
     }
 }
-
-impl KeyId {
-    fn of(claim: &KeyClaim) -> Self {
-        Self {
-            service: claim.service.clone(),
-            key: claim.key.clone(),
-        }
-    }
-}
-
-impl KeyState {
-    fn bytes(&self) -> usize {
-        match self {
-            Self::Ran { outcome, .. } => body_bytes(outcome),
-            Self::Granted { .. } | Self::NotRun => 0,
-        }
-    }
-}
-
-fn body_bytes(outcome: &Outcome) -> usize {
-    match outcome {
-        Outcome::Done { body, .. } => body.len(),
-        Outcome::NotRun { .. } | Outcome::Unknown => 0,
-    }
-}
-
-fn known(outcome: &Outcome) -> KeyVerdict {
-    match outcome {
-        Outcome::Unknown => KeyVerdict::Unknown,
-        outcome => KeyVerdict::Known(outcome.clone()),
-    }
-}
-
-fn refused(refusal: Refusal) -> KeyVerdict {
-    KeyVerdict::Refused {
-        reason: refusal.reason,
-        retry_after_ms: refusal.retry_after_ms,
-    }
-}
--- /dev/null
+++ b/dragonflyrun/src/request/key_owner/record.rs
@@ -0,0 +1,74 @@
+//! What an owner remembers of one key.
+
+use crate::{
+    connection::{KeyVerdict, Outcome, RequestId},
+    request::{KeyClaim, Refusal},
+    utils::{Name, Timestamp},
+};
+
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct KeyId {
+    pub(super) service: Name,
+    pub(super) key: Name,
+}
+
+#[derive(Debug)]
+pub(super) struct Record {
+    pub(super) state: KeyState,
+    /// The highest attempt seen. The caller of a lower one has given it up.
+    pub(super) attempt: u32,
+    pub(super) forget_at: Timestamp,
+}
+
+#[derive(Debug)]
+pub(super) enum KeyState {
+    /// A request may run, or be running.
+    Granted {
+        holder: RequestId,
+        until: Timestamp,
+        waiters: Vec<KeyClaim>,
+    },
+    /// It is known not to have run.
+    NotRun,
+    /// It has run, or may have.
+    Ran { holder: RequestId, outcome: Outcome },
+}
+
+impl KeyId {
+    pub(super) fn of(claim: &KeyClaim) -> Self {
+        Self {
+            service: claim.service.clone(),
+            key: claim.key.clone(),
+        }
+    }
+}
+
+impl KeyState {
+    pub(super) fn bytes(&self) -> usize {
+        match self {
+            Self::Ran { outcome, .. } => body_bytes(outcome),
+            Self::Granted { .. } | Self::NotRun => 0,
+        }
+    }
+}
+
+pub(super) fn body_bytes(outcome: &Outcome) -> usize {
+    match outcome {
+        Outcome::Done { body, .. } => body.len(),
+        Outcome::NotRun { .. } | Outcome::Unknown => 0,
+    }
+}
+
+pub(super) fn known(outcome: &Outcome) -> KeyVerdict {
+    match outcome {
+        Outcome::Unknown => KeyVerdict::Unknown,
+        outcome => KeyVerdict::Known(outcome.clone()),
+    }
+}
+
+pub(super) fn refused(refusal: Refusal) -> KeyVerdict {
+    KeyVerdict::Refused {
+        reason: refusal.reason,
+        retry_after_ms: refusal.retry_after_ms,
+    }
+}
--- a/dragonflyrun/src/request/load.rs
+++ b/dragonflyrun/src/request/load.rs
@@ -1,112 +1,22 @@
 //! How busy the agents are, as one entry can tell, and which of them gets the next request.
 
+mod offer;
+mod view;
+
 use std::time::Duration;
 
 use rand::Rng;
 
 use crate::{
-    connection::{AgentReport, Report},
-    process::{PeerState, SILENCE},
-    request::RunTime,
-    utils::{HashMap, Name, Timestamp},
-    version::Version,
+    process::SILENCE,
+    utils::{HashMap, Name, Timestamp}, //
 };
-
-/// Failures in a row after which an agent is set aside for a service.
-const FAILURES: u32 = 3;
-
-/// How long an agent is set aside the first time; doubled with each further failure.
-const ASIDE: Duration = Duration::from_secs(1);
-
-/// Doublings of that time, at the most.
-const ASIDE_DOUBLINGS: u32 = 5;
-
-/// How long an agent that refused gets nothing, unless it reports free slots anew.
-const HOLD: Duration = Duration::from_millis(200);
-
-/// Age up to which an agent's run time is taken for what the next request would take.
-const SAMPLE_AGE: Duration = Duration::from_secs(10);
+use offer::Offer;
+pub use view::{AgentView, ServiceView};
 
 /// Random draws before all agents are looked through for one that has a free slot.
 const DRAWS: usize = 8;
 
-/// An agent as its last heartbeat showed it.
-#[derive(Clone, Debug)]
-pub struct AgentView {
-    /// The agent.
-    pub name: Name,
-    /// Its incarnation.
-    pub incarnation: u64,
-    /// Its clock in its last heartbeat.
-    pub sent_ms: u64,
-    /// When that heartbeat was heard.
-    pub heard: Timestamp,
-    /// Whether it is linked, not leaving, and its failure domain is in service.
-    pub usable: bool,
-    /// Whether it is usable but for its failure domain.
-    pub out_of_service: bool,
-    /// The services of its backend servers.
-    pub services: Vec<ServiceView>,
-}
-
-/// The slots of one service at one agent, over its backend servers that are not leaving.
-#[derive(Clone, Debug)]
-pub struct ServiceView {
-    /// The service.
-    pub service: Name,
-    /// All slots.
-    pub slots: u32,
-    /// Slots not in use.
-    pub free: u32,
-}
-
-impl AgentView {
-    /// Returns what the roster knows of an agent, under the configuration in force; none where it
-    /// is no agent or has not reported yet.
-    pub fn of(peer: &PeerState, version: &Version) -> Option<Self> {
-        let Some(Report::Agent(report)) = &peer.report else {
-            return None;
-        };
-        let staying = peer.linked && !report.leaving;
-        let in_service = version.in_service(&report.failure_domain);
-        Some(Self {
-            name: peer.peer.name.clone(),
-            incarnation: peer.peer.incarnation,
-            sent_ms: peer.sent_ms,
-            heard: peer.heard,
-            usable: staying && in_service,
-            out_of_service: staying && !in_service,
-            services: services(report),
-        })
-    }
-
-    /// Returns a time on the agent's clock that is no later than `at` is on ours: its clock had
-    /// passed `sent_ms` when we heard it.
-    pub(crate) fn clock_at(&self, at: Timestamp) -> u64 {
-        let since = at.since(self.heard).as_millis();
-        let since_ms = u64::try_from(since).unwrap_or(u64::MAX);
-        self.sent_ms.saturating_add(since_ms)
-    }
-}
-
-fn services(report: &AgentReport) -> Vec<ServiceView> {
-    let mut services: Vec<ServiceView> = Vec::new();
-    for backend in report.backends.iter().filter(|b| !b.leaving) {
-        match services.iter_mut().find(|s| s.service == backend.service) {
-            Some(service) => {
-                service.slots += backend.slots;
-                service.free += backend.free;
-            }
-            None => services.push(ServiceView {
-                service: backend.service.clone(),
-                slots: backend.slots,
-                free: backend.free,
-            }),
-        }
-    }
-    services
-}
-
 /// What became of a request that an agent was given, for the choice of agents.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Sample {
@@ -133,23 +43,6 @@
     offers: HashMap<Name, Offer>,
 }
 
-/// What an agent has for one service.
-#[derive(Debug, Default)]
-struct Offer {
-    slots: u32,
-    /// Slots that other entries' requests use.
-    others: u32,
-    /// Our own requests that it has not answered.
-    in_flight: u32,
-    /// As of when `others` is.
-    known_at: Timestamp,
-    held_until: Timestamp,
-    failures: u32,
-    aside_until: Timestamp,
-    run_time: RunTime,
-    sampled_at: Timestamp,
-}
-
 /// What all agents together have for one service.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct Capacity {
@@ -335,7 +228,7 @@
     fn all_set_aside(&self, now: Timestamp, service: &Name) -> bool {
         let names = self.services.get(service).into_iter().flatten();
         let mut offers = names.filter_map(|n| self.usable_offer(now, n, service));
-        offers.all(|o| o.slots == 0 || o.failures >= FAILURES)
+        offers.all(|o| o.slots == 0 || o.has_failed())
     }
 
     /// The run time to expect, longer the more slots are in use.
@@ -354,58 +247,3 @@
         self.view.usable && now.since(self.view.heard) <= SILENCE
     }
 }
-
-impl Offer {
-    fn free(&self) -> u32 {
-        let used = self.others.saturating_add(self.in_flight);
-        self.slots.saturating_sub(used)
-    }
-
-    /// Takes note that `free` slots were free at `at`; an older report than the last is nothing
-    /// new.
-    fn learn(&mut self, at: Timestamp, free: u32) {
-        if at < self.known_at {
-            return;
-        }
-        self.known_at = at;
-        let used = self.slots.saturating_sub(free);
-        self.others = used.saturating_sub(self.in_flight);
-    }
-
-    fn add(&mut self, now: Timestamp, sample: Sample) {
-        match sample {
-            Sample::Ran(time) => {
-                self.run_time.add(time);
-                self.sampled_at = now;
-                self.failures = 0;
-            }
-            Sample::Failed => self.failed(now),
-            Sample::Refused => {
-                self.failed(now);
-                self.held_until = now + HOLD;
-            }
-            Sample::NotStarted => self.held_until = now + HOLD,
-        }
-    }
-
-    fn failed(&mut self, now: Timestamp) {
-        self.failures = self.failures.saturating_add(1);
-        if let Some(further) = self.failures.checked_sub(FAILURES) {
-            let doublings = further.min(ASIDE_DOUBLINGS);
-            self.aside_until = now + ASIDE * (1 << doublings);
-        }
-    }
-
-    /// Returns whether it has not failed lately, or one request may probe whether it still does.
-    fn may_be_tried(&self, now: Timestamp) -> bool {
-        self.failures < FAILURES || (now >= self.aside_until && self.in_flight == 0)
-    }
-
-    fn is_fast_enough(&self, now: Timestamp, left: Duration) -> bool {
-        if now.since(self.sampled_at) > SAMPLE_AGE {
-            return true;
-        }
-        let mean = self.run_time.mean_ms().unwrap_or(0.0);
-        mean <= left.as_secs_f64() * 1_000.0
-    }
-}
