--- /dev/null
+++ b/dragonflyrun/tests/http_limits.rs
@@ -0,0 +1,210 @@
+//! The HTTP server holds no more for a stranger than its limits say, and answers one request whole.
+
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering}, //
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use arbtest::arbtest;
+use dragonflyrun::connection::{HttpLimits, HttpRequest, HttpResponse, HttpServer};
+use hyper::StatusCode;
+
+/// A pause that a test can wait for; each bound below is a multiple of it.
+const PAUSE: Duration = Duration::from_millis(300);
+
+struct Server {
+    server: HttpServer,
+    handled: Arc<AtomicUsize>,
+}
+
+/// Starts a server that echoes bodies.
+fn start(connections: usize, held_bytes: usize) -> Server {
+    let handled = Arc::new(AtomicUsize::new(0));
+    let count = handled.clone();
+    let handler = move |req: HttpRequest| {
+        count.fetch_add(1, Ordering::SeqCst);
+        HttpResponse::bytes(StatusCode::OK, req.body)
+    };
+    let limits = HttpLimits {
+        connections,
+        body_bytes: 1 << 20,
+        held_bytes,
+        pause: PAUSE,
+    };
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = HttpServer::start(address, limits, Arc::new(handler)).unwrap();
+    Server { server, handled }
+}
+
+impl Server {
+    fn connect(&self) -> TcpStream {
+        let stream = TcpStream::connect(self.server.local_addr()).unwrap();
+        let patience = Some(Duration::from_secs(20));
+        stream.set_read_timeout(patience).unwrap();
+        stream
+    }
+
+    fn exchange(&self, request: &[u8]) -> String {
+        let mut stream = self.connect();
+        // The server may have answered and closed before it has read all.
+        let _ = stream.write_all(request);
+        read_all(&mut stream)
+    }
+
+    fn wait_until_begun(&self) {
+        while self.server.in_flight() == 0 {
+            thread::yield_now();
+        }
+    }
+}
+
+fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    // A reset after a whole answer is the server's right; what was read counts.
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+fn post(body: &[u8]) -> Vec<u8> {
+    let length = body.len();
+    let head = format!("POST / HTTP/1.1\r\nhost: x\r\ncontent-length: {length}\r\n\r\n");
+    [head.as_bytes(), body].concat()
+}
+
+#[test]
+fn large_bodies() {
+    let server = start(8, 8 << 20);
+    let body = vec![b'x'; 1 << 20];
+    let answer = server.exchange(&post(&body));
+    assert!(answer.starts_with("HTTP/1.1 200"));
+    assert!(answer.ends_with(&"x".repeat(1 << 20)));
+}
+
+/// A caller sends more than the limit. It reads so, with "not run", and not just a reset while it
+/// is still sending.
+#[test]
+fn over_limit() {
+    let server = start(8, 8 << 20);
+    let answer = server.exchange(&post(&vec![b'x'; (1 << 20) + 1]));
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert!(answer.contains("dragonfly-outcome: not-run"), "{answer}");
+    let chunk = format!("{:x}\r\n{}\r\n", 1 << 20, "x".repeat(1 << 20));
+    let head = "POST / HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n";
+    let answer = server.exchange(format!("{head}{chunk}{chunk}0\r\n\r\n").as_bytes());
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert_eq!(server.handled.load(Ordering::SeqCst), 0);
+}
+
+/// Callers send large bodies at once. Together they would fill the memory long before any single
+/// body is over its limit; whoever comes on top is told to come back.
+#[test]
+fn held_bytes() {
+    let server = start(8, 600 << 10);
+    let answer = server.exchange(&post(&vec![b'x'; 700 << 10]));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+    // What was refused is held no longer.
+    let answer = server.exchange(&post(&vec![b'x'; 500 << 10]));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(server.handled.load(Ordering::SeqCst), 1);
+}
+
+/// A sender sends a header line now and then. With a timeout for each read it would hold its
+/// connection for hours, and a few dozen of its kind the whole listener.
+#[test]
+fn slow_head() {
+    let server = start(8, 8 << 20);
+    let mut stream = server.connect();
+    let begun = Instant::now();
+    stream.write_all(b"GET / HTTP/1.1\r\n").unwrap();
+    let mut lines = 0;
+    while stream.write_all(b"a: b\r\n").is_ok() && lines < 100 {
+        lines += 1;
+        thread::sleep(PAUSE / 5);
+    }
+    assert!(lines < 100, "still open after {:?}", begun.elapsed());
+    assert_eq!(server.handled.load(Ordering::SeqCst), 0);
+}
+
+/// A sender stops in the middle of its body.
+#[test]
+fn stopped_body() {
+    let server = start(8, 8 << 20);
+    let whole = post(b"0123456789");
+    let answer = server.exchange(&whole[..whole.len() - 5]);
+    assert!(answer.starts_with("HTTP/1.1 408"), "{answer}");
+    assert!(answer.contains("dragonfly-outcome: not-run"), "{answer}");
+}
+
+/// A reader asks for a large answer and does not read it. Its connection must come free.
+#[test]
+fn stalled_reader() {
+    let limits = HttpLimits {
+        connections: 1,
+        body_bytes: 1 << 20,
+        held_bytes: 8 << 20,
+        pause: PAUSE,
+    };
+    let handler = |_: HttpRequest| HttpResponse::bytes(StatusCode::OK, vec![0; 64 << 20]);
+    let address = ([127, 0, 0, 1], 0).into();
+    let server = HttpServer::start(address, limits, Arc::new(handler)).unwrap();
+    let mut stream = TcpStream::connect(server.local_addr()).unwrap();
+    stream
+        .write_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        .unwrap();
+    assert!(server.drain(Duration::from_secs(20)));
+}
+
+/// All connections are in use. One more caller is told so at once instead of waiting unheard.
+#[test]
+fn too_many_connections() {
+    let server = start(1, 8 << 20);
+    let mut first = server.connect();
+    let whole = post(b"x");
+    first.write_all(&whole[..whole.len() - 1]).unwrap();
+    server.wait_until_begun();
+    let answer = server.exchange(&post(b""));
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    assert!(answer.contains("retry-after: 1"), "{answer}");
+}
+
+/// A caller sends its second request behind the first. It must not take anything for the answer
+/// to its second one: the first says that the connection ends.
+#[test]
+fn pipelined_requests() {
+    let server = start(8, 8 << 20);
+    let two = [post(b"first"), post(b"second")].concat();
+    let answer = server.exchange(&two);
+    assert_eq!(answer.matches("HTTP/1.1").count(), 1, "{answer}");
+    assert!(answer.contains("connection: close"), "{answer}");
+    assert!(answer.ends_with("first"), "{answer}");
+    assert_eq!(server.handled.load(Ordering::SeqCst), 1);
+}
+
+/// Strangers send any bytes. The server goes on serving others.
+#[test]
+fn any_bytes() {
+    let server = start(8, 8 << 20);
+    for n in 0..200 {
+        arbtest(|u| {
+            let mut bytes = u.bytes(u.len())?.to_vec();
+            if n % 2 == 0 {
+                bytes.splice(0..0, *b"POST /v1/services/x/requests HTTP/1.1\r\n");
+            }
+            let mut stream = server.connect();
+            let _ = stream.write_all(&bytes);
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+            read_all(&mut stream);
+            Ok(())
+        })
+        .seed(n << 32 | 500)
+        .run();
+    }
+    assert!(server.exchange(&post(b"alive")).ends_with("alive"));
+}
