--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -76,7 +76,7 @@
         state.sent_ms = heartbeat.sent_ms;
         state.log = heartbeat.log;
         if let Some(report) = heartbeat.report {
-            state.report = Some(report);
+            state.take(report);
             self.reports += 1;
             state.report_number = self.reports;
         }
@@ -132,6 +132,15 @@
         self.linked && now.since(self.heard) <= SILENCE && !self.is_leaving()
     }
 
+    fn take(&mut self, report: Report) {
+        match (report, &mut self.report) {
+            (Report::Backends(backends), Some(Report::Agent(known))) => known.backends = backends,
+            // A part without the whole before it says too little; a link carries the whole first.
+            (Report::Backends(_), _) => {}
+            (whole, known) => *known = Some(whole),
+        }
+    }
+
     /// Returns whether the peer has said that it is stopping.
     pub fn is_leaving(&self) -> bool {
         match &self.report {
