--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     connection::LogRecord,
-    job::JobId,
+    job::GangId,
     utils::Name, //
 };
 
@@ -29,15 +29,26 @@
 }
 
 /// A sign of life, with the sender's state where that changed.
+///
+/// Most messages between processes are heartbeats, so their fields have short names on the wire.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Heartbeat {
     /// The sender's clock in milliseconds; echoed in lease renewals.
+    #[serde(rename = "s")]
     pub sent_ms: u64,
+    /// The `sent_ms` of the last heartbeat that the sender had received on this link. It proves to
+    /// the receiver that the sender was alive after that moment of the receiver's own clock, also
+    /// where this message has waited in a buffer while the receiver was frozen.
+    #[serde(rename = "e")]
+    pub echo_ms: Option<u64>,
     /// Counts the changes of the report, so that an unchanged one need not be sent again.
+    #[serde(rename = "c")]
     pub change: u64,
     /// What the sender knows of the log.
+    #[serde(rename = "l")]
     pub log: LogView,
     /// The report as of `change`; absent where this link has already carried it.
+    #[serde(rename = "r", default, skip_serializing_if = "Option::is_none")]
     pub report: Option<Report>,
 }
 
@@ -46,6 +57,9 @@
 pub enum Report {
     /// From an agent.
     Agent(AgentReport),
+    /// From an agent of whose report nothing else has changed: its backend servers. Their free
+    /// slots change with every request, and the members, of which there may be many, seldom do.
+    Backends(Vec<BackendReport>),
     /// From an entry.
     Entry(EntryReport),
 }
@@ -54,14 +68,19 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LogView {
     /// The offset after the last record it has folded.
+    #[serde(rename = "n")]
     pub next_offset: u64,
     /// Milliseconds since it was last known to have read up to the log's head.
+    #[serde(rename = "a")]
     pub age_ms: Option<u64>,
     /// Whether its last attempt to read the log succeeded.
+    #[serde(rename = "r")]
     pub reachable: bool,
     /// Whether an append of its own may have taken effect without an answer.
+    #[serde(rename = "p")]
     pub append_pending: bool,
     /// The offset of the configuration in force.
+    #[serde(rename = "v")]
     pub version: u64,
 }
 
@@ -122,11 +141,19 @@
     Run {
         /// Matches the answer to the request.
         id: RequestId,
+        /// The agent's incarnation, whose clock the deadline is on.
+        incarnation: u64,
         /// The service to run it.
         service: Name,
-        /// The key, where the request may run once only.
+        /// The key, where the caller gave one.
         key: Option<Name>,
-        /// Milliseconds left until the caller's deadline.
+        /// The request that holds the key's grant, where the request may run once only.
+        claim: Option<RequestId>,
+        /// The caller's deadline on the agent's own clock, reckoned from its last heartbeat.
+        ///
+        /// A message that was held up in a frozen process or a broken network can arrive at any
+        /// later time. With a deadline on its own clock the agent sees that, and does not run
+        /// what the caller has long given up.
         deadline_ms: u64,
         /// The whole body.
         #[serde(with = "serde_bytes")]
@@ -219,6 +246,12 @@
         key: Name,
         /// The caller's count of attempts with this key, from 1.
         attempt: u32,
+        /// The owner's incarnation, whose clock the times are on.
+        incarnation: u64,
+        /// When it was sent, on the owner's clock, reckoned from its last heartbeat; see `Run`.
+        sent_ms: u64,
+        /// The caller's deadline on the owner's clock; after it the request does not start.
+        deadline_ms: u64,
     },
     /// Owner to entry: what it may do.
     Verdict {
@@ -265,55 +298,43 @@
     Reserve(TaskOrder),
     /// Planner to agent: the start is on the log, start the tasks.
     Go {
-        /// The planner's term.
+        /// The planner's term, which may be later than that of the gang.
         term: u64,
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
+        /// The gang.
+        gang: GangId,
+        /// An offset of the log at which the start is known to stand, there or before.
+        offset: u64,
     },
     /// Planner to agent: stop the member, or give back its reservation.
     Stop {
-        /// The planner's term.
+        /// The planner's term, which may be later than that of the gang.
         term: u64,
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
+        /// The gang.
+        gang: GangId,
         /// Whether to save a checkpoint first.
         checkpoint: bool,
     },
-    /// Entry to agent: all members were heard, the gang's lease goes on.
+    /// Entry to agent: all members of these gangs were heard, their leases go on.
     Renewal {
         /// The `sent_ms` of the heartbeat of this agent that is answered.
         echo_ms: u64,
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
-        /// Milliseconds since the member heard least recently was heard.
+        /// Milliseconds since which every member of the gangs was alive for certain.
         age_ms: u64,
+        /// The `number` of each member of this agent whose gang is renewed.
+        members: Vec<u64>,
     },
     /// Entry to agent: a member is lost, the others stop with a checkpoint.
     Broken {
-        /// The job.
-        job: JobId,
-        /// The attempt.
-        attempt: u32,
+        /// The gang.
+        gang: GangId,
     },
-    /// Agent to entries: a member's state has changed.
-    Report(MemberReport),
 }
 
-/// What an agent is to run as one member of a gang.
+/// What an agent is to run as one member of a gang; a gang has one member on a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TaskOrder {
-    /// The planner's term; an order of an older term than the highest seen is refused.
-    pub term: u64,
-    /// The job.
-    pub job: JobId,
-    /// The attempt, from 1.
-    pub attempt: u32,
+    /// The gang. Its term is the planner's; one older than the highest seen is refused.
+    pub gang: GangId,
     /// The number of this member, from 0.
     pub member: u32,
     /// How many members the gang has, one a worker.
@@ -331,13 +352,11 @@
 /// The state of one member, as its agent knows it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct MemberReport {
-    /// The job.
-    pub job: JobId,
-    /// The attempt.
-    pub attempt: u32,
-    /// The number of this member.
-    pub member: u32,
-    /// How many members the gang has.
+    /// Counts the members that the agent's process has had; short, since renewals name it often.
+    pub number: u64,
+    /// The gang.
+    pub gang: GangId,
+    /// How many members the gang has; 0 where the agent was told to stop what it never held.
     pub members: u32,
     /// Its state.
     pub state: MemberState,
@@ -347,15 +366,17 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberState {
-    /// The order was refused; nothing is held.
+    /// The order was refused or the worker did not start it; nothing is held.
     Refused,
     /// The accelerators are held under a worker lease; no task runs.
     Reserved,
     /// The tasks run.
     Running,
+    /// The tasks are being stopped, or the reservation is being given back.
+    Stopping,
     /// All tasks ended well.
     Finished,
-    /// A task ended badly or could not be started.
+    /// A task ended badly.
     Failed,
     /// The tasks were stopped, or the reservation was given back.
     Stopped {
--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -1,15 +1,20 @@
 //! What lives for one connection: peer links, HTTP, and the clients of the platform.
 
+mod backend_client;
 pub mod codec;
 mod greeting;
+mod http_server;
 mod links;
 mod log_client;
 mod message;
 mod record;
 mod seal;
+mod worker_client;
 
+pub use backend_client::{BackendRequest, run_at_backend};
 pub use greeting::{Peer, Role};
-pub use links::{LinkEvent, LinkSettings, Links, SendError};
+pub use http_server::{Handler, HttpLimits, HttpRequest, HttpResponse, HttpServer};
+pub use links::{LinkEvent, LinkSettings, Linked, Links, SendError};
 pub use log_client::{LogClient, LogError, LogPage, LogRecord};
 pub use message::{
     AgentReport, BackendReport, EntryReport, GangMessage, Heartbeat, KeyMessage, KeyVerdict,
@@ -17,6 +22,12 @@
     RequestMessage, TaskOrder,
 };
 pub use record::{
-    Carried, CarriedEntry, CarriedSection, Edit, JobEnd, Placement, Record, RecordBody,
+    Carried, CarriedConfiguration, CarriedEntry, CarriedMembership, CarriedSection, Edit, JobEnd,
+    Placement, Record, RecordBody,
+};
+pub use seal::{
+    AuthorKey, OpenError, RECORD_BYTES, editor_of, is_editors_token, open, open_unchecked,
+};
+pub use worker_client::{
+    LeaseState, StartTasks, TaskUsage, WorkerClient, WorkerError, WorkerLease, WorkerView,
 };
-pub use seal::{AuthorKey, OpenError, RECORD_BYTES, open};
--- a/dragonflyrun/src/connection/record.rs
+++ b/dragonflyrun/src/connection/record.rs
@@ -3,9 +3,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    job::{JobId, JobSpec},
+    job::{JobId, JobSpec, LiveJob},
     utils::Name,
-    version::Section, //
+    version::{Document, RawSection}, //
 };
 
 /// One record: who wrote it, its unique id, and what it says.
@@ -82,6 +82,18 @@
         attempt: u32,
         /// Whether the next attempt goes on from a checkpoint.
         checkpointed: bool,
+        /// Whether a task failed, which a job may do a few times only.
+        failed: bool,
+    },
+    /// The planner can't reach some member of an attempt: no entry renews its leases from here on,
+    /// so that the member is known to have stopped once they have lapsed.
+    JobFenced {
+        /// The planner's term.
+        term: u64,
+        /// The job.
+        job: JobId,
+        /// The attempt.
+        attempt: u32,
     },
     /// A job came to its end.
     JobEnded {
@@ -108,11 +120,12 @@
             Self::Ring { term, .. }
             | Self::JobStarted { term, .. }
             | Self::JobStopped { term, .. }
+            | Self::JobFenced { term, .. }
             | Self::JobEnded { term, .. }
             | Self::Carried(
-                Carried::Configuration { term, .. }
+                Carried::Configuration(CarriedConfiguration { term, .. })
                 | Carried::Job { term, .. }
-                | Carried::Membership { term, .. },
+                | Carried::Membership(CarriedMembership { term, .. }),
             ) => Some(*term),
             Self::Edit(_)
             | Self::Term { .. }
@@ -128,47 +141,35 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "state", rename_all = "snake_case")]
 pub enum Carried {
-    /// The whole configuration with the offset of its version.
-    Configuration {
-        /// The planner's term.
-        term: u64,
-        /// The offset of the last accepted edit.
-        version: u64,
-        /// The version of each section.
-        sections: Vec<CarriedSection>,
-        /// The document.
-        document: crate::version::Document,
-    },
+    /// The whole configuration.
+    Configuration(CarriedConfiguration),
     /// A live job.
     Job {
         /// The planner's term.
         term: u64,
-        /// The job.
-        job: JobId,
-        /// What it asks for.
-        spec: JobSpec,
-        /// The offset of its acceptance, which orders the queue.
-        accepted: u64,
-        /// The last attempt, 0 before the first.
-        attempt: u32,
-        /// Where that attempt runs; empty while the job waits.
-        placements: Vec<Placement>,
-        /// Whether the next attempt goes on from a checkpoint.
-        checkpointed: bool,
-        /// Whether somebody asked to cancel it.
-        cancelled: bool,
+        /// The job as it was folded.
+        job: Box<LiveJob>,
     },
     /// The terms, entries and key owners.
-    Membership {
-        /// The planner's term.
-        term: u64,
-        /// The planner.
-        planner: Name,
-        /// Entries with their addresses.
-        entries: Vec<CarriedEntry>,
-        /// Owners of keys.
-        ring: Vec<Name>,
-    },
+    Membership(CarriedMembership),
+}
+
+/// All that the fold of the edits looks at; see [`History`](crate::version::History).
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CarriedConfiguration {
+    /// The planner's term.
+    pub term: u64,
+    /// The offset up to which the planner had folded the log when it took this state. Edits may
+    /// stand between there and this record.
+    pub as_of: u64,
+    /// The offset of the last accepted edit.
+    pub version: u64,
+    /// The version of each section.
+    pub sections: Vec<CarriedSection>,
+    /// The ids of the last edits, to drop a second copy.
+    pub recent: Vec<Name>,
+    /// The document.
+    pub document: Document,
 }
 
 /// The version of one section in a carried configuration.
@@ -180,6 +181,21 @@
     pub version: u64,
 }
 
+/// The terms, entries and key owners, as the planner repeats them on the log.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct CarriedMembership {
+    /// The current term, which is the writer's.
+    pub term: u64,
+    /// The offset of the last record that changed them.
+    pub updated: u64,
+    /// The planner.
+    pub planner: Name,
+    /// Entries with their addresses.
+    pub entries: Vec<CarriedEntry>,
+    /// Owners of keys.
+    pub ring: Vec<Name>,
+}
+
 /// An entry in a carried membership.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CarriedEntry {
@@ -197,7 +213,7 @@
     /// The version of the section that the editor saw; 0 for a new section.
     pub base: u64,
     /// The new content; none removes the section.
-    pub content: Option<Section>,
+    pub content: Option<RawSection>,
 }
 
 /// How many tasks of a gang run on one worker.
--- a/dragonflyrun/src/job/book.rs
+++ b/dragonflyrun/src/job/book.rs
@@ -2,17 +2,25 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     connection::{Carried, JobEnd, Placement, RecordBody},
-    job::{JobId, JobSpec},
-    utils::HashMap,
+    job::{GangId, JobId, JobSpec},
+    utils::{HashMap, Name},
 };
 
 /// Ended jobs that are remembered for those who ask about them.
 const REMEMBERED_ENDS: usize = 4_096;
 
+/// Records after the end of a job for which its name can't be used again.
+///
+/// All processes have to agree on that, also one that began to read in the middle of the log and
+/// does not know of earlier ends. So it is counted in records, and by fewer than the log keeps.
+const NAME_RECORDS: u64 = 4_000;
+
 /// A job that was accepted and has not ended.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LiveJob {
     /// Its name.
     pub job: JobId,
@@ -20,22 +28,69 @@
     pub spec: JobSpec,
     /// The offset of its acceptance, which orders the queue.
     pub accepted: u64,
-    /// The last attempt, 0 before the first.
+    /// The offset of the last record that changed it.
+    pub updated: u64,
+    /// The last attempt that reached the log, 0 before the first.
     pub attempt: u32,
+    /// The term of the planner that began that attempt.
+    pub term: u64,
     /// Where that attempt runs; empty while the job waits.
     pub placements: Vec<Placement>,
+    /// Whether the leases of that attempt are no longer renewed.
+    pub fenced: bool,
+    /// How many attempts ended because a task failed.
+    pub failures: u32,
     /// Whether the next attempt goes on from a checkpoint.
     pub checkpointed: bool,
     /// Whether somebody asked to cancel it.
     pub cancelled: bool,
 }
 
+impl LiveJob {
+    /// Returns a job that was accepted at the offset `accepted` and waits for its first attempt.
+    pub fn new(job: JobId, spec: JobSpec, accepted: u64) -> Self {
+        Self {
+            job,
+            spec,
+            accepted,
+            updated: accepted,
+            attempt: 0,
+            term: 0,
+            placements: Vec::new(),
+            fenced: false,
+            failures: 0,
+            checkpointed: false,
+            cancelled: false,
+        }
+    }
+
+    /// Returns the last attempt that reached the log.
+    pub fn gang(&self) -> GangId {
+        GangId {
+            job: self.job.clone(),
+            term: self.term,
+            attempt: self.attempt,
+        }
+    }
+
+    /// Returns whether an attempt is placed.
+    pub fn is_placed(&self) -> bool {
+        !self.placements.is_empty()
+    }
+
+    /// Returns whether the log allows `gang` to start on `worker`.
+    pub fn may_start(&self, gang: &GangId, worker: &Name) -> bool {
+        let here = self.placements.iter().any(|p| p.worker == *worker);
+        here && !self.fenced && self.gang() == *gang
+    }
+}
+
 /// The fold of the records on jobs.
 #[derive(Clone, Debug, Default)]
 pub struct JobBook {
     live: HashMap<JobId, LiveJob>,
     ended: BTreeMap<u64, (JobId, JobEnd)>,
-    ends: HashMap<JobId, JobEnd>,
+    ends: HashMap<JobId, (u64, JobEnd)>,
 }
 
 impl JobBook {
@@ -44,59 +99,40 @@
         match body {
             RecordBody::JobAccepted { job, spec } => self.accept(offset, job, spec),
             RecordBody::JobStarted {
+                term,
                 job,
                 attempt,
                 placements,
-                ..
-            } => {
-                if let Some(live) = self.live.get_mut(job)
-                    && *attempt == live.attempt + 1
-                    && live.placements.is_empty()
-                {
-                    live.attempt = *attempt;
-                    live.placements = placements.clone();
-                }
-            }
+            } => self.start(offset, *term, job, *attempt, placements),
             RecordBody::JobStopped {
                 job,
                 attempt,
                 checkpointed,
+                failed,
                 ..
             } => {
-                if let Some(live) = self.live.get_mut(job)
-                    && *attempt == live.attempt
-                {
+                if let Some(live) = self.placed(job, *attempt) {
+                    live.updated = offset;
                     live.placements.clear();
+                    live.fenced = false;
                     live.checkpointed |= *checkpointed;
+                    live.failures += u32::from(*failed);
+                }
+            }
+            RecordBody::JobFenced { job, attempt, .. } => {
+                if let Some(live) = self.placed(job, *attempt) {
+                    live.updated = offset;
+                    live.fenced = true;
                 }
             }
             RecordBody::JobEnded { job, end, .. } => self.end(offset, job, *end),
             RecordBody::JobCancelled { job } => {
                 if let Some(live) = self.live.get_mut(job) {
+                    live.updated = offset;
                     live.cancelled = true;
                 }
             }
-            RecordBody::Carried(Carried::Job {
-                job,
-                spec,
-                accepted,
-                attempt,
-                placements,
-                checkpointed,
-                cancelled,
-                ..
-            }) => {
-                let carried = LiveJob {
-                    job: job.clone(),
-                    spec: spec.clone(),
-                    accepted: *accepted,
-                    attempt: *attempt,
-                    placements: placements.clone(),
-                    checkpointed: *checkpointed,
-                    cancelled: *cancelled,
-                };
-                self.adopt(carried);
-            }
+            RecordBody::Carried(Carried::Job { job, .. }) => self.adopt(job),
             _ => {}
         }
     }
@@ -113,30 +149,52 @@
 
     /// Returns how the job called `job` ended, where that is still remembered.
     pub fn ended(&self, job: &JobId) -> Option<JobEnd> {
-        self.ends.get(job).copied()
+        self.ends.get(job).map(|(_, end)| *end)
     }
 
     fn accept(&mut self, offset: u64, job: &JobId, spec: &JobSpec) {
-        if self.ends.contains_key(job) || self.live.contains_key(job) {
+        let ended = self.ends.get(job);
+        if ended.is_some_and(|(at, _)| offset - at < NAME_RECORDS) || self.live.contains_key(job) {
             return;
         }
-        let live = LiveJob {
-            job: job.clone(),
-            spec: spec.clone(),
-            accepted: offset,
-            attempt: 0,
-            placements: Vec::new(),
-            checkpointed: false,
-            cancelled: false,
-        };
+        let live = LiveJob::new(job.clone(), spec.clone(), offset);
         self.live.insert(job.clone(), live);
     }
 
-    /// Takes over a carried job. A process that has folded the records before it holds the same
-    /// state already, or has seen the job end.
-    fn adopt(&mut self, carried: LiveJob) {
-        if !self.ends.contains_key(&carried.job) {
-            self.live.entry(carried.job.clone()).or_insert(carried);
+    /// Takes note of an attempt. A record that was delayed until its planner had given the attempt
+    /// up may follow a later one, and then changes nothing.
+    fn start(
+        &mut self,
+        offset: u64,
+        term: u64,
+        job: &JobId,
+        attempt: u32,
+        placements: &[Placement],
+    ) {
+        if let Some(live) = self.live.get_mut(job)
+            && attempt > live.attempt
+            && !live.is_placed()
+        {
+            live.updated = offset;
+            live.attempt = attempt;
+            live.term = term;
+            live.placements = placements.to_vec();
+        }
+    }
+
+    fn placed(&mut self, job: &JobId, attempt: u32) -> Option<&mut LiveJob> {
+        let live = self.live.get_mut(job)?;
+        (live.is_placed() && live.attempt == attempt).then_some(live)
+    }
+
+    /// Takes over a carried job that is not older than this one. A process that has missed nothing
+    /// holds the same state already, or has seen the job end.
+    fn adopt(&mut self, carried: &LiveJob) {
+        let known = self.live.get(&carried.job);
+        let older = known.is_some_and(|live| carried.updated < live.updated);
+        let ended = self.ends.get(&carried.job);
+        if !older && ended.is_none_or(|(at, _)| *at < carried.accepted) {
+            self.live.insert(carried.job.clone(), carried.clone());
         }
     }
 
@@ -144,10 +202,11 @@
         if self.live.remove(job).is_none() {
             return;
         }
-        self.ends.insert(job.clone(), end);
+        self.ends.insert(job.clone(), (offset, end));
         self.ended.insert(offset, (job.clone(), end));
         if self.ended.len() > REMEMBERED_ENDS
-            && let Some((_, (old, _))) = self.ended.pop_first()
+            && let Some((at, (old, _))) = self.ended.pop_first()
+            && self.ends.get(&old).is_some_and(|(end, _)| *end == at)
         {
             self.ends.remove(&old);
         }
--- a/dragonflyrun/src/job/inventory.rs
+++ b/dragonflyrun/src/job/inventory.rs
@@ -7,7 +7,6 @@
         slots::{SlotIndex, WorkerId},
     },
     utils::{HashMap, Name},
-    version::Adjacency,
 };
 
 /// Accelerators of one worker that are believed, at the most. The count comes from another
@@ -22,6 +21,8 @@
     racks: HashMap<(Name, Name), usize>,
     domains: HashMap<Name, usize>,
     largest_worker: u32,
+    /// What each worker has, whether it is up or not.
+    whole: SlotIndex,
     /// What is free for whoever has no pledge.
     pub(super) free: SlotIndex,
     /// What no guarantee has been allotted and no aged job has reserved.
@@ -100,6 +101,7 @@
         });
         let id = known.unwrap_or_else(|| self.add(&info));
         let worker = &mut self.workers[id];
+        self.whole.set(id, info.accelerators);
         worker.info = info;
         worker.up = true;
         worker.in_service = in_service;
@@ -203,20 +205,12 @@
 
     /// Returns whether `shape` would fit on the workers known if all were empty and in service.
     pub(super) fn could_hold(&self, shape: &Shape) -> bool {
-        let mut slots: HashMap<usize, u64> = HashMap::default();
-        for worker in &self.workers {
-            let id = self.ids.get(&worker.info.name);
-            let scope = match (shape.adjacency, id) {
-                (_, None) => continue,
-                (Adjacency::Any, _) => 0,
-                (Adjacency::FailureDomain, Some(id)) => self.free.seat(*id).domain,
-                (Adjacency::Rack, Some(id)) => self.free.seat(*id).rack,
-                (Adjacency::Worker, Some(id)) => *id,
-            };
-            let here = worker.info.accelerators / shape.accelerators.max(1);
-            *slots.entry(scope).or_default() += u64::from(here);
-        }
-        slots.values().any(|slots| *slots >= shape.tasks.into())
+        self.whole.fits(shape)
+    }
+
+    /// Makes [`Self::could_hold`] quick for tasks of `size` accelerators.
+    pub(super) fn expect_tasks_of(&mut self, size: u32) {
+        self.whole.rack_order(size);
     }
 
     /// Returns the accelerators of the largest worker that was ever known.
@@ -236,6 +230,7 @@
         // A worker that has moved to another rack is a new one; the old one stays down.
         if let Some(old) = self.id(&info.name) {
             self.change(old, |w| w.up = false);
+            self.whole.set(old, 0);
         }
         let racks = self.racks.len();
         let rack = (info.failure_domain.clone(), info.rack.clone());
@@ -244,6 +239,7 @@
         let domain = info.failure_domain.clone();
         let domain = *self.domains.entry(domain).or_insert(domains);
         self.free.add(rack, domain);
+        self.whole.add(rack, domain);
         let id = self.open.add(rack, domain);
         self.ids.insert(info.name.clone(), id);
         self.workers.push(Worker {
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -104,11 +104,9 @@
     /// is evicted whole. It is stopped with a checkpoint and goes on elsewhere from there.
     fn empty_domains(&mut self, decisions: &mut Vec<Decision>) {
         let mut leaving = Vec::new();
-        for id in self.inventory.ids() {
-            let worker = self.inventory.worker(id);
-            if !worker.in_service {
-                leaving.extend(worker.jobs.iter().map(|h| h.job.clone()));
-            }
+        for id in &self.out_of_service {
+            let jobs = &self.inventory.worker(*id).jobs;
+            leaving.extend(jobs.iter().map(|h| h.job.clone()));
         }
         for job in leaving {
             self.evict(&job, None, decisions);
@@ -683,13 +681,16 @@
         }
         let classes: Vec<Class> = self.queue.classes().cloned().collect();
         for class in classes {
-            let jobs: Vec<Aged> = self.queue.jobs(&class).cloned().collect();
-            let Some(entry) = jobs.first().and_then(|(_, job)| self.jobs.get(job)) else {
+            self.inventory
+                .expect_tasks_of(class.shape().accelerators.max(1));
+            let first = self.queue.first(&class);
+            let Some(entry) = first.and_then(|(_, job)| self.jobs.get(&job)) else {
                 continue;
             };
             let Err(why) = self.possible(&entry.spec) else {
                 continue;
             };
+            let jobs: Vec<Aged> = self.queue.jobs(&class).cloned().collect();
             for (accepted, job) in jobs {
                 if let Some(entry) = self.jobs.get(&job) {
                     self.queue.remove(&entry.spec, accepted, &job);
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -53,6 +53,8 @@
     pub(super) reservations: BTreeMap<Aged, Reservation>,
     /// Jobs that wait for the rest of their pledge.
     pub(super) pledged: BTreeSet<Aged>,
+    /// Workers in failure domains that are out of service.
+    pub(super) out_of_service: BTreeSet<WorkerId>,
     /// Workers whose state has changed since the guarantees were last settled.
     pub(super) changed: Vec<WorkerId>,
     /// Workspaces whose borrowing jobs may now be covered by a guarantee.
@@ -147,6 +149,7 @@
                 self.inventory.change(id, |w| w.in_service = in_service);
                 self.changed.push(id);
             }
+            self.note_service(id, in_service);
         }
         let before = self.covers();
         self.guarantees.configure(version, &mut self.inventory);
@@ -169,6 +172,7 @@
             return;
         }
         let id = self.inventory.up(info, in_service);
+        self.note_service(id, in_service);
         if known != Some(id) {
             self.last_new_worker = now;
             self.settled = false;
@@ -384,6 +388,13 @@
         entries.map(Entry::accelerators).sum()
     }
 
+    fn note_service(&mut self, worker: WorkerId, in_service: bool) {
+        match in_service {
+            true => self.out_of_service.remove(&worker),
+            false => self.out_of_service.insert(worker),
+        };
+    }
+
     /// Gives `job` the accelerators at `parts`.
     pub(super) fn hold(&mut self, now: Timestamp, job: &JobId, parts: Vec<Part>) {
         let Some(entry) = self.jobs.get_mut(job) else {
--- a/dragonflyrun/src/job/slots.rs
+++ b/dragonflyrun/src/job/slots.rs
@@ -160,6 +160,25 @@
         }
     }
 
+    /// Returns whether `shape` fits.
+    pub(super) fn fits(&self, shape: &Shape) -> bool {
+        let size = shape.accelerators;
+        let holds = |counts: &Counts| counts.slots(size) >= shape.tasks;
+        match shape.adjacency {
+            Adjacency::Any => holds(&self.all.counts),
+            Adjacency::FailureDomain => self.domains.iter().any(|d| holds(&d.counts)),
+            Adjacency::Rack => match self.rack_orders.get(&size) {
+                Some(order) => order.last().is_some_and(|(slots, _)| *slots >= shape.tasks),
+                None => self.racks.iter().any(|r| holds(&r.counts)),
+            },
+            Adjacency::Worker => {
+                let needed = shape.tasks.saturating_mul(size);
+                let last = self.all.order.last();
+                last.is_some_and(|(value, _, _)| *value >= needed)
+            }
+        }
+    }
+
     /// Returns the members of the racks with the most room for tasks of `size`, `most` racks at
     /// the most.
     pub(super) fn roomiest_racks(&mut self, size: u32, most: usize) -> Vec<Vec<Seat>> {
@@ -236,7 +255,7 @@
 
     /// Returns the racks by their slots for tasks of `size`. The order is made at the first use
     /// of a size and kept from then on; there are as many sizes as a worker has accelerators.
-    fn rack_order(&mut self, size: u32) -> &BTreeSet<(u32, usize)> {
+    pub(super) fn rack_order(&mut self, size: u32) -> &BTreeSet<(u32, usize)> {
         let racks = &self.racks;
         self.rack_orders.entry(size).or_insert_with(|| {
             let slots = racks.iter().zip(0usize..);
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -1,17 +1,20 @@
 //! What all threads of one process share.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+};
 
 use crate::{
-    connection::{AuthorKey, LinkSettings, Links, LogClient, Peer},
-    process::{Clock, Counters, EntryView, Freshness, Ledger, Roster, Settings},
+    connection::{LinkSettings, Links, LogClient, Peer},
+    process::{Appender, Clock, Counters, EntryView, Freshness, Ledger, Roster, Settings},
     utils::{Name, Timestamp},
     version::Version,
 };
 
 /// What all threads of one process share.
 ///
-/// Lock order: a thread that needs several of the tables takes them in the order ledger, roster,
+/// Lock order: a thread that needs several of the tables takes them in the order fold order, ledger, roster,
 /// freshness, then those of requests, keys, planner and members, and never calls out to a socket
 /// while it holds one. Handing a message to [`Links::send`] does not wait and is allowed.
 pub struct Context {
@@ -27,10 +30,14 @@
     pub links: Links,
     /// The platform's log.
     pub log: LogClient,
-    /// The key with which this process seals its records.
-    pub key: AuthorKey,
+    /// Appends this process's records to the log.
+    pub appender: Appender,
+    /// Held while records are folded and told to the role, so that it hears of them in order.
+    pub fold_order: Mutex<()>,
     /// What is folded from the log.
     pub ledger: Mutex<Ledger>,
+    /// The address of this process's own listener for peer links, once it is bound.
+    pub own_address: OnceLock<SocketAddr>,
     /// The peers that were heard.
     pub roster: Mutex<Roster>,
     /// What is known of the log's head.
@@ -53,6 +60,10 @@
         let now = self.now();
         let (next_offset, names) = {
             let ledger = lock(&self.ledger);
+            // It may have missed that a failure domain was taken out or a planner replaced.
+            if !ledger.is_whole() {
+                return false;
+            }
             let names: Vec<Name> = ledger.membership.entries().keys().cloned().collect();
             (ledger.next_offset(), names)
         };
@@ -71,7 +82,8 @@
 fn entry_view(roster: &Roster, entry: Name) -> EntryView {
     let peer = roster.peer(&entry);
     EntryView {
-        heard: peer.map(|p| p.heard),
+        // What waited in a buffer while this process was frozen says nothing about now.
+        heard: peer.and_then(|p| p.confirmed),
         gone: peer.is_some_and(|p| p.is_leaving() && !p.linked),
         log: peer.map(|p| p.log).unwrap_or_default(),
         entry,
--- /dev/null
+++ b/dragonflyrun/src/process/entry_jobs.rs
@@ -0,0 +1,314 @@
+//! Jobs at an entry: takes them in, renews gangs, and plans while the entry holds the term.
+
+use std::{
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering}, //
+    },
+    time::Duration,
+};
+
+use crate::{
+    connection::{GangMessage, Message, Peer, RecordBody, Role},
+    job::{Item, JobId, JobSpec, LiveJob, Notice, PlannerAction, Purpose},
+    process::{
+        AppendError,
+        Context,
+        Folded,
+        GangTable,
+        JobAnswer,
+        JobRefusal,
+        JobState,
+        JobStatus,
+        JobsAnswer,
+        TickView,
+        carried_body,
+        lock, //
+    },
+    utils::Name,
+};
+
+/// How long a submitter waits for its job to be on the log.
+const ACCEPT_WAIT: Duration = Duration::from_secs(10);
+
+/// Time after which a job that was refused is worth another attempt.
+const RETRY_LOG_MS: u64 = 2_000;
+const RETRY_FRESH_MS: u64 = 1_000;
+const RETRY_LIMIT_MS: u64 = 5_000;
+
+/// Characters of a job's name, at the most; it is part of the names of leases.
+const JOB_NAME: usize = 128;
+
+/// The jobs of one entry.
+pub struct EntryJobs {
+    cx: Arc<Context>,
+    table: Mutex<GangTable>,
+    leaving: AtomicBool,
+    next_id: AtomicU64,
+}
+
+impl EntryJobs {
+    /// Returns the jobs of an entry that has just started.
+    pub fn new(cx: Arc<Context>) -> Self {
+        let table = GangTable::new(cx.now(), cx.identity.name.clone(), cx.version());
+        Self {
+            cx,
+            table: Mutex::new(table),
+            leaving: AtomicBool::new(false),
+            next_id: AtomicU64::new(1),
+        }
+    }
+
+    /// Takes a message about gangs; agents tell all they have to in their heartbeats.
+    pub fn on_message(&self, from: &Name, message: GangMessage) {
+        log::debug!(from:% = from, message:? = message; "gang_message_ignored");
+    }
+
+    /// Takes note of a heartbeat that the roster has taken, and answers it with renewals.
+    pub fn on_heartbeat(&self, from: &Name) {
+        let notices = {
+            let roster = lock(&self.cx.roster);
+            let Some(peer) = roster.peer(from).filter(|p| p.peer.role == Role::Agent) else {
+                return;
+            };
+            lock(&self.table).on_heartbeat(self.cx.now(), peer)
+        };
+        for Notice { to, message } in notices {
+            self.send(&to, message);
+        }
+    }
+
+    /// Takes note that the link to a peer ended.
+    pub fn on_peer_down(&self, peer: &Peer) {
+        if peer.role == Role::Agent {
+            lock(&self.table).on_down(self.cx.now(), &peer.name);
+        }
+    }
+
+    /// Follows a record that was folded.
+    pub fn on_folded(&self, folded: &Folded) {
+        let ledger = lock(&self.cx.ledger);
+        lock(&self.table).on_folded(self.cx.now(), folded, &ledger);
+    }
+
+    /// Takes note that a record of this process is not known to be on the log.
+    pub fn on_append_failed(&self, id: &Name, error: &AppendError) {
+        log::debug!(id:% = id, error:% = error; "record_given_up");
+        lock(&self.table).append_failed(self.cx.now(), id);
+    }
+
+    /// Does what is due; to be called every 100 ms.
+    pub fn tick(&self) {
+        if self.leaving.load(Ordering::Relaxed) {
+            return;
+        }
+        let fresh = self.cx.is_fresh();
+        let view = {
+            let ledger = lock(&self.cx.ledger);
+            let roster = lock(&self.cx.roster);
+            let me = &self.cx.identity.name;
+            TickView::read(self.cx.now(), me, fresh, &ledger, &roster)
+        };
+        let mut carried = Vec::new();
+        {
+            let mut table = lock(&self.table);
+            for action in table.tick(self.cx.now(), &view) {
+                self.follow(&mut table, action, &mut carried);
+            }
+        }
+        for item in carried {
+            self.carry(item);
+        }
+    }
+
+    /// Takes a job in. `id` lets the submitter ask again without doubling the job.
+    pub fn submit(&self, id: Option<Name>, spec: JobSpec) -> JobAnswer {
+        let job = id.unwrap_or_else(|| self.new_id());
+        if let Some(answer) = self.refuse(&job, &spec) {
+            if let JobAnswer::NotRun { reason, .. } = &answer {
+                log::info!(job:% = job, reason:? = reason; "job_refused");
+                self.cx.counters.event("job_refused");
+            }
+            return answer;
+        }
+        let body = RecordBody::JobAccepted {
+            job: job.clone(),
+            spec: spec.clone(),
+        };
+        let answer = self.append(job.clone(), body);
+        // Somebody else may have taken the name in the meantime.
+        match lock(&self.cx.ledger).jobs.live(&job) {
+            Some(live) if live.spec != spec => taken(),
+            _ => answer,
+        }
+    }
+
+    /// Asks for the end of a job.
+    pub fn cancel(&self, job: &JobId) -> JobAnswer {
+        let known = {
+            let ledger = lock(&self.cx.ledger);
+            let cancelled = ledger.jobs.live(job).map(|l| l.cancelled);
+            cancelled.or(ledger.jobs.ended(job).map(|_| true))
+        };
+        match known {
+            None => not_run(JobRefusal::UnknownJob, None),
+            Some(true) => JobAnswer::Accepted { job: job.clone() },
+            Some(false) => {
+                let body = RecordBody::JobCancelled { job: job.clone() };
+                self.append(job.clone(), body)
+            }
+        }
+    }
+
+    /// Returns what is known of a job.
+    pub fn job(&self, job: &JobId) -> Option<JobStatus> {
+        let ledger = lock(&self.cx.ledger);
+        if let Some(live) = ledger.jobs.live(job) {
+            return Some(status(live));
+        }
+        let end = ledger.jobs.ended(job)?;
+        Some(JobStatus {
+            job: job.clone(),
+            state: JobState::from(end),
+            attempt: 0,
+            placements: Vec::new(),
+            workspace: None,
+            urgency: None,
+        })
+    }
+
+    /// Returns the live jobs in the order of their acceptance.
+    pub fn jobs(&self) -> JobsAnswer {
+        let ledger = lock(&self.cx.ledger);
+        let mut live: Vec<&LiveJob> = ledger.jobs.all_live().collect();
+        live.sort_by_key(|l| l.accepted);
+        JobsAnswer {
+            jobs: live.into_iter().map(status).collect(),
+        }
+    }
+
+    /// Takes no job from now on and plans no more. Gangs go on under the next planner.
+    pub fn stop(&self) {
+        self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Carries out an action while the table is locked, so that a record can't be folded before
+    /// the planner knows its id. None of this waits.
+    fn follow(&self, table: &mut GangTable, action: PlannerAction, carried: &mut Vec<Item>) {
+        match action {
+            PlannerAction::Send(Notice { to, message }) => self.send(&to, message),
+            PlannerAction::Append { body, purpose } => {
+                let id = self.cx.appender.append(*body);
+                table.appended(id, purpose);
+            }
+            PlannerAction::Carry(item) => carried.push(item),
+        }
+    }
+
+    /// Repeats a state as the ledger has it now.
+    fn carry(&self, item: Item) {
+        let body = {
+            let ledger = lock(&self.cx.ledger);
+            carried_body(&ledger, &item)
+        };
+        if let Some(body) = body {
+            let mut table = lock(&self.table);
+            let id = self.cx.appender.append(RecordBody::Carried(body));
+            table.appended(id, Purpose::Carry(item));
+        }
+    }
+
+    /// Returns the answer to a job that is not to be put on the log.
+    fn refuse(&self, job: &JobId, spec: &JobSpec) -> Option<JobAnswer> {
+        if self.leaving.load(Ordering::Relaxed) {
+            return Some(not_run(JobRefusal::Leaving, Some(RETRY_FRESH_MS)));
+        }
+        if !is_job_name(job) {
+            let rule = "a job's name has up to 128 letters, digits, '.', '_' and '-'";
+            return Some(not_run(JobRefusal::Malformed(rule.to_owned()), None));
+        }
+        if !self.cx.is_fresh() {
+            return Some(not_run(JobRefusal::NotFresh, Some(RETRY_FRESH_MS)));
+        }
+        {
+            let ledger = lock(&self.cx.ledger);
+            if let Some(live) = ledger.jobs.live(job) {
+                let same = live.spec == *spec;
+                return Some(if same { accepted(job) } else { taken() });
+            }
+            if ledger.jobs.ended(job).is_some() {
+                return Some(accepted(job));
+            }
+            let version = ledger.history.current();
+            if version.workspace(&spec.workspace).is_none() {
+                return Some(not_run(JobRefusal::UnknownWorkspace, None));
+            }
+            if ledger.jobs.all_live().count() >= version.limits.live_jobs as usize {
+                return Some(not_run(JobRefusal::TooManyJobs, Some(RETRY_LIMIT_MS)));
+            }
+        }
+        let why = lock(&self.table).possible(spec).err()?;
+        Some(not_run(JobRefusal::Impossible(why), None))
+    }
+
+    fn append(&self, job: JobId, body: RecordBody) -> JobAnswer {
+        match self.cx.appender.append_and_wait(body, ACCEPT_WAIT) {
+            Ok(_) => JobAnswer::Accepted { job },
+            Err(AppendError::Refused(_)) => not_run(JobRefusal::LogUnavailable, Some(RETRY_LOG_MS)),
+            Err(AppendError::Uncertain) => JobAnswer::Unknown { job },
+        }
+    }
+
+    fn new_id(&self) -> JobId {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let Peer {
+            name, incarnation, ..
+        } = &self.cx.identity;
+        format!("{name}-{incarnation:x}-{number}").into()
+    }
+
+    fn send(&self, to: &Name, message: GangMessage) {
+        // What is lost here is sent again: orders until they are followed, renewals with the next
+        // heartbeat, and a gang that is not told that it is broken stops at the end of its lease.
+        if let Err(error) = self.cx.links.send(to, Message::Gang(message)) {
+            log::debug!(to:% = to, error:% = error; "gang_message_not_sent");
+        }
+    }
+}
+
+fn is_job_name(name: &str) -> bool {
+    let is_plain = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '_' | '-');
+    !name.is_empty() && name.len() <= JOB_NAME && name.chars().all(is_plain)
+}
+
+fn status(live: &LiveJob) -> JobStatus {
+    JobStatus {
+        job: live.job.clone(),
+        state: if live.is_placed() {
+            JobState::Running
+        } else {
+            JobState::Waiting
+        },
+        attempt: live.attempt,
+        placements: live.placements.clone(),
+        workspace: Some(live.spec.workspace.clone()),
+        urgency: Some(live.spec.urgency),
+    }
+}
+
+fn accepted(job: &JobId) -> JobAnswer {
+    JobAnswer::Accepted { job: job.clone() }
+}
+
+fn taken() -> JobAnswer {
+    let rule = "the name is that of another job";
+    not_run(JobRefusal::Malformed(rule.to_owned()), None)
+}
+
+fn not_run(reason: JobRefusal, retry_after_ms: Option<u64>) -> JobAnswer {
+    JobAnswer::NotRun {
+        reason,
+        retry_after_ms,
+    }
+}
--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 
 use crate::{
-    connection::{Carried, LogRecord, Record, RecordBody, open},
+    connection::{Carried, LogRecord, OpenError, Record, RecordBody, editor_of, open},
     job::JobBook,
     process::Membership,
     utils::{HashSet, Name},
-    version::{History, Verdict},
+    version::{History, LoggedEdit, Verdict},
 };
 
 /// Ids of records that are remembered to drop a second copy. A copy comes from a writer that
@@ -27,6 +27,9 @@
     /// The jobs.
     pub jobs: JobBook,
     next_offset: u64,
+    gaps: u64,
+    /// Whether a planner's record was seen since the last gap.
+    planned: bool,
     ids: HashSet<Name>,
     id_order: VecDeque<Name>,
     kept: VecDeque<LogRecord>,
@@ -39,6 +42,9 @@
     pub offset: u64,
     /// The record.
     pub record: Record,
+    /// Whether its author had the authority for it. A planner's record that follows its
+    /// successor's claim is folded, so that whoever waits for it sees it, and changes nothing.
+    pub in_effect: bool,
     /// The verdict, where it is an edit.
     pub verdict: Option<Verdict>,
 }
@@ -51,25 +57,45 @@
 
     /// Folds `raw` if it is the next record; returns what it was, or none where it was skipped.
     pub fn fold(&mut self, raw: &LogRecord, secret: &str) -> Option<Folded> {
+        self.fold_with(raw, |data| open(data, secret))
+    }
+
+    /// Folds `raw` as [`fold`](Self::fold) does, where `open` opens its seal.
+    pub fn fold_with(
+        &mut self,
+        raw: &LogRecord,
+        open: impl FnOnce(&str) -> Result<Record, OpenError>,
+    ) -> Option<Folded> {
         if raw.offset != self.next_offset {
             return None;
         }
         self.next_offset += 1;
         self.keep(raw);
-        let record = match open(&raw.data, secret) {
+        let record = match open(&raw.data) {
             Ok(record) => record,
             Err(error) => {
                 log::warn!(offset = raw.offset, error:% = error; "record_skipped");
                 return None;
             }
         };
-        if !self.is_new(&record.id) {
+        // The configuration drops copies of edits by a rule of its own, which is alike in a
+        // process that started late and remembers fewer ids.
+        if !matches!(record.body, RecordBody::Edit(_)) && !self.is_new(&record.id) {
             return None;
         }
-        let verdict = self.apply(raw.offset, &record);
+        self.planned |= record.body.planner_term().is_some();
+        let in_effect = self.has_authority(&record);
+        let verdict = if in_effect {
+            self.apply(raw.offset, &record)
+        } else {
+            let author = &record.author;
+            log::warn!(offset = raw.offset, author:% = author; "record_without_authority_skipped");
+            None
+        };
         Some(Folded {
             offset: raw.offset,
             record,
+            in_effect,
             verdict,
         })
     }
@@ -77,15 +103,44 @@
     /// Goes on at `first` where the log has dropped the records before it.
     ///
     /// The planner carries what is live forward before the log drops it, so the tables are whole
-    /// again once the records from `first` on are folded.
+    /// again once the records from `first` on are folded. What was known before may have ended in
+    /// between, so the jobs begin anew, with those that are carried.
     pub fn skip_to(&mut self, first: u64) {
         if first > self.next_offset {
             log::warn!(from = self.next_offset, to = first; "log_gap");
             self.next_offset = first;
+            self.gaps += 1;
+            self.planned = false;
             self.kept.clear();
+            self.history.gap(first);
+            self.membership.gap();
+            self.jobs = JobBook::default();
+        }
+    }
+
+    /// Takes note that all records up to the log's head are folded.
+    ///
+    /// Where a process began in the middle of the log and met nothing that a planner wrote, the
+    /// system is new and the log was used for something else before. Without this rule nobody
+    /// would ever be planner there.
+    pub fn reached_head(&mut self) {
+        if !self.membership.is_whole() && !self.planned {
+            log::info!(offset = self.next_offset; "new_deployment");
+            self.membership.begin();
+            self.history.begin();
         }
     }
 
+    /// Returns whether nothing is missing that the log may have said.
+    pub fn is_whole(&self) -> bool {
+        self.membership.is_whole() && self.history.is_whole()
+    }
+
+    /// Counts the gaps after which the tables began anew.
+    pub fn gaps(&self) -> u64 {
+        self.gaps
+    }
+
     /// Returns kept records from `from` on, `most` at the most; none where they are not all kept.
     pub fn kept_from(&self, from: u64, most: usize) -> Vec<LogRecord> {
         let Some(first) = self.kept.front().map(|r| r.offset) else {
@@ -102,10 +157,23 @@
     ///
     /// A planner that was frozen may append after its successor has claimed the next term. Its
     /// record then stands behind the claim on the log, and every process skips it alike.
+    ///
+    /// An editor holds a key as well, and could otherwise write a planner's records with it.
     fn has_authority(&self, record: &Record) -> bool {
+        let is_edit = matches!(record.body, RecordBody::Edit(_));
+        if !is_edit && editor_of(&record.author).is_some() {
+            return false;
+        }
         let membership = &self.membership;
+        if let RecordBody::Term { entry, .. } = &record.body {
+            return *entry == record.author;
+        }
         match record.body.planner_term() {
-            None => true,
+            // Until it knows the planner, a process can't tell which job records are in effect.
+            None => membership.is_whole() || !is_about_job(&record.body),
+            Some(term) if matches!(record.body, RecordBody::Carried(Carried::Job { .. })) => {
+                membership.is_whole() && term >= membership.term()
+            }
             Some(term) if matches!(record.body, RecordBody::Carried(_)) => {
                 term >= membership.term()
             }
@@ -134,24 +202,27 @@
     }
 
     fn apply(&mut self, offset: u64, record: &Record) -> Option<Verdict> {
-        if !self.has_authority(record) {
-            log::warn!(offset = offset, author:% = record.author; "record_of_old_term_skipped");
-            return None;
-        }
         self.membership.fold(offset, &record.body);
         self.jobs.fold(offset, &record.body);
         match &record.body {
-            RecordBody::Edit(edit) => Some(self.history.fold(offset, &record.author, edit)),
-            RecordBody::Carried(Carried::Configuration {
-                version,
-                sections,
-                document,
-                ..
-            }) => {
-                self.history.adopt(*version, sections, document);
+            RecordBody::Edit(edit) => self.history.fold(&LoggedEdit {
+                offset,
+                id: record.id.clone(),
+                editor: editor_of(&record.author).unwrap_or_else(|| record.author.clone()),
+                edit: edit.clone(),
+            }),
+            RecordBody::Carried(Carried::Configuration(carried)) => {
+                self.history.adopt(offset, carried);
                 None
             }
             _ => None,
         }
     }
 }
+
+fn is_about_job(body: &RecordBody) -> bool {
+    matches!(
+        body,
+        RecordBody::JobAccepted { .. } | RecordBody::JobCancelled { .. }
+    )
+}
--- a/dragonflyrun/src/process/roster.rs
+++ b/dragonflyrun/src/process/roster.rs
@@ -17,12 +17,18 @@
     pub peer: Peer,
     /// When it was last heard.
     pub heard: Timestamp,
+    /// A moment of this process's clock after which the peer was alive for certain, by the echo in
+    /// its heartbeats. Unlike `heard` it stays behind where heartbeats waited in a buffer while
+    /// this process was frozen, so leases and freshness are reckoned from it.
+    pub confirmed: Option<Timestamp>,
     /// Its clock in its last heartbeat.
     pub sent_ms: u64,
     /// What it knows of the log.
     pub log: LogView,
     /// Its last report; none before the first.
     pub report: Option<Report>,
+    /// Differs from what it was whenever the report may differ from what it was.
+    pub report_number: u64,
     /// Whether it is linked now.
     pub linked: bool,
 }
@@ -31,6 +37,7 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     peers: HashMap<Name, PeerState>,
+    reports: u64,
 }
 
 impl Roster {
@@ -39,9 +46,11 @@
         let state = PeerState {
             peer: peer.clone(),
             heard: now,
+            confirmed: None,
             sent_ms: 0,
             log: LogView::default(),
             report: None,
+            report_number: 0,
             linked: true,
         };
         self.peers.insert(peer.name.clone(), state);
@@ -62,10 +71,14 @@
             return;
         };
         state.heard = now;
+        let echo = heartbeat.echo_ms.map(Timestamp::from_millis);
+        state.confirmed = state.confirmed.max(echo.filter(|at| *at <= now));
         state.sent_ms = heartbeat.sent_ms;
         state.log = heartbeat.log;
         if let Some(report) = heartbeat.report {
-            state.report = Some(report);
+            state.take(report);
+            self.reports += 1;
+            state.report_number = self.reports;
         }
     }
 
@@ -80,6 +93,16 @@
         self.peers.get(name)
     }
 
+    /// Returns whether `name` may get work now.
+    pub fn is_live(&self, now: Timestamp, name: &Name) -> bool {
+        self.peers.get(name).is_some_and(|p| p.is_live(now))
+    }
+
+    /// Returns all peers of `role`, silent ones among them.
+    pub fn of_role(&self, role: Role) -> impl Iterator<Item = &PeerState> {
+        self.peers.values().filter(move |p| p.peer.role == role)
+    }
+
     /// Returns the peers of `role` that may get work now: linked, not silent, not leaving.
     pub fn live(&self, now: Timestamp, role: Role) -> impl Iterator<Item = &PeerState> {
         self.peers
@@ -109,12 +132,21 @@
         self.linked && now.since(self.heard) <= SILENCE && !self.is_leaving()
     }
 
+    fn take(&mut self, report: Report) {
+        match (report, &mut self.report) {
+            (Report::Backends(backends), Some(Report::Agent(known))) => known.backends = backends,
+            // A part without the whole before it says too little; a link carries the whole first.
+            (Report::Backends(_), _) => {}
+            (whole, known) => *known = Some(whole),
+        }
+    }
+
     /// Returns whether the peer has said that it is stopping.
     pub fn is_leaving(&self) -> bool {
         match &self.report {
             Some(Report::Agent(report)) => report.leaving,
             Some(Report::Entry(report)) => report.leaving,
-            None => false,
+            Some(Report::Backends(_)) | None => false,
         }
     }
 }
--- /dev/null
+++ b/dragonflyrun/src/request/entry_table.rs
@@ -0,0 +1,263 @@
+//! All requests of one entry, from admission to the final answer.
+//!
+//! Three rules keep the answers true. "Not run" is said only of a request that was never handed to
+//! a link, or whose every agent has said that it did not and will not start it. What was handed
+//! over without such an answer is unknown once its deadline has passed or its agent is lost. And
+//! it is sent a second time only where the service may be repeated, or to the very same process of
+//! the agent, which knows the request again by its id.
+
+mod admission;
+mod answers;
+mod dispatch;
+mod keys;
+mod peers;
+mod state;
+
+use std::{
+    collections::BTreeSet,
+    sync::Arc,
+    time::Duration, //
+};
+
+use rand::{SeedableRng, rngs::SmallRng};
+
+use crate::{
+    connection::{Message, NotRun, Outcome, RequestId},
+    request::{AgentLoads, CallerRequest, RetryBudget, Ring},
+    utils::{HashMap, Name, Timestamp},
+    version::Version,
+};
+use keys::{Abandoned, Settlement};
+use state::{Dispatch, Due, Pending, ServiceState, Stage};
+
+/// Agents drawn for each choice; `benches/requests.rs` measures 1 and 2.
+const CHOICES: usize = 2;
+
+/// Pause after which a caller may find a backend server again.
+const NO_BACKEND_RETRY_MS: u64 = 1_000;
+
+/// Pause after which a caller may find another entry, or a failure domain back in service.
+const LEAVING_RETRY_MS: u64 = 500;
+
+/// Pause after which a caller is told to come back where no better estimate is known.
+const DEFAULT_RETRY_MS: u64 = 500;
+
+const MOST_RETRY_MS: u64 = 10_000;
+
+/// Time without any backend server of a service after which those who wait are refused. One
+/// heartbeat that comes late must not empty the queue.
+const NO_BACKEND_GRACE: Duration = Duration::from_secs(1);
+
+/// Time without a sign of life of our own that means that this process was frozen.
+const FROZEN: Duration = Duration::from_secs(1);
+
+/// Time after a freeze for which no key is claimed.
+///
+/// Requests that came during the freeze look like new ones, but their callers have given up and
+/// may have tried again elsewhere. A first attempt that comes so late can meet an owner that does
+/// not know of the second.
+const RESUMED: Duration = Duration::from_secs(1);
+
+/// What the entry is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EntryAction {
+    /// Hand a message to the link to a peer; where that fails, say so by [`EntryTable::unsent`].
+    Send {
+        /// The peer.
+        to: Name,
+        /// The message.
+        message: Message,
+    },
+    /// Hand over a message that the peer may have already; it does not matter if that fails.
+    Resend {
+        /// The peer.
+        to: Name,
+        /// The message.
+        message: Message,
+    },
+    /// Give the caller its final answer.
+    Answer {
+        /// The request.
+        number: u64,
+        /// The answer.
+        outcome: Outcome,
+    },
+    /// Count a retry.
+    Retried(NotRun),
+    /// Count an event for operators.
+    Event(&'static str),
+}
+
+/// What an entry reports of one service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServiceStats {
+    /// The service.
+    pub service: Name,
+    /// Requests that wait for a slot.
+    pub queued: usize,
+    /// Requests that agents have.
+    pub running: usize,
+}
+
+/// All requests of one entry.
+#[derive(Debug)]
+pub struct EntryTable {
+    entry: Name,
+    next_number: u64,
+    requests: HashMap<u64, Pending>,
+    dispatches: HashMap<u64, Dispatch>,
+    services: HashMap<Name, ServiceState>,
+    due: BTreeSet<Due>,
+    loads: AgentLoads,
+    budget: RetryBudget,
+    version: Arc<Version>,
+    ring: Ring,
+    ring_offset: u64,
+    abandoned: Vec<Abandoned>,
+    settlements: Vec<Settlement>,
+    leaving: bool,
+    seen_at: Option<Timestamp>,
+    resumed_until: Timestamp,
+    choices: usize,
+    rng: SmallRng,
+    out: Vec<EntryAction>,
+}
+
+impl EntryTable {
+    /// Returns a table without requests; `entry` is unique to this process, `seed` feeds the
+    /// random choices.
+    pub fn new(entry: Name, seed: u64) -> Self {
+        Self {
+            entry,
+            next_number: 0,
+            requests: HashMap::default(),
+            dispatches: HashMap::default(),
+            services: HashMap::default(),
+            due: BTreeSet::new(),
+            loads: AgentLoads::default(),
+            budget: RetryBudget::default(),
+            version: Arc::new(Version::new(0, crate::Document::default())),
+            ring: Ring::default(),
+            ring_offset: 0,
+            abandoned: Vec::new(),
+            settlements: Vec::new(),
+            leaving: false,
+            seen_at: None,
+            resumed_until: Timestamp::default(),
+            choices: CHOICES,
+            rng: SmallRng::seed_from_u64(seed),
+            out: Vec::new(),
+        }
+    }
+
+    /// Draws `choices` agents for each request in place of the usual number.
+    pub fn with_choices(mut self, choices: usize) -> Self {
+        self.choices = choices.max(1);
+        self
+    }
+
+    /// Decides under `version` from now on.
+    pub fn set_version(&mut self, version: Arc<Version>) {
+        self.version = version;
+    }
+
+    /// Refuses all new requests from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Returns whether each caller has its answer.
+    pub fn is_idle(&self) -> bool {
+        let answered = |p: &Pending| matches!(p.stage, Stage::Answered { .. });
+        self.requests.values().all(answered)
+    }
+
+    /// Returns what waits and runs, by service.
+    pub fn stats(&self) -> Vec<ServiceStats> {
+        let mut stats: Vec<ServiceStats> = self
+            .services
+            .iter()
+            .map(|(service, state)| ServiceStats {
+                service: service.clone(),
+                queued: state.queue.len(),
+                running: state.running,
+            })
+            .collect();
+        stats.sort_by(|a, b| a.service.cmp(&b.service));
+        stats
+    }
+
+    /// Takes in a caller's request; returns its number. The answer may be among the actions.
+    pub fn submit(&mut self, now: Timestamp, req: CallerRequest) -> u64 {
+        self.notice_freeze(now);
+        let number = self.number();
+        let repeat = req.key.is_some() && req.attempt > 1;
+        match self.admit(now, number, req) {
+            Ok(()) => {}
+            // An earlier attempt may have run: "not run" would be true of this attempt, but a
+            // caller would take it for the whole truth about its key.
+            Err(refusal) if repeat && refusal.reason != NotRun::Malformed => {
+                self.answer(number, Outcome::Unknown);
+            }
+            Err(refusal) => self.answer(number, refusal.outcome()),
+        }
+        number
+    }
+
+    /// Returns when a request is due, unless it has been answered.
+    pub fn deadline(&self, number: u64) -> Option<Timestamp> {
+        self.requests.get(&number).map(|p| p.deadline)
+    }
+
+    /// Returns the actions decided since the last call, in order.
+    pub fn take_actions(&mut self) -> Vec<EntryAction> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes note that this process runs at `now`; has to be called by whatever comes first after
+    /// a freeze.
+    fn notice_freeze(&mut self, now: Timestamp) {
+        if self.seen_at.is_some_and(|at| now.since(at) > FROZEN) {
+            self.resumed_until = now + RESUMED;
+        }
+        self.seen_at = Some(now);
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next_number += 1;
+        self.next_number
+    }
+
+    fn id(&self, number: u64) -> RequestId {
+        RequestId {
+            entry: self.entry.clone(),
+            number,
+        }
+    }
+
+    /// Gives the caller its final answer and forgets the request.
+    fn finish(&mut self, number: u64, outcome: Outcome) {
+        let Some(pending) = self.requests.remove(&number) else {
+            return;
+        };
+        let outcome = match outcome {
+            Outcome::NotRun { .. } if pending.may_have_run => Outcome::Unknown,
+            outcome => outcome,
+        };
+        self.due.remove(&Due {
+            at: pending.deadline,
+            number,
+        });
+        if let Some(state) = self.services.get_mut(&pending.service) {
+            state.queue.remove(&pending.waiting(number));
+        }
+        self.settle(number, &pending, &outcome);
+        if !matches!(pending.stage, Stage::Answered { .. }) {
+            self.answer(number, outcome);
+        }
+    }
+
+    fn answer(&mut self, number: u64, outcome: Outcome) {
+        self.out.push(EntryAction::Answer { number, outcome });
+    }
+}
