--- a/dragonflyrun/benches/measures/simulation/naive.rs
+++ b/dragonflyrun/benches/measures/simulation/naive.rs
@@ -30,7 +30,7 @@
 }
 
 impl Naive {
-    fn free(&self) -> Vec<(WorkerInfo, u32)> {
+    fn free(&self) -> Vec<(&WorkerInfo, u32)> {
         let mut free: BTreeMap<&Name, u32> = BTreeMap::new();
         for (name, (info, up)) in &self.workers {
             if *up && self.in_service(info) {
@@ -44,42 +44,62 @@
                 }
             }
         }
-        let info = |name: &Name| self.workers[name].0.clone();
+        let info = |name: &Name| &self.workers[name].0;
         free.into_iter()
             .map(|(name, left)| (info(name), left))
             .collect()
     }
 
+    /// Returns the waiting jobs that fit, the oldest first, with where they do.
+    fn that_fit(&self) -> Vec<(LiveJob, Vec<Placement>)> {
+        let mut free = self.free();
+        let mut fit = Vec::new();
+        for live in self.waiting.values() {
+            let Some(placements) = Self::first_fit(&free, &live.spec) else {
+                continue;
+            };
+            for p in &placements {
+                if let Some((_, left)) = free.iter_mut().find(|(info, _)| info.name == p.worker) {
+                    *left -= p.tasks * live.spec.accelerators;
+                }
+            }
+            fit.push((live.clone(), placements));
+        }
+        fit
+    }
+
     fn in_service(&self, info: &WorkerInfo) -> bool {
         let version = self.version.as_ref();
         version.is_some_and(|v| v.in_service(&info.failure_domain))
     }
 
-    /// Returns the first workers, in order of their names, that hold the job with its adjacency.
-    pub(crate) fn first_fit(free: &[(WorkerInfo, u32)], spec: &JobSpec) -> Option<Vec<Placement>> {
-        let scope = |info: &WorkerInfo| match spec.adjacency {
-            Adjacency::Any => Name::from(""),
-            Adjacency::FailureDomain => info.failure_domain.clone(),
-            Adjacency::Rack => info.rack.clone(),
-            Adjacency::Worker => info.name.clone(),
+    /// Returns the first workers, in their order, that hold the job with its adjacency.
+    pub(crate) fn first_fit(free: &[(&WorkerInfo, u32)], spec: &JobSpec) -> Option<Vec<Placement>> {
+        let near = |a: &WorkerInfo, b: &WorkerInfo| match spec.adjacency {
+            Adjacency::Any => true,
+            Adjacency::FailureDomain => a.failure_domain == b.failure_domain,
+            Adjacency::Rack => a.rack == b.rack,
+            Adjacency::Worker => a.name == b.name,
         };
-        let mut scopes: Vec<Name> = free.iter().map(|(info, _)| scope(info)).collect();
-        scopes.dedup();
-        scopes.into_iter().find_map(|wanted| {
-            let mut tasks = spec.tasks;
-            let mut placements = Vec::new();
-            for (info, left) in free.iter().filter(|(info, _)| scope(info) == wanted) {
-                let here = tasks.min(left / spec.accelerators);
-                if here > 0 {
-                    tasks -= here;
-                    placements.push(Placement {
-                        worker: info.name.clone(),
-                        tasks: here,
-                    });
-                }
+        let scopes = free.chunk_by(|(a, _), (b, _)| near(a, b));
+        let slots = |left: &u32| left / spec.accelerators;
+        let mut whole = scopes.filter(|scope| {
+            let slots: u32 = scope.iter().map(|(_, left)| slots(left)).sum();
+            slots >= spec.tasks
+        });
+        let mut tasks = spec.tasks;
+        let mut placements = Vec::new();
+        for (info, left) in whole.next()? {
+            let here = tasks.min(slots(left));
+            if here > 0 {
+                tasks -= here;
+                placements.push(Placement {
+                    worker: info.name.clone(),
+                    tasks: here,
+                });
             }
-            (tasks == 0).then_some(placements)
-        })
+        }
+        Some(placements)
     }
 }
 
@@ -122,7 +142,7 @@
 
     fn is_possible(&self, spec: &JobSpec) -> bool {
         let workers = self.workers.values();
-        let empty: Vec<_> = workers.map(|(w, _)| (w.clone(), w.accelerators)).collect();
+        let empty: Vec<_> = workers.map(|(w, _)| (w, w.accelerators)).collect();
         Self::first_fit(&empty, spec).is_some()
     }
 
@@ -149,26 +169,15 @@
                 self.stopping.insert(job.clone());
             }
         }
-        let mut free = self.free();
-        let mut started = Vec::new();
-        for (age, live) in &self.waiting {
-            let Some(placements) = Self::first_fit(&free, &live.spec) else {
-                continue;
-            };
-            for p in &placements {
-                if let Some((_, left)) = free.iter_mut().find(|(info, _)| info.name == p.worker) {
-                    *left -= p.tasks * live.spec.accelerators;
-                }
-            }
-            let held = (live.spec.clone(), placements.clone());
+        for (live, placements) in self.that_fit() {
+            self.waiting.remove(&live.accepted);
+            let held = (live.spec, placements.clone());
             self.running.insert(live.job.clone(), held);
-            started.push(*age);
             decisions.push(Decision::Start {
-                job: live.job.clone(),
+                job: live.job,
                 placements,
             });
         }
-        self.waiting.retain(|age, _| !started.contains(age));
         decisions
     }
 }
--- a/dragonflyrun/benches/measures/simulation/world.rs
+++ b/dragonflyrun/benches/measures/simulation/world.rs
@@ -475,9 +475,9 @@
         assert_eq!(self.jobs[at].stage, Stage::Waits, "a job was started twice");
         let used = placements.iter().map(|p| {
             let worker = &self.workers[self.by_name[&p.worker]];
-            (worker.clone(), p.tasks * spec.accelerators)
+            (worker, p.tasks * spec.accelerators)
         });
-        let used: Vec<(WorkerInfo, u32)> = used.collect();
+        let used: Vec<(&WorkerInfo, u32)> = used.collect();
         let whole = Naive::first_fit(&used, &spec);
         assert!(whole.is_some(), "the placement is not near enough");
         for (worker, accelerators) in used {
@@ -524,7 +524,7 @@
     fn account_drain(&mut self, ms: u64, to: u64, able: u32) {
         let empty: Vec<_> = (0..self.workers.len())
             .filter(|w| self.is_able(*w))
-            .map(|w| (self.workers[w].clone(), self.workers[w].accelerators))
+            .map(|w| (&self.workers[w], self.workers[w].accelerators))
             .collect();
         let (mut demand, mut work) = (0, 0);
         for at in self.live.keys() {
@@ -548,11 +548,11 @@
         in_service && !self.dead[worker] && !self.fails(worker)
     }
 
-    fn idle(&self) -> Vec<(WorkerInfo, u32)> {
+    fn idle(&self) -> Vec<(&WorkerInfo, u32)> {
         let able = (0..self.workers.len()).filter(|w| self.is_able(*w));
         able.map(|w| {
             let free = self.workers[w].accelerators - self.held[w];
-            (self.workers[w].clone(), free)
+            (&self.workers[w], free)
         })
         .collect()
     }
