--- a/dragonflyrun/src/job/allotment.rs
+++ b/dragonflyrun/src/job/allotment.rs
@@ -1,20 +1,107 @@
-//! Keeping every guarantee allotted when workers come and go.
+//! Where guarantees are allotted: when workers come and go, and when jobs start elsewhere.
 
 use crate::{
     job::{
+        Shape,
         guarantee::{GuaranteeId, Guarantees},
         inventory::Inventory,
         packing::pack,
-        placement::Seat,
+        placement::{Part, Seat, pick, scope_of},
         slots::WorkerId,
     },
     utils::{HashMap, Name},
+    version::Adjacency,
 };
 
 /// Workers up to which the exact search is tried.
 const SMALL_CLUSTER: usize = 64;
 
 impl Guarantees {
+    /// Allots the tasks that a guarantee lacks, next to those it has; returns whether it is whole.
+    pub(super) fn complete(&mut self, inventory: &mut Inventory, id: GuaranteeId) -> bool {
+        let entry = &self.entries[id];
+        let allotted: u32 = entry.shares.iter().map(|s| s.tasks).sum();
+        let missing = entry.shape.tasks.saturating_sub(allotted);
+        if missing == 0 {
+            return true;
+        }
+        let shape = Shape {
+            tasks: missing,
+            ..entry.shape
+        };
+        let found = match entry.shares.first() {
+            None => inventory.open.find(&shape),
+            Some(share) => {
+                let at = inventory.open.seat(share.worker);
+                let seats = neighbours(inventory, &at, &shape);
+                pick(&seats, &shape).map(|plan| plan.parts)
+            }
+        };
+        let Some(parts) = found else { return false };
+        self.allot(inventory, id, &parts);
+        true
+    }
+
+    /// Moves the allotment of a guarantee without jobs so that it contains `parts`. Allotments
+    /// without jobs that are in the way are moved elsewhere; where one of them can't be, all
+    /// stays as it was.
+    pub(super) fn move_to(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+        parts: &[Part],
+        size: u32,
+    ) -> bool {
+        let entry = &self.entries[id];
+        if !entry.movable() {
+            return false;
+        }
+        let Some(wanted) = rounded(inventory, &entry.shape, parts, size) else {
+            return false;
+        };
+        let mut moved = vec![(id, self.take_back(inventory, id, |_| true))];
+        let done = self.clear(inventory, id, &wanted, &mut moved)
+            && {
+                self.allot(inventory, id, &wanted);
+                self.complete(inventory, id)
+            }
+            && moved[1..]
+                .iter()
+                .all(|(other, _)| self.complete(inventory, *other));
+        if !done {
+            for (other, _) in &moved {
+                self.take_back(inventory, *other, |_| true);
+            }
+            for (other, before) in &moved {
+                self.allot(inventory, *other, before);
+            }
+        }
+        done
+    }
+
+    /// Takes back allotments without jobs until `wanted` is open; adds them to `moved`.
+    fn clear(
+        &mut self,
+        inventory: &mut Inventory,
+        id: GuaranteeId,
+        wanted: &[Part],
+        moved: &mut Vec<(GuaranteeId, Vec<Part>)>,
+    ) -> bool {
+        let size = self.entries[id].shape.accelerators;
+        wanted.iter().all(|part| {
+            while inventory.open.value(part.worker) < part.tasks * size {
+                let in_the_way = self.on(part.worker).iter().copied();
+                let movable = in_the_way.filter(|o| *o != id && self.entries[*o].movable());
+                let Some(other) = movable.min_by_key(|o| self.entries[*o].accelerators()) else {
+                    return false;
+                };
+                let before = self.take_back(inventory, other, |_| true);
+                moved.push((other, before));
+            }
+            true
+        })
+    }
+
     /// Moves allotments away from the workers in `changed` that can't honour them, and allots
     /// what is not allotted yet. Returns whether all guarantees are allotted.
     pub(super) fn settle(&mut self, inventory: &mut Inventory, changed: &[WorkerId]) -> bool {
@@ -150,6 +237,39 @@
     }
 }
 
+/// Returns the tasks of `shape` that cover `parts`, if they are near enough to each other and no
+/// more than the shape has.
+fn rounded(inventory: &Inventory, shape: &Shape, parts: &[Part], size: u32) -> Option<Vec<Part>> {
+    let scope = |p: &Part| scope_of(&inventory.open.seat(p.worker), shape.adjacency);
+    let first = parts.first().map(scope)?;
+    if parts.iter().any(|p| scope(p) != first) {
+        return None;
+    }
+    let wanted: Vec<Part> = parts
+        .iter()
+        .map(|part| Part {
+            worker: part.worker,
+            tasks: (part.tasks * size).div_ceil(shape.accelerators),
+        })
+        .collect();
+    let tasks: u32 = wanted.iter().map(|p| p.tasks).sum();
+    (tasks <= shape.tasks).then_some(wanted)
+}
+
+/// Returns workers near enough to `at` to take the rest of `shape`, those with most room first.
+fn neighbours(inventory: &mut Inventory, at: &Seat, shape: &Shape) -> Vec<Seat> {
+    let most = shape.tasks as usize;
+    match shape.adjacency {
+        Adjacency::Worker => vec![*at],
+        Adjacency::Rack => inventory.open.rack_of(at.worker),
+        Adjacency::FailureDomain => {
+            let mut domains = inventory.open.roomiest_by_domain(most);
+            domains.swap_remove(at.domain)
+        }
+        Adjacency::Any => inventory.open.roomiest(most),
+    }
+}
+
 /// What a workspace has of what it was promised, in accelerators.
 #[derive(Clone, Copy, Debug, Default)]
 struct Satisfied {
--- /dev/null
+++ b/dragonflyrun/src/job/holding.rs
@@ -0,0 +1,152 @@
+//! What jobs hold or have been pledged, and how they come by it and let it go.
+
+use crate::{
+    job::{
+        JobId, Scheduler,
+        placement::Part,
+        queue::Aged,
+        scheduler::{Entry, Hold, Stage},
+        slots::WorkerId,
+    },
+    utils::{Name, Timestamp},
+};
+
+impl Scheduler {
+    /// Returns the accelerators that jobs of `workspace` hold or were pledged.
+    pub(super) fn used_by(&self, workspace: &Name) -> u32 {
+        let jobs = self.holding.get(workspace).into_iter().flatten();
+        let entries = jobs.filter_map(|(_, job)| self.jobs.get(job));
+        entries.map(Entry::accelerators).sum()
+    }
+
+    /// Gives `job` the accelerators at `parts`.
+    pub(super) fn hold(&mut self, now: Timestamp, job: &JobId, parts: Vec<Part>) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        for part in &parts {
+            let accelerators = part.tasks.saturating_mul(entry.spec.accelerators);
+            self.inventory.hold(part.worker, job, accelerators);
+        }
+        entry.stage = Stage::Holds(Hold {
+            parts,
+            since: now,
+            stopping: false,
+        });
+        let aged = (entry.accepted, job.clone());
+        let holding = self.holding.entry(entry.spec.workspace.clone());
+        holding.or_default().insert(aged);
+    }
+
+    /// Holds what running gangs have on a worker that is heard for the first time.
+    pub(super) fn hold_unheard(&mut self, worker: WorkerId) {
+        let name = self.inventory.worker(worker).info.name.clone();
+        for (job, tasks) in self.unheard.remove(&name).unwrap_or_default() {
+            // What covers it covers only the members known so far.
+            self.uncover(&job);
+            let Some(entry) = self.jobs.get_mut(&job) else {
+                continue;
+            };
+            let Stage::Holds(hold) = &mut entry.stage else {
+                continue;
+            };
+            hold.parts.push(Part { worker, tasks });
+            let accelerators = tasks.saturating_mul(entry.spec.accelerators);
+            self.inventory.hold(worker, &job, accelerators);
+            if hold.stopping {
+                let given_back = i64::from(accelerators);
+                self.inventory.stopping(worker, given_back);
+            }
+            self.uncovered.insert(entry.spec.workspace.clone());
+        }
+    }
+
+    /// Takes back what a job holds or was pledged; it waits from then on, but outside the queue.
+    pub(super) fn let_go(&mut self, job: &JobId) {
+        self.uncover(job);
+        for members in self.unheard.values_mut() {
+            members.retain(|(other, _)| other != job);
+        }
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let size = entry.spec.accelerators;
+        let aged = (entry.accepted, job.clone());
+        let workspace = entry.spec.workspace.clone();
+        match std::mem::replace(&mut entry.stage, Stage::Waits) {
+            Stage::Waits => return,
+            Stage::Pledged(parts) => {
+                for part in parts {
+                    let pledged = i64::from(part.tasks * size);
+                    self.inventory.pledge(part.worker, -pledged);
+                }
+                self.pledged.remove(&aged);
+            }
+            Stage::Holds(hold) => {
+                for part in hold.parts {
+                    let held = self.inventory.worker(part.worker).of(job);
+                    if hold.stopping {
+                        self.inventory.stopping(part.worker, -i64::from(held));
+                    }
+                    self.inventory.release(part.worker, job);
+                }
+            }
+        }
+        if let Some(holding) = self.holding.get_mut(&workspace) {
+            holding.remove(&aged);
+        }
+        self.uncovered.insert(workspace);
+    }
+
+    /// Takes note that `job` is covered no longer.
+    pub(super) fn uncover(&mut self, job: &JobId) {
+        let Some(entry) = self.jobs.get_mut(job) else {
+            return;
+        };
+        let Some(id) = entry.cover.take() else { return };
+        let size = entry.spec.accelerators;
+        let parts = match &entry.stage {
+            Stage::Waits => return,
+            Stage::Pledged(parts) => parts,
+            Stage::Holds(hold) => &hold.parts,
+        };
+        self.guarantees.uncover(id, job, parts, size);
+        let parts = parts.clone();
+        if self.guarantees.entries[id].temporary
+            && let Some(moved) = self.guarantees.drop_temporary(&mut self.inventory, id)
+        {
+            for other in moved.jobs {
+                if let Some(entry) = self.jobs.get_mut(&other) {
+                    entry.cover = Some(moved.to);
+                }
+            }
+        }
+        let Some(entry) = self.jobs.get(job) else {
+            return;
+        };
+        self.changed.extend(parts.iter().map(|p| p.worker));
+        self.uncovered.insert(entry.spec.workspace.clone());
+    }
+
+    /// Takes back the pledges on a worker; those jobs look for room elsewhere.
+    pub(super) fn drop_pledges_on(&mut self, worker: WorkerId) {
+        let jobs: Vec<Aged> = self.pledged.iter().cloned().collect();
+        for (_, job) in jobs {
+            let parts = match self.jobs.get(&job).map(|e| &e.stage) {
+                Some(Stage::Pledged(parts)) => parts,
+                _ => continue,
+            };
+            if parts.iter().any(|p| p.worker == worker) {
+                self.wait_again(&job);
+            }
+        }
+    }
+
+    /// Takes back what a job has and puts it into the queue.
+    pub(super) fn wait_again(&mut self, job: &JobId) {
+        self.let_go(job);
+        if let Some(entry) = self.jobs.get(job) {
+            self.queue.insert(&entry.spec, entry.accepted, job);
+        }
+    }
+}
--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -2,12 +2,15 @@
 
 mod allotment;
 mod book;
+mod covers;
 mod decision;
 mod election;
 mod estimate;
+mod eviction;
 mod gang;
 mod gang_id;
 mod guarantee;
+mod holding;
 mod inventory;
 mod member;
 mod members;
--- a/dragonflyrun/src/job/reservation.rs
+++ b/dragonflyrun/src/job/reservation.rs
@@ -10,7 +10,7 @@
 use crate::{
     job::{
         JobId, Scheduler,
-        pass::{Claim, may_evict},
+        eviction::{Claim, may_evict},
         placement::{Part, Seat, pick},
         queue::Aged,
         scheduler::{Entry, Stage},
