Ask of a reclaim that this very guarantee was given back

The reclaim test took any further held guarantee for an answer where the owner's job did not start; it now asks that the wanted one is held. Tried and reverted: a large gang that is protected takes its workspace's own guarantee along, so that both need room for the gang only. The promise goes first.

--- a/dragonflyrun/tests/guarantee_reclaim.rs
+++ b/dragonflyrun/tests/guarantee_reclaim.rs
@@ -372,9 +372,14 @@
             cluster.now = cluster.now + RECLAIM_TICK;
         }
         // Another job of the workspace may have taken it first.
-        let held = |c: &Self| c.scheduler.allotments().iter().filter(|a| a.held).count();
+        let unused = |c: &Self| {
+            let allotments = c.scheduler.allotments().into_iter();
+            let same = allotments
+                .filter(|a| a.workspace == wanted.workspace && a.shape == wanted.shape && !a.held);
+            same.count()
+        };
         assert!(
-            held(&cluster) > held(self),
+            unused(&cluster) < unused(self),
             "{wanted:?} was not given back in time"
         );
         Ok(())
