--- a/dragonflyrun/src/process/logging.rs
+++ b/dragonflyrun/src/process/logging.rs
@@ -8,7 +8,12 @@
 /// Starts logging to standard error; the environment variable `DRAGONFLYRUN_LOG` sets the level,
 /// `info` where it is absent.
 pub fn start() {
-    let env = Env::new().filter_or("DRAGONFLYRUN_LOG", "info");
+    start_at("info");
+}
+
+/// Starts logging as [`start`] does, at `level` where the environment variable is absent.
+pub fn start_at(level: &str) {
+    let env = Env::new().filter_or("DRAGONFLYRUN_LOG", level);
     Builder::from_env(env)
         .format(|f, record| {
             let now = f.timestamp_millis();
--- a/standins/src/editor.rs
+++ b/standins/src/editor.rs
@@ -39,6 +39,11 @@
         }
     }
 
+    /// Returns the editor's name.
+    pub fn name(&self) -> Name {
+        self.name.clone()
+    }
+
     /// Folds the whole log, as every process does.
     ///
     /// # Errors
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod harness;
 pub mod http;
 pub mod log;
+pub mod quickstart;
 pub mod relay;
 pub mod worker;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -4,6 +4,7 @@
     error::Error,
     io::{self, Write},
     net::SocketAddr,
+    path::PathBuf,
     process::ExitCode,
     thread,
     time::Duration, //
@@ -14,6 +15,7 @@
 use standins::{
     backend::{Backend, BackendSettings, Work},
     log::LogService,
+    quickstart,
     relay::{Relay, RelayControl},
     worker::{Checkpoints, Worker, WorkerSettings},
 };
@@ -41,6 +43,17 @@
     Backend(BackendArguments),
     /// A relay between two TCP ports.
     Relay(RelayArguments),
+    /// A whole deployment in this process, with jobs and requests.
+    Quickstart(QuickstartArguments),
+}
+
+#[derive(Options)]
+struct QuickstartArguments {
+    /// Print this help.
+    help: bool,
+    /// The folder of the example.
+    #[options(default = "examples/murtal", meta = "FOLDER")]
+    example: PathBuf,
 }
 
 #[derive(Options)]
@@ -115,7 +128,8 @@
 type MainResult = Result<(), Box<dyn Error>>;
 
 fn main() -> ExitCode {
-    env_logger::init();
+    // Warnings only, so that the output stays readable; the environment can ask for more.
+    dragonflyrun::process::logging::start_at("warn");
     let arguments = Arguments::parse_args_default_or_exit();
     let Some(command) = arguments.command else {
         println!("{}", Arguments::usage());
@@ -133,6 +147,12 @@
 
 fn run(command: Command) -> MainResult {
     match command {
+        Command::Quickstart(arguments) => {
+            if quickstart::run(&arguments.example)? {
+                return Ok(());
+            }
+            Err("the quick start found a fault".into())
+        }
         Command::Log(arguments) => {
             let log = LogService::start(arguments.listen.parse()?)?;
             serve(log.address())
--- /dev/null
+++ b/standins/src/quickstart/cluster.rs
@@ -0,0 +1,213 @@
+//! All processes of a deployment and of its platform, within this one process.
+
+use std::{
+    io,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    thread,
+    time::{Duration, Instant},
+};
+
+use dragonflyrun::{
+    connection::Role,
+    process::{Config, Daemon, Settings},
+    utils::Name,
+};
+
+use crate::{
+    backend::{Backend, BackendRecord, BackendSettings, Work},
+    caller::Caller,
+    editor::Editor,
+    log::LogService,
+    quickstart::{Plan, plan::WorkerPlan},
+    worker::{Checkpoints, Interval, Worker, WorkerSettings},
+};
+
+/// The secret of the deployment, which lives only as long as this process.
+const SECRET: &str = "a secret for as long as the quick start runs";
+
+const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// The lag with which workers report usage.
+const USAGE_LAG: Duration = Duration::from_secs(2);
+
+/// Time within which the deployment has to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Pause between two looks whether it is ready.
+const READY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A running deployment.
+pub(super) struct Cluster {
+    log: LogService,
+    editor: Editor,
+    entries: Vec<Daemon>,
+    sites: Vec<Site>,
+}
+
+/// A worker host with all that runs on it.
+struct Site {
+    worker: Worker,
+    backend: Backend,
+    agent: Daemon,
+}
+
+impl Cluster {
+    /// Starts all processes, puts the document on the log, and waits until all are at work.
+    pub(super) fn start(plan: &Plan) -> io::Result<Self> {
+        let log = LogService::start(ANY_PORT)?;
+        let editor = Editor::new(log.address(), &plan.deployment.editor, SECRET);
+        let entries = start_entries(plan, log.address())?;
+        let seeds: Vec<SocketAddr> = entries.iter().filter_map(Daemon::peers_addr).collect();
+        let sites = plan.deployment.workers.iter();
+        let sites = sites.map(|w| Site::start(w, log.address(), &seeds));
+        let cluster = Self {
+            sites: sites.collect::<io::Result<_>>()?,
+            entries,
+            editor,
+            log,
+        };
+        for named in &plan.sections {
+            cluster.editor.edit(&named.name, named.section.clone())?;
+        }
+        cluster.wait_until_ready(plan)?;
+        Ok(cluster)
+    }
+
+    /// Returns a caller of the entry of this number, which wraps around.
+    pub(super) fn caller(&self, number: usize) -> Caller {
+        let entry = &self.entries[number % self.entries.len()];
+        Caller::new(entry.http_addr()).with_key(&self.editor.name(), SECRET)
+    }
+
+    /// Returns the operator who may edit every section.
+    pub(super) fn editor(&self) -> &Editor {
+        &self.editor
+    }
+
+    /// Returns where the log service listens.
+    pub(super) fn log_address(&self) -> SocketAddr {
+        self.log.address()
+    }
+
+    /// Returns what the backend servers ran.
+    pub(super) fn backend_records(&self) -> Vec<BackendRecord> {
+        self.sites.iter().map(|s| s.backend.record()).collect()
+    }
+
+    /// Returns when which tasks ran on the workers.
+    pub(super) fn intervals(&self) -> Vec<Interval> {
+        self.sites.iter().flat_map(|s| s.worker.record()).collect()
+    }
+
+    /// Stops all processes of the system.
+    pub(super) fn stop(self) {
+        let stops = self.entries.into_iter();
+        let agents = self.sites.into_iter().map(|s| s.agent);
+        thread::scope(|scope| {
+            for daemon in stops.chain(agents) {
+                scope.spawn(|| daemon.stop());
+            }
+        });
+    }
+
+    fn wait_until_ready(&self, plan: &Plan) -> io::Result<()> {
+        let start = Instant::now();
+        while !self.is_ready(plan) {
+            if start.elapsed() > READY_TIMEOUT {
+                return Err(io::Error::other("the deployment did not become ready"));
+            }
+            thread::sleep(READY_PAUSE);
+        }
+        Ok(())
+    }
+
+    /// Returns whether every entry hears every agent, and each service answers a request. The
+    /// owners of keys take a moment after the start, until no earlier owner can be at work.
+    fn is_ready(&self, plan: &Plan) -> bool {
+        let workers = plan.deployment.workers.len();
+        let hears_all = |number: usize| {
+            let status = self.caller(number).status();
+            status.is_ok_and(|s| {
+                let live = s.peers.iter().filter(|p| p.live && p.role == Role::Agent);
+                s.fresh && s.planner.is_some() && live.count() == workers
+            })
+        };
+        let services = plan.workload.requests.iter().map(|r| &r.service);
+        (0..self.entries.len()).all(hears_all) && services.into_iter().all(|s| self.answers(s))
+    }
+
+    fn answers(&self, service: &str) -> bool {
+        let key = crate::editor::unique("ready");
+        let deadline = Duration::from_secs(1);
+        let reply = self
+            .caller(0)
+            .request(service, Some(&key), 1, deadline, b"{\"work_ms\":0}");
+        reply.is_done()
+    }
+}
+
+impl Site {
+    fn start(plan: &WorkerPlan, log: SocketAddr, seeds: &[SocketAddr]) -> io::Result<Self> {
+        let worker = Worker::start(WorkerSettings {
+            address: ANY_PORT,
+            name: plan.name.clone(),
+            accelerators: plan.accelerators,
+            failure_domain: plan.failure_domain.clone(),
+            usage_lag: USAGE_LAG,
+            checkpoints: Checkpoints::default(),
+        })?;
+        let agent = start_daemon(Config {
+            role: Some(Role::Agent),
+            failure_domain: Some(plan.failure_domain.clone()),
+            rack: Some(plan.rack.clone()),
+            worker: Some(worker.address().to_string()),
+            entries: Some(seeds.iter().map(ToString::to_string).collect()),
+            ..common(&plan.name, log)
+        })?;
+        let backend = Backend::start(BackendSettings {
+            address: ANY_PORT,
+            agent: Some(agent.http_addr()),
+            announced: None,
+            name: format!("{}-server", plan.name).into(),
+            service: plan.service.clone(),
+            slots: plan.slots,
+            connections: plan.connections,
+            work: Work::default(),
+        })?;
+        Ok(Self {
+            worker,
+            backend,
+            agent,
+        })
+    }
+}
+
+fn start_entries(plan: &Plan, log: SocketAddr) -> io::Result<Vec<Daemon>> {
+    let mut entries: Vec<Daemon> = Vec::new();
+    for name in &plan.deployment.entries {
+        let seeds = entries.iter().filter_map(Daemon::peers_addr);
+        let seeds = seeds.map(|a| a.to_string()).collect();
+        entries.push(start_daemon(Config {
+            role: Some(Role::Entry),
+            peers: Some(ANY_PORT.to_string()),
+            entries: Some(seeds),
+            ..common(name, log)
+        })?);
+    }
+    Ok(entries)
+}
+
+fn common(name: &Name, log: SocketAddr) -> Config {
+    Config {
+        name: Some(name.clone()),
+        http: Some(ANY_PORT.to_string()),
+        log: Some(log.to_string()),
+        secret: Some(SECRET.into()),
+        ..Config::default()
+    }
+}
+
+fn start_daemon(cfg: Config) -> io::Result<Daemon> {
+    let settings = Settings::check(cfg).map_err(io::Error::other)?;
+    Daemon::start(settings).map_err(io::Error::other)
+}
