Tell operators only what is true of their edits

Cause: an edit at offset 0 made version 0, the same as none: two administrators who began a deployment on an empty log could overwrite one another without notice, and a process could not tell the first document from no document. The publisher sent an edit again though it had not been able to look for its id.

Ruled out: rejecting an edit at offset 0, since a tool on an empty log would then need a second try.

--- a/dragonflyrun/src/connection/record.rs
+++ b/dragonflyrun/src/connection/record.rs
@@ -171,7 +171,7 @@
     /// The offset up to which the planner had folded the log when it took this state. Edits may
     /// stand between there and this record.
     pub as_of: u64,
-    /// The offset of the last accepted edit.
+    /// The offset after the last accepted edit.
     pub version: u64,
     /// The version of each section.
     pub sections: Vec<CarriedSection>,
@@ -186,7 +186,7 @@
 pub struct CarriedSection {
     /// The section.
     pub section: Name,
-    /// The offset of its last accepted edit.
+    /// The offset after its last accepted edit.
     pub version: u64,
 }
 
--- a/dragonflyrun/src/tool/commands/edit.rs
+++ b/dragonflyrun/src/tool/commands/edit.rs
@@ -203,12 +203,12 @@
     let section = section.clone();
     match published {
         Published::Judged {
-            offset,
+            version,
             verdict: Verdict::Accepted,
         } => EditAnswer::Accepted {
             section,
-            version: offset,
-            in_force: in_force_of(settings, offset),
+            version,
+            in_force: in_force_of(settings, version),
         },
         Published::Judged { verdict, .. } => EditAnswer::Rejected { section, verdict },
         Published::NotSent { reason } => EditAnswer::NotSent { section, reason },
--- a/dragonflyrun/src/tool/publisher.rs
+++ b/dragonflyrun/src/tool/publisher.rs
@@ -21,8 +21,8 @@
 pub enum Published {
     /// It is on the log, and every process reaches this verdict.
     Judged {
-        /// Its offset.
-        offset: u64,
+        /// The version that it makes if it is accepted.
+        version: u64,
         /// The verdict.
         verdict: Verdict,
     },
@@ -108,8 +108,8 @@
     ///
     /// Where the answer to an append is lost, the edit may be on the log. Sent again as a new edit
     /// it would be stale, and its editor would be told "refused" of what is in force. So the id is
-    /// looked up first, and what is sent again has the same id, of which every process drops a
-    /// second copy.
+    /// looked up first. What is sent again has the same id, as the first copy may still be on its
+    /// way; every process drops a second copy.
     pub fn publish(&mut self, edit: &Edit) -> Published {
         let id = new_id();
         let record = self.key.seal(&id, &RecordBody::Edit(edit.clone()));
@@ -119,9 +119,10 @@
         }
         let end = Instant::now() + self.patience;
         let mut sent = Sent::Not;
+        let mut is_absent = true;
         let mut reason = String::new();
         loop {
-            if sent != Sent::Yes {
+            if sent != Sent::Yes && is_absent {
                 match self.reader.log().append(std::slice::from_ref(&record)) {
                     Ok(_) => sent = Sent::Yes,
                     Err(error) => {
@@ -135,8 +136,11 @@
             if sent != Sent::Not {
                 match self.look_up(&id) {
                     Ok(Some(published)) => return published,
-                    Ok(None) => {}
-                    Err(error) => reason = error.to_string(),
+                    Ok(None) => is_absent = true,
+                    Err(error) => {
+                        is_absent = false;
+                        reason = error.to_string();
+                    }
                 }
             }
             if Instant::now() >= end {
@@ -164,7 +168,10 @@
                 offset,
                 verdict: Some(verdict),
                 ..
-            }) => Ok(Some(Published::Judged { offset, verdict })),
+            }) => {
+                let version = offset + 1;
+                Ok(Some(Published::Judged { version, verdict }))
+            }
             Some(_) => Ok(Some(Published::Unknown {
                 id: id.clone(),
                 reason: "the configuration before it is not known to this program".to_owned(),
--- a/dragonflyrun/src/version/tables.rs
+++ b/dragonflyrun/src/version/tables.rs
@@ -10,7 +10,7 @@
 /// One version of the configuration; immutable, shared by all that decide under it.
 #[derive(Clone, Debug)]
 pub struct Version {
-    /// The offset of the edit that made it.
+    /// The offset after the edit that made it; 0 before the first. It only grows.
     pub offset: u64,
     /// The document.
     pub document: Document,
@@ -45,7 +45,7 @@
 }
 
 impl Version {
-    /// Returns the version that `document` makes at `offset`.
+    /// Returns the version that `document` makes as of `offset`.
     pub fn new(offset: u64, document: Document) -> Self {
         let limits = document.sections.values().find_map(|s| s.limits);
         Self {
