Try the tool against a deployment of processes, and show hardware beside guarantees

Cause: the tool had not been run against a log and entries. An editor with a mistaken key and no secret was told "accepted" of an edit that every process skips, since it can't check seals itself. Status could not say whether the guarantees fit the hardware.

Change: without the secret an edit counts as accepted only once a process has it in force; status lists failure domains with live agents and accelerators (status.rs, entry_status.rs) and compares the sum with what is guaranteed; the time for which an edit is tried is a setting; standins/tests/operator_tool.rs: edits, drains, own and mistaken keys, frozen agents and entries, log faults, jobs and requests by the real tool.

--- a/dragonflyrun/src/process/entry_status.rs
+++ b/dragonflyrun/src/process/entry_status.rs
@@ -3,7 +3,8 @@
 use crate::{
     connection::{BackendReport, Report},
     process::{
-        EntryNode, PeerState, PeerStatus, ServiceStatus, StatusAnswer, WorkspaceStatus, lock,
+        DomainStatus, EntryNode, PeerState, PeerStatus, Roster, ServiceStatus, StatusAnswer,
+        WorkspaceStatus, lock,
     },
     utils::{HashMap, Name, Timestamp},
     version::Version,
@@ -29,6 +30,7 @@
         .flat_map(|(_, report)| report.backends.clone())
         .filter(|backend| !backend.leaving)
         .collect();
+    let failure_domains = failure_domains(now, &roster, &version);
     let peers = roster.all();
     let peers = peers.into_iter().map(|p| peer_status(now, p)).collect();
     drop(roster);
@@ -41,6 +43,7 @@
         planner,
         term,
         peers,
+        failure_domains,
         services: services(entry, &version, &backends),
         workspaces,
     }
@@ -61,6 +64,25 @@
     }
 }
 
+fn failure_domains(now: Timestamp, roster: &Roster, version: &Version) -> Vec<DomainStatus> {
+    let mut domains: Vec<DomainStatus> = version
+        .failure_domains()
+        .map(|domain| {
+            let agents = roster.agents(now);
+            let own = agents.filter(|(_, report)| report.failure_domain == domain.name);
+            let accelerators: Vec<u32> = own.map(|(_, report)| report.accelerators).collect();
+            DomainStatus {
+                failure_domain: domain.name.clone(),
+                in_service: domain.in_service,
+                agents: u32::try_from(accelerators.len()).unwrap_or(u32::MAX),
+                accelerators: accelerators.iter().sum(),
+            }
+        })
+        .collect();
+    domains.sort_by(|a, b| a.failure_domain.cmp(&b.failure_domain));
+    domains
+}
+
 fn services(
     entry: &EntryNode,
     version: &Version,
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -51,8 +51,8 @@
 pub use settings::{RoleSettings, Settings, SettingsError};
 pub use signal::wait_for_signal;
 pub use status::{
-    EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer, PeerStatus,
-    ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
+    DomainStatus, EDITOR_HEADER, JobAnswer, JobRefusal, JobState, JobStatus, JobsAnswer,
+    PeerStatus, ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
 };
 
 pub(crate) use agent::AgentNode;
--- a/dragonflyrun/src/process/status.rs
+++ b/dragonflyrun/src/process/status.rs
@@ -39,6 +39,9 @@
     pub term: u64,
     /// The other processes that it has heard, in order of their names.
     pub peers: Vec<PeerStatus>,
+    /// The failure domains of the document, in order of their names.
+    #[serde(default)]
+    pub failure_domains: Vec<DomainStatus>,
     /// The services of the document, in order of their names.
     pub services: Vec<ServiceStatus>,
     /// The workspaces of the document, in order of their names.
@@ -62,6 +65,19 @@
     pub leaving: bool,
 }
 
+/// A failure domain with what the entry that answers hears of its hardware.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DomainStatus {
+    /// The failure domain.
+    pub failure_domain: Name,
+    /// Whether tasks and requests may start in it.
+    pub in_service: bool,
+    /// Live agents in it.
+    pub agents: u32,
+    /// Accelerators of the workers beside them.
+    pub accelerators: u32,
+}
+
 /// A service as the entry that answers sees it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ServiceStatus {
--- a/dragonflyrun/src/tool/commands/edit.rs
+++ b/dragonflyrun/src/tool/commands/edit.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fmt,
-    time::{Duration, Instant}, //
+    time::Instant, //
 };
 
 use serde::Serialize;
@@ -10,7 +10,7 @@
 use crate::{
     connection::{AuthorKey, Carried, CarriedConfiguration, Edit, LogClient, RecordBody},
     tool::{
-        Exit, InForce, LogReader, Printed, Published, Publisher, ToolError, ToolSettings,
+        Exit, InForce, LogReader, Opener, Printed, Published, Publisher, ToolError, ToolSettings,
         commands::{document::whole, read_file},
         in_force,
         options::{EditOptions, RemoveOptions},
@@ -29,9 +29,6 @@
     },
 };
 
-/// How long an edit is tried while the log is down or slow.
-const PATIENCE: Duration = Duration::from_secs(10);
-
 /// What became of an edit.
 #[derive(Serialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
@@ -57,7 +54,8 @@
     },
     Unknown {
         section: Name,
-        id: Name,
+        /// The id of its record, where that is in doubt.
+        id: Option<Name>,
         reason: String,
     },
 }
@@ -113,7 +111,10 @@
             } => write!(
                 f,
                 "section {section}: not known whether it is accepted, and it may still be: \
-                 {reason}\nlook with `dragonflyrun show {section}` before trying again (edit {id})"
+                 {reason}\nlook with `dragonflyrun show {section}` before trying again{}",
+                id.as_ref()
+                    .map(|id| format!(" (edit {id})"))
+                    .unwrap_or_default()
             ),
         }
     }
@@ -173,7 +174,7 @@
 ) -> Result<Printed, ToolError> {
     let key = settings.key()?;
     let mut reader = LogReader::new(settings.log()?, settings.opener());
-    let mut publisher = Publisher::new(&mut reader, key, PATIENCE);
+    let mut publisher = Publisher::new(&mut reader, key, settings.patience);
     let history = match publisher.history() {
         Ok(history) => whole(history)?,
         Err(error) => {
@@ -205,21 +206,38 @@
         Published::Judged {
             version,
             verdict: Verdict::Accepted,
-        } => EditAnswer::Accepted {
-            section,
-            version,
-            in_force: in_force_of(settings, version),
-        },
+        } => accepted(settings, section, version),
         Published::Judged { verdict, .. } => EditAnswer::Rejected { section, verdict },
         Published::NotSent { reason } => EditAnswer::NotSent { section, reason },
         Published::Unknown { id, reason } => EditAnswer::Unknown {
             section,
-            id,
+            id: Some(id),
             reason,
         },
     }
 }
 
+/// Reports an edit that the tool's own fold has accepted.
+///
+/// Without the secret the tool can't check seals, its own no more than others'. With a mistaken
+/// key it would accept its own edit, which every process skips. So a process has to confirm it.
+fn accepted(settings: &ToolSettings, section: Name, version: u64) -> EditAnswer {
+    let in_force = in_force_of(settings, version);
+    let confirmed = in_force.as_ref().is_some_and(|i| i.has_any());
+    if matches!(settings.opener(), Opener::Unchecked) && !confirmed {
+        return EditAnswer::Unknown {
+            section,
+            id: None,
+            reason: "no process has confirmed it; is the key the editor's?".to_owned(),
+        };
+    }
+    EditAnswer::Accepted {
+        section,
+        version,
+        in_force,
+    }
+}
+
 fn in_force_of(settings: &ToolSettings, version: u64) -> Option<InForce> {
     let entries = settings.entries();
     (!entries.is_empty()).then(|| in_force::wait(version, entries, settings.timeout))
@@ -243,9 +261,9 @@
 ) -> Result<Printed, ToolError> {
     let key = settings.key()?;
     let mut reader = LogReader::new(settings.log()?, settings.opener());
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + settings.patience;
     loop {
-        let mut publisher = Publisher::new(&mut reader, key, PATIENCE);
+        let mut publisher = Publisher::new(&mut reader, key, settings.patience);
         let history = publisher.history().map_err(|error| {
             let what = format!("not sent, nothing has changed: {error}");
             ToolError::NotKnown(what)
--- a/dragonflyrun/src/tool/commands/status.rs
+++ b/dragonflyrun/src/tool/commands/status.rs
@@ -51,13 +51,11 @@
             fmt_services(entry, f)?;
         }
         if let Some(entry) = self.entries.first() {
+            fmt_domains(entry, f)?;
             fmt_workspaces(entry, f)?;
+            fmt_guarantees(entry, f)?;
         }
-        write!(
-            f,
-            "\nguarantees are what the document promises; whether the workers in service hold them \
-             all, compare with the slots and accelerators above"
-        )
+        Ok(())
     }
 }
 
@@ -118,6 +116,39 @@
     Ok(())
 }
 
+fn fmt_domains(entry: &StatusAnswer, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    writeln!(
+        f,
+        "\n{:<20} {:<10} {:>11} {:>12}",
+        "FAILURE DOMAIN", "SERVICE", "LIVE AGENTS", "ACCELERATORS"
+    )?;
+    for domain in &entry.failure_domains {
+        let service = if domain.in_service { "in" } else { "out" };
+        writeln!(
+            f,
+            "{:<20} {service:<10} {:>11} {:>12}",
+            domain.failure_domain, domain.agents, domain.accelerators
+        )?;
+    }
+    Ok(())
+}
+
+/// Compares what the document promises with what there is, which the document alone can't tell.
+fn fmt_guarantees(entry: &StatusAnswer, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    let guaranteed = entry.workspaces.iter().map(|w| w.guaranteed_accelerators);
+    let guaranteed: u32 = guaranteed.sum();
+    let domains = entry.failure_domains.iter().filter(|d| d.in_service);
+    let there: u32 = domains.map(|d| d.accelerators).sum();
+    write!(
+        f,
+        "\nguaranteed {guaranteed} of the {there} accelerators in service"
+    )?;
+    if guaranteed > there {
+        write!(f, ": NOT ALL GUARANTEES CAN BE HONOURED")?;
+    }
+    Ok(())
+}
+
 fn fmt_workspaces(entry: &StatusAnswer, f: &mut fmt::Formatter<'_>) -> fmt::Result {
     writeln!(
         f,
--- a/dragonflyrun/src/tool/in_force.rs
+++ b/dragonflyrun/src/tool/in_force.rs
@@ -106,6 +106,11 @@
             .filter(move |p| !p.live && p.version < version)
     }
 
+    /// Returns whether any process has the version.
+    pub fn has_any(&self) -> bool {
+        self.processes.iter().any(|p| p.version >= self.version)
+    }
+
     /// Returns whether an entry answered, and every live process has the version for all that
     /// the entries know.
     pub fn is_everywhere(&self) -> bool {
--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -83,7 +83,7 @@
     }
 }
 
-/// Options of `check`.
+/// Checks a document, or one section of it.
 #[derive(Debug, Options)]
 pub struct CheckOptions {
     /// print this help
@@ -99,7 +99,7 @@
     pub file: String,
 }
 
-/// Options of `edit`.
+/// Replaces a section by the content of a file.
 #[derive(Debug, Options)]
 pub struct EditOptions {
     /// print this help
@@ -107,8 +107,7 @@
     /// print JSON
     #[options(no_short)]
     pub json: bool,
-    /// the version of the section that the file was made from, as show printed it (default: the
-    /// current one)
+    /// the version that the file was made from (default: the current one)
     #[options(no_short, meta = "VERSION")]
     pub base: Option<u64>,
     /// the section
@@ -119,7 +118,7 @@
     pub file: String,
 }
 
-/// Options of `remove`.
+/// Removes a section.
 #[derive(Debug, Options)]
 pub struct RemoveOptions {
     /// print this help
@@ -135,7 +134,7 @@
     pub section: Name,
 }
 
-/// Options of `show`.
+/// Prints the document in force, or one section of it.
 #[derive(Debug, Options)]
 pub struct ShowOptions {
     /// print this help
@@ -148,7 +147,7 @@
     pub section: Option<Name>,
 }
 
-/// Options of `explain`.
+/// Says what the system will do, read off a document alone.
 #[derive(Debug, Options)]
 pub struct ExplainOptions {
     /// print this help
@@ -161,7 +160,7 @@
     pub file: Option<String>,
 }
 
-/// Options of `drain` and `return`.
+/// Takes a failure domain out of service, or returns it.
 #[derive(Debug, Options)]
 pub struct DomainOptions {
     /// print this help
@@ -174,7 +173,7 @@
     pub domain: Name,
 }
 
-/// Options of commands that take none of their own.
+/// This command takes no arguments.
 #[derive(Debug, Options)]
 pub struct PlainOptions {
     /// print this help
@@ -184,7 +183,7 @@
     pub json: bool,
 }
 
-/// Options of `submit`.
+/// Submits a job.
 #[derive(Debug, Options)]
 pub struct SubmitOptions {
     /// print this help
@@ -200,7 +199,7 @@
     pub file: String,
 }
 
-/// Options of `job` and `cancel`.
+/// Shows or cancels one job.
 #[derive(Debug, Options)]
 pub struct JobOptions {
     /// print this help
@@ -213,7 +212,7 @@
     pub job: Name,
 }
 
-/// Options of `request`.
+/// Sends a request to a service.
 #[derive(Debug, Options)]
 pub struct RequestOptions {
     /// print this help
@@ -238,7 +237,7 @@
     pub file: Option<String>,
 }
 
-/// Options of `issue-key`.
+/// Prints the key of an editor, derived from the deployment's secret.
 #[derive(Debug, Options)]
 pub struct IssueKeyOptions {
     /// print this help
--- a/dragonflyrun/src/tool/settings.rs
+++ b/dragonflyrun/src/tool/settings.rs
@@ -20,6 +20,7 @@
 const DEFAULT_FILE: &str = "dragonflyrun.json";
 
 const DEFAULT_TIMEOUT_MS: u64 = 2_000;
+const DEFAULT_PATIENCE_MS: u64 = 10_000;
 
 /// The settings file as it is written in JSON: every field is optional.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -37,6 +38,8 @@
     pub secret: Option<Name>,
     /// Milliseconds that the log or an entry has for an answer. Default: 2,000.
     pub timeout_ms: Option<u64>,
+    /// Milliseconds for which an edit is tried while the log is down. Default: 10,000.
+    pub patience_ms: Option<u64>,
 }
 
 /// Settings of which each command takes what it needs.
@@ -49,6 +52,8 @@
     secret: Option<Name>,
     /// How long the log or an entry has for an answer.
     pub timeout: Duration,
+    /// How long an edit is tried while the log is down or slow.
+    pub patience: Duration,
 }
 
 impl ToolSettings {
@@ -124,6 +129,7 @@
             key,
             secret: cfg.secret,
             timeout: Duration::from_millis(cfg.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS)),
+            patience: Duration::from_millis(cfg.patience_ms.unwrap_or(DEFAULT_PATIENCE_MS)),
         })
     }
 
--- a/dragonflyrun/src/version/explain/sentences.rs
+++ b/dragonflyrun/src/version/explain/sentences.rs
@@ -87,12 +87,13 @@
         Adjacency::Rack => "in one rack",
         Adjacency::Worker => "on one worker",
     };
+    let tasks = count(guarantee.tasks.into(), "task");
+    let each = if guarantee.tasks == 1 { "" } else { " each" };
+    let accelerators = count(guarantee.accelerators.into(), "accelerator");
+    let total = count(guarantee.total(), "accelerator");
     format!(
-        "It can have {} of {} each, {adjacency}, at any time ({} accelerators), also when others \
-         are using them.",
-        count(guarantee.tasks.into(), "task"),
-        count(guarantee.accelerators.into(), "accelerator"),
-        guarantee.total()
+        "It can have {tasks} of {accelerators}{each}, {adjacency}, at any time ({total} in all), \
+         also when others are using them."
     )
 }
 
--- /dev/null
+++ b/standins/tests/operator_tool.rs
@@ -0,0 +1,329 @@
+//! The operators' tool against a deployment of separate processes.
+
+#![allow(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+use std::{
+    path::PathBuf,
+    process::{Command, Output},
+};
+
+use serde_json::{Value, json};
+use standins::{
+    harness::{Deployment, EDITOR, SECRET, SERVICE, Signal, WORKSPACE, wait_until},
+    log::LogMode, //
+};
+
+/// The tool with its settings file.
+struct Tool {
+    dir: PathBuf,
+    settings: Value,
+}
+
+impl Tool {
+    fn new(name: &str, deployment: &Deployment) -> Self {
+        let entries: Vec<String> = deployment
+            .entries
+            .iter()
+            .map(|e| e.http.to_string())
+            .collect();
+        let settings = json!({
+            "log": deployment.log.address.to_string(),
+            "entries": entries,
+            "editor": EDITOR,
+            "secret": SECRET,
+            "timeout_ms": 1_000,
+            "patience_ms": 2_000,
+        });
+        let dir = std::env::temp_dir().join(format!("{name}-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let tool = Self { dir, settings };
+        tool.write("dragonflyrun.json", &tool.settings);
+        tool
+    }
+
+    fn write(&self, file: &str, content: &Value) {
+        std::fs::write(self.dir.join(file), content.to_string()).unwrap();
+    }
+
+    fn run(&self, arguments: &[&str]) -> Output {
+        let beside = PathBuf::from(env!("CARGO_BIN_EXE_standins"));
+        Command::new(beside.with_file_name("dragonflyrun"))
+            .current_dir(&self.dir)
+            .args(arguments)
+            .output()
+            .unwrap()
+    }
+
+    /// Runs a command with `--json`, and returns its exit code and what it printed.
+    fn json(&self, arguments: &[&str]) -> (i32, Value) {
+        let output = self.run(&[arguments, &["--json"]].concat());
+        let value = serde_json::from_slice(&output.stdout);
+        let value = value.unwrap_or_else(|e| panic!("{arguments:?}: {e}: {output:?}"));
+        (output.status.code().unwrap(), value)
+    }
+}
+
+impl Drop for Tool {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+fn section(owner: &str, domains: &[(&str, bool)]) -> Value {
+    let domains = domains.iter();
+    let domains =
+        domains.map(|(name, in_service)| json!({ "name": name, "in_service": in_service }));
+    json!({ "owners": [owner], "failure_domains": domains.collect::<Vec<_>>() })
+}
+
+fn everywhere(answer: &Value) -> bool {
+    let in_force = &answer["in_force"];
+    let version = in_force["version"].as_u64().unwrap();
+    let processes = in_force["processes"].as_array().unwrap();
+    let have = |p: &Value| p["version"].as_u64().unwrap() >= version;
+    processes.len() == 5 && processes.iter().all(have)
+}
+
+/// An operator's day: edits that are taken, stale or broken, a drain and its end, each reported
+/// with the processes that have it in force.
+#[test]
+fn edit_and_drain() {
+    let deployment = Deployment::builder().start();
+    let tool = Tool::new("edit-and-drain", &deployment);
+    let (exit, shown) = tool.json(&["show", "failure-domains"]);
+    assert_eq!(exit, 0);
+    let base = shown["version"].to_string();
+    let names = [("murau", true), ("judenburg", true), ("leoben", true)];
+    tool.write("domains.json", &section(EDITOR, &names));
+    let edit = ["edit", "--base", &base, "failure-domains", "domains.json"];
+    let (exit, accepted) = tool.json(&edit);
+    assert_eq!(
+        (exit, &accepted["outcome"]),
+        (0, &json!("accepted")),
+        "{accepted}"
+    );
+    assert!(everywhere(&accepted), "{accepted}");
+
+    let (exit, stale) = tool.json(&edit);
+    assert_eq!((exit, &stale["verdict"]), (1, &json!("stale")), "{stale}");
+    assert_eq!(stale["current"], accepted["version"]);
+
+    tool.write("broken.json", &json!({ "owners": [], "colour": "green" }));
+    let (exit, broken) = tool.json(&["edit", "failure-domains", "broken.json"]);
+    assert_eq!(
+        (exit, &broken["error"]),
+        (1, &json!("findings")),
+        "{broken}"
+    );
+    let (exit, taken) = tool.json(&["edit", "other", "domains.json"]);
+    assert_eq!((exit, &taken["verdict"]), (1, &json!("invalid")), "{taken}");
+
+    let (exit, drained) = tool.json(&["drain", "murau"]);
+    assert_eq!(
+        (exit, &drained["outcome"]),
+        (0, &json!("accepted")),
+        "{drained}"
+    );
+    assert!(everywhere(&drained), "{drained}");
+    let (exit, again) = tool.json(&["drain", "murau"]);
+    assert_eq!(
+        (exit, &again["outcome"]),
+        (0, &json!("unchanged")),
+        "{again}"
+    );
+    let (_, status) = tool.json(&["status"]);
+    let domains = status["entries"][0]["failure_domains"].as_array().unwrap();
+    let murau = domains.iter().find(|d| d["failure_domain"] == "murau");
+    assert_eq!(murau.unwrap()["in_service"], json!(false), "{status}");
+    let (exit, returned) = tool.json(&["return", "murau"]);
+    assert_eq!((exit, &returned["outcome"]), (0, &json!("accepted")));
+    let (exit, missing) = tool.json(&["drain", "graz"]);
+    assert_eq!(
+        (exit, &missing["error"]),
+        (1, &json!("refused")),
+        "{missing}"
+    );
+}
+
+/// An editor of one team holds its own key and not the secret, and may edit its own section only.
+/// With a mistaken key its edit is skipped by every process, and it must not be told otherwise.
+#[test]
+fn own_key() {
+    let deployment = Deployment::builder().start();
+    let tool = Tool::new("own-key", &deployment);
+    tool.write("team.json", &section("alice", &[("leoben", true)]));
+    let (exit, _) = tool.json(&["edit", "team", "team.json"]);
+    assert_eq!(exit, 0);
+    let key = tool.run(&["issue-key", "alice"]).stdout;
+    std::fs::write(tool.dir.join("alice.key"), key).unwrap();
+    let mut settings = tool.settings.clone();
+    let map = settings.as_object_mut().unwrap();
+    map.remove("secret");
+    map.insert("editor".to_owned(), json!("alice"));
+    tool.write("alice.json", &settings);
+    let alice = ["--config", "alice.json", "--key-file", "alice.key"];
+
+    let (exit, drained) = tool.json(&[&alice[..], &["drain", "leoben"]].concat());
+    assert_eq!(
+        (exit, &drained["outcome"]),
+        (0, &json!("accepted")),
+        "{drained}"
+    );
+    let (exit, other) = tool.json(&[&alice[..], &["drain", "murau"]].concat());
+    assert_eq!(
+        (exit, &other["verdict"]),
+        (1, &json!("not_owner")),
+        "{other}"
+    );
+
+    let mistaken = ["--config", "alice.json", "--key-file", "guess.key"];
+    std::fs::write(tool.dir.join("guess.key"), "ab".repeat(32)).unwrap();
+    let (exit, guess) = tool.json(&[&mistaken[..], &["return", "leoben"]].concat());
+    assert_eq!((exit, &guess["outcome"]), (3, &json!("unknown")), "{guess}");
+    let (exit, forbidden) = tool.json(&[&mistaken[..], &["jobs"]].concat());
+    assert_eq!(
+        (exit, &forbidden["error"]),
+        (1, &json!("refused")),
+        "{forbidden}"
+    );
+    assert!(
+        !deployment
+            .ledger()
+            .history
+            .current()
+            .in_service(&"leoben".into())
+    );
+}
+
+/// An agent is frozen while its failure domain is taken out, and an entry does not answer. The
+/// operator sees which processes have the drain in force, and which could not be asked.
+#[test]
+fn frozen_processes() {
+    let deployment = Deployment::builder().start();
+    let tool = Tool::new("frozen-processes", &deployment);
+    deployment.agents[0].child.signal(Signal::Stop);
+    let (exit, drained) = tool.json(&["drain", "murau"]);
+    assert_eq!(exit, 0, "{drained}");
+    let processes = drained["in_force"]["processes"].as_array().unwrap();
+    let frozen = processes.iter().find(|p| p["name"] == "worker-0").unwrap();
+    assert_eq!(frozen["live"], json!(false), "{drained}");
+    assert!(frozen["version"].as_u64() < drained["version"].as_u64());
+
+    deployment.entries[1].child.signal(Signal::Stop);
+    let (exit, returned) = tool.json(&["return", "murau"]);
+    assert_eq!(
+        (exit, &returned["outcome"]),
+        (3, &json!("accepted")),
+        "{returned}"
+    );
+    let silent = json!([deployment.entries[1].http.to_string()]);
+    assert_eq!(returned["in_force"]["unanswered"], silent);
+
+    deployment.entries[1].child.signal(Signal::Continue);
+    deployment.agents[0].child.signal(Signal::Continue);
+    wait_until("all processes to have the version in force", || {
+        let (_, status) = tool.json(&["status"]);
+        everywhere(&status) && status["in_force"]["unanswered"] == json!([])
+    });
+}
+
+/// The log takes an edit and its answer is lost; then the log is down and refuses all calls.
+#[test]
+fn log_faults() {
+    let deployment = Deployment::builder().start();
+    let tool = Tool::new("log-faults", &deployment);
+    deployment.set_log(LogMode::LoseAppends);
+    let (exit, drained) = tool.json(&["drain", "murau"]);
+    assert_eq!(
+        (exit, &drained["outcome"]),
+        (0, &json!("accepted")),
+        "{drained}"
+    );
+    deployment.set_log(LogMode::Refuse);
+    let (exit, refused) = tool.json(&["return", "murau"]);
+    assert_eq!(
+        (exit, &refused["error"]),
+        (3, &json!("not_known")),
+        "{refused}"
+    );
+    let (exit, _) = tool.json(&["show"]);
+    assert_eq!(exit, 3);
+    deployment.set_log(LogMode::Up);
+    assert!(
+        !deployment
+            .ledger()
+            .history
+            .current()
+            .in_service(&"murau".into())
+    );
+}
+
+/// A caller's jobs and requests by the tool.
+#[test]
+fn jobs_and_requests() {
+    let deployment = Deployment::builder().start();
+    let tool = Tool::new("jobs-and-requests", &deployment);
+    let job = |workspace: &str, accelerators: u32| {
+        json!({
+            "workspace": workspace,
+            "tasks": 2,
+            "accelerators": accelerators,
+            "program": "sleep:60000",
+        })
+    };
+    tool.write("job.json", &job(WORKSPACE, 2));
+    let (exit, accepted) = tool.json(&["submit", "--id", "volume-1", "job.json"]);
+    assert_eq!(
+        (exit, &accepted["outcome"]),
+        (0, &json!("accepted")),
+        "{accepted}"
+    );
+    let (exit, again) = tool.json(&["submit", "--id", "volume-1", "job.json"]);
+    assert_eq!(
+        (exit, &again["outcome"]),
+        (0, &json!("accepted")),
+        "{again}"
+    );
+    wait_until("the job to run", || {
+        tool.json(&["job", "volume-1"]).1["state"] == "running"
+    });
+    let (_, jobs) = tool.json(&["jobs"]);
+    assert_eq!(jobs["jobs"].as_array().unwrap().len(), 1, "{jobs}");
+    assert_eq!(tool.json(&["cancel", "volume-1"]).0, 0);
+    wait_until("the job to end", || {
+        tool.json(&["job", "volume-1"]).1["state"] == "cancelled"
+    });
+    tool.write("empty.json", &job(WORKSPACE, 0));
+    let (exit, empty) = tool.json(&["submit", "empty.json"]);
+    assert_eq!((exit, &empty["outcome"]), (1, &json!("not_run")), "{empty}");
+    tool.write("foreign.json", &job("nobody", 1));
+    let (exit, foreign) = tool.json(&["submit", "foreign.json"]);
+    assert_eq!((exit, &foreign["reason"]), (1, &json!("unknown_workspace")));
+    assert_eq!(tool.json(&["job", "volume-2"]).0, 1);
+
+    std::fs::write(tool.dir.join("load.txt"), "a load of spruce").unwrap();
+    let ask = |attempt: &str| {
+        tool.json(&[
+            "request",
+            "--key",
+            "k1",
+            "--attempt",
+            attempt,
+            SERVICE,
+            "load.txt",
+        ])
+    };
+    // Owners of keys that have just started grant none for a moment.
+    wait_until("the owner of the key to grant it", || {
+        ask("1").1["outcome"] == "done"
+    });
+    let (exit, first) = ask("1");
+    assert_eq!((exit, &first["outcome"]), (0, &json!("done")), "{first}");
+    assert_eq!(ask("2"), (0, first));
+    let (exit, unknown) = tool.json(&["request", "weighing"]);
+    assert_eq!(
+        (exit, &unknown["outcome"]),
+        (1, &json!("not_run")),
+        "{unknown}"
+    );
+}
