--- a/dragonflyrun/src/job/renewal.rs
+++ b/dragonflyrun/src/job/renewal.rs
@@ -42,9 +42,13 @@
     members: u32,
     states: HashMap<Name, MemberState>,
     running: u32,
-    finished: u32,
+    /// Members that have finished. They stay so when their agents are gone: the rest goes on.
+    finished: HashSet<Name>,
     lost: u32,
     late: u32,
+    /// Whether the members were told that it is broken. They are told once: each of them that
+    /// stops is lost in its turn, and whoever is not reached stops at the end of its lease.
+    told: bool,
 }
 
 /// The gangs and their members as one entry hears them.
@@ -79,12 +83,8 @@
             next.late = known.late;
         }
         self.join(agent, &next);
-        let notices = next
-            .members
-            .iter()
-            .filter(|m| is_lost(m.state))
-            .flat_map(|m| self.broken(&m.gang))
-            .collect();
+        let lost = next.members.iter().filter(|m| is_lost(m.state));
+        let notices = lost.flat_map(|m| self.broken(&m.gang)).collect();
         self.agents.insert(agent.clone(), next);
         notices
     }
@@ -161,7 +161,8 @@
     /// is not known, or so long ago that a renewal would be worth nothing.
     fn age(&self, now: Timestamp, gang: &GangId) -> Option<Duration> {
         let gang = self.gangs.get(gang)?;
-        if gang.lost > 0 || gang.running + gang.finished != gang.members {
+        let whole = gang.running as usize + gang.finished.len() == gang.members as usize;
+        if gang.lost > 0 || !whole {
             return None;
         }
         if gang.late == 0 {
@@ -178,10 +179,11 @@
         (age < GANG_LEASE).then_some(age)
     }
 
-    fn broken(&self, gang: &GangId) -> Vec<Notice> {
-        let Some(members) = self.gangs.get(gang) else {
+    fn broken(&mut self, gang: &GangId) -> Vec<Notice> {
+        let Some(members) = self.gangs.get_mut(gang).filter(|g| !g.told) else {
             return Vec::new();
         };
+        members.told = true;
         members
             .states
             .iter()
@@ -214,6 +216,9 @@
             let gang = self.gangs.entry(member.gang.clone()).or_default();
             gang.members = gang.members.max(member.members);
             gang.states.insert(agent.clone(), member.state);
+            if member.state == MemberState::Finished {
+                gang.finished.insert(agent.clone());
+            }
             gang.count(member.state, state.late, |n| n + 1);
         }
     }
@@ -236,7 +241,6 @@
     fn count(&mut self, state: MemberState, late: bool, change: impl Fn(u32) -> u32) {
         match state {
             MemberState::Running => self.running = change(self.running),
-            MemberState::Finished => self.finished = change(self.finished),
             s if is_lost(s) => self.lost = change(self.lost),
             _ => {}
         }
