Say in explanations only what the decisions do; keep the deadline's rule in one place

Cause: the explanation left out that urgent and aged jobs may take borrowed accelerators back, that requests may state less urgency, that a worker is set aside for longer each time, and that the deadline of a service that may not be repeated is cut to half of its key window; the rule for that stood in request/entry_table.rs only.

--- a/dragonflyrun/src/tool/commands/request.rs
+++ b/dragonflyrun/src/tool/commands/request.rs
@@ -133,6 +133,10 @@
         name: "dragonfly-deadline-ms",
         value: ms.to_string(),
     }));
+    headers.extend(options.urgency.clone().map(|value| Header {
+        name: "dragonfly-urgency",
+        value,
+    }));
     let wait = options.deadline_ms.map_or(LONGEST, Duration::from_millis);
     let call = Call {
         method: Method::POST,
--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -229,6 +229,9 @@
     /// milliseconds within which an answer is of use
     #[options(no_short, meta = "MS")]
     pub deadline_ms: Option<u64>,
+    /// urgent, normal or patient, where that is less than the service's
+    #[options(no_short, meta = "URGENCY")]
+    pub urgency: Option<String>,
     /// the service
     #[options(free, required, parse(from_str = "Name::from"))]
     pub service: Name,
--- a/dragonflyrun/src/version/document.rs
+++ b/dragonflyrun/src/version/document.rs
@@ -188,6 +188,17 @@
 }
 
 impl Service {
+    /// Returns the milliseconds within which a request is answered at the most.
+    ///
+    /// A caller that has waited for its answer in vain asks again with the same key. The key has
+    /// to be remembered then, so a request gets no more than half of that time.
+    pub fn longest_deadline_ms(&self) -> u64 {
+        if self.repeatable {
+            return self.deadline_ms;
+        }
+        self.deadline_ms.min(self.key_window_ms / 2)
+    }
+
     const fn default_deadline_ms() -> u64 {
         10_000
     }
--- a/dragonflyrun/src/version/explain/sentences.rs
+++ b/dragonflyrun/src/version/explain/sentences.rs
@@ -19,12 +19,19 @@
 /// Returns what holds for the whole system.
 pub(super) fn general(document: &Document) -> Vec<String> {
     let mut sentences = vec![
-        "Jobs and requests that wait go in the order urgent, normal, patient; among equals, the \
-         one that waits longest or is due first goes first."
+        "Jobs that wait start in the order urgent, normal, patient; among equals those go first \
+         that their workspace's guarantees have room for, then those that were accepted first."
+            .to_owned(),
+        "Requests that wait go in the same order, among equals the one that is due first; now and \
+         then one of less urgency goes first, so that none waits for ever."
             .to_owned(),
         "A job starts with all its tasks at once or not at all; when one is lost, the others are \
          stopped, and the job starts again elsewhere from its last checkpoint."
             .to_owned(),
+        "Borrowed accelerators are taken back when a guarantee, an urgent job or one that has \
+         waited long needs them; the job that had them is stopped with a checkpoint and goes on \
+         later from there."
+            .to_owned(),
     ];
     if document.sections.values().all(|s| s.limits.is_none()) {
         sentences.push("No section sets limits, so the default ones hold:".to_owned());
@@ -61,16 +68,14 @@
     if guaranteed == 0 {
         sentences.push("Nothing is guaranteed to it: all it uses is borrowed.".to_owned());
     }
-    let returned = "what it has borrowed is taken back when a guarantee needs it, after a \
-                    checkpoint, and the job goes on later from there.";
     sentences.push(match workspace.quota_accelerators.map(u64::from) {
         Some(quota) if quota <= guaranteed => "It may borrow nothing beyond that.".to_owned(),
         Some(quota) => format!(
             "It may use {quota} accelerators at once, of which it borrows up to {} that others \
-             leave free; {returned}",
+             leave free.",
             quota - guaranteed
         ),
-        None => format!("It may borrow all that others leave free; {returned}"),
+        None => "It may borrow all that others leave free.".to_owned(),
     });
     if let Some(quota) = workspace.quota_accelerators {
         sentences.push(format!(
@@ -122,11 +127,11 @@
 /// Returns how the requests of a service are treated.
 pub(super) fn service(service: &Service) -> Vec<String> {
     let urgency = match service.urgency {
-        Urgency::Urgent => "urgent",
-        Urgency::Normal => "of normal urgency",
+        Urgency::Urgent => "urgent, unless they state less",
+        Urgency::Normal => "of normal urgency, unless they state less",
         Urgency::Patient => "patient",
     };
-    let deadline = duration(service.deadline_ms);
+    let deadline = duration(service.longest_deadline_ms());
     let mut sentences = vec![
         format!(
             "Its requests are {urgency}. One that can't start within {deadline}, or the shorter \
@@ -150,7 +155,8 @@
          answered \"outcome unknown\", never run again."
             .to_owned(),
         format!(
-            "A key is remembered for {}; a repeat within that time gets the first answer.",
+            "A key is remembered for {}; a repeat within that time gets the first answer, or \
+             \"outcome unknown\" where the process that remembered it is gone.",
             duration(service.key_window_ms)
         ),
     ]);
@@ -173,8 +179,9 @@
             limits.retry_percent
         ),
         format!(
-            "A worker on which {} in a row fail is set aside for {}, and then tried again.",
-            count(limits.worker_failures.into(), "start"),
+            "A worker on which {} in a row fail is set aside for {}, then tried again, and set \
+             aside for longer if it still fails.",
+            count(limits.worker_failures.into(), "task start"),
             duration(limits.quarantine_ms)
         ),
     ]
--- a/dragonflyrun/src/version/explain/warnings.rs
+++ b/dragonflyrun/src/version/explain/warnings.rs
@@ -64,10 +64,12 @@
     }
     let list = place.key("services");
     for (i, service) in section.services.iter().enumerate() {
-        if !service.repeatable && service.key_window_ms / 2 < service.deadline_ms {
-            let what = "A caller who repeats a request after its deadline may find its key \
-                        forgotten, and is answered \"outcome unknown\".";
-            findings.add(list.index(i).key("key_window_ms"), what);
+        if service.longest_deadline_ms() < service.deadline_ms {
+            let what = format!(
+                "The deadline is cut to {} ms, half of the time for which a key is remembered.",
+                service.longest_deadline_ms()
+            );
+            findings.add(list.index(i).key("deadline_ms"), what);
         }
     }
 }
--- /dev/null
+++ b/dragonflyrun/tests/tool_output.rs
@@ -0,0 +1,195 @@
+//! What the command-line tool prints, and the exit codes it ends with, without a log or an entry.
+
+#![allow(clippy::unwrap_used, reason = "a helper that panics fails its test")]
+
+use std::{
+    net::{Ipv4Addr, TcpListener},
+    path::{Path, PathBuf},
+    process::Command,
+};
+
+use dragonflyrun::{
+    Name,
+    connection::{AuthorKey, is_editors_token},
+};
+use serde_json::{Value, json};
+
+struct Printed {
+    exit: i32,
+    out: String,
+    err: String,
+}
+
+/// Runs the tool in the directory of the test data.
+fn run(arguments: &[&str]) -> Printed {
+    run_in(&data(""), arguments)
+}
+
+fn run_in(dir: &Path, arguments: &[&str]) -> Printed {
+    let output = Command::new(env!("CARGO_BIN_EXE_dragonflyrun"))
+        .current_dir(dir)
+        .args(arguments)
+        .output()
+        .unwrap();
+    Printed {
+        exit: output.status.code().unwrap(),
+        out: String::from_utf8(output.stdout).unwrap(),
+        err: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+fn data(file: &str) -> PathBuf {
+    let dir = Path::new(env!("CARGO_MANIFEST_DIR"));
+    dir.join("tests/data").join(file)
+}
+
+fn json_of(printed: &Printed) -> Value {
+    serde_json::from_str(&printed.out).unwrap()
+}
+
+#[test]
+fn check_prints() {
+    let valid = run(&["check", "murtal.json"]);
+    assert_eq!((valid.exit, &*valid.err), (0, ""), "{}", valid.out);
+    let broken = run(&["check", "broken.json"]);
+    assert_eq!(broken.exit, 1);
+    assert_eq!(
+        broken.out,
+        std::fs::read_to_string(data("broken-findings.txt")).unwrap()
+    );
+    let broken = run(&["check", "--json", "broken.json"]);
+    let findings = json_of(&broken);
+    assert_eq!(findings["valid"], json!(false));
+    let places = findings["findings"].as_array().unwrap();
+    assert!(
+        places
+            .iter()
+            .all(|f| f["place"].is_string() && f["what"].is_string())
+    );
+    let section = run(&["check", "--section", "murtal", "section.json"]);
+    assert_eq!(section.exit, 0, "{}", section.out);
+    let document = run(&["check", "section.json"]);
+    assert_eq!(document.exit, 1, "{}", document.out);
+}
+
+/// The explanation is compared whole: operators rely on each sentence of it.
+#[test]
+fn explain_prints() {
+    let explained = run(&["explain", "murtal.json"]);
+    assert_eq!((explained.exit, &*explained.err), (0, ""));
+    let expected = std::fs::read_to_string(data("murtal-explained.txt")).unwrap();
+    assert_eq!(explained.out, expected);
+    let explained = json_of(&run(&["explain", "--json", "murtal.json"]));
+    let topics = explained["topics"].as_array().unwrap();
+    let leoben = topics.iter().find(|t| t["name"] == "leoben").unwrap();
+    assert_eq!(
+        leoben["place"],
+        "/sections/murtal-cluster/failure_domains/2"
+    );
+    assert_eq!(leoben["kind"], "failure_domain");
+    let broken = run(&["explain", "--json", "broken.json"]);
+    assert_eq!(
+        (broken.exit, &json_of(&broken)["error"]),
+        (1, &json!("findings"))
+    );
+}
+
+/// Operators mistype commands, leave settings out, or name a file that is not there. Nothing is
+/// tried, and the exit code differs from a refusal.
+#[test]
+fn wrong_usage() {
+    let cases: [&[&str]; 10] = [
+        &[],
+        &["frobnicate"],
+        &["check"],
+        &["check", "no-such-file.json"],
+        &["edit", "--base", "seven", "a", "section.json"],
+        &["edit", "a", "section.json"],
+        &["status"],
+        &["--config", "no-such-file.json", "status"],
+        &["--config", "broken.json", "status"],
+        &[
+            "--log",
+            "localhost",
+            "--entry",
+            "here:1",
+            "--editor",
+            "/",
+            "show",
+        ],
+    ];
+    for arguments in cases {
+        let printed = run(arguments);
+        assert_eq!(printed.exit, 2, "{arguments:?}: {}", printed.err);
+        assert!(printed.err.starts_with("dragonflyrun: "), "{arguments:?}");
+        assert_eq!(printed.out, "", "{arguments:?}");
+    }
+    let all = run(cases[9]).err;
+    for place in ["/log", "/entries/0", "/editor"] {
+        assert!(all.contains(place), "{all}");
+    }
+    let help = run(&["--help"]);
+    assert!(help.exit == 0 && help.out.contains("issue-key"));
+}
+
+/// Nothing listens at the log and the entries. A read is not known, and a call that was not made
+/// is said to be so.
+#[test]
+fn nothing_listens() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let dir = std::env::temp_dir().join(format!("tool-output-{}", std::process::id()));
+    std::fs::create_dir_all(&dir).unwrap();
+    let settings = json!({
+        "log": address,
+        "entries": [address],
+        "editor": "root",
+        "secret": "a secret of the deployment",
+        "patience_ms": 0,
+    });
+    std::fs::write(dir.join("dragonflyrun.json"), settings.to_string()).unwrap();
+    std::fs::copy(data("section.json"), dir.join("section.json")).unwrap();
+    let job = json!({ "workspace": "audit", "tasks": 1, "accelerators": 1 });
+    std::fs::write(dir.join("job.json"), job.to_string()).unwrap();
+    let cases: [(&[&str], i32, &str); 6] = [
+        (&["show"], 3, "error"),
+        (&["edit", "a", "section.json"], 3, "not_sent"),
+        (&["drain", "murau"], 3, "error"),
+        (&["status"], 3, "error"),
+        (&["submit", "job.json"], 3, "error"),
+        (&["request", "grade-check"], 1, "not_run"),
+    ];
+    for (arguments, exit, outcome) in cases {
+        let printed = run_in(&dir, &[arguments, &["--json"]].concat());
+        assert_eq!(printed.exit, exit, "{arguments:?}: {}", printed.out);
+        let answer = json_of(&printed);
+        let told = answer["outcome"].as_str().unwrap_or("error");
+        assert_eq!(told, outcome, "{arguments:?}: {answer}");
+    }
+    std::fs::remove_dir_all(&dir).unwrap();
+}
+
+/// An editor's key proves who the editor is, and no other editor or process can be played with it.
+#[test]
+fn issued_keys() {
+    let secret = "a secret of the deployment";
+    let alice: Name = "alice".into();
+    let key = AuthorKey::of_editor(secret, &alice).to_hex();
+    assert!(is_editors_token(secret, "alice", &key));
+    for (editor, token) in [
+        ("bob", &*key),
+        ("alice", ""),
+        ("alice", "zz"),
+        ("", &key),
+        ("", ""),
+    ] {
+        assert!(
+            !is_editors_token(secret, editor, token),
+            "{editor}: {token}"
+        );
+    }
+    let process = AuthorKey::derive(secret, &alice).to_hex();
+    assert!(!is_editors_token(secret, "alice", &process));
+    assert_ne!(process, key);
+}
