Let only a process that knows nothing presume a new deployment, and let it come round

Cause: Ledger::reached_head (added with the retention of jobs) took every process whose kept log showed no planner's record for one of a new deployment. A process that was frozen for longer than the log keeps its records so took its old configuration for the current one, was fresh, and could start tasks in a failure domain that had been taken out. A process that started when all planner's records had been dropped presumed an empty configuration for good and disagreed with all others. The tool, which always starts with nothing, would have told "accepted" of an edit that all processes refuse.

Ruled out: a command that declares a new deployment on the log (tried, `begin`, with a carried empty configuration; taken out again): it is safe, but processes that start after it see a planner's record and never presume, so nobody would become planner.

Not covered: Membership takes a claim of term 1 for good also behind a gap, so an entry that presumes wrongly and claims term 1 is believed by other processes behind a gap until membership is repeated.

--- a/dragonflyrun/src/process/ledger.rs
+++ b/dragonflyrun/src/process/ledger.rs
@@ -122,9 +122,11 @@
     ///
     /// Where a process began in the middle of the log and met nothing that a planner wrote, the
     /// system is new and the log was used for something else before. Without this rule nobody
-    /// would ever be planner there.
+    /// would ever be planner there. A process that has known a planner or a configuration was
+    /// frozen for longer than the log keeps records, and must not take what it knew for current.
     pub fn reached_head(&mut self) {
-        if !self.membership.is_whole() && !self.planned {
+        let is_blank = self.membership.term() == 0 && self.history.current().offset == 0;
+        if !self.membership.is_whole() && !self.planned && is_blank {
             log::info!(offset = self.next_offset; "new_deployment");
             self.membership.begin();
             self.history.begin();
--- a/dragonflyrun/src/tool/commands/document.rs
+++ b/dragonflyrun/src/tool/commands/document.rs
@@ -6,8 +6,9 @@
 
 use crate::{
     tool::{
-        Exit, LogReader, Printed, ToolError, ToolSettings,
+        Exit, Log, LogReader, Printed, ToolError, ToolSettings,
         commands::read_file,
+        entries::statuses,
         options::{CheckOptions, ShowOptions},
     },
     utils::Name,
@@ -96,7 +97,7 @@
 /// the standard output can be edited and passed back with `--base`.
 pub(super) fn show(settings: &ToolSettings, options: &ShowOptions) -> Result<Printed, ToolError> {
     let mut reader = LogReader::new(settings.log()?, settings.opener());
-    let history = known(&mut reader)?;
+    let history = read(settings, &mut reader)?;
     let document = &history.current().document;
     let Some(name) = &options.section else {
         let answer = ShowAnswer {
@@ -137,7 +138,7 @@
 /// Explains the document in force.
 pub(super) fn explain_in_force(settings: &ToolSettings) -> Result<Printed, ToolError> {
     let mut reader = LogReader::new(settings.log()?, settings.opener());
-    let history = known(&mut reader)?;
+    let history = read(settings, &mut reader)?;
     Ok(Printed::new(
         &explain(&history.current().document),
         Exit::Done,
@@ -145,23 +146,48 @@
 }
 
 /// Reads the log and returns the configuration.
-fn known<L: crate::tool::Log>(reader: &mut LogReader<L>) -> Result<&History, ToolError> {
+fn read<'a, L: Log>(
+    settings: &ToolSettings,
+    reader: &'a mut LogReader<L>,
+) -> Result<&'a History, ToolError> {
     reader
         .catch_up(drop)
         .map_err(|e| ToolError::NotKnown(e.to_string()))?;
-    whole(&reader.ledger().history)
+    known(settings, &reader.ledger().history)
 }
 
 /// Returns `history`, if it knows the whole configuration.
-pub(super) fn whole(history: &History) -> Result<&History, ToolError> {
+///
+/// The tool always begins with what the log still keeps. Where that shows no configuration, the
+/// entries may know one all the same, and an edit made without it would be refused by them.
+pub(super) fn known<'a>(
+    settings: &ToolSettings,
+    history: &'a History,
+) -> Result<&'a History, ToolError> {
     if let Some(format) = history.unsupported_format() {
         let what = format!("the document is in format {format}; use a newer tool");
         return Err(ToolError::NotKnown(what));
     }
     if !history.is_whole() {
         let what = "the log has dropped edits, and the planner has not repeated the configuration \
-                    since; a log that never held one is begun by `dragonflyrun begin`";
+                    since; try again when it has";
+        return Err(ToolError::NotKnown(what.to_owned()));
+    }
+    if history.is_presumed() && !is_confirmed(settings) {
+        let what = "the log has dropped its first records, and no entry confirms that there was no \
+                    configuration among them";
         return Err(ToolError::NotKnown(what.to_owned()));
     }
     Ok(history)
 }
+
+/// Returns whether all entries that answer have no configuration, and one does answer.
+fn is_confirmed(settings: &ToolSettings) -> bool {
+    let answers = statuses(settings.entries(), settings.timeout);
+    let mut versions = answers
+        .iter()
+        .filter_map(|a| a.status.as_ref().ok())
+        .map(|s| s.version)
+        .peekable();
+    versions.peek().is_some() && versions.all(|v| v == 0)
+}
--- a/dragonflyrun/src/tool/commands/edit.rs
+++ b/dragonflyrun/src/tool/commands/edit.rs
@@ -1,4 +1,4 @@
-//! `edit`, `remove`, `drain`, `return` and `begin`.
+//! `edit`, `remove`, `drain` and `return`.
 
 use std::{
     fmt,
@@ -8,18 +8,16 @@
 use serde::Serialize;
 
 use crate::{
-    connection::{AuthorKey, Carried, CarriedConfiguration, Edit, LogClient, RecordBody},
+    connection::Edit,
     tool::{
         Exit, InForce, LogReader, Opener, Printed, Published, Publisher, ToolError, ToolSettings,
-        commands::{document::whole, read_file},
+        commands::{document::known, read_file},
         in_force,
         options::{EditOptions, RemoveOptions},
-        publisher::new_id,
     },
     utils::Name,
     version::{
         DOCUMENT_BYTES,
-        Document,
         Finding,
         History,
         RawSection,
@@ -176,7 +174,7 @@
     let mut reader = LogReader::new(settings.log()?, settings.opener());
     let mut publisher = Publisher::new(&mut reader, key, settings.patience);
     let history = match publisher.history() {
-        Ok(history) => whole(history)?,
+        Ok(history) => known(settings, history)?,
         Err(error) => {
             let (section, reason) = (section.clone(), error.to_string());
             return Ok(EditAnswer::NotSent { section, reason }.printed());
@@ -268,7 +266,7 @@
             let what = format!("not sent, nothing has changed: {error}");
             ToolError::NotKnown(what)
         })?;
-        let found = domain_edit(whole(history)?, domain, in_service)?;
+        let found = domain_edit(known(settings, history)?, domain, in_service)?;
         let Some(changed) = &found.changed else {
             let answer = EditAnswer::Unchanged {
                 section: found.section,
@@ -328,56 +326,3 @@
         names.join(", ")
     )))
 }
-
-#[derive(Serialize)]
-struct BeginAnswer {
-    as_of: u64,
-}
-
-impl fmt::Display for BeginAnswer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let as_of = self.as_of;
-        write!(f, "the configuration begins, empty, at offset {as_of}")
-    }
-}
-
-/// Declares that the log holds no configuration from before its first kept record.
-///
-/// A process that finds the first records dropped can't tell an empty configuration from one that
-/// it has missed. Only who holds the secret may say that there was none.
-pub(super) fn begin(settings: &ToolSettings) -> Result<Printed, ToolError> {
-    let secret = settings.secret()?;
-    let log: LogClient = settings.log()?;
-    let mut reader = LogReader::new(log.clone(), settings.opener());
-    let mut ours = 0_usize;
-    reader
-        .catch_up(|_| ours += 1)
-        .map_err(|e| ToolError::NotKnown(format!("nothing was sent: {e}")))?;
-    if reader.ledger().history.is_whole() {
-        let what = "the log holds the whole configuration, there is nothing to begin";
-        return Err(ToolError::Refused(what.to_owned()));
-    }
-    if ours > 0 {
-        let what = format!(
-            "the log holds {ours} records of this deployment, so its processes may know a \
-             configuration; wait until their planner repeats it"
-        );
-        return Err(ToolError::Refused(what));
-    }
-    let as_of = reader.ledger().next_offset();
-    let carried = Carried::Configuration(CarriedConfiguration {
-        term: 0,
-        as_of,
-        version: 0,
-        sections: Vec::new(),
-        recent: Vec::new(),
-        document: Document::default(),
-    });
-    let key = AuthorKey::derive(secret, &Name::from("begin"));
-    let record = key.seal(&new_id(), &RecordBody::Carried(carried));
-    log.append(&[record]).map_err(|e| {
-        let what = format!("{e}; beginning again does no harm");
-        ToolError::NotKnown(what)
-    })?;
-    Ok(Printed::new(&BeginAnswer { as_of }, Exit::Done))
-}
--- a/dragonflyrun/src/tool/commands/mod.rs
+++ b/dragonflyrun/src/tool/commands/mod.rs
@@ -39,7 +39,6 @@
         Command::Cancel(o) => job::cancel(&settings()?, &o.job),
         Command::Request(o) => request::request(&settings()?, o),
         Command::IssueKey(o) => key::issue(&settings()?, o),
-        Command::Begin(_) => edit::begin(&settings()?),
     }
 }
 
--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -60,8 +60,6 @@
     Request(RequestOptions),
     /// print the key of an editor, derived from the deployment's secret
     IssueKey(IssueKeyOptions),
-    /// begin the configuration on a log that has dropped its first records
-    Begin(PlainOptions),
 }
 
 impl Command {
@@ -74,7 +72,7 @@
             Self::Show(o) => o.json,
             Self::Explain(o) => o.json,
             Self::Drain(o) | Self::Return(o) => o.json,
-            Self::Status(o) | Self::Jobs(o) | Self::Begin(o) => o.json,
+            Self::Status(o) | Self::Jobs(o) => o.json,
             Self::Submit(o) => o.json,
             Self::Job(o) | Self::Cancel(o) => o.json,
             Self::Request(o) => o.json,
--- a/dragonflyrun/src/version/history.rs
+++ b/dragonflyrun/src/version/history.rs
@@ -90,6 +90,11 @@
         from: u64,
         edits: VecDeque<LoggedEdit>,
     },
+    /// All of it, provided that there was none before `from`; `edits` are those since.
+    Presumed {
+        from: u64,
+        edits: VecDeque<LoggedEdit>,
+    },
     /// The document is in a newer format than this program knows.
     Unsupported { format: u32 },
 }
@@ -132,7 +137,12 @@
     /// One that does not may have missed that a failure domain was taken out. It keeps the version
     /// that it has, but must start nothing until it is whole again.
     pub fn is_whole(&self) -> bool {
-        matches!(self.standing, Standing::Whole)
+        matches!(self.standing, Standing::Whole | Standing::Presumed { .. })
+    }
+
+    /// Returns whether it is whole only provided that there was no configuration before a gap.
+    pub fn is_presumed(&self) -> bool {
+        matches!(self.standing, Standing::Presumed { .. })
     }
 
     /// Returns the format of the document, where it is newer than this program knows.
@@ -154,13 +164,12 @@
     pub fn fold(&mut self, logged: &LoggedEdit) -> Option<Verdict> {
         match &mut self.standing {
             Standing::Whole => self.judge(logged),
+            Standing::Presumed { from, edits } => {
+                remember(from, edits, logged);
+                self.judge(logged)
+            }
             Standing::Gap { from, edits } => {
-                edits.push_back(logged.clone());
-                if edits.len() > PENDING_EDITS
-                    && let Some(dropped) = edits.pop_front()
-                {
-                    *from = dropped.offset + 1;
-                }
+                remember(from, edits, logged);
                 None
             }
             Standing::Unsupported { .. } => None,
@@ -178,14 +187,22 @@
         }
     }
 
-    /// Takes note that nothing is missing after all, since no configuration was there before, and
-    /// judges the edits seen since.
+    /// Presumes that there was no configuration before the gap, as the log shows no trace of one,
+    /// and judges the edits seen since.
+    ///
+    /// A process that knows a configuration knows that there was one. One that knows none may still
+    /// be mistaken, where all that the planner has repeated is dropped as well after a long outage,
+    /// so it goes on looking for a carried configuration.
     pub fn begin(&mut self) {
-        if let Standing::Gap { edits, .. } = &mut self.standing {
-            let edits = mem::take(edits);
-            self.standing = Standing::Whole;
-            for edit in &edits {
-                self.fold(edit);
+        if self.current.offset > 0 {
+            return;
+        }
+        if let Standing::Gap { from, edits } = &mut self.standing {
+            let (from, pending) = (*from, mem::take(edits));
+            let edits = VecDeque::new();
+            self.standing = Standing::Presumed { from, edits };
+            for logged in &pending {
+                self.fold(logged);
             }
         }
     }
@@ -197,12 +214,13 @@
     /// and then judges those, so that an edit that reached the log between the taking and the
     /// carrying of the state is not lost.
     pub fn adopt(&mut self, offset: u64, carried: &CarriedConfiguration) {
-        let Standing::Gap { from, edits } = &mut self.standing else {
-            return;
+        let (from, least, edits) = match &mut self.standing {
+            Standing::Gap { from, edits } => (*from, self.current.offset, edits),
+            Standing::Presumed { from, edits } => (*from, 0, edits),
+            Standing::Whole | Standing::Unsupported { .. } => return,
         };
-        let sound = (self.current.offset..=carried.as_of).contains(&carried.version)
-            && carried.as_of <= offset;
-        if carried.as_of < *from || !sound {
+        let sound = (least..=carried.as_of).contains(&carried.version) && carried.as_of <= offset;
+        if carried.as_of < from || !sound {
             return;
         }
         let edits = mem::take(edits);
@@ -351,6 +369,16 @@
     }
 }
 
+/// Keeps an edit for when a carried configuration tells what was before it.
+fn remember(from: &mut u64, edits: &mut VecDeque<LoggedEdit>, logged: &LoggedEdit) {
+    edits.push_back(logged.clone());
+    if edits.len() > PENDING_EDITS
+        && let Some(dropped) = edits.pop_front()
+    {
+        *from = dropped.offset + 1;
+    }
+}
+
 /// Adds a finding where `section` would change the format in any way but to the next one.
 ///
 /// Programs that do not know the next format stop at the change, so a mistaken number must not get
--- a/dragonflyrun/tests/config_fold.rs
+++ b/dragonflyrun/tests/config_fold.rs
@@ -227,6 +227,72 @@
     assert!(!frozen.history.current().in_service(&"murau".into()));
 }
 
+/// The same, but what the log still keeps shows no trace of a planner. The process must not take
+/// what it knew for the current state, and would start tasks in a failure domain that is out.
+#[test]
+fn frozen_alone() {
+    let mut world = World::new();
+    world.edit("root", "administration", 0, administration(&["root"]));
+    let mut frozen = world.late();
+    let base = world.version_of("administration");
+    world.edit(
+        "root",
+        "administration",
+        base,
+        administration(&["root", "bob"]),
+    );
+    world.first = world.head();
+    world.catch_up(&mut frozen);
+    frozen.reached_head();
+    assert!(!frozen.history.is_whole());
+    assert!(!frozen.membership.is_whole());
+    world.carry(world.carried());
+    world.catch_up(&mut frozen);
+    world.assert_agrees(&frozen);
+}
+
+/// After a long outage the log has dropped all that a planner wrote. A process that starts then
+/// finds no trace of the deployment and presumes that it is new. It is mistaken, and somebody makes
+/// a "first" edit that all others refuse. It has to come round when the configuration is repeated.
+#[test]
+fn mistaken_start() {
+    let mut world = dropped_start();
+    let mut late = world.late();
+    late.reached_head();
+    assert!(late.history.is_presumed());
+    world.edit("mallory", "administration", 0, administration(&["mallory"]));
+    world.edit("root", "team", 0, administration(&["root"]));
+    world.carry(world.carried());
+    late.fold(&world.raw(late.next_offset()), SECRET);
+    while late.next_offset() < world.head() {
+        late.fold(&world.raw(late.next_offset()), SECRET);
+    }
+    world.assert_agrees(&late);
+    assert!(!late.history.is_presumed());
+}
+
+/// A log that was used for something else before has dropped its first records, and all processes
+/// of a new deployment begin on it. They have to agree from the first edit on.
+#[test]
+fn used_log() {
+    let mut world = World::new();
+    world.append("something else".to_owned());
+    world.first = world.head();
+    let mut late = world.late();
+    late.reached_head();
+    let mut other = world.late();
+    other.reached_head();
+    world.whole = other;
+    let first = world.edit("root", "administration", 0, administration(&["root"]));
+    assert_eq!(first, Some(Verdict::Accepted));
+    world.catch_up(&mut late);
+    world.assert_agrees(&late);
+    world.carry(world.carried());
+    world.catch_up(&mut late);
+    world.assert_agrees(&late);
+    assert!(!world.whole.history.is_presumed());
+}
+
 /// An answer to an append is lost and the edit is sent a second time with the same id. The first
 /// copy is refused, as its workspace is another team's. Then that team gives the name up, and the
 /// second copy arrives, which would be valid now. Its editor has been told that it was refused. A
--- a/standins/tests/operator_tool.rs
+++ b/standins/tests/operator_tool.rs
@@ -3,14 +3,17 @@
 #![allow(clippy::unwrap_used, reason = "a helper that panics fails its test")]
 
 use std::{
+    net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
     process::{Command, Output},
+    time::Duration,
 };
 
+use dragonflyrun::connection::LogClient;
 use serde_json::{Value, json};
 use standins::{
     harness::{Deployment, EDITOR, SECRET, SERVICE, Signal, WORKSPACE, wait_until},
-    log::LogMode, //
+    log::{LogControl, LogMode, LogService}, //
 };
 
 /// The tool with its settings file.
@@ -21,13 +24,14 @@
 
 impl Tool {
     fn new(name: &str, deployment: &Deployment) -> Self {
-        let entries: Vec<String> = deployment
-            .entries
-            .iter()
-            .map(|e| e.http.to_string())
-            .collect();
+        let entries = deployment.entries.iter();
+        let entries: Vec<String> = entries.map(|e| e.http.to_string()).collect();
+        Self::with(name, deployment.log.address, &entries)
+    }
+
+    fn with(name: &str, log: SocketAddr, entries: &[String]) -> Self {
         let settings = json!({
-            "log": deployment.log.address.to_string(),
+            "log": log.to_string(),
             "entries": entries,
             "editor": EDITOR,
             "secret": SECRET,
@@ -327,3 +331,28 @@
         "{unknown}"
     );
 }
+
+/// The log was in use before the deployment, and has dropped its first records. The tool can't tell
+/// by itself whether it has missed a configuration, and an edit made without it would be refused.
+#[test]
+fn used_log() {
+    let log = LogService::start((Ipv4Addr::LOCALHOST, 0).into()).unwrap();
+    let client = LogClient::new(&log.address().to_string(), Duration::from_secs(2));
+    let foreign = ["not ours".to_owned(), "nor this".to_owned()];
+    client.append(&foreign).unwrap();
+    let keep = Some(1);
+    log.control(LogControl {
+        keep,
+        ..LogControl::default()
+    });
+    let tool = Tool::with("used-log", log.address(), &[]);
+    tool.write("section.json", &json!({ "owners": [EDITOR] }));
+    let (exit, unknown) = tool.json(&["edit", "administration", "section.json"]);
+    assert_eq!(
+        (exit, &unknown["error"]),
+        (3, &json!("not_known")),
+        "{unknown}"
+    );
+    assert_eq!(tool.json(&["show"]).0, 3);
+    assert_eq!(log.status().head, 2);
+}
