--- a/dragonflyrun/src/tool/entries.rs
+++ b/dragonflyrun/src/tool/entries.rs
@@ -150,7 +150,7 @@
     asked.unwrap_or_default()
 }
 
-/// Returns the reason of the entry that was asked last, for all that gave none.
+/// Says why no entry could be asked.
 pub(super) fn nobody(errors: &[(SocketAddr, CallError)]) -> String {
     let errors: Vec<String> = errors.iter().map(|(a, e)| format!("{a}: {e}")).collect();
     format!("no entry could be asked ({})", errors.join("; "))
--- a/dragonflyrun/src/version/check.rs
+++ b/dragonflyrun/src/version/check.rs
@@ -105,7 +105,7 @@
 }
 
 /// One of the named things that a section lists.
-trait Entry {
+trait Named {
     /// Returns its name.
     fn name(&self) -> &Name;
 
@@ -113,20 +113,20 @@
     fn check(&self, place: Place<'_>, findings: &mut Findings);
 }
 
-fn check_each<E: Entry>(list: &[E], place: Place<'_>, findings: &mut Findings) {
+fn check_each<N: Named>(list: &[N], place: Place<'_>, findings: &mut Findings) {
     let mut seen = HashSet::default();
-    for (i, entry) in list.iter().enumerate() {
+    for (i, named) in list.iter().enumerate() {
         let place = place.index(i);
-        check_name(entry.name(), place.key("name"), findings);
-        if !seen.insert(entry.name()) {
-            let what = format!("`{}` stands twice in this section.", shorten(entry.name()));
+        check_name(named.name(), place.key("name"), findings);
+        if !seen.insert(named.name()) {
+            let what = format!("`{}` stands twice in this section.", shorten(named.name()));
             findings.add(place.key("name"), what);
         }
-        entry.check(place, findings);
+        named.check(place, findings);
     }
 }
 
-impl Entry for Workspace {
+impl Named for Workspace {
     fn name(&self) -> &Name {
         &self.name
     }
@@ -172,7 +172,7 @@
     }
 }
 
-impl Entry for FailureDomain {
+impl Named for FailureDomain {
     fn name(&self) -> &Name {
         &self.name
     }
@@ -184,7 +184,7 @@
     }
 }
 
-impl Entry for Service {
+impl Named for Service {
     fn name(&self) -> &Name {
         &self.name
     }
--- a/dragonflyrun/tests/document_checks.rs
+++ b/dragonflyrun/tests/document_checks.rs
@@ -271,6 +271,18 @@
             }
         }
         let _ = parse_section(&bytes, "/sections/a");
+        let mut history = History::default();
+        let edit = Edit {
+            section: "administration".into(),
+            base: 0,
+            content: Some(serde_json::from_value(value).unwrap()),
+        };
+        history.fold(&LoggedEdit {
+            offset: 0,
+            id: "edit".into(),
+            editor: "root".into(),
+            edit,
+        });
         Ok(())
     });
     assert!(
