Keep the last version understood when a carried one is in a newer format

Cause: a carried document in an unknown format was put in force before the process stopped deciding, and a section's name of any length went into each finding's place. Change: history.rs; the bench also measures a replay with the opening of records.

--- a/dragonflyrun/benches/config_fold.rs
+++ b/dragonflyrun/benches/config_fold.rs
@@ -1,10 +1,12 @@
 //! Measures the fold of edits at the size of two years on: 160 teams' sections, a day's 12,000
-//! edits. Run with `cargo bench -p dragonflyrun --bench config_fold`.
+//! edits; first the fold alone, then with the opening of the sealed records, as when a process
+//! starts. Run with `cargo bench -p dragonflyrun --bench config_fold`.
 
 use std::time::Instant;
 
 use dragonflyrun::{
-    connection::Edit,
+    connection::{AuthorKey, Edit, LogRecord, RecordBody},
+    process::Ledger,
     version::{
         Adjacency,
         FailureDomain,
@@ -112,4 +114,32 @@
         elapsed.as_secs_f64() * 1e6 / f64::from(EDITS),
         elapsed.as_millis()
     );
+    replay(&first, &edits);
+}
+
+fn replay(first: &LoggedEdit, edits: &[LoggedEdit]) {
+    let secret = "a secret of the deployment";
+    let key = AuthorKey::of_editor(secret, &"root".into());
+    let seal = |logged: &LoggedEdit| LogRecord {
+        offset: logged.offset,
+        data: key.seal(&logged.id, &RecordBody::Edit(logged.edit.clone())),
+    };
+    let records: Vec<LogRecord> = std::iter::once(first).chain(edits).map(seal).collect();
+    let bytes: usize = records.iter().map(|r| r.data.len()).sum();
+    let mut ledger = Ledger::default();
+    ledger.skip_to(first.offset);
+    ledger.reached_head();
+    let start = Instant::now();
+    for record in &records {
+        ledger.fold(record, secret);
+    }
+    let elapsed = start.elapsed();
+    assert_eq!(ledger.history.sections().len(), TEAMS + 1);
+    println!(
+        "records={} bytes_each={} open_and_fold_us_each={:.1} all_ms={}",
+        records.len(),
+        bytes / records.len(),
+        elapsed.as_secs_f64() * 1e6 / f64::from(EDITS),
+        elapsed.as_millis()
+    );
 }
--- a/dragonflyrun/src/version/history.rs
+++ b/dragonflyrun/src/version/history.rs
@@ -253,6 +253,10 @@
 
     fn install(&mut self, carried: &CarriedConfiguration) {
         let document = carried.document.clone();
+        if document.format() > FORMAT {
+            self.give_up(carried.as_of, document.format());
+            return;
+        }
         self.index = Index::default();
         for (name, section) in &document.sections {
             self.index.insert(name, section);
@@ -260,30 +264,36 @@
         let sections = carried.sections.iter();
         self.sections = sections.map(|s| (s.section.clone(), s.version)).collect();
         self.recent = carried.recent.iter().cloned().collect();
-        let format = document.format();
-        self.standing = if format > FORMAT {
-            Standing::Unsupported { format }
-        } else {
-            Standing::Whole
-        };
         self.current = Arc::new(Version::new(carried.version, document));
+        self.standing = Standing::Whole;
     }
 
-    fn judge(&mut self, logged: &LoggedEdit) -> Option<Verdict> {
-        let id = &logged.id;
+    fn give_up(&mut self, offset: u64, format: u32) {
+        log::error!(offset = offset, format = format; "format_unsupported");
+        self.standing = Standing::Unsupported { format };
+    }
+
+    fn is_first_copy(&mut self, id: &Name) -> bool {
         if id.len() > NAME_CHARACTERS || self.recent.contains(id) {
-            return None;
+            return false;
         }
         self.recent.push_back(id.clone());
         if self.recent.len() > RECENT_EDITS {
             self.recent.pop_front();
         }
+        true
+    }
+
+    fn judge(&mut self, logged: &LoggedEdit) -> Option<Verdict> {
+        if !self.is_first_copy(&logged.id) {
+            return None;
+        }
         let edit = &logged.edit;
         let current = self.sections.get(&edit.section).copied().unwrap_or(0);
         if edit.base != current {
             return Some(Verdict::Stale { current });
         }
-        let pointer = format!("/sections/{}", edit.section);
+        let pointer = Place::Root("/sections").key(&edit.section).to_string();
         let content = match edit.content.as_ref().map(|c| c.parse(&pointer)) {
             None => None,
             Some(Ok(section)) => Some(Arc::new(section)),
@@ -294,9 +304,7 @@
         }
         match self.replace(&edit.section, content) {
             Ok(document) if document.format() > FORMAT => {
-                let format = document.format();
-                log::error!(offset = logged.offset, format = format; "format_unsupported");
-                self.standing = Standing::Unsupported { format };
+                self.give_up(logged.offset, document.format());
                 None
             }
             Ok(document) => {
