Follow the version's definition in the gang tests' log

Ruled out: a fault of the gang tables, as the drains were rejected by every process. Change: gang_world/mod.rs gives the offset after the edit. No check is touched. Run: cargo test -p dragonflyrun: all pass (before: 4 failed).

--- a/dragonflyrun/tests/gang_world/mod.rs
+++ b/dragonflyrun/tests/gang_world/mod.rs
@@ -505,7 +505,8 @@
             base: self.section_version,
             content: Some(RawSection::from(&section)),
         };
-        self.section_version = self.log.len() as u64;
+        // A version is the offset after its edit.
+        self.section_version = self.log.len() as u64 + 1;
         self.put("ops", &RecordBody::Edit(edit));
     }
 
