--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -60,8 +60,6 @@
     Request(RequestOptions),
     /// print the key of an editor, derived from the deployment's secret
     IssueKey(IssueKeyOptions),
-    /// begin the configuration on a log that has dropped its first records
-    Begin(PlainOptions),
 }
 
 impl Command {
@@ -74,7 +72,7 @@
             Self::Show(o) => o.json,
             Self::Explain(o) => o.json,
             Self::Drain(o) | Self::Return(o) => o.json,
-            Self::Status(o) | Self::Jobs(o) | Self::Begin(o) => o.json,
+            Self::Status(o) | Self::Jobs(o) => o.json,
             Self::Submit(o) => o.json,
             Self::Job(o) | Self::Cancel(o) => o.json,
             Self::Request(o) => o.json,
@@ -83,7 +81,7 @@
     }
 }
 
-/// Options of `check`.
+/// Checks a document, or one section of it.
 #[derive(Debug, Options)]
 pub struct CheckOptions {
     /// print this help
@@ -99,7 +97,7 @@
     pub file: String,
 }
 
-/// Options of `edit`.
+/// Replaces a section by the content of a file.
 #[derive(Debug, Options)]
 pub struct EditOptions {
     /// print this help
@@ -107,8 +105,7 @@
     /// print JSON
     #[options(no_short)]
     pub json: bool,
-    /// the version of the section that the file was made from, as show printed it (default: the
-    /// current one)
+    /// the version that the file was made from (default: the current one)
     #[options(no_short, meta = "VERSION")]
     pub base: Option<u64>,
     /// the section
@@ -119,7 +116,7 @@
     pub file: String,
 }
 
-/// Options of `remove`.
+/// Removes a section.
 #[derive(Debug, Options)]
 pub struct RemoveOptions {
     /// print this help
@@ -135,7 +132,7 @@
     pub section: Name,
 }
 
-/// Options of `show`.
+/// Prints the document in force, or one section of it.
 #[derive(Debug, Options)]
 pub struct ShowOptions {
     /// print this help
@@ -148,7 +145,7 @@
     pub section: Option<Name>,
 }
 
-/// Options of `explain`.
+/// Says what the system will do, read off a document alone.
 #[derive(Debug, Options)]
 pub struct ExplainOptions {
     /// print this help
@@ -161,7 +158,7 @@
     pub file: Option<String>,
 }
 
-/// Options of `drain` and `return`.
+/// Takes a failure domain out of service, or returns it.
 #[derive(Debug, Options)]
 pub struct DomainOptions {
     /// print this help
@@ -174,7 +171,7 @@
     pub domain: Name,
 }
 
-/// Options of commands that take none of their own.
+/// This command takes no arguments.
 #[derive(Debug, Options)]
 pub struct PlainOptions {
     /// print this help
@@ -184,7 +181,7 @@
     pub json: bool,
 }
 
-/// Options of `submit`.
+/// Submits a job.
 #[derive(Debug, Options)]
 pub struct SubmitOptions {
     /// print this help
@@ -200,7 +197,7 @@
     pub file: String,
 }
 
-/// Options of `job` and `cancel`.
+/// Shows or cancels one job.
 #[derive(Debug, Options)]
 pub struct JobOptions {
     /// print this help
@@ -213,7 +210,7 @@
     pub job: Name,
 }
 
-/// Options of `request`.
+/// Sends a request to a service.
 #[derive(Debug, Options)]
 pub struct RequestOptions {
     /// print this help
@@ -230,6 +227,9 @@
     /// milliseconds within which an answer is of use
     #[options(no_short, meta = "MS")]
     pub deadline_ms: Option<u64>,
+    /// urgent, normal or patient, where that is less than the service's
+    #[options(no_short, meta = "URGENCY")]
+    pub urgency: Option<String>,
     /// the service
     #[options(free, required, parse(from_str = "Name::from"))]
     pub service: Name,
@@ -238,7 +238,7 @@
     pub file: Option<String>,
 }
 
-/// Options of `issue-key`.
+/// Prints the key of an editor, derived from the deployment's secret.
 #[derive(Debug, Options)]
 pub struct IssueKeyOptions {
     /// print this help
