--- /dev/null
+++ b/dragonflyrun/tests/slot_limits.rs
@@ -0,0 +1,128 @@
+//! At most the declared slots and connections of a backend server are in use, and one that is
+//! leaving or silent gets nothing.
+
+mod tables;
+
+use arbtest::arbtest;
+use dragonflyrun::{
+    connection::{Message, NotRun, Outcome, RequestId, RequestMessage, Role},
+    request::{AgentAction, AgentTable},
+};
+use tables::{agent, announcement, at, done, order, peer};
+
+fn started(table: &mut AgentTable) -> usize {
+    let actions = table.take_actions();
+    let is_start = |a: &&AgentAction| matches!(a, AgentAction::Start { .. });
+    actions.iter().filter(is_start).count()
+}
+
+fn refusal(table: &mut AgentTable) -> Option<NotRun> {
+    table.take_actions().iter().find_map(|action| match action {
+        AgentAction::Send {
+            message:
+                Message::Request(RequestMessage::Answer {
+                    outcome: Outcome::NotRun { reason, .. },
+                    ..
+                }),
+            ..
+        } => Some(*reason),
+        _ => None,
+    })
+}
+
+/// Entries, restarts of the backend server and late answers come in any order. A backend server
+/// that gets more than it declared may run out of memory with all that it is running.
+#[test]
+fn slots_and_connections() {
+    for n in 0..300 {
+        arbtest(|u| {
+            let (slots, connections) = (u.int_in_range(1..=6)?, u.int_in_range(1..=6)?);
+            let mut table = agent(slots, connections);
+            let mut running: Vec<RequestId> = Vec::new();
+            let mut now = 1_000;
+            for number in 0..u.int_in_range(10..=150)? {
+                now += u.int_in_range(0..=50)?;
+                match u.int_in_range(0..=9)? {
+                    0 => table.announce(at(now), announcement(slots, connections)),
+                    1 => table.tick(at(now)),
+                    2..=4 if !running.is_empty() => {
+                        let id = running.swap_remove(u.choose_index(running.len())?);
+                        table.finished(at(now), &id, done("x"));
+                        table.take_actions();
+                    }
+                    _ => {
+                        let mut order = order(number);
+                        order.deadline = at(now + 1_000);
+                        let id = order.id.clone();
+                        table.run(at(now), &"entry".into(), order, true);
+                        if started(&mut table) == 1 {
+                            running.push(id);
+                        }
+                    }
+                }
+                assert!(running.len() <= slots.min(connections) as usize);
+                assert_eq!(table.running(), running.len());
+            }
+            Ok(())
+        })
+        .seed(n << 32 | 400)
+        .run();
+    }
+}
+
+/// A backend server says that it is leaving, or its process is gone. An entry that has not heard
+/// of it yet still sends requests; they are refused and go elsewhere.
+#[test]
+fn leaving_and_lapsed() {
+    let mut table = agent(4, 4);
+    let mut leaving = announcement(4, 4);
+    leaving.leaving = true;
+    let changes = table.changes();
+    table.announce(at(1_500), leaving);
+    assert!(table.changes() > changes, "the entries should hear at once");
+    table.run(at(1_500), &"entry".into(), order(1), true);
+    assert_eq!(refusal(&mut table), Some(NotRun::NoBackend));
+
+    let mut table = agent(4, 4);
+    table.run(at(4_000), &"entry".into(), order(1), true);
+    assert_eq!(started(&mut table), 1);
+    table.run(at(4_001), &"entry".into(), order(2), true);
+    assert_eq!(refusal(&mut table), Some(NotRun::NoBackend));
+    assert!(table.reports(at(4_001)).iter().all(|r| r.leaving));
+}
+
+#[test]
+fn refused_by_agent() {
+    let mut table = agent(1, 1);
+    table.run(at(1_000), &"entry".into(), order(1), true);
+    assert_eq!(started(&mut table), 1);
+    table.run(at(1_000), &"entry".into(), order(2), true);
+    assert_eq!(refusal(&mut table), Some(NotRun::Busy));
+    table.run(at(1_000), &"entry".into(), order(3), false);
+    assert_eq!(refusal(&mut table), Some(NotRun::OutOfService));
+    table.run(at(5_000), &"entry".into(), order(4), true);
+    assert_eq!(refusal(&mut table), Some(NotRun::Deadline));
+    table.leave();
+    table.run(at(1_000), &"entry".into(), order(5), true);
+    assert_eq!(refusal(&mut table), Some(NotRun::Leaving));
+}
+
+/// An agent is stopped while requests run. It takes no more, but stays until those have ended and
+/// their entry has the answers; an entry that is gone does not hold it up.
+#[test]
+fn agent_stops() {
+    let mut table = agent(2, 2);
+    table.run(at(1_000), &"entry".into(), order(1), true);
+    table.leave();
+    assert!(!table.is_idle());
+    table.finished(at(1_100), &order(1).id, done("x"));
+    assert!(!table.is_idle(), "the entry has no answer yet");
+    table.received(&order(1).id);
+    assert!(table.is_idle());
+
+    let mut table = agent(2, 2);
+    table.run(at(1_000), &"entry".into(), order(1), true);
+    table.finished(at(1_100), &order(1).id, done("x"));
+    table.entry_down(&peer("entry", Role::Entry, 1));
+    assert!(table.is_idle());
+}
