Divide slots among entries; reckon run times by urgency

Change: each entry has a part of each agent's slots for its own and borrows of the others' only while one for each of them stays free. What is needed until a deadline is reckoned by urgency with its deviation; before, a mean over all let urgent and larger requests start that could not end in time.

--- a/dragonflyrun/src/process/entry_requests.rs
+++ b/dragonflyrun/src/process/entry_requests.rs
@@ -175,15 +175,19 @@
     /// Takes note of what the roster knows of all agents.
     pub fn on_peer_change(&self) {
         let version = self.cx.version();
-        let views: Vec<AgentView> = {
+        let now = self.cx.now();
+        let own = &self.cx.identity.name;
+        let (views, before, others) = {
             let roster = lock(&self.cx.roster);
             let peers = roster.all();
-            peers
-                .iter()
-                .filter_map(|p| AgentView::of(p, &version))
-                .collect()
+            let views = peers.iter().filter_map(|p| AgentView::of(p, &version));
+            let views: Vec<AgentView> = views.collect();
+            let entries = || roster.live(now, Role::Entry).map(|p| &p.peer.name);
+            let before = entries().filter(|name| *name < own).count();
+            (views, before, entries().count())
         };
         let mut inner = lock(&self.inner);
+        inner.table.set_entries(narrow(others + 1), narrow(before));
         let names: HashSet<Name> = views.iter().map(|v| v.name.clone()).collect();
         inner.table.retain_agents(|name| names.contains(name));
         for view in views {
@@ -287,3 +291,7 @@
         }
     }
 }
+
+fn narrow(count: usize) -> u32 {
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
--- a/dragonflyrun/src/request/entry_table/admission.rs
+++ b/dragonflyrun/src/request/entry_table/admission.rs
@@ -115,7 +115,7 @@
         }
         let state = self.services.entry(service.name.clone()).or_default();
         let wait = state.wait(capacity.ours.max(1), state.queue.ahead_of(waiting.urgency));
-        let ready = now + wait + state.needed(now);
+        let ready = now + wait + state.needed(now, waiting.urgency);
         if waiting.deadline <= now || ready > waiting.deadline {
             return Err(Refusal::new(
                 NotRun::Deadline,
--- a/dragonflyrun/src/request/entry_table/answers.rs
+++ b/dragonflyrun/src/request/entry_table/answers.rs
@@ -110,8 +110,7 @@
         let state = self.services.entry(dispatch.service.clone()).or_default();
         state.running = state.running.saturating_sub(1);
         if let Sample::Ran(time) = sample {
-            state.run_time.add(time);
-            state.sampled_at = now;
+            state.ran(now, dispatch.urgency, time);
         }
         Some(dispatch)
     }
--- a/dragonflyrun/src/request/entry_table/dispatch.rs
+++ b/dragonflyrun/src/request/entry_table/dispatch.rs
@@ -3,7 +3,7 @@
 use super::{Dispatch, EntryAction, EntryTable, Stage};
 use crate::{
     connection::{Message, NotRun, RequestMessage},
-    request::Refusal,
+    request::{Refusal, Waiting},
     utils::{Name, Timestamp},
 };
 
@@ -23,16 +23,18 @@
     /// Hands over what waits for `service` while there are free slots.
     pub(super) fn pump(&mut self, now: Timestamp, service: &Name) {
         while let Some(waiting) = self.services.get(service).and_then(|s| s.queue.first()) {
-            if self.is_hopeless(now, service, waiting.deadline) {
+            if self.is_hopeless(now, service, &waiting) {
                 let retry_after = self.retry_after(now, service);
                 let refusal = Refusal::new(NotRun::Deadline, retry_after);
                 self.finish(waiting.number, refusal.outcome());
                 continue;
             }
             let left = waiting.deadline.since(now);
+            let state = self.services.get(service);
+            let slowest = state.map_or(left, |s| s.slowest(now, waiting.urgency, left));
             let agent = self
                 .loads
-                .choose(now, service, left, self.choices, &mut self.rng);
+                .choose(now, service, slowest, self.choices, &mut self.rng);
             let Some(agent) = agent else {
                 return;
             };
@@ -56,6 +58,7 @@
             Dispatch {
                 request: number,
                 service: service.clone(),
+                urgency: pending.urgency,
                 agent: agent.clone(),
                 incarnation: view.incarnation,
                 sent: now,
@@ -92,8 +95,9 @@
 
     /// Returns whether a request can't be answered by its deadline any more; running it would
     /// take a slot from one that can.
-    fn is_hopeless(&self, now: Timestamp, service: &Name, deadline: Timestamp) -> bool {
-        let needed = self.services.get(service).map(|s| s.needed(now));
-        now + needed.unwrap_or_default() >= deadline
+    fn is_hopeless(&self, now: Timestamp, service: &Name, waiting: &Waiting) -> bool {
+        let state = self.services.get(service);
+        let needed = state.map(|s| s.needed(now, waiting.urgency));
+        now + needed.unwrap_or_default() >= waiting.deadline
     }
 }
--- a/dragonflyrun/src/request/entry_table/peers.rs
+++ b/dragonflyrun/src/request/entry_table/peers.rs
@@ -24,6 +24,12 @@
         self.loads.update(view);
     }
 
+    /// Divides the agents' slots among `count` entries, of which this one has the place `rank` in
+    /// the order of their names.
+    pub fn set_entries(&mut self, count: u32, rank: u32) {
+        self.loads.set_entries(count, rank);
+    }
+
     /// Forgets all agents but those for which `keep` holds.
     pub fn retain_agents(&mut self, keep: impl Fn(&Name) -> bool) {
         self.loads.retain(keep);
--- a/dragonflyrun/src/request/entry_table/state.rs
+++ b/dragonflyrun/src/request/entry_table/state.rs
@@ -4,13 +4,10 @@
 
 use crate::{
     request::{RunTime, WaitQueue, Waiting},
-    utils::{Name, Timestamp},
+    utils::{HashMap, Name, Timestamp},
     version::Urgency,
 };
 
-/// Age up to which the run times seen are taken for those to come.
-const RUN_TIME_AGE: Duration = Duration::from_secs(10);
-
 /// A request that has no final answer, or whose key still waits for the truth.
 #[derive(Debug)]
 pub(super) struct Pending {
@@ -45,6 +42,7 @@
 pub(super) struct Dispatch {
     pub(super) request: u64,
     pub(super) service: Name,
+    pub(super) urgency: Urgency,
     pub(super) agent: Name,
     pub(super) incarnation: u64,
     pub(super) sent: Timestamp,
@@ -61,8 +59,10 @@
 #[derive(Debug, Default)]
 pub(super) struct ServiceState {
     pub(super) queue: WaitQueue,
+    /// Over all requests.
     pub(super) run_time: RunTime,
-    pub(super) sampled_at: Timestamp,
+    /// By urgency; what is patient is often larger too.
+    pub(super) run_times: HashMap<Urgency, RunTime>,
     pub(super) running: usize,
     pub(super) bare_since: Option<Timestamp>,
 }
@@ -91,11 +91,29 @@
         Duration::from_secs_f64(mean_ms * turns / 1_000.0)
     }
 
-    /// Returns how long a request takes that starts now.
-    pub(super) fn needed(&self, now: Timestamp) -> Duration {
-        if now.since(self.sampled_at) > RUN_TIME_AGE {
-            return Duration::ZERO;
+    /// Takes note of how long a request took.
+    pub(super) fn ran(&mut self, now: Timestamp, urgency: Urgency, time: Duration) {
+        self.run_time.add(now, time);
+        self.run_times.entry(urgency).or_default().add(now, time);
+    }
+
+    /// Returns how long most requests take that start now.
+    pub(super) fn needed(&self, now: Timestamp, urgency: Urgency) -> Duration {
+        let run_time = self.run_times.get(&urgency);
+        run_time.map_or(Duration::ZERO, |r| r.most(now))
+    }
+
+    /// Returns the longest mean run time that an agent may have to run a request of `urgency` in
+    /// the time that is `left`: as much above the mean of all agents as there is time to spare.
+    pub(super) fn slowest(&self, now: Timestamp, urgency: Urgency, left: Duration) -> Duration {
+        let mean_ms = self.run_time.recent_mean_ms(now);
+        let needed = self.needed(now, urgency).as_secs_f64();
+        match mean_ms {
+            Some(mean_ms) if needed > 0.0 => {
+                let spare = left.as_secs_f64() / needed;
+                Duration::from_secs_f64(mean_ms * spare / 1_000.0)
+            }
+            _ => left,
         }
-        self.run_time.mean()
     }
 }
--- a/dragonflyrun/src/request/load.rs
+++ b/dragonflyrun/src/request/load.rs
@@ -3,9 +3,10 @@
 mod offer;
 mod view;
 
-use std::time::Duration;
+use std::{hash::BuildHasher, time::Duration};
 
 use rand::Rng;
+use rustc_hash::FxBuildHasher;
 
 use crate::{
     process::SILENCE,
@@ -35,6 +36,14 @@
 pub struct AgentLoads {
     agents: HashMap<Name, Agent>,
     services: HashMap<Name, Vec<Name>>,
+    entries: Entries,
+}
+
+/// Among how many entries the slots are divided, and which of them this one is.
+#[derive(Clone, Copy, Debug)]
+struct Entries {
+    count: u32,
+    rank: u32,
 }
 
 #[derive(Debug)]
@@ -68,9 +77,13 @@
         for offer in agent.offers.values_mut() {
             offer.slots = 0;
         }
+        let entries = self.entries;
         for service in &view.services {
+            let part = entries.part(&name, service.slots);
             let offer = agent.offers.entry(service.service.clone()).or_default();
             offer.slots = service.slots;
+            offer.part = part;
+            offer.reserve = entries.count - 1;
             offer.learn(view.heard, service.free);
             let agents = self.services.entry(service.service.clone()).or_default();
             if let Err(place) = agents.binary_search(&name) {
@@ -80,6 +93,18 @@
         agent.view = view;
     }
 
+    /// Divides the slots among `count` entries, of which this one has the place `rank`.
+    ///
+    /// Entries that all see the same free slot take it at the same time, and all but one are
+    /// refused. With a part of its own each can count on some slots without asking anybody.
+    pub(crate) fn set_entries(&mut self, count: u32, rank: u32) {
+        let count = count.max(1);
+        self.entries = Entries {
+            count,
+            rank: rank % count,
+        };
+    }
+
     /// Forgets all agents but those for which `keep` holds.
     pub fn retain(&mut self, keep: impl Fn(&Name) -> bool) {
         self.agents.retain(|name, _| keep(name));
@@ -122,8 +147,8 @@
         sum
     }
 
-    /// Chooses an agent for a request of `service` that has `left` until its deadline: the best
-    /// of `choices` drawn at random from those that have a free slot.
+    /// Chooses an agent for a request of `service` among those that take no longer than `slowest`
+    /// on average: the best of `choices` drawn at random from those that have a free slot.
     ///
     /// Taking the best of all would make every entry choose the same agent until the next
     /// heartbeat; two draws come close to it without that (`docs/DESIGN.md`, choice of agents).
@@ -131,30 +156,24 @@
         &self,
         now: Timestamp,
         service: &Name,
-        left: Duration,
+        slowest: Duration,
         choices: usize,
         rng: &mut impl Rng,
     ) -> Option<Name> {
         let names = self.services.get(service)?;
-        let usable = |name: &Name| self.is_open(now, name, service, Some(left));
-        let draws = DRAWS.max(choices);
-        let mut drawn: Vec<&Name> = (0..draws)
-            .map(|_| &names[rng.random_range(0..names.len())])
-            .filter(|name| usable(name))
-            .take(choices)
-            .collect();
+        let offer = |name: &Name| self.open_offer(now, name, service);
+        let good = |o: &Offer| o.may_be_tried(now) && o.is_fast_enough(now, slowest);
+        let own = |name: &Name| offer(name).is_some_and(|o| o.has_own() && good(o));
+        let borrowed = |name: &Name| offer(name).is_some_and(|o| o.may_borrow() && good(o));
+        let mut drawn = draw(names, choices, rng, own);
         if drawn.is_empty() {
-            let start = rng.random_range(0..names.len());
-            let turned = names[start..].iter().chain(&names[..start]);
-            drawn = turned.filter(|n| usable(n)).take(choices).collect();
+            drawn = draw(names, choices, rng, borrowed);
         }
         if drawn.is_empty() && self.all_set_aside(now, service) {
             // Where every backend server fails, the fault may lie in the requests; refusing all
             // would keep it from ever being noticed that they work again.
-            let open = names
-                .iter()
-                .filter(|n| self.is_open_though_failing(now, n, service));
-            drawn = open.take(choices).collect();
+            let any = |name: &Name| offer(name).is_some_and(|o| o.free() > 0);
+            drawn = draw(names, choices, rng, any);
         }
         let cost = |name: &&Name| self.cost(name, service);
         let best = drawn.into_iter().min_by(|a, b| cost(a).total_cmp(&cost(b)));
@@ -204,25 +223,10 @@
         agent.offers.get(service)
     }
 
-    fn is_open(
-        &self,
-        now: Timestamp,
-        agent: &Name,
-        service: &Name,
-        left: Option<Duration>,
-    ) -> bool {
-        let offer = self.usable_offer(now, agent, service);
-        offer.is_some_and(|o| {
-            o.free() > 0
-                && now >= o.held_until
-                && o.may_be_tried(now)
-                && left.is_none_or(|left| o.is_fast_enough(now, left))
-        })
-    }
-
-    fn is_open_though_failing(&self, now: Timestamp, agent: &Name, service: &Name) -> bool {
-        let offer = self.usable_offer(now, agent, service);
-        offer.is_some_and(|o| o.free() > 0 && now >= o.held_until)
+    /// Returns what `agent` has for `service`, if it may get requests and has not just refused.
+    fn open_offer(&self, now: Timestamp, agent: &Name, service: &Name) -> Option<&Offer> {
+        self.usable_offer(now, agent, service)
+            .filter(|o| now >= o.held_until)
     }
 
     fn all_set_aside(&self, now: Timestamp, service: &Name) -> bool {
@@ -242,8 +246,44 @@
     }
 }
 
+impl Default for Entries {
+    fn default() -> Self {
+        Self { count: 1, rank: 0 }
+    }
+}
+
+impl Entries {
+    /// Returns how many of an agent's `slots` are this entry's own. Which entries have one more
+    /// differs from agent to agent.
+    fn part(self, agent: &Name, slots: u32) -> u32 {
+        let turn = u32::try_from(FxBuildHasher.hash_one(agent) % u64::from(self.count));
+        let place = (self.rank + turn.unwrap_or(0)) % self.count;
+        slots / self.count + u32::from(place < slots % self.count)
+    }
+}
+
 impl Agent {
     fn is_usable(&self, now: Timestamp) -> bool {
         self.view.usable && now.since(self.view.heard) <= SILENCE
     }
 }
+
+/// Draws `choices` of those names at random for which `open` holds.
+fn draw<'a>(
+    names: &'a [Name],
+    choices: usize,
+    rng: &mut impl Rng,
+    open: impl Fn(&Name) -> bool,
+) -> Vec<&'a Name> {
+    let drawn: Vec<&Name> = (0..DRAWS.max(choices))
+        .map(|_| &names[rng.random_range(0..names.len())])
+        .filter(|name| open(name))
+        .take(choices)
+        .collect();
+    if !drawn.is_empty() {
+        return drawn;
+    }
+    let start = rng.random_range(0..names.len());
+    let turned = names[start..].iter().chain(&names[..start]);
+    turned.filter(|name| open(name)).take(choices).collect()
+}
--- a/dragonflyrun/src/request/load/offer.rs
+++ b/dragonflyrun/src/request/load/offer.rs
@@ -17,13 +17,14 @@
 /// How long an agent that refused gets nothing, unless it reports free slots anew.
 const HOLD: Duration = Duration::from_millis(200);
 
-/// Age up to which an agent's run time is taken for what the next request would take.
-const SAMPLE_AGE: Duration = Duration::from_secs(10);
-
 /// What an agent has for one service.
 #[derive(Debug, Default)]
 pub(super) struct Offer {
     pub(super) slots: u32,
+    /// The slots that are this entry's own.
+    pub(super) part: u32,
+    /// The slots that are left to the other entries while they use none.
+    pub(super) reserve: u32,
     /// Slots that other entries' requests use.
     pub(super) others: u32,
     /// Our own requests that it has not answered.
@@ -34,7 +35,6 @@
     pub(super) failures: u32,
     pub(super) aside_until: Timestamp,
     pub(super) run_time: RunTime,
-    pub(super) sampled_at: Timestamp,
 }
 
 impl Offer {
@@ -57,8 +57,7 @@
     pub(super) fn add(&mut self, now: Timestamp, sample: Sample) {
         match sample {
             Sample::Ran(time) => {
-                self.run_time.add(time);
-                self.sampled_at = now;
+                self.run_time.add(now, time);
                 self.failures = 0;
             }
             Sample::Failed => self.failed(now),
@@ -88,11 +87,19 @@
         !self.has_failed() || (now >= self.aside_until && self.in_flight == 0)
     }
 
-    pub(super) fn is_fast_enough(&self, now: Timestamp, left: Duration) -> bool {
-        if now.since(self.sampled_at) > SAMPLE_AGE {
-            return true;
-        }
-        let mean = self.run_time.mean_ms().unwrap_or(0.0);
-        mean <= left.as_secs_f64() * 1_000.0
+    /// Returns whether it is not known to take longer than `slowest` on average.
+    pub(super) fn is_fast_enough(&self, now: Timestamp, slowest: Duration) -> bool {
+        let mean_ms = self.run_time.recent_mean_ms(now);
+        mean_ms.is_none_or(|mean_ms| mean_ms <= slowest.as_secs_f64() * 1_000.0)
+    }
+
+    /// Returns whether a slot of this entry's own part is free; the agent is sure to have it.
+    pub(super) fn has_own(&self) -> bool {
+        self.in_flight < self.part && self.free() > 0
+    }
+
+    /// Returns whether another entry's slot may be borrowed: one for each of them stays free.
+    pub(super) fn may_borrow(&self) -> bool {
+        self.free() > self.reserve
     }
 }
