--- a/dragonflyrun/src/request/load.rs
+++ b/dragonflyrun/src/request/load.rs
@@ -75,7 +75,7 @@
             agent.offers.clear();
         }
         for offer in agent.offers.values_mut() {
-            offer.slots = 0;
+            (offer.slots, offer.part) = (0, 0);
         }
         let entries = self.entries;
         for service in &view.services {
--- a/dragonflyrun/src/request/load/offer.rs
+++ b/dragonflyrun/src/request/load/offer.rs
@@ -14,8 +14,11 @@
 /// Doublings of that time, at the most.
 const ASIDE_DOUBLINGS: u32 = 5;
 
-/// How long an agent that refused gets nothing, unless it reports free slots anew.
-const HOLD: Duration = Duration::from_millis(200);
+/// How long an agent that had no slot gets nothing. Its own part comes free again soon.
+const BUSY: Duration = Duration::from_millis(50);
+
+/// How long an agent whose backend server refused gets nothing.
+const REFUSED: Duration = Duration::from_millis(200);
 
 /// What an agent has for one service.
 #[derive(Debug, Default)]
@@ -63,9 +66,9 @@
             Sample::Failed => self.failed(now),
             Sample::Refused => {
                 self.failed(now);
-                self.held_until = now + HOLD;
+                self.held_until = now + REFUSED;
             }
-            Sample::NotStarted => self.held_until = now + HOLD,
+            Sample::NotStarted => self.held_until = now + BUSY,
         }
     }
 
@@ -93,9 +96,9 @@
         mean_ms.is_none_or(|mean_ms| mean_ms <= slowest.as_secs_f64() * 1_000.0)
     }
 
-    /// Returns whether a slot of this entry's own part is free; the agent is sure to have it.
+    /// Returns whether a slot of this entry's own part is free; others only borrow it.
     pub(super) fn has_own(&self) -> bool {
-        self.in_flight < self.part && self.free() > 0
+        self.in_flight < self.part
     }
 
     /// Returns whether another entry's slot may be borrowed: one for each of them stays free.
