--- a/dragonflyrun/src/job/members.rs
+++ b/dragonflyrun/src/job/members.rs
@@ -10,13 +10,15 @@
         GangMessage,
         MemberReport,
         MemberState,
+        RecordBody,
         TaskOrder,
         WorkerError,
         WorkerLease,
         WorkerView, //
     },
     job::{
-        GANG_LEASE, GangId, Gate, JobId, LAPSE, LeaseName, StartCheck, WorkerOp, member::Member,
+        GANG_LEASE, GangId, Gate, JobId, LAPSE, LeaseName, StartCheck, WorkerOp,
+        member::{Member, STOPPED},
     },
     utils::{HashMap, HashSet, Name, Timestamp},
 };
@@ -110,9 +112,16 @@
         self.members.values().any(|m| m.end().is_none())
     }
 
-    /// Takes note of a term that is on the log.
-    pub fn on_term(&mut self, term: u64) {
-        self.term = self.term.max(term);
+    /// Follows a record of the log that is in effect.
+    pub fn on_record(&mut self, now: Timestamp, body: &RecordBody) {
+        match body {
+            RecordBody::Term { term, .. } => self.term = self.term.max(*term),
+            RecordBody::JobStopped {
+                term, job, attempt, ..
+            } => self.on_settled(now, job, Some((*term, *attempt))),
+            RecordBody::JobEnded { job, .. } => self.on_settled(now, job, None),
+            _ => {}
+        }
     }
 
     /// Stops all members with a checkpoint and takes no order from now on.
@@ -158,7 +167,7 @@
 
     /// Takes note that the log has the end of all attempts of `job` up to `last`, or of the job
     /// itself where `last` is none.
-    pub fn on_settled(&mut self, now: Timestamp, job: &JobId, last: Option<(u64, u32)>) {
+    fn on_settled(&mut self, now: Timestamp, job: &JobId, last: Option<(u64, u32)>) {
         let settled: Vec<u64> = self
             .members
             .iter()
@@ -408,17 +417,7 @@
     }
 }
 
-const STOPPED: MemberState = MemberState::Stopped {
-    checkpointed: false,
-};
-
 /// Returns whether the end tells the planner something that it can't learn elsewhere.
 fn is_result(end: MemberState) -> bool {
-    !matches!(
-        end,
-        MemberState::Refused
-            | MemberState::Stopped {
-                checkpointed: false
-            }
-    )
+    !matches!(end, MemberState::Refused | STOPPED)
 }
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -60,8 +60,8 @@
         let now = self.now();
         let (next_offset, names) = {
             let ledger = lock(&self.ledger);
-            // It may have missed that a failure domain was taken out.
-            if !ledger.history.is_whole() {
+            // It may have missed that a failure domain was taken out or a planner replaced.
+            if !ledger.is_whole() {
                 return false;
             }
             let names: Vec<Name> = ledger.membership.entries().keys().cloned().collect();
@@ -82,7 +82,8 @@
 fn entry_view(roster: &Roster, entry: Name) -> EntryView {
     let peer = roster.peer(&entry);
     EntryView {
-        heard: peer.map(|p| p.heard),
+        // What waited in a buffer while this process was frozen says nothing about now.
+        heard: peer.and_then(|p| p.confirmed),
         gone: peer.is_some_and(|p| p.is_leaving() && !p.linked),
         log: peer.map(|p| p.log).unwrap_or_default(),
         entry,
