--- a/dragonflyrun/src/job/members.rs
+++ b/dragonflyrun/src/job/members.rs
@@ -17,7 +17,7 @@
         WorkerView, //
     },
     job::{
-        GANG_LEASE, GangId, Gate, JobId, LAPSE, LeaseName, StartCheck, WorkerOp,
+        GANG_LEASE, GangId, Gate, JobId, LAPSE, LeaseName, StartCheck, WorkerCall, WorkerOp,
         member::{Member, STOPPED},
     },
     utils::{HashMap, HashSet, Name, Timestamp},
@@ -36,27 +36,6 @@
 /// Silence of the worker after which the agent no longer reports its accelerators.
 const WORKER_LOST: Duration = Duration::from_millis(2_000);
 
-/// A call to make on the worker. Its answer goes back to [`Members`].
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum WorkerCall {
-    /// Look at all leases.
-    Look,
-    /// Do something about one member's lease.
-    Lease {
-        /// The member.
-        number: u64,
-        /// The lease.
-        lease: Name,
-        /// What to do.
-        op: WorkerOp,
-    },
-    /// Forget a lease that nobody needs any more.
-    Remove {
-        /// The lease.
-        lease: Name,
-    },
-}
-
 /// The members at one agent.
 #[derive(Debug)]
 pub struct Members {
--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -2,11 +2,13 @@
 
 mod allotment;
 mod book;
+mod closing;
 mod decision;
 mod election;
 mod estimate;
 mod gang;
 mod gang_id;
+mod gang_tick;
 mod guarantee;
 mod inventory;
 mod member;
@@ -25,24 +27,28 @@
 mod scheduler;
 mod slots;
 mod spec;
+mod starting;
+mod stopping;
 mod take_over;
 mod timing;
+mod worker_op;
 
 pub use book::{JobBook, LiveJob};
 pub use decision::{Decision, UsageReport};
 pub use election::{Election, ElectionView, PLANNER_SILENCE};
-pub use gang::{Close, Gang, GangAction, StopReason};
+pub use gang::{Close, Gang, GangAction};
 pub use gang_id::{GangId, LeaseName};
-pub use member::{Gate, StartCheck, WorkerOp};
-pub use members::{Members, WorkerCall};
+pub use members::Members;
 pub use planner::{Planner, PlannerAction, PlannerView, Purpose};
 pub use renewal::{LATE, Notice, Renewals};
 pub use retention::{CARRY, Carry, Item, MEMBERSHIP_CARRY, Retention};
 pub use ring::Ring;
 pub use scheduler::{Scheduler, UnmetGuarantee};
 pub use spec::{JobId, JobSpec, Shape, Unreachable, WorkerInfo};
+pub use stopping::StopReason;
 pub use take_over::JobRecord;
 pub use timing::{
     AUTONOMY, CHECKPOINT_TIME, DRIFT, GANG_LEASE, LAPSE, LAPSE_UNSTARTED, PARTIAL_BOUND,
     RENEW_PERIOD, RESERVATION, START_BOUND, WORKER_SILENCE, WORKER_TTL,
 };
+pub use worker_op::{Gate, StartCheck, WorkerCall, WorkerOp};
--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -10,41 +10,31 @@
 };
 
 use crate::{
-    connection::{GangMessage, JobEnd, MemberReport, MemberState, RecordBody},
+    connection::{GangMessage, MemberReport, MemberState, RecordBody},
     job::{
-        Close, Decision, Election, ElectionView, Gang, GangAction, GangId, Item, JobId, JobSpec,
-        LiveJob, Notice, Retention, Ring, Scheduler, StopReason, Unreachable, UsageReport,
+        Election,
+        ElectionView,
+        Gang,
+        GangAction,
+        GangId,
+        Item,
+        JobId,
+        JobSpec,
+        LiveJob,
+        Notice,
+        Retention,
+        Ring,
+        Scheduler,
+        StopReason,
+        Unreachable,
         WorkerInfo,
+        closing::Closing,
+        starting::PROVED, //
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     version::Version,
 };
 
-/// Workers that one job may bring into disrepute by failing on them. Some jobs can never run, and
-/// must not have all workers set aside one after the other.
-const BLAMED_WORKERS: usize = 2;
-
-/// Attempts of one job that may fail beyond those that it takes to set those workers aside, so that
-/// they can't fail a good job.
-const SPARE_FAILURES: u32 = 2;
-
-/// How long a shape must not be had from the workers known before an accepted job is ended for it.
-/// A planner that was replaced lately may not have heard of a worker that is away for a while.
-const IMPOSSIBLE_FOR: Duration = Duration::from_secs(600);
-
-/// Time between two looks at a job whose shape can't be had.
-const IMPOSSIBLE_PAUSE: Duration = Duration::from_secs(15);
-
-/// Pause before a job is tried again, for each of its failures, and the longest such pause.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
-const LONGEST_RETRY_PAUSE: Duration = Duration::from_millis(4_000);
-
-/// Pause before a record that did not reach the log is appended again.
-const APPEND_PAUSE: Duration = Duration::from_millis(1_000);
-
-/// How long a gang has to run to count as well started, and a task that fails sooner as badly.
-const PROVED: Duration = Duration::from_millis(10_000);
-
 /// Time between two looks at the owners of keys.
 const RING_PERIOD: Duration = Duration::from_millis(500);
 
@@ -102,32 +92,24 @@
     pub(super) tried: u32,
     pub(super) gang: Option<Gang>,
     /// How long its former attempts of this planner ran.
-    ran: Duration,
-    impossible_since: Option<Timestamp>,
+    pub(super) ran: Duration,
+    pub(super) impossible_since: Option<Timestamp>,
     /// Workers that were blamed for its failures, and how often.
-    blamed: HashMap<Name, u32>,
-}
-
-/// A record that ends an attempt or a job, until it is on the log.
-#[derive(Debug)]
-pub(super) struct Closing {
-    body: RecordBody,
-    /// None while the record is under way.
-    retry_at: Option<Timestamp>,
+    pub(super) blamed: HashMap<Name, u32>,
 }
 
 /// The planner's table.
 #[derive(Debug)]
 pub struct Planner {
     pub(super) election: Election,
-    ring: Ring,
-    next_ring: Timestamp,
+    pub(super) ring: Ring,
+    pub(super) next_ring: Timestamp,
     pub(super) retention: Retention,
     pub(super) scheduler: Scheduler,
     pub(super) version: Arc<Version>,
     pub(super) jobs: HashMap<JobId, Planned>,
-    by_worker: HashMap<Name, HashSet<JobId>>,
-    workers: BTreeSet<Name>,
+    pub(super) by_worker: HashMap<Name, HashSet<JobId>>,
+    pub(super) workers: BTreeSet<Name>,
     /// Jobs whose gang is not known to run steadily.
     pub(super) touched: HashSet<JobId>,
     pub(super) closing: HashMap<JobId, Closing>,
@@ -210,11 +192,7 @@
                     gang.fence_failed();
                 }
             }
-            Some(Purpose::Close(job)) => {
-                if let Some(closing) = self.closing.get_mut(&job) {
-                    closing.retry_at = Some(now + APPEND_PAUSE);
-                }
-            }
+            Some(Purpose::Close(job)) => self.close_failed(now, &job),
             Some(Purpose::Carry(item)) => self.retention.outdated(now, item),
             Some(Purpose::Ring) | None => {}
         }
@@ -314,46 +292,6 @@
         actions
     }
 
-    fn decide(&mut self, now: Timestamp, term: u64) {
-        for decision in self.scheduler.decide(now) {
-            match decision {
-                Decision::Start { job, placements } => {
-                    let Some(planned) = self.jobs.get_mut(&job) else {
-                        continue;
-                    };
-                    if planned.gang.is_some() || self.closing.contains_key(&job) {
-                        continue;
-                    }
-                    planned.impossible_since = None;
-                    planned.tried = planned.tried.max(planned.live.attempt) + 1;
-                    let id = GangId {
-                        job: job.clone(),
-                        term,
-                        attempt: planned.tried,
-                    };
-                    log::info!(job:% = job, attempt = id.attempt; "gang_reserving");
-                    let gang = Gang::reserve(now, id, planned.live.clone(), &placements);
-                    self.place(gang);
-                }
-                Decision::Evict { job, .. } => self.stop_gang(now, &job, StopReason::Evicted),
-                Decision::Impossible { job, why } => self.impossible(now, &job, why),
-            }
-        }
-    }
-
-    fn impossible(&mut self, now: Timestamp, job: &JobId, why: Unreachable) {
-        let Some(planned) = self.jobs.get_mut(job) else {
-            return;
-        };
-        let since = *planned.impossible_since.get_or_insert(now);
-        log::warn!(job:% = job, why:? = why; "job_impossible");
-        if now.since(since) > IMPOSSIBLE_FOR {
-            self.end(now, job, JobEnd::Impossible);
-        } else {
-            self.resting.insert((now + IMPOSSIBLE_PAUSE, job.clone()));
-        }
-    }
-
     fn change_owners(
         &mut self,
         now: Timestamp,
@@ -434,239 +372,22 @@
         }
     }
 
-    fn close(&mut self, now: Timestamp, job: &JobId, close: Close) {
-        let limit = failure_limit(self.version.limits.worker_failures);
-        let Some(planned) = self.jobs.get(job) else {
-            return;
-        };
-        let failures = planned.live.failures;
-        let attempt = planned.live.attempt;
-        match close {
-            Close::Finished => {
-                self.learn_usage(now, job);
-                self.end(now, job, JobEnd::Finished);
-            }
-            Close::Stopped { .. } if planned.live.cancelled => {
-                self.end(now, job, JobEnd::Cancelled);
-            }
-            Close::Stopped { failed: true, .. } if failures + 1 >= limit => {
-                self.end(now, job, JobEnd::Failed);
-            }
-            Close::Stopped {
-                checkpointed,
-                failed,
-                recorded: true,
-            } => {
-                self.count_run(now, job, checkpointed);
-                let body = RecordBody::JobStopped {
-                    term: self.election.held().unwrap_or_default(),
-                    job: job.clone(),
-                    attempt,
-                    checkpointed,
-                    failed,
-                };
-                self.close_with(now, job, body);
-            }
-            Close::Stopped { .. } => {
-                self.unplace(job);
-                self.rest(now, job);
-            }
-        }
-    }
-
-    /// Counts the time that an attempt ran, unless its work is lost.
-    fn count_run(&mut self, now: Timestamp, job: &JobId, checkpointed: bool) {
-        if let Some(planned) = self.jobs.get_mut(job)
-            && let Some(gang) = &planned.gang
-            && checkpointed
-        {
-            planned.ran += gang.ran(now);
-        }
-    }
-
-    fn learn_usage(&mut self, now: Timestamp, job: &JobId) {
-        let Some(planned) = self.jobs.get(job) else {
-            return;
-        };
-        let ran = planned.ran + planned.gang.as_ref().map_or(Duration::ZERO, |g| g.ran(now));
-        let report = UsageReport {
-            job: job.clone(),
-            ran_ms: u64::try_from(ran.as_millis()).unwrap_or(u64::MAX),
-            finished: true,
-        };
-        self.scheduler.usage(now, &report);
-    }
-
-    pub(super) fn end(&mut self, now: Timestamp, job: &JobId, end: JobEnd) {
-        let body = RecordBody::JobEnded {
-            term: self.election.held().unwrap_or_default(),
-            job: job.clone(),
-            end,
-        };
-        self.close_with(now, job, body);
-    }
-
-    pub(super) fn close_with(&mut self, now: Timestamp, job: &JobId, body: RecordBody) {
-        let closing = Closing {
-            body,
-            retry_at: Some(now),
-        };
-        self.closing.insert(job.clone(), closing);
-    }
-
-    fn append_closing(&mut self, now: Timestamp, actions: &mut Vec<PlannerAction>) {
-        for (job, closing) in &mut self.closing {
-            if closing.retry_at.is_some_and(|at| now >= at) {
-                closing.retry_at = None;
-                actions.push(append(closing.body.clone(), Purpose::Close(job.clone())));
-            }
-        }
-    }
-
-    /// Lets a job wait again after a pause, so that one that can't be started does not keep the
-    /// agents and the log busy.
-    pub(super) fn rest(&mut self, now: Timestamp, job: &JobId) {
-        let failures = self.jobs.get(job).map_or(0, |j| j.live.failures);
-        let pause = (RETRY_PAUSE * (failures + 1)).min(LONGEST_RETRY_PAUSE);
-        self.resting.insert((now + pause, job.clone()));
-    }
-
-    fn wake_resting(&mut self, now: Timestamp) {
-        while let Some((at, _)) = self.resting.first()
-            && *at <= now
-        {
-            let Some((_, job)) = self.resting.pop_first() else {
-                return;
-            };
-            if let Some(planned) = self.jobs.get(&job)
-                && planned.gang.is_none()
-                && !self.closing.contains_key(&job)
-            {
-                if planned.impossible_since.is_some() {
-                    // It is no longer in the scheduler's queue.
-                    self.scheduler.job_gone(now, &job);
-                }
-                self.scheduler.job_waits(now, &planned.live);
-            }
-        }
-    }
-
-    fn prove_starts(&mut self, now: Timestamp) {
-        while let Some((at, _)) = self.proving.front()
-            && *at <= now
-        {
-            let Some((_, id)) = self.proving.pop_front() else {
-                return;
-            };
-            let gang = self.jobs.get(&id.job).and_then(|j| j.gang.as_ref());
-            if let Some(gang) = gang.filter(|g| *g.id() == id && g.running_since().is_some()) {
-                for worker in gang.workers() {
-                    self.scheduler.start_succeeded(now, worker);
-                }
-            }
-        }
-    }
-
-    fn member_state(&mut self, now: Timestamp, agent: &Name, member: &MemberReport) {
-        let job = &member.gang.job;
-        self.touched.insert(job.clone());
-        let Some(gang) = self.jobs.get_mut(job).and_then(|j| j.gang.as_mut()) else {
-            return;
-        };
-        let young = gang.running_since().is_none_or(|at| now.since(at) < PROVED);
-        let before = gang.report(now, agent, Some(member.state));
-        if before == Some(member.state) {
-            return;
-        }
-        match member.state {
-            MemberState::Failed | MemberState::Refused if young => self.blame(now, job, agent),
-            MemberState::Finished => self.scheduler.start_succeeded(now, agent),
-            _ => {}
-        }
-    }
-
-    fn blame(&mut self, now: Timestamp, job: &JobId, worker: &Name) {
-        let Some(planned) = self.jobs.get_mut(job) else {
-            return;
-        };
-        let known = planned.blamed.len() < BLAMED_WORKERS || planned.blamed.contains_key(worker);
-        if !known {
-            return;
-        }
-        // Once the worker is set aside for it, more failures of the same job prove nothing new.
-        let count = planned.blamed.entry(worker.clone()).or_default();
-        if *count < self.version.limits.worker_failures {
-            *count += 1;
-            self.scheduler.start_failed(now, worker);
-        }
-    }
-
-    fn stop_gang(&mut self, now: Timestamp, job: &JobId, reason: StopReason) {
-        self.touched.insert(job.clone());
-        if let Some(gang) = self.jobs.get_mut(job).and_then(|j| j.gang.as_mut()) {
-            gang.stop(now, reason);
-        }
-    }
-
-    pub(super) fn place(&mut self, gang: Gang) {
-        let job = gang.id().job.clone();
-        self.unplace(&job);
-        for worker in gang.workers() {
-            let jobs = self.by_worker.entry(worker.clone()).or_default();
-            jobs.insert(job.clone());
-        }
-        self.touched.insert(job.clone());
-        if let Some(planned) = self.jobs.get_mut(&job) {
-            planned.gang = Some(gang);
-        }
-    }
-
-    pub(super) fn unplace(&mut self, job: &JobId) {
-        let Some(planned) = self.jobs.get_mut(job) else {
-            return;
-        };
-        let Some(gang) = planned.gang.take() else {
-            return;
-        };
-        for worker in gang.workers() {
-            if let Some(jobs) = self.by_worker.get_mut(worker) {
-                jobs.remove(job);
-                if jobs.is_empty() {
-                    self.by_worker.remove(worker);
-                }
-            }
-        }
-    }
-
-    fn jobs_on(&self, worker: &Name) -> Vec<JobId> {
-        let jobs = self.by_worker.get(worker);
-        jobs.into_iter().flatten().cloned().collect()
-    }
-
-    fn gang_mut(&mut self, id: &GangId) -> Option<&mut Gang> {
+    pub(super) fn gang_mut(&mut self, id: &GangId) -> Option<&mut Gang> {
         let gang = self.jobs.get_mut(&id.job)?.gang.as_mut()?;
         (gang.id() == id).then_some(gang)
     }
 }
 
-/// Returns how many attempts of a job may fail, where a worker is set aside after that many.
-fn failure_limit(worker_failures: u32) -> u32 {
-    let blamed = u32::try_from(BLAMED_WORKERS).unwrap_or(u32::MAX);
-    worker_failures
-        .saturating_mul(blamed)
-        .saturating_add(SPARE_FAILURES)
+fn is_held(state: MemberState) -> bool {
+    matches!(
+        state,
+        MemberState::Reserved | MemberState::Running | MemberState::Stopping
+    )
 }
 
-fn append(body: RecordBody, purpose: Purpose) -> PlannerAction {
+pub(super) fn append(body: RecordBody, purpose: Purpose) -> PlannerAction {
     PlannerAction::Append {
         body: Box::new(body),
         purpose,
     }
 }
-
-fn is_held(state: MemberState) -> bool {
-    matches!(
-        state,
-        MemberState::Reserved | MemberState::Running | MemberState::Stopping
-    )
-}
