Count entries that were removed as ones that may still renew

The planner removes an entry after 30 s of silence, but one that is only cut off goes on renewing gangs for AUTONOMY. Its removal must not let the planner take a fence for obeyed. An entry that leaves by itself renews nothing from then on, and so stops renewing before it says so. A process with a gap in the log renews nothing before it has read the head. Members of a stopping agent stop at once, not after its last request. A report on free slots alone is no news for gangs.

--- a/dragonflyrun/src/process/agent.rs
+++ b/dragonflyrun/src/process/agent.rs
@@ -131,6 +131,7 @@
 
     fn drain(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.jobs.drain();
         if !self.requests.stop(STOP_TIME) {
             log::warn!(running = self.requests.running(); "requests_not_finished");
         }
--- a/dragonflyrun/src/process/agent_jobs.rs
+++ b/dragonflyrun/src/process/agent_jobs.rs
@@ -107,11 +107,16 @@
         lock(&self.shared.members).accelerators(now)
     }
 
-    /// Stops all members with a checkpoint and takes no order from now on. Returns when all have
-    /// stopped, or after a bounded time; what still runs then stops with its worker lease.
-    pub fn stop(&self) {
+    /// Begins to stop all members with a checkpoint, and takes no order from now on.
+    pub fn drain(&self) {
         let now = self.shared.cx.now();
         lock(&self.shared.members).drain(now);
+    }
+
+    /// Stops all members with a checkpoint. Returns when all have stopped, or after a bounded time;
+    /// what still runs then stops with its worker lease.
+    pub fn stop(&self) {
+        self.drain();
         let start = Instant::now();
         while lock(&self.shared.members).is_active() && start.elapsed() < STOP_WAIT {
             self.tick();
--- a/dragonflyrun/src/process/entry.rs
+++ b/dragonflyrun/src/process/entry.rs
@@ -106,8 +106,8 @@
 
     fn drain(&self) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.presence.leave();
         self.jobs.stop();
+        self.presence.leave();
         if !self.requests.stop(STOP_TIME) {
             log::warn!(name:% = self.cx.identity.name; "requests_not_answered");
         }
--- a/dragonflyrun/src/process/entry_jobs.rs
+++ b/dragonflyrun/src/process/entry_jobs.rs
@@ -67,6 +67,10 @@
 
     /// Takes note of a heartbeat that the roster has taken, and answers it with renewals.
     pub fn on_heartbeat(&self, from: &Name) {
+        // The others count on it that an entry that has left on the log renews nothing.
+        if self.leaving.load(Ordering::Relaxed) {
+            return;
+        }
         let notices = {
             let roster = lock(&self.cx.roster);
             let Some(peer) = roster.peer(from).filter(|p| p.peer.role == Role::Agent) else {
@@ -188,7 +192,8 @@
         }
     }
 
-    /// Takes no job from now on and plans no more. Gangs go on under the next planner.
+    /// Takes no job from now on, renews no gang and plans no more. Gangs go on under the other
+    /// entries and the next planner. To be called before the entry says on the log that it leaves.
     pub fn stop(&self) {
         self.leaving.store(true, Ordering::Relaxed);
     }
--- a/dragonflyrun/src/process/gang_table.rs
+++ b/dragonflyrun/src/process/gang_table.rs
@@ -6,12 +6,12 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    connection::{Carried, RecordBody, Report, Role},
+    connection::{Carried, MemberReport, Record, RecordBody, Report, Role},
     job::{
         AUTONOMY, ElectionView, Item, JobId, JobRecord, JobSpec, Notice, Planner, PlannerAction,
         PlannerView, Purpose, Renewals, Unreachable, WorkerInfo,
     },
-    process::{Folded, Ledger, PeerState, Roster, SILENCE},
+    process::{FRESH, Folded, Ledger, PeerState, Roster, SILENCE},
     utils::{HashMap, Name, Timestamp},
     version::Version,
 };
@@ -21,12 +21,15 @@
 const FROZEN: Duration = Duration::from_millis(1_000);
 
 /// What was last taken from an agent's state in the roster.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 struct Taken {
     incarnation: u64,
     report_number: u64,
     /// Whether its worker may get work.
     up: bool,
+    /// Its worker and its members, of which a report may say the same once more.
+    worker: WorkerInfo,
+    members: Vec<MemberReport>,
 }
 
 /// What the log and the roster say at one moment.
@@ -94,6 +97,9 @@
     grace: Timestamp,
     /// When this entry last knew the latest state of the log.
     fresh_at: Option<Timestamp>,
+    /// Entries that the planner has removed, and until when they may go on renewing gangs. One
+    /// that is only cut off from everybody but the agents does not know that it was removed.
+    removed: HashMap<Name, Timestamp>,
     gaps: u64,
 }
 
@@ -107,6 +113,7 @@
             last_tick: now,
             grace: now + SILENCE,
             fresh_at: None,
+            removed: HashMap::default(),
             gaps: 0,
         }
     }
@@ -172,6 +179,7 @@
                 }
             }
         }
+        self.follow_entries(now, &folded.record);
         self.planner.configure(ledger.history.current());
         let record = JobRecord {
             offset: folded.offset,
@@ -212,7 +220,12 @@
         if now >= self.grace {
             self.drop_silent(now, &view.silent);
         }
-        self.planner.tick(now, &view.planner)
+        self.removed.retain(|_, until| *until > now);
+        let mut view = view.planner.clone();
+        if !self.removed.is_empty() {
+            view.folded_by_all = 0;
+        }
+        self.planner.tick(now, &view)
     }
 
     /// Drops the agents that have been silent for so long that their members count as lost.
@@ -228,13 +241,27 @@
         }
     }
 
-    /// Forgets everything after a gap of the log: what was missed may be the end of a job or of
-    /// this process's term. The agents' next heartbeats and the carried states fill the table.
+    fn follow_entries(&mut self, now: Timestamp, record: &Record) {
+        match &record.body {
+            RecordBody::EntryJoined { entry, .. } => {
+                self.removed.remove(entry);
+            }
+            // One that leaves by itself renews nothing from then on.
+            RecordBody::EntryLeft { entry } if record.author != *entry => {
+                self.removed.insert(entry.clone(), now + FRESH + AUTONOMY);
+            }
+            _ => {}
+        }
+    }
+
+    /// Forgets everything after a gap of the log: what was missed may be the end of a job, of this
+    /// process's term, or the removal of an entry. The agents' next heartbeats and the carried
+    /// states fill the table. It renews nothing before it knows the log's head again, since a
+    /// fence may be among what was missed.
     fn begin_anew(&mut self, now: Timestamp, ledger: &Ledger) {
         let me = self.planner.me().clone();
-        let fresh_at = self.fresh_at;
-        *self = Self::new(now, me, ledger.history.current().clone());
-        self.fresh_at = fresh_at;
+        *self = Self::new(now, me.clone(), ledger.history.current().clone());
+        self.removed.insert(me, now + FRESH + AUTONOMY);
         self.gaps = ledger.gaps();
     }
 
@@ -242,35 +269,58 @@
         let Some(Report::Agent(report)) = &peer.report else {
             return Vec::new();
         };
-        let knows_worker = report.accelerators > 0;
-        let taken = Taken {
-            incarnation: peer.peer.incarnation,
-            report_number: peer.report_number,
-            up: knows_worker && peer.is_live(now),
-        };
-        if self.agents.insert(agent.clone(), taken) == Some(taken) {
+        let up = report.accelerators > 0 && peer.is_live(now);
+        let incarnation = peer.peer.incarnation;
+        if let Some(taken) = self.agents.get(agent)
+            && taken.report_number == peer.report_number
+            && taken.incarnation == incarnation
+            && taken.up == up
+        {
             return Vec::new();
         }
-        if taken.up {
-            let info = WorkerInfo {
+        let taken = Taken {
+            incarnation,
+            report_number: peer.report_number,
+            up,
+            worker: WorkerInfo {
                 name: agent.clone(),
                 rack: report.rack.clone(),
                 failure_domain: report.failure_domain.clone(),
                 accelerators: report.accelerators,
-            };
-            self.planner.worker_up(now, info);
+            },
+            members: report.members.clone(),
+        };
+        let before = self.agents.insert(agent.clone(), taken.clone());
+        if before.is_some_and(|before| before.says_the_same(&taken)) {
+            return Vec::new();
+        }
+        if up {
+            self.planner.worker_up(now, taken.worker);
         } else {
             self.planner.worker_down(now, agent);
         }
+        // Before it knows its worker, an agent reports none of those that its predecessor left.
+        let knows_worker = report.accelerators > 0;
         let mut notices = self
             .planner
-            .report(now, agent, &report.members, knows_worker);
-        let members = report.members.clone();
-        notices.extend(self.renewals.report(agent, taken.incarnation, members));
+            .report(now, agent, &taken.members, knows_worker);
+        notices.extend(self.renewals.report(agent, incarnation, taken.members));
         notices
     }
 }
 
+impl Taken {
+    /// Returns whether a later report says nothing new about gangs, such as one on the free slots
+    /// of backend servers. What was marked as not taken by the planner is always new.
+    fn says_the_same(&self, later: &Self) -> bool {
+        self.report_number != 0
+            && self.incarnation == later.incarnation
+            && self.up == later.up
+            && self.worker == later.worker
+            && self.members == later.members
+    }
+}
+
 /// Returns whether a state that was repeated is still the current one. Where it is not, something
 /// reached the log between the moment at which it was read and that at which it was repeated.
 fn is_current(ledger: &Ledger, body: &RecordBody) -> bool {
