--- a/dragonflyrun/tests/gang_faults.rs
+++ b/dragonflyrun/tests/gang_faults.rs
@@ -14,7 +14,7 @@
     version::{Adjacency, Urgency},
 };
 
-use gang_world::{Fault, World, checks};
+use gang_world::{Fault, World, checks, sleeping};
 
 const ENTRIES: usize = 3;
 const AGENTS: usize = 6;
@@ -51,12 +51,14 @@
     })
 }
 
-fn fault(u: &mut Unstructured<'_>) -> Result<Fault> {
+/// One failure, or some that come together.
+fn faults(u: &mut Unstructured<'_>) -> Result<Vec<Fault>> {
     let node = u.choose_index(ENTRIES + AGENTS)?;
     let worker = u.choose_index(AGENTS)?;
     let entry = u.choose_index(ENTRIES)?;
     let other = (entry + 1 + u.choose_index(ENTRIES + AGENTS - 1)?) % (ENTRIES + AGENTS);
-    Ok(match u.choose_index(12)? {
+    let hold = u.arbitrary()?;
+    let one = match u.choose_index(14)? {
         0 => Fault::Kill(node),
         1 => Fault::Kill(entry),
         2 => Fault::Freeze(node),
@@ -65,17 +67,18 @@
         5 => Fault::FreezeHost(worker),
         6 => Fault::FreezeWorker(worker),
         7 => Fault::BreakWorker(worker),
-        8 => Fault::Cut(entry, other, u.arbitrary()?),
+        8 => Fault::Cut(entry, other, hold),
         9 => Fault::CutLog(node),
         10 => Fault::Drain(u.choose_index(2)?),
+        11 if hold => Fault::LogDown,
+        11 => Fault::LogLoses,
+        12 => return Ok((0..ENTRIES).map(Fault::Freeze).collect()),
         _ => {
-            if u.arbitrary()? {
-                Fault::LogDown
-            } else {
-                Fault::LogLoses
-            }
+            let cut = |entry| Fault::Cut(entry, ENTRIES + worker, hold);
+            return Ok((0..ENTRIES).map(cut).collect());
         }
-    })
+    };
+    Ok(vec![one])
 }
 
 fn any_failures(u: &mut Unstructured<'_>) -> Result<()> {
@@ -91,7 +94,9 @@
     for _ in 0..u.int_in_range(0..=12)? {
         let at = u.int_in_range(2_000..=50_000)?;
         let length = u.int_in_range(50..=FAULTS_UNTIL - at)?.min(20_000);
-        world.fault(at, length, fault(u)?);
+        for fault in faults(u)? {
+            world.fault(at, length, fault);
+        }
     }
     while world.now < END && (world.now < FAULTS_UNTIL || !world.all_ended()) {
         world.run(world.now + 1_000);
@@ -140,3 +145,96 @@
         }
     });
 }
+
+const SUBMIT: u64 = 10_000;
+
+/// A world in which the job runs.
+fn running(seed: u64, job: JobSpec) -> World {
+    let mut world = World::new(seed, ENTRIES, AGENTS);
+    world.submit(SUBMIT, "job-0", job);
+    world.run(SUBMIT + 2_000);
+    assert!(!world.ran().is_empty());
+    world
+}
+
+fn attempts(world: &World) -> u32 {
+    world.ran().iter().map(|r| r.attempt).max().unwrap_or(0)
+}
+
+/// The host of one member is lost, and at the same moment nobody is left who could tell the others:
+/// all entries are frozen. The others would compute for a gang that can't finish.
+#[test]
+fn others_stop_without_entries() {
+    let mut longest = 0;
+    for seed in 0..10 {
+        let mut world = running(seed, sleeping(6, 4, 20_000));
+        world.fault(world.now, 60_000, Fault::KillHost(1));
+        for entry in 0..ENTRIES {
+            world.fault(world.now, 20_000, Fault::Freeze(entry));
+        }
+        world.run_to_end(200_000);
+        world.check_records();
+        longest = longest.max(checks::longest_partial(&world.ran(), world.now));
+        assert_eq!(world.end(&"job-0".into()), Some(JobEnd::Finished));
+    }
+    println!("longest partial window: {longest} ms");
+}
+
+/// The planner alone can't reach the only member of a gang, which the other entries go on renewing.
+/// Another attempt next to it would pay an owner twice.
+#[test]
+fn planner_cut_from_lone_member() {
+    for seed in 0..10 {
+        let mut world = running(seed, sleeping(2, 2, 15_000));
+        let planner = world.planners()[0];
+        let member = world.workers.iter().position(|w| !w.ran.is_empty());
+        let agent = ENTRIES + member.expect("a member runs");
+        world.fault(world.now, 60_000, Fault::Cut(planner, agent, seed % 2 == 0));
+        world.run_to_end(200_000);
+        world.check_records();
+        assert_eq!(world.end(&"job-0".into()), Some(JobEnd::Finished));
+        assert_eq!(attempts(&world), 2, "it was fenced and went on elsewhere");
+    }
+}
+
+/// A gang's only member and one entry are cut off from everybody else and from the log. They go on
+/// together, and the rest must leave the job alone, also when it has removed that entry.
+#[test]
+fn cut_off_with_one_entry() {
+    for seed in 0..10 {
+        let mut world = running(seed, sleeping(2, 2, 40_000));
+        let planner = world.planners()[0];
+        let entry = (planner + 1) % ENTRIES;
+        let member = world.workers.iter().position(|w| !w.ran.is_empty());
+        let agent = ENTRIES + member.expect("a member runs");
+        for other in (0..ENTRIES).filter(|e| *e != entry) {
+            world.fault(world.now, 60_000, Fault::Cut(other, agent, false));
+            world.fault(world.now, 60_000, Fault::Cut(other, entry, false));
+        }
+        world.fault(world.now, 60_000, Fault::CutLog(entry));
+        world.fault(world.now, 60_000, Fault::CutLog(agent));
+        world.run_to_end(1_200_000);
+        world.check_records();
+        assert_eq!(world.end(&"job-0".into()), Some(JobEnd::Finished));
+        assert_eq!(attempts(&world), 1);
+    }
+}
+
+/// Workers of which one fails all it starts, and programs that fail wherever they run: the good
+/// jobs finish, the bad ones are ended after a bounded number of attempts.
+#[test]
+fn bad_worker_and_bad_jobs() {
+    let mut world = World::new(1, ENTRIES, AGENTS);
+    world.fault(2_000, 200_000, Fault::BreakWorker(2));
+    for i in 0..12 {
+        let program = if i % 4 == 0 { "fail:100" } else { "sleep:800" };
+        let spec = JobSpec {
+            program: program.into(),
+            ..sleeping(1 + i % 3, 2, 800)
+        };
+        world.submit(SUBMIT + u64::from(i) * 50, &format!("job-{i}"), spec);
+    }
+    world.run_to_end(300_000);
+    check(&world);
+    assert!(attempts(&world) <= 8, "{} attempts", attempts(&world));
+}
--- a/dragonflyrun/tests/gang_world/mod.rs
+++ b/dragonflyrun/tests/gang_world/mod.rs
@@ -652,7 +652,8 @@
         }
         self.next_call += 1;
         let id = self.next_call;
-        let delay = self.rng.random_range(0..2);
+        // The thread may lose its processor between the decision and the call.
+        let delay = self.rng.random_range(0..40);
         self.after(delay, Event::Send(i, n, id, asked, call, ttl));
     }
 
@@ -723,6 +724,15 @@
         self.nodes[b].link_up(self.now, peer_a);
     }
 
+    /// Whether each of the two is linked to the process that the other now is.
+    fn are_linked(&self, a: usize, b: usize) -> bool {
+        let knows = |a: usize, b: usize| {
+            let peer = self.nodes[a].roster.peer(&self.nodes[b].name);
+            peer.is_some_and(|p| p.linked && p.peer == self.nodes[b].peer())
+        };
+        knows(a, b) && knows(b, a)
+    }
+
     fn unlink(&mut self, a: usize, b: usize) {
         let (peer_a, peer_b) = (self.nodes[a].peer(), self.nodes[b].peer());
         self.nodes[a].link_down(self.now, &peer_b);
@@ -786,7 +796,7 @@
             Fault::Cut(a, b, _) => {
                 self.cuts.remove(&pair(a, b));
                 let held = self.held.remove(&pair(a, b)).unwrap_or_default();
-                if held.is_empty() {
+                if held.is_empty() || !self.are_linked(a, b) {
                     self.unlink(a, b);
                     self.after(300, Event::Link(a, b));
                 }
--- a/dragonflyrun/tests/planner_terms.rs
+++ b/dragonflyrun/tests/planner_terms.rs
@@ -2,7 +2,10 @@
 
 mod gang_world;
 
-use dragonflyrun::connection::JobEnd;
+use dragonflyrun::{
+    connection::{JobEnd, LogRecord, Placement, Record, RecordBody},
+    process::Ledger,
+};
 
 use gang_world::{Fault, World, sleeping};
 
@@ -106,3 +109,52 @@
     world.check_records();
     assert_eq!(world.end(&"job-0".into()), Some(JobEnd::Finished));
 }
+
+/// A planner was frozen while its record was on the way, and it reaches the log after the claim of
+/// the next planner, which has already decided otherwise about the job.
+#[test]
+fn record_of_older_term() {
+    let term = |entry: &str, term| RecordBody::Term {
+        entry: entry.into(),
+        term,
+    };
+    let started = |term, worker: &str| RecordBody::JobStarted {
+        term,
+        job: "job-0".into(),
+        attempt: 1,
+        placements: vec![Placement {
+            worker: worker.into(),
+            tasks: 1,
+        }],
+    };
+    let accepted = RecordBody::JobAccepted {
+        job: "job-0".into(),
+        spec: sleeping(1, 1, 1),
+    };
+    let records = [
+        ("entry-0", accepted, true),
+        ("entry-0", term("entry-0", 1), true),
+        ("entry-1", term("entry-1", 2), true),
+        ("entry-0", started(1, "worker-0"), false),
+        // Nor does it help to write the new term on an old planner's record.
+        ("entry-0", started(2, "worker-0"), false),
+        ("entry-1", started(2, "worker-1"), true),
+    ];
+    let mut ledger = Ledger::default();
+    for (offset, (author, body, in_effect)) in (0..).zip(records) {
+        let record = Record {
+            id: format!("record-{offset}").into(),
+            author: author.into(),
+            body,
+        };
+        let raw = LogRecord {
+            offset,
+            data: String::new(),
+        };
+        let folded = ledger.fold_with(&raw, |_| Ok(record));
+        let folded = folded.expect("it is folded, so that its writer sees it");
+        assert_eq!(folded.in_effect, in_effect, "record {offset}");
+    }
+    let live = ledger.jobs.live(&"job-0".into()).expect("the job is live");
+    assert_eq!(live.placements[0].worker, "worker-1".into());
+}
