--- a/dragonflyrun/src/process/entry_jobs.rs
+++ b/dragonflyrun/src/process/entry_jobs.rs
@@ -40,6 +40,10 @@
 /// Characters of a job's name, at the most; it is part of the names of leases.
 const JOB_NAME: usize = 128;
 
+/// Bytes of a job's program and workspace together, at the most: its record has to fit on the log
+/// many times over.
+const JOB_TEXT: usize = 64 << 10;
+
 /// The jobs of one entry.
 pub struct EntryJobs {
     cx: Arc<Context>,
@@ -233,6 +237,10 @@
             let rule = "a job's name has up to 128 letters, digits, '.', '_' and '-'";
             return Some(not_run(JobRefusal::Malformed(rule.to_owned()), None));
         }
+        if spec.program.len() + spec.workspace.len() > JOB_TEXT {
+            let rule = "a job's program and workspace have up to 65,536 bytes";
+            return Some(not_run(JobRefusal::Malformed(rule.to_owned()), None));
+        }
         if !self.cx.is_fresh() {
             return Some(not_run(JobRefusal::NotFresh, Some(RETRY_FRESH_MS)));
         }
