Reckon a renewal from the last look at late agents; describe gangs

An entry that resumed after it was frozen could hear one agent before it had marked the others as late, and renewed that one's lease as if all had been alive 750 ms ago.

--- a/dragonflyrun/src/job/renewal.rs
+++ b/dragonflyrun/src/job/renewal.rs
@@ -57,6 +57,8 @@
     agents: HashMap<Name, Agent>,
     gangs: HashMap<GangId, Gang>,
     fenced: HashSet<GangId>,
+    /// When the agents that were not heard for a while were last marked.
+    marked: Timestamp,
 }
 
 impl Renewals {
@@ -110,6 +112,7 @@
     /// Marks the agents that were not heard for a while; to be called several times within
     /// [`LATE`].
     pub fn tick(&mut self, now: Timestamp) {
+        self.marked = now;
         let late: Vec<Name> = self
             .agents
             .iter()
@@ -166,7 +169,10 @@
             return None;
         }
         if gang.late == 0 {
-            return Some(LATE);
+            // This process may have been frozen since it marked the late ones, and then some of
+            // those that are not marked were not heard for that much longer.
+            let age = LATE + now.since(self.marked);
+            return (age < GANG_LEASE).then_some(age);
         }
         let mut age = Duration::ZERO;
         for (agent, state) in &gang.states {
--- a/dragonflyrun/src/job/retention.rs
+++ b/dragonflyrun/src/job/retention.rs
@@ -3,8 +3,7 @@
 //! A process that begins to read in the middle of the log first meets the repeated membership,
 //! which tells it whose records are in effect, and from there on every live job and the
 //! configuration within [`CARRY`]. So it knows everything when it reaches the head, if the log
-//! keeps more than [`MEMBERSHIP_CARRY`] and [`CARRY`] together; `docs/OPERATIONS.md` asks for twice
-//! that.
+//! keeps more than [`MEMBERSHIP_CARRY`] and [`CARRY`] together; see `docs/GANGS.md`, retention.
 
 use std::{
     collections::VecDeque,
--- a/dragonflyrun/src/job/timing.rs
+++ b/dragonflyrun/src/job/timing.rs
@@ -1,6 +1,6 @@
 //! The times of the gang protocol, and the bounds that follow from them.
 //!
-//! `docs/DESIGN.md`, gangs, tells how each bound follows; `tests/gang_faults.rs` measures them.
+//! `docs/GANGS.md` tells how each bound follows; `tests/gang_faults.rs` measures them.
 
 use std::time::Duration;
 
--- a/dragonflyrun/tests/gang_protocol.rs
+++ b/dragonflyrun/tests/gang_protocol.rs
@@ -7,12 +7,12 @@
 
 use dragonflyrun::{
     connection::{
-        GangMessage, JobEnd, LeaseState, MemberState, RecordBody, TaskOrder, WorkerError,
-        WorkerLease, WorkerView,
+        GangMessage, JobEnd, LeaseState, MemberReport, MemberState, RecordBody, TaskOrder,
+        WorkerError, WorkerLease, WorkerView,
     },
     job::{
-        GANG_LEASE, GangId, Gate, JobSpec, LAPSE, LeaseName, Members, RESERVATION, StartCheck,
-        WorkerCall, WorkerOp,
+        GANG_LEASE, GangId, Gate, JobSpec, LAPSE, LeaseName, Members, RESERVATION, Renewals,
+        StartCheck, WorkerCall, WorkerOp,
     },
     utils::{Name, Timestamp},
 };
@@ -274,6 +274,29 @@
     assert_eq!(states(&restarted), [MemberState::Stopping]);
 }
 
+/// An entry resumes after it was frozen, and hears one member before it has looked at the others.
+/// It must not renew that one's lease on what it knew of the others before.
+#[test]
+fn entry_resumes() {
+    let mut renewals = Renewals::default();
+    let report = |number| MemberReport {
+        number,
+        gang: gang(1, 1),
+        members: 2,
+        state: MemberState::Running,
+    };
+    let agents: [Name; 2] = ["worker-0".into(), "worker-1".into()];
+    for agent in &agents {
+        renewals.report(agent, 1, vec![report(1)]);
+        renewals.heard(at(1_000), agent, Some(at(990)), 7);
+    }
+    renewals.tick(at(1_000));
+    let renewal =
+        |renewals: &mut Renewals, now| renewals.heard(at(now), &agents[0], Some(at(now - 10)), 8);
+    assert!(renewal(&mut renewals, 1_050).is_some());
+    assert_eq!(renewal(&mut renewals, 11_000), None);
+}
+
 /// An agent is replaced and its worker does not answer. It must not say that a gang has stopped
 /// before the leases of its predecessor have lapsed.
 #[test]
