--- a/dragonflyrun/tests/drain_starts.rs
+++ b/dragonflyrun/tests/drain_starts.rs
@@ -104,3 +104,43 @@
         drain_at(step, &[(0, 10_000, Fault::LogLoses)]);
     }
 }
+
+/// The order to start waits in a broken link until long after the edit, and the only planner, frozen
+/// by then, can't take it back. `more` fails besides. Returns in how many runs the order was held.
+fn late_order(more: &[Fault]) -> usize {
+    let mut held = 0;
+    for step in 0..60 {
+        let mut world = World::new(step, 1, 2);
+        let cut = SUBMIT + 10 * step;
+        world.submit(SUBMIT, "job-0", sleeping(2, 4, 1_500));
+        for agent in 1..=2 {
+            world.fault(cut, 7_000, Fault::Cut(0, agent, true));
+        }
+        world.fault(cut + 130, 9_000, Fault::Freeze(0));
+        world.fault(cut + 200, 30_000, Fault::Drain(0));
+        for fault in more {
+            world.fault(cut + 190, 20_000, *fault);
+        }
+        world.run(cut + 8_000);
+        let placed = world.nodes[1].ledger.jobs.live(&"job-0".into());
+        let placed = placed.is_some_and(|live| live.is_placed());
+        held += usize::from(placed && world.ran().is_empty());
+        world.run_to_end(120_000);
+        world.check_records();
+        assert_eq!(world.end(&"job-0".into()), Some(JobEnd::Finished));
+    }
+    held
+}
+
+/// Nobody is left to stop the start but the agent itself, which knows of the edit.
+#[test]
+fn late_order_at_informed_agent() {
+    assert!(late_order(&[]) > 0, "no order was held");
+}
+
+/// The agent does not know of the edit either, but it knows that it may not know everything.
+#[test]
+fn late_order_at_cut_off_agent() {
+    let cut = [Fault::CutLog(1), Fault::CutLog(2)];
+    assert!(late_order(&cut) > 0, "no order was held");
+}
