--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -43,7 +43,7 @@
 pub use renewal::{LATE, Notice, Renewals};
 pub use retention::{CARRY, Carry, Item, MEMBERSHIP_CARRY, Retention};
 pub use ring::Ring;
-pub use scheduler::{Scheduler, UnmetGuarantee};
+pub use scheduler::{Allotment, Scheduler, UnmetGuarantee};
 pub use spec::{JobId, JobSpec, Shape, Unreachable, WorkerInfo};
 pub use stopping::StopReason;
 pub use take_over::JobRecord;
--- a/dragonflyrun/src/job/pass.rs
+++ b/dragonflyrun/src/job/pass.rs
@@ -13,7 +13,7 @@
         guarantee::{Cover, GuaranteeId},
         placement::{Part, Seat},
         queue::{Aged, Class},
-        reclaim::{Eviction, Victim, cheapest},
+        reclaim::{Eviction, Victim, cheapest, exactly},
         scheduler::{Entry, Stage},
     },
     utils::{HashSet, Name, Timestamp},
@@ -34,9 +34,15 @@
 /// stopped and resumed.
 const NEARLY_DONE_WEIGHT: u64 = 4;
 
-/// Time after which a waiting job may evict younger and smaller ones.
+/// Time after which a waiting job as large as a worker may evict younger and smaller ones.
 const AGED_AFTER: Duration = Duration::from_secs(30);
 
+/// The same for a smaller job. It finds holes, and would evict others for little.
+const SMALL_AGED_AFTER: Duration = Duration::from_secs(600);
+
+/// How much rather another job is stopped than an urgent one.
+const URGENT_VICTIM_WEIGHT: u64 = 10;
+
 /// What the start of an urgent job is worth at once, in milliseconds of its wait.
 const URGENT_WORTH_MS: u64 = 50_000;
 
@@ -52,8 +58,10 @@
 /// Why a job may evict others.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Claim {
-    /// Its workspace has a guarantee with unused room for it.
+    /// Its workspace has a guarantee of about its size, which is not in use.
     Guarantee,
+    /// Its workspace has a larger guarantee with unused room for it.
+    Part,
     /// Somebody waits for it.
     Urgency,
     /// It has waited long.
@@ -77,6 +85,8 @@
         self.keep_guarantees();
         self.start_pledged(now, &mut decisions);
         self.look_through_queue(now, &mut decisions);
+        // An eviction may have left an allotment on a worker that can't honour it.
+        self.keep_guarantees();
         self.end_impossible(&mut decisions);
         decisions
     }
@@ -113,11 +123,14 @@
             }
         }
         for job in stranded {
-            self.wait_again(self.last_pass, &job);
+            self.wait_again(&job);
         }
     }
 
     fn evict(&mut self, job: &JobId, for_job: Option<&JobId>, decisions: &mut Vec<Decision>) {
+        if self.undo_start(job, decisions) {
+            return;
+        }
         let Some(entry) = self.jobs.get_mut(job) else {
             return;
         };
@@ -140,6 +153,17 @@
         });
     }
 
+    /// Takes back a start that was decided in this pass, before the planner has heard of it.
+    fn undo_start(&mut self, job: &JobId, decisions: &mut Vec<Decision>) -> bool {
+        let started = |d: &Decision| matches!(d, Decision::Start { job: j, .. } if j == job);
+        let Some(at) = decisions.iter().position(started) else {
+            return false;
+        };
+        decisions.remove(at);
+        self.wait_again(job);
+        true
+    }
+
     /// Sees to it that each guarantee is allotted, and that workspaces' own jobs count towards
     /// their guarantees before they count as borrowing.
     fn keep_guarantees(&mut self) {
@@ -315,6 +339,14 @@
     /// small one end first, the large one stays in use although the small one could cover the
     /// rest, and a job of the large one's shape would wait.
     fn make_guarantee_whole(&mut self, class: &Class) -> bool {
+        // Allotments may have to move into room that aged jobs have reserved.
+        self.lift_reservations();
+        let whole = self.cover_smaller_elsewhere(class);
+        self.put_reservations_back();
+        whole
+    }
+
+    fn cover_smaller_elsewhere(&mut self, class: &Class) -> bool {
         let shape = class.shape();
         for id in self.guarantees.of(&class.workspace).to_vec() {
             let guarantee = &self.guarantees.entries[id];
@@ -350,6 +382,7 @@
             not_by: Some(id),
         };
         self.guarantees.uncover(id, job, parts, cover.size);
+        self.changed.extend(parts.iter().map(|p| p.worker));
         entry.cover = self.guarantees.cover(&mut self.inventory, &cover);
         if entry.cover.is_none() {
             self.guarantees.cover_by(id, &cover);
@@ -399,11 +432,13 @@
             self.start(now, job, parts, decisions);
             return true;
         }
-        let claim = if owner {
+        let claim = if owner && self.guarantees.is_whole_for(&spec.workspace, wanted) {
             Claim::Guarantee
+        } else if owner {
+            Claim::Part
         } else if spec.urgency == Urgency::Urgent {
             Claim::Urgency
-        } else if waited >= AGED_AFTER {
+        } else if waited >= self.aged_after(wanted) {
             Claim::Age
         } else {
             return false;
@@ -415,6 +450,13 @@
         false
     }
 
+    fn aged_after(&self, accelerators: u32) -> Duration {
+        match accelerators >= self.inventory.largest_worker() {
+            true => AGED_AFTER,
+            false => SMALL_AGED_AFTER,
+        }
+    }
+
     fn vacant_room(&self, class: &Class) -> Option<Vec<Part>> {
         let shape = class.shape();
         self.guarantees
@@ -442,23 +484,24 @@
         let mut seats = self.seats_to_compare(&entry);
         if claim == Claim::Age {
             // Another's reservation is respected; this job's own was taken back.
+            let closed = self.closed_to(now, &entry);
             for seat in &mut seats {
-                let reserved = self.inventory.worker(seat.worker).reserved();
-                seat.value = seat.value.saturating_sub(reserved);
+                let closed = closed.get(&seat.worker).copied().unwrap_or(0);
+                seat.value = seat.value.saturating_sub(closed);
             }
         }
         let victims = self.victims(now, &entry, claim, &seats);
         let found = cheapest(&seats, &shape, &victims);
-        let budget = self.budget(now, &entry, claim);
+        let budget = Self::budget(now, &entry, claim);
         match claim {
-            Claim::Guarantee => {
+            Claim::Guarantee | Claim::Part => {
                 for eviction in found {
                     if eviction.cost <= budget && self.cover(job, &eviction.parts) {
                         self.pledge(job, eviction, decisions);
                         return true;
                     }
                 }
-                self.take_allotment(now, job, &entry, budget, decisions)
+                self.take_allotment(now, job, claim, budget, decisions)
             }
             Claim::Urgency | Claim::Age => {
                 let Some(eviction) = found.into_iter().next() else {
@@ -481,16 +524,19 @@
         &mut self,
         now: Timestamp,
         job: &JobId,
-        entry: &Entry,
+        claim: Claim,
         budget: u64,
         decisions: &mut Vec<Decision>,
     ) -> bool {
+        let Some(entry) = self.jobs.get(job).cloned() else {
+            return false;
+        };
         let shape = entry.spec.shape();
         let room = self
             .guarantees
             .room(&self.inventory, &entry.spec.workspace, &shape);
         let Some((_, parts)) = room else { return false };
-        self.drop_borrowed_pledges(now, &parts);
+        self.drop_borrowed_pledges(&parts);
         let seats: Vec<Seat> = parts
             .iter()
             .map(|part| Seat {
@@ -498,17 +544,19 @@
                 ..self.inventory.free.seat(part.worker)
             })
             .collect();
-        let victims = self.victims(now, entry, Claim::Guarantee, &seats);
-        for eviction in cheapest(&seats, &shape, &victims) {
-            if eviction.cost <= budget && self.cover(job, &eviction.parts) {
-                self.pledge(job, eviction, decisions);
-                return true;
-            }
+        let victims = self.victims(now, &entry, claim, &seats);
+        let eviction = exactly(&seats, &parts, shape.accelerators, &victims);
+        let Some(eviction) = eviction.filter(|e| e.cost <= budget) else {
+            return false;
+        };
+        let covered = self.cover(job, &eviction.parts);
+        if covered {
+            self.pledge(job, eviction, decisions);
         }
-        false
+        covered
     }
 
-    fn drop_borrowed_pledges(&mut self, now: Timestamp, parts: &[Part]) {
+    fn drop_borrowed_pledges(&mut self, parts: &[Part]) {
         let workers: HashSet<_> = parts.iter().map(|p| p.worker).collect();
         for (_, job) in self.pledged.clone() {
             if let Some(entry) = self.jobs.get(&job)
@@ -516,7 +564,7 @@
                 && let Stage::Pledged(pledged) = &entry.stage
                 && pledged.iter().any(|p| workers.contains(&p.worker))
             {
-                self.wait_again(now, &job);
+                self.wait_again(&job);
             }
         }
     }
@@ -596,7 +644,10 @@
         let lost_ms = STOP_AND_RESUME_MS + ran_ms * LOST_PERCENT / 100;
         let expected_ms = self.estimates.run_time(&entry.spec).as_millis() as u64;
         let nearly_done = ran_ms < expected_ms && expected_ms - ran_ms < STOP_AND_RESUME_MS;
-        let weight = if nearly_done { NEARLY_DONE_WEIGHT } else { 1 };
+        let mut weight = if nearly_done { NEARLY_DONE_WEIGHT } else { 1 };
+        if entry.spec.urgency == Urgency::Urgent {
+            weight *= URGENT_VICTIM_WEIGHT;
+        }
         Some(Victim {
             job: job.clone(),
             cost: lost_ms
@@ -613,26 +664,18 @@
     /// Returns what evictions for a job may cost: as much as the job loses by waiting. The wait of
     /// an urgent one counts more, and from the start, and so does that of a job much smaller than
     /// the guarantee it claims. For a guaranteed shape there is no bound.
-    fn budget(&self, now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
+    fn budget(now: Timestamp, entry: &Entry, claim: Claim) -> u64 {
         let waited = now.since(entry.waiting_since);
         let waited_ms = waited.as_millis() as u64;
         let worth_ms = match claim {
-            Claim::Guarantee if self.claims_in_full(waited, entry) => return u64::MAX,
-            Claim::Guarantee | Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
+            Claim::Guarantee => return u64::MAX,
+            Claim::Part if waited >= AGED_AFTER => return u64::MAX,
+            Claim::Part | Claim::Urgency => URGENT_WORTH_MS + waited_ms * URGENT_WEIGHT,
             Claim::Age => waited_ms,
         };
         worth_ms.saturating_mul(bulk(entry))
     }
 
-    /// Returns whether a job claims most of a guarantee, or has waited long for a part.
-    fn claims_in_full(&self, waited: Duration, entry: &Entry) -> bool {
-        let spec = &entry.spec;
-        waited >= AGED_AFTER
-            || self
-                .guarantees
-                .is_whole_for(&spec.workspace, entry.accelerators())
-    }
-
     /// Ends waiting jobs that can never run.
     fn end_impossible(&mut self, decisions: &mut Vec<Decision>) {
         if !self.settled {
@@ -657,16 +700,22 @@
     }
 }
 
-/// Returns whether `entry` may evict `other`. A covered job is never evicted for another
-/// workspace's.
+/// Returns whether `entry` may evict `other`. A covered job is never evicted for
+/// another.
 pub(super) fn may_evict(entry: &Entry, claim: Claim, other: &Entry) -> bool {
     let covered = other.cover.is_some();
     match claim {
         Claim::Guarantee => !covered,
+        // A workspace gains nothing if its jobs take turns in its own guarantee.
+        Claim::Part if other.spec.workspace == entry.spec.workspace => {
+            !covered
+                && (other.spec.urgency > entry.spec.urgency
+                    || other.accelerators() * 2 <= entry.accelerators())
+        }
+        Claim::Part => !covered,
         Claim::Urgency => !covered && other.spec.urgency > entry.spec.urgency,
         Claim::Age => {
-            // Which of its own jobs go first is a workspace's own affair: the older.
-            (!covered || other.spec.workspace == entry.spec.workspace)
+            !covered
                 && other.spec.urgency >= entry.spec.urgency
                 && other.accepted > entry.accepted
                 && other.accelerators() * 2 <= entry.accelerators()
