Let an entry that is not planner know which jobs can never run

Cause: only the planner's pass noted that no new worker had come for five seconds, so the other entries accepted jobs that no set of workers holds; such a job then waited for ten minutes (seen in the quick start, both examples). Change: every entry takes note at each tick. Also fits the tests of reclaim to the document's shared sections.

--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -271,6 +271,7 @@
     /// Returns what is to be done now; to be called every 100 ms.
     pub fn tick(&mut self, now: Timestamp, view: &PlannerView) -> Vec<PlannerAction> {
         let mut actions = Vec::new();
+        self.scheduler.settle(now);
         if let Some(term) = self.election.tick(now, &view.election) {
             let entry = self.election.me().clone();
             actions.push(append(RecordBody::Term { entry, term }, Purpose::Term));
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -365,11 +365,18 @@
 
     /// Returns what is to be done now; what is returned counts as under way.
     pub fn decide(&mut self, now: Timestamp) -> Vec<Decision> {
+        self.settle(now);
+        self.pass(now)
+    }
+
+    /// Takes note that no new worker has come for some seconds, where that is so, upon which
+    /// [`possible`](Self::possible) can tell what no set of workers holds. An entry that is not
+    /// planner decides nothing, but has to refuse such jobs all the same.
+    pub fn settle(&mut self, now: Timestamp) {
         if !self.settled && now.since(self.last_new_worker) >= SETTLED_AFTER {
             self.settled = true;
             self.stale = true;
         }
-        self.pass(now)
     }
 
     pub(super) fn quota(&self, workspace: &Name) -> Option<u32> {
--- a/dragonflyrun/tests/guarantee_reclaim.rs
+++ b/dragonflyrun/tests/guarantee_reclaim.rs
@@ -82,7 +82,8 @@
             jobs: BTreeMap::new(),
             accepted: 0,
         };
-        cluster.document.sections.insert("all".into(), section(u)?);
+        let section = Arc::new(section(u)?);
+        cluster.document.sections.insert("all".into(), section);
         cluster.configure();
         for worker in cluster.workers.clone() {
             cluster.scheduler.worker_up(cluster.now, worker);
@@ -102,7 +103,7 @@
             0 => self.drain_or_return(u)?,
             1 => self.lose_or_return(u)?,
             2 => {
-                let section = section(u)?;
+                let section = Arc::new(section(u)?);
                 self.document.sections.insert("all".into(), section);
                 self.configure();
             }
@@ -128,7 +129,9 @@
 
     fn drain_or_return(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
         let domains = self.document.sections.values_mut();
-        let mut domains: Vec<_> = domains.flat_map(|s| &mut s.failure_domains).collect();
+        let mut domains: Vec<_> = domains
+            .flat_map(|s| &mut Arc::make_mut(s).failure_domains)
+            .collect();
         let at = u.choose_index(domains.len())?;
         domains[at].in_service = !domains[at].in_service;
         self.configure();
@@ -156,23 +159,16 @@
     fn submit(&mut self, workspace: Name, shape: Shape, urgency: Urgency) -> JobId {
         self.accepted += 1;
         let job: JobId = format!("job-{}", self.accepted).into();
-        let live = LiveJob {
-            job: job.clone(),
-            spec: JobSpec {
-                workspace,
-                urgency,
-                tasks: shape.tasks,
-                accelerators: shape.accelerators,
-                adjacency: shape.adjacency,
-                run_time_ms: 60_000,
-                program: "".into(),
-            },
-            accepted: self.accepted,
-            attempt: 0,
-            placements: Vec::new(),
-            checkpointed: false,
-            cancelled: false,
+        let spec = JobSpec {
+            workspace,
+            urgency,
+            tasks: shape.tasks,
+            accelerators: shape.accelerators,
+            adjacency: shape.adjacency,
+            run_time_ms: 60_000,
+            program: "".into(),
         };
+        let live = LiveJob::new(job.clone(), spec, self.accepted);
         self.scheduler.job_waits(self.now, &live);
         let waiting = Job {
             live,
