--- a/dragonflyrun/tests/gang_world/mod.rs
+++ b/dragonflyrun/tests/gang_world/mod.rs
@@ -5,7 +5,7 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod checks;
-mod node;
+pub mod node;
 pub mod worker;
 
 use std::{
