Let the quick start end also where a job can't be followed

Cause: a job was asked after at another entry than the one that accepted it, which did not know it yet; the error ended the run's wait but not the progress, so it never ended (1 of 5 runs at once).

--- a/standins/src/quickstart/runner.rs
+++ b/standins/src/quickstart/runner.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     backend::answer_to,
-    caller::{Reply, RequestOutcome},
+    caller::{Caller, Reply, RequestOutcome},
     quickstart::{
         cluster::Cluster,
         outcome::{DrainOutcome, JobOutcome, Outcomes, RequestTally, key},
@@ -66,14 +66,17 @@
             .iter()
             .map(|drain| scope.spawn(|| run_drain(cluster, drain, start)))
             .collect();
-        let outcomes = Outcomes {
-            jobs: jobs.into_iter().map(join).collect::<io::Result<_>>()?,
-            requests: streams.into_iter().map(|s| join(s)).collect(),
-            drains: drains.into_iter().map(join).collect::<io::Result<_>>()?,
-            ..Outcomes::default()
-        };
+        let jobs: Vec<_> = jobs.into_iter().map(join).collect();
+        let requests = streams.into_iter().map(join).collect();
+        let drains: Vec<_> = drains.into_iter().map(join).collect();
+        // Before any error is passed on, or the progress would be shown for ever.
         ended.store(true, Ordering::Relaxed);
-        io::Result::Ok(outcomes)
+        io::Result::Ok(Outcomes {
+            jobs: jobs.into_iter().collect::<io::Result<_>>()?,
+            requests,
+            drains: drains.into_iter().collect::<io::Result<_>>()?,
+            ..Outcomes::default()
+        })
     })?;
     outcomes.intervals = cluster.intervals();
     outcomes.backends = cluster.backend_records();
@@ -122,7 +125,8 @@
         took: Duration::ZERO,
     };
     match caller.submit(&plan.job, &plan.spec)? {
-        JobAnswer::Accepted { .. } => follow(cluster, submitted, &mut outcome)?,
+        // Another entry may not have read of the job yet and would not know it.
+        JobAnswer::Accepted { .. } => follow(&caller, submitted, &mut outcome)?,
         JobAnswer::NotRun { reason, .. } => outcome.refusal = format!("{reason:?}"),
         JobAnswer::Unknown { .. } => outcome.refusal = "not known".to_owned(),
     }
@@ -132,8 +136,7 @@
 }
 
 /// Asks for the job until it has ended.
-fn follow(cluster: &Cluster, since: Instant, outcome: &mut JobOutcome) -> io::Result<()> {
-    let caller = cluster.caller(0);
+fn follow(caller: &Caller, since: Instant, outcome: &mut JobOutcome) -> io::Result<()> {
     while since.elapsed() < JOB_TIMEOUT {
         let status = caller.job(&outcome.job)?;
         outcome.attempts = status.attempt.max(outcome.attempts);
