Say on the readiness page why a process can't decide; count rejected edits

Cause: a process behind a gap of the log, or too old for the document's format, took calls from the balancer and refused them all. Also lets the stand-ins' editor go on behind dropped records instead of reading for ever.

--- a/dragonflyrun/src/process/agent.rs
+++ b/dragonflyrun/src/process/agent.rs
@@ -119,7 +119,7 @@
         if self.cx.links.linked().is_empty() {
             return Err("not linked to an entry");
         }
-        Ok(())
+        self.cx.readiness()
     }
 
     fn on_http(&self, req: HttpRequest) -> HttpResponse {
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -50,6 +50,25 @@
         lock(&self.ledger).history.current().clone()
     }
 
+    /// Returns whether the state from the log is good enough to serve by, or why not.
+    ///
+    /// # Errors
+    ///
+    /// A short reason in plain words, for the readiness page.
+    pub fn readiness(&self) -> Result<(), &'static str> {
+        let ledger = lock(&self.ledger);
+        if ledger.history.unsupported_format().is_some() {
+            return Err("the document is in a format of a later release");
+        }
+        if !ledger.is_whole() {
+            return Err("records of the log were missed, waiting for the planner to repeat them");
+        }
+        if ledger.history.current().offset == 0 {
+            return Err("no configuration yet");
+        }
+        Ok(())
+    }
+
     /// Returns the time now.
     pub fn now(&self) -> Timestamp {
         self.clock.now()
--- a/dragonflyrun/src/process/entry.rs
+++ b/dragonflyrun/src/process/entry.rs
@@ -94,10 +94,7 @@
         if self.is_leaving() {
             return Err("leaving");
         }
-        if self.cx.version().offset == 0 {
-            return Err("no configuration yet");
-        }
-        Ok(())
+        self.cx.readiness()
     }
 
     fn on_http(&self, req: HttpRequest) -> HttpResponse {
--- a/dragonflyrun/src/process/log_reader.rs
+++ b/dragonflyrun/src/process/log_reader.rs
@@ -9,6 +9,7 @@
     connection::{Linked, LogRecord, LogView, Message, Role},
     process::{Context, Folded, Node, lock},
     utils::{Name, Timestamp},
+    version::Verdict,
 };
 
 /// Records of one read, at the most.
@@ -153,6 +154,9 @@
                 verdict:? = verdict;
                 "edit_folded"
             );
+            if *verdict != Verdict::Accepted {
+                self.cx.counters.event("edit_rejected");
+            }
         }
         self.cx.appender.on_folded(folded);
         self.node.on_folded(folded);
--- a/standins/src/editor.rs
+++ b/standins/src/editor.rs
@@ -56,6 +56,7 @@
                 .client
                 .read(ledger.next_offset(), PAGE_RECORDS, Duration::ZERO)
                 .map_err(io::Error::other)?;
+            ledger.skip_to(page.first);
             for record in &page.records {
                 ledger.fold(record, &self.secret);
             }
