Keep agents as owners of keys whatever becomes of their workers

Change: the ring follows the agents' own liveness. Before, tests/owner_ring.rs: worker_silent fails, left: 3, right: 4 at 20000 ms; after: passes.

--- a/dragonflyrun/src/job/planner.rs
+++ b/dragonflyrun/src/job/planner.rs
@@ -109,7 +109,8 @@
     pub(super) version: Arc<Version>,
     pub(super) jobs: HashMap<JobId, Planned>,
     pub(super) by_worker: HashMap<Name, HashSet<JobId>>,
-    pub(super) workers: BTreeSet<Name>,
+    /// Agents that may get work, each of which may own keys.
+    pub(super) agents: BTreeSet<Name>,
     /// Jobs whose gang is not known to run steadily.
     pub(super) touched: HashSet<JobId>,
     pub(super) closing: HashMap<JobId, Closing>,
@@ -145,7 +146,7 @@
             version,
             jobs: HashMap::default(),
             by_worker: HashMap::default(),
-            workers: BTreeSet::new(),
+            agents: BTreeSet::new(),
             touched: HashSet::default(),
             closing: HashMap::default(),
             resting: BTreeSet::new(),
@@ -207,15 +208,23 @@
         self.scheduler.configure(version);
     }
 
+    /// Takes note of whether an agent may get work. That of its worker is another matter: an agent
+    /// owns keys also where it has no worker, or its worker does not answer.
+    pub fn agent_live(&mut self, agent: &Name, live: bool) {
+        if live {
+            self.agents.insert(agent.clone());
+        } else {
+            self.agents.remove(agent);
+        }
+    }
+
     /// Takes note of a live agent with its worker.
     pub fn worker_up(&mut self, now: Timestamp, info: WorkerInfo) {
-        self.workers.insert(info.name.clone());
         self.scheduler.worker_up(now, info);
     }
 
     /// Takes note that an agent may get no work: its link or its worker is lost, or it is leaving.
     pub fn worker_down(&mut self, now: Timestamp, worker: &Name) {
-        self.workers.remove(worker);
         self.scheduler.worker_down(now, worker);
     }
 
@@ -304,7 +313,7 @@
             return;
         }
         self.next_ring = now + RING_PERIOD;
-        if let Some(members) = self.ring.tick(now, &self.workers, owners) {
+        if let Some(members) = self.ring.tick(now, &self.agents, owners) {
             actions.push(append(RecordBody::Ring { term, members }, Purpose::Ring));
         }
     }
--- a/dragonflyrun/src/process/gang_table.rs
+++ b/dragonflyrun/src/process/gang_table.rs
@@ -154,6 +154,7 @@
     pub fn on_down(&mut self, now: Timestamp, agent: &Name) {
         if let Some(taken) = self.agents.get_mut(agent) {
             taken.up = false;
+            self.planner.agent_live(agent, false);
             self.planner.worker_down(now, agent);
         }
     }
@@ -236,6 +237,7 @@
             }
             log::info!(agent:% = agent; "agent_lost");
             self.renewals.gone(agent);
+            self.planner.agent_live(agent, false);
             self.planner.worker_down(now, agent);
             self.planner.worker_lost(now, agent);
         }
@@ -269,7 +271,9 @@
         let Some(Report::Agent(report)) = &peer.report else {
             return Vec::new();
         };
-        let up = report.accelerators > 0 && peer.is_live(now);
+        let live = peer.is_live(now);
+        self.planner.agent_live(agent, live);
+        let up = report.accelerators > 0 && live;
         let incarnation = peer.peer.incarnation;
         if let Some(taken) = self.agents.get(agent)
             && taken.report_number == peer.report_number
