Test what the backend client makes of broken answers; earn retries by requests taken in only

Refused requests earned a share of a retry too, so the budget grew just when it was needed least. An agent that is replaced is forgotten at once by its entry, so that nothing more is sent to the process before; what is only not reported yet after a new link keeps its counts.

--- a/dragonflyrun/src/connection/backend_client.rs
+++ b/dragonflyrun/src/connection/backend_client.rs
@@ -87,7 +87,8 @@
 
 fn read(answer: Response<Body>, most: u64) -> Outcome {
     let status = answer.status();
-    if status == StatusCode::SERVICE_UNAVAILABLE && answer.headers().contains_key(NOT_RUN) {
+    let says_so = answer.headers().get(NOT_RUN).is_some_and(|v| v == "true");
+    if status == StatusCode::SERVICE_UNAVAILABLE && says_so {
         return not_run();
     }
     // Without a length the end of the connection would end the body, and one that was cut off
--- a/dragonflyrun/src/connection/http_server/connections.rs
+++ b/dragonflyrun/src/connection/http_server/connections.rs
@@ -22,7 +22,7 @@
     Response,
     StatusCode,
     body::{Bytes, Incoming},
-    header::{CONNECTION, HeaderName},
+    header::HeaderName,
     server::conn::http1,
     service::service_fn, //
 };
@@ -201,9 +201,6 @@
         *answer.status_mut() = response.status;
         *answer.headers_mut() = response.headers;
         answer
-            .headers_mut()
-            .insert(CONNECTION, hyper::header::HeaderValue::from_static("close"));
-        answer
     }
 
     async fn handle(self: &Arc<Self>, req: HttpRequest) -> HttpResponse {
--- a/dragonflyrun/src/process/entry_requests.rs
+++ b/dragonflyrun/src/process/entry_requests.rs
@@ -177,18 +177,18 @@
         let version = self.cx.version();
         let now = self.cx.now();
         let own = &self.cx.identity.name;
-        let (views, before, others) = {
+        let (views, names, before, others) = {
             let roster = lock(&self.cx.roster);
             let peers = roster.all();
             let views = peers.iter().filter_map(|p| AgentView::of(p, &version));
             let views: Vec<AgentView> = views.collect();
+            let names: HashSet<Name> = peers.iter().map(|p| p.peer.name.clone()).collect();
             let entries = || roster.live(now, Role::Entry).map(|p| &p.peer.name);
             let before = entries().filter(|name| *name < own).count();
-            (views, before, entries().count())
+            (views, names, before, entries().count())
         };
         let mut inner = lock(&self.inner);
         inner.table.set_entries(narrow(others + 1), narrow(before));
-        let names: HashSet<Name> = views.iter().map(|v| v.name.clone()).collect();
         inner.table.retain_agents(|name| names.contains(name));
         for view in views {
             inner.table.agent_heard(view);
--- a/dragonflyrun/src/request/entry_table/admission.rs
+++ b/dragonflyrun/src/request/entry_table/admission.rs
@@ -38,7 +38,6 @@
             .service(&req.service)
             .ok_or(Refusal::new(NotRun::UnknownService, MOST_RETRY_MS))?;
         let pending = self.check(now, service, req)?;
-        self.budget.earn(version.limits.retry_percent);
         let must_claim = !pending.repeatable;
         if must_claim && now < self.resumed_until {
             return Err(Refusal::new(NotRun::NotFresh, LEAVING_RETRY_MS));
@@ -49,6 +48,7 @@
         if !repeat {
             self.make_room(now, service, waiting)?;
         }
+        self.budget.earn(version.limits.retry_percent);
         self.due.insert(Due {
             at: pending.deadline,
             number,
--- a/dragonflyrun/src/request/entry_table/peers.rs
+++ b/dragonflyrun/src/request/entry_table/peers.rs
@@ -37,6 +37,11 @@
 
     /// Takes note of a new link to an agent.
     pub fn agent_up(&mut self, now: Timestamp, peer: &Peer) {
+        // What is known is of the process before; a request for that would be ignored.
+        let before = self.loads.view(&peer.name);
+        if before.is_some_and(|view| view.incarnation != peer.incarnation) {
+            self.loads.retain(|name| *name != peer.name);
+        }
         for number in self.dispatches_of(&peer.name) {
             let Some(dispatch) = self.dispatches.get_mut(&number) else {
                 continue;
