Leave at most half of an agent's slots to other entries; drop an unused change counter

With 2 slots and 3 entries one entry of each agent could never use it, idle or not. The heartbeats look at the report itself, so nothing used the counter of changes. The simulation's heartbeats come each 250 ms now, as the daemon's do.

--- a/dragonflyrun/src/process/agent_requests.rs
+++ b/dragonflyrun/src/process/agent_requests.rs
@@ -100,11 +100,6 @@
         lock(&self.inner).table.reports(self.cx.now())
     }
 
-    /// Counts the changes after which a heartbeat goes out at once.
-    pub fn changes(&self) -> u64 {
-        lock(&self.inner).table.changes()
-    }
-
     /// Returns how many requests run.
     pub fn running(&self) -> usize {
         lock(&self.inner).table.running()
--- a/dragonflyrun/src/request/agent_table.rs
+++ b/dragonflyrun/src/request/agent_table.rs
@@ -89,7 +89,6 @@
     leaving: bool,
     /// When it began to leave, or was asked to run something after that.
     asked_at: Timestamp,
-    changes: u64,
     out: Vec<AgentAction>,
 }
 
@@ -128,7 +127,6 @@
             linked: HashSet::default(),
             leaving: false,
             asked_at: Timestamp::default(),
-            changes: 0,
             out: Vec::new(),
         }
     }
@@ -140,9 +138,7 @@
 
     /// Takes in a backend server's announcement.
     pub fn announce(&mut self, now: Timestamp, announced: BackendAnnouncement) {
-        if self.backends.announce(now, announced) {
-            self.changes += 1;
-        }
+        self.backends.announce(now, announced);
     }
 
     /// Returns what the heartbeat says of the backend servers.
@@ -150,17 +146,10 @@
         self.backends.reports(now)
     }
 
-    /// Counts the changes that entries should hear of at once: a backend server that came or is
-    /// leaving. Slots in use are not among them, since each answer carries them.
-    pub fn changes(&self) -> u64 {
-        self.changes
-    }
-
     /// Refuses all new requests from now on.
     pub fn leave(&mut self, now: Timestamp) {
         self.leaving = true;
         self.asked_at = now;
-        self.changes += 1;
     }
 
     /// Returns whether nothing runs, each linked entry has its answers, and none sends any more.
@@ -264,9 +253,7 @@
 
     /// Does what time alone brings about; to be called every 100 ms or so.
     pub fn tick(&mut self, now: Timestamp) {
-        if self.backends.lapse(now) {
-            self.changes += 1;
-        }
+        self.backends.lapse(now);
         self.decided.retain(|_, deadline| *deadline > now);
         let ids: Vec<RequestId> = self.kept_order.iter().cloned().collect();
         for id in ids {
--- a/dragonflyrun/src/request/backends.rs
+++ b/dragonflyrun/src/request/backends.rs
@@ -73,18 +73,17 @@
 }
 
 impl Backends {
-    /// Takes in an announcement; returns whether it changed anything but the time.
-    pub fn announce(&mut self, now: Timestamp, mut announced: BackendAnnouncement) -> bool {
+    /// Takes in an announcement.
+    pub fn announce(&mut self, now: Timestamp, mut announced: BackendAnnouncement) {
         announced.slots = announced.slots.min(MOST_SLOTS);
         if let Some(server) = self.servers.get_mut(&announced.name) {
-            let changed = server.announced != announced || !server.is_current(now);
             server.announced = announced;
             server.renewed_at = now;
-            return changed;
+            return;
         }
         if self.servers.len() >= MOST_BACKENDS {
             log::warn!(backend:% = announced.name; "announcement_over_limit");
-            return false;
+            return;
         }
         let server = Server {
             announced,
@@ -93,15 +92,12 @@
             refused_until: Timestamp::default(),
         };
         self.servers.insert(server.announced.name.clone(), server);
-        true
     }
 
-    /// Forgets backend servers that have lapsed and run nothing; returns whether any had.
-    pub fn lapse(&mut self, now: Timestamp) -> bool {
-        let before = self.servers.len();
+    /// Forgets backend servers that have lapsed and run nothing.
+    pub fn lapse(&mut self, now: Timestamp) {
         self.servers
             .retain(|_, s| s.is_current(now) || s.in_use > 0);
-        self.servers.len() != before
     }
 
     /// Chooses a backend server for a request of `service` and takes one of its slots.
--- a/dragonflyrun/src/request/load.rs
+++ b/dragonflyrun/src/request/load.rs
@@ -83,7 +83,7 @@
             let offer = agent.offers.entry(service.service.clone()).or_default();
             offer.slots = service.slots;
             offer.part = part;
-            offer.reserve = entries.count - 1;
+            offer.reserve = (entries.count - 1).min(service.slots / 2);
             offer.learn(view.heard, service.free);
             let agents = self.services.entry(service.service.clone()).or_default();
             if let Err(place) = agents.binary_search(&name) {
--- a/dragonflyrun/src/request/load/offer.rs
+++ b/dragonflyrun/src/request/load/offer.rs
@@ -26,7 +26,8 @@
     pub(super) slots: u32,
     /// The slots that are this entry's own.
     pub(super) part: u32,
-    /// The slots that are left to the other entries while they use none.
+    /// The slots that are left to the other entries while they use none: one for each, but no more
+    /// than half of all, or an idle agent with few slots would be closed to some entries.
     pub(super) reserve: u32,
     /// Slots that other entries' requests use.
     pub(super) others: u32,
--- a/dragonflyrun/tests/simulation/nodes.rs
+++ b/dragonflyrun/tests/simulation/nodes.rs
@@ -238,7 +238,7 @@
             };
             self.transmit(node, entry, Message::Heartbeat(Box::new(heartbeat)));
         }
-        self.schedule_node(self.now + 500, node, NodeEvent::Beat);
+        self.schedule_node(self.now + 250, node, NodeEvent::Beat);
     }
 
     fn read_log(&mut self, node: usize) {
--- a/dragonflyrun/tests/slot_limits.rs
+++ b/dragonflyrun/tests/slot_limits.rs
@@ -77,9 +77,9 @@
     let mut table = agent(4, 4);
     let mut leaving = announcement(4, 4);
     leaving.leaving = true;
-    let changes = table.changes();
+    assert!(!table.reports(at(1_500))[0].leaving);
     table.announce(at(1_500), leaving);
-    assert!(table.changes() > changes, "the entries should hear at once");
+    assert!(table.reports(at(1_500))[0].leaving, "entries hear by this");
     table.run(at(1_500), &"entry".into(), order(1), true);
     assert_eq!(refusal(&mut table), Some(NotRun::NoBackend));
 
