Reckon what is hopeless from the quickest agent; drop a server without waiting for a stuck handler

Cause: slow_server passed without its mechanism, since it did not look at refusals: after one sample from a slow backend server 249 of 300 requests with a deadline of 300 ms were refused as hopeless, though the other server took 20 ms. The mean over all was to blame. Ruled out: cutting a sample at three means (kept, but the first eight samples still did it). Change: a request is hopeless when the quickest agent known can't end it in time. After: at most 10 of 300 refused; without the avoidance of slow servers the test fails ('69 of 300 went to the slow one'). HttpServer's drop waited for handlers; a stop with a stuck one would have hung after its bound.

--- a/dragonflyrun/src/connection/http_server.rs
+++ b/dragonflyrun/src/connection/http_server.rs
@@ -57,8 +57,7 @@
     address: SocketAddr,
     connections: Arc<Connections>,
     stop: watch::Sender<bool>,
-    // Dropped last: ends the server's threads.
-    _runtime: Runtime,
+    runtime: Option<Runtime>,
 }
 
 impl HttpServer {
@@ -92,7 +91,7 @@
             address,
             connections,
             stop,
-            _runtime: runtime,
+            runtime: Some(runtime),
         })
     }
 
@@ -118,6 +117,15 @@
     }
 }
 
+impl Drop for HttpServer {
+    /// Ends the server's threads without waiting for a handler that never comes back.
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 async fn accept(
     connections: Arc<Connections>,
     listener: TcpListener,
--- a/dragonflyrun/src/request/entry_table/admission.rs
+++ b/dragonflyrun/src/request/entry_table/admission.rs
@@ -113,9 +113,10 @@
         if capacity.slots == 0 {
             return Err(Refusal::new(NotRun::NoBackend, NO_BACKEND_RETRY_MS));
         }
+        let needed = self.needed(now, &service.name, waiting.urgency);
         let state = self.services.entry(service.name.clone()).or_default();
         let wait = state.wait(capacity.ours.max(1), state.queue.ahead_of(waiting.urgency));
-        let ready = now + wait + state.needed(now, waiting.urgency);
+        let ready = now + wait + needed;
         if waiting.deadline <= now || ready > waiting.deadline {
             return Err(Refusal::new(
                 NotRun::Deadline,
--- a/dragonflyrun/src/request/entry_table/dispatch.rs
+++ b/dragonflyrun/src/request/entry_table/dispatch.rs
@@ -1,10 +1,13 @@
 //! Which waiting request goes to which agent, and when.
 
+use std::time::Duration;
+
 use super::{Dispatch, EntryAction, EntryTable, Stage};
 use crate::{
     connection::{Message, NotRun, RequestMessage},
     request::{Refusal, Waiting},
     utils::{Name, Timestamp},
+    version::Urgency,
 };
 
 impl EntryTable {
@@ -29,9 +32,8 @@
                 self.finish(waiting.number, refusal.outcome());
                 continue;
             }
-            let left = waiting.deadline.since(now);
-            let state = self.services.get(service);
-            let slowest = state.map_or(left, |s| s.slowest(now, waiting.urgency, left));
+            let spread = self.spread(now, service, waiting.urgency);
+            let slowest = waiting.deadline.since(now).div_f64(spread);
             let agent = self
                 .loads
                 .choose(now, service, slowest, self.choices, &mut self.rng);
@@ -96,8 +98,17 @@
     /// Returns whether a request can't be answered by its deadline any more; running it would
     /// take a slot from one that can.
     fn is_hopeless(&self, now: Timestamp, service: &Name, waiting: &Waiting) -> bool {
+        now + self.needed(now, service, waiting.urgency) >= waiting.deadline
+    }
+
+    /// Returns how long most requests of `urgency` take that start now at the quickest agent.
+    pub(super) fn needed(&self, now: Timestamp, service: &Name, urgency: Urgency) -> Duration {
+        let quickest = self.loads.quickest(now, service);
+        quickest.mul_f64(self.spread(now, service, urgency))
+    }
+
+    fn spread(&self, now: Timestamp, service: &Name, urgency: Urgency) -> f64 {
         let state = self.services.get(service);
-        let needed = state.map(|s| s.needed(now, waiting.urgency));
-        now + needed.unwrap_or_default() >= waiting.deadline
+        state.map_or(1.0, |s| s.spread(now, urgency))
     }
 }
--- a/dragonflyrun/src/request/entry_table/state.rs
+++ b/dragonflyrun/src/request/entry_table/state.rs
@@ -97,23 +97,14 @@
         self.run_times.entry(urgency).or_default().add(now, time);
     }
 
-    /// Returns how long most requests take that start now.
-    pub(super) fn needed(&self, now: Timestamp, urgency: Urgency) -> Duration {
-        let run_time = self.run_times.get(&urgency);
-        run_time.map_or(Duration::ZERO, |r| r.most(now))
-    }
-
-    /// Returns the longest mean run time that an agent may have to run a request of `urgency` in
-    /// the time that is `left`: as much above the mean of all agents as there is time to spare.
-    pub(super) fn slowest(&self, now: Timestamp, urgency: Urgency, left: Duration) -> Duration {
-        let mean_ms = self.run_time.recent_mean_ms(now);
-        let needed = self.needed(now, urgency).as_secs_f64();
-        match mean_ms {
-            Some(mean_ms) if needed > 0.0 => {
-                let spare = left.as_secs_f64() / needed;
-                Duration::from_secs_f64(mean_ms * spare / 1_000.0)
+    /// Returns by how much most requests of `urgency` take longer than the mean of all.
+    pub(super) fn spread(&self, now: Timestamp, urgency: Urgency) -> f64 {
+        let most = self.run_times.get(&urgency).map(|r| r.most(now));
+        match (most, self.run_time.recent_mean_ms(now)) {
+            (Some(most), Some(mean_ms)) if mean_ms > 0.0 && !most.is_zero() => {
+                most.as_secs_f64() * 1_000.0 / mean_ms
             }
-            _ => left,
+            _ => 1.0,
         }
     }
 }
--- a/dragonflyrun/src/request/load.rs
+++ b/dragonflyrun/src/request/load.rs
@@ -147,6 +147,15 @@
         sum
     }
 
+    /// Returns the least mean run time of any agent; zero where none is known.
+    pub(crate) fn quickest(&self, now: Timestamp, service: &Name) -> Duration {
+        let names = self.services.get(service).into_iter().flatten();
+        let offers = names.filter_map(|name| self.usable_offer(now, name, service));
+        let means = offers.filter_map(|o| o.run_time.recent_mean_ms(now));
+        let least_ms = means.reduce(f64::min).unwrap_or(0.0);
+        Duration::from_secs_f64(least_ms / 1_000.0)
+    }
+
     /// Chooses an agent for a request of `service` among those that take no longer than `slowest`
     /// on average: the best of `choices` drawn at random from those that have a free slot.
     ///
--- a/dragonflyrun/src/request/run_time.rs
+++ b/dragonflyrun/src/request/run_time.rs
@@ -13,6 +13,11 @@
 /// Age up to which the run times seen are taken for those to come.
 const AGE: Duration = Duration::from_secs(10);
 
+/// A sample counts as this many times the mean at the most, once there are as many samples as
+/// [`WEIGHT`] says. A single one from a slow backend server would otherwise make all requests with
+/// short deadlines seem hopeless for a while.
+const MOST_MEANS: f64 = 3.0;
+
 /// A running mean of durations with its mean deviation.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunTime {
@@ -25,7 +30,10 @@
 impl RunTime {
     /// Adds a sample that was taken at `now`.
     pub fn add(&mut self, now: Timestamp, sample: Duration) {
-        let ms = sample.as_secs_f64() * 1_000.0;
+        let mut ms = sample.as_secs_f64() * 1_000.0;
+        if f64::from(self.samples) >= WEIGHT {
+            ms = ms.min((self.mean_ms * MOST_MEANS).max(1.0));
+        }
         self.last = now;
         self.samples = self.samples.saturating_add(1);
         let weight = WEIGHT.min(f64::from(self.samples));
--- a/dragonflyrun/tests/request_routing.rs
+++ b/dragonflyrun/tests/request_routing.rs
@@ -179,7 +179,7 @@
 #[test]
 fn slow_server() {
     let mut table = entry(&["quick", "slow"], 8);
-    let mut late = 0;
+    let (mut late, mut refused) = (0, 0);
     for round in 0..300 {
         let now = 1_000 + round * 2_000;
         for agent in ["quick", "slow"] {
@@ -188,7 +188,9 @@
         let mut req = check();
         req.deadline_ms = Some(300);
         table.submit(at(now), req);
-        for (to, id) in runs(&table.take_actions()) {
+        let actions = table.take_actions();
+        refused += refusals(&actions).len();
+        for (to, id) in runs(&actions) {
             let slow = *to == *"slow";
             late += u32::from(slow);
             table.tick(at(now + 301));
@@ -197,8 +199,12 @@
         }
         table.take_actions();
     }
-    // One every ten seconds shows whether it has become quicker.
-    assert!(late <= 300 / 5 + 3, "{late} of 300 went to the slow one");
+    // Now and then one shows whether it has become quicker; two draws alone would send it 75.
+    assert!(
+        (1..=45).contains(&late),
+        "{late} of 300 went to the slow one"
+    );
+    assert!(refused <= 10, "{refused} of 300 seemed hopeless");
 }
 
 #[test]
