--- a/dragonflyrun/src/process/entry.rs
+++ b/dragonflyrun/src/process/entry.rs
@@ -94,10 +94,7 @@
         if self.is_leaving() {
             return Err("leaving");
         }
-        if self.cx.version().offset == 0 {
-            return Err("no configuration yet");
-        }
-        Ok(())
+        self.cx.readiness()
     }
 
     fn on_http(&self, req: HttpRequest) -> HttpResponse {
@@ -106,8 +103,8 @@
 
     fn drain(&self) {
         self.leaving.store(true, Ordering::Relaxed);
-        self.presence.leave();
         self.jobs.stop();
+        self.presence.leave();
         if !self.requests.stop(STOP_TIME) {
             log::warn!(name:% = self.cx.identity.name; "requests_not_answered");
         }
--- a/dragonflyrun/src/version/history.rs
+++ b/dragonflyrun/src/version/history.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(tag = "verdict", rename_all = "snake_case")]
 pub enum Verdict {
-    /// It is in force as of its offset.
+    /// It is in force.
     Accepted,
     /// The section has changed since the editor saw it.
     Stale {
@@ -71,6 +71,14 @@
     pub edit: Edit,
 }
 
+impl LoggedEdit {
+    /// Returns the version that the edit makes if it is accepted: the offset after its own, so
+    /// that an edit at the start of the log differs from there being none.
+    pub fn version(&self) -> u64 {
+        self.offset + 1
+    }
+}
+
 /// How much of the configuration a process knows.
 #[derive(Clone, Debug)]
 enum Standing {
@@ -82,6 +90,11 @@
         from: u64,
         edits: VecDeque<LoggedEdit>,
     },
+    /// All of it, provided that there was none before `from`; `edits` are those since.
+    Presumed {
+        from: u64,
+        edits: VecDeque<LoggedEdit>,
+    },
     /// The document is in a newer format than this program knows.
     Unsupported { format: u32 },
 }
@@ -124,7 +137,12 @@
     /// One that does not may have missed that a failure domain was taken out. It keeps the version
     /// that it has, but must start nothing until it is whole again.
     pub fn is_whole(&self) -> bool {
-        matches!(self.standing, Standing::Whole)
+        matches!(self.standing, Standing::Whole | Standing::Presumed { .. })
+    }
+
+    /// Returns whether it is whole only provided that there was no configuration before a gap.
+    pub fn is_presumed(&self) -> bool {
+        matches!(self.standing, Standing::Presumed { .. })
     }
 
     /// Returns the format of the document, where it is newer than this program knows.
@@ -146,13 +164,12 @@
     pub fn fold(&mut self, logged: &LoggedEdit) -> Option<Verdict> {
         match &mut self.standing {
             Standing::Whole => self.judge(logged),
+            Standing::Presumed { from, edits } => {
+                remember(from, edits, logged);
+                self.judge(logged)
+            }
             Standing::Gap { from, edits } => {
-                edits.push_back(logged.clone());
-                if edits.len() > PENDING_EDITS
-                    && let Some(dropped) = edits.pop_front()
-                {
-                    *from = dropped.offset + 1;
-                }
+                remember(from, edits, logged);
                 None
             }
             Standing::Unsupported { .. } => None,
@@ -170,14 +187,22 @@
         }
     }
 
-    /// Takes note that nothing is missing after all, since no configuration was there before, and
-    /// judges the edits seen since.
+    /// Presumes that there was no configuration before the gap, as the log shows no trace of one,
+    /// and judges the edits seen since.
+    ///
+    /// A process that knows a configuration knows that there was one. One that knows none may still
+    /// be mistaken, where all that the planner has repeated is dropped as well after a long outage,
+    /// so it goes on looking for a carried configuration.
     pub fn begin(&mut self) {
-        if let Standing::Gap { edits, .. } = &mut self.standing {
-            let edits = mem::take(edits);
-            self.standing = Standing::Whole;
-            for edit in &edits {
-                self.fold(edit);
+        if self.current.offset > 0 {
+            return;
+        }
+        if let Standing::Gap { from, edits } = &mut self.standing {
+            let (from, pending) = (*from, mem::take(edits));
+            let edits = VecDeque::new();
+            self.standing = Standing::Presumed { from, edits };
+            for logged in &pending {
+                self.fold(logged);
             }
         }
     }
@@ -189,12 +214,13 @@
     /// and then judges those, so that an edit that reached the log between the taking and the
     /// carrying of the state is not lost.
     pub fn adopt(&mut self, offset: u64, carried: &CarriedConfiguration) {
-        let Standing::Gap { from, edits } = &mut self.standing else {
-            return;
+        let (from, least, edits) = match &mut self.standing {
+            Standing::Gap { from, edits } => (*from, self.current.offset, edits),
+            Standing::Presumed { from, edits } => (*from, 0, edits),
+            Standing::Whole | Standing::Unsupported { .. } => return,
         };
-        let since = self.current.offset..carried.as_of.max(1);
-        let sound = since.contains(&carried.version) && carried.as_of <= offset;
-        if carried.as_of < *from || !sound {
+        let sound = (least..=carried.as_of).contains(&carried.version) && carried.as_of <= offset;
+        if carried.as_of < from || !sound {
             return;
         }
         let edits = mem::take(edits);
@@ -227,6 +253,10 @@
 
     fn install(&mut self, carried: &CarriedConfiguration) {
         let document = carried.document.clone();
+        if document.format() > FORMAT {
+            self.give_up(carried.as_of, document.format());
+            return;
+        }
         self.index = Index::default();
         for (name, section) in &document.sections {
             self.index.insert(name, section);
@@ -234,30 +264,36 @@
         let sections = carried.sections.iter();
         self.sections = sections.map(|s| (s.section.clone(), s.version)).collect();
         self.recent = carried.recent.iter().cloned().collect();
-        let format = document.format();
-        self.standing = if format > FORMAT {
-            Standing::Unsupported { format }
-        } else {
-            Standing::Whole
-        };
         self.current = Arc::new(Version::new(carried.version, document));
+        self.standing = Standing::Whole;
     }
 
-    fn judge(&mut self, logged: &LoggedEdit) -> Option<Verdict> {
-        let id = &logged.id;
+    fn give_up(&mut self, offset: u64, format: u32) {
+        log::error!(offset = offset, format = format; "format_unsupported");
+        self.standing = Standing::Unsupported { format };
+    }
+
+    fn is_first_copy(&mut self, id: &Name) -> bool {
         if id.len() > NAME_CHARACTERS || self.recent.contains(id) {
-            return None;
+            return false;
         }
         self.recent.push_back(id.clone());
         if self.recent.len() > RECENT_EDITS {
             self.recent.pop_front();
         }
+        true
+    }
+
+    fn judge(&mut self, logged: &LoggedEdit) -> Option<Verdict> {
+        if !self.is_first_copy(&logged.id) {
+            return None;
+        }
         let edit = &logged.edit;
         let current = self.sections.get(&edit.section).copied().unwrap_or(0);
         if edit.base != current {
             return Some(Verdict::Stale { current });
         }
-        let pointer = format!("/sections/{}", edit.section);
+        let pointer = Place::Root("/sections").key(&edit.section).to_string();
         let content = match edit.content.as_ref().map(|c| c.parse(&pointer)) {
             None => None,
             Some(Ok(section)) => Some(Arc::new(section)),
@@ -268,9 +304,7 @@
         }
         match self.replace(&edit.section, content) {
             Ok(document) if document.format() > FORMAT => {
-                let format = document.format();
-                log::error!(offset = logged.offset, format = format; "format_unsupported");
-                self.standing = Standing::Unsupported { format };
+                self.give_up(logged.offset, document.format());
                 None
             }
             Ok(document) => {
@@ -320,11 +354,11 @@
     fn advance(&mut self, logged: &LoggedEdit, document: Document) {
         let name = &logged.edit.section;
         if document.sections.contains_key(name) {
-            self.sections.insert(name.clone(), logged.offset);
+            self.sections.insert(name.clone(), logged.version());
         } else {
             self.sections.remove(name);
         }
-        self.current = Arc::new(Version::new(logged.offset, document));
+        self.current = Arc::new(Version::new(logged.version(), document));
     }
 
     fn owns(&self, editor: &Name, name: &Name, content: Option<&Section>) -> bool {
@@ -343,6 +377,16 @@
     }
 }
 
+/// Keeps an edit for when a carried configuration tells what was before it.
+fn remember(from: &mut u64, edits: &mut VecDeque<LoggedEdit>, logged: &LoggedEdit) {
+    edits.push_back(logged.clone());
+    if edits.len() > PENDING_EDITS
+        && let Some(dropped) = edits.pop_front()
+    {
+        *from = dropped.offset + 1;
+    }
+}
+
 /// Adds a finding where `section` would change the format in any way but to the next one.
 ///
 /// Programs that do not know the next format stop at the change, so a mistaken number must not get
--- a/dragonflyrun/tests/gang_world/mod.rs
+++ b/dragonflyrun/tests/gang_world/mod.rs
@@ -5,12 +5,13 @@
 #![allow(dead_code, unreachable_pub)]
 
 pub mod checks;
-mod node;
+pub mod node;
 pub mod worker;
 
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    time::Duration,
 };
 
 use dragonflyrun::{
@@ -36,6 +37,9 @@
 const DOMAINS: usize = 2;
 const WORKER_TIMEOUT: u64 = 1_000;
 
+/// Silence after which the planner removes an entry; far sooner than the product does.
+const ENTRY_GONE: u64 = 6_000;
+
 /// What fails, and comes back at the end of its time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
@@ -391,6 +395,7 @@
                 table.tick(now, &view)
             }
         };
+        self.keep_list(i, fresh);
         for action in actions {
             match action {
                 PlannerAction::Send(notice) => self.notify(i, notice),
@@ -405,7 +410,43 @@
         }
     }
 
+    /// Joins the list of entries where this one is not on it, and removes silent ones as planner.
+    fn keep_list(&mut self, i: usize, fresh: bool) {
+        let now = self.nodes[i].clock(self.now);
+        let node = &self.nodes[i];
+        let entries = node.ledger.membership.entries();
+        if !fresh || node.pending.values().len() > 0 {
+            return;
+        }
+        let body = if !entries.contains_key(&node.name) {
+            RecordBody::EntryJoined {
+                entry: node.name.clone(),
+                address: "127.0.0.1:1".into(),
+            }
+        } else if node.ledger.membership.planner() == Some(&node.name) {
+            let is_gone = |name: &&Name| {
+                let peer = node.roster.peer(name);
+                let silent = |at| now.since(at) > Duration::from_millis(ENTRY_GONE);
+                **name != node.name && peer.is_some_and(|p| silent(p.heard))
+            };
+            let Some(entry) = entries.keys().find(is_gone).cloned() else {
+                return;
+            };
+            RecordBody::EntryLeft { entry }
+        } else {
+            return;
+        };
+        self.queue_record(i, &body);
+    }
+
     fn queue_append(&mut self, i: usize, body: &RecordBody, purpose: Purpose) {
+        let id = self.queue_record(i, body);
+        if let RoleTable::Entry(table) = &mut self.nodes[i].table {
+            table.appended(id, purpose);
+        }
+    }
+
+    fn queue_record(&mut self, i: usize, body: &RecordBody) -> Name {
         if self.trace {
             println!("{} {} appends {body:?}", self.now, self.nodes[i].name);
         }
@@ -415,11 +456,12 @@
         let data = AuthorKey::derive(SECRET, &node.name).seal(&id, body);
         let incarnation = node.incarnation;
         node.pending.insert(id.clone(), false);
-        if let RoleTable::Entry(table) = &mut node.table {
-            table.appended(id.clone(), purpose);
-        }
         let delay = self.rng.random_range(2..20);
-        self.after(delay, Event::Append(i, incarnation, vec![(id, data)]));
+        self.after(
+            delay,
+            Event::Append(i, incarnation, vec![(id.clone(), data)]),
+        );
+        id
     }
 
     fn append(&mut self, i: usize, incarnation: u64, records: Vec<(Name, String)>) {
@@ -505,7 +547,8 @@
             base: self.section_version,
             content: Some(RawSection::from(&section)),
         };
-        self.section_version = self.log.len() as u64;
+        // A version is the offset after its edit.
+        self.section_version = self.log.len() as u64 + 1;
         self.put("ops", &RecordBody::Edit(edit));
     }
 
@@ -610,7 +653,8 @@
         }
         self.next_call += 1;
         let id = self.next_call;
-        let delay = self.rng.random_range(0..2);
+        // The thread may lose its processor between the decision and the call.
+        let delay = self.rng.random_range(0..40);
         self.after(delay, Event::Send(i, n, id, asked, call, ttl));
     }
 
@@ -681,6 +725,15 @@
         self.nodes[b].link_up(self.now, peer_a);
     }
 
+    /// Whether each of the two is linked to the process that the other now is.
+    fn are_linked(&self, a: usize, b: usize) -> bool {
+        let knows = |a: usize, b: usize| {
+            let peer = self.nodes[a].roster.peer(&self.nodes[b].name);
+            peer.is_some_and(|p| p.linked && p.peer == self.nodes[b].peer())
+        };
+        knows(a, b) && knows(b, a)
+    }
+
     fn unlink(&mut self, a: usize, b: usize) {
         let (peer_a, peer_b) = (self.nodes[a].peer(), self.nodes[b].peer());
         self.nodes[a].link_down(self.now, &peer_b);
@@ -744,7 +797,7 @@
             Fault::Cut(a, b, _) => {
                 self.cuts.remove(&pair(a, b));
                 let held = self.held.remove(&pair(a, b)).unwrap_or_default();
-                if held.is_empty() {
+                if held.is_empty() || !self.are_linked(a, b) {
                     self.unlink(a, b);
                     self.after(300, Event::Link(a, b));
                 }
