--- a/dragonflyrun/tests/guarantee_reclaim.rs
+++ b/dragonflyrun/tests/guarantee_reclaim.rs
@@ -82,8 +82,10 @@
             jobs: BTreeMap::new(),
             accepted: 0,
         };
-        let section = Arc::new(section(u)?);
-        cluster.document.sections.insert("all".into(), section);
+        cluster
+            .document
+            .sections
+            .insert("all".into(), section(u)?.into());
         cluster.configure();
         for worker in cluster.workers.clone() {
             cluster.scheduler.worker_up(cluster.now, worker);
@@ -103,8 +105,8 @@
             0 => self.drain_or_return(u)?,
             1 => self.lose_or_return(u)?,
             2 => {
-                let section = Arc::new(section(u)?);
-                self.document.sections.insert("all".into(), section);
+                let section = section(u)?;
+                self.document.sections.insert("all".into(), section.into());
                 self.configure();
             }
             3 | 4 => {
@@ -128,10 +130,9 @@
     }
 
     fn drain_or_return(&mut self, u: &mut Unstructured<'_>) -> arbitrary::Result<()> {
-        let domains = self.document.sections.values_mut();
-        let mut domains: Vec<_> = domains
-            .flat_map(|s| &mut Arc::make_mut(s).failure_domains)
-            .collect();
+        let sections = self.document.sections.values_mut();
+        let domains = sections.flat_map(|s| &mut Arc::make_mut(s).failure_domains);
+        let mut domains: Vec<_> = domains.collect();
         let at = u.choose_index(domains.len())?;
         domains[at].in_service = !domains[at].in_service;
         self.configure();
