--- a/dragonflyrun/src/process/agent.rs
+++ b/dragonflyrun/src/process/agent.rs
@@ -119,7 +119,7 @@
         if self.cx.links.linked().is_empty() {
             return Err("not linked to an entry");
         }
-        Ok(())
+        self.cx.readiness()
     }
 
     fn on_http(&self, req: HttpRequest) -> HttpResponse {
@@ -131,6 +131,7 @@
 
     fn drain(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+        self.jobs.drain();
         if !self.requests.stop(STOP_TIME) {
             log::warn!(running = self.requests.running(); "requests_not_finished");
         }
--- a/dragonflyrun/src/request/entry_table/peers.rs
+++ b/dragonflyrun/src/request/entry_table/peers.rs
@@ -24,6 +24,12 @@
         self.loads.update(view);
     }
 
+    /// Divides the agents' slots among `count` entries, of which this one has the place `rank` in
+    /// the order of their names.
+    pub fn set_entries(&mut self, count: u32, rank: u32) {
+        self.loads.set_entries(count, rank);
+    }
+
     /// Forgets all agents but those for which `keep` holds.
     pub fn retain_agents(&mut self, keep: impl Fn(&Name) -> bool) {
         self.loads.retain(keep);
@@ -31,6 +37,11 @@
 
     /// Takes note of a new link to an agent.
     pub fn agent_up(&mut self, now: Timestamp, peer: &Peer) {
+        // What is known is of the process before; a request for that would be ignored.
+        let before = self.loads.view(&peer.name);
+        if before.is_some_and(|view| view.incarnation != peer.incarnation) {
+            self.loads.retain(|name| *name != peer.name);
+        }
         for number in self.dispatches_of(&peer.name) {
             let Some(dispatch) = self.dispatches.get_mut(&number) else {
                 continue;
--- a/dragonflyrun/src/tool/commands/edit.rs
+++ b/dragonflyrun/src/tool/commands/edit.rs
@@ -1,25 +1,23 @@
-//! `edit`, `remove`, `drain`, `return` and `begin`.
+//! `edit`, `remove`, `drain` and `return`.
 
 use std::{
     fmt,
-    time::{Duration, Instant}, //
+    time::Instant, //
 };
 
 use serde::Serialize;
 
 use crate::{
-    connection::{AuthorKey, Carried, CarriedConfiguration, Edit, LogClient, RecordBody},
+    connection::Edit,
     tool::{
-        Exit, InForce, LogReader, Printed, Published, Publisher, ToolError, ToolSettings,
-        commands::{document::whole, read_file},
+        Exit, InForce, LogReader, Opener, Printed, Published, Publisher, ToolError, ToolSettings,
+        commands::{document::known, read_file},
         in_force,
         options::{EditOptions, RemoveOptions},
-        publisher::new_id,
     },
     utils::Name,
     version::{
         DOCUMENT_BYTES,
-        Document,
         Finding,
         History,
         RawSection,
@@ -29,9 +27,6 @@
     },
 };
 
-/// How long an edit is tried while the log is down or slow.
-const PATIENCE: Duration = Duration::from_secs(10);
-
 /// What became of an edit.
 #[derive(Serialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
@@ -57,7 +52,8 @@
     },
     Unknown {
         section: Name,
-        id: Name,
+        /// The id of its record, where that is in doubt.
+        id: Option<Name>,
         reason: String,
     },
 }
@@ -113,7 +109,10 @@
             } => write!(
                 f,
                 "section {section}: not known whether it is accepted, and it may still be: \
-                 {reason}\nlook with `dragonflyrun show {section}` before trying again (edit {id})"
+                 {reason}\nlook with `dragonflyrun show {section}` before trying again{}",
+                id.as_ref()
+                    .map(|id| format!(" (edit {id})"))
+                    .unwrap_or_default()
             ),
         }
     }
@@ -173,9 +172,9 @@
 ) -> Result<Printed, ToolError> {
     let key = settings.key()?;
     let mut reader = LogReader::new(settings.log()?, settings.opener());
-    let mut publisher = Publisher::new(&mut reader, key, PATIENCE);
+    let mut publisher = Publisher::new(&mut reader, key, settings.patience);
     let history = match publisher.history() {
-        Ok(history) => whole(history)?,
+        Ok(history) => known(settings, history)?,
         Err(error) => {
             let (section, reason) = (section.clone(), error.to_string());
             return Ok(EditAnswer::NotSent { section, reason }.printed());
@@ -203,23 +202,40 @@
     let section = section.clone();
     match published {
         Published::Judged {
-            offset,
+            version,
             verdict: Verdict::Accepted,
-        } => EditAnswer::Accepted {
-            section,
-            version: offset,
-            in_force: in_force_of(settings, offset),
-        },
+        } => accepted(settings, section, version),
         Published::Judged { verdict, .. } => EditAnswer::Rejected { section, verdict },
         Published::NotSent { reason } => EditAnswer::NotSent { section, reason },
         Published::Unknown { id, reason } => EditAnswer::Unknown {
             section,
-            id,
+            id: Some(id),
             reason,
         },
     }
 }
 
+/// Reports an edit that the tool's own fold has accepted.
+///
+/// Without the secret the tool can't check seals, its own no more than others'. With a mistaken
+/// key it would accept its own edit, which every process skips. So a process has to confirm it.
+fn accepted(settings: &ToolSettings, section: Name, version: u64) -> EditAnswer {
+    let in_force = in_force_of(settings, version);
+    let confirmed = in_force.as_ref().is_some_and(|i| i.has_any());
+    if matches!(settings.opener(), Opener::Unchecked) && !confirmed {
+        return EditAnswer::Unknown {
+            section,
+            id: None,
+            reason: "no process has confirmed it; is the key the editor's?".to_owned(),
+        };
+    }
+    EditAnswer::Accepted {
+        section,
+        version,
+        in_force,
+    }
+}
+
 fn in_force_of(settings: &ToolSettings, version: u64) -> Option<InForce> {
     let entries = settings.entries();
     (!entries.is_empty()).then(|| in_force::wait(version, entries, settings.timeout))
@@ -243,14 +259,14 @@
 ) -> Result<Printed, ToolError> {
     let key = settings.key()?;
     let mut reader = LogReader::new(settings.log()?, settings.opener());
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + settings.patience;
     loop {
-        let mut publisher = Publisher::new(&mut reader, key, PATIENCE);
+        let mut publisher = Publisher::new(&mut reader, key, settings.patience);
         let history = publisher.history().map_err(|error| {
             let what = format!("not sent, nothing has changed: {error}");
             ToolError::NotKnown(what)
         })?;
-        let found = domain_edit(whole(history)?, domain, in_service)?;
+        let found = domain_edit(known(settings, history)?, domain, in_service)?;
         let Some(changed) = &found.changed else {
             let answer = EditAnswer::Unchanged {
                 section: found.section,
@@ -310,56 +326,3 @@
         names.join(", ")
     )))
 }
-
-#[derive(Serialize)]
-struct BeginAnswer {
-    as_of: u64,
-}
-
-impl fmt::Display for BeginAnswer {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let as_of = self.as_of;
-        write!(f, "the configuration begins, empty, at offset {as_of}")
-    }
-}
-
-/// Declares that the log holds no configuration from before its first kept record.
-///
-/// A process that finds the first records dropped can't tell an empty configuration from one that
-/// it has missed. Only who holds the secret may say that there was none.
-pub(super) fn begin(settings: &ToolSettings) -> Result<Printed, ToolError> {
-    let secret = settings.secret()?;
-    let log: LogClient = settings.log()?;
-    let mut reader = LogReader::new(log.clone(), settings.opener());
-    let mut ours = 0_usize;
-    reader
-        .catch_up(|_| ours += 1)
-        .map_err(|e| ToolError::NotKnown(format!("nothing was sent: {e}")))?;
-    if reader.ledger().history.is_whole() {
-        let what = "the log holds the whole configuration, there is nothing to begin";
-        return Err(ToolError::Refused(what.to_owned()));
-    }
-    if ours > 0 {
-        let what = format!(
-            "the log holds {ours} records of this deployment, so its processes may know a \
-             configuration; wait until their planner repeats it"
-        );
-        return Err(ToolError::Refused(what));
-    }
-    let as_of = reader.ledger().next_offset();
-    let carried = Carried::Configuration(CarriedConfiguration {
-        term: 0,
-        as_of,
-        version: 0,
-        sections: Vec::new(),
-        recent: Vec::new(),
-        document: Document::default(),
-    });
-    let key = AuthorKey::derive(secret, &Name::from("begin"));
-    let record = key.seal(&new_id(), &RecordBody::Carried(carried));
-    log.append(&[record]).map_err(|e| {
-        let what = format!("{e}; beginning again does no harm");
-        ToolError::NotKnown(what)
-    })?;
-    Ok(Printed::new(&BeginAnswer { as_of }, Exit::Done))
-}
