Prove gangs, keys, refusals, drains and graceful stops on separate processes under failure

Each test causes the failures that its promise is meant for and compares the product's answers with the workers' and backend servers' own records.

A caller counts an attempt only where it doesn't know that it did not run, as the interface asks (docs/DESIGN.md, attempt numbers).

--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -1,6 +1,7 @@
 //! A caller of the system: requests, jobs and questions by HTTP.
 
 use std::{
+    fmt,
     io,
     net::SocketAddr,
     time::Duration, //
@@ -53,12 +54,34 @@
     Broken(io::Error),
 }
 
+impl fmt::Display for Reply {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Final(RequestOutcome::Done { status, body }) => {
+                write!(f, "done with status {status} and {} bytes", body.len())
+            }
+            Self::Final(RequestOutcome::NotRun { reason, .. }) => write!(f, "not run: {reason:?}"),
+            Self::Final(RequestOutcome::Unknown) => f.write_str("unknown"),
+            Self::Broken(error) => write!(f, "broken: {error}"),
+        }
+    }
+}
+
 impl Reply {
     /// Returns whether the request ran and was answered well.
     pub fn is_done(&self) -> bool {
         matches!(self, Self::Final(RequestOutcome::Done { status: 200, .. }))
     }
 
+    /// Returns whether this attempt did not run for certain: the answer says so, or there was no
+    /// connection to send it on.
+    pub fn is_surely_not_run(&self) -> bool {
+        match self {
+            Self::Broken(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Self::Final(_) => self.is_not_run(),
+        }
+    }
+
     /// Returns whether the answer says that the request did not run.
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::Final(RequestOutcome::NotRun { .. }))
--- a/standins/src/harness/gang.rs
+++ b/standins/src/harness/gang.rs
@@ -45,6 +45,7 @@
     /// # Panics
     ///
     /// Where none does.
+    #[track_caller]
     pub fn submit(&self, name: &str, spec: &JobSpec) {
         let until = Instant::now() + PATIENCE;
         for caller in self.callers().iter().cycle() {
@@ -62,6 +63,7 @@
     /// # Panics
     ///
     /// Where none does.
+    #[track_caller]
     pub fn job(&self, name: &str) -> JobStatus {
         let mut callers = self.callers().into_iter().cycle();
         wait_for("an answer about the job", || {
@@ -74,6 +76,7 @@
     /// # Panics
     ///
     /// Where it does not.
+    #[track_caller]
     pub fn wait_for_end(&self, name: &str, end: JobState) {
         wait_until(&format!("{name} {end:?}"), || self.job(name).state == end);
     }
@@ -83,6 +86,7 @@
     /// # Panics
     ///
     /// Where they do not.
+    #[track_caller]
     pub fn wait_for_gang(&self, name: &str, members: usize, attempt: u32) -> u32 {
         wait_for(&format!("all members of {name}"), || {
             let newest = self.intervals_of(name).iter().map(|i| i.attempt).max()?;
@@ -97,6 +101,7 @@
     ///
     /// Where two attempts of a job ran at once, or an attempt ran partially for longer than
     /// `bound_ms`; returns the longest partial time.
+    #[track_caller]
     pub fn check_gang(&self, name: &str, members: usize, bound_ms: u64) -> u64 {
         let intervals = self.intervals_of(name);
         let now = unix_ms();
--- /dev/null
+++ b/standins/tests/double_faults.rs
@@ -0,0 +1,103 @@
+//! Two faults at once: each promise holds all the same.
+
+use std::{thread::sleep, time::Duration};
+
+use dragonflyrun::process::JobState;
+use standins::{
+    harness::{
+        Deployment,
+        Load,
+        LoadShape,
+        doubled_keys,
+        in_domain_after,
+        job,
+        unix_ms,
+        untrue_answers,
+        wait_until, //
+    },
+    log::LogMode,
+};
+
+const PARTIAL_MS: u64 = 4_000;
+const DRAIN_MS: u64 = 6_000;
+
+/// During an outage of the log the planner dies and a worker's agent with it, while a gang runs and
+/// tickets come. The gang stops whole; when the log is back the job goes on and ends.
+#[test]
+fn outage_and_kills() {
+    let mut deployment = Deployment::builder().start();
+    deployment.submit("reconstruction", &job(3, 8, "sleep:6000"));
+    let first = deployment.wait_for_gang("reconstruction", 3, 0);
+    let load = Load::start(deployment.callers(), LoadShape::default());
+    load.wait_for_done(50);
+    let planner = deployment.planner();
+    deployment.set_log(LogMode::Refuse);
+    deployment.entries[planner].child.kill();
+    deployment.agents[0].child.kill();
+    wait_until("the stop of all members", || {
+        deployment.running_members("reconstruction", first) == 0
+    });
+    deployment.restart_entry(planner);
+    deployment.restart_agent(0);
+    deployment.set_log(LogMode::Up);
+    deployment.wait_for_end("reconstruction", JobState::Finished);
+    deployment.check_gang("reconstruction", 3, PARTIAL_MS);
+    load.wait_for_done(50);
+    let asked = load.stop();
+    let records = deployment.backend_records();
+    assert_eq!(doubled_keys(&records), []);
+    assert_eq!(untrue_answers(&asked, &records), Vec::<String>::new());
+}
+
+/// A failure domain is taken out in the middle of a burst of jobs, and the log then goes down. No
+/// job starts there, and each finishes when all is back.
+#[test]
+fn drain_burst_outage() {
+    let deployment = Deployment::builder().start();
+    for number in 0..20 {
+        deployment.submit(&format!("grading-{number}"), &job(1, 4, "sleep:1000"));
+    }
+    deployment.set_in_service("judenburg", false);
+    let drained = unix_ms();
+    deployment.set_log(LogMode::Hang);
+    sleep(Duration::from_secs(4));
+    deployment.set_log(LogMode::Up);
+    for number in 0..20 {
+        deployment.wait_for_end(&format!("grading-{number}"), JobState::Finished);
+    }
+    let late = in_domain_after(&deployment.intervals(), "judenburg", drained + DRAIN_MS);
+    assert!(late.is_empty(), "{late:#?}");
+}
+
+/// A wave of cancellations meets a log that loses its answers. Each job that was told to be
+/// cancelled ends so, or had finished before, and none is left behind on a worker.
+#[test]
+fn cancels_and_lost_answers() {
+    let deployment = Deployment::builder().start();
+    for number in 0..12 {
+        deployment.submit(&format!("grading-{number}"), &job(1, 4, "sleep:2000"));
+    }
+    deployment.set_log(LogMode::LoseAppends);
+    let callers = deployment.callers();
+    for number in 0..12 {
+        // The answer may be that the outcome is unknown; it is asked for again below.
+        let _ = callers[number % 2].cancel(&format!("grading-{number}"));
+    }
+    deployment.set_log(LogMode::Up);
+    for number in 0..12 {
+        let name = format!("grading-{number}");
+        wait_until("the cancellation or the end", || {
+            let _ = callers[0].cancel(&name);
+            !matches!(
+                deployment.job(&name).state,
+                JobState::Waiting | JobState::Running
+            )
+        });
+    }
+    wait_until("no task left", || {
+        deployment
+            .intervals()
+            .iter()
+            .all(|i| i.stopped_unix_ms.is_some())
+    });
+}
--- /dev/null
+++ b/standins/tests/gang_freeze.rs
@@ -0,0 +1,93 @@
+//! No gang runs partially when processes are frozen and go on later.
+
+use std::{thread::sleep, time::Duration};
+
+use dragonflyrun::process::{JobAnswer, JobState};
+use standins::caller::Caller;
+use standins::harness::{Deployment, Signal, job, wait_until};
+
+/// The gang lease of 3 s, and a second for a busy machine.
+const PARTIAL_MS: u64 = 4_000;
+
+/// Longer than any lease.
+const FREEZE: Duration = Duration::from_secs(8);
+
+const GANG: &str = "reconstruction";
+const MEMBERS: usize = 3;
+
+fn running_gang(deployment: &Deployment) -> u32 {
+    deployment.submit(GANG, &job(3, 8, "forever"));
+    deployment.wait_for_gang(GANG, MEMBERS, 0)
+}
+
+/// The agent of one member is paused for longer than its leases, as by a host that swaps. Its
+/// member has stopped by then, and so have the others. When it goes on it must not renew or start
+/// anything of the lost attempt; the job then runs whole in a later attempt.
+#[test]
+fn agent_frozen() {
+    let deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    deployment.agents[0].child.signal(Signal::Stop);
+    sleep(FREEZE);
+    assert_eq!(deployment.running_members(GANG, first), 0);
+    deployment.agents[0].child.signal(Signal::Continue);
+    deployment.wait_for_gang(GANG, MEMBERS, first);
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
+
+/// A worker is paused with its tasks. The others stop; when it goes on it finds its lease lapsed
+/// and its tasks do not.
+#[test]
+fn worker_frozen() {
+    let deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    deployment.workers[1].child.signal(Signal::Stop);
+    sleep(FREEZE);
+    deployment.workers[1].child.signal(Signal::Continue);
+    assert_eq!(deployment.running_members(GANG, first), 0);
+    deployment.wait_for_gang(GANG, MEMBERS, first);
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
+
+/// The planner is paused for longer than its term lasts. Another entry takes over; then both plan
+/// at once, the first with an old picture. Jobs come all the while, through both. Each finishes
+/// once, and no attempt overlaps another or runs partially.
+#[test]
+fn planner_frozen() {
+    let deployment = Deployment::builder().start();
+    let planner = deployment.planner();
+    let (old, new) = (deployment.caller(planner), deployment.caller(1 - planner));
+    for number in 0..3 {
+        let spec = job(3, 4, "sleep:1500");
+        deployment.submit(&format!("{GANG}-{number}"), &spec);
+    }
+    deployment.entries[planner].child.signal(Signal::Stop);
+    wait_until("another planner", || deployment.planner() != planner);
+    submit_through(&new, "reconstruction-3");
+    deployment.entries[planner].child.signal(Signal::Continue);
+    submit_through(&old, "reconstruction-4");
+    for number in 0..5 {
+        let name = format!("{GANG}-{number}");
+        deployment.wait_for_end(&name, JobState::Finished);
+        let members = members_of(&deployment, &name);
+        deployment.check_gang(&name, members, PARTIAL_MS);
+    }
+}
+
+fn submit_through(caller: &Caller, name: &str) {
+    wait_until(name, || {
+        let answer = caller.submit(name, &job(3, 4, "sleep:1500"));
+        matches!(answer, Ok(JobAnswer::Accepted { .. }))
+    });
+}
+
+/// How many workers share the job depends on its placement.
+fn members_of(deployment: &Deployment, name: &str) -> usize {
+    let intervals = deployment.intervals_of(name);
+    let last = intervals.iter().map(|i| i.attempt).max();
+    let members = intervals.iter().filter(|i| Some(i.attempt) == last);
+    members
+        .map(|i| i.member)
+        .max()
+        .map_or(0, |m| m as usize + 1)
+}
--- /dev/null
+++ b/standins/tests/gang_kills.rs
@@ -0,0 +1,119 @@
+//! No gang runs partially when processes are killed and the log is down.
+//!
+//! The figure that is bounded is the longest time within which some members of an attempt ran and
+//! others did not, by the workers' own records.
+
+use dragonflyrun::process::JobState;
+use standins::{
+    harness::{Deployment, Signal, job, wait_until},
+    log::LogMode,
+};
+
+/// The gang lease of 3 s, and a second for a busy machine.
+const PARTIAL_MS: u64 = 4_000;
+
+const GANG: &str = "reconstruction";
+const MEMBERS: usize = 3;
+
+fn running_gang(deployment: &Deployment) -> u32 {
+    deployment.submit(GANG, &job(3, 8, "forever"));
+    deployment.wait_for_gang(GANG, MEMBERS, 0)
+}
+
+/// The agent of one member is killed with all it knows. Its worker stops the member's tasks when
+/// their lease lapses, and the other members stop as well; nobody pays for accelerators that wait
+/// for a lost neighbour. When the agent's successor is up, all members run again.
+#[test]
+fn agent_killed() {
+    let mut deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    deployment.agents[0].child.kill();
+    wait_until("the stop of all members", || {
+        deployment.running_members(GANG, first) == 0
+    });
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+    deployment.restart_agent(0);
+    deployment.wait_for_gang(GANG, MEMBERS, first);
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
+
+/// A worker dies with its tasks, as when a host loses power. The other members stop.
+#[test]
+fn worker_killed() {
+    let mut deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    deployment.kill_worker(1);
+    wait_until("the stop of all members", || {
+        deployment.running_members(GANG, first) == 0
+    });
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
+
+/// The planner dies while a gang runs. The gang goes on without a pause, and the next planner knows
+/// it: a cancellation still reaches all members.
+#[test]
+fn planner_killed() {
+    let mut deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    let planner = deployment.planner();
+    deployment.entries[planner].child.kill();
+    wait_until("another planner", || deployment.planner() != planner);
+    assert_eq!(deployment.running_members(GANG, first), MEMBERS);
+    assert_eq!(deployment.intervals_of(GANG).len(), MEMBERS);
+    let other = deployment.caller(1 - planner);
+    wait_until("the cancellation", || other.cancel(GANG).is_ok());
+    wait_until("the stop of all members", || {
+        deployment.running_members(GANG, first) == 0
+    });
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
+
+/// The log is down for three times the gang lease while a gang runs. No member stops.
+#[test]
+fn outage_while_running() {
+    let deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    deployment.set_log(LogMode::Refuse);
+    std::thread::sleep(std::time::Duration::from_secs(9));
+    assert_eq!(deployment.running_members(GANG, first), MEMBERS);
+    deployment.set_log(LogMode::Up);
+    deployment.caller(0).cancel(GANG).unwrap();
+    deployment.wait_for_end(GANG, JobState::Cancelled);
+    assert_eq!(deployment.intervals_of(GANG).len(), MEMBERS);
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
+
+/// Jobs are started while the log loses the answers to appends, refuses, and hangs, so that the
+/// planner does not know whether its start records stand. Each accepted job still finishes, and
+/// none runs partially or twice at once.
+#[test]
+fn outage_at_start() {
+    let deployment = Deployment::builder().start();
+    let faults = [LogMode::LoseAppends, LogMode::Refuse, LogMode::Hang];
+    for (number, fault) in faults.into_iter().enumerate() {
+        let name = format!("{GANG}-{number}");
+        deployment.submit(&name, &job(3, 8, "sleep:500"));
+        deployment.set_log(fault);
+        std::thread::sleep(std::time::Duration::from_secs(3));
+        deployment.set_log(LogMode::Up);
+        deployment.wait_for_end(&name, JobState::Finished);
+        deployment.check_gang(&name, MEMBERS, PARTIAL_MS);
+    }
+}
+
+/// All agents are told to stop at once, as in a hurried roll-out. Each stops its member.
+#[test]
+fn agents_stopped() {
+    let mut deployment = Deployment::builder().start();
+    let first = running_gang(&deployment);
+    for agent in &deployment.agents {
+        agent.child.signal(Signal::Terminate);
+    }
+    for agent in &mut deployment.agents {
+        assert!(agent.child.wait().success());
+    }
+    wait_until("the stop of all members", || {
+        deployment.running_members(GANG, first) == 0
+    });
+    deployment.check_gang(GANG, MEMBERS, PARTIAL_MS);
+}
--- /dev/null
+++ b/standins/tests/not_run.rs
@@ -0,0 +1,101 @@
+//! An answer "not run" is true, and "done" carries the request's own whole answer.
+
+use std::{thread::sleep, time::Duration};
+
+use standins::{
+    backend::{BackendControl, BackendMode},
+    caller::Reply,
+    harness::{Asked, Deployment, Load, LoadShape, Signal, untrue_answers},
+};
+
+const SOME: usize = 40;
+
+fn check(deployment: &Deployment, asked: &[Asked]) {
+    let records = deployment.backend_records();
+    assert_eq!(records.len(), deployment.backends.len());
+    assert_eq!(untrue_answers(asked, &records), Vec::<String>::new());
+}
+
+fn refusals(asked: &[Asked]) -> usize {
+    let replies = asked.iter().flat_map(|a| &a.replies);
+    replies.filter(|r| r.is_not_run()).count()
+}
+
+/// Far more callers than slots, with short deadlines: requests are refused in queues, at their
+/// deadlines and by agents, while an agent and an entry die. Each ticket that was refused in every
+/// attempt did not run.
+#[test]
+fn overload_with_kills() {
+    let mut deployment = Deployment::builder().slots(1).start();
+    let shape = LoadShape {
+        callers: 40,
+        work_ms: 60,
+        deadline_ms: 150,
+        attempts: 2,
+        ..LoadShape::default()
+    };
+    let load = Load::start(deployment.callers(), shape);
+    load.wait_for_done(SOME);
+    deployment.agents[1].child.kill();
+    load.wait_for_done(SOME);
+    deployment.restart_agent(1);
+    deployment.entries[0].child.kill();
+    load.wait_for_done(SOME);
+    deployment.restart_entry(0);
+    load.wait_for_done(SOME);
+    let asked = load.stop();
+    check(&deployment, &asked);
+    assert!(
+        refusals(&asked) > 0,
+        "the load was too small to see refusals"
+    );
+    let in_use = deployment.backend_records();
+    assert!(
+        in_use.iter().all(|r| r.most_running <= 1),
+        "more runs than slots"
+    );
+}
+
+/// Backend servers break off in mid-answer, fail, refuse and vanish. A caller may be told that the
+/// outcome is unknown, but never a piece of an answer as the whole one, nor "not run" of a run.
+#[test]
+fn bad_backends() {
+    let deployment = Deployment::builder().start();
+    let shape = LoadShape {
+        answer_bytes: 200_000,
+        attempts: 2,
+        ..LoadShape::default()
+    };
+    let load = Load::start(deployment.callers(), shape);
+    for mode in [
+        BackendMode::Truncating,
+        BackendMode::Failing,
+        BackendMode::Refusing,
+    ] {
+        set(&deployment, 0, mode);
+        load.wait_for_done(SOME);
+    }
+    set(&deployment, 0, BackendMode::Up);
+    deployment.backends[1].child.signal(Signal::Stop);
+    sleep(Duration::from_secs(2));
+    deployment.backends[1].child.signal(Signal::Continue);
+    load.wait_for_done(SOME);
+    let asked = load.stop();
+    check(&deployment, &asked);
+    let replies = asked.iter().flat_map(|a| &a.replies);
+    assert!(
+        replies
+            .filter(|r| !matches!(r, Reply::Broken(_)))
+            .any(|r| !r.is_done())
+    );
+}
+
+fn set(deployment: &Deployment, number: usize, mode: BackendMode) {
+    deployment.control_backend(
+        number,
+        BackendControl {
+            mode: Some(mode),
+            ..BackendControl::default()
+        },
+    );
+}
--- a/standins/tests/whole_path.rs
+++ b/standins/tests/whole_path.rs
@@ -61,8 +61,10 @@
         daemon.child.signal(Signal::Terminate);
         assert!(daemon.child.wait().success(), "{}", daemon.child.name());
     }
-    for backend in &mut deployment.backends {
+    for backend in &deployment.backends {
         backend.child.signal(Signal::Terminate);
+    }
+    for backend in &mut deployment.backends {
         assert!(backend.child.wait().success(), "{}", backend.child.name());
     }
 }
