--- a/dragonflyrun/src/job/mod.rs
+++ b/dragonflyrun/src/job/mod.rs
@@ -3,13 +3,16 @@
 mod allotment;
 mod book;
 mod closing;
+mod covers;
 mod decision;
 mod election;
 mod estimate;
+mod eviction;
 mod gang;
 mod gang_id;
 mod gang_tick;
 mod guarantee;
+mod holding;
 mod inventory;
 mod member;
 mod members;
--- a/dragonflyrun/src/request/entry_table/admission.rs
+++ b/dragonflyrun/src/request/entry_table/admission.rs
@@ -38,7 +38,6 @@
             .service(&req.service)
             .ok_or(Refusal::new(NotRun::UnknownService, MOST_RETRY_MS))?;
         let pending = self.check(now, service, req)?;
-        self.budget.earn(version.limits.retry_percent);
         let must_claim = !pending.repeatable;
         if must_claim && now < self.resumed_until {
             return Err(Refusal::new(NotRun::NotFresh, LEAVING_RETRY_MS));
@@ -49,6 +48,7 @@
         if !repeat {
             self.make_room(now, service, waiting)?;
         }
+        self.budget.earn(version.limits.retry_percent);
         self.due.insert(Due {
             at: pending.deadline,
             number,
@@ -109,9 +109,10 @@
         if capacity.slots == 0 {
             return Err(Refusal::new(NotRun::NoBackend, NO_BACKEND_RETRY_MS));
         }
+        let needed = self.needed(now, &service.name, waiting.urgency);
         let state = self.services.entry(service.name.clone()).or_default();
         let wait = state.wait(capacity.ours.max(1), state.queue.ahead_of(waiting.urgency));
-        let ready = now + wait + state.needed(now, waiting.urgency);
+        let ready = now + wait + needed;
         if waiting.deadline <= now || ready > waiting.deadline {
             return Err(Refusal::new(
                 NotRun::Deadline,
