--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -53,6 +53,8 @@
     pub(super) reservations: BTreeMap<Aged, Reservation>,
     /// Jobs that wait for the rest of their pledge.
     pub(super) pledged: BTreeSet<Aged>,
+    /// Workers in failure domains that are out of service.
+    pub(super) out_of_service: BTreeSet<WorkerId>,
     /// Workers whose state has changed since the guarantees were last settled.
     pub(super) changed: Vec<WorkerId>,
     /// Workspaces whose borrowing jobs may now be covered by a guarantee.
@@ -64,7 +66,7 @@
     pub(super) settled: bool,
     /// Members of running gangs on workers that were not heard of yet. A planner that takes over
     /// knows the placements from the log before it hears the agents.
-    unheard: HashMap<Name, Vec<(JobId, u32)>>,
+    pub(super) unheard: HashMap<Name, Vec<(JobId, u32)>>,
     /// Shapes of ended jobs, for usage that is reported late.
     ended: HashMap<JobId, JobSpec>,
     ended_order: std::collections::VecDeque<JobId>,
@@ -111,6 +113,19 @@
     pub shape: Shape,
 }
 
+/// Where a guarantee can be had.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Allotment {
+    /// The workspace.
+    pub workspace: Name,
+    /// The shape.
+    pub shape: Shape,
+    /// The workers, with tasks of the shape; fewer than the shape has where it is unmet.
+    pub placements: Vec<Placement>,
+    /// Whether a job of the workspace holds some of it.
+    pub held: bool,
+}
+
 impl Entry {
     pub(super) fn accelerators(&self) -> u32 {
         self.spec.tasks.saturating_mul(self.spec.accelerators)
@@ -134,6 +149,7 @@
                 self.inventory.change(id, |w| w.in_service = in_service);
                 self.changed.push(id);
             }
+            self.note_service(id, in_service);
         }
         let before = self.covers();
         self.guarantees.configure(version, &mut self.inventory);
@@ -156,6 +172,7 @@
             return;
         }
         let id = self.inventory.up(info, in_service);
+        self.note_service(id, in_service);
         if known != Some(id) {
             self.last_new_worker = now;
             self.settled = false;
@@ -167,12 +184,12 @@
 
     /// Takes note that a worker is lost, silent or leaving: nothing starts there. What it holds
     /// stays held until the planner says that those jobs wait again or are gone.
-    pub fn worker_down(&mut self, now: Timestamp, worker: &Name) {
+    pub fn worker_down(&mut self, _now: Timestamp, worker: &Name) {
         if let Some(id) = self.inventory.id(worker)
             && self.inventory.worker(id).up
         {
             self.inventory.change(id, |w| w.up = false);
-            self.drop_pledges_on(now, id);
+            self.drop_pledges_on(id);
             self.changed.push(id);
             self.stale = true;
         }
@@ -245,7 +262,7 @@
         {
             log::warn!(worker:% = worker; "worker_set_aside");
             self.inventory.change(id, |w| w.set_aside = true);
-            self.drop_pledges_on(now, id);
+            self.drop_pledges_on(id);
             self.changed.push(id);
             self.stale = true;
         }
@@ -330,33 +347,40 @@
         cover.is_some_and(|id| self.guarantees.entries[id].temporary)
     }
 
-    /// Returns where each guarantee is allotted: its workspace, shape and workers, with tasks of
-    /// the guaranteed shape. Empty placements stand for one that is unmet.
-    pub fn allotments(&self) -> Vec<(UnmetGuarantee, Vec<Placement>)> {
+    /// Returns where each guarantee is allotted.
+    pub fn allotments(&self) -> Vec<Allotment> {
         let entries = self.guarantees.entries.iter();
         entries
             .filter(|e| !e.temporary)
             .map(|entry| {
-                let guarantee = UnmetGuarantee {
-                    workspace: entry.workspace.clone(),
-                    shape: entry.shape,
-                };
                 let placements = entry.shares.iter().map(|s| Placement {
                     worker: self.inventory.worker(s.worker).info.name.clone(),
                     tasks: s.tasks,
                 });
-                (guarantee, placements.collect())
+                Allotment {
+                    workspace: entry.workspace.clone(),
+                    shape: entry.shape,
+                    placements: placements.collect(),
+                    held: !entry.movable(),
+                }
             })
             .collect()
     }
 
     /// Returns what is to be done now; what is returned counts as under way.
     pub fn decide(&mut self, now: Timestamp) -> Vec<Decision> {
+        self.settle(now);
+        self.pass(now)
+    }
+
+    /// Takes note that no new worker has come for some seconds, where that is so, upon which
+    /// [`possible`](Self::possible) can tell what no set of workers holds. An entry that is not
+    /// planner decides nothing, but has to refuse such jobs all the same.
+    pub fn settle(&mut self, now: Timestamp) {
         if !self.settled && now.since(self.last_new_worker) >= SETTLED_AFTER {
             self.settled = true;
             self.stale = true;
         }
-        self.pass(now)
     }
 
     pub(super) fn quota(&self, workspace: &Name) -> Option<u32> {
@@ -364,142 +388,11 @@
         workspace.quota_accelerators
     }
 
-    /// Returns the accelerators that jobs of `workspace` hold or were pledged.
-    pub(super) fn used_by(&self, workspace: &Name) -> u32 {
-        let jobs = self.holding.get(workspace).into_iter().flatten();
-        let entries = jobs.filter_map(|(_, job)| self.jobs.get(job));
-        entries.map(Entry::accelerators).sum()
-    }
-
-    /// Gives `job` the accelerators at `parts`.
-    pub(super) fn hold(&mut self, now: Timestamp, job: &JobId, parts: Vec<Part>) {
-        let Some(entry) = self.jobs.get_mut(job) else {
-            return;
-        };
-        for part in &parts {
-            let accelerators = part.tasks.saturating_mul(entry.spec.accelerators);
-            self.inventory.hold(part.worker, job, accelerators);
-        }
-        entry.stage = Stage::Holds(Hold {
-            parts,
-            since: now,
-            stopping: false,
-        });
-        let aged = (entry.accepted, job.clone());
-        let holding = self.holding.entry(entry.spec.workspace.clone());
-        holding.or_default().insert(aged);
-    }
-
-    /// Holds what running gangs have on a worker that is heard for the first time.
-    fn hold_unheard(&mut self, worker: WorkerId) {
-        let name = self.inventory.worker(worker).info.name.clone();
-        for (job, tasks) in self.unheard.remove(&name).unwrap_or_default() {
-            // What covers it covers only the members known so far.
-            self.uncover(&job);
-            let Some(entry) = self.jobs.get_mut(&job) else {
-                continue;
-            };
-            let Stage::Holds(hold) = &mut entry.stage else {
-                continue;
-            };
-            hold.parts.push(Part { worker, tasks });
-            let accelerators = tasks.saturating_mul(entry.spec.accelerators);
-            self.inventory.hold(worker, &job, accelerators);
-            if hold.stopping {
-                let given_back = i64::from(accelerators);
-                self.inventory.stopping(worker, given_back);
-            }
-            self.uncovered.insert(entry.spec.workspace.clone());
-        }
-    }
-
-    /// Takes back what a job holds or was pledged; it waits from then on, but outside the queue.
-    pub(super) fn let_go(&mut self, job: &JobId) {
-        self.uncover(job);
-        for members in self.unheard.values_mut() {
-            members.retain(|(other, _)| other != job);
-        }
-        let Some(entry) = self.jobs.get_mut(job) else {
-            return;
-        };
-        let size = entry.spec.accelerators;
-        let aged = (entry.accepted, job.clone());
-        let workspace = entry.spec.workspace.clone();
-        match std::mem::replace(&mut entry.stage, Stage::Waits) {
-            Stage::Waits => return,
-            Stage::Pledged(parts) => {
-                for part in parts {
-                    let pledged = i64::from(part.tasks * size);
-                    self.inventory.pledge(part.worker, -pledged);
-                }
-                self.pledged.remove(&aged);
-            }
-            Stage::Holds(hold) => {
-                for part in hold.parts {
-                    let held = self.inventory.worker(part.worker).of(job);
-                    if hold.stopping {
-                        self.inventory.stopping(part.worker, -i64::from(held));
-                    }
-                    self.inventory.release(part.worker, job);
-                }
-            }
-        }
-        if let Some(holding) = self.holding.get_mut(&workspace) {
-            holding.remove(&aged);
-        }
-        self.uncovered.insert(workspace);
-    }
-
-    /// Takes note that `job` is covered no longer.
-    pub(super) fn uncover(&mut self, job: &JobId) {
-        let Some(entry) = self.jobs.get_mut(job) else {
-            return;
-        };
-        let Some(id) = entry.cover.take() else { return };
-        let size = entry.spec.accelerators;
-        let parts = match &entry.stage {
-            Stage::Waits => return,
-            Stage::Pledged(parts) => parts,
-            Stage::Holds(hold) => &hold.parts,
+    fn note_service(&mut self, worker: WorkerId, in_service: bool) {
+        match in_service {
+            true => self.out_of_service.remove(&worker),
+            false => self.out_of_service.insert(worker),
         };
-        self.guarantees.uncover(id, job, parts, size);
-        let parts = parts.clone();
-        if self.guarantees.entries[id].temporary
-            && let Some(moved) = self.guarantees.drop_temporary(&mut self.inventory, id)
-        {
-            for other in moved.jobs {
-                if let Some(entry) = self.jobs.get_mut(&other) {
-                    entry.cover = Some(moved.to);
-                }
-            }
-        }
-        let Some(entry) = self.jobs.get(job) else {
-            return;
-        };
-        self.changed.extend(parts.iter().map(|p| p.worker));
-        self.uncovered.insert(entry.spec.workspace.clone());
-    }
-
-    /// Takes back the pledges on a worker; those jobs look for room elsewhere.
-    pub(super) fn drop_pledges_on(&mut self, now: Timestamp, worker: WorkerId) {
-        let jobs: Vec<Aged> = self.pledged.iter().cloned().collect();
-        for (_, job) in jobs {
-            let parts = match self.jobs.get(&job).map(|e| &e.stage) {
-                Some(Stage::Pledged(parts)) => parts,
-                _ => continue,
-            };
-            if parts.iter().any(|p| p.worker == worker) {
-                self.wait_again(now, &job);
-            }
-        }
-    }
-
-    /// Takes a pledge back and puts the job into the queue.
-    pub(super) fn wait_again(&mut self, _now: Timestamp, job: &JobId) {
-        self.let_go(job);
-        if let Some(entry) = self.jobs.get(job) {
-            self.queue.insert(&entry.spec, entry.accepted, job);
-        }
     }
 
     /// Returns which job each guarantee covers, by what does not change with the document.
--- a/dragonflyrun/src/request/entry_table/dispatch.rs
+++ b/dragonflyrun/src/request/entry_table/dispatch.rs
@@ -1,10 +1,13 @@
 //! Which waiting request goes to which agent, and when.
 
+use std::time::Duration;
+
 use super::{Dispatch, EntryAction, EntryTable, Stage};
 use crate::{
     connection::{Message, NotRun, RequestMessage},
-    request::Refusal,
+    request::{Refusal, Waiting},
     utils::{Name, Timestamp},
+    version::Urgency,
 };
 
 impl EntryTable {
@@ -23,16 +26,17 @@
     /// Hands over what waits for `service` while there are free slots.
     pub(super) fn pump(&mut self, now: Timestamp, service: &Name) {
         while let Some(waiting) = self.services.get(service).and_then(|s| s.queue.first()) {
-            if self.is_hopeless(now, service, waiting.deadline) {
+            if self.is_hopeless(now, service, &waiting) {
                 let retry_after = self.retry_after(now, service);
                 let refusal = Refusal::new(NotRun::Deadline, retry_after);
                 self.finish(waiting.number, refusal.outcome());
                 continue;
             }
-            let left = waiting.deadline.since(now);
+            let spread = self.spread(now, service, waiting.urgency);
+            let slowest = waiting.deadline.since(now).div_f64(spread);
             let agent = self
                 .loads
-                .choose(now, service, left, self.choices, &mut self.rng);
+                .choose(now, service, slowest, self.choices, &mut self.rng);
             let Some(agent) = agent else {
                 return;
             };
@@ -56,6 +60,7 @@
             Dispatch {
                 request: number,
                 service: service.clone(),
+                urgency: pending.urgency,
                 agent: agent.clone(),
                 incarnation: view.incarnation,
                 sent: now,
@@ -92,8 +97,18 @@
 
     /// Returns whether a request can't be answered by its deadline any more; running it would
     /// take a slot from one that can.
-    fn is_hopeless(&self, now: Timestamp, service: &Name, deadline: Timestamp) -> bool {
-        let needed = self.services.get(service).map(|s| s.needed(now));
-        now + needed.unwrap_or_default() >= deadline
+    fn is_hopeless(&self, now: Timestamp, service: &Name, waiting: &Waiting) -> bool {
+        now + self.needed(now, service, waiting.urgency) >= waiting.deadline
+    }
+
+    /// Returns how long most requests of `urgency` take that start now at the quickest agent.
+    pub(super) fn needed(&self, now: Timestamp, service: &Name, urgency: Urgency) -> Duration {
+        let quickest = self.loads.quickest(now, service);
+        quickest.mul_f64(self.spread(now, service, urgency))
+    }
+
+    fn spread(&self, now: Timestamp, service: &Name, urgency: Urgency) -> f64 {
+        let state = self.services.get(service);
+        state.map_or(1.0, |s| s.spread(now, urgency))
     }
 }
