Look for a guarantee to empty only where one is in use; state the reclaim bound

Each class without room lifted and restored all reservations in each pass, also where its workspace has no guarantee.

--- a/dragonflyrun/src/job/covers.rs
+++ b/dragonflyrun/src/job/covers.rs
@@ -123,28 +123,31 @@
     /// small one end first, the large one stays in use although the small one could cover the
     /// rest, and a job of the large one's shape would wait.
     pub(super) fn make_guarantee_whole(&mut self, class: &Class) -> bool {
+        let shape = class.shape();
+        let mut in_use = self.guarantees.of(&class.workspace).to_vec();
+        in_use.retain(|id| {
+            let guarantee = &self.guarantees.entries[*id];
+            guarantee.shape.contains(&shape) && !guarantee.movable()
+        });
+        if in_use.is_empty() {
+            return false;
+        }
         // Allotments may have to move into room that aged jobs have reserved.
         self.lift_reservations();
-        let whole = self.cover_smaller_elsewhere(class);
+        let whole = in_use
+            .into_iter()
+            .any(|id| self.cover_smaller_elsewhere(id, class));
         self.put_reservations_back();
         whole
     }
 
-    fn cover_smaller_elsewhere(&mut self, class: &Class) -> bool {
-        let shape = class.shape();
-        for id in self.guarantees.of(&class.workspace).to_vec() {
-            let guarantee = &self.guarantees.entries[id];
-            if !guarantee.shape.contains(&shape) || guarantee.movable() {
-                continue;
-            }
-            for job in guarantee.jobs.clone() {
-                self.cover_elsewhere(&job, id);
-            }
-            if self.has_room_by_guarantee(class) {
-                return true;
-            }
+    /// Covers the jobs in guarantee `id` elsewhere as far as that can be done; returns whether
+    /// there is room for `class` then.
+    fn cover_smaller_elsewhere(&mut self, id: GuaranteeId, class: &Class) -> bool {
+        for job in self.guarantees.entries[id].jobs.clone() {
+            self.cover_elsewhere(&job, id);
         }
-        false
+        self.has_room_by_guarantee(class)
     }
 
     /// Covers a job by another guarantee than `id` if that can be done. It is taken out of `id`
--- a/dragonflyrun/src/job/scheduler.rs
+++ b/dragonflyrun/src/job/scheduler.rs
@@ -37,6 +37,12 @@
 ///
 /// It does no I/O and reads no clock; the planner tells it what happens and carries out what
 /// [`Scheduler::decide`] returns.
+///
+/// An owner that asks for a guaranteed shape has it decided for at once: free room, or the
+/// eviction of borrowers with a pledge of what they give back. It starts at the first decision
+/// after their stops are certain. So a reclaim takes as long as the planner needs to be certain
+/// of a stop, also where a borrower's worker does not answer; twice that if a stop was under way
+/// on the same worker already, or if the worker is lost meanwhile and the allotment moves.
 #[derive(Clone, Debug, Default)]
 pub struct Scheduler {
     pub(super) version: Option<Arc<Version>>,
