Prove backend servers' announcements; give the balancer time before a stop

Cause: whoever reached an agent's HTTP port could announce a backend server at any address, and callers' requests would have gone there; and a stopping process closed its listener before the balancer could read that it leaves.

--- a/dragonflyrun/src/connection/mod.rs
+++ b/dragonflyrun/src/connection/mod.rs
@@ -26,7 +26,8 @@
     Placement, Record, RecordBody,
 };
 pub use seal::{
-    AuthorKey, OpenError, RECORD_BYTES, editor_of, is_editors_token, open, open_unchecked,
+    AuthorKey, OpenError, RECORD_BYTES, editor_of, is_backends_token, is_editors_token, open,
+    open_unchecked,
 };
 pub use worker_client::{
     LeaseState, StartTasks, TaskUsage, WorkerClient, WorkerError, WorkerLease, WorkerView,
--- a/dragonflyrun/src/connection/seal.rs
+++ b/dragonflyrun/src/connection/seal.rs
@@ -24,6 +24,9 @@
 /// a key of its own, can't write a planner's records.
 const EDITOR_PREFIX: &str = "editor/";
 
+/// Begins the name under which the key of a backend server is derived.
+const BACKEND_PREFIX: &str = "backend/";
+
 quick_error! {
     /// Why what stands on the log is not a record to act on.
     #[derive(Debug)]
@@ -74,6 +77,12 @@
         Self::derive(secret, &author_of(editor))
     }
 
+    /// Derives the key of the backend server called `backend`, which it sends with its
+    /// announcements.
+    pub fn of_backend(secret: &str, backend: &str) -> Self {
+        Self::derive(secret, &format!("{BACKEND_PREFIX}{backend}").into())
+    }
+
     /// Returns the key that [`AuthorKey::to_hex`] printed for an editor; none where it is
     /// malformed.
     pub fn of_editor_from_hex(editor: &Name, hex: &str) -> Option<Self> {
@@ -178,8 +187,17 @@
 
 /// Returns whether `token` is the key of the editor called `editor` in hexadecimal.
 pub fn is_editors_token(secret: &str, editor: &str, token: &str) -> bool {
+    is_token(secret, &author_of(editor), token)
+}
+
+/// Returns whether `token` is the key of the backend server called `backend` in hexadecimal.
+pub fn is_backends_token(secret: &str, backend: &str, token: &str) -> bool {
+    is_token(secret, &format!("{BACKEND_PREFIX}{backend}"), token)
+}
+
+fn is_token(secret: &str, author: &str, token: &str) -> bool {
     let mut mac = keyed(secret.as_bytes());
-    mac.update(author_of(editor).as_bytes());
+    mac.update(author.as_bytes());
     // Compared in constant time, so that a stranger can't find it out byte by byte.
     hex_to_bytes(token).is_some_and(|bytes| mac.verify_slice(&bytes).is_ok())
 }
--- a/dragonflyrun/src/process/agent.rs
+++ b/dragonflyrun/src/process/agent.rs
@@ -18,9 +18,12 @@
         HttpResponse,
         Message,
         Peer,
-        Report, //
+        Report,
+        is_backends_token, //
+    },
+    process::{
+        AgentJobs, AgentRequests, AppendError, Context, Folded, Node, RoleSettings, TOKEN_HEADER,
     },
-    process::{AgentJobs, AgentRequests, AppendError, Context, Folded, Node, RoleSettings},
     request::BackendAnnouncement,
     utils::Name,
 };
@@ -50,14 +53,22 @@
         })
     }
 
+    /// Takes in a backend server's announcement.
+    ///
+    /// Requests go to whatever address it names, so a stranger on the network must not make one.
     fn announce(&self, req: &HttpRequest) -> HttpResponse {
-        match serde_json::from_slice::<BackendAnnouncement>(&req.body) {
-            Ok(announcement) => {
-                self.requests.announce(announcement);
-                HttpResponse::text(StatusCode::OK, "announced\n")
-            }
-            Err(error) => HttpResponse::text(StatusCode::BAD_REQUEST, &error.to_string()),
+        let announcement = match serde_json::from_slice::<BackendAnnouncement>(&req.body) {
+            Ok(announcement) => announcement,
+            Err(error) => return HttpResponse::text(StatusCode::BAD_REQUEST, &error.to_string()),
+        };
+        let token = req.header(TOKEN_HEADER).unwrap_or_default();
+        if !is_backends_token(&self.cx.settings.secret, &announcement.name, token) {
+            log::warn!(backend:% = announcement.name; "announcement_refused");
+            self.cx.counters.event("announcement_refused");
+            return HttpResponse::text(StatusCode::FORBIDDEN, "the token does not fit the name\n");
         }
+        self.requests.announce(announcement);
+        HttpResponse::text(StatusCode::OK, "announced\n")
     }
 }
 
@@ -129,8 +140,11 @@
         }
     }
 
-    fn drain(&self) {
+    fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    fn drain(&self) {
         self.jobs.drain();
         if !self.requests.stop(STOP_TIME) {
             log::warn!(running = self.requests.running(); "requests_not_finished");
--- a/dragonflyrun/src/process/config.rs
+++ b/dragonflyrun/src/process/config.rs
@@ -38,6 +38,9 @@
     pub http_timeout_ms: Option<u64>,
     /// Milliseconds that the log has for an answer. Default: 2,000.
     pub log_timeout_ms: Option<u64>,
+    /// Milliseconds for which a stopping process says on its readiness page that it is leaving and
+    /// still takes work, so that the balancer can notice. Default: 1,000.
+    pub quiet_ms: Option<u64>,
     /// Threads of the worker pool. Default: 4.
     pub threads: Option<u32>,
 }
@@ -60,6 +63,7 @@
             connections: over.connections.or(self.connections),
             http_timeout_ms: over.http_timeout_ms.or(self.http_timeout_ms),
             log_timeout_ms: over.log_timeout_ms.or(self.log_timeout_ms),
+            quiet_ms: over.quiet_ms.or(self.quiet_ms),
             threads: over.threads.or(self.threads),
         }
     }
--- a/dragonflyrun/src/process/daemon.rs
+++ b/dragonflyrun/src/process/daemon.rs
@@ -133,6 +133,10 @@
     /// way, and returns when the last answer has been read.
     pub fn stop(self) {
         log::info!(name:% = self.cx.identity.name; "stopping");
+        self.node.leave();
+        // The balancer and the entries go on sending work here until they have noticed; it is
+        // served, and only what comes after that is refused.
+        thread::sleep(self.cx.settings.quiet);
         self.node.drain();
         if !self.http.drain(READ_OUT) {
             log::warn!(in_flight = self.http.in_flight(); "answers_not_read");
--- a/dragonflyrun/src/process/entry.rs
+++ b/dragonflyrun/src/process/entry.rs
@@ -101,8 +101,11 @@
         entry_routes::answer(self, req)
     }
 
-    fn drain(&self) {
+    fn leave(&self) {
         self.leaving.store(true, Ordering::Relaxed);
+    }
+
+    fn drain(&self) {
         self.jobs.stop();
         self.presence.leave();
         if !self.requests.stop(STOP_TIME) {
--- a/dragonflyrun/src/process/node.rs
+++ b/dragonflyrun/src/process/node.rs
@@ -43,6 +43,9 @@
     /// Answers a call to the HTTP listener.
     fn on_http(&self, req: HttpRequest) -> HttpResponse;
 
+    /// Says that the process is stopping, on the readiness page and in its report, and goes on.
+    fn leave(&self);
+
     /// Takes no new work from now on, and returns when all that was under way is done.
     fn drain(&self);
 }
--- a/dragonflyrun/src/process/settings.rs
+++ b/dragonflyrun/src/process/settings.rs
@@ -19,6 +19,7 @@
 const DEFAULT_CONNECTIONS: u32 = 256;
 const DEFAULT_HTTP_TIMEOUT_MS: u64 = 5_000;
 const DEFAULT_LOG_TIMEOUT_MS: u64 = 2_000;
+const DEFAULT_QUIET_MS: u64 = 1_000;
 const DEFAULT_THREADS: u32 = 4;
 const MOST_THREADS: u32 = 64;
 
@@ -43,6 +44,8 @@
     pub http_timeout: Duration,
     /// How long the log has for an answer.
     pub log_timeout: Duration,
+    /// How long a stopping process says so and still takes work.
+    pub quiet: Duration,
     /// Threads of the worker pool.
     pub threads: usize,
 }
@@ -154,6 +157,7 @@
             connections: connections as usize,
             http_timeout: millis(cfg.http_timeout_ms, DEFAULT_HTTP_TIMEOUT_MS),
             log_timeout: millis(cfg.log_timeout_ms, DEFAULT_LOG_TIMEOUT_MS),
+            quiet: millis(cfg.quiet_ms, DEFAULT_QUIET_MS),
             threads: threads as usize,
         })
     }
--- a/dragonflyrun/src/tool/commands/key.rs
+++ b/dragonflyrun/src/tool/commands/key.rs
@@ -13,7 +13,7 @@
 
 #[derive(Serialize)]
 struct KeyAnswer {
-    editor: Name,
+    name: Name,
     key: String,
 }
 
@@ -23,15 +23,20 @@
     }
 }
 
-/// Prints the key of an editor.
+/// Prints the key of an editor or of a backend server.
 pub(super) fn issue(
     settings: &ToolSettings,
     options: &IssueKeyOptions,
 ) -> Result<Printed, ToolError> {
-    let editor = options.editor.clone();
-    if !is_name(&editor) {
-        return Err(ToolError::Usage(format!("`{editor}` is not a name")));
+    let name = options.name.clone();
+    if !is_name(&name) {
+        return Err(ToolError::Usage(format!("`{name}` is not a name")));
     }
-    let key = AuthorKey::of_editor(settings.secret()?, &editor).to_hex();
-    Ok(Printed::new(&KeyAnswer { editor, key }, Exit::Done))
+    let secret = settings.secret()?;
+    let key = match options.backend {
+        true => AuthorKey::of_backend(secret, &name),
+        false => AuthorKey::of_editor(secret, &name),
+    };
+    let key = key.to_hex();
+    Ok(Printed::new(&KeyAnswer { name, key }, Exit::Done))
 }
--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -246,7 +246,10 @@
     /// print JSON
     #[options(no_short)]
     pub json: bool,
-    /// the editor
+    /// the name is that of a backend server
+    #[options(no_short)]
+    pub backend: bool,
+    /// the editor, or the backend server
     #[options(free, required, parse(from_str = "Name::from"))]
-    pub editor: Name,
+    pub name: Name,
 }
--- a/standins/benches/path.rs
+++ b/standins/benches/path.rs
@@ -12,7 +12,7 @@
 };
 
 use dragonflyrun::{
-    connection::Role,
+    connection::{AuthorKey, Role},
     process::{Config, Daemon, Settings},
     version::{FailureDomain, Section, Service, Urgency},
 };
@@ -118,11 +118,13 @@
             ..common("worker-1", &log)
         })?;
         let backends = ["plain", "keyed"].map(|service| {
+            let name = format!("{service}-server");
             Backend::start(BackendSettings {
                 address: any,
                 agent: Some(agent.http_addr()),
                 announced: None,
-                name: format!("{service}-server").into(),
+                token: AuthorKey::of_backend(SECRET, &name).to_hex(),
+                name: name.into(),
                 service: service.into(),
                 slots: SLOTS,
                 connections: SLOTS,
--- a/standins/src/backend.rs
+++ b/standins/src/backend.rs
@@ -15,7 +15,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use dragonflyrun::utils::Name;
+use dragonflyrun::{process::TOKEN_HEADER, utils::Name};
 use oxhttp::model::{Body, Method, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
@@ -47,6 +47,8 @@
     pub slots: u32,
     /// Connections that it takes at once, at the most.
     pub connections: u32,
+    /// Its key in hexadecimal, which it sends with its announcements.
+    pub token: String,
     /// What a request asks for that does not say so itself.
     pub work: Work,
 }
@@ -262,11 +264,15 @@
             connections: self.settings.connections,
             leaving,
         };
-        let answer = http::call_json(
+        let answer = http::call(
             agent,
             Method::POST,
             "/v1/backends",
-            &announcement,
+            &[
+                ("Content-Type", "application/json"),
+                (TOKEN_HEADER, &self.settings.token),
+            ],
+            serde_json::to_vec(&announcement)?,
             ANNOUNCE_TIMEOUT,
         )?;
         match answer.status.is_success() {
--- a/standins/src/harness/child.rs
+++ b/standins/src/harness/child.rs
@@ -147,7 +147,7 @@
 }
 
 /// Finds a program that cargo has built beside the running test.
-fn binary(program: &str) -> PathBuf {
+pub fn binary(program: &str) -> PathBuf {
     let path = env::current_exe().unwrap_or_default();
     let beside = path
         .ancestors()
--- a/standins/src/harness/deployment.rs
+++ b/standins/src/harness/deployment.rs
@@ -8,7 +8,11 @@
     time::Duration, //
 };
 
-use dragonflyrun::{connection::Role, process::Config, utils::Name};
+use dragonflyrun::{
+    connection::{AuthorKey, Role},
+    process::Config,
+    utils::Name,
+};
 
 use crate::{
     caller::Caller,
@@ -194,6 +198,7 @@
     fn start_backend(&self, number: usize, agent: SocketAddr) -> StandIn {
         let name = format!("backend-{number}");
         let (agent, slots) = (agent.to_string(), self.builder.slots.to_string());
+        let token = AuthorKey::of_backend(SECRET, &name).to_hex();
         let arguments = [
             "backend",
             "--name",
@@ -204,6 +209,8 @@
             &agent,
             "--slots",
             &slots,
+            "--token",
+            &token,
         ];
         StandIn::start(&name, &arguments, &self.dir)
     }
--- a/standins/src/harness/mod.rs
+++ b/standins/src/harness/mod.rs
@@ -14,7 +14,7 @@
 mod records;
 mod wait;
 
-pub use child::{Child, Signal};
+pub use child::{Child, Signal, binary};
 pub use daemon::{Daemon, StandIn};
 pub use deployment::{Deployment, DeploymentBuilder, EDITOR, SECRET, SERVICE, WORKSPACE};
 pub use gang::job;
--- a/standins/src/main.rs
+++ b/standins/src/main.rs
@@ -108,6 +108,9 @@
     /// Connections that it takes at once.
     #[options(default = "64")]
     connections: u32,
+    /// Its key, as `dragonflyrun issue-key --backend NAME` prints it.
+    #[options(default = "", meta = "KEY")]
+    token: String,
 }
 
 #[derive(Options)]
@@ -200,6 +203,7 @@
         service: Name::from(arguments.service.as_str()),
         slots: arguments.slots,
         connections: arguments.connections,
+        token: arguments.token.clone(),
         work: Work::default(),
     })
 }
--- a/standins/src/quickstart/cluster.rs
+++ b/standins/src/quickstart/cluster.rs
@@ -8,7 +8,7 @@
 };
 
 use dragonflyrun::{
-    connection::Role,
+    connection::{AuthorKey, Role},
     process::{Config, Daemon, Settings},
     utils::Name,
 };
@@ -164,11 +164,13 @@
             entries: Some(seeds.iter().map(ToString::to_string).collect()),
             ..common(&plan.name, log)
         })?;
+        let name = Name::from(format!("{}-server", plan.name));
         let backend = Backend::start(BackendSettings {
             address: ANY_PORT,
             agent: Some(agent.http_addr()),
             announced: None,
-            name: format!("{}-server", plan.name).into(),
+            token: AuthorKey::of_backend(SECRET, &name).to_hex(),
+            name,
             service: plan.service.clone(),
             slots: plan.slots,
             connections: plan.connections,
--- /dev/null
+++ b/standins/tests/daemon_start.rs
@@ -0,0 +1,94 @@
+//! The daemon's start, and strangers at its listeners.
+
+use std::{
+    fs,
+    net::TcpListener,
+    process::{Command, Output},
+    time::Duration,
+};
+
+use oxhttp::model::Method;
+use standins::{
+    editor::unique,
+    harness::{Deployment, SERVICE, binary},
+    http,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn start_with(settings: &str) -> Output {
+    let path = std::env::temp_dir().join(unique("settings"));
+    fs::write(&path, settings).unwrap();
+    let output = Command::new(binary("dragonflyrund"))
+        .arg("--config")
+        .arg(&path)
+        .output()
+        .unwrap();
+    fs::remove_file(&path).unwrap();
+    output
+}
+
+fn error(output: &Output) -> String {
+    assert!(!output.status.success());
+    assert!(output.stdout.is_empty());
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+/// An operator mistypes several settings. They are told of all of them at once, and the process
+/// does not start with half of them.
+#[test]
+fn bad_settings() {
+    let text = error(&start_with(
+        r#"{"role":"agent","name":"worker-1","http":"here","secret":"short","threads":0}"#,
+    ));
+    for place in [
+        "/http",
+        "/log",
+        "/secret",
+        "/failure_domain",
+        "/rack",
+        "/threads",
+    ] {
+        assert!(text.contains(place), "{place} is missing in: {text}");
+    }
+    let text = error(&start_with(r#"{"role":"entry","nmae":"entry-1"}"#));
+    assert!(text.contains("nmae"), "{text}");
+    error(&start_with("not JSON"));
+}
+
+/// Another process listens at the address already. The operator is told which setting it is.
+#[test]
+fn address_in_use() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap();
+    let text = error(&start_with(&format!(
+        r#"{{"role":"entry","name":"entry-1","http":"{address}","peers":"127.0.0.1:0",
+            "log":"127.0.0.1:1","secret":"a secret of test deployments"}}"#
+    )));
+    assert!(
+        text.contains("/http") && text.contains(&address.to_string()),
+        "{text}"
+    );
+}
+
+/// A stranger on the network announces a backend server of its own. Were it believed, callers'
+/// requests would be sent to the stranger.
+#[test]
+fn stranger_announces() {
+    let deployment = Deployment::builder().start();
+    let agent = deployment.agents[0].http;
+    let announcement = format!(
+        r#"{{"name":"mine","service":"{SERVICE}","address":"127.0.0.1:9","slots":99,"connections":99}}"#
+    );
+    for headers in [&[][..], &[("Dragonfly-Token", "00ff")][..]] {
+        let body = announcement.clone().into_bytes();
+        let answer = http::call(agent, Method::POST, "/v1/backends", headers, body, TIMEOUT);
+        assert_eq!(answer.unwrap().status.as_u16(), 403);
+    }
+    let metrics = http::call(agent, Method::GET, "/metrics", &[], Vec::new(), TIMEOUT).unwrap();
+    let metrics = String::from_utf8(metrics.body).unwrap();
+    let counted = metrics
+        .lines()
+        .any(|line| line.contains("announcement_refused") && line.trim_end().ends_with(" 2"));
+    assert!(counted, "{metrics}");
+}
