--- a/dragonflyrun/tests/gang_protocol.rs
+++ b/dragonflyrun/tests/gang_protocol.rs
@@ -274,22 +274,65 @@
     assert_eq!(states(&restarted), [MemberState::Stopping]);
 }
 
-/// An entry resumes after it was frozen, and hears one member before it has looked at the others.
-/// It must not renew that one's lease on what it knew of the others before.
-#[test]
-fn entry_resumes() {
+/// Two agents whose members run, both alive for certain at 1 s.
+fn two_members() -> (Renewals, [Name; 2]) {
     let mut renewals = Renewals::default();
-    let report = |number| MemberReport {
-        number,
-        gang: gang(1, 1),
-        members: 2,
-        state: MemberState::Running,
-    };
     let agents: [Name; 2] = ["worker-0".into(), "worker-1".into()];
     for agent in &agents {
-        renewals.report(agent, 1, vec![report(1)]);
-        renewals.heard(at(1_000), agent, Some(at(990)), 7);
+        let report = MemberReport {
+            number: 1,
+            gang: gang(1, 1),
+            members: 2,
+            state: MemberState::Running,
+        };
+        renewals.report(agent, 1, vec![report]);
+        renewals.heard(at(1_000), agent, Some(at(1_000)), 7);
+    }
+    (renewals, agents)
+}
+
+/// One member is silent from some moment on. No renewal of the other may reach further than the
+/// gang lease from that moment, however often the other is heard.
+#[test]
+fn silent_member_ends_renewals() {
+    let (mut renewals, agents) = two_members();
+    let mut renewed = 0;
+    for now in (1_000..6_000).step_by(100) {
+        renewals.tick(at(now));
+        let answer = renewals.heard(at(now), &agents[0], Some(at(now)), now);
+        if let Some(GangMessage::Renewal { age_ms, .. }) = answer {
+            assert!(now - age_ms <= 1_000, "age {age_ms} at {now}");
+            renewed = now;
+        }
     }
+    assert!(
+        (3_500..4_000).contains(&renewed),
+        "last renewed at {renewed}"
+    );
+}
+
+/// The planner has put on the log that an attempt is not renewed any more, and counts on it.
+#[test]
+fn fenced_gang_is_not_renewed() {
+    let (mut renewals, agents) = two_members();
+    renewals.tick(at(1_000));
+    assert!(
+        renewals
+            .heard(at(1_010), &agents[0], Some(at(1_005)), 8)
+            .is_some()
+    );
+    renewals.fence(gang(1, 1));
+    assert_eq!(
+        renewals.heard(at(1_020), &agents[0], Some(at(1_015)), 9),
+        None
+    );
+}
+
+/// An entry resumes after it was frozen, and hears one member before it has looked at the others.
+/// It must not renew that one's lease on what it knew of the others before.
+#[test]
+fn entry_resumes() {
+    let (mut renewals, agents) = two_members();
     renewals.tick(at(1_000));
     let renewal =
         |renewals: &mut Renewals, now| renewals.heard(at(now), &agents[0], Some(at(now - 10)), 8);
