--- a/standins/tests/key_kills.rs
+++ b/standins/tests/key_kills.rs
@@ -18,7 +18,15 @@
 const SOME: usize = 50;
 
 fn load(deployment: &Deployment) -> Load {
-    Load::start(deployment.callers(), LoadShape::default())
+    // Many requests are under way at each fault, and their callers ask again until the owners
+    // of the keys have changed and settled.
+    let shape = LoadShape {
+        callers: 24,
+        work_ms: 200,
+        attempts: 20,
+        ..LoadShape::default()
+    };
+    Load::start(deployment.callers(), shape)
 }
 
 fn check(deployment: &Deployment, asked: &[Asked]) {
@@ -33,7 +41,7 @@
 /// must not run any of them again.
 #[test]
 fn owner_killed() {
-    let mut deployment = Deployment::builder().start();
+    let mut deployment = Deployment::builder().slots(8).start();
     let load = load(&deployment);
     load.wait_for_done(SOME);
     for owner in 0..2 {
@@ -48,7 +56,7 @@
 /// An agent is paused until the others take its keys over, and then goes on with all its grants.
 #[test]
 fn owner_frozen() {
-    let deployment = Deployment::builder().start();
+    let deployment = Deployment::builder().slots(8).start();
     let load = load(&deployment);
     load.wait_for_done(SOME);
     for owner in 0..2 {
@@ -64,7 +72,7 @@
 /// Its successor starts; then the other entry is paused and goes on.
 #[test]
 fn entry_killed() {
-    let mut deployment = Deployment::builder().start();
+    let mut deployment = Deployment::builder().slots(8).start();
     let load = load(&deployment);
     load.wait_for_done(SOME);
     deployment.entries[0].child.kill();
@@ -81,7 +89,7 @@
 /// All links to one entry break again and again in the middle of requests and answers.
 #[test]
 fn links_cut() {
-    let deployment = Deployment::builder().start();
+    let deployment = Deployment::builder().slots(8).start();
     let load = load(&deployment);
     for round in 0..6 {
         let link = deployment.entries[round % 2].peer_link.as_ref().unwrap();
@@ -98,7 +106,7 @@
 /// also when the log is back and the owners change.
 #[test]
 fn owner_killed_in_outage() {
-    let mut deployment = Deployment::builder().start();
+    let mut deployment = Deployment::builder().slots(8).start();
     let load = load(&deployment);
     load.wait_for_done(SOME);
     deployment.set_log(LogMode::Refuse);
