Tell callers which attempt number comes next; refuse keys without one

Cause: a caller that raises the number after a refusal is answered unknown for as long as it asks, and one that sends none was taken for a first attempt each time, which a new owner of the key may grant again. Change: answers other than done carry next_attempt; a key without a number, or with 0, is malformed.

--- a/dragonflyrun/src/process/entry_http.rs
+++ b/dragonflyrun/src/process/entry_http.rs
@@ -32,13 +32,21 @@
         let fits = !text.is_empty() && text.len() <= KEY_BYTES;
         fits.then(|| Name::from(text))
     });
-    let attempt = optional(&req, "dragonfly-attempt", |text| text.parse().ok());
+    let attempt = optional(&req, "dragonfly-attempt", |text| {
+        text.parse().ok().filter(|attempt| *attempt > 0)
+    });
     let deadline_ms = optional(&req, "dragonfly-deadline-ms", |text| text.parse().ok());
     let urgency = optional(&req, "dragonfly-urgency", urgency);
+    let (key, attempt) = (key.ok_or(malformed)?, attempt.ok_or(malformed)?);
+    // Taken for a first attempt, a repeat by a caller who does not count could be granted by an
+    // owner that does not know of the first, and a forest owner would be paid twice.
+    if key.is_some() && attempt.is_none() {
+        return Err(malformed);
+    }
     Ok(CallerRequest {
         service: service.into(),
-        key: key.ok_or(malformed)?,
-        attempt: attempt.ok_or(malformed)?.unwrap_or(1),
+        key,
+        attempt: attempt.unwrap_or(1),
         deadline_ms: deadline_ms.ok_or(malformed)?,
         urgency: urgency.ok_or(malformed)?,
         body: req.body,
@@ -74,10 +82,13 @@
     reason: Option<NotRun>,
     #[serde(skip_serializing_if = "Option::is_none")]
     retry_after_ms: Option<u64>,
+    /// The number to send with the next attempt. It stays where this one is certain not to have
+    /// run; `docs/DESIGN.md`, attempt numbers, tells why.
+    next_attempt: u32,
 }
 
-/// Returns the answer that tells a caller of `outcome`.
-pub(super) fn response(outcome: Outcome) -> HttpResponse {
+/// Returns the answer that tells a caller of the `outcome` of its attempt.
+pub(super) fn response(outcome: Outcome, attempt: u32) -> HttpResponse {
     match outcome {
         Outcome::Done { status, body, .. } => {
             let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
@@ -91,6 +102,7 @@
                 outcome: "not_run",
                 reason: Some(reason),
                 retry_after_ms: Some(retry_after_ms),
+                next_attempt: attempt,
             };
             HttpResponse::json(not_run_status(reason), &answer)
                 .with_header(OUTCOME, "not-run")
@@ -101,6 +113,7 @@
                 outcome: "unknown",
                 reason: None,
                 retry_after_ms: None,
+                next_attempt: attempt.saturating_add(1),
             };
             HttpResponse::json(StatusCode::BAD_GATEWAY, &answer).with_header(OUTCOME, "unknown")
         }
--- a/dragonflyrun/src/process/entry_requests.rs
+++ b/dragonflyrun/src/process/entry_requests.rs
@@ -43,6 +43,9 @@
 /// How often a stop looks whether all requests have their answers.
 const STOP_PAUSE: Duration = Duration::from_millis(10);
 
+/// The number of a caller's first attempt.
+const FIRST_ATTEMPT: u32 = 1;
+
 /// Callers' requests at one entry.
 pub struct EntryRequests {
     cx: Arc<Context>,
@@ -82,15 +85,17 @@
 
     /// Answers `POST /v1/services/{service}/requests`.
     pub fn handle(&self, service: &str, req: HttpRequest) -> HttpResponse {
-        let outcome = match caller_request(service, req) {
-            Ok(req) => self.submit(req),
+        match caller_request(service, req) {
+            Ok(req) => {
+                let attempt = req.attempt;
+                response(self.submit(req), attempt)
+            }
             Err(refusal) => {
                 self.cx.counters.refusal(refusal.reason);
                 self.cx.counters.answer("not_run");
-                refusal.outcome()
+                response(refusal.outcome(), FIRST_ATTEMPT)
             }
-        };
-        response(outcome)
+        }
     }
 
     /// Takes in a request and waits for its final answer, up to its deadline.
--- a/dragonflyrun/src/tool/commands/request.rs
+++ b/dragonflyrun/src/tool/commands/request.rs
@@ -108,7 +108,7 @@
 /// Sends a request to a service.
 ///
 /// It goes to the next entry only where the one before was not reached. Whether to try again after
-/// "not run" is the caller's choice, with the next attempt number.
+/// "not run" is the caller's choice, with the same attempt number.
 pub(super) fn request(
     settings: &ToolSettings,
     options: &RequestOptions,
