--- a/dragonflyrun/src/process/counters.rs
+++ b/dragonflyrun/src/process/counters.rs
@@ -7,7 +7,7 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use crate::connection::NotRun;
+use crate::{connection::NotRun, process::JobRefusal};
 
 /// All counters of one process; `docs/OPERATIONS.md` says what to do about each.
 pub struct Counters {
@@ -15,6 +15,7 @@
     _provider: SdkMeterProvider,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    job_refusals: Counter<u64>,
     answers: Counter<u64>,
     events: Counter<u64>,
 }
@@ -36,6 +37,7 @@
             registry,
             refusals: meter.u64_counter("refusals").build(),
             retries: meter.u64_counter("retries").build(),
+            job_refusals: meter.u64_counter("job_refusals").build(),
             answers: meter.u64_counter("answers").build(),
             events: meter.u64_counter("events").build(),
             _provider: provider,
@@ -48,6 +50,12 @@
             .add(1, &[KeyValue::new("reason", format!("{reason:?}"))]);
     }
 
+    /// Counts a job or a cancellation that was refused.
+    pub fn job_refusal(&self, reason: &JobRefusal) {
+        self.job_refusals
+            .add(1, &[KeyValue::new("reason", reason.name())]);
+    }
+
     /// Counts a request that was sent elsewhere after an agent refused it.
     pub fn retry(&self, reason: NotRun) {
         self.retries
--- a/dragonflyrun/src/process/entry_jobs.rs
+++ b/dragonflyrun/src/process/entry_jobs.rs
@@ -136,7 +136,7 @@
         if let Some(answer) = self.refuse(&job, &spec) {
             if let JobAnswer::NotRun { reason, .. } = &answer {
                 log::info!(job:% = job, reason:? = reason; "job_refused");
-                self.cx.counters.event("job_refused");
+                self.cx.counters.job_refusal(reason);
             }
             return answer;
         }
--- a/dragonflyrun/src/process/status.rs
+++ b/dragonflyrun/src/process/status.rs
@@ -185,6 +185,23 @@
     },
 }
 
+impl JobRefusal {
+    /// Returns the reason without its details, for counters.
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Malformed(_) => "malformed",
+            Self::Forbidden => "forbidden",
+            Self::UnknownWorkspace => "unknown_workspace",
+            Self::UnknownJob => "unknown_job",
+            Self::Impossible(_) => "impossible",
+            Self::TooManyJobs => "too_many_jobs",
+            Self::LogUnavailable => "log_unavailable",
+            Self::NotFresh => "not_fresh",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
 /// Why a job, or its cancellation, was refused.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
