--- a/dragonflyrun/src/connection/http_server.rs
+++ b/dragonflyrun/src/connection/http_server.rs
@@ -1,7 +1,7 @@
 //! The HTTP server of entries and agents: bounded on every side, and stopped without a cut.
 //!
 //! Built on hyper, since a promise rests on three things that oxhttp's server does not give;
-//! `docs/DESIGN.md`, HTTP, quotes the trial.
+//! `docs/REQUESTS.md`, HTTP, quotes the trial.
 
 mod body;
 mod connections;
--- a/dragonflyrun/src/connection/message.rs
+++ b/dragonflyrun/src/connection/message.rs
@@ -1,4 +1,4 @@
-//! What the system's own processes say to each other; see `docs/DESIGN.md`, wire messages.
+//! What the system's own processes say to each other; see `docs/DESIGN.md`, peer links.
 
 use serde::{Deserialize, Serialize};
 
--- a/dragonflyrun/src/request/key_owner.rs
+++ b/dragonflyrun/src/request/key_owner.rs
@@ -3,7 +3,7 @@
 //! What can go wrong is that two owners grant the same key, or that one grants it again after it
 //! has forgotten it. An owner therefore grants a first attempt only while it is fresh and no change
 //! of owners is so recent that the one before may not know of it, and a later attempt only where
-//! it would remember an earlier one. See `docs/DESIGN.md`, keys.
+//! it would remember an earlier one. See `docs/REQUESTS.md`, keys.
 
 mod record;
 
--- a/dragonflyrun/src/request/load.rs
+++ b/dragonflyrun/src/request/load.rs
@@ -160,7 +160,7 @@
     /// on average: the best of `choices` drawn at random from those that have a free slot.
     ///
     /// Taking the best of all would make every entry choose the same agent until the next
-    /// heartbeat; two draws come close to it without that (`docs/DESIGN.md`, choice of agents).
+    /// heartbeat; two draws come close to it without that (`docs/REQUESTS.md`, choice of agents).
     pub fn choose(
         &self,
         now: Timestamp,
--- a/dragonflyrun/src/request/mod.rs
+++ b/dragonflyrun/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! What lives for one request: admission, the queue, routing, retries, and keys that run once.
 //!
 //! All of it decides without input and output; `process::EntryRequests` and
-//! `process::AgentRequests` carry the decisions out. See `docs/DESIGN.md`, requests.
+//! `process::AgentRequests` carry the decisions out. See `docs/REQUESTS.md`.
 
 mod agent_table;
 mod backends;
