--- a/dragonflyrun/src/process/daemon.rs
+++ b/dragonflyrun/src/process/daemon.rs
@@ -43,7 +43,7 @@
 const STOP_POLL: Duration = Duration::from_millis(200);
 
 /// Time after which a silent peer whose link has ended is forgotten.
-const FORGET: Duration = Duration::from_secs(120);
+const FORGET_AFTER: Duration = Duration::from_secs(120);
 
 /// Bytes of one body, at the most. The document's limit may be lower.
 const BODY_BYTES: usize = 16 << 20;
@@ -52,10 +52,10 @@
 const HELD_BYTES: usize = 96 << 20;
 
 /// Time for which a stopping process waits for its callers to read their answers.
-const READ_OUT: Duration = Duration::from_secs(30);
+const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time for which a leaving process stays, so that its last heartbeats and answers arrive.
-const LAST_WORDS: Duration = Duration::from_millis(300);
+const LEAVE_LINGER: Duration = Duration::from_millis(300);
 
 quick_error! {
     /// Why a process did not start.
@@ -138,10 +138,10 @@
         // served, and only what comes after that is refused.
         thread::sleep(self.cx.settings.quiet);
         self.node.drain();
-        if !self.http.drain(READ_OUT) {
+        if !self.http.drain(READ_TIMEOUT) {
             log::warn!(in_flight = self.http.in_flight(); "answers_not_read");
         }
-        thread::sleep(LAST_WORDS);
+        thread::sleep(LEAVE_LINGER);
         self.stopping.store(true, Ordering::Relaxed);
         self.cx.appender.stop();
         for handle in self.threads {
@@ -308,7 +308,7 @@
 
 fn tick(cx: &Context, node: &dyn Node, stopping: &AtomicBool) {
     while !stopping.load(Ordering::Relaxed) {
-        lock(&cx.roster).forget(cx.now(), FORGET);
+        lock(&cx.roster).forget(cx.now(), FORGET_AFTER);
         cx.links.dial(&wanted_links(cx));
         node.tick();
         thread::sleep(TICK);
--- a/dragonflyrun/src/process/entry_presence.rs
+++ b/dragonflyrun/src/process/entry_presence.rs
@@ -13,11 +13,11 @@
 };
 
 /// Pause before a record that has not been folded is appended again.
-const AGAIN: Duration = Duration::from_secs(5);
+const APPEND_PAUSE: Duration = Duration::from_secs(5);
 
 /// Silence after which the planner removes an entry from the list. One that was only cut off joins
 /// again when it reads of its removal.
-const GONE: Duration = Duration::from_secs(30);
+const REMOVE_AFTER: Duration = Duration::from_secs(30);
 
 /// Keeps the list of entries on the log true.
 pub(crate) struct EntryPresence {
@@ -47,7 +47,7 @@
         let now = self.cx.now();
         let due = lock(&self.table)
             .last_append
-            .is_none_or(|at| now.since(at) >= AGAIN);
+            .is_none_or(|at| now.since(at) >= APPEND_PAUSE);
         if !due {
             return;
         }
@@ -118,7 +118,7 @@
         }
         let silent = table.silent_since.iter();
         silent
-            .filter(|(_, since)| now.since(**since) >= GONE)
+            .filter(|(_, since)| now.since(**since) >= REMOVE_AFTER)
             .map(|(entry, _)| entry.clone())
             .collect()
     }
--- a/dragonflyrun/src/process/freshness.rs
+++ b/dragonflyrun/src/process/freshness.rs
@@ -16,7 +16,7 @@
 
 /// Time after which an append without an answer, made before, can no longer take effect: the log
 /// drops a request that it has not carried out by then. Longer than any append is tried.
-const DOUBT: Duration = Duration::from_secs(15);
+const DOUBT_PERIOD: Duration = Duration::from_secs(15);
 
 /// What this process knows of the log's head.
 #[derive(Clone, Copy, Debug, Default)]
@@ -43,7 +43,10 @@
     /// Takes note that the log's head was seen at `at`, and all before it is folded.
     pub fn head_seen(&mut self, at: Timestamp) {
         self.head_seen = self.head_seen.max(Some(at));
-        if self.in_doubt.is_some_and(|since| at.since(since) > DOUBT) {
+        if self
+            .in_doubt
+            .is_some_and(|since| at.since(since) > DOUBT_PERIOD)
+        {
             self.in_doubt = None;
         }
     }
--- a/dragonflyrun/src/process/heartbeats.rs
+++ b/dragonflyrun/src/process/heartbeats.rs
@@ -28,13 +28,13 @@
     change: u64,
     /// The last change of anything but the backend servers.
     whole_change: u64,
-    carried: HashMap<Name, Carried>,
+    delivered: HashMap<Name, Delivered>,
     last: Timestamp,
 }
 
-/// Up to which change a link has carried the report.
+/// Up to which change a link has delivered the report.
 #[derive(Clone, Copy, Eq, PartialEq)]
-struct Carried {
+struct Delivered {
     link: u64,
     change: u64,
 }
@@ -79,7 +79,7 @@
             let message = Message::Heartbeat(Box::new(heartbeat));
             if self.cx.links.send(&peer, message).is_ok() {
                 let change = sent.change;
-                sent.carried.insert(peer, Carried { link, change });
+                sent.delivered.insert(peer, Delivered { link, change });
             }
         }
     }
@@ -121,10 +121,10 @@
         self.report = Some(report);
     }
 
-    /// Returns what the link to `peer` has not carried yet.
+    /// Returns what the link to `peer` has not delivered yet.
     fn part_for(&self, peer: &Name, link: u64) -> Option<Report> {
-        let carried = self.carried.get(peer).filter(|c| c.link == link);
-        match (carried, &self.report) {
+        let delivered = self.delivered.get(peer).filter(|c| c.link == link);
+        match (delivered, &self.report) {
             (Some(c), _) if c.change == self.change => None,
             (Some(c), Some(Report::Agent(report))) if c.change >= self.whole_change => {
                 Some(Report::Backends(report.backends.clone()))
--- a/dragonflyrun/src/process/log_reader.rs
+++ b/dragonflyrun/src/process/log_reader.rs
@@ -24,7 +24,7 @@
 /// Age of the last view of the head, had from entries, above which an agent reads for itself.
 ///
 /// Agents are many; as long as an entry tells them of the log they leave the log alone.
-const LEAN_ON_ENTRIES: Duration = Duration::from_millis(1_000);
+const ENTRY_VIEW_AGE: Duration = Duration::from_millis(1_000);
 
 /// Records sent to a peer in one message, at the most.
 const RELAYED_RECORDS: usize = 256;
@@ -94,7 +94,7 @@
 
     fn is_served_by_entries(&self) -> bool {
         let age = lock(&self.cx.freshness).age(self.cx.now());
-        self.cx.identity.role == Role::Agent && age.is_some_and(|age| age < LEAN_ON_ENTRIES)
+        self.cx.identity.role == Role::Agent && age.is_some_and(|age| age < ENTRY_VIEW_AGE)
     }
 
     fn ask(&self, peer: &Name, from: u64) {
--- a/dragonflyrun/tests/drain_starts.rs
+++ b/dragonflyrun/tests/drain_starts.rs
@@ -134,13 +134,13 @@
 
 /// Nobody is left to stop the start but the agent itself, which knows of the edit.
 #[test]
-fn late_order_at_informed_agent() {
+fn informed_agent() {
     assert!(late_order(&[]) > 0, "no order was held");
 }
 
 /// The agent does not know of the edit either, but it knows that it may not know everything.
 #[test]
-fn late_order_at_cut_off_agent() {
+fn cut_off_agent() {
     let cut = [Fault::CutLog(1), Fault::CutLog(2)];
     assert!(late_order(&cut) > 0, "no order was held");
 }
--- a/dragonflyrun/tests/gang_faults.rs
+++ b/dragonflyrun/tests/gang_faults.rs
@@ -127,7 +127,7 @@
 /// Hosts, processes, links and the log fail at any moment, together and twice. A user would notice
 /// a job that hangs on tasks that wait for each other, that runs twice, or that never ends.
 #[test]
-fn holds_under_any_failures() {
+fn random_failures() {
     if let Ok(seed) = std::env::var("GANG_SEED") {
         let seed = u64::from_str_radix(seed.trim_start_matches("0x"), 16);
         arbtest(any_failures).seed(seed.expect("a seed in hexadecimal"));
@@ -166,7 +166,7 @@
 /// The host of one member is lost, and at the same moment nobody is left who could tell the others:
 /// all entries are frozen. The others would compute for a gang that can't finish.
 #[test]
-fn others_stop_without_entries() {
+fn entries_lost() {
     let mut longest = 0;
     for seed in 0..10 {
         let mut world = running(seed, sleeping(6, 4, 20_000));
@@ -185,7 +185,7 @@
 /// The planner alone can't reach the only member of a gang, which the other entries go on renewing.
 /// Another attempt next to it would pay an owner twice.
 #[test]
-fn planner_cut_from_lone_member() {
+fn lone_member() {
     for seed in 0..10 {
         let mut world = running(seed, sleeping(2, 2, 15_000));
         let planner = world.planners()[0];
@@ -202,7 +202,7 @@
 /// A gang's only member and one entry are cut off from everybody else and from the log. They go on
 /// together, and the rest must leave the job alone, also when it has removed that entry.
 #[test]
-fn cut_off_with_one_entry() {
+fn one_entry_left() {
     for seed in 0..10 {
         let mut world = running(seed, sleeping(2, 2, 40_000));
         let planner = world.planners()[0];
@@ -225,7 +225,7 @@
 /// Workers of which one fails all it starts, and programs that fail wherever they run: the good
 /// jobs finish, the bad ones are ended after a bounded number of attempts.
 #[test]
-fn bad_worker_and_bad_jobs() {
+fn bad_jobs() {
     let mut world = World::new(1, ENTRIES, AGENTS);
     world.fault(2_000, 200_000, Fault::BreakWorker(2));
     for i in 0..12 {
--- a/dragonflyrun/tests/gang_protocol.rs
+++ b/dragonflyrun/tests/gang_protocol.rs
@@ -134,7 +134,7 @@
 
 /// A planner that was frozen goes on after its successor has taken over.
 #[test]
-fn order_of_older_term() {
+fn older_order() {
     let mut members = agent();
     members.on_record(
         at(5),
@@ -256,7 +256,7 @@
 
 /// A renewal that waited in a buffer says that the gang was whole long ago.
 #[test]
-fn late_renewal_is_worth_nothing() {
+fn late_renewal() {
     let mut members = agent();
     members.on_look(at(2), at(1), &view(Vec::new()));
     let mut restarted = Members::new(at(10_000));
@@ -294,7 +294,7 @@
 /// One member is silent from some moment on. No renewal of the other may reach further than the
 /// gang lease from that moment, however often the other is heard.
 #[test]
-fn silent_member_ends_renewals() {
+fn silent_member() {
     let (mut renewals, agents) = two_members();
     let mut renewed = 0;
     for now in (1_000..6_000).step_by(100) {
@@ -313,7 +313,7 @@
 
 /// The planner has put on the log that an attempt is not renewed any more, and counts on it.
 #[test]
-fn fenced_gang_is_not_renewed() {
+fn fenced_gang() {
     let (mut renewals, agents) = two_members();
     renewals.tick(at(1_000));
     assert!(
@@ -343,7 +343,7 @@
 /// An agent is replaced and its worker does not answer. It must not say that a gang has stopped
 /// before the leases of its predecessor have lapsed.
 #[test]
-fn stop_before_worker_is_read() {
+fn early_stop() {
     let mut members = Members::new(at(0));
     members.on_message(at(10), stop(1, 1));
     members.calls(at(20));
@@ -358,7 +358,7 @@
 /// A member's agent is replaced at once. Its tasks run on under the worker's lease and need not
 /// be stopped.
 #[test]
-fn quick_restart_keeps_gang() {
+fn quick_restart() {
     let mut world = World::new(3, ENTRIES, AGENTS);
     world.noise = false;
     world.submit(SUBMIT, "job-0", sleeping(4, 3, 10_000));
@@ -372,7 +372,7 @@
 /// The members of a gang end one after the other, here 0.5, 5.5, 10.5 and 15.5 s after its start, and
 /// the host of one that has ended is lost. Those that still have work must not be stopped for it.
 #[test]
-fn members_finish_one_after_the_other() {
+fn staggered_ends() {
     for seed in 0..10 {
         let mut world = World::new(seed, ENTRIES, AGENTS);
         world.noise = false;
@@ -397,7 +397,7 @@
 /// Each kind of failure of one member, of its worker or of its links, at each step from the
 /// reservation to the run, for a short and for a long time.
 #[test]
-fn one_member_fails_at_each_step() {
+fn member_fails() {
     let job: Name = "job-0".into();
     let agent = ENTRIES + 1;
     let all_links = |entry| Fault::Cut(entry, agent, false);
--- a/dragonflyrun/tests/job_book.rs
+++ b/dragonflyrun/tests/job_book.rs
@@ -75,7 +75,7 @@
 /// The start of an attempt that its planner had given up reaches the log after that of a later
 /// one. Were it folded, the agents of the later attempt would refuse to start or to go on.
 #[test]
-fn late_start_changes_nothing() {
+fn late_start() {
     let book = book(&[accepted(), started(2, "worker-1"), started(1, "worker-0")]);
     assert_eq!(live(&book).attempt, 2);
     let gang = |attempt| GangId {
@@ -90,7 +90,7 @@
 
 /// A second start would place the job twice while the first attempt still runs.
 #[test]
-fn placed_job_is_not_placed_again() {
+fn placed_once() {
     let book = book(&[accepted(), started(1, "worker-0"), started(2, "worker-1")]);
     assert_eq!(live(&book).attempt, 1);
 }
@@ -113,7 +113,7 @@
 
 /// Nothing may start under an attempt whose leases are no longer renewed.
 #[test]
-fn fenced_attempt_may_not_start() {
+fn fenced_attempt() {
     let fenced = RecordBody::JobFenced {
         term: 1,
         job: job(),
@@ -131,7 +131,7 @@
 /// A submitter whose answer was lost asks again after its job has ended: it must not run twice.
 /// The name becomes free after so many records that every process agrees on it.
 #[test]
-fn ended_job_is_not_accepted_again() {
+fn ended_job() {
     let mut book = book(&[accepted(), ended(), accepted()]);
     assert!(book.live(&job()).is_none());
     assert_eq!(book.ended(&job()), Some(JobEnd::Finished));
@@ -141,7 +141,7 @@
 
 /// A repeated state was read before a cancellation and written after it.
 #[test]
-fn older_carried_state_is_dropped() {
+fn older_state() {
     let mut book = book(&[accepted()]);
     let before = live(&book).clone();
     let carried = |job: &LiveJob| {
--- a/dragonflyrun/tests/log_freshness.rs
+++ b/dragonflyrun/tests/log_freshness.rs
@@ -102,7 +102,7 @@
 /// This process's own append got no answer before the log went down. Until the log has been read
 /// well after, the record may stand there unseen.
 #[test]
-fn own_append_in_doubt() {
+fn append_in_doubt() {
     let now = at(60_000);
     let mut freshness = seen_long_ago();
     freshness.append_pending(at(2_000), true);
--- a/dragonflyrun/tests/planner_terms.rs
+++ b/dragonflyrun/tests/planner_terms.rs
@@ -29,7 +29,7 @@
 /// The planner dies at any step of a job's start, run and end. A user would notice a job that is
 /// lost, that runs twice, or that hangs.
 #[test]
-fn killed_at_each_step() {
+fn planner_killed() {
     for step in 0..60 {
         let mut world = world(step);
         let planner = world.planners()[0];
@@ -48,7 +48,7 @@
 /// The planner is frozen at any step, another takes its place, and then it goes on as if nothing
 /// had happened: for a moment there are two. Its orders and records must change nothing.
 #[test]
-fn frozen_at_each_step() {
+fn planner_frozen() {
     for step in 0..60 {
         let mut world = world(step);
         let planner = world.planners()[0];
@@ -66,7 +66,7 @@
 /// The log is down and the planner's host is lost besides. The tasks that run have all they need,
 /// and a user would be right to complain if they were stopped.
 #[test]
-fn healthy_gang_goes_on() {
+fn healthy_gang() {
     let mut world = world(1);
     world.noise = false;
     let planner = world.planners()[0];
@@ -114,7 +114,7 @@
 /// A planner was frozen while its record was on the way, and it reaches the log after the claim of
 /// the next planner, which has already decided otherwise about the job.
 #[test]
-fn record_of_older_term() {
+fn older_record() {
     let term = |entry: &str, term| RecordBody::Term {
         entry: entry.into(),
         term,
--- a/standins/tests/double_faults.rs
+++ b/standins/tests/double_faults.rs
@@ -72,7 +72,7 @@
 /// A wave of cancellations meets a log that loses its answers. Each job that was told to be
 /// cancelled ends so, or had finished before, and none is left behind on a worker.
 #[test]
-fn cancels_and_lost_answers() {
+fn lost_answers() {
     let deployment = Deployment::builder().start();
     for number in 0..12 {
         deployment.submit(&format!("grading-{number}"), &job(1, 4, "sleep:2000"));
--- a/standins/tests/key_kills.rs
+++ b/standins/tests/key_kills.rs
@@ -105,7 +105,7 @@
 /// The log is down, and then an agent dies. Requests go on as far as they can; no key runs twice,
 /// also when the log is back and the owners change.
 #[test]
-fn owner_killed_in_outage() {
+fn killed_in_outage() {
     let mut deployment = Deployment::builder().slots(8).start();
     let load = load(&deployment);
     load.wait_for_done(SOME);
