--- a/dragonflyrun/src/bin/dragonflyrund.rs
+++ b/dragonflyrun/src/bin/dragonflyrund.rs
@@ -9,10 +9,20 @@
 
 fn main() -> ExitCode {
     dragonflyrun::process::logging::start();
-    let settings = match Cli::parse().settings() {
+    let cli = Cli::parse();
+    if cli.version {
+        println!("dragonflyrund {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let check_only = cli.check;
+    let settings = match cli.settings() {
         Ok(settings) => settings,
         Err(error) => return fail(&error),
     };
+    if check_only {
+        println!("the settings are valid");
+        return ExitCode::SUCCESS;
+    }
     let daemon = match Daemon::start(settings) {
         Ok(daemon) => daemon,
         Err(error) => return fail(&error),
--- a/standins/tests/daemon_start.rs
+++ b/standins/tests/daemon_start.rs
@@ -3,14 +3,14 @@
 use std::{
     fs,
     net::TcpListener,
-    process::{Command, Output},
+    process::{Command, Output, Stdio},
     time::Duration,
 };
 
 use oxhttp::model::Method;
 use standins::{
     editor::unique,
-    harness::{Deployment, SERVICE, binary},
+    harness::{Deployment, SERVICE, binary, wait_until},
     http,
 };
 
@@ -56,6 +56,31 @@
     error(&start_with("not JSON"));
 }
 
+/// An operator checks a settings file before a rollout. The daemon must end, and not start.
+#[test]
+fn check_only() {
+    let path = std::env::temp_dir().join(unique("settings"));
+    fs::write(
+        &path,
+        r#"{"role":"entry","name":"entry-1","http":"127.0.0.1:0","peers":"127.0.0.1:0",
+            "log":"127.0.0.1:1","secret":"a secret of test deployments"}"#,
+    )
+    .unwrap();
+    let mut child = Command::new(binary("dragonflyrund"))
+        .args(["--check", "--config"])
+        .arg(&path)
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut status = None;
+    wait_until("the check's end", || {
+        status = child.try_wait().unwrap();
+        status.is_some()
+    });
+    fs::remove_file(&path).unwrap();
+    assert!(status.is_some_and(|s| s.success()));
+}
+
 /// Another process listens at the address already. The operator is told which setting it is.
 #[test]
 fn address_in_use() {
