Keep one check of a job's name and one way to lock a table

Cause: a job's name was checked by the route and again, by the same rule, where the job is submitted; links had a copy of the function that locks a table. Change: the check at the submission serves (it also counts and logs the refusal); the lock lives in utils. Two edges of a malformed name differ: its text, and that a stopping entry now says leaving first.

--- a/dragonflyrun/src/connection/links.rs
+++ b/dragonflyrun/src/connection/links.rs
@@ -8,8 +8,6 @@
     sync::{
         Arc,
         Mutex,
-        MutexGuard,
-        PoisonError,
         atomic::{AtomicU64, Ordering}, //
     },
     time::Duration,
@@ -40,7 +38,7 @@
         codec,
         greeting::{self, Peer}, //
     },
-    utils::{HashMap, HashSet, Name},
+    utils::{HashMap, HashSet, Name, lock},
 };
 
 /// Bytes of one message, at the most: a body of the largest size with its envelope.
@@ -371,7 +369,3 @@
     let hash = rustc_hash::FxBuildHasher.hash_one(name);
     usize::try_from(hash % lanes as u64).unwrap_or(0)
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/dragonflyrun/src/process/context.rs
+++ b/dragonflyrun/src/process/context.rs
@@ -2,13 +2,13 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+    sync::{Arc, Mutex, OnceLock},
 };
 
 use crate::{
     connection::{LinkSettings, Links, LogClient, Peer},
     process::{Appender, Clock, Counters, EntryView, Freshness, Ledger, Roster, Settings},
-    utils::{Name, Timestamp},
+    utils::{Name, Timestamp, lock},
     version::Version,
 };
 
@@ -109,12 +109,6 @@
     }
 }
 
-/// Locks `mutex`. A thread that panicked while it held the lock has left a whole table behind:
-/// every change of a table is made by one call that does not panic half-way.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// Returns what the links need to know of a process with these settings.
 pub fn link_settings(settings: &Settings, identity: &Peer) -> LinkSettings {
     LinkSettings {
--- a/dragonflyrun/src/process/entry_routes.rs
+++ b/dragonflyrun/src/process/entry_routes.rs
@@ -15,9 +15,6 @@
 /// Header under which a submitter names its job, so that a repeat is not a second job.
 const JOB_ID_HEADER: &str = "idempotency-key";
 
-/// Characters of a job's name, at the most.
-const JOB_ID_CHARACTERS: usize = 128;
-
 /// Answers a call to one of the paths under `/v1`.
 pub(crate) fn answer(entry: &EntryNode, req: HttpRequest) -> HttpResponse {
     if let Some(service) = requested_service(&req.path).map(str::to_owned)
@@ -62,21 +59,12 @@
 
 fn submit(entry: &EntryNode, req: &HttpRequest) -> HttpResponse {
     let id = req.header(JOB_ID_HEADER).map(Name::from);
-    if id.as_ref().is_some_and(|id| !is_job_id(id)) {
-        return malformed("The job's name has letters, digits, '-', '_' and '.', at most 128.");
-    }
     match serde_json::from_slice::<JobSpec>(&req.body) {
         Ok(spec) => job_answer(&entry.jobs.submit(id, spec)),
         Err(error) => malformed(&error.to_string()),
     }
 }
 
-fn is_job_id(id: &str) -> bool {
-    let fits = (1..=JOB_ID_CHARACTERS).contains(&id.len());
-    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
-    fits && id.chars().all(plain)
-}
-
 fn show(entry: &EntryNode, job: &str) -> HttpResponse {
     match entry.jobs.job(&Name::from(job)) {
         Some(status) => HttpResponse::json(StatusCode::OK, &status),
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -38,7 +38,7 @@
 pub use cli::Cli;
 pub use clock::Clock;
 pub use config::Config;
-pub use context::{Context, link_settings, lock};
+pub use context::{Context, link_settings};
 pub use counters::Counters;
 pub use daemon::{Daemon, StartError};
 pub use entry_http::requested_service;
@@ -57,6 +57,8 @@
     PeerStatus, ServiceStatus, StatusAnswer, TOKEN_HEADER, WorkspaceStatus,
 };
 
+pub use crate::utils::lock;
+
 pub(crate) use agent::AgentNode;
 pub(crate) use entry::EntryNode;
 pub(crate) use entry_presence::EntryPresence;
--- a/dragonflyrun/src/utils/mod.rs
+++ b/dragonflyrun/src/utils/mod.rs
@@ -1,9 +1,11 @@
 //! Small free helpers and the types that every module shares.
 
 mod collections;
+mod lock;
 mod name;
 mod timestamp;
 
 pub use collections::{HashMap, HashSet};
+pub use lock::lock;
 pub use name::Name;
 pub use timestamp::Timestamp;
