--- a/dragonflyrun/src/bin/dragonflyrund.rs
+++ b/daemon/src/main.rs
@@ -15,13 +15,19 @@
         return ExitCode::SUCCESS;
     }
     let check_only = cli.check;
+    if let Some(settings) = cli.config.as_deref().and_then(platform::Settings::read) {
+        return match settings {
+            Ok(_) if check_only => valid(),
+            Ok(settings) => run_on_platform(settings),
+            Err(error) => fail(&error),
+        };
+    }
     let settings = match cli.settings() {
         Ok(settings) => settings,
         Err(error) => return fail(&error),
     };
     if check_only {
-        println!("the settings are valid");
-        return ExitCode::SUCCESS;
+        return valid();
     }
     let daemon = match Daemon::start(settings) {
         Ok(daemon) => daemon,
@@ -35,6 +41,19 @@
     ExitCode::SUCCESS
 }
 
+fn valid() -> ExitCode {
+    println!("the settings are valid");
+    ExitCode::SUCCESS
+}
+
+/// Runs a role of a deployment whose state lives on the users' platform.
+fn run_on_platform(settings: platform::Settings) -> ExitCode {
+    match platform::run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&error),
+    }
+}
+
 /// Tells whoever started the process where it listens, since the settings may leave the port open.
 fn announce(daemon: &Daemon) {
     let mut line = format!("listening http={}", daemon.http_addr());
--- a/dragonflyrun/src/lib.rs
+++ b/dragonflyrun/src/lib.rs
@@ -7,11 +7,13 @@
 
 pub mod connection;
 pub mod job;
+pub mod port;
 pub mod process;
 pub mod request;
 pub mod tool;
 pub mod utils;
 pub mod version;
+pub mod workload;
 
 pub use connection::{LogClient, Message, Record};
 pub use job::{JobSpec, Shape};
--- a/dragonflyrun/src/process/mod.rs
+++ b/dragonflyrun/src/process/mod.rs
@@ -25,6 +25,7 @@
 pub mod logging;
 mod membership;
 mod node;
+pub mod on_store;
 mod roster;
 mod routes;
 mod run_pool;
--- /dev/null
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -0,0 +1,95 @@
+//! Follows a partition of the store from the newest of each key on.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::{
+    port::{Partition, ReadError, Store, StoreRecord},
+    process::on_store::BootTime,
+};
+
+/// What a follower has read.
+#[derive(Debug)]
+pub struct Batch {
+    /// When the read was sent: everything that stood in the store then has been read.
+    pub asked: BootTime,
+    /// Whether these are the newest records of all keys, in place of everything read before.
+    pub replaces: bool,
+    /// The records.
+    pub records: Vec<StoreRecord>,
+    /// The offset up to which all has been read.
+    pub end: u64,
+}
+
+/// Follows one keyed partition.
+pub struct Follower<S> {
+    store: Arc<S>,
+    partition: Partition,
+    next: Option<u64>,
+}
+
+impl<S: Store> Follower<S> {
+    /// Returns a follower that has read nothing.
+    pub fn new(store: Arc<S>, partition: Partition) -> Self {
+        Self {
+            store,
+            partition,
+            next: None,
+        }
+    }
+
+    /// Returns what is new, waiting for it up to `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Where the store can't be read. A follower that has fallen behind what is kept starts over
+    /// with the newest record of each key by itself.
+    pub async fn next(&mut self, wait: Duration) -> Result<Batch, ReadError> {
+        let Some(next) = self.next else {
+            return self.newest().await;
+        };
+        let asked = BootTime::now();
+        match self.store.read(self.partition, next, wait).await {
+            Ok(page) => {
+                let end = next + page.records.len() as u64;
+                self.next = Some(end);
+                // More may stand behind a full page; it proves only what it holds.
+                Ok(Batch {
+                    asked,
+                    replaces: false,
+                    records: page.records,
+                    end,
+                })
+            }
+            Err(ReadError::Dropped(first)) => {
+                log::info!(partition:? = self.partition, next, first; "records_dropped");
+                self.next = None;
+                self.newest().await
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Reads the newest of each key. Pages are no snapshot, so reading goes on at the end as it
+    /// was when the first page was asked for.
+    async fn newest(&mut self) -> Result<Batch, ReadError> {
+        let asked = BootTime::now();
+        let mut records: Vec<StoreRecord> = Vec::new();
+        let mut end = None;
+        loop {
+            let after = records.last().map(|r| r.key.clone());
+            let page = self.store.newest(self.partition, after.as_deref()).await?;
+            let start = *end.get_or_insert(page.end);
+            let stuck = page.records.is_empty();
+            records.extend(page.records);
+            if !page.more || stuck {
+                self.next = Some(start);
+                return Ok(Batch {
+                    asked,
+                    replaces: true,
+                    records,
+                    end: start,
+                });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -0,0 +1,21 @@
+//! Entry and agent of a deployment whose state lives on the platform's store.
+//!
+//! A process keeps nothing that matters: it follows the store and can be thrown away at any
+//! moment. All tasks of a process run on one thread, since its host gives it a fraction of a core;
+//! tables are shared under mutexes that no task holds while it waits. Lock order: state, planner.
+//! `docs/SYSTEM.md` tells the design.
+
+mod agent;
+mod boot_clock;
+mod entry;
+mod follower;
+mod lanes;
+mod office;
+mod settings;
+
+pub use agent::StoreAgent;
+pub use boot_clock::BootTime;
+pub use entry::StoreEntry;
+pub use follower::{Batch, Follower};
+pub use lanes::Lanes;
+pub use settings::{StoreBounds, StoreSettings};
--- /dev/null
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -0,0 +1,422 @@
+//! The planner's office at an entry: wins the term, plans while it holds it, and gives it up.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap as Sequences,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+    time::Duration,
+};
+
+use tokio::{
+    sync::mpsc,
+    time::sleep, //
+};
+
+use crate::{
+    port::{Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
+    process::on_store::{
+        Batch, Follower, Lanes, StoreEntry,
+        entry::{unix_ms, wait_for},
+    },
+    utils::{HashMap, Name, Timestamp, lock},
+    workload::{
+        JobRecord, OrderMessage, Planner, PlannerBounds, Report, Term, TermStep, View, WorkerOrder,
+        decode, encode,
+    },
+};
+
+/// The name of the office towards the store.
+const OFFICE: &str = "planner";
+
+/// How often the planner shows a sign of life.
+const SIGN_OF_LIFE: Duration = Duration::from_millis(400);
+
+/// How often the planner decides where nothing has come.
+const PASS: Duration = Duration::from_millis(100);
+
+/// How often an entry looks whether the planner is silent.
+const WATCH: Duration = Duration::from_millis(150);
+
+/// Age of the newest read of operators' records up to which tasks are started: the bound on tasks
+/// in a failure domain that is out of service is seconds.
+const FRESH: Duration = Duration::from_millis(2_000);
+
+/// Silence of an agent, which reports each second at the least, after which its session is closed.
+const AGENT_SILENCE: Duration = Duration::from_millis(3_000);
+
+/// How much slower than the planner's the clock of a worker may be.
+const CLOCK_SKEW: f64 = 1.02;
+
+/// Added to the time after which a lease is over, for the steps of the clocks themselves.
+const LEASE_MARGIN: Duration = Duration::from_millis(150);
+
+/// Time for one append of the planner.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Pause between two tries of an append.
+const APPEND_PAUSE: Duration = Duration::from_millis(50);
+
+/// How long a read of reports waits for one.
+const REPORT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// Pause after a read that failed.
+const READ_PAUSE: Duration = Duration::from_millis(100);
+
+/// A term that this entry holds.
+pub(super) struct Office<S> {
+    entry: Arc<StoreEntry<S>>,
+    term: Term,
+    lanes: Lanes,
+    planner: RefCell<Planner>,
+    /// The sequence number of the next append to each partition.
+    sequences: RefCell<Sequences<Partition, u64>>,
+    /// One append at a time to each partition, so that its sequence numbers arrive in order.
+    turns: RefCell<Sequences<Partition, Rc<tokio::sync::Mutex<()>>>>,
+    senders: RefCell<HashMap<u32, mpsc::UnboundedSender<WorkerOrder>>>,
+    reports_since: Cell<Option<Timestamp>>,
+    lost: Cell<bool>,
+}
+
+impl<S: Store> Office<S> {
+    /// Watches the planner, and is planner whenever this entry wins the term.
+    pub(super) async fn run(entry: Arc<StoreEntry<S>>) {
+        loop {
+            sleep(WATCH).await;
+            if entry.stopping.load(Ordering::Relaxed) {
+                continue;
+            }
+            let Some((term, end)) = candidacy(&entry) else {
+                continue;
+            };
+            if let Some(office) = Self::win(&entry, term, end).await {
+                office.hold().await;
+            }
+        }
+    }
+
+    async fn win(entry: &Arc<StoreEntry<S>>, term: Term, end: u64) -> Option<Rc<Self>> {
+        let append = Append {
+            partition: Partition::JOBS,
+            records: vec![JobRecord::Planner(term.clone()).encode()],
+            writer: Some(Writer {
+                name: OFFICE,
+                term: term.number,
+                sequence: 1,
+            }),
+            at: Some(end),
+        };
+        match entry.store.append(&append, APPEND_TIMEOUT).await {
+            Ok(Appended { .. }) => {}
+            Err(error) => {
+                log::info!(term = term.number, reason:% = error; "term_not_won");
+                return None;
+            }
+        }
+        entry.counters.event("term_won");
+        log::info!(term = term.number, entry:% = term.entry, end; "term_won");
+        let planner = {
+            let mut state = lock(&entry.state);
+            state.news.clear();
+            state.plans = true;
+            Planner::take_over(planner_bounds(entry), &state.book, entry.now())
+        };
+        Some(Rc::new(Self {
+            entry: entry.clone(),
+            term,
+            lanes: Lanes::new(entry.settings.partitions),
+            planner: RefCell::new(planner),
+            sequences: RefCell::new(Sequences::from([(Partition::JOBS, 2)])),
+            turns: RefCell::default(),
+            senders: RefCell::default(),
+            reports_since: Cell::new(None),
+            lost: Cell::new(false),
+        }))
+    }
+
+    /// Plans until the term is lost or given up.
+    async fn hold(self: Rc<Self>) {
+        let reports = tokio::task::spawn_local(self.clone().take_over());
+        let life = tokio::task::spawn_local(self.clone().show_life());
+        while !self.lost.get() && !self.entry.stopping.load(Ordering::Relaxed) {
+            wait_for(&self.entry.news, PASS).await;
+            if self.reports_since.get().is_some() {
+                self.pass().await;
+            }
+        }
+        self.lost.set(true);
+        lock(&self.entry.state).plans = false;
+        reports.abort();
+        life.abort();
+        self.senders.borrow_mut().clear();
+        if self.entry.stopping.load(Ordering::Relaxed) {
+            self.resign().await;
+        }
+        log::info!(term = self.term.number; "term_ended");
+    }
+
+    async fn resign(&self) {
+        let term = Term {
+            resigned: true,
+            ..self.term.clone()
+        };
+        let append = self.jobs_append(vec![JobRecord::Planner(term).encode()]);
+        if let Err(error) = self.entry.store.append(&append, APPEND_TIMEOUT).await {
+            log::warn!(reason:% = error; "term_not_resigned");
+        }
+    }
+
+    async fn show_life(self: Rc<Self>) {
+        loop {
+            sleep(SIGN_OF_LIFE).await;
+            // A planner that can't read must not keep others from following it.
+            let proof = lock(&self.entry.state).book_proof;
+            if proof.is_some_and(|p| p.elapsed() < FRESH) {
+                let alive = JobRecord::Planner(self.term.clone()).encode();
+                self.append_in_order(Partition::JOBS, vec![alive]).await;
+            }
+        }
+    }
+
+    /// Makes sure that no order of an earlier planner can come any more, then reads the reports.
+    ///
+    /// Without that, a run that no agent lists could still be started by an order that the store
+    /// carries out seconds late, while the task already runs elsewhere.
+    async fn take_over(self: Rc<Self>) {
+        let workers: Vec<Name> = {
+            let planner = self.planner.borrow();
+            planner.fleet().workers().map(|(name, _)| name.clone()).collect()
+        };
+        for worker in workers {
+            let partition = self.lanes.partition(self.lanes.lane_of(&worker));
+            let Some(fenced) = self.append_in_order(partition, Vec::new()).await else {
+                return;
+            };
+            self.planner.borrow_mut().orders_end(&worker, fenced.end);
+        }
+        self.follow_reports().await;
+    }
+
+    async fn follow_reports(self: Rc<Self>) {
+        let mut follower = Follower::new(self.entry.store.clone(), Partition::WORKERS);
+        let mut reachable = true;
+        loop {
+            match follower.next(REPORT_WAIT).await {
+                Ok(batch) => {
+                    if !reachable || self.reports_since.get().is_none() {
+                        self.reports_since.set(Some(self.entry.now()));
+                    }
+                    self.entry.report_reach(&mut reachable, true, "workers", "");
+                    self.take_reports(batch);
+                }
+                Err(error) => {
+                    let why = error.to_string();
+                    self.entry.report_reach(&mut reachable, false, "workers", &why);
+                    sleep(READ_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn take_reports(&self, batch: Batch) {
+        let mut planner = self.planner.borrow_mut();
+        let now = self.entry.now();
+        let any = !batch.records.is_empty();
+        for record in batch.records {
+            let Some(value) = record.value else {
+                continue;
+            };
+            match decode::<Report>(&value) {
+                Some(report) => planner.report(now, report),
+                None => log::warn!(key:% = record.key; "report_unreadable"),
+            }
+        }
+        if any {
+            self.entry.news.notify_one();
+        }
+    }
+
+    /// Decides once, makes the decisions last, and sends the orders.
+    async fn pass(self: &Rc<Self>) {
+        let decisions = {
+            let mut state = lock(&self.entry.state);
+            let mut planner = self.planner.borrow_mut();
+            for record in state.news.drain(..) {
+                planner.job_record(&record);
+            }
+            let Some(configuration) = state.configuration.clone() else {
+                return;
+            };
+            let evacuated = state.evacuated.clone();
+            let proof = state.operator_proof;
+            drop(state);
+            planner.decide(&View {
+                now: self.entry.now(),
+                unix_ms: unix_ms(),
+                configuration: &configuration,
+                evacuated: &evacuated,
+                is_fresh: proof.is_some_and(|p| p.elapsed() < FRESH),
+                reports_since: self.reports_since.get().unwrap_or_default(),
+            })
+        };
+        if !decisions.plans.is_empty()
+            && self.append_in_order(Partition::JOBS, decisions.plans).await.is_none()
+        {
+            return;
+        }
+        for order in decisions.orders {
+            self.send(order);
+        }
+        for worker in decisions.forgotten {
+            self.drop_report(worker);
+        }
+    }
+
+    fn send(self: &Rc<Self>, order: WorkerOrder) {
+        let lane = self.lanes.lane_of(&order.worker);
+        let mut senders = self.senders.borrow_mut();
+        let sender = senders.entry(lane).or_insert_with(|| {
+            let (tx, rx) = mpsc::unbounded_channel();
+            tokio::task::spawn_local(self.clone().send_lane(lane, rx));
+            tx
+        });
+        if sender.send(order).is_err() {
+            log::error!(lane; "lane_ended");
+        }
+    }
+
+    /// Sends the orders of one lane, one append after the other.
+    async fn send_lane(self: Rc<Self>, lane: u32, mut rx: mpsc::UnboundedReceiver<WorkerOrder>) {
+        /// Orders in one append, at the most.
+        const GROUP: usize = 32;
+        let mut orders = Vec::new();
+        while rx.recv_many(&mut orders, GROUP).await > 0 {
+            let records = orders.iter().map(|order| StoreRecord {
+                key: Name::from(""),
+                value: Some(encode(&OrderMessage::Order {
+                    worker: order.worker.clone(),
+                    session: order.session,
+                    order: order.order.clone(),
+                })),
+            });
+            let partition = self.lanes.partition(lane);
+            let appended = self.append_in_order(partition, records.collect()).await;
+            let Some(appended) = appended else {
+                return;
+            };
+            let now = self.entry.now();
+            let mut planner = self.planner.borrow_mut();
+            for (offset, order) in (appended.offset..).zip(orders.drain(..)) {
+                planner.ordered(now, &order, offset);
+            }
+        }
+    }
+
+    fn drop_report(&self, worker: Name) {
+        let store = self.entry.store.clone();
+        tokio::task::spawn_local(async move {
+            let append = Append {
+                partition: Partition::WORKERS,
+                records: vec![StoreRecord { key: worker, value: None }],
+                writer: None,
+                at: None,
+            };
+            if let Err(error) = store.append(&append, APPEND_TIMEOUT).await {
+                log::info!(reason:% = error; "report_not_dropped");
+            }
+        });
+    }
+
+    fn jobs_append(&self, records: Vec<StoreRecord>) -> Append {
+        self.append_for(Partition::JOBS, records)
+    }
+
+    fn append_for(&self, partition: Partition, records: Vec<StoreRecord>) -> Append {
+        let mut sequences = self.sequences.borrow_mut();
+        let next = sequences.entry(partition).or_insert(1);
+        let sequence = *next;
+        *next += 1;
+        Append {
+            partition,
+            records,
+            writer: Some(Writer {
+                name: OFFICE,
+                term: self.term.number,
+                sequence,
+            }),
+            at: None,
+        }
+    }
+
+    /// Appends until the store has confirmed it, or the term is lost. A repeat has the sequence
+    /// number of the first try, so it is done once.
+    async fn append_in_order(&self, partition: Partition, records: Vec<StoreRecord>) -> Option<Appended> {
+        let turn = self.turn(partition);
+        let _turn = turn.lock().await;
+        let mut append = self.append_for(partition, records);
+        loop {
+            if self.lost.get() {
+                return None;
+            }
+            match self.entry.store.append(&append, APPEND_TIMEOUT).await {
+                Ok(appended) => return Some(appended),
+                Err(AppendError::Fenced | AppendError::Moved(_)) => {
+                    log::warn!(term = self.term.number, partition:? = partition; "term_lost");
+                    self.lose();
+                    return None;
+                }
+                Err(AppendError::OutOfOrder(expected)) => {
+                    // All earlier appends of this term to the partition are confirmed, so what the
+                    // store expects is the number of this one.
+                    log::info!(partition:? = partition, expected:?; "append_out_of_order");
+                    if let (Some(expected), Some(writer)) = (expected, &mut append.writer) {
+                        writer.sequence = expected;
+                        self.sequences.borrow_mut().insert(partition, expected + 1);
+                    }
+                }
+                Err(error) => log::debug!(reason:% = error; "append_again"),
+            }
+            sleep(APPEND_PAUSE).await;
+        }
+    }
+
+    fn turn(&self, partition: Partition) -> Rc<tokio::sync::Mutex<()>> {
+        self.turns.borrow_mut().entry(partition).or_default().clone()
+    }
+
+    fn lose(&self) {
+        self.entry.counters.event("term_lost");
+        self.lost.set(true);
+        self.entry.news.notify_one();
+    }
+}
+
+/// Returns the term that this entry should try to win, and where the partition has to end for it.
+fn candidacy<S: Store>(entry: &StoreEntry<S>) -> Option<(Term, u64)> {
+    /// Age of the newest read up to which an entry may stand: an entry that reads badly would plan
+    /// badly.
+    const MOST_AGE: Duration = Duration::from_millis(1_200);
+    let now = entry.now();
+    let state = lock(&entry.state);
+    let current = state.book_proof.is_some_and(|p| p.elapsed() < MOST_AGE);
+    if !current || state.configuration.is_none() {
+        return None;
+    }
+    match state.election.step(now) {
+        TermStep::Wait => None,
+        TermStep::Try(term) => Some((term, state.book_end)),
+    }
+}
+
+fn planner_bounds<S>(entry: &StoreEntry<S>) -> PlannerBounds {
+    let bounds = &entry.settings.bounds;
+    PlannerBounds {
+        silence: AGENT_SILENCE,
+        lease_over: bounds.lease.mul_f64(CLOCK_SKEW) + LEASE_MARGIN,
+        keep_ended: bounds.keep_ended,
+        far_factor: bounds.far_factor,
+    }
+}
--- a/dragonflyrun/src/utils/collections.rs
+++ b/dragonflyrun/src/utils/collections.rs
@@ -8,3 +8,11 @@
 
 /// The hash set used everywhere in the project.
 pub type HashSet<K> = rustc_hash::FxHashSet<K>;
+
+/// Returns a hash of `name` that is the same in every process of one release.
+pub fn spread(name: &str) -> u64 {
+    use std::hash::Hasher;
+    let mut hasher = rustc_hash::FxHasher::default();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
--- /dev/null
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -0,0 +1,456 @@
+//! What an agent knows of the worker beside it, and what it does about orders.
+//!
+//! The agent extends its worker's lease only by proof from the store: a read that was sent after
+//! the worker's clock was looked at, and that shows no fence. So whoever puts a fence into the
+//! store knows that every lease has run out one lease time later, whatever became of the agent.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
+    utils::Name,
+    workload::{Order, Report, RunId, TaskStart},
+};
+
+/// What is to be done at the worker.
+#[derive(Clone, Debug)]
+pub enum AgentAction {
+    /// Start a run.
+    Start(StartOrder),
+    /// Stop a run.
+    Stop(RunId),
+}
+
+/// What became of a start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StartResult {
+    /// The worker answered.
+    Answered(StartOutcome),
+    /// Nothing is known; the start is to be tried again.
+    Unknown,
+}
+
+/// How far a run's start or stop is.
+#[derive(Clone, Debug)]
+enum Pending {
+    /// The worker has not answered the start; whether a try may have been carried out unseen.
+    Asked { order: Box<StartOrder>, doubtful: bool },
+    /// The worker has not answered the stop.
+    Stopping,
+    /// The worker has answered; the first list asked for after that number shows what is there.
+    Settled(u64),
+}
+
+#[derive(Clone, Debug)]
+struct Session {
+    number: u64,
+    orders_seen: u64,
+    fenced: bool,
+    pending: BTreeMap<RunId, Pending>,
+    refused: Vec<(RunId, StartOutcome)>,
+    report: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Life {
+    heartbeat: Heartbeat,
+    left: bool,
+    unreachable: bool,
+    /// The newest look at the worker's clock.
+    clock_ms: Option<u64>,
+    lease_until_ms: Option<u64>,
+    running: Vec<RunningTask>,
+    ends: Vec<End>,
+    confirmed: u64,
+    lists_asked: u64,
+    lists_seen: u64,
+    session: Option<Session>,
+}
+
+/// The agent's table.
+#[derive(Debug)]
+pub struct AgentTable {
+    lease: Duration,
+    life: Option<Life>,
+    departed: Vec<Report>,
+    lane: u32,
+}
+
+/// Refused starts that are kept for the report; the planner needs only the newest.
+const MOST_REFUSED: usize = 64;
+
+impl AgentTable {
+    /// Returns the table of an agent that has heard of no worker. Leases last `lease` at most.
+    pub fn new(lease: Duration) -> Self {
+        Self {
+            lease,
+            life: None,
+            departed: Vec::new(),
+            lane: 0,
+        }
+    }
+
+    /// Sets the partition in which orders for the worker come.
+    pub fn set_lane(&mut self, lane: u32) {
+        self.lane = lane;
+    }
+
+    /// Takes a heartbeat; returns whether anything that the planner should know has changed.
+    ///
+    /// A heartbeat that was held up by the network may come after a new life of the worker has
+    /// begun at the same address; it is older by its birth or its number and changes nothing.
+    pub fn heartbeat(&mut self, heartbeat: Heartbeat) -> bool {
+        if let Some(life) = &mut self.life {
+            let known = &life.heartbeat;
+            if heartbeat.born_ms < known.born_ms {
+                return false;
+            }
+            if heartbeat.worker == known.worker && heartbeat.born_ms == known.born_ms {
+                if heartbeat.sequence <= known.sequence {
+                    return false;
+                }
+                let mut same = known.clone();
+                same.sequence = heartbeat.sequence;
+                let changed = same != heartbeat;
+                life.heartbeat = heartbeat;
+                return changed;
+            }
+        }
+        self.begin_life(heartbeat);
+        true
+    }
+
+    fn begin_life(&mut self, heartbeat: Heartbeat) {
+        let old = self.life.take();
+        let replaced = old.filter(|l| l.heartbeat.worker != heartbeat.worker);
+        if let Some(mut report) = replaced.and_then(|mut l| l.report(self.lane)) {
+            // Another worker answers at this machine now, so nothing of the old one runs.
+            report.closed = true;
+            report.running.clear();
+            report.starting.clear();
+            self.departed.push(report);
+        }
+        self.life = Some(Life {
+            heartbeat,
+            left: false,
+            unreachable: false,
+            clock_ms: None,
+            lease_until_ms: None,
+            running: Vec::new(),
+            ends: Vec::new(),
+            confirmed: 0,
+            lists_asked: 0,
+            lists_seen: 0,
+            session: None,
+        });
+    }
+
+    /// Takes note that the worker ends now.
+    pub fn leave(&mut self, worker: &str) -> bool {
+        let life = self.life.as_mut().filter(|l| &*l.heartbeat.worker == worker);
+        life.is_some_and(|l| !std::mem::replace(&mut l.left, true))
+    }
+
+    /// Returns the worker and the start of its life.
+    pub fn worker(&self) -> Option<(Name, u64)> {
+        let life = self.life.as_ref()?;
+        Some((life.heartbeat.worker.clone(), life.heartbeat.born_ms))
+    }
+
+    /// Returns the number of the session, where one is open.
+    pub fn session(&self) -> Option<u64> {
+        Some(self.life.as_ref()?.session.as_ref()?.number)
+    }
+
+    /// Begins a session with the number that the store gave.
+    pub fn begin_session(&mut self, worker: &str, born_ms: u64, number: u64) -> bool {
+        let life = self.life.as_mut().filter(|l| {
+            &*l.heartbeat.worker == worker && l.heartbeat.born_ms == born_ms
+        });
+        let Some(life) = life else {
+            return false;
+        };
+        life.lease_until_ms = None;
+        // The first lists of the new session set its fencing token at the worker.
+        life.lists_seen = 0;
+        life.session = Some(Session {
+            number,
+            orders_seen: number + 1,
+            fenced: false,
+            pending: BTreeMap::new(),
+            refused: Vec::new(),
+            report: 0,
+        });
+        true
+    }
+
+    /// Returns the newest look at the worker's clock: to be taken before a read of orders is sent.
+    pub fn clock_ms(&self) -> Option<u64> {
+        self.life.as_ref()?.clock_ms
+    }
+
+    /// Takes the orders up to `end`. `looked_ms` is the worker's clock as it was looked at before
+    /// the read was sent.
+    pub fn orders(&mut self, looked_ms: Option<u64>, orders: Vec<Order>, end: u64) -> Vec<AgentAction> {
+        let lease = u64::try_from(self.lease.as_millis()).unwrap_or(u64::MAX);
+        let Some(life) = &mut self.life else {
+            return Vec::new();
+        };
+        let fence = orders.iter().any(|o| o.fence);
+        let Some(session) = &mut life.session else {
+            return Vec::new();
+        };
+        session.orders_seen = session.orders_seen.max(end);
+        session.fenced |= fence;
+        if let (Some(looked), false) = (looked_ms, session.fenced) {
+            life.lease_until_ms = life.lease_until_ms.max(Some(looked + lease));
+        }
+        let mut actions = Vec::new();
+        for order in orders {
+            life.confirmed = life.confirmed.max(order.confirmed);
+            actions.extend(life.order(order));
+        }
+        if fence {
+            actions.extend(life.stop_all());
+        }
+        let confirmed = life.confirmed;
+        life.ends.retain(|e| e.number > confirmed);
+        actions
+    }
+
+    /// Takes note that orders may have been missed: what the session runs may run elsewhere soon.
+    pub fn orders_lost(&mut self) -> Vec<AgentAction> {
+        let Some(life) = &mut self.life else {
+            return Vec::new();
+        };
+        if let Some(session) = &mut life.session {
+            session.fenced = true;
+        }
+        life.stop_all()
+    }
+
+    /// Takes the answer to a start; returns whether the planner should hear of it at once.
+    pub fn start_result(&mut self, run: &RunId, token: u64, result: StartResult) -> bool {
+        let Some(life) = self.in_session(token) else {
+            return false;
+        };
+        let lists_asked = life.lists_asked;
+        let Some(session) = &mut life.session else {
+            return false;
+        };
+        let Some(Pending::Asked { doubtful, .. }) = session.pending.get_mut(run) else {
+            return false;
+        };
+        let StartResult::Answered(outcome) = result else {
+            *doubtful = true;
+            return false;
+        };
+        let doubtful = *doubtful;
+        if outcome == StartOutcome::Started {
+            session.pending.insert(run.clone(), Pending::Settled(lists_asked));
+            return false;
+        }
+        if doubtful {
+            // An earlier try may have begun the run, or may be carried out yet. Taken for refused,
+            // it would be started elsewhere and run twice; a stop settles it.
+            session.pending.insert(run.clone(), Pending::Stopping);
+            return false;
+        }
+        session.pending.remove(run);
+        session.refused.push((run.clone(), outcome));
+        let excess = session.refused.len().saturating_sub(MOST_REFUSED);
+        session.refused.drain(..excess);
+        true
+    }
+
+    /// Takes the answer to a stop.
+    pub fn stop_result(&mut self, run: &RunId, token: u64, result: &Result<(), CallError>) {
+        let Some(life) = self.in_session(token) else {
+            return;
+        };
+        let lists_asked = life.lists_asked;
+        if let (Some(session), Ok(())) = (&mut life.session, result) {
+            session.pending.insert(run.clone(), Pending::Settled(lists_asked));
+        }
+    }
+
+    /// Returns what is still to be done at the worker: starts and stops without an answer.
+    pub fn unanswered(&self) -> Vec<AgentAction> {
+        let session = self.life.as_ref().and_then(|l| l.session.as_ref());
+        let pending = session.into_iter().flat_map(|s| &s.pending);
+        let open = pending.filter_map(|(run, pending)| match pending {
+            Pending::Asked { order, .. } => Some(AgentAction::Start((**order).clone())),
+            Pending::Stopping => Some(AgentAction::Stop(run.clone())),
+            Pending::Settled(_) => None,
+        });
+        open.collect()
+    }
+
+    /// Returns the number of a call that asks for the lists, and what that call is to say: the
+    /// fencing token, the confirmed ends and the lease. `None` where there is no session.
+    pub fn ask_lists(&mut self) -> Option<(u64, u64, u64, Option<u64>)> {
+        let life = self.life.as_mut()?;
+        let session = life.session.as_ref()?;
+        life.lists_asked += 1;
+        let lease = life.lease_until_ms.filter(|_| !session.fenced);
+        Some((life.lists_asked, session.number, life.confirmed, lease))
+    }
+
+    /// Takes the worker's lists, as the answer to call `asked` of session `token`; returns whether
+    /// the planner should hear of it at once.
+    pub fn lists(&mut self, asked: u64, token: u64, lists: WorkerLists) -> bool {
+        let Some(life) = self.in_session(token) else {
+            return false;
+        };
+        let other_life = lists.born_ms.is_some_and(|b| b != life.heartbeat.born_ms);
+        // Answers on two connections may overtake each other.
+        if other_life || asked < life.lists_seen {
+            return false;
+        }
+        life.lists_seen = asked;
+        life.clock_ms = life.clock_ms.max(Some(lists.clock_ms));
+        let Some(session) = &mut life.session else {
+            return false;
+        };
+        session.pending.retain(|run, pending| match pending {
+            Pending::Settled(after) => *after >= asked,
+            Pending::Asked { .. } => !lists.running.iter().any(|r| r.run == *run),
+            Pending::Stopping => true,
+        });
+        let confirmed = life.confirmed;
+        let ends: Vec<End> = lists.ends.into_iter().filter(|e| e.number > confirmed).collect();
+        let last = |ends: &[End]| ends.iter().map(|e| e.number).max().unwrap_or(0);
+        let urgent = last(&ends) > last(&life.ends) || std::mem::take(&mut life.unreachable);
+        life.ends = ends;
+        life.running = lists.running;
+        urgent
+    }
+
+    /// Takes note that the worker does not answer, or does again; returns whether that is new.
+    pub fn unreachable(&mut self) -> bool {
+        let life = self.life.as_mut();
+        life.is_some_and(|l| !std::mem::replace(&mut l.unreachable, true))
+    }
+
+    /// Returns whether nothing of a fenced session is left, so that a new one may begin.
+    pub fn is_closed(&self) -> bool {
+        self.life.as_ref().is_some_and(Life::is_closed)
+    }
+
+    /// Returns runs that the worker lists though no order of this session stands for them and
+    /// that are to be stopped since the session is fenced.
+    pub fn stop_again(&mut self) -> Vec<AgentAction> {
+        let Some(life) = &mut self.life else {
+            return Vec::new();
+        };
+        let fenced = life.session.as_ref().is_some_and(|s| s.fenced);
+        if fenced { life.stop_all() } else { Vec::new() }
+    }
+
+    /// Returns whether anything runs or is about to.
+    pub fn is_busy(&self) -> bool {
+        self.life.as_ref().is_some_and(|l| {
+            let pending = l.session.as_ref().is_some_and(|s| !s.pending.is_empty());
+            pending || !l.running.is_empty() || !l.ends.is_empty()
+        })
+    }
+
+    /// Returns the next report about the worker, and about workers that it has replaced.
+    pub fn reports(&mut self) -> Vec<Report> {
+        let mut reports = std::mem::take(&mut self.departed);
+        let lane = self.lane;
+        reports.extend(self.life.as_mut().and_then(|l| l.report(lane)));
+        reports
+    }
+
+    fn in_session(&mut self, token: u64) -> Option<&mut Life> {
+        let current = |l: &&mut Life| l.session.as_ref().is_some_and(|s| s.number == token);
+        self.life.as_mut().filter(current)
+    }
+}
+
+impl Life {
+    fn order(&mut self, order: Order) -> Vec<AgentAction> {
+        let mut actions = Vec::new();
+        for run in order.stops {
+            actions.push(self.stop(run));
+        }
+        for start in order.starts {
+            actions.extend(self.start(start));
+        }
+        actions
+    }
+
+    fn start(&mut self, start: TaskStart) -> Option<AgentAction> {
+        let leaving = self.heartbeat.draining || self.left;
+        let lease = self.lease_until_ms;
+        let session = self.session.as_mut()?;
+        if leaving || session.fenced {
+            let outcome = if leaving { StartOutcome::Draining } else { StartOutcome::Fenced };
+            session.refused.push((start.run, outcome));
+            return None;
+        }
+        let order = StartOrder {
+            run: start.run.clone(),
+            payload: start.payload,
+            checkpoint: start.checkpoint,
+            lease_until_ms: lease.unwrap_or(0),
+            token: session.number,
+            ticket: None,
+        };
+        let asked = Pending::Asked {
+            order: Box::new(order.clone()),
+            doubtful: false,
+        };
+        session.pending.insert(start.run, asked);
+        Some(AgentAction::Start(order))
+    }
+
+    fn stop(&mut self, run: RunId) -> AgentAction {
+        if let Some(session) = &mut self.session {
+            session.pending.insert(run.clone(), Pending::Stopping);
+        }
+        AgentAction::Stop(run)
+    }
+
+    fn stop_all(&mut self) -> Vec<AgentAction> {
+        let listed = self.running.iter().map(|r| r.run.clone());
+        let pending = self.session.iter().flat_map(|s| &s.pending);
+        let asked = pending.filter(|(_, p)| matches!(p, Pending::Asked { .. }));
+        let runs: Vec<RunId> = listed.chain(asked.map(|(run, _)| run.clone())).collect();
+        runs.into_iter().map(|run| self.stop(run)).collect()
+    }
+
+    fn is_closed(&self) -> bool {
+        let Some(session) = &self.session else {
+            return false;
+        };
+        let gone = self.left && self.unreachable;
+        let quiet = self.running.is_empty() && session.pending.is_empty();
+        gone || (session.fenced && quiet && self.lists_seen > 0)
+    }
+
+    fn report(&mut self, lane: u32) -> Option<Report> {
+        let closed = self.is_closed();
+        // Before the first lists the report would deny runs that are there.
+        if self.lists_seen == 0 && !closed {
+            return None;
+        }
+        let session = self.session.as_mut()?;
+        session.report += 1;
+        Some(Report {
+            heartbeat: self.heartbeat.clone(),
+            session: session.number,
+            lane,
+            sequence: session.report,
+            orders_seen: session.orders_seen,
+            starting: session.pending.keys().cloned().collect(),
+            refused: session.refused.clone(),
+            running: self.running.clone(),
+            ends: self.ends.clone(),
+            closed,
+            left: self.left,
+            unreachable: self.unreachable,
+        })
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -0,0 +1,380 @@
+//! The workers as the planner knows them: from their agents' reports and its own orders.
+//!
+//! A run is over only by proof: its end is listed, its agent has carried out all orders and does
+//! not list it, a new life of the worker has begun, the agent has closed its session, or the last
+//! lease that its agent can have obtained has run out. Without one of these a task is never
+//! started again, since two runs of it could work at once.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    port::{End, EndKind, StartOutcome},
+    utils::{HashMap, Name, Timestamp},
+    workload::{Report, Resources, RunId},
+};
+
+/// What the planner knows of one run on a worker.
+#[derive(Clone, Debug)]
+pub struct WorkerRun {
+    /// What it takes up.
+    pub needs: Resources,
+    /// The offset of the order that starts it; none while that is being appended.
+    pub ordered: Option<u64>,
+    /// Whether it has been listed as running, and since when the planner knows.
+    pub running_since: Option<Timestamp>,
+    /// Whether it has been told to stop.
+    pub stopping: bool,
+    /// Its newest checkpoint.
+    pub checkpoint: String,
+    /// When the checkpoint was first seen, or the run.
+    pub saved_at: Timestamp,
+}
+
+/// How far the closing of a session is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Closing {
+    /// It is open.
+    No,
+    /// The fence is to be ordered.
+    Ordered,
+    /// The fence stands in the store since then: no later read of the agent can miss it.
+    Stands(Timestamp),
+    /// Nothing of the session runs any more.
+    Closed,
+}
+
+/// A worker.
+#[derive(Clone, Debug)]
+pub struct FleetWorker {
+    /// Its agent's newest report; none where only the plan names the worker.
+    pub report: Option<Report>,
+    /// The session that orders go to.
+    pub session: u64,
+    /// When the report came.
+    pub reported: Timestamp,
+    /// Whether the session is being closed.
+    pub closing: Closing,
+    /// What runs there, or may.
+    pub runs: BTreeMap<RunId, WorkerRun>,
+    /// The number up to which ends stand in the plan.
+    pub confirmed: u64,
+    /// Starts that failed there one after the other.
+    pub failures: u32,
+    /// Until when it is left alone for its failures.
+    pub shunned_until: Timestamp,
+}
+
+/// Why a run is over.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SessionEnd {
+    /// The worker lists its end.
+    Ended(End),
+    /// The worker refused to start it.
+    Refused(StartOutcome),
+    /// It is proved that it does not run and never will.
+    Gone,
+}
+
+/// A run that is over.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RunOver {
+    /// The run.
+    pub run: RunId,
+    /// The worker it was on.
+    pub worker: Name,
+    /// Why.
+    pub why: SessionEnd,
+    /// The newest checkpoint known of it.
+    pub checkpoint: String,
+    /// Since when it ran.
+    pub running_since: Option<Timestamp>,
+}
+
+/// All workers.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    workers: BTreeMap<Name, FleetWorker>,
+}
+
+impl FleetWorker {
+    /// Returns a worker of which only a run in the plan is known.
+    fn unknown(session: u64, now: Timestamp) -> Self {
+        Self {
+            report: None,
+            session,
+            reported: now,
+            closing: Closing::No,
+            runs: BTreeMap::new(),
+            confirmed: 0,
+            failures: 0,
+            shunned_until: Timestamp::default(),
+        }
+    }
+
+    /// Returns whether tasks may be started there, as far as its agent is concerned.
+    pub fn takes_tasks(&self) -> bool {
+        let report = self.report.as_ref();
+        let well = report.is_some_and(|r| {
+            !r.heartbeat.draining && !r.closed && !r.left && !r.unreachable
+        });
+        well && self.closing == Closing::No
+    }
+
+    /// Returns what is taken up, by all that runs or may run there.
+    pub fn used(&self) -> Resources {
+        let runs = self.runs.values();
+        runs.fold(Resources::default(), |sum, run| sum.plus(&run.needs))
+    }
+
+    /// Returns what becomes free by stops that are under way.
+    pub fn stopping(&self) -> Resources {
+        let runs = self.runs.values().filter(|r| r.stopping);
+        runs.fold(Resources::default(), |sum, run| sum.plus(&run.needs))
+    }
+}
+
+impl Fleet {
+    /// Returns all workers.
+    pub fn workers(&self) -> impl Iterator<Item = (&Name, &FleetWorker)> {
+        self.workers.iter()
+    }
+
+    /// Returns a worker.
+    pub fn get(&self, worker: &str) -> Option<&FleetWorker> {
+        self.workers.get(worker)
+    }
+
+    /// Returns a worker for a change.
+    pub fn get_mut(&mut self, worker: &str) -> Option<&mut FleetWorker> {
+        self.workers.get_mut(worker)
+    }
+
+    /// Takes over a run that the plan says was ordered, before any report has been read.
+    pub fn adopt(&mut self, now: Timestamp, worker: &Name, session: u64, run: RunId, needs: Resources) {
+        let known = self.workers.entry(worker.clone());
+        let known = known.or_insert_with(|| FleetWorker::unknown(session, now));
+        known.session = known.session.max(session);
+        let adopted = WorkerRun {
+            needs,
+            // Known once no late order of an earlier planner can come any more.
+            ordered: None,
+            running_since: None,
+            stopping: false,
+            checkpoint: String::new(),
+            saved_at: now,
+        };
+        known.runs.insert(run, adopted);
+    }
+
+    /// Takes note that orders for `worker` before offset `end` are all that earlier planners sent.
+    ///
+    /// A run that an earlier planner wrote into the plan may have been ordered up to there, or not
+    /// at all; an agent that has read so far and does not list it will never start it.
+    pub fn orders_end(&mut self, worker: &str, end: u64) {
+        if let Some(known) = self.workers.get_mut(worker) {
+            for run in known.runs.values_mut().filter(|r| r.ordered.is_none()) {
+                run.ordered = Some(end.saturating_sub(1));
+            }
+        }
+    }
+
+    /// Takes note that a run was ordered.
+    pub fn place(&mut self, now: Timestamp, worker: &str, run: RunId, needs: Resources, checkpoint: &str) {
+        if let Some(known) = self.workers.get_mut(worker) {
+            let placed = WorkerRun {
+                needs,
+                ordered: None,
+                running_since: None,
+                stopping: false,
+                checkpoint: checkpoint.to_owned(),
+                saved_at: now,
+            };
+            known.runs.insert(run, placed);
+        }
+    }
+
+    /// Takes an agent's report; returns the runs that are over by it, and runs that are there
+    /// though nobody ordered them in this session.
+    ///
+    /// `needs_of` tells what a run takes up that the plan does not have on this worker.
+    pub fn report(
+        &mut self,
+        now: Timestamp,
+        report: Report,
+        needs_of: impl Fn(&RunId) -> Resources,
+    ) -> Vec<RunOver> {
+        let name = report.heartbeat.worker.clone();
+        let worker = self.workers.entry(name.clone());
+        let worker = worker.or_insert_with(|| FleetWorker::unknown(report.session, now));
+        let known = worker.report.as_ref();
+        let known = known.map_or((worker.session, 0), |r| (r.session, r.sequence));
+        // Late and repeated reports say what was, and must not bring back a run that is over.
+        if (report.session, report.sequence) < known {
+            return Vec::new();
+        }
+        worker.reported = now;
+        if report.session > worker.session || worker.report.is_none() {
+            worker.session = report.session;
+            worker.closing = Closing::No;
+            let same_life = worker.report.as_ref().is_some_and(|r| {
+                r.heartbeat.born_ms == report.heartbeat.born_ms
+            });
+            if !same_life {
+                worker.confirmed = 0;
+                worker.failures = 0;
+            }
+            log::info!(
+                worker:% = name, session = report.session, same_life,
+                running = report.running.len(), ends = report.ends.len();
+                "worker_session"
+            );
+        }
+        let mut over = worker.take_ends(&name, &report);
+        worker.take_running(now, &report, needs_of);
+        over.extend(worker.take_gone(&name, &report));
+        if report.closed {
+            worker.closing = Closing::Closed;
+            over.extend(worker.all_gone(&name));
+        }
+        worker.report = Some(report);
+        over
+    }
+
+    /// Returns the runs of sessions whose fence stands for longer than `lease`, or that the plan
+    /// names on workers that never reported: their leases have run out.
+    pub fn expire(&mut self, now: Timestamp, lease: std::time::Duration) -> Vec<RunOver> {
+        let mut over = Vec::new();
+        for (name, worker) in &mut self.workers {
+            let Closing::Stands(since) = worker.closing else {
+                continue;
+            };
+            if now.since(since) >= lease {
+                worker.closing = Closing::Closed;
+                log::warn!(
+                    worker:% = name, session = worker.session, runs = worker.runs.len(),
+                    fenced_ms:? = now.since(since);
+                    "worker_lease_over"
+                );
+                over.extend(worker.all_gone(name));
+            }
+        }
+        over
+    }
+
+    /// Drops workers that are gone and of which nothing is left.
+    pub fn forget(&mut self, now: Timestamp, after: std::time::Duration) -> Vec<Name> {
+        let gone = self.workers.iter().filter(|(_, w)| {
+            w.closing == Closing::Closed && w.runs.is_empty() && now.since(w.reported) > after
+        });
+        let gone: Vec<Name> = gone.map(|(name, _)| name.clone()).collect();
+        for name in &gone {
+            self.workers.remove(name);
+        }
+        gone
+    }
+
+    /// Counts the tasks of a step on each worker.
+    pub fn count_step(&self, job: &str, occurrence: u32, step: u32) -> HashMap<Name, u32> {
+        let mut counts = HashMap::default();
+        for (name, worker) in &self.workers {
+            let of_step = worker.runs.keys().filter(|r| {
+                &*r.task.job == job && r.task.occurrence == occurrence && r.task.step == step
+            });
+            let count = u32::try_from(of_step.count()).unwrap_or(u32::MAX);
+            if count > 0 {
+                counts.insert(name.clone(), count);
+            }
+        }
+        counts
+    }
+}
+
+impl FleetWorker {
+    fn take_ends(&mut self, name: &Name, report: &Report) -> Vec<RunOver> {
+        let mut over = Vec::new();
+        for end in report.ends.iter().filter(|e| e.number > self.confirmed) {
+            let run = self.runs.remove(&end.run);
+            over.push(RunOver {
+                run: end.run.clone(),
+                worker: name.clone(),
+                checkpoint: if end.checkpoint.is_empty() {
+                    run.as_ref().map(|r| r.checkpoint.clone()).unwrap_or_default()
+                } else {
+                    end.checkpoint.clone()
+                },
+                running_since: run.and_then(|r| r.running_since),
+                why: SessionEnd::Ended(end.clone()),
+            });
+            match end.kind {
+                EndKind::Failed => self.failures += 1,
+                EndKind::Done => self.failures = 0,
+                _ => {}
+            }
+        }
+        let last = report.ends.iter().map(|e| e.number).max().unwrap_or(0);
+        self.confirmed = self.confirmed.max(last);
+        over
+    }
+
+    fn take_running(
+        &mut self,
+        now: Timestamp,
+        report: &Report,
+        needs_of: impl Fn(&RunId) -> Resources,
+    ) {
+        for listed in &report.running {
+            let run = self.runs.entry(listed.run.clone()).or_insert_with(|| {
+                log::warn!(worker:% = report.heartbeat.worker, run:% = listed.run; "run_not_ordered");
+                WorkerRun {
+                    needs: needs_of(&listed.run),
+                    ordered: Some(0),
+                    running_since: None,
+                    stopping: false,
+                    checkpoint: String::new(),
+                    saved_at: now,
+                }
+            });
+            run.running_since.get_or_insert(now);
+            if !listed.checkpoint.is_empty() && listed.checkpoint != run.checkpoint {
+                run.checkpoint.clone_from(&listed.checkpoint);
+                run.saved_at = now;
+            }
+        }
+    }
+
+    /// Takes out the runs that the agent no longer lists though it has carried out their orders.
+    fn take_gone(&mut self, name: &Name, report: &Report) -> Vec<RunOver> {
+        let listed = |run: &RunId| {
+            report.running.iter().any(|r| r.run == *run) || report.starting.contains(run)
+        };
+        let gone: Vec<RunId> = self.runs.iter().filter(|(run, state)| {
+            let seen = state.ordered.is_some_and(|offset| offset < report.orders_seen);
+            seen && !listed(run)
+        }).map(|(run, _)| run.clone()).collect();
+        let why = |run: &RunId| {
+            let refusal = report.refused.iter().find(|(r, _)| r == run);
+            refusal.map_or(SessionEnd::Gone, |(_, why)| SessionEnd::Refused(*why))
+        };
+        gone.into_iter().filter_map(|run| {
+            let why = why(&run);
+            self.remove(name, run, why)
+        }).collect()
+    }
+
+    fn all_gone(&mut self, name: &Name) -> Vec<RunOver> {
+        let runs: Vec<RunId> = self.runs.keys().cloned().collect();
+        let gone = runs.into_iter();
+        gone.filter_map(|run| self.remove(name, run, SessionEnd::Gone)).collect()
+    }
+
+    fn remove(&mut self, name: &Name, run: RunId, why: SessionEnd) -> Option<RunOver> {
+        let state = self.runs.remove(&run)?;
+        Some(RunOver {
+            run,
+            worker: name.clone(),
+            why,
+            checkpoint: state.checkpoint,
+            running_since: state.running_since,
+        })
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/workload/message.rs
@@ -0,0 +1,121 @@
+//! What the planner tells agents and agents tell the planner, over the store.
+
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    port::{End, Heartbeat, RunningTask, StartOutcome},
+    utils::Name,
+    workload::RunId,
+};
+
+/// A run that an agent is to start.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct TaskStart {
+    /// Which run of which task.
+    #[serde(rename = "r")]
+    pub run: RunId,
+    /// What the caller handed in.
+    #[serde(rename = "p")]
+    pub payload: Arc<str>,
+    /// Where the task goes on; empty for the beginning.
+    #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
+    pub checkpoint: String,
+}
+
+/// An order to one agent.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Order {
+    /// Runs to stop.
+    #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
+    pub stops: Vec<RunId>,
+    /// Runs to start.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub starts: Vec<TaskStart>,
+    /// Ends up to this number stand in the plan and may be confirmed to the worker.
+    #[serde(rename = "n", default, skip_serializing_if = "is_zero")]
+    pub confirmed: u64,
+    /// Whether the agent must stop all, extend no lease any more and begin a new session: its
+    /// tasks may be started elsewhere.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
+    pub fence: bool,
+}
+
+impl Order {
+    /// Returns whether there is nothing to do.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// A record of an orders' partition, which several agents may share.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum OrderMessage {
+    /// An agent begins a session. Its offset is the session's number: it rises over all processes
+    /// and lives, so it is the fencing token of the agent's calls to its worker too.
+    Session {
+        /// The worker.
+        worker: Name,
+    },
+    /// An order for one session of a worker's agent.
+    Order {
+        /// The worker.
+        worker: Name,
+        /// The session.
+        session: u64,
+        /// The order.
+        order: Order,
+    },
+}
+
+/// What an agent says of its worker: everything, each time, so that the newest report is enough.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// The worker's newest heartbeat.
+    #[serde(rename = "h")]
+    pub heartbeat: Heartbeat,
+    /// The number of the agent's session.
+    #[serde(rename = "s")]
+    pub session: u64,
+    /// The orders' partition that the agent reads.
+    #[serde(rename = "l")]
+    pub lane: u32,
+    /// Rises with each report of a session.
+    #[serde(rename = "q")]
+    pub sequence: u64,
+    /// All orders before this offset are carried out, or stand in `starting`.
+    #[serde(rename = "o")]
+    pub orders_seen: u64,
+    /// Runs whose start has had no answer yet.
+    #[serde(rename = "g", default, skip_serializing_if = "Vec::is_empty")]
+    pub starting: Vec<RunId>,
+    /// Starts that the worker refused, or the agent, and why.
+    #[serde(rename = "f", default, skip_serializing_if = "Vec::is_empty")]
+    pub refused: Vec<(RunId, StartOutcome)>,
+    /// What runs.
+    #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
+    pub running: Vec<RunningTask>,
+    /// Ends that have not been confirmed.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ends: Vec<End>,
+    /// Whether the session has ended by a fence, and nothing of it runs any more.
+    #[serde(rename = "z", default, skip_serializing_if = "is_false")]
+    pub closed: bool,
+    /// Whether the worker has said that it ends now.
+    #[serde(rename = "b", default, skip_serializing_if = "is_false")]
+    pub left: bool,
+    /// Whether the worker answers its agent.
+    #[serde(rename = "u", default, skip_serializing_if = "is_false")]
+    pub unreachable: bool,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
--- /dev/null
+++ b/dragonflyrun/src/workload/mod.rs
@@ -0,0 +1,30 @@
+//! Jobs of steps and tasks: what they ask for, how far they are, and where their tasks run.
+//!
+//! Everything here is a table that takes the time and an event and returns typed decisions. No
+//! table holds a socket, a thread or a clock. State points to nothing that decides on it: the
+//! modules read from `job` over `plan` and `fleet` to `schedule` and `planner`.
+//! `docs/SYSTEM.md` tells the design.
+
+mod agent_table;
+mod book;
+mod fleet;
+mod job;
+mod message;
+mod plan;
+mod planner;
+mod record;
+mod schedule;
+mod task;
+mod term;
+
+pub use agent_table::{AgentAction, AgentTable, StartResult};
+pub use book::{Book, LookUp};
+pub use fleet::{Closing, Fleet, FleetWorker, RunOver, SessionEnd, WorkerRun};
+pub use job::{Job, JobRequest, Occurrences, Resources, Step};
+pub use message::{Order, OrderMessage, Report, TaskStart};
+pub use plan::{JobPlan, Outcome, Place, TaskPlan};
+pub use planner::{Decisions, Planner, PlannerBounds, View, WorkerOrder};
+pub use record::{JobRecord, Term, decode, encode};
+pub use schedule::{Demand, Room};
+pub use task::{RunId, TaskId};
+pub use term::{Election, TermStep};
--- /dev/null
+++ b/dragonflyrun/src/workload/planner.rs
@@ -0,0 +1,791 @@
+//! The planner: which tasks run where.
+//!
+//! The table is fed jobs, reports and what operators have in force, and is asked now and then what
+//! to do. Whatever it decides stands in the plan before it is ordered, so a successor knows every
+//! run that may exist.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use crate::{
+    port::{Configuration, EndKind, StartOutcome, StoreRecord},
+    utils::{HashMap, HashSet, Name, Timestamp},
+    workload::{
+        Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Outcome, Place,
+        Report, Resources, Room, RunId, RunOver, SessionEnd, Step, TaskId, TaskPlan, TaskStart,
+        schedule::{self, Horizon, Victim},
+    },
+};
+
+/// A worker that has failed so many runs in a row, of whatever jobs, is left alone for a while.
+const SHUN_AFTER: u32 = 2;
+
+/// How long it is left alone.
+const SHUN_FOR: Duration = Duration::from_secs(6);
+
+/// Bounds that the planner keeps; all come from the deployment's settings.
+#[derive(Clone, Debug)]
+pub struct PlannerBounds {
+    /// Silence of an agent after which its session is closed.
+    pub silence: Duration,
+    /// Time from the fence in the store to the end of the last lease, by the slowest clock.
+    pub lease_over: Duration,
+    /// Time for which an ended job's state is kept.
+    pub keep_ended: Duration,
+    /// How many times longer a task takes away from its data or its gang.
+    pub far_factor: f64,
+}
+
+/// What the planner sees of the world beside jobs and reports.
+#[derive(Clone, Copy, Debug)]
+pub struct View<'a> {
+    /// The time on the planner's own clock.
+    pub now: Timestamp,
+    /// Unix milliseconds.
+    pub unix_ms: u64,
+    /// The configuration in force.
+    pub configuration: &'a Configuration,
+    /// Failure domains that are out of service.
+    pub evacuated: &'a HashSet<Name>,
+    /// Whether the configuration is proved to be in force: without that nothing is started.
+    pub is_fresh: bool,
+    /// Since when reports have been read without a break.
+    pub reports_since: Timestamp,
+}
+
+/// An order for one worker's agent.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkerOrder {
+    /// The worker.
+    pub worker: Name,
+    /// The session that it is for.
+    pub session: u64,
+    /// The order.
+    pub order: Order,
+}
+
+/// What the planner has decided.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decisions {
+    /// Records that have to stand in the plan first.
+    pub plans: Vec<StoreRecord>,
+    /// Orders to send after that.
+    pub orders: Vec<WorkerOrder>,
+    /// Workers that are gone and whose reports may be dropped.
+    pub forgotten: Vec<Name>,
+}
+
+#[derive(Clone, Debug)]
+struct LiveJob {
+    job: Box<Job>,
+    cancelled: bool,
+    plan: JobPlan,
+    /// Workers on which runs of it failed.
+    failed_on: Vec<Name>,
+}
+
+/// The planner's table.
+pub struct Planner {
+    bounds: PlannerBounds,
+    jobs: BTreeMap<Name, LiveJob>,
+    fleet: Fleet,
+    changed: HashSet<Name>,
+    orders: BTreeMap<Name, Order>,
+    run_times: RunTimes,
+}
+
+/// Learned run times: the mean of what tasks of a queue took.
+#[derive(Clone, Debug, Default)]
+struct RunTimes {
+    means: HashMap<Name, (u32, f64)>,
+}
+
+/// Tasks of a queue after which the learned mean replaces callers' guesses.
+const LEARNED_AFTER: u32 = 4;
+
+/// Weight of the newest run in the learned mean.
+const LEARNED_WEIGHT: f64 = 0.2;
+
+impl RunTimes {
+    fn learn(&mut self, queue: &Name, ms: f64) {
+        let (count, mean) = self.means.entry(queue.clone()).or_insert((0, ms));
+        *count += 1;
+        *mean += (ms - *mean) * LEARNED_WEIGHT.max(1.0 / f64::from(*count));
+    }
+
+    fn estimate_ms(&self, queue: &Name, step: &Step) -> u64 {
+        match self.means.get(queue) {
+            Some((count, mean)) if *count >= LEARNED_AFTER => *mean as u64,
+            _ => step.estimate_ms,
+        }
+    }
+}
+
+impl Planner {
+    /// Returns a planner that takes over all jobs of `book`.
+    pub fn take_over(bounds: PlannerBounds, book: &Book, now: Timestamp) -> Self {
+        let mut planner = Self {
+            bounds,
+            jobs: BTreeMap::new(),
+            fleet: Fleet::default(),
+            changed: HashSet::default(),
+            orders: BTreeMap::new(),
+            run_times: RunTimes::default(),
+        };
+        for (name, entry) in book.jobs() {
+            if let Some(job) = &entry.job {
+                planner.adopt(now, name, job.clone(), entry.cancelled, entry.plan.clone());
+            }
+        }
+        planner
+    }
+
+    fn adopt(&mut self, now: Timestamp, name: &Name, job: Box<Job>, cancelled: bool, plan: JobPlan) {
+        for occurrence in 0..job.request.repeats() {
+            for (step, shape) in (0_u32..).zip(&job.request.steps) {
+                for (index, number) in (0_u32..).zip(job.numbers(occurrence, step)) {
+                    let Some(TaskPlan { run, place: Some(place), .. }) = plan.tasks.get(&number) else {
+                        continue;
+                    };
+                    let task = TaskId { job: name.clone(), occurrence, step, index };
+                    let run = RunId { task, number: *run };
+                    self.fleet.adopt(now, &place.worker, place.session, run, shape.needs);
+                }
+            }
+        }
+        let live = LiveJob { job, cancelled, plan, failed_on: Vec::new() };
+        self.jobs.insert(name.clone(), live);
+    }
+
+    /// Takes a record of the jobs' topic that another process wrote.
+    pub fn job_record(&mut self, record: &JobRecord) {
+        match record {
+            JobRecord::Accepted(job) if !self.jobs.contains_key(&job.name) => {
+                let live = LiveJob {
+                    job: job.clone(),
+                    cancelled: false,
+                    plan: JobPlan::default(),
+                    failed_on: Vec::new(),
+                };
+                self.jobs.insert(job.name.clone(), live);
+            }
+            JobRecord::Cancelled(name) => {
+                if let Some(live) = self.jobs.get_mut(name) {
+                    live.cancelled = true;
+                }
+            }
+            // Plans are the planner's own; its table is ahead of what the store echoes.
+            JobRecord::Accepted(_) | JobRecord::Plan(..) | JobRecord::Planner(_) => {}
+        }
+    }
+
+    /// Takes an agent's report.
+    pub fn report(&mut self, now: Timestamp, report: Report) {
+        let jobs = &self.jobs;
+        let worker = report.heartbeat.worker.clone();
+        let needs_of = |run: &RunId| {
+            let live = jobs.get(&run.task.job);
+            let step = live.and_then(|l| l.job.request.steps.get(run.task.step as usize));
+            step.map(|s| s.needs).unwrap_or_default()
+        };
+        let confirmed_before = self.fleet.get(&worker).map_or(0, |w| w.confirmed);
+        let ends = report.ends.len();
+        let over = self.fleet.report(now, report, needs_of);
+        for run in over {
+            self.run_over(now, run);
+        }
+        if let Some(known) = self.fleet.get_mut(&worker) {
+            if known.failures >= SHUN_AFTER && known.shunned_until <= now {
+                known.shunned_until = now + SHUN_FOR;
+                known.failures = SHUN_AFTER - 1;
+                log::warn!(worker:% = worker, for_ms:? = SHUN_FOR; "worker_set_aside");
+            }
+            let confirmed = known.confirmed;
+            if ends > 0 && confirmed >= confirmed_before {
+                self.orders.entry(worker).or_default().confirmed = confirmed;
+            }
+        }
+    }
+
+    /// Takes note of the offset at which an order stands in the store.
+    pub fn ordered(&mut self, now: Timestamp, order: &WorkerOrder, offset: u64) {
+        let Some(worker) = self.fleet.get_mut(&order.worker) else {
+            return;
+        };
+        for start in &order.order.starts {
+            if let Some(run) = worker.runs.get_mut(&start.run) {
+                run.ordered = Some(offset);
+            }
+        }
+        if order.order.fence && worker.session == order.session && worker.closing == Closing::Ordered {
+            worker.closing = Closing::Stands(now);
+        }
+    }
+
+    /// Takes note that earlier planners can send no order for `worker` from offset `end` on.
+    pub fn orders_end(&mut self, worker: &str, end: u64) {
+        self.fleet.orders_end(worker, end);
+    }
+
+    /// Returns the workers as the planner knows them.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Decides what to do.
+    pub fn decide(&mut self, view: &View<'_>) -> Decisions {
+        for run in self.fleet.expire(view.now, self.bounds.lease_over) {
+            self.run_over(view.now, run);
+        }
+        self.fence_silent(view);
+        self.settle_jobs(view);
+        if view.is_fresh {
+            self.start_tasks(view);
+        }
+        self.collect(view)
+    }
+
+    fn collect(&mut self, view: &View<'_>) -> Decisions {
+        let mut decisions = Decisions::default();
+        let changed = std::mem::take(&mut self.changed);
+        for name in changed {
+            if let Some(live) = self.jobs.get_mut(&name) {
+                live.plan.revision += 1;
+                let record = JobRecord::Plan(name, Some(Box::new(live.plan.clone())));
+                decisions.plans.push(record.encode());
+            }
+        }
+        decisions.plans.extend(self.forget_jobs(view));
+        for (worker, order) in std::mem::take(&mut self.orders) {
+            let known = self.fleet.get(&worker);
+            let Some(session) = known.map(|w| w.session) else {
+                continue;
+            };
+            if !order.is_empty() {
+                decisions.orders.push(WorkerOrder { worker, session, order });
+            }
+        }
+        decisions.forgotten = self.fleet.forget(view.now, self.bounds.keep_ended);
+        decisions
+    }
+
+    fn forget_jobs(&mut self, view: &View<'_>) -> Vec<StoreRecord> {
+        let keep_ms = u64::try_from(self.bounds.keep_ended.as_millis()).unwrap_or(u64::MAX);
+        let old = self.jobs.iter().filter(|(_, l)| {
+            l.plan.outcome.is_some()
+                && !l.plan.has_runs()
+                && l.plan.ended_ms.saturating_add(keep_ms) < view.unix_ms
+        });
+        let old: Vec<Name> = old.map(|(name, _)| name.clone()).collect();
+        let mut records = Vec::new();
+        for name in old {
+            self.jobs.remove(&name);
+            log::debug!(job:% = name; "job_forgotten");
+            records.extend(JobRecord::forget(&name));
+        }
+        records
+    }
+
+    fn fence_silent(&mut self, view: &View<'_>) {
+        let silence = self.bounds.silence;
+        let silent = self.fleet.workers().filter(|(_, w)| {
+            let heard = w.reported.max(view.reports_since);
+            let open = w.closing == Closing::No;
+            open && view.now.since(heard) > silence
+        });
+        let silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
+        for name in silent {
+            if let Some(worker) = self.fleet.get_mut(&name) {
+                worker.closing = Closing::Ordered;
+                log::warn!(
+                    worker:% = name, session = worker.session, runs = worker.runs.len(),
+                    silent_ms = view.now.since(worker.reported).as_millis() as u64;
+                    "worker_silent"
+                );
+                self.orders.entry(name).or_default().fence = true;
+            }
+        }
+    }
+
+    /// Takes note that a run is over.
+    fn run_over(&mut self, now: Timestamp, over: RunOver) {
+        let RunOver { run, worker, why, checkpoint, running_since } = over;
+        let Some(live) = self.jobs.get_mut(&run.task.job) else {
+            log::warn!(run:% = run, worker:% = worker, why:? = why; "run_over_of_unknown_job");
+            return;
+        };
+        let Some(number) = live.job.number(&run.task) else {
+            log::warn!(run:% = run, worker:% = worker, why:? = why; "run_over_of_unknown_task");
+            return;
+        };
+        log::info!(
+            job:% = run.task.job, run:% = run, worker:% = worker, why:? = kind_name(&why),
+            ran_ms = running_since.map_or(0, |s| now.since(s).as_millis() as u64);
+            "run_over"
+        );
+        self.changed.insert(run.task.job.clone());
+        let step = run.task.step;
+        let shape = &live.job.request.steps[step as usize];
+        let numbers = live.job.numbers(run.task.occurrence, step);
+        let leader = if shape.gang { numbers.start } else { number };
+        let task = live.plan.tasks.entry(number).or_default();
+        let current = task.run == run.number;
+        let here = task.place.as_ref().is_some_and(|p| p.worker == worker);
+        if current && here {
+            task.place = None;
+        }
+        if current && !checkpoint.is_empty() {
+            task.checkpoint.clone_from(&checkpoint);
+            if shape.gang {
+                for member in numbers.clone() {
+                    live.plan.tasks.entry(member).or_default().checkpoint.clone_from(&checkpoint);
+                }
+            }
+        }
+        let SessionEnd::Ended(end) = why else {
+            if matches!(why, SessionEnd::Refused(StartOutcome::Unhealthy)) {
+                live.failed_on.push(worker);
+            }
+            return;
+        };
+        match end.kind {
+            EndKind::Done if shape.lasting => {}
+            EndKind::Done => {
+                let done = if shape.gang { numbers } else { number..number + 1 };
+                for member in done {
+                    live.plan.tasks.entry(member).or_default().done = true;
+                }
+                let whole = task_is_whole(&checkpoint, run.number);
+                if let (Some(since), true) = (running_since, whole) {
+                    let ms = now.since(since).as_millis() as f64;
+                    let queue = live.job.queue.clone();
+                    self.run_times.learn(&queue, ms);
+                }
+            }
+            EndKind::Failed => {
+                let counted = live.plan.tasks.entry(leader).or_default();
+                if counted.failed_run < run.number {
+                    counted.failed_run = run.number;
+                    counted.failed += 1;
+                }
+                live.failed_on.push(worker);
+            }
+            EndKind::Stopped
+            | EndKind::LeaseExpired
+            | EndKind::GangBroken
+            | EndKind::GangIncomplete
+            | EndKind::Other => {}
+        }
+    }
+
+    /// Ends jobs that have come to their end, and stops what must not run any more.
+    fn settle_jobs(&mut self, view: &View<'_>) {
+        for (name, live) in &mut self.jobs {
+            if live.plan.outcome.is_none() {
+                let outcome = live.outcome();
+                if let Some(outcome) = outcome {
+                    live.plan.end(outcome, view.unix_ms.max(1));
+                    self.changed.insert(name.clone());
+                    log::info!(
+                        job:% = name, outcome:? = outcome,
+                        took_ms = view.unix_ms.saturating_sub(live.job.accepted_ms);
+                        "job_ended"
+                    );
+                }
+            }
+        }
+        self.stop_unwanted();
+    }
+
+    /// Orders stops of all runs that no plan wants.
+    fn stop_unwanted(&mut self) {
+        let mut stops = Vec::new();
+        for (name, worker) in self.fleet.workers() {
+            for (run, state) in &worker.runs {
+                // An order that is still on its way is stopped once it stands.
+                if !state.stopping && state.ordered.is_some() && !self.is_wanted(name, run) {
+                    stops.push((name.clone(), run.clone()));
+                }
+            }
+        }
+        for (worker, run) in stops {
+            self.stop(&worker, &run, "not_wanted");
+        }
+    }
+
+    fn stop(&mut self, worker: &Name, run: &RunId, why: &str) {
+        let known = self.fleet.get_mut(worker);
+        if let Some(state) = known.and_then(|w| w.runs.get_mut(run)) {
+            state.stopping = true;
+            self.orders.entry(worker.clone()).or_default().stops.push(run.clone());
+            log::info!(job:% = run.task.job, run:% = run, worker:% = worker, why; "run_stopped");
+        }
+    }
+
+    fn is_wanted(&self, worker: &Name, run: &RunId) -> bool {
+        let Some(live) = self.jobs.get(&run.task.job) else {
+            return false;
+        };
+        if live.plan.outcome.is_some() {
+            return false;
+        }
+        let Some(number) = live.job.number(&run.task) else {
+            return false;
+        };
+        let Some(task) = live.plan.tasks.get(&number) else {
+            return false;
+        };
+        let here = task.place.as_ref().is_some_and(|p| p.worker == *worker);
+        if !(here && task.run == run.number) {
+            return false;
+        }
+        let shape = &live.job.request.steps[run.task.step as usize];
+        if !shape.gang {
+            return !task.done;
+        }
+        // A gang of which one member is over can't come to an end any more.
+        let mut members = live.job.numbers(run.task.occurrence, run.task.step);
+        let whole = members.all(|m| {
+            let member = live.plan.tasks.get(&m);
+            member.is_some_and(|t| t.run == run.number && t.place.is_some())
+        });
+        whole || task.done
+    }
+
+    fn start_tasks(&mut self, view: &View<'_>) {
+        let mut rooms = self.rooms(view);
+        let victims = self.victims(view, &rooms);
+        let mut evicted: HashSet<usize> = HashSet::default();
+        let jobs = std::mem::take(&mut self.jobs);
+        let demands = self.demands(&jobs, view);
+        let mut starts: Vec<(Demand<'_>, Vec<usize>)> = Vec::new();
+        let mut stops: Vec<usize> = Vec::new();
+        for demand in demands {
+            let placed = self.fleet.count_step(&demand.job, demand.occurrence, demand.step);
+            let placed = with_starts(placed, &starts, &demand, &rooms);
+            if let Some(found) = schedule::place(&demand, &rooms, Horizon::Now, &placed) {
+                take(&mut rooms, &found, &demand.shape.needs);
+                starts.push((demand, found));
+                continue;
+            }
+            if !demand.may_evict {
+                continue;
+            }
+            if let Some(found) = schedule::place(&demand, &rooms, Horizon::Soon, &placed) {
+                take(&mut rooms, &found, &demand.shape.needs);
+                continue;
+            }
+            let open: Vec<Victim> = victims.iter().enumerate()
+                .filter(|(v, _)| !evicted.contains(v))
+                .map(|(_, victim)| victim.clone())
+                .collect();
+            let numbers: Vec<usize> = (0..victims.len()).filter(|v| !evicted.contains(v)).collect();
+            if let Some((taken, found)) = schedule::evict(&demand, &rooms, &open, &placed) {
+                for v in taken {
+                    evicted.insert(numbers[v]);
+                    stops.push(numbers[v]);
+                    for (i, _, needs) in &open[v].parts {
+                        rooms[*i].soon = rooms[*i].soon.plus(needs);
+                    }
+                }
+                log::info!(job:% = demand.job, step = demand.step, victims = stops.len(); "room_made");
+                take(&mut rooms, &found, &demand.shape.needs);
+            }
+        }
+        let starts: Vec<PlacedDemand> = starts.into_iter()
+            .map(|(demand, found)| PlacedDemand::new(&demand, &found, &rooms))
+            .collect();
+        self.jobs = jobs;
+        for v in stops {
+            for (i, run, _) in &victims[v].parts {
+                let worker = rooms[*i].worker.clone();
+                self.stop(&worker, run, "evicted");
+            }
+        }
+        for start in starts {
+            self.start(view, &start);
+        }
+    }
+
+    fn start(&mut self, view: &View<'_>, placed: &PlacedDemand) {
+        let Some(live) = self.jobs.get_mut(&placed.job) else {
+            return;
+        };
+        let numbers = live.job.numbers(placed.occurrence, placed.step);
+        let number_of = |index: u32| numbers.start + index;
+        let members = placed.members.iter().map(|(index, _)| number_of(*index));
+        let run = members.clone().map(|m| live.plan.task(m).run).max().unwrap_or(0) + 1;
+        // All members of a gang have to go on from the same checkpoint.
+        let checkpoint = live.plan.task(number_of(placed.members[0].0)).checkpoint;
+        live.plan.begun = true;
+        self.changed.insert(placed.job.clone());
+        for (index, worker) in &placed.members {
+            let Some(session) = self.fleet.get(worker).map(|w| w.session) else {
+                continue;
+            };
+            let task = TaskId {
+                job: placed.job.clone(),
+                occurrence: placed.occurrence,
+                step: placed.step,
+                index: *index,
+            };
+            let plan = live.plan.tasks.entry(number_of(*index)).or_default();
+            plan.run = run;
+            plan.place = Some(Place { worker: worker.clone(), session });
+            let checkpoint = if placed.gang { checkpoint.clone() } else { plan.checkpoint.clone() };
+            let run = RunId { task, number: run };
+            self.fleet.place(view.now, worker, run.clone(), placed.needs, &checkpoint);
+            log::info!(
+                job:% = placed.job, run:% = run, worker:% = worker, session,
+                waited_ms = view.unix_ms.saturating_sub(live.job.accepted_ms),
+                configuration = view.configuration.version, resumed = !checkpoint.is_empty();
+                "run_ordered"
+            );
+            let start = TaskStart { run, payload: live.job.request.payload.clone(), checkpoint };
+            self.orders.entry(worker.clone()).or_default().starts.push(start);
+        }
+    }
+
+    fn rooms(&self, view: &View<'_>) -> Vec<Room> {
+        let usable = self.fleet.workers().filter(|(_, w)| {
+            w.takes_tasks() && w.shunned_until <= view.now
+        });
+        let rooms = usable.filter_map(|(name, worker)| {
+            let heartbeat = &worker.report.as_ref()?.heartbeat;
+            if view.evacuated.contains(&heartbeat.failure_domain) {
+                return None;
+            }
+            let used = worker.used();
+            let free = heartbeat.capacity.minus(&used);
+            Some(Room {
+                worker: name.clone(),
+                service: heartbeat.service.clone(),
+                labels: heartbeat.labels.clone(),
+                rack: heartbeat.rack.clone(),
+                free,
+                soon: free.plus(&worker.stopping()),
+                capacity: heartbeat.capacity,
+                doubt: worker.failures,
+            })
+        });
+        rooms.collect()
+    }
+
+    /// Returns what may be evicted, with what that loses.
+    fn victims(&self, view: &View<'_>, rooms: &[Room]) -> Vec<Victim> {
+        let mut units: BTreeMap<(Name, u32, u32, Option<u32>), Victim> = BTreeMap::new();
+        for (i, room) in rooms.iter().enumerate() {
+            let Some(worker) = self.fleet.get(&room.worker) else {
+                continue;
+            };
+            for (run, state) in &worker.runs {
+                let Some(live) = self.jobs.get(&run.task.job) else {
+                    continue;
+                };
+                if state.stopping || state.ordered.is_none() {
+                    continue;
+                }
+                let gang = live.job.request.steps[run.task.step as usize].gang;
+                let alone = (!gang).then_some(run.task.index);
+                let key = (run.task.job.clone(), run.task.occurrence, run.task.step, alone);
+                let victim = units.entry(key).or_insert_with(|| Victim {
+                    parts: Vec::new(),
+                    priority: live.job.priority,
+                    cost: 0.0,
+                });
+                let unsaved = view.now.since(state.saved_at).as_secs_f64();
+                victim.cost += unsaved * state.needs.weight();
+                victim.parts.push((i, run.clone(), state.needs));
+            }
+        }
+        units.into_values().collect()
+    }
+
+    /// Returns what waits to be started, in the order in which it is to be served.
+    fn demands<'a>(&self, jobs: &'a BTreeMap<Name, LiveJob>, view: &View<'_>) -> Vec<Demand<'a>> {
+        let guaranteed = guaranteed_jobs(jobs, view.configuration);
+        let mut demands = Vec::new();
+        for (name, live) in jobs {
+            if live.plan.outcome.is_some() || live.cancelled {
+                continue;
+            }
+            let may_evict = guaranteed.contains(name);
+            for occurrence in 0..live.job.request.repeats() {
+                if view.unix_ms < live.job.due_ms(occurrence) {
+                    break;
+                }
+                self.job_demands(live, occurrence, may_evict, view, &mut demands);
+            }
+        }
+        demands.sort_by(|a, b| {
+            let key = |d: &Demand<'_>| (d.priority, !d.may_evict, d.objective_ms);
+            key(a).cmp(&key(b)).then_with(|| a.job.cmp(&b.job))
+        });
+        demands
+    }
+
+    fn job_demands<'a>(
+        &self,
+        live: &'a LiveJob,
+        occurrence: u32,
+        may_evict: bool,
+        view: &View<'_>,
+        demands: &mut Vec<Demand<'a>>,
+    ) {
+        let job = &live.job;
+        let service = service_of(job, view.configuration);
+        let begin_ms = job.accepted_ms.max(job.due_ms(occurrence));
+        let chain_ms = job.request.chain_ms(|s| self.run_times.estimate_ms(&job.queue, s));
+        let objective_ms = begin_ms + (job.stretch * chain_ms as f64) as u64 + job.target_ms;
+        for (step, shape) in (0_u32..).zip(&job.request.steps) {
+            let mut after = shape.after.iter();
+            if !after.all(|a| live.plan.is_step_done(job, occurrence, *a)) {
+                continue;
+            }
+            let numbers = job.numbers(occurrence, step);
+            let waits = |n: &u32| {
+                let task = live.plan.tasks.get(n);
+                task.is_none_or(|t| !t.done && t.place.is_none())
+            };
+            let waiting: Vec<u32> = numbers.clone().filter(waits).map(|n| n - numbers.start).collect();
+            if waiting.is_empty() || (shape.gang && waiting.len() < numbers.len()) {
+                continue;
+            }
+            // Work far from its data takes several times as long, so it waits a while for room
+            // nearby: as long as the detour would cost.
+            let detour = shape.estimate_ms as f64 * (self.bounds.far_factor - 1.0).max(0.0);
+            let waited = view.unix_ms.saturating_sub(begin_ms) as f64;
+            let demand = |indexes: Vec<u32>| Demand {
+                job: job.name.clone(),
+                occurrence,
+                step,
+                indexes,
+                shape,
+                service: service.clone(),
+                priority: job.priority,
+                may_evict,
+                objective_ms,
+                avoid: live.failed_on.clone(),
+                far_allowed: may_evict || waited > detour,
+            };
+            if shape.gang {
+                demands.push(demand(waiting));
+            } else {
+                demands.extend(waiting.into_iter().map(|index| demand(vec![index])));
+            }
+        }
+    }
+}
+
+impl LiveJob {
+    fn outcome(&self) -> Option<Outcome> {
+        if self.plan.is_all_done(&self.job) {
+            return Some(Outcome::Completed);
+        }
+        if self.cancelled {
+            return Some(Outcome::Cancelled);
+        }
+        let tasks = self.plan.tasks.values();
+        let mut hopeless = tasks.filter(|t| !t.done && t.failed >= self.job.max_attempts.max(1));
+        let lasting = self.job.request.steps.iter().any(|s| s.lasting);
+        (!lasting && hopeless.next().is_some()).then_some(Outcome::Failed)
+    }
+}
+
+/// A demand with the workers that were found for it.
+struct PlacedDemand {
+    job: Name,
+    occurrence: u32,
+    step: u32,
+    gang: bool,
+    needs: Resources,
+    members: Vec<(u32, Name)>,
+}
+
+impl PlacedDemand {
+    fn new(demand: &Demand<'_>, found: &[usize], rooms: &[Room]) -> Self {
+        let workers = found.iter().map(|i| rooms[*i].worker.clone());
+        Self {
+            job: demand.job.clone(),
+            occurrence: demand.occurrence,
+            step: demand.step,
+            gang: demand.shape.gang,
+            needs: demand.shape.needs,
+            members: demand.indexes.iter().copied().zip(workers).collect(),
+        }
+    }
+}
+
+/// Adds to the counts of a step's tasks on each worker those that this pass starts.
+fn with_starts(
+    mut placed: HashMap<Name, u32>,
+    starts: &[(Demand<'_>, Vec<usize>)],
+    demand: &Demand<'_>,
+    rooms: &[Room],
+) -> HashMap<Name, u32> {
+    if demand.shape.per_worker == 0 {
+        return placed;
+    }
+    let same = |d: &Demand<'_>| {
+        d.job == demand.job && d.occurrence == demand.occurrence && d.step == demand.step
+    };
+    for (_, found) in starts.iter().filter(|(d, _)| same(d)) {
+        for i in found {
+            *placed.entry(rooms[*i].worker.clone()).or_default() += 1;
+        }
+    }
+    placed
+}
+
+fn take(rooms: &mut [Room], found: &[usize], needs: &Resources) {
+    for i in found {
+        rooms[*i].take(needs);
+    }
+}
+
+/// Returns the service whose workers run the job: that of its queue now, or of its queue when it
+/// was accepted where the queue is gone.
+fn service_of(job: &Job, configuration: &Configuration) -> Name {
+    let queue = configuration.queues.iter().find(|q| q.name == job.queue);
+    queue.map_or_else(|| job.service.clone(), |q| q.service.clone())
+}
+
+/// Returns the urgent jobs that fit into what their workspaces are guaranteed, oldest first.
+fn guaranteed_jobs(
+    jobs: &BTreeMap<Name, LiveJob>,
+    configuration: &Configuration,
+) -> HashSet<Name> {
+    let mut urgent: Vec<&LiveJob> = jobs.values().filter(|l| {
+        l.job.priority == 0 && l.plan.outcome.is_none() && !l.cancelled
+    }).collect();
+    urgent.sort_by_key(|l| l.job.accepted_ms);
+    let mut used: HashMap<&Name, u64> = HashMap::default();
+    let mut found = HashSet::default();
+    for live in urgent {
+        let Some(workspace) = &live.job.workspace else {
+            continue;
+        };
+        let guarantee = configuration.workspaces.iter().find(|w| w.name == *workspace);
+        let guarantee = guarantee.map_or(0, |w| u64::from(w.guaranteed_accelerators));
+        let steps = live.job.request.steps.iter();
+        let needs: u64 = steps.map(|s| u64::from(s.tasks) * s.needs.accelerators).sum();
+        let used = used.entry(workspace).or_default();
+        *used += needs;
+        if *used <= guarantee {
+            found.insert(live.job.name.clone());
+        }
+    }
+    found
+}
+
+/// Returns whether a run did the whole task, so that its time tells how long the task takes.
+fn task_is_whole(checkpoint: &str, run: u32) -> bool {
+    checkpoint.is_empty() || run == 1
+}
+
+fn kind_name(why: &SessionEnd) -> String {
+    match why {
+        SessionEnd::Ended(end) => format!("{:?}", end.kind),
+        SessionEnd::Refused(outcome) => format!("refused:{outcome:?}"),
+        SessionEnd::Gone => "gone".to_owned(),
+    }
+}
--- /dev/null
+++ b/dragonflyrun/src/workload/term.rs
@@ -0,0 +1,85 @@
+//! Which entry is planner: one at a time, by terms in the store.
+//!
+//! A term is won by an append that the store does only where the partition still ends where the
+//! candidate has read to; its number is the fencing token of all later appends of the planner. So
+//! of two candidates one wins, and a planner that was replaced can append nothing any more,
+//! however late its calls arrive.
+
+use std::time::Duration;
+
+use crate::{
+    utils::{Name, Timestamp},
+    workload::Term,
+};
+
+/// Silence after which a planner is replaced. Three of its signs of life and the time that a slow
+/// store takes for one of them; a shorter time would replace planners that are well.
+const SILENCE: Duration = Duration::from_millis(1_500);
+
+/// Further silence, by the place of an entry's name among all: candidates rarely meet.
+const STAGGER: Duration = Duration::from_millis(250);
+
+/// What an entry is to do about the planner's term.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TermStep {
+    /// Nothing.
+    Wait,
+    /// Try to become planner, with this term.
+    Try(Term),
+}
+
+/// An entry's view of the planner.
+#[derive(Clone, Debug)]
+pub struct Election {
+    entry: Name,
+    term: Term,
+    seen: Timestamp,
+}
+
+impl Election {
+    /// Returns the view of an entry that has seen no planner yet.
+    pub fn new(entry: Name, now: Timestamp) -> Self {
+        Self {
+            entry,
+            term: Term::default(),
+            seen: now,
+        }
+    }
+
+    /// Takes note of a sign of life.
+    pub fn saw(&mut self, now: Timestamp, term: &Term) {
+        if term.number >= self.term.number {
+            self.term = term.clone();
+            self.seen = now;
+        }
+    }
+
+    /// Takes note that the store could not be read until now: silence counts from here.
+    pub fn was_cut_off(&mut self, now: Timestamp) {
+        self.seen = now;
+    }
+
+    /// Returns the newest term.
+    pub fn term(&self) -> &Term {
+        &self.term
+    }
+
+    /// Returns what to do at `now`.
+    pub fn step(&self, now: Timestamp) -> TermStep {
+        let stagger = STAGGER * (stagger_place(&self.entry) % 4);
+        let vacant = self.term.resigned || self.term.number == 0;
+        let wait = if vacant { stagger / 4 } else { SILENCE + stagger };
+        if now.since(self.seen) < wait {
+            return TermStep::Wait;
+        }
+        TermStep::Try(Term {
+            number: self.term.number + 1,
+            entry: self.entry.clone(),
+            resigned: false,
+        })
+    }
+}
+
+fn stagger_place(entry: &str) -> u32 {
+    entry.bytes().fold(0_u32, |sum, b| sum.wrapping_mul(31).wrapping_add(u32::from(b)))
+}
