Draw each candidate's term at random, so that two never try the same one

Ruled out: the condition on the end of the partition, which a repeat passes over. Change: a term carries a number drawn at each start of a process.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -89,7 +89,7 @@
 impl<S: Store> StoreEntry<S> {
     /// Returns an entry that has read nothing yet.
     pub fn new(settings: StoreSettings, store: Arc<S>, counters: Arc<Counters>) -> Arc<Self> {
-        let election = Election::new(settings.name.clone(), Timestamp::default());
+        let election = Election::new(settings.name.clone(), rand::random(), Timestamp::default());
         Arc::new(Self {
             settings,
             store,
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -15,7 +15,7 @@
 
 pub use agent::StoreAgent;
 pub use boot_clock::BootTime;
-pub use entry::StoreEntry;
+pub use entry::{OperatorDecoder, StoreEntry};
 pub use follower::{Batch, Follower};
 pub use lanes::Lanes;
 pub use settings::{StoreBounds, StoreSettings};
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -318,7 +318,7 @@
             return;
         };
         log::info!(
-            job:% = run.task.job, run:% = run, worker:% = worker, why:? = kind_name(&why),
+            job:% = run.task.job, run:% = run, worker:% = worker, why:% = kind_name(&why),
             ran_ms = running_since.map_or(0, |s| now.since(s).as_millis() as u64);
             "run_over"
         );
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -59,7 +59,7 @@
 
 /// Runs that are evicted together: a gang, or one task.
 #[derive(Clone, Debug)]
-pub struct Victim {
+pub(super) struct Victim {
     /// What it has on which worker, by the index of the room.
     pub parts: Vec<(usize, RunId, Resources)>,
     /// Its priority.
@@ -70,13 +70,11 @@
 
 /// How much of a worker counts as room.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Horizon {
+pub(super) enum Horizon {
     /// What is free now.
     Now,
     /// What is free once the stops under way are through.
     Soon,
-    /// All of it.
-    Empty,
 }
 
 /// Victims that are looked at for one demand, at the most: more would make a pass at 300 workers
@@ -88,7 +86,6 @@
         match horizon {
             Horizon::Now => self.free,
             Horizon::Soon => self.soon,
-            Horizon::Empty => self.capacity,
         }
     }
 
@@ -105,7 +102,7 @@
 }
 
 /// Finds rooms for all tasks of `demand`; returns the index of the room of each.
-pub fn place(
+pub(super) fn place(
     demand: &Demand<'_>,
     rooms: &[Room],
     horizon: Horizon,
@@ -194,7 +191,7 @@
 }
 
 /// Returns whether the worker may run the demand's tasks at all.
-pub fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
+pub(super) fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
     let label = demand.shape.label.as_ref();
     room.service == demand.service
         && label.is_none_or(|label| room.labels.contains(label))
@@ -202,7 +199,7 @@
 }
 
 /// Finds the cheapest victims whose room makes `demand` fit; returns their indexes and the rooms.
-pub fn evict(
+pub(super) fn evict(
     demand: &Demand<'_>,
     rooms: &[Room],
     victims: &[Victim],
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -19,6 +19,11 @@
 /// Further silence, by the place of an entry's name among all: candidates rarely meet.
 const STAGGER: Duration = Duration::from_millis(250);
 
+/// Numbers that terms of one rank are drawn from. Two candidates must not try with the same term:
+/// the store takes the second append for a repeat of the first and confirms it, and both would
+/// plan. The number stays below 2^53, which every codec carries.
+const NONCES: u64 = 1 << 20;
+
 /// What an entry is to do about the planner's term.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum TermStep {
@@ -32,15 +37,18 @@
 #[derive(Clone, Debug)]
 pub struct Election {
     entry: Name,
+    nonce: u64,
     term: Term,
     seen: Timestamp,
 }
 
 impl Election {
-    /// Returns the view of an entry that has seen no planner yet.
-    pub fn new(entry: Name, now: Timestamp) -> Self {
+    /// Returns the view of an entry that has seen no planner yet. `nonce` is drawn at random at
+    /// each start of a process.
+    pub fn new(entry: Name, nonce: u64, now: Timestamp) -> Self {
         Self {
             entry,
+            nonce: nonce % NONCES,
             term: Term::default(),
             seen: now,
         }
@@ -73,7 +81,7 @@
             return TermStep::Wait;
         }
         TermStep::Try(Term {
-            number: self.term.number + 1,
+            number: (self.term.number / NONCES + 1) * NONCES + self.nonce,
             entry: self.entry.clone(),
             resigned: false,
         })
