--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -247,12 +247,7 @@
             };
             let busy = lock(&self.table).is_busy();
             let wait = if busy { END_WAIT } else { Duration::ZERO };
-            let call = self.worker.renew(&worker, session, confirmed, lease, wait);
-            // An order or an answer makes the lists that are being waited for old.
-            let lists = tokio::select! {
-                lists = call => lists,
-                () = self.look.notified() => continue,
-            };
+            let lists = self.worker.renew(&worker, session, confirmed, lease, wait).await;
             let urgent = match lists {
                 Ok(lists) => lock(&self.table).lists(asked, session, lists),
                 Err(error) => {
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -77,6 +77,8 @@
     /// One append at a time to each partition, so that its sequence numbers arrive in order.
     turns: RefCell<Sequences<Partition, Rc<tokio::sync::Mutex<()>>>>,
     senders: RefCell<HashMap<u32, mpsc::UnboundedSender<WorkerOrder>>>,
+    /// Whether all that runs is known.
+    taken_over: Cell<bool>,
     reports_since: Cell<Option<Timestamp>>,
     lost: Cell<bool>,
 }
@@ -132,6 +134,7 @@
             sequences: RefCell::new(Sequences::from([(Partition::JOBS, 2)])),
             turns: RefCell::default(),
             senders: RefCell::default(),
+            taken_over: Cell::new(false),
             reports_since: Cell::new(None),
             lost: Cell::new(false),
         }))
@@ -143,7 +146,7 @@
         let life = tokio::task::spawn_local(self.clone().show_life());
         while !self.lost.get() && !self.entry.stopping.load(Ordering::Relaxed) {
             wait_for(&self.entry.news, PASS).await;
-            if self.reports_since.get().is_some() {
+            if self.taken_over.get() {
                 self.pass().await;
             }
         }
@@ -206,13 +209,15 @@
         loop {
             match follower.next(REPORT_WAIT).await {
                 Ok(batch) => {
-                    if !reachable || self.reports_since.get().is_none() {
+                    if self.reports_since.get().is_none() {
                         self.reports_since.set(Some(self.entry.now()));
                     }
+                    self.taken_over.set(true);
                     self.entry.report_reach(&mut reachable, true, "workers", "");
                     self.take_reports(batch);
                 }
                 Err(error) => {
+                    self.reports_since.set(None);
                     let why = error.to_string();
                     self.entry.report_reach(&mut reachable, false, "workers", &why);
                     sleep(READ_PAUSE).await;
@@ -259,7 +264,7 @@
                 configuration: &configuration,
                 evacuated: &evacuated,
                 is_fresh: proof.is_some_and(|p| p.elapsed() < FRESH),
-                reports_since: self.reports_since.get().unwrap_or_default(),
+                reports_since: self.reports_since.get(),
             })
         };
         if !decisions.plans.is_empty()
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
-    utils::Name,
+    utils::{HashSet, Name},
     workload::{Order, Report, RunId, TaskStart},
 };
 
@@ -48,6 +48,8 @@
     fenced: bool,
     pending: BTreeMap<RunId, Pending>,
     refused: Vec<(RunId, StartOutcome)>,
+    /// Runs that were told to stop.
+    stopped: HashSet<RunId>,
     report: u64,
 }
 
@@ -179,6 +181,7 @@
             fenced: false,
             pending: BTreeMap::new(),
             refused: Vec::new(),
+            stopped: HashSet::default(),
             report: 0,
         });
         true
@@ -409,15 +412,26 @@
     fn stop(&mut self, run: RunId) -> AgentAction {
         if let Some(session) = &mut self.session {
             session.pending.insert(run.clone(), Pending::Stopping);
+            session.stopped.insert(run.clone());
         }
         AgentAction::Stop(run)
     }
 
     fn stop_all(&mut self) -> Vec<AgentAction> {
-        let listed = self.running.iter().map(|r| r.run.clone());
-        let pending = self.session.iter().flat_map(|s| &s.pending);
+        let Some(session) = &self.session else {
+            return Vec::new();
+        };
+        // A stop takes the worker a while, in which its lists still have the run.
+        let told = |run: &&RunId| {
+            let pending = session.pending.get(*run);
+            let stops = matches!(pending, Some(Pending::Stopping | Pending::Settled(_)));
+            stops || session.stopped.contains(*run)
+        };
+        let listed = self.running.iter().map(|r| &r.run);
+        let pending = session.pending.iter();
         let asked = pending.filter(|(_, p)| matches!(p, Pending::Asked { .. }));
-        let runs: Vec<RunId> = listed.chain(asked.map(|(run, _)| run.clone())).collect();
+        let runs = listed.chain(asked.map(|(run, _)| run)).filter(|run| !told(run));
+        let runs: Vec<RunId> = runs.cloned().collect();
         runs.into_iter().map(|run| self.stop(run)).collect()
     }
 
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -48,8 +48,9 @@
     pub evacuated: &'a HashSet<Name>,
     /// Whether the configuration is proved to be in force: without that nothing is started.
     pub is_fresh: bool,
-    /// Since when reports have been read without a break.
-    pub reports_since: Timestamp,
+    /// Since when reports have been read without a break; none while they can't be read, when the
+    /// silence of agents says nothing about them.
+    pub reports_since: Option<Timestamp>,
 }
 
 /// An order for one worker's agent.
@@ -287,8 +288,11 @@
 
     fn fence_silent(&mut self, view: &View<'_>) {
         let silence = self.bounds.silence;
+        let Some(reports_since) = view.reports_since else {
+            return;
+        };
         let silent = self.fleet.workers().filter(|(_, w)| {
-            let heard = w.reported.max(view.reports_since);
+            let heard = w.reported.max(reports_since);
             let open = w.closing == Closing::No;
             open && view.now.since(heard) > silence
         });
