--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -242,6 +242,7 @@
         if known {
             return CallerAnswer::Accepted;
         }
+        let summary = job.to_string();
         let name = job.name.clone();
         let record = JobRecord::Accepted(Box::new(job));
         let answer = self.append(req, &record).await;
@@ -249,7 +250,7 @@
             self.remember(record);
         }
         log::info!(
-            job:% = name, outcome = outcome_name(&answer),
+            job:% = name, outcome = outcome_name(&answer), summary,
             patience_ms = req.patience.as_millis() as u64;
             "job_handed_in"
         );
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -1,6 +1,6 @@
 //! What a caller asks for.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
@@ -172,6 +172,56 @@
     pub request: JobRequest,
 }
 
+/// Sums a job up for logs.
+impl fmt::Display for Job {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "queue={} priority={}", self.queue, self.priority)?;
+        if let Some(workspace) = &self.workspace {
+            write!(f, " workspace={workspace}")?;
+        }
+        if let Some(times) = &self.request.occurrences {
+            write!(f, " times={}x{}ms", times.count, times.every_ms)?;
+        }
+        for step in &self.request.steps {
+            write!(f, " step={step}")?;
+        }
+        Ok(())
+    }
+}
+
+/// Sums a step up for logs: tasks, what each takes up, and what it asks for beside that.
+impl fmt::Display for Step {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Resources {
+            cpu_millis,
+            memory_mb,
+            accelerators,
+        } = self.needs;
+        write!(f, "{}x{cpu_millis}m/{memory_mb}MB/{accelerators}a", self.tasks)?;
+        write!(f, ",estimate={}ms", self.estimate_ms)?;
+        let flags = [
+            (self.gang, "gang"),
+            (self.one_rack, "one_rack"),
+            (self.checkpoints, "checkpoints"),
+            (self.copies_allowed, "copies"),
+            (self.lasting, "lasting"),
+        ];
+        for (_, name) in flags.iter().filter(|(set, _)| *set) {
+            write!(f, ",{name}")?;
+        }
+        if let Some(label) = &self.label {
+            write!(f, ",label={label}")?;
+        }
+        if let Some(rack) = &self.rack {
+            write!(f, ",rack={rack}")?;
+        }
+        if self.per_worker > 0 {
+            write!(f, ",per_worker={}", self.per_worker)?;
+        }
+        Ok(())
+    }
+}
+
 impl JobRequest {
     /// Returns the tasks of one occurrence.
     pub fn tasks(&self) -> u32 {
