--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -17,6 +17,9 @@
     pub worker: Name,
     /// Unix milliseconds of its start; tells two lives under one name apart.
     pub born_ms: u64,
+    /// Where it listens; no two workers do so at one address at once.
+    #[serde(default)]
+    pub address: Name,
     /// The pool that it serves.
     pub service: Name,
     /// Its failure domain.
@@ -29,6 +32,9 @@
     pub labels: Vec<Name>,
     /// The rack it stands in, where it names one.
     pub rack: Option<Name>,
+    /// Milliseconds that a draining worker stays at the least, where it says so.
+    #[serde(default)]
+    pub remaining_ms: Option<u64>,
     /// Rises with each heartbeat of one life.
     pub sequence: u64,
 }
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -27,6 +27,9 @@
 /// part of the shortest lease.
 const ORDER_WAIT: Duration = Duration::from_millis(400);
 
+/// How long it waits while nothing runs on the worker: no lease has to be extended.
+const IDLE_ORDER_WAIT: Duration = Duration::from_millis(1_500);
+
 /// How long the worker may hold back its lists to wait for an end.
 const END_WAIT: Duration = Duration::from_millis(400);
 
@@ -34,10 +37,10 @@
 const IDLE_LOOK: Duration = Duration::from_millis(700);
 
 /// Time between two reports where nothing has happened, while something runs.
-const BUSY_REPORT: Duration = Duration::from_millis(500);
+const BUSY_REPORT: Duration = Duration::from_millis(900);
 
 /// Time between two reports of an idle worker; the planner takes three times that for silence.
-const IDLE_REPORT: Duration = Duration::from_millis(1_000);
+const IDLE_REPORT: Duration = Duration::from_millis(1_200);
 
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(100);
@@ -147,7 +150,9 @@
                 }
                 table.clock_ms()
             };
-            let read = self.store.read(partition, next, ORDER_WAIT).await;
+            let busy = lock(&self.table).is_busy();
+            let wait = if busy { ORDER_WAIT } else { IDLE_ORDER_WAIT };
+            let read = self.store.read(partition, next, wait).await;
             match read {
                 Ok(page) => {
                     next += page.records.len() as u64;
@@ -185,6 +190,7 @@
         self.report.notify_one();
         if lock(&self.table).is_closed() {
             self.append_reports().await;
+            lock(&self.table).forget_departed();
         }
     }
 
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -29,7 +29,7 @@
 
 /// How long a read waits for news. Each answer proves that what is known is current, so it is
 /// well below every bound on that.
-const READ_WAIT: Duration = Duration::from_millis(700);
+const READ_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Pause after a read that failed, so that a store that is down is not asked without end.
 const READ_PAUSE: Duration = Duration::from_millis(100);
@@ -208,8 +208,10 @@
                 log::warn!(key:% = record.key; "job_record_unreadable");
                 continue;
             };
-            if let JobRecord::Planner(term) = &record {
-                state.election.saw(now, term);
+            match &record {
+                JobRecord::Planner(term) => state.election.saw(now, term),
+                JobRecord::Plan(..) => state.election.saw_plan(now),
+                JobRecord::Accepted(_) | JobRecord::Cancelled(_) => {}
             }
             if state.book.fold(record.clone()) && !matches!(record, JobRecord::Planner(_)) {
                 changed = true;
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -33,7 +33,7 @@
 const OFFICE: &str = "planner";
 
 /// How often the planner shows a sign of life.
-const SIGN_OF_LIFE: Duration = Duration::from_millis(400);
+const SIGN_OF_LIFE: Duration = Duration::from_millis(500);
 
 /// How often the planner decides where nothing has come.
 const PASS: Duration = Duration::from_millis(100);
@@ -81,6 +81,8 @@
     taken_over: Cell<bool>,
     reports_since: Cell<Option<Timestamp>>,
     lost: Cell<bool>,
+    /// Whether a plan was written since the last sign of life, which it stands for.
+    planned: Cell<bool>,
 }
 
 impl<S: Store> Office<S> {
@@ -137,6 +139,7 @@
             taken_over: Cell::new(false),
             reports_since: Cell::new(None),
             lost: Cell::new(false),
+            planned: Cell::new(false),
         }))
     }
 
@@ -175,6 +178,9 @@
     async fn show_life(self: Rc<Self>) {
         loop {
             sleep(SIGN_OF_LIFE).await;
+            if self.planned.replace(false) {
+                continue;
+            }
             // A planner that can't read must not keep others from following it.
             let proof = lock(&self.entry.state).book_proof;
             if proof.is_some_and(|p| p.elapsed() < FRESH) {
@@ -267,10 +273,11 @@
                 reports_since: self.reports_since.get(),
             })
         };
-        if !decisions.plans.is_empty()
-            && self.append_in_order(Partition::JOBS, decisions.plans).await.is_none()
-        {
-            return;
+        if !decisions.plans.is_empty() {
+            if self.append_in_order(Partition::JOBS, decisions.plans).await.is_none() {
+                return;
+            }
+            self.planned.set(true);
         }
         for order in decisions.orders {
             self.send(order);
@@ -403,7 +410,7 @@
 fn candidacy<S: Store>(entry: &StoreEntry<S>) -> Option<(Term, u64)> {
     /// Age of the newest read up to which an entry may stand: an entry that reads badly would plan
     /// badly.
-    const MOST_AGE: Duration = Duration::from_millis(1_200);
+    const MOST_AGE: Duration = Duration::from_millis(1_700);
     let now = entry.now();
     let state = lock(&entry.state);
     let current = state.book_proof.is_some_and(|p| p.elapsed() < MOST_AGE);
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -128,8 +128,6 @@
         if let Some(mut report) = replaced.and_then(|mut l| l.report(self.lane)) {
             // Another worker answers at this machine now, so nothing of the old one runs.
             report.closed = true;
-            report.running.clear();
-            report.starting.clear();
             self.departed.push(report);
         }
         self.life = Some(Life {
@@ -340,6 +338,13 @@
         self.life.as_ref().is_some_and(Life::is_closed)
     }
 
+    /// Forgets a worker that has left, once its last report is written.
+    pub fn forget_departed(&mut self) {
+        if self.life.as_ref().is_some_and(|l| l.left && l.is_closed()) {
+            self.life = None;
+        }
+    }
+
     /// Returns runs that the worker lists though no order of this session stands for them and
     /// that are to be stopped since the session is fenced.
     pub fn stop_again(&mut self) -> Vec<AgentAction> {
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    port::{End, EndKind, StartOutcome},
+    port::{End, EndKind, Heartbeat, StartOutcome},
     utils::{HashMap, Name, Timestamp},
     workload::{Report, Resources, RunId},
 };
@@ -230,13 +230,40 @@
             );
         }
         let mut over = worker.take_ends(&name, &report);
-        worker.take_running(now, &report, needs_of);
+        if !report.closed {
+            worker.take_running(now, &report, needs_of);
+        }
         over.extend(worker.take_gone(&name, &report));
         if report.closed {
             worker.closing = Closing::Closed;
             over.extend(worker.all_gone(&name));
         }
-        worker.report = Some(report);
+        over.extend(self.replaced_by(&report.heartbeat));
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.report = Some(report);
+        }
+        over
+    }
+
+    /// Closes the sessions of older workers at the address of a worker that has answered its agent.
+    ///
+    /// After a host lost power a new worker comes at its address under another name. Without this
+    /// its predecessor would be waited for until its lease has run out, some 14 s with a lease of
+    /// 10 s, and every task that it ran would stand still for so long.
+    fn replaced_by(&mut self, newer: &Heartbeat) -> Vec<RunOver> {
+        let mut over = Vec::new();
+        for (name, worker) in &mut self.workers {
+            let Some(old) = worker.report.as_ref().map(|r| &r.heartbeat) else {
+                continue;
+            };
+            let same_address = !old.address.is_empty() && old.address == newer.address;
+            let older = old.worker != newer.worker && old.born_ms < newer.born_ms;
+            if same_address && older && worker.closing != Closing::Closed {
+                log::info!(worker:% = name, by:% = newer.worker; "worker_replaced");
+                worker.closing = Closing::Closed;
+                over.extend(worker.all_gone(name));
+            }
+        }
         over
     }
 
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Takes note of a plan that the planner has written: it is alive.
+    pub fn saw_plan(&mut self, now: Timestamp) {
+        if !self.term.resigned {
+            self.seen = now;
+        }
+    }
+
     /// Takes note that the store could not be read until now: silence counts from here.
     pub fn was_cut_off(&mut self, now: Timestamp) {
         self.seen = now;
