--- a/dragonflyrun/src/port/caller.rs
+++ b/dragonflyrun/src/port/caller.rs
@@ -93,7 +93,10 @@
 }
 
 /// Answers callers.
-#[expect(async_fn_in_trait, reason = "a process runs all its tasks on one thread")]
+#[expect(
+    async_fn_in_trait,
+    reason = "a process runs all its tasks on one thread"
+)]
 pub trait Entrance: 'static {
     /// Answers a request.
     async fn call(&self, req: CallerRequest) -> CallerAnswer;
--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -153,14 +153,21 @@
 }
 
 /// The platform's store. Its answers are linearizable.
-#[expect(async_fn_in_trait, reason = "a process runs all its tasks on one thread")]
+#[expect(
+    async_fn_in_trait,
+    reason = "a process runs all its tasks on one thread"
+)]
 pub trait Store: 'static {
     /// Appends records, waiting up to `within` for the confirmation.
     async fn append(&self, append: &Append, within: Duration) -> Result<Appended, AppendError>;
 
     /// Reads from offset `from` on, and waits up to `wait` for a record to come.
-    async fn read(&self, partition: Partition, from: u64, wait: Duration)
-    -> Result<Page, ReadError>;
+    async fn read(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Page, ReadError>;
 
     /// Reads the newest record of each key after `after`.
     async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<Newest, ReadError>;
--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -164,7 +164,10 @@
 }
 
 /// The worker beside an agent.
-#[expect(async_fn_in_trait, reason = "a process runs all its tasks on one thread")]
+#[expect(
+    async_fn_in_trait,
+    reason = "a process runs all its tasks on one thread"
+)]
 pub trait Worker: 'static {
     /// Starts a run.
     async fn start(&self, worker: &str, order: &StartOrder) -> Result<StartOutcome, CallError>;
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -67,7 +67,12 @@
 
 impl<S: Store, W: Worker> StoreAgent<S, W> {
     /// Returns an agent that has heard of no worker.
-    pub fn new(settings: StoreSettings, store: Arc<S>, worker: Arc<W>, counters: Arc<Counters>) -> Arc<Self> {
+    pub fn new(
+        settings: StoreSettings,
+        store: Arc<S>,
+        worker: Arc<W>,
+        counters: Arc<Counters>,
+    ) -> Arc<Self> {
         let table = AgentTable::new(settings.bounds.lease);
         Arc::new(Self {
             settings,
@@ -112,7 +117,8 @@
             }
             log::info!(worker:% = worker, born_ms, session = number, lane; "session_opened");
             self.look.notify_one();
-            self.follow_orders(partition, &worker, born_ms, number).await;
+            self.follow_orders(partition, &worker, born_ms, number)
+                .await;
             log::info!(worker:% = worker, session = number; "session_ended");
         }
     }
@@ -139,7 +145,13 @@
     }
 
     /// Follows the orders of a session until it is closed or the worker lives another life.
-    async fn follow_orders(self: &Arc<Self>, partition: Partition, worker: &Name, born_ms: u64, session: u64) {
+    async fn follow_orders(
+        self: &Arc<Self>,
+        partition: Partition,
+        worker: &Name,
+        born_ms: u64,
+        session: u64,
+    ) {
         let mut next = session + 1;
         let mut reachable = true;
         loop {
@@ -253,7 +265,10 @@
             };
             let busy = lock(&self.table).is_busy();
             let wait = if busy { END_WAIT } else { Duration::ZERO };
-            let lists = self.worker.renew(&worker, session, confirmed, lease, wait).await;
+            let lists = self
+                .worker
+                .renew(&worker, session, confirmed, lease, wait)
+                .await;
             let urgent = match lists {
                 Ok(lists) => lock(&self.table).lists(asked, session, lists),
                 Err(error) => {
@@ -345,9 +360,11 @@
         message
     });
     let orders = messages.filter_map(|message| match message {
-        OrderMessage::Order { worker: w, session: s, order } if w == *worker && s == session => {
-            Some(order)
-        }
+        OrderMessage::Order {
+            worker: w,
+            session: s,
+            order,
+        } if w == *worker && s == session => Some(order),
         _ => None,
     });
     orders.collect()
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -158,7 +158,10 @@
                 Some(OperatorRecord::Configuration(configuration)) => {
                     state.take_configuration(*configuration);
                 }
-                Some(OperatorRecord::Evacuation { failure_domain, out }) => {
+                Some(OperatorRecord::Evacuation {
+                    failure_domain,
+                    out,
+                }) => {
                     log::info!(failure_domain:% = failure_domain, out; "evacuation");
                     if out {
                         evacuated.insert(failure_domain);
@@ -240,7 +243,10 @@
     }
 
     async fn submit(&self, req: &CallerRequest, job: Job) -> CallerAnswer {
-        let known = lock(&self.state).book.get(&job.name).is_some_and(|e| e.job.is_some());
+        let known = lock(&self.state)
+            .book
+            .get(&job.name)
+            .is_some_and(|e| e.job.is_some());
         if known {
             return CallerAnswer::Accepted;
         }
@@ -264,7 +270,10 @@
         let LookUp::Known(state) = found else {
             return self.not_known();
         };
-        if matches!(state, JobState::Completed | JobState::Failed | JobState::Cancelled) {
+        if matches!(
+            state,
+            JobState::Completed | JobState::Failed | JobState::Cancelled
+        ) {
             return CallerAnswer::Cancelled;
         }
         let record = JobRecord::Cancelled(name.clone());
@@ -324,7 +333,11 @@
     }
 
     fn not_stored(&self, doubtful: bool) -> CallerAnswer {
-        if doubtful { CallerAnswer::Unknown } else { self.refuse(Refusal::StoreRefused) }
+        if doubtful {
+            CallerAnswer::Unknown
+        } else {
+            self.refuse(Refusal::StoreRefused)
+        }
     }
 
     fn refuse(&self, refusal: Refusal) -> CallerAnswer {
@@ -358,7 +371,10 @@
         let Some((queue, rest)) = configuration.queue_of(&req.host, &req.path) else {
             return Err(CallerAnswer::NoQueue);
         };
-        let workspace = req.key.as_deref().and_then(|k| configuration.workspace_of(k));
+        let workspace = req
+            .key
+            .as_deref()
+            .and_then(|k| configuration.workspace_of(k));
         if !queue.public && workspace.is_none() {
             return Err(CallerAnswer::UnknownKey);
         }
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -197,7 +197,11 @@
     async fn take_over(self: Rc<Self>) {
         let workers: Vec<Name> = {
             let planner = self.planner.borrow();
-            planner.fleet().workers().map(|(name, _)| name.clone()).collect()
+            planner
+                .fleet()
+                .workers()
+                .map(|(name, _)| name.clone())
+                .collect()
         };
         for worker in workers {
             let partition = self.lanes.partition(self.lanes.lane_of(&worker));
@@ -225,7 +229,8 @@
                 Err(error) => {
                     self.reports_since.set(None);
                     let why = error.to_string();
-                    self.entry.report_reach(&mut reachable, false, "workers", &why);
+                    self.entry
+                        .report_reach(&mut reachable, false, "workers", &why);
                     sleep(READ_PAUSE).await;
                 }
             }
@@ -274,7 +279,11 @@
             })
         };
         if !decisions.plans.is_empty() {
-            if self.append_in_order(Partition::JOBS, decisions.plans).await.is_none() {
+            if self
+                .append_in_order(Partition::JOBS, decisions.plans)
+                .await
+                .is_none()
+            {
                 return;
             }
             self.planned.set(true);
@@ -332,7 +341,10 @@
         tokio::task::spawn_local(async move {
             let append = Append {
                 partition: Partition::WORKERS,
-                records: vec![StoreRecord { key: worker, value: None }],
+                records: vec![StoreRecord {
+                    key: worker,
+                    value: None,
+                }],
                 writer: None,
                 at: None,
             };
@@ -365,7 +377,11 @@
 
     /// Appends until the store has confirmed it, or the term is lost. A repeat has the sequence
     /// number of the first try, so it is done once.
-    async fn append_in_order(&self, partition: Partition, records: Vec<StoreRecord>) -> Option<Appended> {
+    async fn append_in_order(
+        &self,
+        partition: Partition,
+        records: Vec<StoreRecord>,
+    ) -> Option<Appended> {
         let turn = self.turn(partition);
         let _turn = turn.lock().await;
         let mut append = self.append_for(partition, records);
@@ -396,7 +412,11 @@
     }
 
     fn turn(&self, partition: Partition) -> Rc<tokio::sync::Mutex<()>> {
-        self.turns.borrow_mut().entry(partition).or_default().clone()
+        self.turns
+            .borrow_mut()
+            .entry(partition)
+            .or_default()
+            .clone()
     }
 
     fn lose(&self) {
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -34,7 +34,10 @@
 #[derive(Clone, Debug)]
 enum Pending {
     /// The worker has not answered the start; whether a try may have been carried out unseen.
-    Asked { order: Box<StartOrder>, doubtful: bool },
+    Asked {
+        order: Box<StartOrder>,
+        doubtful: bool,
+    },
     /// The worker has not answered the stop.
     Stopping,
     /// The worker has answered; the first list asked for after that number shows what is there.
@@ -147,7 +150,10 @@
 
     /// Takes note that the worker ends now.
     pub fn leave(&mut self, worker: &str) -> bool {
-        let life = self.life.as_mut().filter(|l| &*l.heartbeat.worker == worker);
+        let life = self
+            .life
+            .as_mut()
+            .filter(|l| &*l.heartbeat.worker == worker);
         life.is_some_and(|l| !std::mem::replace(&mut l.left, true))
     }
 
@@ -164,9 +170,10 @@
 
     /// Begins a session with the number that the store gave.
     pub fn begin_session(&mut self, worker: &str, born_ms: u64, number: u64) -> bool {
-        let life = self.life.as_mut().filter(|l| {
-            &*l.heartbeat.worker == worker && l.heartbeat.born_ms == born_ms
-        });
+        let life = self
+            .life
+            .as_mut()
+            .filter(|l| &*l.heartbeat.worker == worker && l.heartbeat.born_ms == born_ms);
         let Some(life) = life else {
             return false;
         };
@@ -192,7 +199,12 @@
 
     /// Takes the orders up to `end`. `looked_ms` is the worker's clock as it was looked at before
     /// the read was sent.
-    pub fn orders(&mut self, looked_ms: Option<u64>, orders: Vec<Order>, end: u64) -> Vec<AgentAction> {
+    pub fn orders(
+        &mut self,
+        looked_ms: Option<u64>,
+        orders: Vec<Order>,
+        end: u64,
+    ) -> Vec<AgentAction> {
         let lease = u64::try_from(self.lease.as_millis()).unwrap_or(u64::MAX);
         let Some(life) = &mut self.life else {
             return Vec::new();
@@ -248,7 +260,9 @@
         };
         let doubtful = *doubtful;
         if outcome == StartOutcome::Started {
-            session.pending.insert(run.clone(), Pending::Settled(lists_asked));
+            session
+                .pending
+                .insert(run.clone(), Pending::Settled(lists_asked));
             return false;
         }
         if doubtful {
@@ -271,7 +285,9 @@
         };
         let lists_asked = life.lists_asked;
         if let (Some(session), Ok(())) = (&mut life.session, result) {
-            session.pending.insert(run.clone(), Pending::Settled(lists_asked));
+            session
+                .pending
+                .insert(run.clone(), Pending::Settled(lists_asked));
         }
     }
 
@@ -319,7 +335,11 @@
             Pending::Stopping => true,
         });
         let confirmed = life.confirmed;
-        let ends: Vec<End> = lists.ends.into_iter().filter(|e| e.number > confirmed).collect();
+        let ends: Vec<End> = lists
+            .ends
+            .into_iter()
+            .filter(|e| e.number > confirmed)
+            .collect();
         let last = |ends: &[End]| ends.iter().map(|e| e.number).max().unwrap_or(0);
         let urgent = last(&ends) > last(&life.ends) || std::mem::take(&mut life.unreachable);
         life.ends = ends;
@@ -394,7 +414,11 @@
         let lease = self.lease_until_ms;
         let session = self.session.as_mut()?;
         if leaving || session.fenced {
-            let outcome = if leaving { StartOutcome::Draining } else { StartOutcome::Fenced };
+            let outcome = if leaving {
+                StartOutcome::Draining
+            } else {
+                StartOutcome::Fenced
+            };
             session.refused.push((start.run, outcome));
             return None;
         }
@@ -435,7 +459,9 @@
         let listed = self.running.iter().map(|r| &r.run);
         let pending = session.pending.iter();
         let asked = pending.filter(|(_, p)| matches!(p, Pending::Asked { .. }));
-        let runs = listed.chain(asked.map(|(run, _)| run)).filter(|run| !told(run));
+        let runs = listed
+            .chain(asked.map(|(run, _)| run))
+            .filter(|run| !told(run));
         let runs: Vec<RunId> = runs.cloned().collect();
         runs.into_iter().map(|run| self.stop(run)).collect()
     }
--- /dev/null
+++ b/dragonflyrun/src/workload/demands.rs
@@ -0,0 +1,118 @@
+//! What waits to be started, and in which order.
+//!
+//! Load pattern answered here: more comes than fits. Urgent work goes first, then what can still be
+//! in time, the nearest objective first; what has lost its objective comes last of its priority,
+//! and still gets whatever room the others leave.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    utils::Name,
+    workload::{
+        Demand,
+        RunTimes,
+        Step,
+        live::{LiveJob, guaranteed_jobs, service_of},
+        planner::{PlannerBounds, View}, //
+    },
+};
+
+/// Milliseconds for which a task waits for room near its data while workers are idle elsewhere.
+/// Longer, and callers would see a job stand still in an idle pool.
+const IDLE_WAIT_MS: f64 = 2_000.0;
+
+/// Builds the demands of one pass.
+pub(super) struct Demands<'a, 'v> {
+    pub(super) bounds: &'a PlannerBounds,
+    pub(super) view: &'a View<'v>,
+    pub(super) times: &'a RunTimes,
+    /// Whether less than half of the room is in use.
+    pub(super) idle: bool,
+}
+
+impl Demands<'_, '_> {
+    /// Returns what waits, in the order in which it is to be served.
+    pub(super) fn all<'j>(&self, jobs: &'j BTreeMap<Name, LiveJob>) -> Vec<Demand<'j>> {
+        let guaranteed = guaranteed_jobs(jobs, self.view.configuration);
+        let mut demands = Vec::new();
+        for (name, live) in jobs {
+            if live.plan.outcome.is_some() || live.cancelled {
+                continue;
+            }
+            for occurrence in 0..live.job.request.repeats() {
+                if self.view.unix_ms < live.job.due_ms(occurrence) {
+                    break;
+                }
+                self.of_job(live, occurrence, guaranteed.contains(name), &mut demands);
+            }
+        }
+        demands.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.job.cmp(&b.job)));
+        demands
+    }
+
+    fn of_job<'j>(
+        &self,
+        live: &'j LiveJob,
+        occurrence: u32,
+        guaranteed: bool,
+        demands: &mut Vec<Demand<'j>>,
+    ) {
+        let job = &live.job;
+        let begin_ms = job.accepted_ms.max(job.due_ms(occurrence));
+        let estimate = |s: &Step| self.times.estimate_ms(&job.queue, s.estimate_ms);
+        let chain_ms = job.request.chain_ms(estimate);
+        let objective_ms = begin_ms + (job.stretch * chain_ms as f64) as u64 + job.target_ms;
+        let service = service_of(job, self.view.configuration);
+        for (step, shape) in (0_u32..).zip(&job.request.steps) {
+            let waiting = live.waiting(occurrence, step);
+            if waiting.is_empty() {
+                continue;
+            }
+            let estimate_ms = estimate(shape);
+            let slack_ms = objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64;
+            let demand = |indexes: Vec<u32>| Demand {
+                job: job.name.clone(),
+                occurrence,
+                step,
+                indexes,
+                shape,
+                service: service.clone(),
+                priority: job.priority,
+                guaranteed,
+                estimate_ms,
+                slack_ms,
+                objective_ms,
+                avoid: live.failed_on.clone(),
+                far_allowed: guaranteed || self.far_allowed(begin_ms, estimate_ms),
+            };
+            if shape.gang {
+                demands.push(demand(waiting));
+            } else {
+                demands.extend(waiting.into_iter().map(|index| demand(vec![index])));
+            }
+        }
+    }
+
+    /// Returns whether a task may run away from its data, or a gang on more than one rack. Work
+    /// there takes several times as long, so it waits for room nearby as long as that would cost.
+    fn far_allowed(&self, begin_ms: u64, estimate_ms: u64) -> bool {
+        let detour = estimate_ms as f64 * (self.bounds.far_factor - 1.0).max(0.0);
+        let waited = self.view.unix_ms.saturating_sub(begin_ms) as f64;
+        let most = if self.idle {
+            detour.min(IDLE_WAIT_MS)
+        } else {
+            detour
+        };
+        waited > most
+    }
+}
+
+fn rank(demand: &Demand<'_>) -> (u32, bool, bool, u64) {
+    let lost = demand.slack_ms < 0;
+    (
+        demand.priority,
+        !demand.guaranteed,
+        lost,
+        demand.objective_ms,
+    )
+}
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -28,6 +28,11 @@
     pub checkpoint: String,
     /// When the checkpoint was first seen, or the run.
     pub saved_at: Timestamp,
+    /// When it was ordered, or taken over.
+    pub placed_at: Timestamp,
+    /// Whether it does the whole task and was ordered by this planner, so that its time tells how
+    /// long the task takes.
+    pub is_whole: bool,
 }
 
 /// How far the closing of a session is.
@@ -88,6 +93,8 @@
     pub checkpoint: String,
     /// Since when it ran.
     pub running_since: Option<Timestamp>,
+    /// When it was ordered, where its time tells how long the task takes.
+    pub whole_since: Option<Timestamp>,
 }
 
 /// All workers.
@@ -114,9 +121,8 @@
     /// Returns whether tasks may be started there, as far as its agent is concerned.
     pub fn takes_tasks(&self) -> bool {
         let report = self.report.as_ref();
-        let well = report.is_some_and(|r| {
-            !r.heartbeat.draining && !r.closed && !r.left && !r.unreachable
-        });
+        let well =
+            report.is_some_and(|r| !r.heartbeat.draining && !r.closed && !r.left && !r.unreachable);
         well && self.closing == Closing::No
     }
 
@@ -150,7 +156,14 @@
     }
 
     /// Takes over a run that the plan says was ordered, before any report has been read.
-    pub fn adopt(&mut self, now: Timestamp, worker: &Name, session: u64, run: RunId, needs: Resources) {
+    pub fn adopt(
+        &mut self,
+        now: Timestamp,
+        worker: &Name,
+        session: u64,
+        run: RunId,
+        needs: Resources,
+    ) {
         let known = self.workers.entry(worker.clone());
         let known = known.or_insert_with(|| FleetWorker::unknown(session, now));
         known.session = known.session.max(session);
@@ -162,6 +175,8 @@
             stopping: false,
             checkpoint: String::new(),
             saved_at: now,
+            placed_at: now,
+            is_whole: false,
         };
         known.runs.insert(run, adopted);
     }
@@ -179,7 +194,14 @@
     }
 
     /// Takes note that a run was ordered.
-    pub fn place(&mut self, now: Timestamp, worker: &str, run: RunId, needs: Resources, checkpoint: &str) {
+    pub fn place(
+        &mut self,
+        now: Timestamp,
+        worker: &str,
+        run: RunId,
+        needs: Resources,
+        checkpoint: &str,
+    ) {
         if let Some(known) = self.workers.get_mut(worker) {
             let placed = WorkerRun {
                 needs,
@@ -188,6 +210,8 @@
                 stopping: false,
                 checkpoint: checkpoint.to_owned(),
                 saved_at: now,
+                placed_at: now,
+                is_whole: checkpoint.is_empty(),
             };
             known.runs.insert(run, placed);
         }
@@ -216,9 +240,10 @@
         if report.session > worker.session || worker.report.is_none() {
             worker.session = report.session;
             worker.closing = Closing::No;
-            let same_life = worker.report.as_ref().is_some_and(|r| {
-                r.heartbeat.born_ms == report.heartbeat.born_ms
-            });
+            let same_life = worker
+                .report
+                .as_ref()
+                .is_some_and(|r| r.heartbeat.born_ms == report.heartbeat.born_ms);
             if !same_life {
                 worker.confirmed = 0;
                 worker.failures = 0;
@@ -325,11 +350,14 @@
                 run: end.run.clone(),
                 worker: name.clone(),
                 checkpoint: if end.checkpoint.is_empty() {
-                    run.as_ref().map(|r| r.checkpoint.clone()).unwrap_or_default()
+                    run.as_ref()
+                        .map(|r| r.checkpoint.clone())
+                        .unwrap_or_default()
                 } else {
                     end.checkpoint.clone()
                 },
-                running_since: run.and_then(|r| r.running_since),
+                running_since: run.as_ref().and_then(|r| r.running_since),
+                whole_since: run.filter(|r| r.is_whole).map(|r| r.placed_at),
                 why: SessionEnd::Ended(end.clone()),
             });
             match end.kind {
@@ -359,6 +387,8 @@
                     stopping: false,
                     checkpoint: String::new(),
                     saved_at: now,
+                    placed_at: now,
+                    is_whole: false,
                 }
             });
             run.running_since.get_or_insert(now);
@@ -374,24 +404,34 @@
         let listed = |run: &RunId| {
             report.running.iter().any(|r| r.run == *run) || report.starting.contains(run)
         };
-        let gone: Vec<RunId> = self.runs.iter().filter(|(run, state)| {
-            let seen = state.ordered.is_some_and(|offset| offset < report.orders_seen);
-            seen && !listed(run)
-        }).map(|(run, _)| run.clone()).collect();
+        let gone: Vec<RunId> = self
+            .runs
+            .iter()
+            .filter(|(run, state)| {
+                let seen = state
+                    .ordered
+                    .is_some_and(|offset| offset < report.orders_seen);
+                seen && !listed(run)
+            })
+            .map(|(run, _)| run.clone())
+            .collect();
         let why = |run: &RunId| {
             let refusal = report.refused.iter().find(|(r, _)| r == run);
             refusal.map_or(SessionEnd::Gone, |(_, why)| SessionEnd::Refused(*why))
         };
-        gone.into_iter().filter_map(|run| {
-            let why = why(&run);
-            self.remove(name, run, why)
-        }).collect()
+        gone.into_iter()
+            .filter_map(|run| {
+                let why = why(&run);
+                self.remove(name, run, why)
+            })
+            .collect()
     }
 
     fn all_gone(&mut self, name: &Name) -> Vec<RunOver> {
         let runs: Vec<RunId> = self.runs.keys().cloned().collect();
         let gone = runs.into_iter();
-        gone.filter_map(|run| self.remove(name, run, SessionEnd::Gone)).collect()
+        gone.filter_map(|run| self.remove(name, run, SessionEnd::Gone))
+            .collect()
     }
 
     fn remove(&mut self, name: &Name, run: RunId, why: SessionEnd) -> Option<RunOver> {
@@ -402,6 +442,7 @@
             why,
             checkpoint: state.checkpoint,
             running_since: state.running_since,
+            whole_since: None,
         })
     }
 }
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -53,7 +53,9 @@
             (self.memory_mb, needs.memory_mb),
             (self.accelerators, needs.accelerators),
         ];
-        let fits = ways.iter().filter_map(|(have, need)| have.checked_div(*need));
+        let fits = ways
+            .iter()
+            .filter_map(|(have, need)| have.checked_div(*need));
         let fits = fits.min().unwrap_or(u64::from(most));
         u32::try_from(fits).unwrap_or(u32::MAX).min(most)
     }
@@ -197,7 +199,11 @@
             memory_mb,
             accelerators,
         } = self.needs;
-        write!(f, "{}x{cpu_millis}m/{memory_mb}MB/{accelerators}a", self.tasks)?;
+        write!(
+            f,
+            "{}x{cpu_millis}m/{memory_mb}MB/{accelerators}a",
+            self.tasks
+        )?;
         write!(f, ",estimate={}ms", self.estimate_ms)?;
         let flags = [
             (self.gang, "gang"),
@@ -242,7 +248,10 @@
         const MOST_REPEATS: u32 = 1_000;
         let orders = self.steps.iter().enumerate();
         let mut orders = orders.map(|(i, s)| s.after.iter().all(|a| (*a as usize) < i));
-        let tasks = self.steps.iter().try_fold(0_u32, |n, s| n.checked_add(s.tasks));
+        let tasks = self
+            .steps
+            .iter()
+            .try_fold(0_u32, |n, s| n.checked_add(s.tasks));
         orders.all(|sound| sound)
             && tasks.is_some_and(|n| (1..=MOST_TASKS).contains(&n))
             && (1..=MOST_REPEATS).contains(&self.repeats())
--- /dev/null
+++ b/dragonflyrun/src/workload/live.rs
@@ -0,0 +1,99 @@
+//! A job in the planner's hands.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    port::Configuration,
+    utils::{HashMap, HashSet, Name},
+    workload::{Job, JobPlan, Outcome},
+};
+
+/// A job, its plan, and what the planner remembers of its runs beside that.
+#[derive(Clone, Debug)]
+pub(super) struct LiveJob {
+    pub(super) job: Box<Job>,
+    pub(super) cancelled: bool,
+    pub(super) plan: JobPlan,
+    /// Workers on which runs of it failed.
+    pub(super) failed_on: Vec<Name>,
+}
+
+impl LiveJob {
+    /// Returns the tasks of a step that may be started, by their places in it: none before all
+    /// steps that it waits for are done, and of a gang all or none.
+    pub(super) fn waiting(&self, occurrence: u32, step: u32) -> Vec<u32> {
+        let Some(shape) = self.job.request.steps.get(step as usize) else {
+            return Vec::new();
+        };
+        let mut after = shape.after.iter();
+        if !after.all(|a| self.plan.is_step_done(&self.job, occurrence, *a)) {
+            return Vec::new();
+        }
+        let waits = |number: u32| {
+            let task = self.plan.tasks.get(&number);
+            task.is_none_or(|t| !t.done && t.place.is_none())
+        };
+        let numbers = (0_u32..).zip(self.job.numbers(occurrence, step));
+        let waiting = numbers.filter(|(_, n)| waits(*n)).map(|(index, _)| index);
+        let waiting: Vec<u32> = waiting.collect();
+        if shape.gang && waiting.len() < shape.tasks as usize {
+            return Vec::new();
+        }
+        waiting
+    }
+
+    /// Returns how the job has ended, where it has.
+    pub(super) fn outcome(&self) -> Option<Outcome> {
+        if self.plan.is_all_done(&self.job) {
+            return Some(Outcome::Completed);
+        }
+        if self.cancelled {
+            return Some(Outcome::Cancelled);
+        }
+        let tasks = self.plan.tasks.values();
+        let mut hopeless = tasks.filter(|t| !t.done && t.failed >= self.job.max_attempts.max(1));
+        let lasting = self.job.request.steps.iter().any(|s| s.lasting);
+        (!lasting && hopeless.next().is_some()).then_some(Outcome::Failed)
+    }
+}
+
+/// Returns the service whose workers run the job: that of its queue now, or of its queue when it
+/// was accepted where the queue is gone.
+pub(super) fn service_of(job: &Job, configuration: &Configuration) -> Name {
+    let queue = configuration.queues.iter().find(|q| q.name == job.queue);
+    queue.map_or_else(|| job.service.clone(), |q| q.service.clone())
+}
+
+/// Returns the urgent jobs that fit into what their workspaces are guaranteed, oldest first.
+pub(super) fn guaranteed_jobs(
+    jobs: &BTreeMap<Name, LiveJob>,
+    configuration: &Configuration,
+) -> HashSet<Name> {
+    let mut urgent: Vec<&LiveJob> = jobs
+        .values()
+        .filter(|l| l.job.priority == 0 && l.plan.outcome.is_none() && !l.cancelled)
+        .collect();
+    urgent.sort_by_key(|l| l.job.accepted_ms);
+    let mut used: HashMap<&Name, u64> = HashMap::default();
+    let mut found = HashSet::default();
+    for live in urgent {
+        let Some(workspace) = &live.job.workspace else {
+            continue;
+        };
+        let guarantee = configuration
+            .workspaces
+            .iter()
+            .find(|w| w.name == *workspace);
+        let guarantee = guarantee.map_or(0, |w| u64::from(w.guaranteed_accelerators));
+        let steps = live.job.request.steps.iter();
+        let needs: u64 = steps
+            .map(|s| u64::from(s.tasks) * s.needs.accelerators)
+            .sum();
+        let used = used.entry(workspace).or_default();
+        *used += needs;
+        if *used <= guarantee {
+            found.insert(live.job.name.clone());
+        }
+    }
+    found
+}
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -7,12 +7,16 @@
 
 mod agent_table;
 mod book;
+mod demands;
 mod fleet;
 mod job;
+mod live;
 mod message;
+mod pass;
 mod plan;
 mod planner;
 mod record;
+mod run_times;
 mod schedule;
 mod task;
 mod term;
@@ -25,6 +29,7 @@
 pub use plan::{JobPlan, Outcome, Place, TaskPlan};
 pub use planner::{Decisions, Planner, PlannerBounds, View, WorkerOrder};
 pub use record::{JobRecord, Term, decode, encode};
-pub use schedule::{Demand, Room};
+pub use run_times::RunTimes;
+pub use schedule::{Demand, Hold, Room};
 pub use task::{RunId, TaskId};
 pub use term::{Election, TermStep};
--- /dev/null
+++ b/dragonflyrun/src/workload/pass.rs
@@ -0,0 +1,300 @@
+//! One pass over all that waits: what starts where, and what is evicted for it.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    utils::{HashMap, HashSet, Name},
+    workload::{
+        Demand,
+        Fleet,
+        Resources,
+        Room,
+        RunId,
+        RunTimes,
+        WorkerRun,
+        live::LiveJob,
+        planner::View,
+        schedule::{self, Horizon, Victim, slowness_step}, //
+    },
+};
+
+/// An urgent task may cost others so many times its own work in work that is thrown away: above
+/// that, more is lost than the urgent task is worth.
+const EVICTION_RATIO: f64 = 2.0;
+
+/// Blocked demands for which room is held in one pass: each holds back smaller work.
+const MOST_HOLDS: u32 = 3;
+
+/// A run that has taken so many times its expected time makes its worker doubtful.
+const OVERDUE: f64 = 3.0;
+
+/// Milliseconds that a run has to be overdue at the least: short tasks scatter more.
+const OVERDUE_MS: f64 = 2_000.0;
+
+/// Milliseconds that a run which is past its expected end is taken to go on.
+const PAST_END_MS: u64 = 500;
+
+/// A demand with the workers that were found for it.
+pub(super) struct Placed {
+    pub(super) job: Name,
+    pub(super) occurrence: u32,
+    pub(super) step: u32,
+    pub(super) gang: bool,
+    pub(super) needs: Resources,
+    /// The tasks' places in the step, and their workers.
+    pub(super) members: Vec<(u32, Name)>,
+}
+
+/// What a pass has decided.
+#[derive(Default)]
+pub(super) struct PassOutcome {
+    pub(super) starts: Vec<Placed>,
+    pub(super) evictions: Vec<(Name, RunId)>,
+}
+
+/// The room of all workers, while a pass takes from it.
+pub(super) struct Pass<'a> {
+    fleet: &'a Fleet,
+    rooms: Vec<Room>,
+    victims: Vec<Victim>,
+    evicted: HashSet<usize>,
+    counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
+    holds: u32,
+    outcome: PassOutcome,
+}
+
+impl<'a> Pass<'a> {
+    /// Returns a pass over the workers as they are.
+    pub(super) fn new(
+        fleet: &'a Fleet,
+        jobs: &BTreeMap<Name, LiveJob>,
+        times: &RunTimes,
+        view: &View<'_>,
+    ) -> Self {
+        let rooms = rooms(fleet, jobs, times, view);
+        let victims = victims(fleet, jobs, view, &rooms);
+        Self {
+            fleet,
+            rooms,
+            victims,
+            evicted: HashSet::default(),
+            counts: HashMap::default(),
+            holds: 0,
+            outcome: PassOutcome::default(),
+        }
+    }
+
+    /// Returns whether less than half of the room is in use.
+    pub(super) fn is_idle(&self) -> bool {
+        let weight = |of: fn(&Room) -> &Resources| -> f64 {
+            self.rooms.iter().map(|r| of(r).weight()).sum()
+        };
+        weight(|r| &r.free) > weight(|r| &r.capacity) / 2.0
+    }
+
+    /// Serves the demands in their order.
+    pub(super) fn run(mut self, demands: &[Demand<'_>]) -> PassOutcome {
+        for demand in demands {
+            self.serve(demand);
+        }
+        self.outcome
+    }
+
+    fn serve(&mut self, demand: &Demand<'_>) {
+        let placed = self.count(demand);
+        if let Some(found) = schedule::place(demand, &self.rooms, Horizon::Now, &placed) {
+            self.start(demand, &found);
+            return;
+        }
+        if self.make_room(demand, &placed) {
+            return;
+        }
+        let large = demand.shape.gang || self.is_large(demand);
+        if large && self.holds < MOST_HOLDS && schedule::hold(demand, &mut self.rooms, &placed) {
+            self.holds += 1;
+        }
+    }
+
+    /// Returns whether the demand waits for room that is being made, after ordering what is missing.
+    fn make_room(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
+        let may_evict = demand.guaranteed || (demand.priority == 0 && demand.slack_ms > 0);
+        if !may_evict {
+            return false;
+        }
+        if let Some(found) = schedule::place(demand, &self.rooms, Horizon::Soon, placed) {
+            self.take(demand, &found);
+            return true;
+        }
+        let numbers: Vec<usize> = (0..self.victims.len())
+            .filter(|v| !self.evicted.contains(v))
+            .collect();
+        let open: Vec<Victim> = numbers.iter().map(|v| self.victims[*v].clone()).collect();
+        let most = most_cost(demand);
+        let Some((taken, found)) = schedule::evict(demand, &self.rooms, &open, placed, most) else {
+            return false;
+        };
+        for v in taken {
+            log::info!(
+                job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
+                lost_core_s = open[v].cost, most_core_s = most, slack_ms = demand.slack_ms;
+                "room_made"
+            );
+            self.evicted.insert(numbers[v]);
+            schedule::give_back(&mut self.rooms, &open[v]);
+            let parts = open[v].parts.iter();
+            let runs = parts.map(|(i, run, _)| (self.rooms[*i].worker.clone(), run.clone()));
+            self.outcome.evictions.extend(runs);
+        }
+        self.take(demand, &found);
+        true
+    }
+
+    fn start(&mut self, demand: &Demand<'_>, found: &[usize]) {
+        self.take(demand, found);
+        let workers = found.iter().map(|i| self.rooms[*i].worker.clone());
+        let members: Vec<(u32, Name)> = demand.indexes.iter().copied().zip(workers).collect();
+        if demand.shape.per_worker > 0 {
+            let key = (demand.job.clone(), demand.occurrence, demand.step);
+            let counts = self.counts.entry(key).or_default();
+            for (_, worker) in &members {
+                *counts.entry(worker.clone()).or_default() += 1;
+            }
+        }
+        self.outcome.starts.push(Placed {
+            job: demand.job.clone(),
+            occurrence: demand.occurrence,
+            step: demand.step,
+            gang: demand.shape.gang,
+            needs: demand.shape.needs,
+            members,
+        });
+    }
+
+    fn take(&mut self, demand: &Demand<'_>, found: &[usize]) {
+        for i in found {
+            self.rooms[*i].take(&demand.shape.needs, demand.estimate_ms);
+        }
+    }
+
+    /// Counts the tasks of the demand's step on each worker, with those that this pass starts.
+    fn count(&mut self, demand: &Demand<'_>) -> HashMap<Name, u32> {
+        if demand.shape.per_worker == 0 {
+            return HashMap::default();
+        }
+        let key = (demand.job.clone(), demand.occurrence, demand.step);
+        let fleet = self.fleet;
+        let counted = self.counts.entry(key);
+        let count = || fleet.count_step(&demand.job, demand.occurrence, demand.step);
+        counted.or_insert_with(count).clone()
+    }
+
+    /// Returns whether no worker takes two tasks of the demand.
+    fn is_large(&self, demand: &Demand<'_>) -> bool {
+        let needs = &demand.shape.needs;
+        let twice = needs.plus(needs);
+        let mut suitable = self
+            .rooms
+            .iter()
+            .filter(|r| schedule::is_suitable(demand, r));
+        suitable.all(|r| !r.capacity.fits(&twice))
+    }
+}
+
+/// Returns the core-seconds that may be thrown away for a demand.
+fn most_cost(demand: &Demand<'_>) -> f64 {
+    if demand.guaranteed {
+        return f64::INFINITY;
+    }
+    let tasks = demand.indexes.len() as f64;
+    let seconds = demand.estimate_ms as f64 / 1_000.0;
+    demand.shape.needs.weight() * tasks * seconds * EVICTION_RATIO
+}
+
+fn rooms(
+    fleet: &Fleet,
+    jobs: &BTreeMap<Name, LiveJob>,
+    times: &RunTimes,
+    view: &View<'_>,
+) -> Vec<Room> {
+    let usable = fleet
+        .workers()
+        .filter(|(_, w)| w.takes_tasks() && w.shunned_until <= view.now);
+    let rooms = usable.filter_map(|(name, worker)| {
+        let heartbeat = &worker.report.as_ref()?.heartbeat;
+        if view.evacuated.contains(&heartbeat.failure_domain) {
+            return None;
+        }
+        let free = heartbeat.capacity.minus(&worker.used());
+        let mut releases = Vec::new();
+        let mut overdue = false;
+        for (run, state) in &worker.runs {
+            let expected = expected_ms(jobs, times, run) as f64 * times.slowness(name).max(1.0);
+            let elapsed = elapsed_ms(state, view) as f64;
+            overdue |= elapsed > (expected * OVERDUE).max(expected + OVERDUE_MS);
+            let left = (expected - elapsed).max(0.0) as u64;
+            releases.push((left.max(PAST_END_MS), state.needs));
+        }
+        Some(Room {
+            worker: name.clone(),
+            service: heartbeat.service.clone(),
+            labels: heartbeat.labels.clone(),
+            rack: heartbeat.rack.clone(),
+            free,
+            soon: free.plus(&worker.stopping()),
+            capacity: heartbeat.capacity,
+            releases,
+            hold: None,
+            doubt: worker.failures + u32::from(overdue),
+            slow: slowness_step(times.slowness(name)),
+        })
+    });
+    rooms.collect()
+}
+
+fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
+    let live = jobs.get(&run.task.job);
+    let step = live.and_then(|l| Some((l, l.job.request.steps.get(run.task.step as usize)?)));
+    step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
+}
+
+fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
+    u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Returns what may be evicted, with what that loses.
+fn victims(
+    fleet: &Fleet,
+    jobs: &BTreeMap<Name, LiveJob>,
+    view: &View<'_>,
+    rooms: &[Room],
+) -> Vec<Victim> {
+    let mut units: BTreeMap<(Name, u32, u32, Option<u32>), Victim> = BTreeMap::new();
+    for (i, room) in rooms.iter().enumerate() {
+        let runs = fleet.get(&room.worker).into_iter().flat_map(|w| &w.runs);
+        for (run, state) in runs {
+            let Some(live) = jobs.get(&run.task.job) else {
+                continue;
+            };
+            if state.stopping || state.ordered.is_none() {
+                continue;
+            }
+            let step = live.job.request.steps.get(run.task.step as usize);
+            let alone = step.is_none_or(|s| !s.gang).then_some(run.task.index);
+            let key = (
+                run.task.job.clone(),
+                run.task.occurrence,
+                run.task.step,
+                alone,
+            );
+            let victim = units.entry(key).or_insert_with(|| Victim {
+                parts: Vec::new(),
+                priority: live.job.priority,
+                cost: 0.0,
+            });
+            let unsaved = view.now.since(state.saved_at).as_secs_f64();
+            victim.cost += unsaved * state.needs.weight();
+            victim.parts.push((i, run.clone(), state.needs));
+        }
+    }
+    units.into_values().collect()
+}
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -8,11 +8,13 @@
 
 use crate::{
     port::{Configuration, EndKind, StartOutcome, StoreRecord},
-    utils::{HashMap, HashSet, Name, Timestamp},
+    utils::{HashSet, Name, Timestamp},
     workload::{
-        Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Outcome, Place,
-        Report, Resources, Room, RunId, RunOver, SessionEnd, Step, TaskId, TaskPlan, TaskStart,
-        schedule::{self, Horizon, Victim},
+        Book, Closing, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, RunId, RunOver,
+        RunTimes, SessionEnd, TaskId, TaskPlan, TaskStart,
+        demands::Demands,
+        live::LiveJob,
+        pass::{Pass, Placed},
     },
 };
 
@@ -75,15 +77,6 @@
     pub forgotten: Vec<Name>,
 }
 
-#[derive(Clone, Debug)]
-struct LiveJob {
-    job: Box<Job>,
-    cancelled: bool,
-    plan: JobPlan,
-    /// Workers on which runs of it failed.
-    failed_on: Vec<Name>,
-}
-
 /// The planner's table.
 pub struct Planner {
     bounds: PlannerBounds,
@@ -94,33 +87,6 @@
     run_times: RunTimes,
 }
 
-/// Learned run times: the mean of what tasks of a queue took.
-#[derive(Clone, Debug, Default)]
-struct RunTimes {
-    means: HashMap<Name, (u32, f64)>,
-}
-
-/// Tasks of a queue after which the learned mean replaces callers' guesses.
-const LEARNED_AFTER: u32 = 4;
-
-/// Weight of the newest run in the learned mean.
-const LEARNED_WEIGHT: f64 = 0.2;
-
-impl RunTimes {
-    fn learn(&mut self, queue: &Name, ms: f64) {
-        let (count, mean) = self.means.entry(queue.clone()).or_insert((0, ms));
-        *count += 1;
-        *mean += (ms - *mean) * LEARNED_WEIGHT.max(1.0 / f64::from(*count));
-    }
-
-    fn estimate_ms(&self, queue: &Name, step: &Step) -> u64 {
-        match self.means.get(queue) {
-            Some((count, mean)) if *count >= LEARNED_AFTER => *mean as u64,
-            _ => step.estimate_ms,
-        }
-    }
-}
-
 impl Planner {
     /// Returns a planner that takes over all jobs of `book`.
     pub fn take_over(bounds: PlannerBounds, book: &Book, now: Timestamp) -> Self {
@@ -140,20 +106,43 @@
         planner
     }
 
-    fn adopt(&mut self, now: Timestamp, name: &Name, job: Box<Job>, cancelled: bool, plan: JobPlan) {
+    fn adopt(
+        &mut self,
+        now: Timestamp,
+        name: &Name,
+        job: Box<Job>,
+        cancelled: bool,
+        plan: JobPlan,
+    ) {
         for occurrence in 0..job.request.repeats() {
             for (step, shape) in (0_u32..).zip(&job.request.steps) {
                 for (index, number) in (0_u32..).zip(job.numbers(occurrence, step)) {
-                    let Some(TaskPlan { run, place: Some(place), .. }) = plan.tasks.get(&number) else {
+                    let Some(TaskPlan {
+                        run,
+                        place: Some(place),
+                        ..
+                    }) = plan.tasks.get(&number)
+                    else {
                         continue;
                     };
-                    let task = TaskId { job: name.clone(), occurrence, step, index };
+                    let task = TaskId {
+                        job: name.clone(),
+                        occurrence,
+                        step,
+                        index,
+                    };
                     let run = RunId { task, number: *run };
-                    self.fleet.adopt(now, &place.worker, place.session, run, shape.needs);
+                    self.fleet
+                        .adopt(now, &place.worker, place.session, run, shape.needs);
                 }
             }
         }
-        let live = LiveJob { job, cancelled, plan, failed_on: Vec::new() };
+        let live = LiveJob {
+            job,
+            cancelled,
+            plan,
+            failed_on: Vec::new(),
+        };
         self.jobs.insert(name.clone(), live);
     }
 
@@ -217,7 +206,10 @@
                 run.ordered = Some(offset);
             }
         }
-        if order.order.fence && worker.session == order.session && worker.closing == Closing::Ordered {
+        if order.order.fence
+            && worker.session == order.session
+            && worker.closing == Closing::Ordered
+        {
             worker.closing = Closing::Stands(now);
         }
     }
@@ -262,10 +254,17 @@
                 continue;
             };
             if !order.is_empty() {
-                decisions.orders.push(WorkerOrder { worker, session, order });
+                decisions.orders.push(WorkerOrder {
+                    worker,
+                    session,
+                    order,
+                });
             }
         }
         decisions.forgotten = self.fleet.forget(view.now, self.bounds.keep_ended);
+        for worker in &decisions.forgotten {
+            self.run_times.forget(worker);
+        }
         decisions
     }
 
@@ -312,7 +311,14 @@
 
     /// Takes note that a run is over.
     fn run_over(&mut self, now: Timestamp, over: RunOver) {
-        let RunOver { run, worker, why, checkpoint, running_since } = over;
+        let RunOver {
+            run,
+            worker,
+            why,
+            checkpoint,
+            running_since,
+            whole_since,
+        } = over;
         let Some(live) = self.jobs.get_mut(&run.task.job) else {
             log::warn!(run:% = run, worker:% = worker, why:? = why; "run_over_of_unknown_job");
             return;
@@ -341,7 +347,12 @@
             task.checkpoint.clone_from(&checkpoint);
             if shape.gang {
                 for member in numbers.clone() {
-                    live.plan.tasks.entry(member).or_default().checkpoint.clone_from(&checkpoint);
+                    live.plan
+                        .tasks
+                        .entry(member)
+                        .or_default()
+                        .checkpoint
+                        .clone_from(&checkpoint);
                 }
             }
         }
@@ -354,15 +365,19 @@
         match end.kind {
             EndKind::Done if shape.lasting => {}
             EndKind::Done => {
-                let done = if shape.gang { numbers } else { number..number + 1 };
+                let done = if shape.gang {
+                    numbers
+                } else {
+                    number..number + 1
+                };
                 for member in done {
                     live.plan.tasks.entry(member).or_default().done = true;
                 }
-                let whole = task_is_whole(&checkpoint, run.number);
-                if let (Some(since), true) = (running_since, whole) {
-                    let ms = now.since(since).as_millis() as f64;
-                    let queue = live.job.queue.clone();
-                    self.run_times.learn(&queue, ms);
+                if let Some(placed_at) = whole_since {
+                    let took_ms = now.since(placed_at).as_millis() as f64;
+                    let guess_ms = shape.estimate_ms;
+                    self.run_times
+                        .learn(&live.job.queue, &worker, guess_ms, took_ms);
                 }
             }
             EndKind::Failed => {
@@ -420,7 +435,11 @@
         let known = self.fleet.get_mut(worker);
         if let Some(state) = known.and_then(|w| w.runs.get_mut(run)) {
             state.stopping = true;
-            self.orders.entry(worker.clone()).or_default().stops.push(run.clone());
+            self.orders
+                .entry(worker.clone())
+                .or_default()
+                .stops
+                .push(run.clone());
             log::info!(job:% = run.task.job, run:% = run, worker:% = worker, why; "run_stopped");
         }
     }
@@ -456,68 +475,35 @@
     }
 
     fn start_tasks(&mut self, view: &View<'_>) {
-        let mut rooms = self.rooms(view);
-        let victims = self.victims(view, &rooms);
-        let mut evicted: HashSet<usize> = HashSet::default();
-        let jobs = std::mem::take(&mut self.jobs);
-        let demands = self.demands(&jobs, view);
-        let mut starts: Vec<(Demand<'_>, Vec<usize>)> = Vec::new();
-        let mut stops: Vec<usize> = Vec::new();
-        for demand in demands {
-            let placed = self.fleet.count_step(&demand.job, demand.occurrence, demand.step);
-            let placed = with_starts(placed, &starts, &demand, &rooms);
-            if let Some(found) = schedule::place(&demand, &rooms, Horizon::Now, &placed) {
-                take(&mut rooms, &found, &demand.shape.needs);
-                starts.push((demand, found));
-                continue;
-            }
-            if !demand.may_evict {
-                continue;
-            }
-            if let Some(found) = schedule::place(&demand, &rooms, Horizon::Soon, &placed) {
-                take(&mut rooms, &found, &demand.shape.needs);
-                continue;
-            }
-            let open: Vec<Victim> = victims.iter().enumerate()
-                .filter(|(v, _)| !evicted.contains(v))
-                .map(|(_, victim)| victim.clone())
-                .collect();
-            let numbers: Vec<usize> = (0..victims.len()).filter(|v| !evicted.contains(v)).collect();
-            if let Some((taken, found)) = schedule::evict(&demand, &rooms, &open, &placed) {
-                for v in taken {
-                    evicted.insert(numbers[v]);
-                    stops.push(numbers[v]);
-                    for (i, _, needs) in &open[v].parts {
-                        rooms[*i].soon = rooms[*i].soon.plus(needs);
-                    }
-                }
-                log::info!(job:% = demand.job, step = demand.step, victims = stops.len(); "room_made");
-                take(&mut rooms, &found, &demand.shape.needs);
-            }
-        }
-        let starts: Vec<PlacedDemand> = starts.into_iter()
-            .map(|(demand, found)| PlacedDemand::new(&demand, &found, &rooms))
-            .collect();
-        self.jobs = jobs;
-        for v in stops {
-            for (i, run, _) in &victims[v].parts {
-                let worker = rooms[*i].worker.clone();
-                self.stop(&worker, run, "evicted");
-            }
+        let pass = Pass::new(&self.fleet, &self.jobs, &self.run_times, view);
+        let demands = Demands {
+            bounds: &self.bounds,
+            view,
+            times: &self.run_times,
+            idle: pass.is_idle(),
+        };
+        let outcome = pass.run(&demands.all(&self.jobs));
+        for (worker, run) in outcome.evictions {
+            self.stop(&worker, &run, "evicted");
         }
-        for start in starts {
-            self.start(view, &start);
+        for placed in outcome.starts {
+            self.start(view, &placed);
         }
     }
 
-    fn start(&mut self, view: &View<'_>, placed: &PlacedDemand) {
+    fn start(&mut self, view: &View<'_>, placed: &Placed) {
         let Some(live) = self.jobs.get_mut(&placed.job) else {
             return;
         };
         let numbers = live.job.numbers(placed.occurrence, placed.step);
         let number_of = |index: u32| numbers.start + index;
         let members = placed.members.iter().map(|(index, _)| number_of(*index));
-        let run = members.clone().map(|m| live.plan.task(m).run).max().unwrap_or(0) + 1;
+        let run = members
+            .clone()
+            .map(|m| live.plan.task(m).run)
+            .max()
+            .unwrap_or(0)
+            + 1;
         // All members of a gang have to go on from the same checkpoint.
         let checkpoint = live.plan.task(number_of(placed.members[0].0)).checkpoint;
         live.plan.begun = true;
@@ -534,256 +520,36 @@
             };
             let plan = live.plan.tasks.entry(number_of(*index)).or_default();
             plan.run = run;
-            plan.place = Some(Place { worker: worker.clone(), session });
-            let checkpoint = if placed.gang { checkpoint.clone() } else { plan.checkpoint.clone() };
+            plan.place = Some(Place {
+                worker: worker.clone(),
+                session,
+            });
+            let checkpoint = if placed.gang {
+                checkpoint.clone()
+            } else {
+                plan.checkpoint.clone()
+            };
             let run = RunId { task, number: run };
-            self.fleet.place(view.now, worker, run.clone(), placed.needs, &checkpoint);
+            self.fleet
+                .place(view.now, worker, run.clone(), placed.needs, &checkpoint);
             log::info!(
                 job:% = placed.job, run:% = run, worker:% = worker, session,
                 waited_ms = view.unix_ms.saturating_sub(live.job.accepted_ms),
                 configuration = view.configuration.version, resumed = !checkpoint.is_empty();
                 "run_ordered"
             );
-            let start = TaskStart { run, payload: live.job.request.payload.clone(), checkpoint };
-            self.orders.entry(worker.clone()).or_default().starts.push(start);
-        }
-    }
-
-    fn rooms(&self, view: &View<'_>) -> Vec<Room> {
-        let usable = self.fleet.workers().filter(|(_, w)| {
-            w.takes_tasks() && w.shunned_until <= view.now
-        });
-        let rooms = usable.filter_map(|(name, worker)| {
-            let heartbeat = &worker.report.as_ref()?.heartbeat;
-            if view.evacuated.contains(&heartbeat.failure_domain) {
-                return None;
-            }
-            let used = worker.used();
-            let free = heartbeat.capacity.minus(&used);
-            Some(Room {
-                worker: name.clone(),
-                service: heartbeat.service.clone(),
-                labels: heartbeat.labels.clone(),
-                rack: heartbeat.rack.clone(),
-                free,
-                soon: free.plus(&worker.stopping()),
-                capacity: heartbeat.capacity,
-                doubt: worker.failures,
-            })
-        });
-        rooms.collect()
-    }
-
-    /// Returns what may be evicted, with what that loses.
-    fn victims(&self, view: &View<'_>, rooms: &[Room]) -> Vec<Victim> {
-        let mut units: BTreeMap<(Name, u32, u32, Option<u32>), Victim> = BTreeMap::new();
-        for (i, room) in rooms.iter().enumerate() {
-            let Some(worker) = self.fleet.get(&room.worker) else {
-                continue;
+            let start = TaskStart {
+                run,
+                payload: live.job.request.payload.clone(),
+                checkpoint,
             };
-            for (run, state) in &worker.runs {
-                let Some(live) = self.jobs.get(&run.task.job) else {
-                    continue;
-                };
-                if state.stopping || state.ordered.is_none() {
-                    continue;
-                }
-                let gang = live.job.request.steps[run.task.step as usize].gang;
-                let alone = (!gang).then_some(run.task.index);
-                let key = (run.task.job.clone(), run.task.occurrence, run.task.step, alone);
-                let victim = units.entry(key).or_insert_with(|| Victim {
-                    parts: Vec::new(),
-                    priority: live.job.priority,
-                    cost: 0.0,
-                });
-                let unsaved = view.now.since(state.saved_at).as_secs_f64();
-                victim.cost += unsaved * state.needs.weight();
-                victim.parts.push((i, run.clone(), state.needs));
-            }
+            self.orders
+                .entry(worker.clone())
+                .or_default()
+                .starts
+                .push(start);
         }
-        units.into_values().collect()
     }
-
-    /// Returns what waits to be started, in the order in which it is to be served.
-    fn demands<'a>(&self, jobs: &'a BTreeMap<Name, LiveJob>, view: &View<'_>) -> Vec<Demand<'a>> {
-        let guaranteed = guaranteed_jobs(jobs, view.configuration);
-        let mut demands = Vec::new();
-        for (name, live) in jobs {
-            if live.plan.outcome.is_some() || live.cancelled {
-                continue;
-            }
-            let may_evict = guaranteed.contains(name);
-            for occurrence in 0..live.job.request.repeats() {
-                if view.unix_ms < live.job.due_ms(occurrence) {
-                    break;
-                }
-                self.job_demands(live, occurrence, may_evict, view, &mut demands);
-            }
-        }
-        demands.sort_by(|a, b| {
-            let key = |d: &Demand<'_>| (d.priority, !d.may_evict, d.objective_ms);
-            key(a).cmp(&key(b)).then_with(|| a.job.cmp(&b.job))
-        });
-        demands
-    }
-
-    fn job_demands<'a>(
-        &self,
-        live: &'a LiveJob,
-        occurrence: u32,
-        may_evict: bool,
-        view: &View<'_>,
-        demands: &mut Vec<Demand<'a>>,
-    ) {
-        let job = &live.job;
-        let service = service_of(job, view.configuration);
-        let begin_ms = job.accepted_ms.max(job.due_ms(occurrence));
-        let chain_ms = job.request.chain_ms(|s| self.run_times.estimate_ms(&job.queue, s));
-        let objective_ms = begin_ms + (job.stretch * chain_ms as f64) as u64 + job.target_ms;
-        for (step, shape) in (0_u32..).zip(&job.request.steps) {
-            let mut after = shape.after.iter();
-            if !after.all(|a| live.plan.is_step_done(job, occurrence, *a)) {
-                continue;
-            }
-            let numbers = job.numbers(occurrence, step);
-            let waits = |n: &u32| {
-                let task = live.plan.tasks.get(n);
-                task.is_none_or(|t| !t.done && t.place.is_none())
-            };
-            let waiting: Vec<u32> = numbers.clone().filter(waits).map(|n| n - numbers.start).collect();
-            if waiting.is_empty() || (shape.gang && waiting.len() < numbers.len()) {
-                continue;
-            }
-            // Work far from its data takes several times as long, so it waits a while for room
-            // nearby: as long as the detour would cost.
-            let detour = shape.estimate_ms as f64 * (self.bounds.far_factor - 1.0).max(0.0);
-            let waited = view.unix_ms.saturating_sub(begin_ms) as f64;
-            let demand = |indexes: Vec<u32>| Demand {
-                job: job.name.clone(),
-                occurrence,
-                step,
-                indexes,
-                shape,
-                service: service.clone(),
-                priority: job.priority,
-                may_evict,
-                objective_ms,
-                avoid: live.failed_on.clone(),
-                far_allowed: may_evict || waited > detour,
-            };
-            if shape.gang {
-                demands.push(demand(waiting));
-            } else {
-                demands.extend(waiting.into_iter().map(|index| demand(vec![index])));
-            }
-        }
-    }
-}
-
-impl LiveJob {
-    fn outcome(&self) -> Option<Outcome> {
-        if self.plan.is_all_done(&self.job) {
-            return Some(Outcome::Completed);
-        }
-        if self.cancelled {
-            return Some(Outcome::Cancelled);
-        }
-        let tasks = self.plan.tasks.values();
-        let mut hopeless = tasks.filter(|t| !t.done && t.failed >= self.job.max_attempts.max(1));
-        let lasting = self.job.request.steps.iter().any(|s| s.lasting);
-        (!lasting && hopeless.next().is_some()).then_some(Outcome::Failed)
-    }
-}
-
-/// A demand with the workers that were found for it.
-struct PlacedDemand {
-    job: Name,
-    occurrence: u32,
-    step: u32,
-    gang: bool,
-    needs: Resources,
-    members: Vec<(u32, Name)>,
-}
-
-impl PlacedDemand {
-    fn new(demand: &Demand<'_>, found: &[usize], rooms: &[Room]) -> Self {
-        let workers = found.iter().map(|i| rooms[*i].worker.clone());
-        Self {
-            job: demand.job.clone(),
-            occurrence: demand.occurrence,
-            step: demand.step,
-            gang: demand.shape.gang,
-            needs: demand.shape.needs,
-            members: demand.indexes.iter().copied().zip(workers).collect(),
-        }
-    }
-}
-
-/// Adds to the counts of a step's tasks on each worker those that this pass starts.
-fn with_starts(
-    mut placed: HashMap<Name, u32>,
-    starts: &[(Demand<'_>, Vec<usize>)],
-    demand: &Demand<'_>,
-    rooms: &[Room],
-) -> HashMap<Name, u32> {
-    if demand.shape.per_worker == 0 {
-        return placed;
-    }
-    let same = |d: &Demand<'_>| {
-        d.job == demand.job && d.occurrence == demand.occurrence && d.step == demand.step
-    };
-    for (_, found) in starts.iter().filter(|(d, _)| same(d)) {
-        for i in found {
-            *placed.entry(rooms[*i].worker.clone()).or_default() += 1;
-        }
-    }
-    placed
-}
-
-fn take(rooms: &mut [Room], found: &[usize], needs: &Resources) {
-    for i in found {
-        rooms[*i].take(needs);
-    }
-}
-
-/// Returns the service whose workers run the job: that of its queue now, or of its queue when it
-/// was accepted where the queue is gone.
-fn service_of(job: &Job, configuration: &Configuration) -> Name {
-    let queue = configuration.queues.iter().find(|q| q.name == job.queue);
-    queue.map_or_else(|| job.service.clone(), |q| q.service.clone())
-}
-
-/// Returns the urgent jobs that fit into what their workspaces are guaranteed, oldest first.
-fn guaranteed_jobs(
-    jobs: &BTreeMap<Name, LiveJob>,
-    configuration: &Configuration,
-) -> HashSet<Name> {
-    let mut urgent: Vec<&LiveJob> = jobs.values().filter(|l| {
-        l.job.priority == 0 && l.plan.outcome.is_none() && !l.cancelled
-    }).collect();
-    urgent.sort_by_key(|l| l.job.accepted_ms);
-    let mut used: HashMap<&Name, u64> = HashMap::default();
-    let mut found = HashSet::default();
-    for live in urgent {
-        let Some(workspace) = &live.job.workspace else {
-            continue;
-        };
-        let guarantee = configuration.workspaces.iter().find(|w| w.name == *workspace);
-        let guarantee = guarantee.map_or(0, |w| u64::from(w.guaranteed_accelerators));
-        let steps = live.job.request.steps.iter();
-        let needs: u64 = steps.map(|s| u64::from(s.tasks) * s.needs.accelerators).sum();
-        let used = used.entry(workspace).or_default();
-        *used += needs;
-        if *used <= guarantee {
-            found.insert(live.job.name.clone());
-        }
-    }
-    found
-}
-
-/// Returns whether a run did the whole task, so that its time tells how long the task takes.
-fn task_is_whole(checkpoint: &str, run: u32) -> bool {
-    checkpoint.is_empty() || run == 1
 }
 
 fn kind_name(why: &SessionEnd) -> String {
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -1,8 +1,8 @@
 //! Where tasks fit: one demand against the room of all workers.
 //!
 //! Load pattern answered here: gangs that need whole workers come while small tasks are spread over
-//! all of them. Best fit keeps free accelerators together, and an eviction takes what loses the
-//! least work.
+//! all of them. Best fit keeps free accelerators together, a hold keeps room that is becoming free
+//! for a large demand, and an eviction takes what loses the least work.
 
 use crate::{
     utils::{HashMap, Name},
@@ -26,16 +26,30 @@
     pub service: Name,
     /// 0 comes first.
     pub priority: u32,
-    /// Whether tasks of lower priority are evicted for it.
-    pub may_evict: bool,
+    /// Whether the workspace is guaranteed the room, so that others have to make it.
+    pub guaranteed: bool,
+    /// Milliseconds that a task takes on a sound worker.
+    pub estimate_ms: u64,
+    /// Milliseconds until the job's objective is lost even if it starts at once; negative where it
+    /// is lost.
+    pub slack_ms: i64,
     /// Unix milliseconds by which the job should be done.
     pub objective_ms: u64,
-    /// Workers where the last runs failed; taken only where no other has room.
+    /// Workers where runs of the job failed; taken only where no other has room.
     pub avoid: Vec<Name>,
     /// Whether it takes another rack than that of its data, or more than one.
     pub far_allowed: bool,
 }
 
+/// Room on a worker that is kept for a demand that waits for it.
+#[derive(Clone, Copy, Debug)]
+pub struct Hold {
+    /// Milliseconds from now at which the demand can start.
+    pub from_ms: u64,
+    /// What is left beside it then.
+    pub spare: Resources,
+}
+
 /// What a worker has to give.
 #[derive(Clone, Debug)]
 pub struct Room {
@@ -53,8 +67,14 @@
     pub soon: Resources,
     /// What it has in all.
     pub capacity: Resources,
-    /// Higher for workers that have failed tasks or work slowly.
+    /// What becomes free in so many milliseconds, by what its tasks are expected to take.
+    pub releases: Vec<(u64, Resources)>,
+    /// Room kept for a larger demand.
+    pub hold: Option<Hold>,
+    /// Higher for workers that have failed tasks or stand still.
     pub doubt: u32,
+    /// How much slower than others it works, in steps; see [`slowness_step`].
+    pub slow: u32,
 }
 
 /// Runs that are evicted together: a gang, or one task.
@@ -68,36 +88,57 @@
     pub cost: f64,
 }
 
-/// How much of a worker counts as room.
+/// Which room counts.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Horizon {
-    /// What is free now.
+    /// What is free now and not held for others.
     Now,
     /// What is free once the stops under way are through.
     Soon,
+    /// What is expected to be free in so many milliseconds, on workers without a hold.
+    At(u64),
 }
 
 /// Victims that are looked at for one demand, at the most: more would make a pass at 300 workers
 /// take longer than the few milliseconds that an entry's share of a core allows.
 const MOST_VICTIMS: usize = 48;
 
+/// Moments that are tried for a hold, at the most, for the same reason.
+const MOST_MOMENTS: usize = 24;
+
+/// Steps of slowness: a worker in a higher step is taken later. The first bound lies above the
+/// scatter of run times on equal workers, the last one tells a worker that has turned slow from
+/// one of an older kind.
+const SLOWNESS: [f64; 3] = [1.15, 1.6, 2.5];
+
+/// Returns the step of a worker on which tasks take `slowness` times as long as expected.
+pub(super) fn slowness_step(slowness: f64) -> u32 {
+    let steps = SLOWNESS.iter().filter(|bound| slowness > **bound);
+    u32::try_from(steps.count()).unwrap_or(0)
+}
+
 impl Room {
     fn has(&self, horizon: Horizon) -> Resources {
         match horizon {
             Horizon::Now => self.free,
             Horizon::Soon => self.soon,
+            Horizon::At(ms) => self.free_at(ms),
         }
     }
 
-    /// Takes `needs` out of what is free now and soon.
-    pub fn take(&mut self, needs: &Resources) {
-        self.free = self.free.minus(needs);
-        self.soon = self.soon.minus(needs);
+    fn free_at(&self, ms: u64) -> Resources {
+        let ended = self.releases.iter().filter(|(end, _)| *end <= ms);
+        ended.fold(self.free, |sum, (_, needs)| sum.plus(needs))
     }
 
-    /// Takes `needs` out of what becomes free, and out of what is free now as far as that reaches.
-    pub fn reserve(&mut self, needs: &Resources) {
-        self.take(needs);
+    /// Takes `needs` for `for_ms` milliseconds.
+    pub(super) fn take(&mut self, needs: &Resources, for_ms: u64) {
+        self.free = self.free.minus(needs);
+        self.soon = self.soon.minus(needs);
+        self.releases.push((for_ms, *needs));
+        if let Some(hold) = self.hold.as_mut().filter(|h| for_ms > h.from_ms) {
+            hold.spare = hold.spare.minus(needs);
+        }
     }
 }
 
@@ -111,19 +152,18 @@
     let fitting: Vec<usize> = (0..rooms.len())
         .filter(|i| is_suitable(demand, &rooms[*i]))
         .collect();
-    let sound: Vec<usize> = fitting.iter().copied().filter(|i| {
-        !demand.avoid.contains(&rooms[*i].worker) && rooms[*i].doubt == 0
-    }).collect();
-    for candidates in [&sound, &fitting] {
-        if let Some(found) = place_near(demand, rooms, candidates, horizon, placed) {
-            return Some(found);
-        }
+    let sound = |i: &usize| !demand.avoid.contains(&rooms[*i].worker) && rooms[*i].doubt == 0;
+    let sound: Vec<usize> = fitting.iter().copied().filter(sound).collect();
+    let near = [&sound, &fitting].into_iter();
+    let near = near
+        .filter_map(|rows| place_near(demand, rooms, rows, horizon, placed))
+        .next();
+    if near.is_some() || !demand.far_allowed {
+        return near;
     }
-    demand.far_allowed.then(|| {
-        [&sound, &fitting].into_iter().find_map(|candidates| {
-            fill(demand, rooms, candidates, horizon, placed)
-        })
-    })?
+    let far = [&sound, &fitting].into_iter();
+    far.filter_map(|rows| fill(demand, rooms, rows, horizon, placed))
+        .next()
 }
 
 /// Places where the tasks work at full speed: on one rack, or on the rack of the data.
@@ -141,22 +181,36 @@
     if !(demand.shape.one_rack && demand.indexes.len() > 1) {
         return fill(demand, rooms, candidates, horizon, placed);
     }
-    let mut racks: Vec<&Name> = candidates.iter().filter_map(|i| rooms[*i].rack.as_ref()).collect();
+    let racks = candidates.iter().filter_map(|i| rooms[*i].rack.as_ref());
+    let mut racks: Vec<&Name> = racks.collect();
     racks.sort_unstable();
     racks.dedup();
     let found = racks.into_iter().filter_map(|rack| {
         let near = on_rack(rooms, candidates, rack);
         let found = fill(demand, rooms, &near, horizon, placed)?;
-        let left: u64 = near.iter().map(|i| rooms[*i].has(horizon).accelerators).sum();
-        Some((left, found))
+        let slow = found.iter().map(|i| rooms[*i].slow).max().unwrap_or(0);
+        let left: u64 = near
+            .iter()
+            .map(|i| rooms[*i].has(horizon).accelerators)
+            .sum();
+        Some(((slow, left), found))
     });
     // The rack with the least left over keeps the others whole for larger gangs.
-    found.min_by_key(|(left, _)| *left).map(|(_, found)| found)
+    found.min_by_key(|(rank, _)| *rank).map(|(_, found)| found)
 }
 
 fn on_rack(rooms: &[Room], candidates: &[usize], rack: &Name) -> Vec<usize> {
     let near = candidates.iter().copied();
-    near.filter(|i| rooms[*i].rack.as_ref() == Some(rack)).collect()
+    near.filter(|i| rooms[*i].rack.as_ref() == Some(rack))
+        .collect()
+}
+
+/// A worker while a demand is being placed.
+struct Candidate {
+    room: usize,
+    free: Resources,
+    spare: Option<Resources>,
+    tasks_left: u32,
 }
 
 /// Places each task on the fullest worker that still takes it.
@@ -168,28 +222,66 @@
     placed: &HashMap<Name, u32>,
 ) -> Option<Vec<usize>> {
     let needs = &demand.shape.needs;
-    let mut left: Vec<(usize, Resources, u32)> = candidates.iter().map(|i| {
-        let here = placed.get(&rooms[*i].worker).copied().unwrap_or(0);
-        let most = match demand.shape.per_worker {
-            0 => u32::MAX,
-            most => most.saturating_sub(here),
-        };
-        (*i, rooms[*i].has(horizon), most)
-    }).collect();
+    let open = candidates
+        .iter()
+        .filter_map(|i| candidate(demand, &rooms[*i], *i, horizon, placed));
+    let mut open: Vec<Candidate> = open.collect();
     let mut found = Vec::with_capacity(demand.indexes.len());
     for _ in &demand.indexes {
-        let best = left.iter_mut()
-            .filter(|(_, free, most)| *most > 0 && free.fits(needs))
-            .min_by_key(|(i, free, _)| {
-                (rooms[*i].doubt, free.accelerators - needs.accelerators, free.cpu_millis)
-            })?;
-        best.1 = best.1.minus(needs);
-        best.2 -= 1;
-        found.push(best.0);
+        let fits = |c: &&mut Candidate| {
+            c.tasks_left > 0 && c.free.fits(needs) && c.spare.is_none_or(|s| s.fits(needs))
+        };
+        let best = open.iter_mut().filter(fits).min_by_key(|c| {
+            let room = &rooms[c.room];
+            let left = c.free.accelerators - needs.accelerators;
+            (
+                room.doubt,
+                rank_of_speed(demand, room),
+                left,
+                c.free.cpu_millis,
+            )
+        })?;
+        best.free = best.free.minus(needs);
+        best.spare = best.spare.map(|s| s.minus(needs));
+        best.tasks_left -= 1;
+        found.push(best.room);
     }
     Some(found)
 }
 
+/// Urgent work takes the fastest worker; other work avoids only those that have turned slow, since
+/// packing tasks tightly is worth more to all.
+fn rank_of_speed(demand: &Demand<'_>, room: &Room) -> u32 {
+    if demand.priority == 0 {
+        return room.slow;
+    }
+    u32::from(room.slow as usize == SLOWNESS.len())
+}
+
+fn candidate(
+    demand: &Demand<'_>,
+    room: &Room,
+    index: usize,
+    horizon: Horizon,
+    placed: &HashMap<Name, u32>,
+) -> Option<Candidate> {
+    let held = room.hold.as_ref();
+    if matches!(horizon, Horizon::At(_)) && held.is_some() {
+        return None;
+    }
+    let outlasts = held.filter(|h| horizon == Horizon::Now && demand.estimate_ms > h.from_ms);
+    let here = placed.get(&room.worker).copied().unwrap_or(0);
+    Some(Candidate {
+        room: index,
+        free: room.has(horizon),
+        spare: outlasts.map(|h| h.spare),
+        tasks_left: match demand.shape.per_worker {
+            0 => u32::MAX,
+            most => most.saturating_sub(here),
+        },
+    })
+}
+
 /// Returns whether the worker may run the demand's tasks at all.
 pub(super) fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
     let label = demand.shape.label.as_ref();
@@ -198,18 +290,52 @@
         && room.capacity.fits(&demand.shape.needs)
 }
 
-/// Finds the cheapest victims whose room makes `demand` fit; returns their indexes and the rooms.
+/// Keeps the room that is expected to be free first for a demand that fits nowhere now. Smaller
+/// tasks may still use it as long as they end before.
+///
+/// Without it a task that needs a whole worker waits for as long as small ones keep coming, since
+/// one of them always fits first.
+pub(super) fn hold(demand: &Demand<'_>, rooms: &mut [Room], placed: &HashMap<Name, u32>) -> bool {
+    let suitable = rooms.iter().filter(|r| is_suitable(demand, r));
+    let mut moments: Vec<u64> = suitable
+        .flat_map(|r| &r.releases)
+        .map(|(ms, _)| *ms)
+        .collect();
+    moments.sort_unstable();
+    moments.dedup();
+    let stride = moments.len().div_ceil(MOST_MOMENTS).max(1);
+    for from_ms in moments.into_iter().step_by(stride) {
+        let Some(found) = place(demand, rooms, Horizon::At(from_ms), placed) else {
+            continue;
+        };
+        for i in found {
+            let room = &mut rooms[i];
+            let spare = room.hold.map_or_else(|| room.free_at(from_ms), |h| h.spare);
+            let spare = spare.minus(&demand.shape.needs);
+            room.hold = Some(Hold { from_ms, spare });
+        }
+        return true;
+    }
+    false
+}
+
+/// Finds the cheapest victims whose room makes `demand` fit, at no more than `most_cost`
+/// core-seconds lost; returns their indexes and the rooms.
 pub(super) fn evict(
     demand: &Demand<'_>,
     rooms: &[Room],
     victims: &[Victim],
     placed: &HashMap<Name, u32>,
+    most_cost: f64,
 ) -> Option<(Vec<usize>, Vec<usize>)> {
-    let mut order: Vec<usize> = (0..victims.len()).filter(|v| {
+    let useful = |v: &usize| {
         let victim = &victims[*v];
-        let useful = victim.parts.iter().any(|(i, ..)| is_suitable(demand, &rooms[*i]));
-        useful && victim.priority > demand.priority
-    }).collect();
+        let mut parts = victim.parts.iter();
+        victim.priority > demand.priority
+            && victim.cost <= most_cost
+            && parts.any(|(i, ..)| is_suitable(demand, &rooms[*i]))
+    };
+    let mut order: Vec<usize> = (0..victims.len()).filter(useful).collect();
     order.sort_by(|a, b| victims[*a].cost.total_cmp(&victims[*b].cost));
     order.truncate(MOST_VICTIMS);
     let mut trial = rooms.to_vec();
@@ -235,10 +361,13 @@
             found = Some(fits);
         }
     }
-    found.map(|found| (taken, found))
+    let cost: f64 = taken.iter().map(|v| victims[*v].cost).sum();
+    let found = found.filter(|_| cost <= most_cost)?;
+    Some((taken, found))
 }
 
-fn give_back(rooms: &mut [Room], victim: &Victim) {
+/// Gives the room of a victim back, as far as it becomes free soon.
+pub(super) fn give_back(rooms: &mut [Room], victim: &Victim) {
     for (i, _, needs) in &victim.parts {
         rooms[*i].soon = rooms[*i].soon.plus(needs);
     }
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -83,7 +83,11 @@
     pub fn step(&self, now: Timestamp) -> TermStep {
         let stagger = STAGGER * (stagger_place(&self.entry) % 4);
         let vacant = self.term.resigned || self.term.number == 0;
-        let wait = if vacant { stagger / 4 } else { SILENCE + stagger };
+        let wait = if vacant {
+            stagger / 4
+        } else {
+            SILENCE + stagger
+        };
         if now.since(self.seen) < wait {
             return TermStep::Wait;
         }
@@ -96,5 +100,7 @@
 }
 
 fn stagger_place(entry: &str) -> u32 {
-    entry.bytes().fold(0_u32, |sum, b| sum.wrapping_mul(31).wrapping_add(u32::from(b)))
+    entry.bytes().fold(0_u32, |sum, b| {
+        sum.wrapping_mul(31).wrapping_add(u32::from(b))
+    })
 }
