--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -58,10 +58,9 @@
         demands: &mut Vec<Demand<'j>>,
     ) {
         let job = &live.job;
-        let begin_ms = job.accepted_ms.max(job.due_ms(occurrence));
+        let begin_ms = live.begin_ms(occurrence);
         let estimate = |s: &Step| self.times.estimate_ms(&job.queue, s.estimate_ms);
-        let chain_ms = job.request.chain_ms(estimate);
-        let objective_ms = begin_ms + (job.stretch * chain_ms as f64) as u64 + job.target_ms;
+        let objective_ms = live.objective_ms(self.times, occurrence);
         let service = service_of(job, self.view.configuration);
         for (step, shape) in (0_u32..).zip(&job.request.steps) {
             let waiting = live.waiting(occurrence, step);
@@ -83,7 +82,7 @@
                 slack_ms,
                 objective_ms,
                 avoid: live.failed_on.clone(),
-                far_allowed: guaranteed || self.far_allowed(begin_ms, estimate_ms),
+                far_allowed: self.far_allowed(begin_ms, estimate_ms),
             };
             if shape.gang {
                 demands.push(demand(waiting));
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -5,7 +5,7 @@
 use crate::{
     port::Configuration,
     utils::{HashMap, HashSet, Name},
-    workload::{Job, JobPlan, Outcome},
+    workload::{Job, JobPlan, Outcome, RunTimes, Step},
 };
 
 /// A job, its plan, and what the planner remembers of its runs beside that.
@@ -16,6 +16,8 @@
     pub(super) plan: JobPlan,
     /// Workers on which runs of it failed.
     pub(super) failed_on: Vec<Name>,
+    /// How often runs of it were evicted.
+    pub(super) evictions: u32,
 }
 
 impl LiveJob {
@@ -42,6 +44,19 @@
         waiting
     }
 
+    /// Returns the Unix milliseconds by which an occurrence should be done.
+    pub(super) fn objective_ms(&self, times: &RunTimes, occurrence: u32) -> u64 {
+        let job = &self.job;
+        let estimate = |s: &Step| times.estimate_ms(&job.queue, s.estimate_ms);
+        let chain_ms = job.request.chain_ms(estimate) as f64;
+        self.begin_ms(occurrence) + (job.stretch * chain_ms) as u64 + job.target_ms
+    }
+
+    /// Returns the Unix milliseconds from which an occurrence waits.
+    pub(super) fn begin_ms(&self, occurrence: u32) -> u64 {
+        self.job.accepted_ms.max(self.job.due_ms(occurrence))
+    }
+
     /// Returns how the job has ended, where it has.
     pub(super) fn outcome(&self) -> Option<Outcome> {
         if self.plan.is_all_done(&self.job) {
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -72,7 +72,7 @@
         view: &View<'_>,
     ) -> Self {
         let rooms = rooms(fleet, jobs, times, view);
-        let victims = victims(fleet, jobs, view, &rooms);
+        let victims = victims(fleet, jobs, times, view, &rooms);
         Self {
             fleet,
             rooms,
@@ -102,12 +102,18 @@
 
     fn serve(&mut self, demand: &Demand<'_>) {
         let placed = self.count(demand);
-        if let Some(found) = schedule::place(demand, &self.rooms, Horizon::Now, &placed) {
-            self.start(demand, &found);
+        if self.start_now(demand, &placed) || self.make_room(demand, &placed) {
             return;
         }
-        if self.make_room(demand, &placed) {
-            return;
+        if demand.guaranteed {
+            // The guarantee holds also where no rack can be cleared for it.
+            let far = Demand {
+                far_allowed: true,
+                ..demand.clone()
+            };
+            if self.start_now(&far, &placed) || self.make_room(&far, &placed) {
+                return;
+            }
         }
         let large = demand.shape.gang || self.is_large(demand);
         if large && self.holds < MOST_HOLDS && schedule::hold(demand, &mut self.rooms, &placed) {
@@ -115,6 +121,14 @@
         }
     }
 
+    fn start_now(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
+        let found = schedule::place(demand, &self.rooms, Horizon::Now, placed);
+        if let Some(found) = &found {
+            self.start(demand, found);
+        }
+        found.is_some()
+    }
+
     /// Returns whether the demand waits for room that is being made, after ordering what is missing.
     fn make_room(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
         let may_evict = demand.guaranteed || (demand.priority == 0 && demand.slack_ms > 0);
@@ -261,10 +275,27 @@
     u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns what it costs that a run's job loses its objective by beginning anew, in core-seconds:
+/// its own work, which would then be done for little.
+fn lateness(live: &LiveJob, run: &RunId, times: &RunTimes, view: &View<'_>) -> f64 {
+    let Some(step) = live.job.request.steps.get(run.task.step as usize) else {
+        return 0.0;
+    };
+    let estimate_ms = times.estimate_ms(&live.job.queue, step.estimate_ms);
+    let objective_ms = live.objective_ms(times, run.task.occurrence);
+    let is_lost = objective_ms < view.unix_ms;
+    let would_be = objective_ms < view.unix_ms + estimate_ms;
+    if is_lost || !would_be {
+        return 0.0;
+    }
+    step.needs.weight() * estimate_ms as f64 / 1_000.0
+}
+
 /// Returns what may be evicted, with what that loses.
 fn victims(
     fleet: &Fleet,
     jobs: &BTreeMap<Name, LiveJob>,
+    times: &RunTimes,
     view: &View<'_>,
     rooms: &[Room],
 ) -> Vec<Victim> {
@@ -292,7 +323,11 @@
                 cost: 0.0,
             });
             let unsaved = view.now.since(state.saved_at).as_secs_f64();
-            victim.cost += unsaved * state.needs.weight();
+            // Work that was evicted before is dearer each time, so that no job is stopped over
+            // and over while others are spared.
+            let again = f64::from(live.evictions + 1);
+            victim.cost +=
+                unsaved * state.needs.weight() * again + lateness(live, run, times, view);
             victim.parts.push((i, run.clone(), state.needs));
         }
     }
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -142,6 +142,7 @@
             cancelled,
             plan,
             failed_on: Vec::new(),
+            evictions: 0,
         };
         self.jobs.insert(name.clone(), live);
     }
@@ -155,6 +156,7 @@
                     cancelled: false,
                     plan: JobPlan::default(),
                     failed_on: Vec::new(),
+                    evictions: 0,
                 };
                 self.jobs.insert(job.name.clone(), live);
             }
@@ -484,6 +486,9 @@
         };
         let outcome = pass.run(&demands.all(&self.jobs));
         for (worker, run) in outcome.evictions {
+            if let Some(live) = self.jobs.get_mut(&run.task.job) {
+                live.evictions += 1;
+            }
             self.stop(&worker, &run, "evicted");
         }
         for placed in outcome.starts {
