--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -42,6 +42,9 @@
 /// Time between two reports of an idle worker; the planner takes three times that for silence.
 const IDLE_REPORT: Duration = Duration::from_millis(1_200);
 
+/// Pause while the worker's clock has not been looked at in a session; a look takes some 2 ms.
+const FIRST_LOOK: Duration = Duration::from_millis(10);
+
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -162,6 +165,11 @@
                 }
                 table.clock_ms()
             };
+            // Without a look at the worker's clock an order could not be given a lease.
+            if looked_ms.is_none() {
+                sleep(FIRST_LOOK).await;
+                continue;
+            }
             let busy = lock(&self.table).is_busy();
             let wait = if busy { ORDER_WAIT } else { IDLE_ORDER_WAIT };
             let read = self.store.read(partition, next, wait).await;
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -73,7 +73,7 @@
             Self::Cancelled(name) => (format!("{CANCEL_PREFIX}{name}"), Some(vec![1])),
             Self::Plan(name, plan) => (
                 format!("{PLAN_PREFIX}{name}"),
-                plan.as_ref().map(|p| encode(p)),
+                plan.as_deref().map(encode),
             ),
             Self::Planner(term) => (PLANNER_KEY.to_owned(), Some(encode(term))),
         };
