--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -71,10 +71,7 @@
         let (key, value) = match self {
             Self::Accepted(job) => (format!("{JOB_PREFIX}{}", job.name), Some(encode(job))),
             Self::Cancelled(name) => (format!("{CANCEL_PREFIX}{name}"), Some(vec![1])),
-            Self::Plan(name, plan) => (
-                format!("{PLAN_PREFIX}{name}"),
-                plan.as_deref().map(encode),
-            ),
+            Self::Plan(name, plan) => (format!("{PLAN_PREFIX}{name}"), plan.as_deref().map(encode)),
             Self::Planner(term) => (PLANNER_KEY.to_owned(), Some(encode(term))),
         };
         StoreRecord {
--- /dev/null
+++ b/dragonflyrun/tests/run_schedules.rs
@@ -0,0 +1,114 @@
+//! Whatever is late, lost or replaced: no task has two runs at once, none runs again after it was
+//! done, and in the end every job is done.
+
+mod workload_world;
+
+use workload_world::{Chaos, World};
+
+/// Seeds that CI runs; `docs/PROMISES.md` says how many were run by hand.
+const SEEDS: u64 = 60;
+
+/// Steps with faults, and without.
+const TROUBLED_STEPS: u32 = 4_000;
+const CALM_STEPS: u32 = 6_000;
+
+fn seeds() -> std::ops::Range<u64> {
+    let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
+    if let Some(seed) = number("DRAGONFLYRUN_SEED") {
+        return seed..seed + 1;
+    }
+    0..number("DRAGONFLYRUN_SEEDS").unwrap_or(SEEDS)
+}
+
+fn play(seed: u64, chaos: &Chaos) {
+    if std::env::var_os("DRAGONFLYRUN_SEED").is_some() {
+        dragonflyrun::process::logging::start();
+    }
+    let mut world = World::new(seed, 4, chaos.clone());
+    for step in 0..TROUBLED_STEPS {
+        if step % 150 == 0 {
+            world.submit();
+        }
+        world.step();
+        assert!(
+            world.violations.is_empty(),
+            "seed {seed}: {:?}",
+            world.violations
+        );
+    }
+    world.chaos = CALM;
+    for _ in 0..CALM_STEPS {
+        world.step();
+        if world.all_ended() {
+            break;
+        }
+    }
+    assert!(
+        world.violations.is_empty(),
+        "seed {seed}: {:?}",
+        world.violations
+    );
+    assert!(world.all_ended(), "seed {seed}: jobs stand still");
+}
+
+const CALM: Chaos = Chaos {
+    late_calls: 0,
+    lost_answers: 0,
+    late_appends: 0,
+    successions: 0,
+    agent_faults: 0,
+    crashes: 0,
+};
+
+/// Nothing goes wrong; the model itself must let work be done.
+#[test]
+fn calm() {
+    play(0, &CALM);
+}
+
+/// Calls to workers are carried out seconds late, answers are lost, agents freeze, restart and lose
+/// the store, workers crash and come back. A user whose task ran twice at once would pay twice.
+#[test]
+fn agents_and_workers() {
+    for seed in seeds() {
+        let chaos = Chaos {
+            late_calls: 40,
+            lost_answers: 40,
+            agent_faults: 8,
+            crashes: 3,
+            ..CALM
+        };
+        play(seed, &chaos);
+    }
+}
+
+/// Planners are replaced at any moment and go on for a while, and the store does their writes
+/// late. A user whose task ran twice at once would pay twice.
+#[test]
+fn planners_and_store() {
+    for seed in seeds() {
+        let chaos = Chaos {
+            lost_answers: 40,
+            late_appends: 40,
+            successions: 4,
+            ..CALM
+        };
+        play(seed, &chaos);
+    }
+}
+
+/// All of it together.
+#[test]
+fn everything() {
+    for seed in seeds() {
+        let chaos = Chaos {
+            late_calls: 30,
+            lost_answers: 30,
+            late_appends: 30,
+            successions: 3,
+            agent_faults: 5,
+            crashes: 2,
+        };
+        play(seed, &chaos);
+    }
+}
--- /dev/null
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -0,0 +1,383 @@
+//! An agent with its calls under way.
+
+use std::time::Duration;
+
+use dragonflyrun::{
+    port::{CallError, StartOutcome, WorkerLists},
+    workload::{AgentAction, AgentTable, Order, OrderMessage, RunId, StartResult},
+};
+use rand::Rng;
+
+use super::{LEASE_MS, World, worker};
+
+/// What is on its way between an agent and its worker, or the store.
+#[derive(Debug)]
+enum Event {
+    /// A call arrives that was meant for this life of the worker: its name and its birth.
+    Call {
+        life: (String, u64),
+        call: Call,
+        answered: bool,
+    },
+    /// An answer arrives.
+    Answer(Answer),
+    /// A read of orders reaches the store.
+    Read {
+        looked: Option<u64>,
+        worker: String,
+        session: u64,
+        from: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Call {
+    Act(u64, AgentAction),
+    Lists {
+        asked: u64,
+        token: u64,
+        confirmed: u64,
+        lease: Option<u64>,
+    },
+}
+
+#[derive(Debug)]
+enum Answer {
+    Start(RunId, u64, StartResult),
+    Stop(RunId, u64, bool),
+    Lists(u64, u64, WorkerLists),
+    Orders {
+        looked: Option<u64>,
+        orders: Vec<Order>,
+        end: u64,
+        session: u64,
+        worker: String,
+    },
+}
+
+/// An agent.
+pub(crate) struct ModelAgent {
+    table: AgentTable,
+    next: u64,
+    reading: bool,
+    events: Vec<(u64, Event)>,
+    frozen_until: u64,
+    cut_until: u64,
+    look_at: u64,
+    report_at: u64,
+}
+
+impl ModelAgent {
+    /// Returns an agent that has heard of no worker.
+    pub(crate) fn new() -> Self {
+        Self {
+            table: AgentTable::new(Duration::from_millis(LEASE_MS)),
+            next: 0,
+            reading: false,
+            events: Vec::new(),
+            frozen_until: 0,
+            cut_until: 0,
+            look_at: 0,
+            report_at: 0,
+        }
+    }
+}
+
+/// Freezes, restarts or cuts off an agent.
+pub(crate) fn fault(world: &mut World, i: usize) {
+    let now = world.now;
+    let until = now + world.rng.random_range(200..9_000);
+    let kind = world.rng.random_range(0..3);
+    let agent = &mut world.agents[i];
+    match kind {
+        0 => agent.frozen_until = until,
+        1 => agent.cut_until = until,
+        _ => {
+            // Calls that the worker has not carried out yet are still on their way; their answers
+            // find nobody.
+            let calls = agent
+                .events
+                .drain(..)
+                .filter_map(|(at, event)| match event {
+                    Event::Call { life, call, .. } => Some((
+                        at,
+                        Event::Call {
+                            life,
+                            call,
+                            answered: false,
+                        },
+                    )),
+                    _ => None,
+                });
+            let events = calls.collect();
+            *agent = ModelAgent {
+                events,
+                frozen_until: now + 100,
+                ..ModelAgent::new()
+            };
+        }
+    }
+}
+
+/// Lets an agent do what is due.
+pub(crate) fn step(world: &mut World, i: usize) {
+    let now = world.now;
+    let events = std::mem::take(&mut world.agents[i].events);
+    let frozen = now < world.agents[i].frozen_until;
+    for (at, event) in events {
+        // What is on its way to the worker arrives also while the agent is frozen.
+        let mine = matches!(event, Event::Answer(_));
+        if at > now || (mine && frozen) {
+            world.agents[i].events.push((at, event));
+        } else {
+            handle(world, i, event);
+        }
+    }
+    if frozen {
+        return;
+    }
+    if world.workers[i].is_up() {
+        let heartbeat = world.workers[i].heartbeat();
+        world.agents[i].table.heartbeat(heartbeat);
+    }
+    open_session(world, i);
+    read_orders(world, i);
+    look(world, i);
+    report(world, i);
+}
+
+fn open_session(world: &mut World, i: usize) {
+    let connected = world.now >= world.agents[i].cut_until;
+    let agent = &mut world.agents[i];
+    let closed = agent.table.is_closed();
+    if !connected || (agent.table.session().is_some() && !closed) {
+        return;
+    }
+    if let Some((worker, born)) = agent.table.worker() {
+        if closed {
+            let reports = agent.table.reports();
+            world.store.reports.extend(reports);
+        }
+        let number = world.store.open_session(&worker);
+        let agent = &mut world.agents[i];
+        agent.table.begin_session(&worker, born, number);
+        agent.next = number + 1;
+        agent.reading = false;
+    }
+}
+
+fn read_orders(world: &mut World, i: usize) {
+    let agent = &world.agents[i];
+    let (Some((worker, _)), Some(session)) = (agent.table.worker(), agent.table.session()) else {
+        return;
+    };
+    if agent.reading || world.now < agent.cut_until {
+        return;
+    }
+    let read = Event::Read {
+        looked: agent.table.clock_ms(),
+        worker: worker.to_string(),
+        session,
+        from: agent.next,
+    };
+    let at = world.now + world.rng.random_range(5..200);
+    world.agents[i].reading = true;
+    world.agents[i].events.push((at, read));
+}
+
+fn look(world: &mut World, i: usize) {
+    let now = world.now;
+    if now < world.agents[i].look_at {
+        return;
+    }
+    world.agents[i].look_at = now + 60;
+    let life = world.agents[i].table.worker();
+    let asked = world.agents[i].table.ask_lists();
+    if let (Some(life), Some((asked, token, confirmed, lease))) = (life, asked) {
+        let call = Call::Lists {
+            asked,
+            token,
+            confirmed,
+            lease,
+        };
+        send(world, i, (life.0.to_string(), life.1), call);
+    }
+    let again = world.agents[i].table.unanswered();
+    act(world, i, again);
+    let stops = world.agents[i].table.stop_again();
+    act(world, i, stops);
+}
+
+fn act(world: &mut World, i: usize, actions: Vec<AgentAction>) {
+    let Some((worker, born)) = world.agents[i].table.worker() else {
+        return;
+    };
+    let Some(session) = world.agents[i].table.session() else {
+        return;
+    };
+    for action in actions {
+        let life = (worker.to_string(), born);
+        send(world, i, life, Call::Act(session, action));
+    }
+}
+
+fn send(world: &mut World, i: usize, life: (String, u64), call: Call) {
+    let (late, lost) = (world.chaos.late_calls, world.chaos.lost_answers);
+    let is_late = world.happens(late);
+    let delay = if is_late { 2_000..12_000 } else { 1..40 };
+    let at = world.now + world.rng.random_range(delay);
+    let answered = !is_late && !world.happens(lost);
+    world.agents[i].events.push((
+        at,
+        Event::Call {
+            life,
+            call,
+            answered,
+        },
+    ));
+}
+
+fn report(world: &mut World, i: usize) {
+    let now = world.now;
+    if now < world.agents[i].report_at || now < world.agents[i].cut_until {
+        return;
+    }
+    world.agents[i].report_at = now + 150;
+    for report in world.agents[i].table.reports() {
+        let late = world.chaos.late_appends;
+        if world.happens(late) {
+            let at = now + world.rng.random_range(1_000..6_000);
+            world.store.report_late(at, report);
+        } else {
+            world.store.reports.push(report);
+        }
+    }
+}
+
+fn handle(world: &mut World, i: usize, event: Event) {
+    match event {
+        Event::Call {
+            life,
+            call,
+            answered,
+        } => arrive(world, i, &life, call, answered),
+        Event::Read {
+            looked,
+            worker,
+            session,
+            from,
+        } => {
+            let lost = world.chaos.lost_answers;
+            if world.happens(lost) || world.now < world.agents[i].cut_until {
+                world.agents[i].reading = false;
+                return;
+            }
+            let records = world.store.read_lane(&worker, from);
+            let end = from + records.len() as u64;
+            let orders = records.into_iter().filter_map(|message| match message {
+                OrderMessage::Order {
+                    session: s, order, ..
+                } if s == session => Some(order),
+                _ => None,
+            });
+            let answer = Answer::Orders {
+                looked,
+                orders: orders.collect(),
+                end,
+                session,
+                worker,
+            };
+            let at = world.now + world.rng.random_range(1..100);
+            world.agents[i].events.push((at, Event::Answer(answer)));
+        }
+        Event::Answer(answer) => take(world, i, answer),
+    }
+}
+
+fn arrive(world: &mut World, i: usize, life: &(String, u64), call: Call, answered: bool) {
+    let now = world.now;
+    let task_ms = world.rng.random_range(200..2_500);
+    let worker = &mut world.workers[i];
+    // Any other life of the worker refuses the call and does nothing.
+    if !worker.is_up() || worker.life() != *life {
+        return;
+    }
+    let answer = match call {
+        Call::Act(token, AgentAction::Start(order)) => {
+            let before = worker.running.contains_key(&order.run);
+            let outcome = worker.start(now, &order, task_ms);
+            if outcome == StartOutcome::Started
+                && !before
+                && world.done.contains_key(&order.run.task)
+            {
+                let run = &order.run;
+                world
+                    .violations
+                    .push(format!("{now} ms: {run} started after it was done"));
+            }
+            Answer::Start(order.run, token, StartResult::Answered(outcome))
+        }
+        Call::Act(token, AgentAction::Stop(run)) => {
+            let done = worker.stop(&run, token);
+            Answer::Stop(run, token, done)
+        }
+        Call::Lists {
+            asked,
+            token,
+            confirmed,
+            lease,
+        } => {
+            let Some((lists, gone)) = worker.renew(now, token, confirmed, lease) else {
+                return;
+            };
+            worker::confirmed(world, gone);
+            Answer::Lists(asked, token, lists)
+        }
+    };
+    if answered {
+        let at = now + world.rng.random_range(1..40);
+        world.agents[i].events.push((at, Event::Answer(answer)));
+    } else if let Answer::Start(run, token, _) = answer {
+        // The agent's call runs out of time.
+        let unknown = Answer::Start(run, token, StartResult::Unknown);
+        world.agents[i]
+            .events
+            .push((now + 700, Event::Answer(unknown)));
+    }
+}
+
+fn take(world: &mut World, i: usize, answer: Answer) {
+    let table = &mut world.agents[i].table;
+    match answer {
+        Answer::Start(run, token, result) => {
+            table.start_result(&run, token, result);
+        }
+        Answer::Stop(run, token, done) => {
+            let result = if done {
+                Ok(())
+            } else {
+                Err(CallError::Refused(409))
+            };
+            table.stop_result(&run, token, &result);
+        }
+        Answer::Lists(asked, token, lists) => {
+            table.lists(asked, token, lists);
+        }
+        Answer::Orders {
+            looked,
+            orders,
+            end,
+            session,
+            worker,
+        } => {
+            let current = table.worker().is_some_and(|(w, _)| *w == *worker);
+            if !current || table.session() != Some(session) {
+                return;
+            }
+            let actions = table.orders(looked, orders, end);
+            world.agents[i].next = end;
+            world.agents[i].reading = false;
+            act(world, i, actions);
+        }
+    }
+}
--- /dev/null
+++ b/dragonflyrun/tests/workload_world/mod.rs
@@ -0,0 +1,199 @@
+//! A model of the store, of workers and of everything between them, for seeded schedules of faults.
+//!
+//! The decision tables run as they are. Calls are held up, carried out late, or lose their answers;
+//! planners are replaced while they still act; agents freeze, restart and lose the store; workers
+//! crash and come back under their own name or another; their clocks run slow.
+
+#![allow(dead_code, reason = "each test uses a part of the model")]
+
+mod agent;
+mod office;
+mod store;
+mod worker;
+
+use std::collections::BTreeMap;
+
+use dragonflyrun::workload::{
+    Job,
+    JobRecord,
+    JobRequest,
+    Resources,
+    Step,
+    TaskId, //
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use agent::ModelAgent;
+use office::Office;
+use store::ModelStore;
+use worker::ModelWorker;
+
+/// Milliseconds of one step of the model.
+const STEP_MS: u64 = 10;
+
+/// Milliseconds of a worker's longest lease.
+pub(crate) const LEASE_MS: u64 = 3_000;
+
+/// Faults of one schedule, as chances per thousand.
+#[derive(Clone, Debug)]
+pub(crate) struct Chaos {
+    /// Calls to workers that are carried out 2 to 12 s late and never answered.
+    pub(crate) late_calls: u32,
+    /// Calls, reads and appends whose answer is lost.
+    pub(crate) lost_answers: u32,
+    /// Appends that are done 1 to 6 s late and never answered.
+    pub(crate) late_appends: u32,
+    /// Chance in each step that a new planner takes over from one that may be well.
+    pub(crate) successions: u32,
+    /// Chance in each step that some agent freezes, restarts or loses the store.
+    pub(crate) agent_faults: u32,
+    /// Chance in each step that some worker crashes.
+    pub(crate) crashes: u32,
+}
+
+/// The model.
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) rng: SmallRng,
+    pub(crate) chaos: Chaos,
+    pub(crate) store: ModelStore,
+    pub(crate) workers: Vec<ModelWorker>,
+    pub(crate) agents: Vec<ModelAgent>,
+    offices: Vec<Office>,
+    jobs: u32,
+    /// Tasks of which a done run has been confirmed to its worker.
+    pub(crate) done: BTreeMap<TaskId, u64>,
+    /// What must never happen and did.
+    pub(crate) violations: Vec<String>,
+}
+
+impl World {
+    /// Returns a world with so many workers.
+    pub(crate) fn new(seed: u64, workers: usize, chaos: Chaos) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let made = (0..workers).map(|i| ModelWorker::new(i, 0, rng.random_range(0.98..1.0)));
+        let made: Vec<ModelWorker> = made.collect();
+        let agents = (0..workers).map(|_| ModelAgent::new()).collect();
+        Self {
+            now: 0,
+            rng,
+            chaos,
+            store: ModelStore::default(),
+            workers: made,
+            agents,
+            offices: Vec::new(),
+            jobs: 0,
+            done: BTreeMap::new(),
+            violations: Vec::new(),
+        }
+    }
+
+    /// Returns whether something of this chance per thousand happens.
+    pub(crate) fn happens(&mut self, chance: u32) -> bool {
+        self.rng.random_range(0..1_000) < chance
+    }
+
+    /// Hands a job in.
+    pub(crate) fn submit(&mut self) {
+        let name = format!("job-{}", self.jobs);
+        self.jobs += 1;
+        let gang = self.jobs % 3 == 0;
+        let first = Step {
+            tasks: 2,
+            needs: Resources {
+                cpu_millis: 1_000,
+                memory_mb: 1,
+                accelerators: 1,
+            },
+            estimate_ms: 800,
+            gang,
+            ..Step::default()
+        };
+        let second = Step {
+            after: vec![0],
+            gang: false,
+            tasks: 1,
+            ..first.clone()
+        };
+        let job = Job {
+            name: name.into(),
+            queue: "q".into(),
+            service: "svc".into(),
+            workspace: Some("w".into()),
+            priority: self.jobs % 2,
+            max_attempts: 1_000,
+            stretch: 3.0,
+            target_ms: 1_000,
+            accepted_ms: self.now,
+            request: JobRequest {
+                payload: "".into(),
+                steps: vec![first, second],
+                occurrences: None,
+            },
+        };
+        self.store.jobs.push(JobRecord::Accepted(Box::new(job)));
+    }
+
+    /// Lets one step go by.
+    pub(crate) fn step(&mut self) {
+        self.now += STEP_MS;
+        self.store.run_late(self.now);
+        self.fault();
+        for i in 0..self.workers.len() {
+            worker::step(self, i);
+            agent::step(self, i);
+        }
+        office::step_all(self);
+        self.check();
+    }
+
+    fn fault(&mut self) {
+        let successions = self.chaos.successions;
+        let none = !self.offices.iter().any(|o| o.holds(&self.store));
+        if none || self.happens(successions) {
+            let office = Office::take_over(self);
+            self.offices.push(office);
+        }
+        let faults = self.chaos.agent_faults;
+        if self.happens(faults) {
+            let i = self.rng.random_range(0..self.agents.len());
+            agent::fault(self, i);
+        }
+        let crashes = self.chaos.crashes;
+        if self.happens(crashes) {
+            let i = self.rng.random_range(0..self.workers.len());
+            worker::crash(self, i);
+        }
+    }
+
+    fn check(&mut self) {
+        let mut seen: BTreeMap<&TaskId, (&str, u32)> = BTreeMap::new();
+        let mut found = Vec::new();
+        for worker in self.workers.iter().filter(|w| w.is_up()) {
+            for run in worker.running.keys() {
+                let here = (worker.name.as_str(), run.number);
+                if let Some(other) = seen.insert(&run.task, here) {
+                    found.push(format!(
+                        "{} ms: {} on {other:?} and {here:?}",
+                        self.now, run.task
+                    ));
+                }
+            }
+        }
+        self.violations.extend(found);
+    }
+
+    /// Returns whether all jobs have come to their end.
+    pub(crate) fn all_ended(&self) -> bool {
+        let ended = self.store.jobs.iter().filter_map(|record| match record {
+            JobRecord::Plan(name, Some(plan)) if plan.outcome.is_some() => Some(name),
+            _ => None,
+        });
+        let ended: std::collections::BTreeSet<_> = ended.collect();
+        ended.len() == self.jobs as usize
+    }
+}
+
+pub(crate) fn office_mut(world: &mut World) -> &mut Vec<Office> {
+    &mut world.offices
+}
--- /dev/null
+++ b/dragonflyrun/tests/workload_world/office.rs
@@ -0,0 +1,173 @@
+//! A planner in its term, which may act on long after it has been replaced.
+
+use std::{collections::VecDeque, time::Duration};
+
+use dragonflyrun::{
+    Timestamp,
+    port::Configuration,
+    utils::HashSet,
+    workload::{Book, JobRecord, Planner, PlannerBounds, View, WorkerOrder},
+};
+use rand::Rng;
+
+use super::{
+    LEASE_MS, World, office_mut,
+    store::{ModelStore, Write},
+};
+
+/// A planner.
+pub(crate) struct Office {
+    planner: Planner,
+    term: u64,
+    jobs_read: usize,
+    reports_read: usize,
+    writes: VecDeque<(u64, Write)>,
+    next_write: u64,
+    retry_at: u64,
+    act_at: u64,
+    reports_since: u64,
+    lost: bool,
+}
+
+impl Office {
+    /// Returns a planner that has just won the next term.
+    pub(crate) fn take_over(world: &mut World) -> Self {
+        world.store.term += 1;
+        let mut book = Book::default();
+        for record in &world.store.jobs {
+            book.fold(record.clone());
+        }
+        let bounds = PlannerBounds {
+            silence: Duration::from_millis(1_000),
+            lease_over: Duration::from_millis(LEASE_MS).mul_f64(1.03),
+            keep_ended: Duration::from_secs(10_000),
+            far_factor: 3.0,
+        };
+        let planner = Planner::take_over(bounds, &book, Timestamp::from_millis(world.now));
+        let workers = planner.fleet().workers().map(|(name, _)| name.to_string());
+        let fences = workers.map(Write::Fence);
+        let writes: VecDeque<_> = (0_u64..).zip(fences).collect();
+        Self {
+            next_write: writes.len() as u64,
+            planner,
+            term: world.store.term,
+            jobs_read: world.store.jobs.len(),
+            reports_read: 0,
+            writes,
+            retry_at: 0,
+            act_at: world.now,
+            reports_since: world.now,
+            lost: false,
+        }
+    }
+
+    /// Returns whether it holds the newest term.
+    pub(crate) fn holds(&self, store: &ModelStore) -> bool {
+        !self.lost && self.term == store.term
+    }
+}
+
+/// Lets all planners act, those that were replaced too.
+pub(crate) fn step_all(world: &mut World) {
+    let mut offices = std::mem::take(office_mut(world));
+    for office in &mut offices {
+        step(world, office);
+    }
+    offices.retain(|o| !o.lost);
+    let newer = std::mem::replace(office_mut(world), offices);
+    office_mut(world).extend(newer);
+}
+
+fn step(world: &mut World, office: &mut Office) {
+    let now = world.now;
+    if now < office.act_at {
+        return;
+    }
+    // A planner is now and then held up for seconds and then goes on as if nothing had happened.
+    let pause = if world.rng.random_range(0..400) == 0 {
+        4_000
+    } else {
+        40
+    };
+    office.act_at = now + world.rng.random_range(10..=pause);
+    if let Some((id, write)) = office.writes.front().cloned() {
+        do_write(world, office, id, write);
+        return;
+    }
+    read(world, office);
+    let configuration = Configuration {
+        version: 1,
+        ..Configuration::default()
+    };
+    let decisions = office.planner.decide(&View {
+        now: Timestamp::from_millis(now),
+        unix_ms: now,
+        configuration: &configuration,
+        evacuated: &HashSet::default(),
+        is_fresh: true,
+        reports_since: Some(Timestamp::from_millis(office.reports_since)),
+    });
+    let plans: Vec<JobRecord> = decisions
+        .plans
+        .iter()
+        .filter_map(JobRecord::decode)
+        .collect();
+    if !plans.is_empty() {
+        push(office, Write::Plans(plans));
+    }
+    for order in decisions.orders {
+        push(office, Write::Order(order));
+    }
+}
+
+fn push(office: &mut Office, write: Write) {
+    office.writes.push_back((office.next_write, write));
+    office.next_write += 1;
+}
+
+fn read(world: &mut World, office: &mut Office) {
+    for record in &world.store.jobs[office.jobs_read..] {
+        office.planner.job_record(record);
+    }
+    office.jobs_read = world.store.jobs.len();
+    let now = Timestamp::from_millis(world.now);
+    for report in &world.store.reports[office.reports_read..] {
+        office.planner.report(now, report.clone());
+    }
+    office.reports_read = world.store.reports.len();
+}
+
+fn do_write(world: &mut World, office: &mut Office, id: u64, write: Write) {
+    if world.now < office.retry_at {
+        return;
+    }
+    let (late, lost) = (world.chaos.late_appends, world.chaos.lost_answers);
+    if world.happens(late) {
+        let at = world.now + world.rng.random_range(1_000..6_000);
+        world.store.write_late(at, office.term, id, write);
+        office.retry_at = world.now + 800;
+        return;
+    }
+    let Some(offset) = world.store.write(office.term, id, &write) else {
+        office.lost = true;
+        return;
+    };
+    if world.happens(lost) {
+        office.retry_at = world.now + 800;
+        return;
+    }
+    office.writes.pop_front();
+    answered(world, office, &write, offset);
+}
+
+fn answered(world: &World, office: &mut Office, write: &Write, offset: u64) {
+    let now = Timestamp::from_millis(world.now);
+    match write {
+        Write::Plans(_) => {}
+        Write::Order(order) => {
+            let order: &WorkerOrder = order;
+            office.planner.ordered(now, order, offset);
+        }
+        Write::Fence(worker) => office.planner.orders_end(worker, offset),
+    }
+}
--- /dev/null
+++ b/dragonflyrun/tests/workload_world/store.rs
@@ -0,0 +1,131 @@
+//! The store: a log of jobs and plans, orders by lane, reports, and the terms that it refuses.
+
+use std::collections::BTreeMap;
+
+use dragonflyrun::workload::{JobRecord, OrderMessage, Report, WorkerOrder};
+
+/// A write of a planner.
+#[derive(Clone, Debug)]
+pub(crate) enum Write {
+    /// Plans.
+    Plans(Vec<JobRecord>),
+    /// An order on the lane of its worker.
+    Order(WorkerOrder),
+    /// Nothing: only earlier planners are shut out of a worker's lane.
+    Fence(String),
+}
+
+/// A write that is done later.
+#[derive(Debug)]
+struct Late {
+    at: u64,
+    term: u64,
+    id: u64,
+    write: Write,
+}
+
+#[derive(Debug, Default)]
+struct Lane {
+    term: u64,
+    records: Vec<OrderMessage>,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub(crate) struct ModelStore {
+    pub(crate) jobs: Vec<JobRecord>,
+    pub(crate) term: u64,
+    pub(crate) reports: Vec<Report>,
+    lanes: BTreeMap<String, Lane>,
+    done: BTreeMap<(u64, u64), u64>,
+    late: Vec<Late>,
+    late_reports: Vec<(u64, Report)>,
+}
+
+impl ModelStore {
+    /// Does a write; returns its offset, or nothing where the writer has been replaced. A repeat
+    /// gets its first answer.
+    pub(crate) fn write(&mut self, term: u64, id: u64, write: &Write) -> Option<u64> {
+        if let Some(offset) = self.done.get(&(term, id)) {
+            return Some(*offset);
+        }
+        let offset = match write {
+            Write::Plans(records) => {
+                if term < self.term {
+                    return None;
+                }
+                self.jobs.extend(records.iter().cloned());
+                self.jobs.len() as u64
+            }
+            Write::Order(order) => {
+                let lane = self.lane(&order.worker, term)?;
+                lane.records.push(OrderMessage::Order {
+                    worker: order.worker.clone(),
+                    session: order.session,
+                    order: order.order.clone(),
+                });
+                lane.records.len() as u64 - 1
+            }
+            Write::Fence(worker) => self.lane(worker, term)?.records.len() as u64,
+        };
+        self.done.insert((term, id), offset);
+        Some(offset)
+    }
+
+    fn lane(&mut self, worker: &str, term: u64) -> Option<&mut Lane> {
+        let lane = self.lanes.entry(worker.to_owned()).or_default();
+        if term < lane.term {
+            return None;
+        }
+        lane.term = term;
+        Some(lane)
+    }
+
+    /// Lets a write be done at `at`.
+    pub(crate) fn write_late(&mut self, at: u64, term: u64, id: u64, write: Write) {
+        self.late.push(Late {
+            at,
+            term,
+            id,
+            write,
+        });
+    }
+
+    /// Appends a session; returns its number.
+    pub(crate) fn open_session(&mut self, worker: &str) -> u64 {
+        let lane = self.lanes.entry(worker.to_owned()).or_default();
+        lane.records.push(OrderMessage::Session {
+            worker: worker.into(),
+        });
+        lane.records.len() as u64 - 1
+    }
+
+    /// Returns the records of a worker's lane from an offset on.
+    pub(crate) fn read_lane(&self, worker: &str, from: u64) -> Vec<OrderMessage> {
+        let lane = self.lanes.get(worker);
+        lane.map(|l| l.records[from as usize..].to_vec())
+            .unwrap_or_default()
+    }
+
+    /// Lets a report come at `at`.
+    pub(crate) fn report_late(&mut self, at: u64, report: Report) {
+        self.late_reports.push((at, report));
+    }
+
+    /// Does what is due.
+    pub(crate) fn run_late(&mut self, now: u64) {
+        let (due, rest) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|l| l.at <= now);
+        self.late = rest;
+        let due: Vec<Late> = due;
+        for late in due {
+            self.write(late.term, late.id, &late.write);
+        }
+        let reports = std::mem::take(&mut self.late_reports).into_iter();
+        let (due, rest): (Vec<_>, Vec<_>) = reports.partition(|(at, _)| *at <= now);
+        self.late_reports = rest;
+        self.reports
+            .extend(due.into_iter().map(|(_, report)| report));
+    }
+}
--- /dev/null
+++ b/dragonflyrun/tests/workload_world/worker.rs
@@ -0,0 +1,227 @@
+//! A worker: runs, ends, a fencing token and a lease on its own slow clock.
+
+use std::collections::BTreeMap;
+
+use dragonflyrun::{
+    port::{End, EndKind, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
+    workload::{Resources, RunId, TaskId},
+};
+use rand::Rng;
+
+use super::World;
+
+/// A worker in its present life.
+#[derive(Debug)]
+pub(crate) struct ModelWorker {
+    pub(crate) name: String,
+    pub(crate) running: BTreeMap<RunId, u64>,
+    index: usize,
+    lives: u32,
+    born: u64,
+    down_until: Option<u64>,
+    rate: f64,
+    ends: Vec<End>,
+    ended: BTreeMap<TaskId, u32>,
+    next_end: u64,
+    token: u64,
+    lease_until: u64,
+    sequence: u64,
+}
+
+impl ModelWorker {
+    /// Returns a worker that was born at `born` and whose clock runs at `rate`.
+    pub(crate) fn new(index: usize, born: u64, rate: f64) -> Self {
+        Self {
+            name: format!("w{index}"),
+            running: BTreeMap::new(),
+            index,
+            lives: 0,
+            born,
+            down_until: None,
+            rate,
+            ends: Vec::new(),
+            ended: BTreeMap::new(),
+            next_end: 1,
+            token: 0,
+            lease_until: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Returns whether it runs.
+    pub(crate) fn is_up(&self) -> bool {
+        self.down_until.is_none()
+    }
+
+    /// Returns what tells this life of the worker from all others.
+    pub(crate) fn life(&self) -> (String, u64) {
+        (self.name.clone(), self.born)
+    }
+
+    fn clock(&self, now: u64) -> u64 {
+        ((now - self.born) as f64 * self.rate) as u64
+    }
+
+    /// Returns its next heartbeat.
+    pub(crate) fn heartbeat(&mut self) -> Heartbeat {
+        self.sequence += 1;
+        Heartbeat {
+            worker: self.name.as_str().into(),
+            born_ms: self.born,
+            address: format!("host-{}", self.index).into(),
+            service: "svc".into(),
+            failure_domain: "north".into(),
+            draining: false,
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mb: 100,
+                accelerators: 3,
+            },
+            labels: Vec::new(),
+            rack: Some("r1".into()),
+            remaining_ms: None,
+            sequence: self.sequence,
+        }
+    }
+
+    /// Carries out a start.
+    pub(crate) fn start(&mut self, now: u64, order: &StartOrder, task_ms: u64) -> StartOutcome {
+        if order.token < self.token {
+            return StartOutcome::Fenced;
+        }
+        self.token = order.token;
+        if self.running.contains_key(&order.run) {
+            return StartOutcome::Started;
+        }
+        self.lease_until = self.lease_until.max(order.lease_until_ms);
+        let over = self.ended.get(&order.run.task).copied().unwrap_or(0);
+        let there = self.running.keys().any(|r| r.task == order.run.task);
+        if order.run.number <= over || there {
+            return StartOutcome::Superseded;
+        }
+        if self.clock(now) >= order.lease_until_ms {
+            return StartOutcome::Expired;
+        }
+        if self.running.len() >= 3 {
+            return StartOutcome::NoRoom;
+        }
+        self.running.insert(order.run.clone(), now + task_ms);
+        StartOutcome::Started
+    }
+
+    /// Carries out a stop.
+    pub(crate) fn stop(&mut self, run: &RunId, token: u64) -> bool {
+        if token < self.token {
+            return false;
+        }
+        self.token = token;
+        if self.running.contains_key(run) {
+            self.end(run.clone(), EndKind::Stopped);
+        }
+        let over = self.ended.entry(run.task.clone()).or_default();
+        *over = run.number.max(*over);
+        true
+    }
+
+    /// Carries out a look: confirms ends, extends the lease, and lists.
+    pub(crate) fn renew(
+        &mut self,
+        now: u64,
+        token: u64,
+        confirmed: u64,
+        lease: Option<u64>,
+    ) -> Option<(WorkerLists, Vec<End>)> {
+        if token < self.token {
+            return None;
+        }
+        self.token = token;
+        self.lease_until = self.lease_until.max(lease.unwrap_or(0));
+        let (gone, kept): (Vec<End>, Vec<End>) = std::mem::take(&mut self.ends)
+            .into_iter()
+            .partition(|e| e.number <= confirmed);
+        self.ends = kept;
+        let running = self.running.keys().map(|run| RunningTask {
+            run: run.clone(),
+            checkpoint: String::new(),
+            percent: 100,
+        });
+        let lists = WorkerLists {
+            clock_ms: self.clock(now),
+            born_ms: Some(self.born),
+            running: running.collect(),
+            ends: self.ends.clone(),
+        };
+        Some((lists, gone))
+    }
+
+    fn end(&mut self, run: RunId, kind: EndKind) {
+        self.running.remove(&run);
+        self.ended.insert(run.task.clone(), run.number);
+        self.ends.push(End {
+            number: self.next_end,
+            run,
+            kind,
+            checkpoint: String::new(),
+        });
+        self.next_end += 1;
+    }
+}
+
+/// Lets tasks end, leases run out, and a worker that is down come back.
+pub(crate) fn step(world: &mut World, i: usize) {
+    let now = world.now;
+    if world.workers[i]
+        .down_until
+        .is_some_and(|until| until <= now)
+    {
+        // It comes back under its own name or, as after a loss of power, under another.
+        let renamed = world.happens(500);
+        let rate = world.rng.random_range(0.98..1.0);
+        let worker = &mut world.workers[i];
+        let lives = worker.lives + 1;
+        *worker = ModelWorker {
+            lives,
+            ..ModelWorker::new(i, now, rate)
+        };
+        if renamed {
+            worker.name = format!("w{i}-{lives}");
+        }
+    }
+    let worker = &mut world.workers[i];
+    if !worker.is_up() {
+        return;
+    }
+    let lapsed = worker.clock(now) >= worker.lease_until;
+    let due: Vec<RunId> = worker
+        .running
+        .iter()
+        .filter(|(_, end)| lapsed || **end <= now)
+        .map(|(run, _)| run.clone())
+        .collect();
+    for run in due {
+        let fails = world.rng.random_range(0..20) == 0;
+        let kind = match (lapsed, fails) {
+            (true, _) => EndKind::LeaseExpired,
+            (_, true) => EndKind::Failed,
+            _ => EndKind::Done,
+        };
+        world.workers[i].end(run, kind);
+    }
+}
+
+/// Lets a worker crash for a while.
+pub(crate) fn crash(world: &mut World, i: usize) {
+    let until = world.now + world.rng.random_range(300..6_000);
+    let worker = &mut world.workers[i];
+    if worker.is_up() {
+        worker.running.clear();
+        worker.down_until = Some(until);
+    }
+}
+
+/// Takes note of ends that were confirmed to a worker.
+pub(crate) fn confirmed(world: &mut World, ends: Vec<End>) {
+    for end in ends.into_iter().filter(|e| e.kind == EndKind::Done) {
+        world.done.entry(end.run.task).or_insert(world.now);
+    }
+}
