--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -179,7 +179,11 @@
             let step = live.and_then(|l| l.job.request.steps.get(run.task.step as usize));
             step.map(|s| s.needs).unwrap_or_default()
         };
-        if self.fleet.get(&worker).is_some_and(|w| w.session < report.session) {
+        if self
+            .fleet
+            .get(&worker)
+            .is_some_and(|w| w.session < report.session)
+        {
             // What waits to be sent was meant for the session before. Its confirmation would let a
             // worker that has started again drop ends that nobody has seen.
             self.orders.remove(&worker);
