--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -25,6 +25,11 @@
 /// Blocked demands for which room is held in one pass: each holds back smaller work.
 const MOST_HOLDS: u32 = 3;
 
+/// Shares of the workers that are kept free of work of priority 2 or less urgent, and of priority 1:
+/// urgent gangs need whole workers, and small tasks spread over all of them would have to be evicted
+/// for each. They stand open while less than half of the room is in use.
+const CLOSED_TO: [(u32, f64); 2] = [(2, 0.3), (1, 0.1)];
+
 /// A run that has taken so many times its expected time makes its worker doubtful.
 const OVERDUE: f64 = 3.0;
 
@@ -71,7 +76,8 @@
         times: &RunTimes,
         view: &View<'_>,
     ) -> Self {
-        let rooms = rooms(fleet, jobs, times, view);
+        let mut rooms = rooms(fleet, jobs, times, view);
+        close(&mut rooms);
         let victims = victims(fleet, jobs, times, view, &rooms);
         Self {
             fleet,
@@ -86,10 +92,7 @@
 
     /// Returns whether less than half of the room is in use.
     pub(super) fn is_idle(&self) -> bool {
-        let weight = |of: fn(&Room) -> &Resources| -> f64 {
-            self.rooms.iter().map(|r| of(r).weight()).sum()
-        };
-        weight(|r| &r.free) > weight(|r| &r.capacity) / 2.0
+        is_idle(&self.rooms)
     }
 
     /// Serves the demands in their order.
@@ -258,6 +261,7 @@
             capacity: heartbeat.capacity,
             releases,
             hold: None,
+            closed_to: u32::MAX,
             doubt: worker.failures + u32::from(overdue),
             slow: slowness_step(times.slowness(name)),
         })
@@ -265,6 +269,31 @@
     rooms.collect()
 }
 
+fn is_idle(rooms: &[Room]) -> bool {
+    let weight =
+        |of: fn(&Room) -> &Resources| -> f64 { rooms.iter().map(|r| of(r).weight()).sum() };
+    weight(|r| &r.free) > weight(|r| &r.capacity) / 2.0
+}
+
+/// Closes a share of the workers to less urgent work: always the same ones, rack by rack, so that
+/// they run empty and gangs find them side by side.
+fn close(rooms: &mut [Room]) {
+    if is_idle(rooms) {
+        return;
+    }
+    let mut order: Vec<usize> = (0..rooms.len()).collect();
+    order.sort_by(|a, b| {
+        let key = |i: usize| (&rooms[i].rack, &rooms[i].worker);
+        key(*a).cmp(&key(*b))
+    });
+    for (priority, share) in CLOSED_TO {
+        let count = (rooms.len() as f64 * share) as usize;
+        for i in order.iter().take(count) {
+            rooms[*i].closed_to = priority;
+        }
+    }
+}
+
 fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
     let live = jobs.get(&run.task.job);
     let step = live.and_then(|l| Some((l, l.job.request.steps.get(run.task.step as usize)?)));
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -71,6 +71,9 @@
     pub releases: Vec<(u64, Resources)>,
     /// Room kept for a larger demand.
     pub hold: Option<Hold>,
+    /// The lowest priority number, that is the most urgent, of work that is kept off the worker so
+    /// that more urgent work finds whole workers free.
+    pub closed_to: u32,
     /// Higher for workers that have failed tasks or stand still.
     pub doubt: u32,
     /// How much slower than others it works, in steps; see [`slowness_step`].
@@ -286,6 +289,7 @@
 pub(super) fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
     let label = demand.shape.label.as_ref();
     room.service == demand.service
+        && demand.priority < room.closed_to
         && label.is_none_or(|label| room.labels.contains(label))
         && room.capacity.fits(&demand.shape.needs)
 }
