Clear the worker that loses least for each task; guarantees take back room lent to urgent work

Victims were taken by their cost over the whole pool, 48 at the most, so on 62 workers small tasks were stopped everywhere and no worker was cleared; room that other urgent jobs stood on was never taken back.

--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -12,7 +12,7 @@
         RunId,
         RunTimes,
         WorkerRun,
-        live::LiveJob,
+        live::{LiveJob, guaranteed_jobs},
         planner::View,
         schedule::{self, Horizon, Victim, slowness_step}, //
     },
@@ -22,6 +22,9 @@
 /// that, more is lost than the urgent task is worth.
 const EVICTION_RATIO: f64 = 2.0;
 
+/// Added to the cost of evicting urgent work, in core-seconds: more than any task has to lose.
+const URGENT_COST: f64 = 1e6;
+
 /// Blocked demands for which room is held in one pass: each holds back smaller work.
 const MOST_HOLDS: u32 = 3;
 
@@ -147,22 +150,23 @@
             .collect();
         let open: Vec<Victim> = numbers.iter().map(|v| self.victims[*v].clone()).collect();
         let most = most_cost(demand);
-        let Some((taken, found)) = schedule::evict(demand, &self.rooms, &open, placed, most) else {
+        let Some(found) = schedule::evict(demand, &self.rooms, &open, placed, most) else {
             return false;
         };
-        for v in taken {
-            log::info!(
-                job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
-                lost_core_s = open[v].cost, most_core_s = most, slack_ms = demand.slack_ms;
-                "room_made"
-            );
+        log::info!(
+            job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
+            victims = found.victims.len(), lost_core_s = found.cost, most_core_s = most,
+            slack_ms = demand.slack_ms;
+            "room_made"
+        );
+        for v in found.victims {
             self.evicted.insert(numbers[v]);
             schedule::give_back(&mut self.rooms, &open[v]);
             let parts = open[v].parts.iter();
             let runs = parts.map(|(i, run, _)| (self.rooms[*i].worker.clone(), run.clone()));
             self.outcome.evictions.extend(runs);
         }
-        self.take(demand, &found);
+        self.take(demand, &found.rooms);
         true
     }
 
@@ -328,6 +332,7 @@
     view: &View<'_>,
     rooms: &[Room],
 ) -> Vec<Victim> {
+    let guaranteed = guaranteed_jobs(jobs, view.configuration);
     let mut units: BTreeMap<(Name, u32, u32, Option<u32>), Victim> = BTreeMap::new();
     for (i, room) in rooms.iter().enumerate() {
         let runs = fleet.get(&room.worker).into_iter().flat_map(|w| &w.runs);
@@ -349,7 +354,13 @@
             let victim = units.entry(key).or_insert_with(|| Victim {
                 parts: Vec::new(),
                 priority: live.job.priority,
-                cost: 0.0,
+                guaranteed: guaranteed.contains(&run.task.job),
+                // As urgent work yields only where no other can.
+                cost: if live.job.priority == 0 {
+                    URGENT_COST
+                } else {
+                    0.0
+                },
             });
             let unsaved = view.now.since(state.saved_at).as_secs_f64();
             // Work that was evicted before is dearer each time, so that no job is stopped over
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -87,6 +87,8 @@
     pub parts: Vec<(usize, RunId, Resources)>,
     /// Its priority.
     pub priority: u32,
+    /// Whether its workspace is guaranteed the room.
+    pub guaranteed: bool,
     /// Core-seconds that are lost by it.
     pub cost: f64,
 }
@@ -102,11 +104,8 @@
     At(u64),
 }
 
-/// Victims that are looked at for one demand, at the most: more would make a pass at 300 workers
-/// take longer than the few milliseconds that an entry's share of a core allows.
-const MOST_VICTIMS: usize = 48;
-
-/// Moments that are tried for a hold, at the most, for the same reason.
+/// Moments that are tried for a hold, at the most: more would make a pass at 300 workers take
+/// longer than the few milliseconds that an entry's share of a core allows.
 const MOST_MOMENTS: usize = 24;
 
 /// Steps of slowness: a worker in a higher step is taken later. The first bound lies above the
@@ -323,51 +322,165 @@
     false
 }
 
+/// An eviction that makes room for a demand.
+pub(super) struct Eviction {
+    /// The victims, by their indexes.
+    pub(super) victims: Vec<usize>,
+    /// The room of each task of the demand.
+    pub(super) rooms: Vec<usize>,
+    /// Core-seconds that are lost.
+    pub(super) cost: f64,
+}
+
 /// Finds the cheapest victims whose room makes `demand` fit, at no more than `most_cost`
-/// core-seconds lost; returns their indexes and the rooms.
+/// core-seconds lost.
+///
+/// Each task takes the worker that can be cleared for it at the least loss. Taking the cheapest
+/// victims of the whole pool instead would stop small tasks everywhere and clear no worker.
 pub(super) fn evict(
     demand: &Demand<'_>,
     rooms: &[Room],
     victims: &[Victim],
     placed: &HashMap<Name, u32>,
     most_cost: f64,
-) -> Option<(Vec<usize>, Vec<usize>)> {
-    let useful = |v: &usize| {
-        let victim = &victims[*v];
-        let mut parts = victim.parts.iter();
-        victim.priority > demand.priority
-            && victim.cost <= most_cost
-            && parts.any(|(i, ..)| is_suitable(demand, &rooms[*i]))
+) -> Option<Eviction> {
+    let suitable = (0..rooms.len()).filter(|i| is_suitable(demand, &rooms[*i]));
+    let suitable: Vec<usize> = suitable.collect();
+    let groups = groups(demand, rooms, &suitable);
+    let found = groups.iter().filter_map(|group| {
+        let mut clearing = Clearing::new(demand, rooms, victims, placed);
+        clearing.clear(group).then_some(clearing.eviction)
+    });
+    let cheapest = found.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
+    (cheapest.cost <= most_cost).then_some(cheapest)
+}
+
+/// Returns the sets of workers that may take all tasks of the demand together.
+fn groups(demand: &Demand<'_>, rooms: &[Room], suitable: &[usize]) -> Vec<Vec<usize>> {
+    let near = match &demand.shape.rack {
+        Some(rack) => vec![on_rack(rooms, suitable, rack)],
+        None if demand.shape.one_rack && demand.indexes.len() > 1 => {
+            let racks = suitable.iter().filter_map(|i| rooms[*i].rack.as_ref());
+            let mut racks: Vec<&Name> = racks.collect();
+            racks.sort_unstable();
+            racks.dedup();
+            let racks = racks.into_iter();
+            racks.map(|rack| on_rack(rooms, suitable, rack)).collect()
+        }
+        None => Vec::new(),
     };
-    let mut order: Vec<usize> = (0..victims.len()).filter(useful).collect();
-    order.sort_by(|a, b| victims[*a].cost.total_cmp(&victims[*b].cost));
-    order.truncate(MOST_VICTIMS);
-    let mut trial = rooms.to_vec();
-    let mut taken = Vec::new();
-    let mut found = None;
-    for v in order {
-        give_back(&mut trial, &victims[v]);
-        taken.push(v);
-        found = place(demand, &trial, Horizon::Soon, placed);
-        if found.is_some() {
-            break;
+    let anywhere = near.is_empty() || demand.far_allowed;
+    near.into_iter()
+        .chain(anywhere.then(|| suitable.to_vec()))
+        .collect()
+}
+
+/// Clears workers for one demand, one task after the other.
+struct Clearing<'a> {
+    demand: &'a Demand<'a>,
+    victims: &'a [Victim],
+    soon: Vec<Resources>,
+    tasks_left: Vec<u32>,
+    by_room: Vec<Vec<usize>>,
+    eviction: Eviction,
+}
+
+impl<'a> Clearing<'a> {
+    fn new(
+        demand: &'a Demand<'a>,
+        rooms: &[Room],
+        victims: &'a [Victim],
+        placed: &HashMap<Name, u32>,
+    ) -> Self {
+        let mut by_room = vec![Vec::new(); rooms.len()];
+        for (v, victim) in victims
+            .iter()
+            .enumerate()
+            .filter(|(_, v)| yields(v, demand))
+        {
+            for (i, ..) in &victim.parts {
+                by_room[*i].push(v);
+            }
+        }
+        for of_room in &mut by_room {
+            of_room.sort_by(|a, b| victims[*a].cost.total_cmp(&victims[*b].cost));
+            of_room.dedup();
+        }
+        let tasks_left = rooms.iter().map(|r| match demand.shape.per_worker {
+            0 => u32::MAX,
+            most => most.saturating_sub(placed.get(&r.worker).copied().unwrap_or(0)),
+        });
+        Self {
+            demand,
+            victims,
+            soon: rooms.iter().map(|r| r.soon).collect(),
+            tasks_left: tasks_left.collect(),
+            by_room,
+            eviction: Eviction {
+                victims: Vec::new(),
+                rooms: Vec::new(),
+                cost: 0.0,
+            },
         }
     }
-    found.as_ref()?;
-    // Dearest first, drop each victim whose room turned out not to be needed.
-    for v in taken.clone().into_iter().rev() {
-        let mut without = rooms.to_vec();
-        for other in taken.iter().filter(|other| **other != v) {
-            give_back(&mut without, &victims[*other]);
+
+    /// Clears workers of `group` for all tasks; returns whether that can be done.
+    fn clear(&mut self, group: &[usize]) -> bool {
+        for _ in &self.demand.indexes {
+            let cheapest = group
+                .iter()
+                .filter(|i| self.tasks_left[**i] > 0)
+                .filter_map(|i| self.price(*i).map(|(cost, taken)| (cost, taken, *i)))
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            let Some((cost, taken, i)) = cheapest else {
+                return false;
+            };
+            for v in taken {
+                self.take(v);
+            }
+            self.eviction.cost += cost;
+            self.eviction.rooms.push(i);
+            self.soon[i] = self.soon[i].minus(&self.demand.shape.needs);
+            self.tasks_left[i] -= 1;
         }
-        if let Some(fits) = place(demand, &without, Horizon::Soon, placed) {
-            taken.retain(|other| *other != v);
-            found = Some(fits);
+        true
+    }
+
+    /// Returns what it costs to make one task fit on a worker, and the victims.
+    fn price(&self, i: usize) -> Option<(f64, Vec<usize>)> {
+        let mut soon = self.soon[i];
+        let mut cost = 0.0;
+        let mut taken = Vec::new();
+        let open = self.by_room[i]
+            .iter()
+            .filter(|v| !self.eviction.victims.contains(v));
+        for v in open {
+            if soon.fits(&self.demand.shape.needs) {
+                break;
+            }
+            let parts = self.victims[*v]
+                .parts
+                .iter()
+                .filter(|(room, ..)| *room == i);
+            soon = parts.fold(soon, |sum, (_, _, needs)| sum.plus(needs));
+            cost += self.victims[*v].cost;
+            taken.push(*v);
+        }
+        soon.fits(&self.demand.shape.needs).then_some((cost, taken))
+    }
+
+    fn take(&mut self, v: usize) {
+        for (i, _, needs) in &self.victims[v].parts {
+            self.soon[*i] = self.soon[*i].plus(needs);
         }
+        self.eviction.victims.push(v);
     }
-    let cost: f64 = taken.iter().map(|v| victims[*v].cost).sum();
-    let found = found.filter(|_| cost <= most_cost)?;
-    Some((taken, found))
+}
+
+/// Returns whether a victim has to yield to a demand: what is less urgent does, and before a
+/// guarantee also what is as urgent and stands on room that is only lent to it.
+fn yields(victim: &Victim, demand: &Demand<'_>) -> bool {
+    victim.priority > demand.priority || (demand.guaranteed && !victim.guaranteed)
 }
 
 /// Gives the room of a victim back, as far as it becomes free soon.
