--- /dev/null
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -0,0 +1,331 @@
+//! A planner's table with workers that do as they are told, for tests of single decisions.
+
+#![allow(dead_code, reason = "each test uses a part of it")]
+
+use std::time::Duration;
+
+use dragonflyrun::{
+    Timestamp,
+    port::{
+        Configuration,
+        End,
+        EndKind,
+        Heartbeat,
+        Queue,
+        RunningTask,
+        Service,
+        StartOutcome,
+        Workspace, //
+    },
+    utils::{HashSet, Name},
+    workload::{
+        Book, Decisions, Job, JobPlan, JobRecord, JobRequest, Outcome, Planner, PlannerBounds,
+        Report, Resources, RunId, Step, View,
+    },
+};
+
+/// Unix milliseconds at which every test begins.
+pub(crate) const EPOCH_MS: u64 = 1_000_000;
+
+/// A planner and its workers.
+pub(crate) struct Bed {
+    pub(crate) planner: Planner,
+    pub(crate) now_ms: u64,
+    pub(crate) configuration: Configuration,
+    pub(crate) evacuated: HashSet<Name>,
+    pub(crate) fresh: bool,
+    /// The newest report of each worker.
+    pub(crate) reports: Vec<Report>,
+    /// All records that were written into the plan.
+    pub(crate) written: Vec<JobRecord>,
+    offset: u64,
+}
+
+/// A task with so many accelerators.
+pub(crate) fn task(accelerators: u64) -> Step {
+    Step {
+        tasks: 1,
+        needs: Resources {
+            cpu_millis: 1_000,
+            memory_mb: 1_000,
+            accelerators,
+        },
+        estimate_ms: 2_000,
+        ..Step::default()
+    }
+}
+
+pub(crate) fn bounds() -> PlannerBounds {
+    PlannerBounds {
+        silence: Duration::from_secs(3),
+        lease_over: Duration::from_secs(6),
+        keep_ended: Duration::from_secs(120),
+        far_factor: 3.0,
+    }
+}
+
+impl Bed {
+    /// Returns a planner with so many workers of 8 accelerators, three to a rack.
+    pub(crate) fn new(workers: usize) -> Self {
+        let mut bed = Self {
+            planner: Planner::take_over(bounds(), &Book::default(), Timestamp::default()),
+            now_ms: 0,
+            configuration: configuration(),
+            evacuated: HashSet::default(),
+            fresh: true,
+            reports: Vec::new(),
+            written: Vec::new(),
+            offset: 10,
+        };
+        for i in 0..workers {
+            bed.add_worker(&format!("w{i}"), &format!("r{}", i / 3));
+        }
+        bed
+    }
+
+    /// Lets a worker report for the first time.
+    pub(crate) fn add_worker(&mut self, name: &str, rack: &str) {
+        self.reports.push(Report {
+            heartbeat: Heartbeat {
+                worker: name.into(),
+                born_ms: 1,
+                address: format!("{name}:1").into(),
+                service: "svc".into(),
+                failure_domain: format!("d{}", rack.trim_start_matches('r')).into(),
+                draining: false,
+                capacity: Resources {
+                    cpu_millis: 64_000,
+                    memory_mb: 128_000,
+                    accelerators: 8,
+                },
+                labels: vec!["a".into(), rack.into()],
+                rack: Some(rack.into()),
+                remaining_ms: None,
+                sequence: 1,
+            },
+            session: 1,
+            lane: 0,
+            sequence: 1,
+            orders_seen: 2,
+            starting: Vec::new(),
+            refused: Vec::new(),
+            running: Vec::new(),
+            ends: Vec::new(),
+            closed: false,
+            left: false,
+            unreachable: false,
+        });
+        self.report(name);
+    }
+
+    /// Hands a job in and returns its name.
+    pub(crate) fn submit(&mut self, name: &str, priority: u32, steps: Vec<Step>) -> Name {
+        self.submit_as("w", name, priority, steps)
+    }
+
+    /// Hands a job of a workspace in.
+    pub(crate) fn submit_as(
+        &mut self,
+        workspace: &str,
+        name: &str,
+        priority: u32,
+        steps: Vec<Step>,
+    ) -> Name {
+        let job = Job {
+            name: name.into(),
+            queue: "q".into(),
+            service: "svc".into(),
+            workspace: Some(workspace.into()),
+            priority,
+            max_attempts: 3,
+            stretch: 3.0,
+            target_ms: 1_000,
+            accepted_ms: EPOCH_MS + self.now_ms,
+            request: JobRequest {
+                payload: "text".into(),
+                steps,
+                occurrences: None,
+            },
+        };
+        let name = job.name.clone();
+        self.planner.job_record(&JobRecord::Accepted(Box::new(job)));
+        name
+    }
+
+    /// Lets the planner decide, and the workers carry its orders out.
+    pub(crate) fn pass(&mut self) -> Decisions {
+        let decisions = self.planner.decide(&View {
+            now: Timestamp::from_millis(self.now_ms),
+            unix_ms: EPOCH_MS + self.now_ms,
+            configuration: &self.configuration,
+            evacuated: &self.evacuated,
+            is_fresh: self.fresh,
+            reports_since: Some(Timestamp::default()),
+        });
+        self.written
+            .extend(decisions.plans.iter().filter_map(JobRecord::decode));
+        for order in &decisions.orders {
+            self.offset += 1;
+            self.planner
+                .ordered(Timestamp::from_millis(self.now_ms), order, self.offset);
+            let report = self
+                .reports
+                .iter_mut()
+                .find(|r| r.heartbeat.worker == order.worker);
+            let Some(report) = report else { continue };
+            report.orders_seen = self.offset + 1;
+            report.ends.retain(|e| e.number > order.order.confirmed);
+            for start in &order.order.starts {
+                report.running.push(RunningTask {
+                    run: start.run.clone(),
+                    checkpoint: String::new(),
+                    percent: 100,
+                });
+            }
+        }
+        decisions
+    }
+
+    /// Lets all workers report.
+    pub(crate) fn report_all(&mut self) {
+        let names: Vec<Name> = self
+            .reports
+            .iter()
+            .map(|r| r.heartbeat.worker.clone())
+            .collect();
+        for name in names {
+            self.report(&name);
+        }
+    }
+
+    /// Lets a worker report.
+    pub(crate) fn report(&mut self, worker: &str) {
+        let now = Timestamp::from_millis(self.now_ms);
+        let report = self
+            .reports
+            .iter_mut()
+            .find(|r| &*r.heartbeat.worker == worker);
+        if let Some(report) = report {
+            report.sequence += 1;
+            self.planner.report(now, report.clone());
+        }
+    }
+
+    /// Lets time go by in which all workers report each second.
+    pub(crate) fn wait(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += (end - self.now_ms).min(1_000);
+            self.report_all();
+        }
+    }
+
+    /// Ends all runs of a job in `kind`, and lets their workers report.
+    pub(crate) fn end(&mut self, job: &str, kind: EndKind) {
+        let runs: Vec<RunId> = self.running(job).into_iter().map(|(_, run)| run).collect();
+        for run in runs {
+            self.end_run(&run, kind);
+        }
+        self.report_all();
+    }
+
+    /// Ends one run.
+    pub(crate) fn end_run(&mut self, run: &RunId, kind: EndKind) {
+        for report in &mut self.reports {
+            let before = report.running.len();
+            report.running.retain(|r| r.run != *run);
+            if report.running.len() < before {
+                let last = report
+                    .ends
+                    .last()
+                    .map_or(report.sequence * 100, |e| e.number);
+                report.ends.push(End {
+                    number: last + 1,
+                    run: run.clone(),
+                    kind,
+                    checkpoint: String::new(),
+                });
+            }
+        }
+    }
+
+    /// Returns the runs of a job with their workers.
+    pub(crate) fn running(&self, job: &str) -> Vec<(Name, RunId)> {
+        let reports = self.reports.iter();
+        let runs = reports.flat_map(|r| {
+            r.running
+                .iter()
+                .map(move |t| (r.heartbeat.worker.clone(), t.run.clone()))
+        });
+        runs.filter(|(_, run)| &*run.task.job == job).collect()
+    }
+
+    /// Returns how a job has ended, by the newest plan.
+    pub(crate) fn outcome(&self, job: &str) -> Option<Outcome> {
+        self.plan(job).and_then(|p| p.outcome)
+    }
+
+    /// Returns the newest plan of a job.
+    pub(crate) fn plan(&self, job: &str) -> Option<&JobPlan> {
+        self.written.iter().rev().find_map(|record| match record {
+            JobRecord::Plan(name, Some(plan)) if &**name == job => Some(&**plan),
+            _ => None,
+        })
+    }
+
+    /// Makes a worker's report say something else from now on.
+    pub(crate) fn change(&mut self, worker: &str, change: impl FnOnce(&mut Report)) {
+        if let Some(report) = self
+            .reports
+            .iter_mut()
+            .find(|r| &*r.heartbeat.worker == worker)
+        {
+            change(report);
+        }
+        self.report(worker);
+    }
+
+    /// Makes a worker refuse a run.
+    pub(crate) fn refuse(&mut self, run: &RunId, outcome: StartOutcome) {
+        for report in &mut self.reports {
+            if report.running.iter().any(|r| r.run == *run) {
+                report.running.retain(|r| r.run != *run);
+                report.refused.push((run.clone(), outcome));
+            }
+        }
+        self.report_all();
+    }
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 1,
+        queues: vec![Queue {
+            name: "q".into(),
+            host: "host".into(),
+            prefix: "/q/".into(),
+            service: "svc".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            public: true,
+        }],
+        services: vec![Service {
+            name: "svc".into(),
+            guards_capacity: true,
+        }],
+        workspaces: vec![
+            Workspace {
+                name: "w".into(),
+                keys: Vec::new(),
+                guaranteed_accelerators: 0,
+            },
+            Workspace {
+                name: "sure".into(),
+                keys: Vec::new(),
+                guaranteed_accelerators: 16,
+            },
+        ],
+    }
+}
