Write logs to standard output through a bounded queue that never blocks; measure latencies and levels

A reader that stops reading held the process up; now lines that find the queue full are left out and counted.

--- a/dragonflyrun/src/process/counters.rs
+++ b/dragonflyrun/src/process/counters.rs
@@ -1,8 +1,10 @@
 //! Counters of what the process did and refused, served to operators in the Prometheus format.
 
+use std::time::Duration;
+
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, MeterProvider}, //
+    metrics::{Counter, Gauge, Histogram, MeterProvider}, //
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
@@ -18,8 +20,17 @@
     job_refusals: Counter<u64>,
     answers: Counter<u64>,
     events: Counter<u64>,
+    latencies: Histogram<f64>,
+    levels: Gauge<f64>,
 }
 
+/// Upper bounds of the latency buckets, in milliseconds: from one call on the host to the longest
+/// wait that a caller's objective allows.
+const LATENCY_BUCKETS: [f64; 14] = [
+    1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1_000.0, 2_000.0, 5_000.0, 10_000.0,
+    30_000.0,
+];
+
 impl Counters {
     /// Returns counters at zero.
     ///
@@ -40,6 +51,11 @@
             job_refusals: meter.u64_counter("job_refusals").build(),
             answers: meter.u64_counter("answers").build(),
             events: meter.u64_counter("events").build(),
+            latencies: meter
+                .f64_histogram("latency_ms")
+                .with_boundaries(LATENCY_BUCKETS.to_vec())
+                .build(),
+            levels: meter.f64_gauge("level").build(),
             _provider: provider,
         })
     }
@@ -72,6 +88,18 @@
         self.events.add(1, &[KeyValue::new("event", name)]);
     }
 
+    /// Takes note of how long something took: `hand_in`, `append`, `wait`, `start`, `state_read` or
+    /// `renewal`.
+    pub fn latency(&self, of: &'static str, took: Duration) {
+        let ms = took.as_secs_f64() * 1_000.0;
+        self.latencies.record(ms, &[KeyValue::new("of", of)]);
+    }
+
+    /// Takes note of how much of something there is now, or how old it is in milliseconds.
+    pub fn level(&self, of: &'static str, value: f64) {
+        self.levels.record(value, &[KeyValue::new("of", of)]);
+    }
+
     /// Returns all counters in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
         let mut buf = Vec::new();
--- a/dragonflyrun/src/process/logging.rs
+++ b/dragonflyrun/src/process/logging.rs
@@ -2,19 +2,30 @@
 
 use std::io::Write;
 
-use env_logger::{Builder, Env};
+use env_logger::{Builder, Env, Target};
 use log::kv::{self, VisitSource};
 
-/// Starts logging to standard error; the environment variable `DRAGONFLYRUN_LOG` sets the level,
-/// `info` where it is absent.
+use crate::process::LogWriter;
+
+/// Starts logging to standard output, bounded and without ever waiting; the environment variable
+/// `DRAGONFLYRUN_LOG` sets the level, `info` where it is absent.
 pub fn start() {
-    start_at("info");
+    // Without a thread for it, lines are written as they come.
+    let target = LogWriter::new(std::io::stdout())
+        .map_or(Target::Stdout, |writer| Target::Pipe(Box::new(writer)));
+    start_to(target, "info");
 }
 
-/// Starts logging as [`start`] does, at `level` where the environment variable is absent.
+/// Starts logging to standard error, at `level` where the environment variable is absent: for
+/// programs whose output is for people.
 pub fn start_at(level: &str) {
+    start_to(Target::Stderr, level);
+}
+
+fn start_to(target: Target, level: &str) {
     let env = Env::new().filter_or("DRAGONFLYRUN_LOG", level);
     Builder::from_env(env)
+        .target(target)
         .format(|f, record| {
             let now = f.timestamp_millis();
             let (level, event) = (record.level(), record.args());
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -237,7 +237,9 @@
         };
         match action {
             AgentAction::Start(order) => {
+                let sent = Instant::now();
                 let answer = self.worker.start(&worker, &order).await;
+                self.counters.latency("start", sent.elapsed());
                 log::info!(
                     job:% = order.run.task.job, run:% = order.run, worker:% = worker,
                     outcome:? = answer, lease_until_ms = order.lease_until_ms;
@@ -273,10 +275,12 @@
             };
             let busy = lock(&self.table).is_busy();
             let wait = if busy { END_WAIT } else { Duration::ZERO };
+            let sent = Instant::now();
             let lists = self
                 .worker
                 .renew(&worker, session, confirmed, lease, wait)
                 .await;
+            self.counters.latency("renewal", sent.elapsed());
             let urgent = match lists {
                 Ok(lists) => lock(&self.table).lists(asked, session, lists),
                 Err(error) => {
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -201,6 +201,7 @@
 
     fn fold_jobs(&self, batch: Batch, regained: bool) {
         let now = self.now();
+        self.counters.latency("state_read", batch.asked.elapsed());
         let mut state = lock(&self.state);
         if regained || batch.replaces {
             state.election.was_cut_off(now);
@@ -253,7 +254,14 @@
         let summary = job.to_string();
         let name = job.name.clone();
         let record = JobRecord::Accepted(Box::new(job));
+        let came = Instant::now();
         let answer = self.append(req, &record).await;
+        self.counters.latency("hand_in", came.elapsed());
+        self.counters.event(match &answer {
+            Ok(()) => "job_accepted",
+            Err(CallerAnswer::Unknown) => "job_unknown",
+            Err(_) => "job_refused",
+        });
         if answer.is_ok() {
             self.remember(record);
         }
@@ -313,7 +321,10 @@
             if left.is_zero() {
                 return Err(self.not_stored(doubtful));
             }
-            match self.store.append(&append, left.min(APPEND_TIMEOUT)).await {
+            let asked = Instant::now();
+            let appended = self.store.append(&append, left.min(APPEND_TIMEOUT)).await;
+            self.counters.latency("append", asked.elapsed());
+            match appended {
                 Ok(_) => return Ok(()),
                 Err(AppendError::Unknown(reason)) => {
                     doubtful = true;
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -8,7 +8,7 @@
         Arc,
         atomic::Ordering, //
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::{
@@ -24,8 +24,8 @@
     },
     utils::{HashMap, Name, Timestamp, lock},
     workload::{
-        JobRecord, OrderMessage, Planner, PlannerBounds, Report, Term, TermStep, View, WorkerOrder,
-        decode, encode,
+        Decisions, JobRecord, OrderMessage, Planner, PlannerBounds, Report, Term, TermStep, View,
+        WorkerOrder, decode, encode,
     },
 };
 
@@ -257,6 +257,7 @@
 
     /// Decides once, makes the decisions last, and sends the orders.
     async fn pass(self: &Rc<Self>) {
+        let came = Instant::now();
         let decisions = {
             let mut state = lock(&self.entry.state);
             let mut planner = self.planner.borrow_mut();
@@ -278,6 +279,7 @@
                 reports_since: self.reports_since.get(),
             })
         };
+        self.measure(&decisions, came);
         if !decisions.plans.is_empty() {
             if self
                 .append_in_order(Partition::JOBS, decisions.plans)
@@ -296,6 +298,24 @@
         }
     }
 
+    fn measure(&self, decisions: &Decisions, came: Instant) {
+        let counters = &self.entry.counters;
+        counters.latency("pass", came.elapsed());
+        for waited in &decisions.waits {
+            counters.latency("wait", *waited);
+        }
+        for order in &decisions.orders {
+            for _ in &order.order.stops {
+                counters.event("run_stopped");
+            }
+        }
+        let planner = self.planner.borrow();
+        counters.level("jobs_waiting", planner.waiting() as f64);
+        counters.level("jobs_running", planner.running() as f64);
+        counters.level("workers", planner.fleet().workers().count() as f64);
+        counters.level("term", self.term.number as f64);
+    }
+
     fn send(self: &Rc<Self>, order: WorkerOrder) {
         let lane = self.lanes.lane_of(&order.worker);
         let mut senders = self.senders.borrow_mut();
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -75,6 +75,8 @@
     pub orders: Vec<WorkerOrder>,
     /// Workers that are gone and whose reports may be dropped.
     pub forgotten: Vec<Name>,
+    /// How long the jobs have waited of which the first tasks start.
+    pub waits: Vec<Duration>,
 }
 
 /// The planner's table.
@@ -85,6 +87,7 @@
     changed: HashSet<Name>,
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
+    waits: Vec<Duration>,
 }
 
 impl Planner {
@@ -97,6 +100,7 @@
             changed: HashSet::default(),
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
+            waits: Vec::new(),
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -235,6 +239,20 @@
         &self.fleet
     }
 
+    /// Returns the number of jobs of which nothing has started.
+    pub fn waiting(&self) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|l| l.plan.outcome.is_none() && !l.plan.begun)
+            .count()
+    }
+
+    /// Returns the number of jobs that have begun and not ended.
+    pub fn running(&self) -> usize {
+        let jobs = self.jobs.values();
+        jobs.filter(|l| l.plan.outcome.is_none() && l.plan.begun)
+            .count()
+    }
+
     /// Decides what to do.
     pub fn decide(&mut self, view: &View<'_>) -> Decisions {
         for run in self.fleet.expire(view.now, self.bounds.lease_over) {
@@ -259,6 +277,7 @@
             }
         }
         decisions.plans.extend(self.forget_jobs(view));
+        decisions.waits = std::mem::take(&mut self.waits);
         for (worker, order) in std::mem::take(&mut self.orders) {
             let known = self.fleet.get(&worker);
             let Some(session) = known.map(|w| w.session) else {
@@ -520,7 +539,10 @@
             + 1;
         // All members of a gang have to go on from the same checkpoint.
         let checkpoint = live.plan.task(number_of(placed.members[0].0)).checkpoint;
-        live.plan.begun = true;
+        if !std::mem::replace(&mut live.plan.begun, true) {
+            let waited_ms = view.unix_ms.saturating_sub(live.job.accepted_ms);
+            self.waits.push(Duration::from_millis(waited_ms));
+        }
         self.changed.insert(placed.job.clone());
         for (index, worker) in &placed.members {
             let Some(session) = self.fleet.get(worker).map(|w| w.session) else {
--- /dev/null
+++ b/dragonflyrun/tests/log_bounds.rs
@@ -0,0 +1,71 @@
+//! Log lines that nobody reads must not hold the process up.
+
+use std::{
+    io::{self, Write},
+    sync::{
+        Arc,
+        Condvar,
+        Mutex, //
+    },
+    time::Duration,
+};
+
+use dragonflyrun::process::LogWriter;
+
+/// A pipe that takes nothing until it is opened.
+#[derive(Clone, Default)]
+struct Pipe(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+
+impl Pipe {
+    fn open(&self) {
+        self.0.0.lock().expect("no panic").0 = true;
+        self.0.1.notify_all();
+    }
+
+    fn wait_for(&self, text: &str) -> String {
+        let seen = |state: &mut (bool, Vec<u8>)| !String::from_utf8_lossy(&state.1).contains(text);
+        let state = self.0.0.lock().expect("no panic");
+        let patience = Duration::from_secs(60);
+        let (state, _) = self
+            .0
+            .1
+            .wait_timeout_while(state, patience, seen)
+            .expect("no panic");
+        String::from_utf8_lossy(&state.1).into_owned()
+    }
+}
+
+impl Write for Pipe {
+    fn write(&mut self, buf: &[u8]) -> io::Result<usize> {
+        let state = self.0.0.lock().expect("no panic");
+        let mut state = self.0.1.wait_while(state, |s| !s.0).expect("no panic");
+        state.1.extend_from_slice(buf);
+        self.0.1.notify_all();
+        Ok(buf.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Whoever collects the logs stops reading. A process that waited for it would answer no caller any
+/// more; it goes on instead, and says afterwards how many lines are missing.
+#[test]
+fn reader_stops() {
+    let pipe = Pipe::default();
+    let mut writer = LogWriter::new(pipe.clone()).expect("a thread");
+    let lines = 20_000;
+    for i in 0..lines {
+        let line = format!("event=something number={i}\n");
+        writer.write_all(line.as_bytes()).expect("a write that returns");
+    }
+    pipe.open();
+    let text = pipe.wait_for("log_lines_left_out");
+    let count = text.split("count=").nth(1).and_then(|t| t.lines().next());
+    let left_out: usize = count.and_then(|c| c.parse().ok()).expect("a count");
+    let text = pipe.wait_for("log_lines_left_out");
+    let written = text.lines().filter(|l| l.starts_with("event=something")).count();
+    assert!(left_out > 0, "more lines than the queue holds");
+    assert!(written > 0 && written + left_out <= lines, "{written} {left_out}");
+}
--- a/dragonflyrun/tests/workload_world/mod.rs
+++ b/dragonflyrun/tests/workload_world/mod.rs
@@ -97,7 +97,7 @@
     pub(crate) fn submit(&mut self) {
         let name = format!("job-{}", self.jobs);
         self.jobs += 1;
-        let gang = self.jobs % 3 == 0;
+        let gang = self.jobs.is_multiple_of(3);
         let first = Step {
             tasks: 2,
             needs: Resources {
--- a/standins/src/harness/child.rs
+++ b/standins/src/harness/child.rs
@@ -75,15 +75,19 @@
         }
     }
 
-    /// Waits for the first line that the program prints, which tells where it listens.
+    /// Waits for the line that tells where the program listens.
     ///
     /// # Panics
     ///
     /// Where it prints none or ends.
     pub fn first_line(&self) -> String {
-        match self.lines.recv_timeout(PATIENCE) {
-            Ok(line) => line,
-            Err(_) => panic!("{}: it has not said where it listens", self.name),
+        loop {
+            match self.lines.recv_timeout(PATIENCE) {
+                Ok(line) if line.starts_with("listening ") => return line,
+                // Its log goes to standard output too.
+                Ok(_) => {}
+                Err(_) => panic!("{}: it has not said where it listens", self.name),
+            }
         }
     }
 
