--- a/dragonflyrun/src/port/mod.rs
+++ b/dragonflyrun/src/port/mod.rs
@@ -4,13 +4,15 @@
 //! decodes what comes from outside into these types; it decides nothing. `docs/SYSTEM.md` tells
 //! which promise rests on which of these calls.
 
+mod advisor;
 mod caller;
 mod operator;
 mod store;
 mod worker;
 
+pub use advisor::{AdviceAnswer, AdviceQuestion, Advisor};
 pub use caller::{CallerAnswer, CallerCall, CallerRequest, Entrance, JobState, Refusal};
-pub use operator::{Configuration, OperatorRecord, Queue, Service, Workspace};
+pub use operator::{Advice, Configuration, OperatorRecord, Queue, Service, Workspace};
 pub use store::{
     Append, AppendError, Appended, Newest, Page, Partition, ReadError, Store, StoreRecord, Topic,
     Writer,
--- a/dragonflyrun/src/port/operator.rs
+++ b/dragonflyrun/src/port/operator.rs
@@ -38,6 +38,17 @@
     pub target: Duration,
     /// Whether callers need no key.
     pub public: bool,
+    /// Set where only some workers may run the queue's steps, and the advisor knows which.
+    pub advice: Option<Advice>,
+}
+
+/// How long the advisor takes for a question.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Advice {
+    /// For any question.
+    pub base: Duration,
+    /// More for each worker that is asked about.
+    pub each: Duration,
 }
 
 /// A pool of workers.
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -16,8 +16,8 @@
 
 use crate::{
     port::{
-        Append, AppendError, CallerAnswer, CallerCall, CallerRequest, Configuration, Entrance,
-        JobState, OperatorRecord, Partition, Refusal, Store, StoreRecord,
+        Advisor, Append, AppendError, CallerAnswer, CallerCall, CallerRequest, Configuration,
+        Entrance, JobState, OperatorRecord, Partition, Refusal, Store, StoreRecord,
     },
     process::{
         Counters,
@@ -75,9 +75,10 @@
 }
 
 /// An entry.
-pub struct StoreEntry<S> {
+pub struct StoreEntry<S, A> {
     pub(super) settings: StoreSettings,
     pub(super) store: Arc<S>,
+    pub(super) advisor: A,
     pub(super) counters: Arc<Counters>,
     pub(super) state: Mutex<EntryState>,
     /// Wakes the planner: a job, a cancellation, a configuration or a report has come.
@@ -86,13 +87,19 @@
     started: Instant,
 }
 
-impl<S: Store> StoreEntry<S> {
+impl<S: Store, A: Advisor> StoreEntry<S, A> {
     /// Returns an entry that has read nothing yet.
-    pub fn new(settings: StoreSettings, store: Arc<S>, counters: Arc<Counters>) -> Arc<Self> {
+    pub fn new(
+        settings: StoreSettings,
+        store: Arc<S>,
+        advisor: A,
+        counters: Arc<Counters>,
+    ) -> Arc<Self> {
         let election = Election::new(settings.name.clone(), rand::random(), Timestamp::default());
         Arc::new(Self {
             settings,
             store,
+            advisor,
             counters,
             state: Mutex::new(EntryState {
                 book: Book::default(),
@@ -404,7 +411,7 @@
     job: Name,
 }
 
-impl<S: Store> Entrance for StoreEntry<S> {
+impl<S: Store, A: Advisor> Entrance for StoreEntry<S, A> {
     async fn call(&self, req: CallerRequest) -> CallerAnswer {
         let admitted = match self.admit(&req) {
             Ok(admitted) => admitted,
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -17,7 +17,10 @@
 };
 
 use crate::{
-    port::{Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
+    port::{
+        AdviceQuestion, Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord,
+        Writer,
+    },
     process::on_store::{
         Batch, Follower, Lanes, StoreEntry,
         entry::{unix_ms, wait_for},
@@ -67,8 +70,8 @@
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// A term that this entry holds.
-pub(super) struct Office<S> {
-    entry: Arc<StoreEntry<S>>,
+pub(super) struct Office<S, A> {
+    entry: Arc<StoreEntry<S, A>>,
     term: Term,
     lanes: Lanes,
     planner: RefCell<Planner>,
@@ -85,9 +88,9 @@
     planned: Cell<bool>,
 }
 
-impl<S: Store> Office<S> {
+impl<S: Store, A: Advisor> Office<S, A> {
     /// Watches the planner, and is planner whenever this entry wins the term.
-    pub(super) async fn run(entry: Arc<StoreEntry<S>>) {
+    pub(super) async fn run(entry: Arc<StoreEntry<S, A>>) {
         loop {
             sleep(WATCH).await;
             if entry.stopping.load(Ordering::Relaxed) {
@@ -102,7 +105,7 @@
         }
     }
 
-    async fn win(entry: &Arc<StoreEntry<S>>, term: Term, end: u64) -> Option<Rc<Self>> {
+    async fn win(entry: &Arc<StoreEntry<S, A>>, term: Term, end: u64) -> Option<Rc<Self>> {
         let append = Append {
             partition: Partition::JOBS,
             records: vec![JobRecord::Planner(term.clone()).encode()],
@@ -296,6 +299,9 @@
         for worker in decisions.forgotten {
             self.drop_report(worker);
         }
+        for question in decisions.questions {
+            tokio::task::spawn_local(self.clone().ask(question));
+        }
     }
 
     fn measure(&self, decisions: &Decisions, came: Instant) {
@@ -356,6 +362,18 @@
         }
     }
 
+    async fn ask(self: Rc<Self>, question: AdviceQuestion) {
+        let answer = self.entry.advisor.advise(&question).await;
+        log::info!(
+            job:% = question.job, step = question.step, asked = question.workers.len(),
+            good = answer.as_ref().map_or(0, |a| a.tickets.len()), answered = answer.is_some();
+            "advice"
+        );
+        let now = self.entry.now();
+        self.planner.borrow_mut().advised(now, &question, answer);
+        self.entry.news.notify_one();
+    }
+
     fn drop_report(&self, worker: Name) {
         let store = self.entry.store.clone();
         tokio::task::spawn_local(async move {
@@ -447,7 +465,7 @@
 }
 
 /// Returns the term that this entry should try to win, and where the partition has to end for it.
-fn candidacy<S: Store>(entry: &StoreEntry<S>) -> Option<(Term, u64)> {
+fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<(Term, u64)> {
     /// Age of the newest read up to which an entry may stand: an entry that reads badly would plan
     /// badly.
     const MOST_AGE: Duration = Duration::from_millis(1_700);
@@ -463,7 +481,7 @@
     }
 }
 
-fn planner_bounds<S>(entry: &StoreEntry<S>) -> PlannerBounds {
+fn planner_bounds<S, A>(entry: &StoreEntry<S, A>) -> PlannerBounds {
     let bounds = &entry.settings.bounds;
     PlannerBounds {
         silence: AGENT_SILENCE,
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -428,7 +428,7 @@
             checkpoint: start.checkpoint,
             lease_until_ms: lease.unwrap_or(0),
             token: session.number,
-            ticket: None,
+            ticket: start.ticket,
         };
         let asked = Pending::Asked {
             order: Box::new(order.clone()),
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -83,6 +83,7 @@
                 objective_ms,
                 avoid: live.failed_on.clone(),
                 far_allowed: self.far_allowed(begin_ms, estimate_ms),
+                only: None,
             };
             if shape.gang {
                 demands.push(demand(waiting));
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -107,6 +107,13 @@
     /// Whether the tasks run until the job is cancelled.
     #[serde(rename = "s", default, skip_serializing_if = "is_false")]
     pub lasting: bool,
+    /// Milliseconds below which the response times of the tasks have to stay; 0 for tasks that serve
+    /// nobody while they run.
+    #[serde(rename = "q", default, skip_serializing_if = "is_zero_ms")]
+    pub response_ms: u64,
+    /// Whether the tasks take what processor time others leave over.
+    #[serde(rename = "f", default, skip_serializing_if = "is_false")]
+    pub leftovers: bool,
     /// What the tasks run; those of one image behave alike.
     #[serde(rename = "i", default, skip_serializing_if = "Option::is_none")]
     pub image: Option<Name>,
@@ -211,6 +218,7 @@
             (self.checkpoints, "checkpoints"),
             (self.copies_allowed, "copies"),
             (self.lasting, "lasting"),
+            (self.leftovers, "leftovers"),
         ];
         for (_, name) in flags.iter().filter(|(set, _)| *set) {
             write!(f, ",{name}")?;
@@ -274,6 +282,11 @@
     !*flag
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
+const fn is_zero_ms(number: &u64) -> bool {
+    *number == 0
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
 const fn is_zero(number: &u32) -> bool {
     *number == 0
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -22,6 +22,9 @@
     /// Where the task goes on; empty for the beginning.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
+    /// Proof for the queue's policy that the worker may run the step.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub ticket: Option<String>,
 }
 
 /// An order to one agent.
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -20,6 +20,7 @@
 mod schedule;
 mod task;
 mod term;
+mod tickets;
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use book::{Book, LookUp};
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -7,10 +7,12 @@
     workload::{
         Demand,
         Fleet,
+        FleetWorker,
         Resources,
         Room,
         RunId,
         RunTimes,
+        Step,
         WorkerRun,
         live::{LiveJob, guaranteed_jobs},
         planner::View,
@@ -93,6 +95,11 @@
         }
     }
 
+    /// Returns the room of all workers.
+    pub(super) fn rooms(&self) -> &[Room] {
+        &self.rooms
+    }
+
     /// Returns whether less than half of the room is in use.
     pub(super) fn is_idle(&self) -> bool {
         is_idle(&self.rooms)
@@ -266,6 +273,8 @@
             releases,
             hold: None,
             closed_to: u32::MAX,
+            serves: has_step(jobs, worker, |s| s.response_ms > 0),
+            leftovers: has_step(jobs, worker, |s| s.leftovers),
             doubt: worker.failures + u32::from(overdue),
             slow: slowness_step(times.slowness(name)),
         })
@@ -298,6 +307,15 @@
     }
 }
 
+/// Returns whether a task of a step that is such runs on a worker.
+fn has_step(jobs: &BTreeMap<Name, LiveJob>, worker: &FleetWorker, such: fn(&Step) -> bool) -> bool {
+    let mut steps = worker.runs.keys().filter_map(|run| {
+        let live = jobs.get(&run.task.job)?;
+        live.job.request.steps.get(run.task.step as usize)
+    });
+    steps.any(such)
+}
+
 fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
     let live = jobs.get(&run.task.job);
     let step = live.and_then(|l| Some((l, l.job.request.steps.get(run.task.step as usize)?)));
@@ -344,6 +362,10 @@
                 continue;
             }
             let step = live.job.request.steps.get(run.task.step as usize);
+            // Tasks that last serve users all the time; nothing that waits is worth a gap there.
+            if step.is_some_and(|s| s.lasting) {
+                continue;
+            }
             let alone = step.is_none_or(|s| !s.gang).then_some(run.task.index);
             let key = (
                 run.task.job.clone(),
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -4,17 +4,25 @@
 //! to do. Whatever it decides stands in the plan before it is ordered, so a successor knows every
 //! run that may exist.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{cell::RefCell, collections::BTreeMap, time::Duration};
 
 use crate::{
-    port::{Configuration, EndKind, StartOutcome, StoreRecord},
+    port::{
+        AdviceAnswer,
+        AdviceQuestion,
+        Configuration,
+        EndKind,
+        StartOutcome,
+        StoreRecord, //
+    },
     utils::{HashSet, Name, Timestamp},
     workload::{
-        Book, Closing, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, RunId, RunOver,
-        RunTimes, SessionEnd, TaskId, TaskPlan, TaskStart,
+        Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, Room, RunId,
+        RunOver, RunTimes, SessionEnd, TaskId, TaskPlan, TaskStart,
         demands::Demands,
         live::LiveJob,
         pass::{Pass, Placed},
+        tickets::Tickets,
     },
 };
 
@@ -75,6 +83,8 @@
     pub orders: Vec<WorkerOrder>,
     /// Workers that are gone and whose reports may be dropped.
     pub forgotten: Vec<Name>,
+    /// What the advisor is to be asked.
+    pub questions: Vec<AdviceQuestion>,
     /// How long the jobs have waited of which the first tasks start.
     pub waits: Vec<Duration>,
 }
@@ -87,6 +97,7 @@
     changed: HashSet<Name>,
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
+    tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
 }
 
@@ -100,6 +111,7 @@
             changed: HashSet::default(),
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
+            tickets: RefCell::default(),
             waits: Vec::new(),
         };
         for (name, entry) in book.jobs() {
@@ -278,6 +290,7 @@
         }
         decisions.plans.extend(self.forget_jobs(view));
         decisions.waits = std::mem::take(&mut self.waits);
+        decisions.questions = self.tickets.get_mut().take_questions();
         for (worker, order) in std::mem::take(&mut self.orders) {
             let known = self.fleet.get(&worker);
             let Some(session) = known.map(|w| w.session) else {
@@ -309,6 +322,7 @@
         let mut records = Vec::new();
         for name in old {
             self.jobs.remove(&name);
+            self.tickets.get_mut().forget(&name);
             log::debug!(job:% = name; "job_forgotten");
             records.extend(JobRecord::forget(&name));
         }
@@ -387,6 +401,11 @@
             }
         }
         let SessionEnd::Ended(end) = why else {
+            if matches!(why, SessionEnd::Refused(StartOutcome::NoTicket)) {
+                let task = &run.task;
+                let tickets = self.tickets.get_mut();
+                tickets.refused(&task.job, task.occurrence, task.step, &worker);
+            }
             if matches!(why, SessionEnd::Refused(StartOutcome::Unhealthy)) {
                 live.failed_on.push(worker);
             }
@@ -512,7 +531,9 @@
             times: &self.run_times,
             idle: pass.is_idle(),
         };
-        let outcome = pass.run(&demands.all(&self.jobs));
+        let mut demands = demands.all(&self.jobs);
+        self.tickets_for(view, pass.rooms(), &mut demands);
+        let outcome = pass.run(&demands);
         for (worker, run) in outcome.evictions {
             if let Some(live) = self.jobs.get_mut(&run.task.job) {
                 live.evictions += 1;
@@ -524,6 +545,33 @@
         }
     }
 
+    /// Limits demands of queues whose policy asks the advisor to the workers that have tickets.
+    fn tickets_for(&self, view: &View<'_>, rooms: &[Room], demands: &mut [Demand<'_>]) {
+        let mut tickets = self.tickets.borrow_mut();
+        for demand in demands {
+            let queue = self.jobs.get(&demand.job).map(|l| &l.job.queue);
+            let mut queues = view.configuration.queues.iter();
+            let queue = queues.find(|q| Some(&q.name) == queue);
+            let Some(advice) = queue.and_then(|q| q.advice.as_ref()) else {
+                continue;
+            };
+            tickets.ask(view.now, demand, advice, rooms);
+            let held = rooms.iter().map(|r| &r.worker);
+            let held = held.filter(|w| tickets.ticket(view.now, demand, w).is_some());
+            demand.only = Some(held.cloned().collect());
+        }
+    }
+
+    /// Takes the advisor's answer, or that there was none.
+    pub fn advised(
+        &mut self,
+        now: Timestamp,
+        question: &AdviceQuestion,
+        answer: Option<AdviceAnswer>,
+    ) {
+        self.tickets.get_mut().answer(now, question, answer);
+    }
+
     fn start(&mut self, view: &View<'_>, placed: &Placed) {
         let Some(live) = self.jobs.get_mut(&placed.job) else {
             return;
@@ -574,7 +622,12 @@
                 configuration = view.configuration.version, resumed = !checkpoint.is_empty();
                 "run_ordered"
             );
+            let ticket =
+                self.tickets
+                    .get_mut()
+                    .held(&placed.job, placed.occurrence, placed.step, worker);
             let start = TaskStart {
+                ticket,
                 run,
                 payload: live.job.request.payload.clone(),
                 checkpoint,
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -39,6 +39,8 @@
     pub avoid: Vec<Name>,
     /// Whether it takes another rack than that of its data, or more than one.
     pub far_allowed: bool,
+    /// The only workers that may run it, where the queue's policy says which.
+    pub only: Option<Vec<Name>>,
 }
 
 /// Room on a worker that is kept for a demand that waits for it.
@@ -76,6 +78,10 @@
     pub closed_to: u32,
     /// Higher for workers that have failed tasks or stand still.
     pub doubt: u32,
+    /// Whether tasks run there that serve their own users.
+    pub serves: bool,
+    /// Whether tasks run there that take what processor time is left over.
+    pub leftovers: bool,
     /// How much slower than others it works, in steps; see [`slowness_step`].
     pub slow: u32,
 }
@@ -285,10 +291,19 @@
 }
 
 /// Returns whether the worker may run the demand's tasks at all.
+///
+/// Tasks that take what is left over disturb those that serve users beside them, by amounts that
+/// change within seconds, so the two are kept on different workers.
 pub(super) fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
     let label = demand.shape.label.as_ref();
     room.service == demand.service
         && demand.priority < room.closed_to
+        && demand
+            .only
+            .as_ref()
+            .is_none_or(|only| only.contains(&room.worker))
+        && !(demand.shape.leftovers && room.serves)
+        && !(demand.shape.response_ms > 0 && room.leftovers)
         && label.is_none_or(|label| room.labels.contains(label))
         && room.capacity.fits(&demand.shape.needs)
 }
--- /dev/null
+++ b/dragonflyrun/src/workload/tickets.rs
@@ -0,0 +1,159 @@
+//! Which workers may run the steps of queues whose policy asks the advisor.
+//!
+//! The advisor answers one question at a time and takes long for many workers, so a question names
+//! few of them, those with room first, and is asked again only when its tickets run out.
+
+use std::time::Duration;
+
+use crate::{
+    port::{Advice, AdviceAnswer, AdviceQuestion},
+    utils::{HashMap, Name, Timestamp},
+    workload::{Demand, Room},
+};
+
+/// Workers that one question names, at the most: the advisor takes so many.
+const MOST_NAMED: usize = 30;
+
+/// Questions under way at once, at the most: more would only wait at the advisor.
+const MOST_ASKED: usize = 4;
+
+/// Time for an answer beyond what the advisor takes for one question alone.
+const MARGIN: Duration = Duration::from_secs(2);
+
+/// Before its end a ticket is no longer used: the order takes a while to reach the worker.
+const EARLY: Duration = Duration::from_millis(500);
+
+/// Time after an answer that names no worker with room until the step is asked about again.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+type StepKey = (Name, u32, u32);
+
+/// What is known of one step.
+#[derive(Clone, Debug, Default)]
+struct StepAdvice {
+    asked: bool,
+    ask_after: Timestamp,
+    tickets: HashMap<Name, (String, Timestamp)>,
+    /// Workers that the advisor did not name; what it says of a step does not change.
+    refused: HashMap<Name, ()>,
+}
+
+/// All tickets.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Tickets {
+    steps: HashMap<StepKey, StepAdvice>,
+    questions: Vec<AdviceQuestion>,
+}
+
+impl Tickets {
+    /// Returns the ticket with which a worker may run the demand's step now.
+    pub(super) fn ticket(
+        &self,
+        now: Timestamp,
+        demand: &Demand<'_>,
+        worker: &Name,
+    ) -> Option<&str> {
+        let (ticket, until) = self.steps.get(&key(demand))?.tickets.get(worker)?;
+        (now + EARLY < *until).then_some(ticket)
+    }
+
+    /// Returns the ticket that a start on a worker has to carry, where the step needs one.
+    pub(super) fn held(
+        &self,
+        job: &Name,
+        occurrence: u32,
+        step: u32,
+        worker: &Name,
+    ) -> Option<String> {
+        let step = self.steps.get(&(job.clone(), occurrence, step))?;
+        step.tickets.get(worker).map(|(ticket, _)| ticket.clone())
+    }
+
+    /// Asks about the demand's step where too few of `rooms` have a ticket.
+    pub(super) fn ask(
+        &mut self,
+        now: Timestamp,
+        demand: &Demand<'_>,
+        advice: &Advice,
+        rooms: &[Room],
+    ) {
+        let asked = self.steps.values().filter(|s| s.asked).count();
+        let step = self.steps.entry(key(demand)).or_default();
+        if step.asked || now < step.ask_after || asked >= MOST_ASKED {
+            return;
+        }
+        let unknown = rooms.iter().filter(|r| {
+            let valid = step
+                .tickets
+                .get(&r.worker)
+                .is_some_and(|(_, until)| now + EARLY < *until);
+            !valid && !step.refused.contains_key(&r.worker)
+        });
+        let mut unknown: Vec<&Room> = unknown.collect();
+        unknown.sort_by_key(|r| (!r.free.fits(&demand.shape.needs), r.doubt, r.slow));
+        unknown.truncate(MOST_NAMED.max(demand.indexes.len()));
+        if unknown.is_empty() {
+            return;
+        }
+        step.asked = true;
+        let named = u32::try_from(unknown.len()).unwrap_or(u32::MAX);
+        self.questions.push(AdviceQuestion {
+            job: demand.job.clone(),
+            occurrence: demand.occurrence,
+            step: demand.step,
+            workers: unknown.iter().map(|r| r.worker.clone()).collect(),
+            within: (advice.base + advice.each * named) * MOST_ASKED as u32 + MARGIN,
+        });
+    }
+
+    /// Returns the questions that are to be asked.
+    pub(super) fn take_questions(&mut self) -> Vec<AdviceQuestion> {
+        std::mem::take(&mut self.questions)
+    }
+
+    /// Takes an answer, or that there was none.
+    pub(super) fn answer(
+        &mut self,
+        now: Timestamp,
+        question: &AdviceQuestion,
+        answer: Option<AdviceAnswer>,
+    ) {
+        let key = (question.job.clone(), question.occurrence, question.step);
+        let Some(step) = self.steps.get_mut(&key) else {
+            return;
+        };
+        step.asked = false;
+        step.ask_after = now + ASK_AGAIN;
+        let Some(answer) = answer else {
+            return;
+        };
+        let until = now + answer.valid;
+        let tickets: HashMap<Name, String> = answer.tickets.into_iter().collect();
+        for worker in &question.workers {
+            match tickets.get(worker) {
+                Some(ticket) => {
+                    step.tickets.insert(worker.clone(), (ticket.clone(), until));
+                }
+                None => {
+                    step.refused.insert(worker.clone(), ());
+                }
+            }
+        }
+    }
+
+    /// Drops a ticket that a worker did not take: it began another life.
+    pub(super) fn refused(&mut self, job: &Name, occurrence: u32, step: u32, worker: &Name) {
+        if let Some(step) = self.steps.get_mut(&(job.clone(), occurrence, step)) {
+            step.tickets.remove(worker);
+        }
+    }
+
+    /// Forgets a job.
+    pub(super) fn forget(&mut self, job: &Name) {
+        self.steps.retain(|(name, ..), _| name != job);
+    }
+}
+
+fn key(demand: &Demand<'_>) -> StepKey {
+    (demand.job.clone(), demand.occurrence, demand.step)
+}
--- a/dragonflyrun/tests/log_bounds.rs
+++ b/dragonflyrun/tests/log_bounds.rs
@@ -12,9 +12,12 @@
 
 use dragonflyrun::process::LogWriter;
 
+/// Whether the pipe is open, and what it has taken.
+type PipeState = (bool, Vec<u8>);
+
 /// A pipe that takes nothing until it is opened.
 #[derive(Clone, Default)]
-struct Pipe(Arc<(Mutex<(bool, Vec<u8>)>, Condvar)>);
+struct Pipe(Arc<(Mutex<PipeState>, Condvar)>);
 
 impl Pipe {
     fn open(&self) {
@@ -58,14 +61,22 @@
     let lines = 20_000;
     for i in 0..lines {
         let line = format!("event=something number={i}\n");
-        writer.write_all(line.as_bytes()).expect("a write that returns");
+        writer
+            .write_all(line.as_bytes())
+            .expect("a write that returns");
     }
     pipe.open();
     let text = pipe.wait_for("log_lines_left_out");
     let count = text.split("count=").nth(1).and_then(|t| t.lines().next());
     let left_out: usize = count.and_then(|c| c.parse().ok()).expect("a count");
     let text = pipe.wait_for("log_lines_left_out");
-    let written = text.lines().filter(|l| l.starts_with("event=something")).count();
+    let written = text
+        .lines()
+        .filter(|l| l.starts_with("event=something"))
+        .count();
     assert!(left_out > 0, "more lines than the queue holds");
-    assert!(written > 0 && written + left_out <= lines, "{written} {left_out}");
+    assert!(
+        written > 0 && written + left_out <= lines,
+        "{written} {left_out}"
+    );
 }
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -310,6 +310,7 @@
             stretch: 3.0,
             target: Duration::from_secs(1),
             public: true,
+            advice: None,
         }],
         services: vec![Service {
             name: "svc".into(),
