--- a/dragonflyrun/src/port/caller.rs
+++ b/dragonflyrun/src/port/caller.rs
@@ -54,6 +54,8 @@
     ConfigurationStale,
     /// The store refused the record.
     StoreRefused,
+    /// The store does not answer; nothing was sent.
+    StoreAway,
 }
 
 impl Refusal {
@@ -63,6 +65,7 @@
             Self::NotReady => "not_ready",
             Self::ConfigurationStale => "configuration_stale",
             Self::StoreRefused => "store_refused",
+            Self::StoreAway => "store_away",
         }
     }
 }
--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -152,6 +152,10 @@
         NoAnswer(reason: String) {
             display("no answer: {reason}")
         }
+        /// Nobody listens at the worker's address; nothing was done.
+        NotListening {
+            display("nobody listens there")
+        }
         /// Another life of the worker answered; nothing was done.
         OtherLife {
             display("another life of the worker answered")
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -284,7 +284,8 @@
             let urgent = match lists {
                 Ok(lists) => lock(&self.table).lists(asked, session, lists),
                 Err(error) => {
-                    let new = lock(&self.table).unreachable();
+                    let refused = error == CallError::NotListening;
+                    let new = lock(&self.table).unreachable(refused, Instant::now());
                     if new {
                         log::warn!(worker:% = worker, session, why:% = error; "worker_unreachable");
                     }
@@ -347,7 +348,7 @@
     fn heartbeat(&self, heartbeat: Heartbeat) -> bool {
         let (worker, draining) = (heartbeat.worker.clone(), heartbeat.draining);
         let born_ms = heartbeat.born_ms;
-        if lock(&self.table).heartbeat(heartbeat) {
+        if lock(&self.table).heartbeat(heartbeat, Instant::now()) {
             log::info!(worker:% = worker, born_ms, draining; "worker_heartbeat");
             self.life.notify_one();
             self.report.notify_one();
@@ -387,6 +388,6 @@
         Ok(outcome) => StartResult::Answered(*outcome),
         Err(CallError::OtherLife) => StartResult::Answered(StartOutcome::OtherLife),
         Err(CallError::Refused(_)) => StartResult::Answered(StartOutcome::Unhealthy),
-        Err(CallError::NoAnswer(_)) => StartResult::Unknown,
+        Err(CallError::NoAnswer(_) | CallError::NotListening) => StartResult::Unknown,
     }
 }
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -68,6 +68,8 @@
     pub(super) configuration: Option<Arc<Configuration>>,
     pub(super) evacuated: Arc<HashSet<Name>>,
     pub(super) operator_proof: Option<BootTime>,
+    /// When a read was last answered.
+    pub(super) answered: Option<Instant>,
     pub(super) election: Election,
     /// Whether this entry plans, so that its planner wants to hear of `news`.
     pub(super) plans: bool,
@@ -84,6 +86,8 @@
     /// Wakes the planner: a job, a cancellation, a configuration or a report has come.
     pub(super) news: Notify,
     pub(super) stopping: AtomicBool,
+    /// Whether the newest call to the store ran out of time with no other answer since.
+    suspect: AtomicBool,
     started: Instant,
 }
 
@@ -108,12 +112,14 @@
                 configuration: None,
                 evacuated: Arc::default(),
                 operator_proof: None,
+                answered: None,
                 election,
                 plans: false,
                 news: Vec::new(),
             }),
             news: Notify::new(),
             stopping: AtomicBool::new(false),
+            suspect: AtomicBool::new(false),
             started: Instant::now(),
         })
     }
@@ -182,6 +188,8 @@
         }
         state.evacuated = Arc::new(evacuated);
         state.operator_proof = Some(batch.asked);
+        state.answered = Some(Instant::now());
+        self.suspect.store(false, Ordering::Relaxed);
         drop(state);
         if changed {
             self.news.notify_one();
@@ -231,6 +239,8 @@
         }
         state.book_end = batch.end;
         state.book_proof = Some(batch.asked);
+        state.answered = Some(Instant::now());
+        self.suspect.store(false, Ordering::Relaxed);
         drop(state);
         if changed {
             self.news.notify_one();
@@ -251,6 +261,11 @@
     }
 
     async fn submit(&self, req: &CallerRequest, job: Job) -> CallerAnswer {
+        if self.suspect.load(Ordering::Relaxed) {
+            // An append now would most likely be in doubt until the caller has given up; unsent, the
+            // job is refused truly, and the caller still has the time to try elsewhere.
+            return self.refuse(Refusal::StoreAway);
+        }
         let known = lock(&self.state)
             .book
             .get(&job.name)
@@ -332,9 +347,15 @@
             let appended = self.store.append(&append, left.min(APPEND_TIMEOUT)).await;
             self.counters.latency("append", asked.elapsed());
             match appended {
-                Ok(_) => return Ok(()),
+                Ok(_) => {
+                    self.suspect.store(false, Ordering::Relaxed);
+                    return Ok(());
+                }
                 Err(AppendError::Unknown(reason)) => {
                     doubtful = true;
+                    if self.silent_for() >= APPEND_TIMEOUT {
+                        self.suspect.store(true, Ordering::Relaxed);
+                    }
                     self.counters.event("append_doubtful");
                     log::debug!(reason; "append_doubtful");
                 }
@@ -350,6 +371,14 @@
         }
     }
 
+    /// Returns for how long no read of the store has had an answer.
+    fn silent_for(&self) -> Duration {
+        let state = lock(&self.state);
+        let newest = state.answered;
+        drop(state);
+        newest.map_or(Duration::MAX, |answered| answered.elapsed())
+    }
+
     fn not_stored(&self, doubtful: bool) -> CallerAnswer {
         if doubtful {
             CallerAnswer::Unknown
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use futures_util::future::join_all;
 use tokio::{
     sync::mpsc,
     time::sleep, //
@@ -36,13 +37,13 @@
 const OFFICE: &str = "planner";
 
 /// How often the planner shows a sign of life.
-const SIGN_OF_LIFE: Duration = Duration::from_millis(500);
+const SIGN_OF_LIFE: Duration = Duration::from_millis(350);
 
 /// How often the planner decides where nothing has come.
 const PASS: Duration = Duration::from_millis(100);
 
 /// How often an entry looks whether the planner is silent.
-const WATCH: Duration = Duration::from_millis(150);
+const WATCH: Duration = Duration::from_millis(100);
 
 /// Age of the newest read of operators' records up to which tasks are started: the bound on tasks
 /// in a failure domain that is out of service is seconds.
@@ -206,14 +207,19 @@
                 .map(|(name, _)| name.clone())
                 .collect()
         };
-        for worker in workers {
-            let partition = self.lanes.partition(self.lanes.lane_of(&worker));
-            let Some(fenced) = self.append_in_order(partition, Vec::new()).await else {
-                return;
-            };
+        // All at once: one after the other they would take 25 s at 62 workers and a slow store.
+        let fences = workers.into_iter().map(|worker| self.fence_earlier(worker));
+        join_all(fences).await;
+        if !self.lost.get() {
+            self.follow_reports().await;
+        }
+    }
+
+    async fn fence_earlier(&self, worker: Name) {
+        let partition = self.lanes.partition(self.lanes.lane_of(&worker));
+        if let Some(fenced) = self.append_in_order(partition, Vec::new()).await {
             self.planner.borrow_mut().orders_end(&worker, fenced.end);
         }
-        self.follow_reports().await;
     }
 
     async fn follow_reports(self: Rc<Self>) {
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -4,7 +4,10 @@
 //! the worker's clock was looked at, and that shows no fence. So whoever puts a fence into the
 //! store knows that every lease has run out one lease time later, whatever became of the agent.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant}, //
+};
 
 use crate::{
     port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
@@ -59,7 +62,11 @@
 #[derive(Clone, Debug)]
 struct Life {
     heartbeat: Heartbeat,
+    /// When the newest heartbeat came.
+    heard: Instant,
     left: bool,
+    /// Whether the worker's process is gone for certain.
+    dead: bool,
     unreachable: bool,
     /// The newest look at the worker's clock.
     clock_ms: Option<u64>,
@@ -81,6 +88,9 @@
     lane: u32,
 }
 
+/// Silence of a worker that sends a heartbeat each 1.5 s after which one is missing for certain.
+const HEARTBEAT_SILENCE: Duration = Duration::from_millis(2_200);
+
 /// Refused starts that are kept for the report; the planner needs only the newest.
 const MOST_REFUSED: usize = 64;
 
@@ -104,7 +114,7 @@
     ///
     /// A heartbeat that was held up by the network may come after a new life of the worker has
     /// begun at the same address; it is older by its birth or its number and changes nothing.
-    pub fn heartbeat(&mut self, heartbeat: Heartbeat) -> bool {
+    pub fn heartbeat(&mut self, heartbeat: Heartbeat, now: Instant) -> bool {
         if let Some(life) = &mut self.life {
             let known = &life.heartbeat;
             if heartbeat.born_ms < known.born_ms {
@@ -118,14 +128,15 @@
                 same.sequence = heartbeat.sequence;
                 let changed = same != heartbeat;
                 life.heartbeat = heartbeat;
+                life.heard = now;
                 return changed;
             }
         }
-        self.begin_life(heartbeat);
+        self.begin_life(heartbeat, now);
         true
     }
 
-    fn begin_life(&mut self, heartbeat: Heartbeat) {
+    fn begin_life(&mut self, heartbeat: Heartbeat, now: Instant) {
         let old = self.life.take();
         let replaced = old.filter(|l| l.heartbeat.worker != heartbeat.worker);
         if let Some(mut report) = replaced.and_then(|mut l| l.report(self.lane)) {
@@ -135,7 +146,9 @@
         }
         self.life = Some(Life {
             heartbeat,
+            heard: now,
             left: false,
+            dead: false,
             unreachable: false,
             clock_ms: None,
             lease_until_ms: None,
@@ -347,10 +360,21 @@
         urgent
     }
 
-    /// Takes note that the worker does not answer, or does again; returns whether that is new.
-    pub fn unreachable(&mut self) -> bool {
-        let life = self.life.as_mut();
-        life.is_some_and(|l| !std::mem::replace(&mut l.unreachable, true))
+    /// Takes note that the worker does not answer, and whether since nobody listens there; returns
+    /// whether that is new.
+    ///
+    /// A worker that neither listens nor sends heartbeats has crashed: nothing of it runs, and its
+    /// tasks need not wait for its lease. One of the two alone is no proof.
+    pub fn unreachable(&mut self, not_listening: bool, now: Instant) -> bool {
+        let Some(life) = &mut self.life else {
+            return false;
+        };
+        let silent = now.saturating_duration_since(life.heard) > HEARTBEAT_SILENCE;
+        let dead = not_listening && silent;
+        let new = !life.unreachable || (dead && !life.dead);
+        life.unreachable = true;
+        life.dead |= dead;
+        new
     }
 
     /// Returns whether nothing of a fenced session is left, so that a new one may begin.
@@ -360,7 +384,8 @@
 
     /// Forgets a worker that has left, once its last report is written.
     pub fn forget_departed(&mut self) {
-        if self.life.as_ref().is_some_and(|l| l.left && l.is_closed()) {
+        let over = |l: &Life| (l.left || l.dead) && l.is_closed();
+        if self.life.as_ref().is_some_and(over) {
             self.life = None;
         }
     }
@@ -470,7 +495,7 @@
         let Some(session) = &self.session else {
             return false;
         };
-        let gone = self.left && self.unreachable;
+        let gone = self.dead || (self.left && self.unreachable);
         let quiet = self.running.is_empty() && session.pending.is_empty();
         gone || (session.fenced && quiet && self.lists_seen > 0)
     }
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -57,6 +57,8 @@
     pub session: u64,
     /// When the report came.
     pub reported: Timestamp,
+    /// Since when its agent says that it does not answer.
+    pub unreachable_since: Option<Timestamp>,
     /// Whether the session is being closed.
     pub closing: Closing,
     /// What runs there, or may.
@@ -110,6 +112,7 @@
             report: None,
             session,
             reported: now,
+            unreachable_since: None,
             closing: Closing::No,
             runs: BTreeMap::new(),
             confirmed: 0,
@@ -254,6 +257,10 @@
                 "worker_session"
             );
         }
+        worker.unreachable_since = match report.unreachable {
+            true => worker.unreachable_since.or(Some(now)),
+            false => None,
+        };
         let mut over = worker.take_ends(&name, &report);
         if !report.closed {
             worker.take_running(now, &report, needs_of);
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -336,8 +336,12 @@
         };
         let silent = self.fleet.workers().filter(|(_, w)| {
             let heard = w.reported.max(reports_since);
-            let open = w.closing == Closing::No;
-            open && view.now.since(heard) > silence
+            let silent = view.now.since(heard) > silence;
+            // A worker that stays away from its agent may run on under its last lease.
+            let lost = w
+                .unreachable_since
+                .is_some_and(|s| view.now.since(s) > silence);
+            w.closing == Closing::No && (silent || lost)
         });
         let silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
         for name in silent {
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -12,12 +12,12 @@
     workload::Term,
 };
 
-/// Silence after which a planner is replaced. Three of its signs of life and the time that a slow
+/// Silence after which a planner is replaced. Two of its signs of life and the half second that a slow
 /// store takes for one of them; a shorter time would replace planners that are well.
-const SILENCE: Duration = Duration::from_millis(1_500);
+const SILENCE: Duration = Duration::from_millis(1_200);
 
 /// Further silence, by the place of an entry's name among all: candidates rarely meet.
-const STAGGER: Duration = Duration::from_millis(250);
+const STAGGER: Duration = Duration::from_millis(100);
 
 /// Numbers that terms of one rank are drawn from. Two candidates must not try with the same term:
 /// the store takes the second append for a repeat of the first and confirms it, and both would
--- a/dragonflyrun/tests/workload_world/agent.rs
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -138,7 +138,8 @@
     }
     if world.workers[i].is_up() {
         let heartbeat = world.workers[i].heartbeat();
-        world.agents[i].table.heartbeat(heartbeat);
+        let now = world.instant();
+        world.agents[i].table.heartbeat(heartbeat, now);
     }
     open_session(world, i);
     read_orders(world, i);
@@ -156,7 +157,12 @@
     if let Some((worker, born)) = agent.table.worker() {
         if closed {
             let reports = agent.table.reports();
+            agent.table.forget_departed();
+            let departed = agent.table.worker().is_none();
             world.store.reports.extend(reports);
+            if departed {
+                return;
+            }
         }
         let number = world.store.open_session(&worker);
         let agent = &mut world.agents[i];
@@ -298,8 +304,16 @@
     let now = world.now;
     let task_ms = world.rng.random_range(200..2_500);
     let worker = &mut world.workers[i];
+    if !worker.is_up() {
+        // Nobody listens there; the agent hears so at once.
+        if let (true, Call::Lists { .. }) = (answered, &call) {
+            let instant = world.instant();
+            world.agents[i].table.unreachable(true, instant);
+        }
+        return;
+    }
     // Any other life of the worker refuses the call and does nothing.
-    if !worker.is_up() || worker.life() != *life {
+    if worker.life() != *life {
         return;
     }
     let answer = match call {
--- a/dragonflyrun/tests/workload_world/mod.rs
+++ b/dragonflyrun/tests/workload_world/mod.rs
@@ -11,7 +11,10 @@
 mod store;
 mod worker;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::{Duration, Instant}, //
+};
 
 use dragonflyrun::workload::{
     Job,
@@ -54,6 +57,7 @@
 /// The model.
 pub(crate) struct World {
     pub(crate) now: u64,
+    began: Instant,
     pub(crate) rng: SmallRng,
     pub(crate) chaos: Chaos,
     pub(crate) store: ModelStore,
@@ -76,6 +80,7 @@
         let agents = (0..workers).map(|_| ModelAgent::new()).collect();
         Self {
             now: 0,
+            began: Instant::now(),
             rng,
             chaos,
             store: ModelStore::default(),
@@ -93,6 +98,11 @@
         self.rng.random_range(0..1_000) < chance
     }
 
+    /// Returns the present as the agents' clock has it.
+    pub(crate) fn instant(&self) -> Instant {
+        self.began + Duration::from_millis(self.now)
+    }
+
     /// Hands a job in.
     pub(crate) fn submit(&mut self) {
         let name = format!("job-{}", self.jobs);
