--- /dev/null
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -0,0 +1,219 @@
+//! What an agent does with orders, leases and its worker's lists.
+
+use std::time::{Duration, Instant};
+
+use dragonflyrun::{
+    port::{Heartbeat, RunningTask, StartOutcome, WorkerLists},
+    workload::{
+        AgentAction, AgentTable, Order, Report, Resources, RunId, StartResult, TaskId, TaskStart,
+    },
+};
+
+const LEASE_MS: u64 = 6_000;
+
+fn heartbeat(worker: &str, born_ms: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        worker: worker.into(),
+        born_ms,
+        address: "10.0.0.1:80".into(),
+        service: "svc".into(),
+        failure_domain: "north".into(),
+        draining: false,
+        capacity: Resources::default(),
+        labels: Vec::new(),
+        rack: None,
+        remaining_ms: None,
+        sequence,
+    }
+}
+
+fn run(number: u32) -> RunId {
+    RunId {
+        task: TaskId {
+            job: "job".into(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        number,
+    }
+}
+
+fn start_order(number: u32) -> Order {
+    Order {
+        starts: vec![TaskStart {
+            run: run(number),
+            payload: "text".into(),
+            checkpoint: String::new(),
+            ticket: None,
+        }],
+        ..Order::default()
+    }
+}
+
+fn lists(clock_ms: u64, running: &[u32]) -> WorkerLists {
+    let running = running.iter().map(|number| RunningTask {
+        run: run(*number),
+        checkpoint: String::new(),
+        percent: 100,
+    });
+    WorkerLists {
+        clock_ms,
+        born_ms: Some(5),
+        running: running.collect(),
+        ends: Vec::new(),
+    }
+}
+
+/// Returns an agent in session 7 that has looked at its worker's clock at 1,000 ms.
+fn agent() -> AgentTable {
+    let mut table = AgentTable::new(Duration::from_millis(LEASE_MS));
+    assert!(table.heartbeat(heartbeat("w", 5, 1), Instant::now()));
+    assert!(table.begin_session("w", 5, 7));
+    look(&mut table, lists(1_000, &[]));
+    table
+}
+
+fn look(table: &mut AgentTable, lists: WorkerLists) {
+    let (asked, session, ..) = table.ask_lists().expect("a session");
+    table.lists(asked, session, lists);
+}
+
+fn report(table: &mut AgentTable) -> Report {
+    table.reports().pop().expect("a report")
+}
+
+fn lease(table: &mut AgentTable) -> Option<u64> {
+    table.ask_lists().expect("a session").3
+}
+
+/// An agent is frozen between its look at the worker's clock and the answer of the store. The lease
+/// counts from the look, so it never reaches beyond what the store's answer proves.
+#[test]
+fn lease_from_look() {
+    let mut table = agent();
+    assert_eq!(lease(&mut table), None);
+    let looked = table.clock_ms();
+    look(&mut table, lists(9_000, &[]));
+    table.orders(looked, Vec::new(), 9);
+    assert_eq!(lease(&mut table), Some(1_000 + LEASE_MS));
+}
+
+/// The planner has given the agent up and starts its tasks elsewhere soon. From the fence on the
+/// agent extends no lease, stops what runs, and starts nothing more.
+#[test]
+fn fence_ends_session() {
+    let mut table = agent();
+    table.orders(Some(1_000), vec![start_order(1)], 9);
+    table.start_result(&run(1), 7, StartResult::Answered(StartOutcome::Started));
+    look(&mut table, lists(1_100, &[1]));
+    let fence = Order {
+        fence: true,
+        ..Order::default()
+    };
+    let actions = table.orders(Some(1_100), vec![fence, start_order(2)], 11);
+    assert!(
+        actions.iter().all(|a| matches!(a, AgentAction::Stop(_))),
+        "{actions:?}"
+    );
+    assert_eq!(actions.len(), 1);
+    assert_eq!(lease(&mut table), None);
+    assert!(!table.is_closed(), "the task may still run");
+    table.stop_result(&run(1), 7, &Ok(()));
+    look(&mut table, lists(1_300, &[]));
+    assert!(table.is_closed());
+    assert!(report(&mut table).closed);
+}
+
+/// A start had no answer, and a later try is refused. The first try may have begun the run: taken
+/// for refused, the task would start elsewhere while it runs here.
+#[test]
+fn doubtful_start() {
+    let mut table = agent();
+    table.orders(Some(1_000), vec![start_order(1)], 9);
+    table.start_result(&run(1), 7, StartResult::Unknown);
+    table.start_result(&run(1), 7, StartResult::Answered(StartOutcome::Expired));
+    let said = report(&mut table);
+    assert!(said.refused.is_empty());
+    assert_eq!(said.starting, vec![run(1)]);
+    let open = table.unanswered();
+    assert!(matches!(&open[..], [AgentAction::Stop(stopped)] if *stopped == run(1)));
+}
+
+#[test]
+fn plain_refusal() {
+    let mut table = agent();
+    table.orders(Some(1_000), vec![start_order(1)], 9);
+    assert!(table.start_result(&run(1), 7, StartResult::Answered(StartOutcome::NoRoom)));
+    let said = report(&mut table);
+    assert_eq!(said.refused, vec![(run(1), StartOutcome::NoRoom)]);
+    assert!(said.starting.is_empty());
+}
+
+/// Answers on two connections overtake each other. An older list, from before a start, would deny
+/// the run that is there.
+#[test]
+fn overtaken_lists() {
+    let mut table = agent();
+    let (early, session, ..) = table.ask_lists().expect("a session");
+    table.orders(Some(1_000), vec![start_order(1)], 9);
+    table.start_result(&run(1), 7, StartResult::Answered(StartOutcome::Started));
+    table.lists(early, session, lists(1_010, &[]));
+    assert_eq!(
+        report(&mut table).starting,
+        vec![run(1)],
+        "asked for before the start"
+    );
+    look(&mut table, lists(1_050, &[1]));
+    table.lists(early, session, lists(1_010, &[]));
+    assert_eq!(report(&mut table).running.len(), 1);
+}
+
+/// A heartbeat of the last life was held up by the network and comes after the new one.
+#[test]
+fn late_heartbeat() {
+    let mut table = agent();
+    let now = Instant::now();
+    assert!(table.heartbeat(heartbeat("w", 9, 1), now));
+    assert!(!table.heartbeat(heartbeat("w", 5, 80), now));
+    assert_eq!(table.worker(), Some(("w".into(), 9)));
+}
+
+/// The worker neither listens nor sends heartbeats: it has crashed. One of the two alone may be a
+/// worker that is cut off or sheds connections, and still runs its tasks.
+#[test]
+fn dead_worker() {
+    let mut table = agent();
+    let start = Instant::now();
+    table.heartbeat(heartbeat("w", 5, 2), start);
+    let later = start + Duration::from_secs(4);
+    table.unreachable(true, start + Duration::from_millis(500));
+    assert!(!table.is_closed());
+    table.unreachable(false, later);
+    assert!(!table.is_closed());
+    table.unreachable(true, later);
+    assert!(table.is_closed());
+    assert!(report(&mut table).closed);
+    table.forget_departed();
+    assert_eq!(table.worker(), None);
+}
+
+/// The worker has said that it leaves. What is ordered in that moment is not started there.
+#[test]
+fn leaving_worker() {
+    let mut table = agent();
+    let leaving = Heartbeat {
+        draining: true,
+        ..heartbeat("w", 5, 3)
+    };
+    assert!(table.heartbeat(leaving, Instant::now()));
+    assert!(
+        table
+            .orders(Some(1_000), vec![start_order(1)], 9)
+            .is_empty()
+    );
+    assert_eq!(
+        report(&mut table).refused,
+        vec![(run(1), StartOutcome::Draining)]
+    );
+}
