--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -40,8 +40,13 @@
     pub const OPERATOR: Self = Self::first(Topic::Operator);
     /// Jobs and their plans.
     pub const JOBS: Self = Self::first(Topic::Jobs);
-    /// Agents' reports.
-    pub const WORKERS: Self = Self::first(Topic::Workers);
+    /// Returns a partition of agents' reports.
+    pub const fn workers(number: u32) -> Self {
+        Self {
+            topic: Topic::Workers,
+            number,
+        }
+    }
 
     const fn first(topic: Topic) -> Self {
         Self { topic, number: 0 }
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -48,6 +48,9 @@
 /// Pause after a call that failed.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Time for the append of a report; given up earlier on a slow store, it would only be sent twice.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_800);
+
 /// Time for one append.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -325,21 +328,24 @@
         if reports.is_empty() {
             return;
         }
-        let records = reports.iter().map(|report| StoreRecord {
-            key: report.heartbeat.worker.clone(),
-            value: Some(encode(report)),
-        });
-        let append = Append {
-            partition: Partition::WORKERS,
-            records: records.collect(),
-            writer: None,
-            at: None,
-        };
-        if let Err(error) = self.store.append(&append, APPEND_TIMEOUT).await {
-            self.counters.event("report_not_stored");
-            log::debug!(reason:% = error; "report_not_stored");
-            sleep(PAUSE).await;
-            self.report.notify_one();
+        let lanes = Lanes::new(self.settings.partitions);
+        for report in reports {
+            let worker = report.heartbeat.worker.clone();
+            let append = Append {
+                partition: lanes.reports_of(&worker),
+                records: vec![StoreRecord {
+                    key: worker,
+                    value: Some(encode(&report)),
+                }],
+                writer: None,
+                at: None,
+            };
+            if let Err(error) = self.store.append(&append, REPORT_TIMEOUT).await {
+                self.counters.event("report_not_stored");
+                log::debug!(reason:% = error; "report_not_stored");
+                sleep(PAUSE).await;
+                self.report.notify_one();
+            }
         }
     }
 }
--- a/dragonflyrun/src/process/on_store/lanes.rs
+++ b/dragonflyrun/src/process/on_store/lanes.rs
@@ -9,7 +9,12 @@
 /// with two others; a partition of its own for each would need more topics than the store allows.
 const ORDER_TOPICS: u32 = 8;
 
-/// The partitions for orders.
+/// Partitions that carry reports, at the most. A partition takes one append at a time; on a store
+/// that takes 0.2 s for each, the reports of 62 workers in one partition came so late that the
+/// planner took all of them for silent and closed their sessions.
+const REPORT_PARTITIONS: u32 = 8;
+
+/// The partitions for orders and reports.
 #[derive(Clone, Copy, Debug)]
 pub struct Lanes {
     partitions: u32,
@@ -29,6 +34,17 @@
         u32::try_from(spread(worker) % lanes).unwrap_or(0)
     }
 
+    /// Returns the partition of a worker's reports.
+    pub fn reports_of(&self, worker: &str) -> Partition {
+        let number = u64::from(self.report_partitions());
+        Partition::workers(u32::try_from(spread(worker) % number).unwrap_or(0))
+    }
+
+    /// Returns the number of partitions that carry reports.
+    pub fn report_partitions(&self) -> u32 {
+        self.partitions.min(REPORT_PARTITIONS)
+    }
+
     /// Returns the partition of a lane.
     pub fn partition(&self, lane: u32) -> Partition {
         Partition {
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -26,7 +26,7 @@
         Batch, Follower, Lanes, StoreEntry,
         entry::{unix_ms, wait_for},
     },
-    utils::{HashMap, Name, Timestamp, lock},
+    utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
         Decisions, JobRecord, OrderMessage, Planner, PlannerBounds, Report, Term, TermStep, View,
         WorkerOrder, decode, encode,
@@ -65,7 +65,7 @@
 const APPEND_PAUSE: Duration = Duration::from_millis(50);
 
 /// How long a read of reports waits for one.
-const REPORT_WAIT: Duration = Duration::from_millis(1_000);
+const REPORT_WAIT: Duration = Duration::from_millis(1_200);
 
 /// Pause after a read that failed.
 const READ_PAUSE: Duration = Duration::from_millis(100);
@@ -84,6 +84,8 @@
     /// Whether all that runs is known.
     taken_over: Cell<bool>,
     reports_since: Cell<Option<Timestamp>>,
+    /// Partitions of reports that can't be read, or have not been yet.
+    unread: Cell<HashSet<u32>>,
     lost: Cell<bool>,
     /// Whether a plan was written since the last sign of life, which it stands for.
     planned: Cell<bool>,
@@ -142,6 +144,7 @@
             senders: RefCell::default(),
             taken_over: Cell::new(false),
             reports_since: Cell::new(None),
+            unread: Cell::default(),
             lost: Cell::new(false),
             planned: Cell::new(false),
         }))
@@ -223,20 +226,25 @@
     }
 
     async fn follow_reports(self: Rc<Self>) {
-        let mut follower = Follower::new(self.entry.store.clone(), Partition::WORKERS);
+        let partitions = self.lanes.report_partitions();
+        self.unread.set((0..partitions).collect());
+        let followers = (0..partitions).map(|number| self.clone().follow_partition(number));
+        join_all(followers).await;
+    }
+
+    async fn follow_partition(self: Rc<Self>, number: u32) {
+        let partition = Partition::workers(number);
+        let mut follower = Follower::new(self.entry.store.clone(), partition);
         let mut reachable = true;
         loop {
             match follower.next(REPORT_WAIT).await {
                 Ok(batch) => {
-                    if self.reports_since.get().is_none() {
-                        self.reports_since.set(Some(self.entry.now()));
-                    }
-                    self.taken_over.set(true);
                     self.entry.report_reach(&mut reachable, true, "workers", "");
                     self.take_reports(batch);
+                    self.is_read(number, true);
                 }
                 Err(error) => {
-                    self.reports_since.set(None);
+                    self.is_read(number, false);
                     let why = error.to_string();
                     self.entry
                         .report_reach(&mut reachable, false, "workers", &why);
@@ -246,6 +254,24 @@
         }
     }
 
+    /// Takes note whether a partition of reports can be read. Agents are silent only while all can.
+    fn is_read(&self, number: u32, read: bool) {
+        let mut unread = self.unread.take();
+        if read {
+            unread.remove(&number);
+        } else {
+            unread.insert(number);
+        }
+        let all = unread.is_empty();
+        self.unread.set(unread);
+        if !all {
+            self.reports_since.set(None);
+        } else if self.reports_since.get().is_none() {
+            self.reports_since.set(Some(self.entry.now()));
+            self.taken_over.set(true);
+        }
+    }
+
     fn take_reports(&self, batch: Batch) {
         let mut planner = self.planner.borrow_mut();
         let now = self.entry.now();
@@ -382,9 +408,10 @@
 
     fn drop_report(&self, worker: Name) {
         let store = self.entry.store.clone();
+        let partition = self.lanes.reports_of(&worker);
         tokio::task::spawn_local(async move {
             let append = Append {
-                partition: Partition::WORKERS,
+                partition,
                 records: vec![StoreRecord {
                     key: worker,
                     value: None,
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -344,6 +344,12 @@
             w.closing == Closing::No && (silent || lost)
         });
         let silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
+        if silent.len() * 2 > self.fleet.workers().count() && !self.long_silent(view, reports_since)
+        {
+            // So many agents at once are not gone; the store is slow. Closing their sessions would
+            // stop all running work.
+            return;
+        }
         for name in silent {
             if let Some(worker) = self.fleet.get_mut(&name) {
                 worker.closing = Closing::Ordered;
@@ -357,6 +363,13 @@
         }
     }
 
+    /// Returns whether every agent has been silent for twice the time that is allowed.
+    fn long_silent(&self, view: &View<'_>, reports_since: Timestamp) -> bool {
+        let newest = self.fleet.workers().map(|(_, w)| w.reported).max();
+        let heard = newest.unwrap_or_default().max(reports_since);
+        view.now.since(heard) > self.bounds.silence * 2
+    }
+
     /// Takes note that a run is over.
     fn run_over(&mut self, now: Timestamp, over: RunOver) {
         let RunOver {
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -237,3 +237,17 @@
     let decisions = next.decide(&view);
     assert!(decisions.orders.is_empty(), "{decisions:?}");
 }
+
+/// The store turns so slow that no report comes for a while. All agents seem silent, but they are
+/// not gone; closing all sessions would stop all running work. Only after twice the time it is done.
+#[test]
+fn all_silent_at_once() {
+    let mut bed = Bed::new(4);
+    bed.submit("job", 1, vec![Step { tasks: 4, ..task(8) }]);
+    bed.pass();
+    bed.now_ms += 4_000;
+    assert!(bed.pass().orders.is_empty());
+    bed.now_ms += 3_000;
+    let fences = bed.pass().orders.into_iter().filter(|o| o.order.fence);
+    assert_eq!(fences.count(), 4);
+}
