--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -17,7 +17,10 @@
     },
     process::{
         Counters,
-        on_store::{Lanes, StoreSettings, entry::wait_for},
+        on_store::{
+            Lanes, StoreSettings,
+            entry::{unix_ms, wait_for},
+        },
     },
     utils::{HashSet, Name, lock},
     workload::{AgentAction, AgentTable, Order, OrderMessage, RunId, StartResult, decode, encode},
@@ -324,7 +327,7 @@
     }
 
     async fn append_reports(&self) {
-        let reports = lock(&self.table).reports();
+        let reports = lock(&self.table).reports(unix_ms());
         if reports.is_empty() {
             return;
         }
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -281,6 +281,7 @@
                 continue;
             };
             match decode::<Report>(&value) {
+                Some(report) if batch.replaces => planner.known_report(now, unix_ms(), report),
                 Some(report) => planner.report(now, report),
                 None => log::warn!(key:% = record.key; "report_unreadable"),
             }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -409,10 +409,13 @@
     }
 
     /// Returns the next report about the worker, and about workers that it has replaced.
-    pub fn reports(&mut self) -> Vec<Report> {
+    pub fn reports(&mut self, unix_ms: u64) -> Vec<Report> {
         let mut reports = std::mem::take(&mut self.departed);
         let lane = self.lane;
         reports.extend(self.life.as_mut().and_then(|l| l.report(lane)));
+        for report in &mut reports {
+            report.sent_ms = unix_ms;
+        }
         reports
     }
 
@@ -513,6 +516,7 @@
             session: session.number,
             lane,
             sequence: session.report,
+            sent_ms: 0,
             orders_seen: session.orders_seen,
             starting: session.pending.keys().cloned().collect(),
             refused: session.refused.clone(),
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -57,6 +57,8 @@
     pub session: u64,
     /// When the report came.
     pub reported: Timestamp,
+    /// Whether a report has come since this planner took over.
+    pub is_live: bool,
     /// Since when its agent says that it does not answer.
     pub unreachable_since: Option<Timestamp>,
     /// Whether the session is being closed.
@@ -112,6 +114,7 @@
             report: None,
             session,
             reported: now,
+            is_live: false,
             unreachable_since: None,
             closing: Closing::No,
             runs: BTreeMap::new(),
@@ -126,7 +129,7 @@
         let report = self.report.as_ref();
         let well =
             report.is_some_and(|r| !r.heartbeat.draining && !r.closed && !r.left && !r.unreachable);
-        well && self.closing == Closing::No
+        well && self.is_live && self.closing == Closing::No
     }
 
     /// Returns what is taken up, by all that runs or may run there.
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -87,6 +87,9 @@
     /// Rises with each report of a session.
     #[serde(rename = "q")]
     pub sequence: u64,
+    /// Unix milliseconds on the agent's host; only a hint of the report's age, since clocks may jump.
+    #[serde(rename = "a", default)]
+    pub sent_ms: u64,
     /// All orders before this offset are carried out, or stand in `starting`.
     #[serde(rename = "o")]
     pub orders_seen: u64,
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -29,6 +29,10 @@
 /// A worker that has failed so many runs in a row, of whatever jobs, is left alone for a while.
 const SHUN_AFTER: u32 = 2;
 
+/// Age of a report up to which its agent is taken to live: it reports again within 1.2 s, and hosts'
+/// clocks differ a little.
+const RECENT_MS: u64 = 2_500;
+
 /// How long it is left alone.
 const SHUN_FOR: Duration = Duration::from_secs(6);
 
@@ -186,8 +190,29 @@
         }
     }
 
-    /// Takes an agent's report.
+    /// Takes an agent's report as it comes.
     pub fn report(&mut self, now: Timestamp, report: Report) {
+        let worker = report.heartbeat.worker.clone();
+        self.take_report(now, report);
+        if let Some(known) = self.fleet.get_mut(&worker) {
+            known.is_live = true;
+        }
+    }
+
+    /// Takes an agent's newest report as it stands in the store at a take-over.
+    ///
+    /// It may be of a worker that is long gone. Unless it is recent, nothing is started there before
+    /// the agent reports again.
+    pub fn known_report(&mut self, now: Timestamp, unix_ms: u64, report: Report) {
+        let worker = report.heartbeat.worker.clone();
+        let age_ms = unix_ms.abs_diff(report.sent_ms);
+        self.take_report(now, report);
+        if let Some(known) = self.fleet.get_mut(&worker) {
+            known.is_live |= age_ms < RECENT_MS;
+        }
+    }
+
+    fn take_report(&mut self, now: Timestamp, report: Report) {
         let jobs = &self.jobs;
         let worker = report.heartbeat.worker.clone();
         let needs_of = |run: &RunId| {
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -80,7 +80,7 @@
 }
 
 fn report(table: &mut AgentTable) -> Report {
-    table.reports().pop().expect("a report")
+    table.reports(0).pop().expect("a report")
 }
 
 fn lease(table: &mut AgentTable) -> Option<u64> {
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -243,7 +243,14 @@
 #[test]
 fn all_silent_at_once() {
     let mut bed = Bed::new(4);
-    bed.submit("job", 1, vec![Step { tasks: 4, ..task(8) }]);
+    bed.submit(
+        "job",
+        1,
+        vec![Step {
+            tasks: 4,
+            ..task(8)
+        }],
+    );
     bed.pass();
     bed.now_ms += 4_000;
     assert!(bed.pass().orders.is_empty());
@@ -251,3 +258,20 @@
     let fences = bed.pass().orders.into_iter().filter(|o| o.order.fence);
     assert_eq!(fences.count(), 4);
 }
+
+/// All hosts have lost power, and the store still has the reports of workers that are gone. A job
+/// that was started on one of them would stand still until somebody noticed.
+#[test]
+fn old_reports() {
+    let mut bed = Bed::new(0);
+    let mut gone = Bed::new(1).reports.remove(0);
+    gone.sequence += 1;
+    gone.sent_ms = EPOCH_MS - 30_000;
+    bed.planner
+        .known_report(Timestamp::default(), EPOCH_MS, gone);
+    bed.submit("job", 0, vec![task(8)]);
+    assert!(bed.pass().orders.is_empty());
+    bed.add_worker("new", "r0");
+    bed.pass();
+    assert_eq!(&*bed.running("job")[0].0, "new");
+}
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -106,6 +106,7 @@
             session: 1,
             lane: 0,
             sequence: 1,
+            sent_ms: EPOCH_MS,
             orders_seen: 2,
             starting: Vec::new(),
             refused: Vec::new(),
--- a/dragonflyrun/tests/workload_world/agent.rs
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -156,7 +156,7 @@
     }
     if let Some((worker, born)) = agent.table.worker() {
         if closed {
-            let reports = agent.table.reports();
+            let reports = agent.table.reports(0);
             agent.table.forget_departed();
             let departed = agent.table.worker().is_none();
             world.store.reports.extend(reports);
@@ -249,7 +249,7 @@
         return;
     }
     world.agents[i].report_at = now + 150;
-    for report in world.agents[i].table.reports() {
+    for report in world.agents[i].table.reports(0) {
         let late = world.chaos.late_appends;
         if world.happens(late) {
             let at = now + world.rng.random_range(1_000..6_000);
