--- /dev/null
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -0,0 +1,102 @@
+//! Which entry stands for planner, when, and with which term.
+
+use std::time::Duration;
+
+use dragonflyrun::{
+    Timestamp,
+    workload::{Election, Term, TermStep},
+};
+
+const LATER: Duration = Duration::from_secs(5);
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+fn tried(step: TermStep) -> Term {
+    match step {
+        TermStep::Try(term) => term,
+        TermStep::Wait => panic!("it should stand"),
+    }
+}
+
+/// Two entries see the planner fall silent at the same time and both stand. With equal terms the
+/// store would take the second append for a repeat of the first and confirm both.
+#[test]
+fn terms_differ() {
+    let mut one = Election::new("one".into(), 17, at(0));
+    let mut other = Election::new("other".into(), 18, at(0));
+    let known = Term {
+        number: 5 << 20,
+        entry: "gone".into(),
+        resigned: false,
+    };
+    one.saw(at(0), &known);
+    other.saw(at(0), &known);
+    let later = at(0) + LATER;
+    let (one, other) = (tried(one.step(later)), tried(other.step(later)));
+    assert_ne!(one.number, other.number);
+    assert!(one.number > known.number && other.number > known.number);
+}
+
+#[test]
+fn silence_and_plans() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    let known = Term {
+        number: 1 << 20,
+        entry: "other".into(),
+        resigned: false,
+    };
+    election.saw(at(1_000), &known);
+    assert_eq!(election.step(at(1_900)), TermStep::Wait);
+    election.saw_plan(at(2_000));
+    assert_eq!(election.step(at(2_900)), TermStep::Wait);
+    assert!(matches!(election.step(at(4_000)), TermStep::Try(_)));
+}
+
+/// The planner stops as planned and says so. Callers should not wait out its silence.
+#[test]
+fn resigned() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    let known = Term {
+        number: 1 << 20,
+        entry: "other".into(),
+        resigned: true,
+    };
+    election.saw(at(1_000), &known);
+    assert!(matches!(election.step(at(1_100)), TermStep::Try(_)));
+}
+
+/// The entry itself could not read for a while. What it calls silence is its own, and standing on
+/// it would replace a planner that is well.
+#[test]
+fn own_outage() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    let known = Term {
+        number: 1 << 20,
+        entry: "other".into(),
+        resigned: false,
+    };
+    election.saw(at(1_000), &known);
+    election.was_cut_off(at(9_000));
+    assert_eq!(election.step(at(9_500)), TermStep::Wait);
+}
+
+/// A record of a term that was succeeded arrives late. It is no sign of life of the planner of now.
+#[test]
+fn old_term() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    let known = Term {
+        number: 9 << 20,
+        entry: "other".into(),
+        resigned: false,
+    };
+    election.saw(at(1_000), &known);
+    let old = Term {
+        number: 1 << 20,
+        entry: "gone".into(),
+        resigned: false,
+    };
+    election.saw(at(3_000), &old);
+    assert!(matches!(election.step(at(4_000)), TermStep::Try(_)));
+}
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -145,6 +145,8 @@
         .iter()
         .flat_map(|o| &o.order.stops)
         .collect();
+    let starts: usize = decisions.orders.iter().map(|o| o.order.starts.len()).sum();
+    assert_eq!(starts, 0, "not before the other member has stopped");
     assert_eq!(stops.len(), 1);
     let stopped = stops[0].clone();
     bed.end_run(&stopped, EndKind::Stopped);
