--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -27,9 +27,10 @@
     workload::{Book, Election, Job, JobRecord, LookUp},
 };
 
-/// How long a read waits for news. Each answer proves that what is known is current, so it is
-/// well below every bound on that.
-const READ_WAIT: Duration = Duration::from_millis(1_200);
+/// How long a read waits for news. An answer proves that what is known was current when the read
+/// was sent, so a proof is up to two waits old before the next one comes; every bound on its age is
+/// above that. With 1.2 s and a bound of 2 s, nothing was started for a third of the time.
+pub(super) const READ_WAIT: Duration = Duration::from_millis(800);
 
 /// Pause after a read that failed, so that a store that is down is not asked without end.
 const READ_PAUSE: Duration = Duration::from_millis(100);
@@ -50,6 +51,8 @@
 /// Age of the newest proof from the store above which the balancer is told to go elsewhere.
 const READY_AGE: Duration = Duration::from_millis(2_200);
 
+const _: () = assert!(READY_AGE.as_millis() > 2 * READ_WAIT.as_millis());
+
 /// Share of the bound on revoked keys up to which an old proof still counts; the rest covers the
 /// time that a request is under way.
 const REVOKE_SHARE: f64 = 0.85;
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/office.rs
@@ -24,7 +24,7 @@
     },
     process::on_store::{
         Batch, Follower, Lanes, StoreEntry,
-        entry::{unix_ms, wait_for},
+        entry::{READ_WAIT, unix_ms, wait_for},
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
@@ -49,6 +49,8 @@
 /// in a failure domain that is out of service is seconds.
 const FRESH: Duration = Duration::from_millis(2_000);
 
+const _: () = assert!(FRESH.as_millis() > 2 * READ_WAIT.as_millis());
+
 /// Silence of an agent, which reports each second at the least, after which its session is closed.
 const AGENT_SILENCE: Duration = Duration::from_millis(3_000);
 
