--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -107,6 +107,23 @@
     workers: BTreeMap<Name, FleetWorker>,
 }
 
+impl WorkerRun {
+    /// Returns a run whose order has no known place in the store yet: it is being appended, or an
+    /// earlier planner may have sent it, whose late orders are not shut out so far.
+    fn new(now: Timestamp, needs: Resources) -> Self {
+        Self {
+            needs,
+            ordered: None,
+            running_since: None,
+            stopping: false,
+            checkpoint: String::new(),
+            saved_at: now,
+            placed_at: now,
+            is_whole: false,
+        }
+    }
+}
+
 impl FleetWorker {
     /// Returns a worker of which only a run in the plan is known.
     fn unknown(session: u64, now: Timestamp) -> Self {
@@ -173,17 +190,7 @@
         let known = self.workers.entry(worker.clone());
         let known = known.or_insert_with(|| FleetWorker::unknown(session, now));
         known.session = known.session.max(session);
-        let adopted = WorkerRun {
-            needs,
-            // Known once no late order of an earlier planner can come any more.
-            ordered: None,
-            running_since: None,
-            stopping: false,
-            checkpoint: String::new(),
-            saved_at: now,
-            placed_at: now,
-            is_whole: false,
-        };
+        let adopted = WorkerRun::new(now, needs);
         known.runs.insert(run, adopted);
     }
 
@@ -210,14 +217,9 @@
     ) {
         if let Some(known) = self.workers.get_mut(worker) {
             let placed = WorkerRun {
-                needs,
-                ordered: None,
-                running_since: None,
-                stopping: false,
                 checkpoint: checkpoint.to_owned(),
-                saved_at: now,
-                placed_at: now,
                 is_whole: checkpoint.is_empty(),
+                ..WorkerRun::new(now, needs)
             };
             known.runs.insert(run, placed);
         }
@@ -391,14 +393,8 @@
             let run = self.runs.entry(listed.run.clone()).or_insert_with(|| {
                 log::warn!(worker:% = report.heartbeat.worker, run:% = listed.run; "run_not_ordered");
                 WorkerRun {
-                    needs: needs_of(&listed.run),
                     ordered: Some(0),
-                    running_since: None,
-                    stopping: false,
-                    checkpoint: String::new(),
-                    saved_at: now,
-                    placed_at: now,
-                    is_whole: false,
+                    ..WorkerRun::new(now, needs_of(&listed.run))
                 }
             });
             run.running_since.get_or_insert(now);
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::utils::Name;
+use crate::{
+    utils::Name,
+    workload::skip::{is_false, is_zero, is_zero_u64}, //
+};
 
 /// What a task takes up on a worker, or a worker has to give.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -109,7 +112,7 @@
     pub lasting: bool,
     /// Milliseconds below which the response times of the tasks have to stay; 0 for tasks that serve
     /// nobody while they run.
-    #[serde(rename = "q", default, skip_serializing_if = "is_zero_ms")]
+    #[serde(rename = "q", default, skip_serializing_if = "is_zero_u64")]
     pub response_ms: u64,
     /// Whether the tasks take what processor time others leave over.
     #[serde(rename = "f", default, skip_serializing_if = "is_false")]
@@ -276,18 +279,3 @@
         ends.into_iter().max().unwrap_or(0)
     }
 }
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_zero_ms(number: &u64) -> bool {
-    *number == 0
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -7,7 +7,10 @@
 use crate::{
     port::{End, Heartbeat, RunningTask, StartOutcome},
     utils::Name,
-    workload::RunId,
+    workload::{
+        RunId,
+        skip::{is_false, is_zero_u64}, //
+    },
 };
 
 /// A run that an agent is to start.
@@ -37,7 +40,7 @@
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub starts: Vec<TaskStart>,
     /// Ends up to this number stand in the plan and may be confirmed to the worker.
-    #[serde(rename = "n", default, skip_serializing_if = "is_zero")]
+    #[serde(rename = "n", default, skip_serializing_if = "is_zero_u64")]
     pub confirmed: u64,
     /// Whether the agent must stop all, extend no lease any more and begin a new session: its
     /// tasks may be started elsewhere.
@@ -115,13 +118,3 @@
     #[serde(rename = "u", default, skip_serializing_if = "is_false")]
     pub unreachable: bool,
 }
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_zero(number: &u64) -> bool {
-    *number == 0
-}
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -18,6 +18,7 @@
 mod record;
 mod run_times;
 mod schedule;
+mod skip;
 mod task;
 mod term;
 mod tickets;
--- a/dragonflyrun/src/workload/plan.rs
+++ b/dragonflyrun/src/workload/plan.rs
@@ -6,7 +6,11 @@
 
 use crate::{
     utils::Name,
-    workload::{Job, TaskId},
+    workload::{
+        Job,
+        TaskId,
+        skip::{is_false, is_zero, is_zero_u64}, //
+    },
 };
 
 /// How a job ended.
@@ -67,7 +71,7 @@
     #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
     pub outcome: Option<Outcome>,
     /// Unix milliseconds of its end on the planner's clock; 0 before.
-    #[serde(rename = "e", default, skip_serializing_if = "is_zero_ms")]
+    #[serde(rename = "e", default, skip_serializing_if = "is_zero_u64")]
     pub ended_ms: u64,
     /// The tasks of which anything is known, by their number in the job.
     #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
@@ -136,18 +140,3 @@
         })
     }
 }
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_zero(number: &u32) -> bool {
-    *number == 0
-}
-
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde gives a reference")]
-const fn is_zero_ms(number: &u64) -> bool {
-    *number == 0
-}
