--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -4,6 +4,8 @@
 //! to do. Whatever it decides stands in the plan before it is ordered, so a successor knows every
 //! run that may exist.
 
+mod settle;
+
 use std::{cell::RefCell, collections::BTreeMap, time::Duration};
 
 use crate::{
@@ -11,14 +13,12 @@
         AdviceAnswer,
         AdviceQuestion,
         Configuration,
-        EndKind,
-        StartOutcome,
         StoreRecord, //
     },
     utils::{HashSet, Name, Timestamp},
     workload::{
         Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, Room, RunId,
-        RunOver, RunTimes, SessionEnd, TaskId, TaskPlan, TaskStart,
+        RunTimes, TaskId, TaskPlan, TaskStart,
         demands::Demands,
         live::LiveJob,
         pass::{Pass, Placed},
@@ -395,176 +395,6 @@
         view.now.since(heard) > self.bounds.silence * 2
     }
 
-    /// Takes note that a run is over.
-    fn run_over(&mut self, now: Timestamp, over: RunOver) {
-        let RunOver {
-            run,
-            worker,
-            why,
-            checkpoint,
-            running_since,
-            whole_since,
-        } = over;
-        let Some(live) = self.jobs.get_mut(&run.task.job) else {
-            log::warn!(run:% = run, worker:% = worker, why:? = why; "run_over_of_unknown_job");
-            return;
-        };
-        let Some(number) = live.job.number(&run.task) else {
-            log::warn!(run:% = run, worker:% = worker, why:? = why; "run_over_of_unknown_task");
-            return;
-        };
-        log::info!(
-            job:% = run.task.job, run:% = run, worker:% = worker, why:% = kind_name(&why),
-            ran_ms = running_since.map_or(0, |s| now.since(s).as_millis() as u64);
-            "run_over"
-        );
-        self.changed.insert(run.task.job.clone());
-        let step = run.task.step;
-        let shape = &live.job.request.steps[step as usize];
-        let numbers = live.job.numbers(run.task.occurrence, step);
-        let leader = if shape.gang { numbers.start } else { number };
-        let task = live.plan.tasks.entry(number).or_default();
-        let current = task.run == run.number;
-        let here = task.place.as_ref().is_some_and(|p| p.worker == worker);
-        if current && here {
-            task.place = None;
-        }
-        if current && !checkpoint.is_empty() {
-            task.checkpoint.clone_from(&checkpoint);
-            if shape.gang {
-                for member in numbers.clone() {
-                    live.plan
-                        .tasks
-                        .entry(member)
-                        .or_default()
-                        .checkpoint
-                        .clone_from(&checkpoint);
-                }
-            }
-        }
-        let SessionEnd::Ended(end) = why else {
-            if matches!(why, SessionEnd::Refused(StartOutcome::NoTicket)) {
-                let task = &run.task;
-                let tickets = self.tickets.get_mut();
-                tickets.refused(&task.job, task.occurrence, task.step, &worker);
-            }
-            if matches!(why, SessionEnd::Refused(StartOutcome::Unhealthy)) {
-                live.failed_on.push(worker);
-            }
-            return;
-        };
-        match end.kind {
-            EndKind::Done if shape.lasting => {}
-            EndKind::Done => {
-                let done = if shape.gang {
-                    numbers
-                } else {
-                    number..number + 1
-                };
-                for member in done {
-                    live.plan.tasks.entry(member).or_default().done = true;
-                }
-                if let Some(placed_at) = whole_since {
-                    let took_ms = now.since(placed_at).as_millis() as f64;
-                    let guess_ms = shape.estimate_ms;
-                    self.run_times
-                        .learn(&live.job.queue, &worker, guess_ms, took_ms);
-                }
-            }
-            EndKind::Failed => {
-                let counted = live.plan.tasks.entry(leader).or_default();
-                if counted.failed_run < run.number {
-                    counted.failed_run = run.number;
-                    counted.failed += 1;
-                }
-                live.failed_on.push(worker);
-            }
-            EndKind::Stopped
-            | EndKind::LeaseExpired
-            | EndKind::GangBroken
-            | EndKind::GangIncomplete
-            | EndKind::Other => {}
-        }
-    }
-
-    /// Ends jobs that have come to their end, and stops what must not run any more.
-    fn settle_jobs(&mut self, view: &View<'_>) {
-        for (name, live) in &mut self.jobs {
-            if live.plan.outcome.is_none() {
-                let outcome = live.outcome();
-                if let Some(outcome) = outcome {
-                    live.plan.end(outcome, view.unix_ms.max(1));
-                    self.changed.insert(name.clone());
-                    log::info!(
-                        job:% = name, outcome:? = outcome,
-                        took_ms = view.unix_ms.saturating_sub(live.job.accepted_ms);
-                        "job_ended"
-                    );
-                }
-            }
-        }
-        self.stop_unwanted();
-    }
-
-    /// Orders stops of all runs that no plan wants.
-    fn stop_unwanted(&mut self) {
-        let mut stops = Vec::new();
-        for (name, worker) in self.fleet.workers() {
-            for (run, state) in &worker.runs {
-                // An order that is still on its way is stopped once it stands.
-                if !state.stopping && state.ordered.is_some() && !self.is_wanted(name, run) {
-                    stops.push((name.clone(), run.clone()));
-                }
-            }
-        }
-        for (worker, run) in stops {
-            self.stop(&worker, &run, "not_wanted");
-        }
-    }
-
-    fn stop(&mut self, worker: &Name, run: &RunId, why: &str) {
-        let known = self.fleet.get_mut(worker);
-        if let Some(state) = known.and_then(|w| w.runs.get_mut(run)) {
-            state.stopping = true;
-            self.orders
-                .entry(worker.clone())
-                .or_default()
-                .stops
-                .push(run.clone());
-            log::info!(job:% = run.task.job, run:% = run, worker:% = worker, why; "run_stopped");
-        }
-    }
-
-    fn is_wanted(&self, worker: &Name, run: &RunId) -> bool {
-        let Some(live) = self.jobs.get(&run.task.job) else {
-            return false;
-        };
-        if live.plan.outcome.is_some() {
-            return false;
-        }
-        let Some(number) = live.job.number(&run.task) else {
-            return false;
-        };
-        let Some(task) = live.plan.tasks.get(&number) else {
-            return false;
-        };
-        let here = task.place.as_ref().is_some_and(|p| p.worker == *worker);
-        if !(here && task.run == run.number) {
-            return false;
-        }
-        let shape = &live.job.request.steps[run.task.step as usize];
-        if !shape.gang {
-            return !task.done;
-        }
-        // A gang of which one member is over can't come to an end any more.
-        let mut members = live.job.numbers(run.task.occurrence, run.task.step);
-        let whole = members.all(|m| {
-            let member = live.plan.tasks.get(&m);
-            member.is_some_and(|t| t.run == run.number && t.place.is_some())
-        });
-        whole || task.done
-    }
-
     fn start_tasks(&mut self, view: &View<'_>) {
         let pass = Pass::new(&self.fleet, &self.jobs, &self.run_times, view);
         let demands = Demands {
@@ -682,11 +512,3 @@
         }
     }
 }
-
-fn kind_name(why: &SessionEnd) -> String {
-    match why {
-        SessionEnd::Ended(end) => format!("{:?}", end.kind),
-        SessionEnd::Refused(outcome) => format!("refused:{outcome:?}"),
-        SessionEnd::Gone => "gone".to_owned(),
-    }
-}
