--- a/dragonflyrun/src/port/caller.rs
+++ b/dragonflyrun/src/port/caller.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::{utils::Name, workload::JobRequest};
+use crate::workload::JobRequest;
 
 /// What a caller asks for.
 #[derive(Clone, Debug)]
@@ -106,9 +106,4 @@
 
     /// Returns whether the balancer may send requests here.
     fn is_ready(&self) -> bool;
-
-    /// Returns the name under which requests are logged, for a path that names a job.
-    fn log_name(path: &str) -> Name {
-        path.rsplit('/').next().unwrap_or_default().into()
-    }
 }
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -119,7 +119,6 @@
             };
             {
                 let mut table = lock(&self.table);
-                table.set_lane(lane);
                 if !table.begin_session(&worker, born_ms, number) {
                     continue;
                 }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -85,7 +85,6 @@
     lease: Duration,
     life: Option<Life>,
     departed: Vec<Report>,
-    lane: u32,
 }
 
 /// Silence of a worker that sends a heartbeat each 1.5 s after which one is missing for certain.
@@ -101,15 +100,9 @@
             lease,
             life: None,
             departed: Vec::new(),
-            lane: 0,
         }
     }
 
-    /// Sets the partition in which orders for the worker come.
-    pub fn set_lane(&mut self, lane: u32) {
-        self.lane = lane;
-    }
-
     /// Takes a heartbeat; returns whether anything that the planner should know has changed.
     ///
     /// A heartbeat that was held up by the network may come after a new life of the worker has
@@ -139,7 +132,7 @@
     fn begin_life(&mut self, heartbeat: Heartbeat, now: Instant) {
         let old = self.life.take();
         let replaced = old.filter(|l| l.heartbeat.worker != heartbeat.worker);
-        if let Some(mut report) = replaced.and_then(|mut l| l.report(self.lane)) {
+        if let Some(mut report) = replaced.and_then(|mut l| l.report()) {
             // Another worker answers at this machine now, so nothing of the old one runs.
             report.closed = true;
             self.departed.push(report);
@@ -411,8 +404,7 @@
     /// Returns the next report about the worker, and about workers that it has replaced.
     pub fn reports(&mut self, unix_ms: u64) -> Vec<Report> {
         let mut reports = std::mem::take(&mut self.departed);
-        let lane = self.lane;
-        reports.extend(self.life.as_mut().and_then(|l| l.report(lane)));
+        reports.extend(self.life.as_mut().and_then(Life::report));
         for report in &mut reports {
             report.sent_ms = unix_ms;
         }
@@ -503,7 +495,7 @@
         gone || (session.fenced && quiet && self.lists_seen > 0)
     }
 
-    fn report(&mut self, lane: u32) -> Option<Report> {
+    fn report(&mut self) -> Option<Report> {
         let closed = self.is_closed();
         // Before the first lists the report would deny runs that are there.
         if self.lists_seen == 0 && !closed {
@@ -514,7 +506,6 @@
         Some(Report {
             heartbeat: self.heartbeat.clone(),
             session: session.number,
-            lane,
             sequence: session.report,
             sent_ms: 0,
             orders_seen: session.orders_seen,
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -75,7 +75,7 @@
 
 /// Why a run is over.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum SessionEnd {
+pub enum RunOverReason {
     /// The worker lists its end.
     Ended(End),
     /// The worker refused to start it.
@@ -92,7 +92,7 @@
     /// The worker it was on.
     pub worker: Name,
     /// Why.
-    pub why: SessionEnd,
+    pub why: RunOverReason,
     /// The newest checkpoint known of it.
     pub checkpoint: String,
     /// Since when it ran.
@@ -370,7 +370,7 @@
                 },
                 running_since: run.as_ref().and_then(|r| r.running_since),
                 whole_since: run.filter(|r| r.is_whole).map(|r| r.placed_at),
-                why: SessionEnd::Ended(end.clone()),
+                why: RunOverReason::Ended(end.clone()),
             });
             match end.kind {
                 EndKind::Failed => self.failures += 1,
@@ -423,7 +423,7 @@
             .collect();
         let why = |run: &RunId| {
             let refusal = report.refused.iter().find(|(r, _)| r == run);
-            refusal.map_or(SessionEnd::Gone, |(_, why)| SessionEnd::Refused(*why))
+            refusal.map_or(RunOverReason::Gone, |(_, why)| RunOverReason::Refused(*why))
         };
         gone.into_iter()
             .filter_map(|run| {
@@ -436,11 +436,11 @@
     fn all_gone(&mut self, name: &Name) -> Vec<RunOver> {
         let runs: Vec<RunId> = self.runs.keys().cloned().collect();
         let gone = runs.into_iter();
-        gone.filter_map(|run| self.remove(name, run, SessionEnd::Gone))
+        gone.filter_map(|run| self.remove(name, run, RunOverReason::Gone))
             .collect()
     }
 
-    fn remove(&mut self, name: &Name, run: RunId, why: SessionEnd) -> Option<RunOver> {
+    fn remove(&mut self, name: &Name, run: RunId, why: RunOverReason) -> Option<RunOver> {
         let state = self.runs.remove(&run)?;
         Some(RunOver {
             run,
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -84,9 +84,6 @@
     /// The number of the agent's session.
     #[serde(rename = "s")]
     pub session: u64,
-    /// The orders' partition that the agent reads.
-    #[serde(rename = "l")]
-    pub lane: u32,
     /// Rises with each report of a session.
     #[serde(rename = "q")]
     pub sequence: u64,
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -25,7 +25,7 @@
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use book::{Book, LookUp};
-pub use fleet::{Closing, Fleet, FleetWorker, RunOver, SessionEnd, WorkerRun};
+pub use fleet::{Closing, Fleet, FleetWorker, RunOver, RunOverReason, WorkerRun};
 pub use job::{Job, JobRequest, Occurrences, Resources, Step};
 pub use message::{Order, OrderMessage, Report, TaskStart};
 pub use plan::{JobPlan, Outcome, Place, TaskPlan};
--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -5,7 +5,7 @@
     port::{EndKind, StartOutcome},
     utils::{Name, Timestamp},
     workload::{
-        RunId, RunOver, SessionEnd,
+        RunId, RunOver, RunOverReason,
         planner::{Planner, View},
     },
 };
@@ -58,13 +58,13 @@
                 }
             }
         }
-        let SessionEnd::Ended(end) = why else {
-            if matches!(why, SessionEnd::Refused(StartOutcome::NoTicket)) {
+        let RunOverReason::Ended(end) = why else {
+            if matches!(why, RunOverReason::Refused(StartOutcome::NoTicket)) {
                 let task = &run.task;
                 let tickets = self.tickets.get_mut();
                 tickets.refused(&task.job, task.occurrence, task.step, &worker);
             }
-            if matches!(why, SessionEnd::Refused(StartOutcome::Unhealthy)) {
+            if matches!(why, RunOverReason::Refused(StartOutcome::Unhealthy)) {
                 live.failed_on.push(worker);
             }
             return;
@@ -182,10 +182,10 @@
     }
 }
 
-fn kind_name(why: &SessionEnd) -> String {
+fn kind_name(why: &RunOverReason) -> String {
     match why {
-        SessionEnd::Ended(end) => format!("{:?}", end.kind),
-        SessionEnd::Refused(outcome) => format!("refused:{outcome:?}"),
-        SessionEnd::Gone => "gone".to_owned(),
+        RunOverReason::Ended(end) => format!("{:?}", end.kind),
+        RunOverReason::Refused(outcome) => format!("refused:{outcome:?}"),
+        RunOverReason::Gone => "gone".to_owned(),
     }
 }
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -104,7 +104,6 @@
                 sequence: 1,
             },
             session: 1,
-            lane: 0,
             sequence: 1,
             sent_ms: EPOCH_MS,
             orders_seen: 2,
