--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -65,7 +65,7 @@
 /// Who appends, where late appends of somebody who has been replaced must be refused.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Writer {
-    /// The name that all holders of this office share.
+    /// The name that all writers share of whom one follows the other.
     pub name: &'static str,
     /// The fencing token: the store refuses an append with a lower one than it has seen.
     pub term: u64,
@@ -80,7 +80,7 @@
     pub partition: Partition,
     /// What. None at all only sets the writer's term.
     pub records: Vec<StoreRecord>,
-    /// The office that appends; none for records whose repeats and late arrivals do no harm.
+    /// The writer, where there is one at a time; none for records whose repeats and late arrivals do no harm.
     pub writer: Option<Writer>,
     /// The offset at which the partition has to end for the append to be done.
     pub at: Option<u64>,
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -21,7 +21,7 @@
     },
     process::{
         Counters,
-        on_store::{Batch, BootTime, Follower, StoreSettings, office::Office},
+        on_store::{Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm},
     },
     utils::{HashSet, Name, Timestamp, lock},
     workload::{Book, Election, Job, JobRecord, LookUp},
@@ -131,7 +131,7 @@
     pub fn start(self: &Arc<Self>, decoder: Arc<OperatorDecoder>) {
         tokio::task::spawn_local(self.clone().follow_operators(decoder));
         tokio::task::spawn_local(self.clone().follow_jobs());
-        tokio::task::spawn_local(Office::run(self.clone()));
+        tokio::task::spawn_local(PlannerTerm::run(self.clone()));
     }
 
     /// Tells the balancer to go elsewhere; what still comes is served.
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -10,7 +10,7 @@
 mod entry;
 mod follower;
 mod lanes;
-mod office;
+mod planner_term;
 mod settings;
 
 pub use agent::StoreAgent;
--- a/dragonflyrun/src/process/on_store/office.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -1,8 +1,7 @@
-//! The planner's office at an entry: wins the term, plans while it holds it, and gives it up.
+//! The planner at an entry: wins a term, plans while it holds it, and gives it up.
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap as Sequences,
     rc::Rc,
     sync::{
         Arc,
@@ -33,8 +32,8 @@
     },
 };
 
-/// The name of the office towards the store.
-const OFFICE: &str = "planner";
+/// The name that all planners have as writers in the store.
+const WRITER: &str = "planner";
 
 /// How often the planner shows a sign of life.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(350);
@@ -73,15 +72,15 @@
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
 /// A term that this entry holds.
-pub(super) struct Office<S, A> {
+pub(super) struct PlannerTerm<S, A> {
     entry: Arc<StoreEntry<S, A>>,
     term: Term,
     lanes: Lanes,
     planner: RefCell<Planner>,
     /// The sequence number of the next append to each partition.
-    sequences: RefCell<Sequences<Partition, u64>>,
+    sequences: RefCell<HashMap<Partition, u64>>,
     /// One append at a time to each partition, so that its sequence numbers arrive in order.
-    turns: RefCell<Sequences<Partition, Rc<tokio::sync::Mutex<()>>>>,
+    turns: RefCell<HashMap<Partition, Rc<tokio::sync::Mutex<()>>>>,
     senders: RefCell<HashMap<u32, mpsc::UnboundedSender<WorkerOrder>>>,
     /// Whether all that runs is known.
     taken_over: Cell<bool>,
@@ -93,7 +92,7 @@
     planned: Cell<bool>,
 }
 
-impl<S: Store, A: Advisor> Office<S, A> {
+impl<S: Store, A: Advisor> PlannerTerm<S, A> {
     /// Watches the planner, and is planner whenever this entry wins the term.
     pub(super) async fn run(entry: Arc<StoreEntry<S, A>>) {
         loop {
@@ -104,8 +103,8 @@
             let Some((term, end)) = candidacy(&entry) else {
                 continue;
             };
-            if let Some(office) = Self::win(&entry, term, end).await {
-                office.hold().await;
+            if let Some(held) = Self::win(&entry, term, end).await {
+                held.hold().await;
             }
         }
     }
@@ -115,7 +114,7 @@
             partition: Partition::JOBS,
             records: vec![JobRecord::Planner(term.clone()).encode()],
             writer: Some(Writer {
-                name: OFFICE,
+                name: WRITER,
                 term: term.number,
                 sequence: 1,
             }),
@@ -141,7 +140,7 @@
             term,
             lanes: Lanes::new(entry.settings.partitions),
             planner: RefCell::new(planner),
-            sequences: RefCell::new(Sequences::from([(Partition::JOBS, 2)])),
+            sequences: RefCell::new(HashMap::from_iter([(Partition::JOBS, 2)])),
             turns: RefCell::default(),
             senders: RefCell::default(),
             taken_over: Cell::new(false),
@@ -441,7 +440,7 @@
             partition,
             records,
             writer: Some(Writer {
-                name: OFFICE,
+                name: WRITER,
                 term: self.term.number,
                 sequence,
             }),
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -26,7 +26,7 @@
     pub number: u64,
     /// The entry.
     pub entry: Name,
-    /// Whether it has given the office up, so that another may follow at once.
+    /// Whether it has stepped down, so that another may follow at once.
     #[serde(default)]
     pub resigned: bool,
 }
--- a/dragonflyrun/tests/workload_world/mod.rs
+++ b/dragonflyrun/tests/workload_world/mod.rs
@@ -7,7 +7,7 @@
 #![allow(dead_code, reason = "each test uses a part of the model")]
 
 mod agent;
-mod office;
+mod planner;
 mod store;
 mod worker;
 
@@ -27,7 +27,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use agent::ModelAgent;
-use office::Office;
+use planner::ModelPlanner;
 use store::ModelStore;
 use worker::ModelWorker;
 
@@ -63,7 +63,7 @@
     pub(crate) store: ModelStore,
     pub(crate) workers: Vec<ModelWorker>,
     pub(crate) agents: Vec<ModelAgent>,
-    offices: Vec<Office>,
+    planners: Vec<ModelPlanner>,
     jobs: u32,
     /// Tasks of which a done run has been confirmed to its worker.
     pub(crate) done: BTreeMap<TaskId, u64>,
@@ -86,7 +86,7 @@
             store: ModelStore::default(),
             workers: made,
             agents,
-            offices: Vec::new(),
+            planners: Vec::new(),
             jobs: 0,
             done: BTreeMap::new(),
             violations: Vec::new(),
@@ -153,16 +153,16 @@
             worker::step(self, i);
             agent::step(self, i);
         }
-        office::step_all(self);
+        planner::step_all(self);
         self.check();
     }
 
     fn fault(&mut self) {
         let successions = self.chaos.successions;
-        let none = !self.offices.iter().any(|o| o.holds(&self.store));
+        let none = !self.planners.iter().any(|p| p.holds(&self.store));
         if none || self.happens(successions) {
-            let office = Office::take_over(self);
-            self.offices.push(office);
+            let planner = ModelPlanner::take_over(self);
+            self.planners.push(planner);
         }
         let faults = self.chaos.agent_faults;
         if self.happens(faults) {
@@ -204,6 +204,6 @@
     }
 }
 
-pub(crate) fn office_mut(world: &mut World) -> &mut Vec<Office> {
-    &mut world.offices
+pub(crate) fn planners_mut(world: &mut World) -> &mut Vec<ModelPlanner> {
+    &mut world.planners
 }
--- a/dragonflyrun/tests/workload_world/office.rs
+++ b/dragonflyrun/tests/workload_world/planner.rs
@@ -11,12 +11,12 @@
 use rand::Rng;
 
 use super::{
-    LEASE_MS, World, office_mut,
+    LEASE_MS, World, planners_mut,
     store::{ModelStore, Write},
 };
 
 /// A planner.
-pub(crate) struct Office {
+pub(crate) struct ModelPlanner {
     planner: Planner,
     term: u64,
     jobs_read: usize,
@@ -29,7 +29,7 @@
     lost: bool,
 }
 
-impl Office {
+impl ModelPlanner {
     /// Returns a planner that has just won the next term.
     pub(crate) fn take_over(world: &mut World) -> Self {
         world.store.term += 1;
@@ -69,18 +69,18 @@
 
 /// Lets all planners act, those that were replaced too.
 pub(crate) fn step_all(world: &mut World) {
-    let mut offices = std::mem::take(office_mut(world));
-    for office in &mut offices {
-        step(world, office);
+    let mut planners = std::mem::take(planners_mut(world));
+    for planner in &mut planners {
+        step(world, planner);
     }
-    offices.retain(|o| !o.lost);
-    let newer = std::mem::replace(office_mut(world), offices);
-    office_mut(world).extend(newer);
+    planners.retain(|o| !o.lost);
+    let newer = std::mem::replace(planners_mut(world), planners);
+    planners_mut(world).extend(newer);
 }
 
-fn step(world: &mut World, office: &mut Office) {
+fn step(world: &mut World, planner: &mut ModelPlanner) {
     let now = world.now;
-    if now < office.act_at {
+    if now < planner.act_at {
         return;
     }
     // A planner is now and then held up for seconds and then goes on as if nothing had happened.
@@ -89,23 +89,23 @@
     } else {
         40
     };
-    office.act_at = now + world.rng.random_range(10..=pause);
-    if let Some((id, write)) = office.writes.front().cloned() {
-        do_write(world, office, id, write);
+    planner.act_at = now + world.rng.random_range(10..=pause);
+    if let Some((id, write)) = planner.writes.front().cloned() {
+        do_write(world, planner, id, write);
         return;
     }
-    read(world, office);
+    read(world, planner);
     let configuration = Configuration {
         version: 1,
         ..Configuration::default()
     };
-    let decisions = office.planner.decide(&View {
+    let decisions = planner.planner.decide(&View {
         now: Timestamp::from_millis(now),
         unix_ms: now,
         configuration: &configuration,
         evacuated: &HashSet::default(),
         is_fresh: true,
-        reports_since: Some(Timestamp::from_millis(office.reports_since)),
+        reports_since: Some(Timestamp::from_millis(planner.reports_since)),
     });
     let plans: Vec<JobRecord> = decisions
         .plans
@@ -113,61 +113,61 @@
         .filter_map(JobRecord::decode)
         .collect();
     if !plans.is_empty() {
-        push(office, Write::Plans(plans));
+        push(planner, Write::Plans(plans));
     }
     for order in decisions.orders {
-        push(office, Write::Order(order));
+        push(planner, Write::Order(order));
     }
 }
 
-fn push(office: &mut Office, write: Write) {
-    office.writes.push_back((office.next_write, write));
-    office.next_write += 1;
+fn push(planner: &mut ModelPlanner, write: Write) {
+    planner.writes.push_back((planner.next_write, write));
+    planner.next_write += 1;
 }
 
-fn read(world: &mut World, office: &mut Office) {
-    for record in &world.store.jobs[office.jobs_read..] {
-        office.planner.job_record(record);
+fn read(world: &mut World, planner: &mut ModelPlanner) {
+    for record in &world.store.jobs[planner.jobs_read..] {
+        planner.planner.job_record(record);
     }
-    office.jobs_read = world.store.jobs.len();
+    planner.jobs_read = world.store.jobs.len();
     let now = Timestamp::from_millis(world.now);
-    for report in &world.store.reports[office.reports_read..] {
-        office.planner.report(now, report.clone());
+    for report in &world.store.reports[planner.reports_read..] {
+        planner.planner.report(now, report.clone());
     }
-    office.reports_read = world.store.reports.len();
+    planner.reports_read = world.store.reports.len();
 }
 
-fn do_write(world: &mut World, office: &mut Office, id: u64, write: Write) {
-    if world.now < office.retry_at {
+fn do_write(world: &mut World, planner: &mut ModelPlanner, id: u64, write: Write) {
+    if world.now < planner.retry_at {
         return;
     }
     let (late, lost) = (world.chaos.late_appends, world.chaos.lost_answers);
     if world.happens(late) {
         let at = world.now + world.rng.random_range(1_000..6_000);
-        world.store.write_late(at, office.term, id, write);
-        office.retry_at = world.now + 800;
+        world.store.write_late(at, planner.term, id, write);
+        planner.retry_at = world.now + 800;
         return;
     }
-    let Some(offset) = world.store.write(office.term, id, &write) else {
-        office.lost = true;
+    let Some(offset) = world.store.write(planner.term, id, &write) else {
+        planner.lost = true;
         return;
     };
     if world.happens(lost) {
-        office.retry_at = world.now + 800;
+        planner.retry_at = world.now + 800;
         return;
     }
-    office.writes.pop_front();
-    answered(world, office, &write, offset);
+    planner.writes.pop_front();
+    answered(world, planner, &write, offset);
 }
 
-fn answered(world: &World, office: &mut Office, write: &Write, offset: u64) {
+fn answered(world: &World, planner: &mut ModelPlanner, write: &Write, offset: u64) {
     let now = Timestamp::from_millis(world.now);
     match write {
         Write::Plans(_) => {}
         Write::Order(order) => {
             let order: &WorkerOrder = order;
-            office.planner.ordered(now, order, offset);
+            planner.planner.ordered(now, order, offset);
         }
-        Write::Fence(worker) => office.planner.orders_end(worker, offset),
+        Write::Fence(worker) => planner.planner.orders_end(worker, offset),
     }
 }
