Follow an own earlier term at once after a restart

Ruled out: the store, the agents' sessions, placement (see docs/incidents/slow-succession.md). Change: a term in an entry's own name counts as vacant. The term's number still rises, so the store refuses what the earlier process sent late.

--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -82,7 +82,11 @@
     /// Returns what to do at `now`.
     pub fn step(&self, now: Timestamp) -> TermStep {
         let stagger = STAGGER * (stagger_place(&self.entry) % 4);
-        let vacant = self.term.resigned || self.term.number == 0;
+        // Whoever asks does not plan, so a term in its own name is one that an earlier process of
+        // it held. Waiting for a sign of life of that one left all work standing for 1.2 s after
+        // each loss of power of all hosts.
+        let own = self.term.entry == self.entry;
+        let vacant = own || self.term.resigned || self.term.number == 0;
         let wait = if vacant {
             stagger / 4
         } else {
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -100,3 +100,19 @@
     election.saw(at(3_000), &old);
     assert!(matches!(election.step(at(4_000)), TermStep::Try(_)));
 }
+
+/// All hosts lose power, the planner's among them, and start again. Nobody plans, and the entry that
+/// planned last knows it: it should not wait for a sign of life of its own earlier process, in which
+/// time a caller would see all work stand still.
+#[test]
+fn own_term() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    let known = Term {
+        number: 1 << 20,
+        entry: "one".into(),
+        resigned: false,
+    };
+    election.saw(at(1_000), &known);
+    let term = tried(election.step(at(1_100)));
+    assert!(term.number > known.number);
+}
