--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -30,6 +30,8 @@
     Cut,
     /// Nothing is forwarded, and no connection is closed, as when a switch drops all packets.
     Frozen,
+    /// Only what comes from the target is held back: calls are carried out and get no answer.
+    OneWay,
 }
 
 /// What `POST /control` sets; what is absent stays as it is.
@@ -154,7 +156,7 @@
 
     /// Forwards both ways until both sides have closed.
     fn carry(&self, near: &TcpStream) {
-        self.wait_while_frozen();
+        self.wait_while_held(false);
         let target = self.lock().target;
         let Ok(far) = TcpStream::connect(target) else {
             return;
@@ -166,8 +168,8 @@
         };
         let id = self.register(near_copy, far_copy);
         thread::scope(|scope| {
-            scope.spawn(|| self.forward(near, &far));
-            self.forward(&far, near);
+            scope.spawn(|| self.forward(near, &far, false));
+            self.forward(&far, near, true);
         });
         self.lock().open.retain(|(open, _)| *open != id);
     }
@@ -186,16 +188,16 @@
         id
     }
 
-    fn forward(&self, mut from: &TcpStream, mut to: &TcpStream) {
+    fn forward(&self, mut from: &TcpStream, mut to: &TcpStream, is_answer: bool) {
         let mut buf = vec![0; PIECE_BYTES];
         loop {
             let read = from.read(&mut buf).unwrap_or(0);
-            let delay = self.wait_while_frozen();
+            let delay = self.wait_while_held(is_answer);
             if read == 0 {
                 break;
             }
             thread::sleep(delay);
-            self.wait_while_frozen();
+            self.wait_while_held(is_answer);
             if to.write_all(&buf[..read]).is_err() {
                 break;
             }
@@ -204,10 +206,15 @@
         let _ = from.shutdown(Shutdown::Read);
     }
 
-    /// Waits until the link is not frozen and returns its delay.
-    fn wait_while_frozen(&self) -> Duration {
+    /// Waits until the link carries this direction and returns its delay.
+    fn wait_while_held(&self, is_answer: bool) -> Duration {
+        let held = |mode: LinkMode| match mode {
+            LinkMode::Pass | LinkMode::Cut => false,
+            LinkMode::Frozen => true,
+            LinkMode::OneWay => is_answer,
+        };
         self.changed
-            .wait_while(self.lock(), |l| l.mode == LinkMode::Frozen)
+            .wait_while(self.lock(), |l| held(l.mode))
             .unwrap_or_else(PoisonError::into_inner)
             .delay
     }
