Ask entries on the store about the deployment and its jobs, and hand jobs of steps in

Change: entries answer the product's own interface at the address of their metrics: GET /v1/deployment (who plans, what is in force and how fresh), GET /v1/why/JOB (how far it is, and what the planner found it waits for), POST /v1/jobs/JOB (a job file of steps, with the workspace's key). The tool has deployment, why, and submit takes such files. The planner's pass says for each job why it was not started, from its own inputs. A dropped key of a job is no longer logged as unreadable.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -23,8 +23,8 @@
         Counters,
         on_store::{Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm},
     },
-    utils::{HashSet, Name, Timestamp, lock},
-    workload::{Book, Election, Job, JobRecord, LookUp},
+    utils::{HashMap, HashSet, Name, Timestamp, lock},
+    workload::{Book, Election, Job, JobRecord, LookUp, Waiting},
 };
 
 /// How long a read waits for news. An answer proves that what is known was current when the read
@@ -77,6 +77,8 @@
     /// Whether this entry plans, so that its planner wants to hear of `news`.
     pub(super) plans: bool,
     pub(super) news: Vec<JobRecord>,
+    /// What jobs wait for, as this entry's planner found it; empty where it does not plan.
+    pub(super) waiting: HashMap<Name, Waiting>,
 }
 
 /// An entry.
@@ -119,6 +121,7 @@
                 election,
                 plans: false,
                 news: Vec::new(),
+                waiting: HashMap::default(),
             }),
             news: Notify::new(),
             stopping: AtomicBool::new(false),
@@ -134,6 +137,11 @@
         tokio::task::spawn_local(PlannerTerm::run(self.clone()));
     }
 
+    /// Returns the metrics.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
     /// Tells the balancer to go elsewhere; what still comes is served.
     pub fn begin_stop(&self) {
         self.stopping.store(true, Ordering::Relaxed);
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -10,12 +10,16 @@
 mod entry;
 mod follower;
 mod lanes;
+mod own_interface;
 mod planner_term;
 mod settings;
+mod view;
 
 pub use agent::StoreAgent;
 pub use boot_clock::BootTime;
 pub use entry::{OperatorDecoder, StoreEntry};
 pub use follower::{Batch, Follower};
 pub use lanes::Lanes;
+pub use own_interface::{NotDone, OwnAnswer, OwnCall, WORKSPACE_KEY_HEADER};
 pub use settings::{StoreBounds, StoreSettings};
+pub use view::{DeploymentView, OccurrencesFile, StepFile, StepJobFile, StepJobView, StepView};
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -162,7 +162,11 @@
             }
         }
         self.lost.set(true);
-        lock(&self.entry.state).plans = false;
+        {
+            let mut state = lock(&self.entry.state);
+            state.plans = false;
+            state.waiting.clear();
+        }
         reports.abort();
         life.abort();
         self.senders.borrow_mut().clear();
@@ -295,7 +299,7 @@
     /// Decides once, makes the decisions last, and sends the orders.
     async fn pass(self: &Rc<Self>) {
         let came = Instant::now();
-        let decisions = {
+        let mut decisions = {
             let mut state = lock(&self.entry.state);
             let mut planner = self.planner.borrow_mut();
             for record in state.news.drain(..) {
@@ -317,6 +321,7 @@
             })
         };
         self.measure(&decisions, came);
+        lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
         if !decisions.plans.is_empty() {
             if self
                 .append_in_order(Partition::JOBS, decisions.plans)
--- a/dragonflyrun/src/tool/commands/job.rs
+++ b/dragonflyrun/src/tool/commands/job.rs
@@ -13,7 +13,7 @@
     },
     tool::{
         Exit, Printed, ToolError, ToolSettings,
-        commands::read_file,
+        commands::{read_file, steps},
         entries::{Call, CallError, Header, nobody},
         options::SubmitOptions,
         publisher::new_id,
@@ -34,6 +34,11 @@
     options: &SubmitOptions,
 ) -> Result<Printed, ToolError> {
     let bytes = read_file(&options.file, SPEC_BYTES)?;
+    if steps::is_steps(&bytes) {
+        let job = options.id.clone().unwrap_or_else(new_id);
+        check_id(&job)?;
+        return steps::submit(settings, options, &job, &bytes);
+    }
     let spec: JobSpec = serde_json::from_slice(&bytes).map_err(|e| {
         ToolError::Findings(vec![Finding {
             place: options.file.clone(),
--- a/dragonflyrun/src/tool/commands/mod.rs
+++ b/dragonflyrun/src/tool/commands/mod.rs
@@ -6,6 +6,7 @@
 mod key;
 mod request;
 mod status;
+mod steps;
 
 use std::{fs, io::Read};
 
@@ -38,6 +39,8 @@
         Command::Job(o) => job::job(&settings()?, &o.job),
         Command::Cancel(o) => job::cancel(&settings()?, &o.job),
         Command::Request(o) => request::request(&settings()?, o),
+        Command::Why(o) => steps::why(&settings()?, &o.job),
+        Command::Deployment(_) => steps::deployment(&settings()?),
         Command::IssueKey(o) => key::issue(&settings()?, o),
     }
 }
--- /dev/null
+++ b/dragonflyrun/src/tool/commands/steps.rs
@@ -0,0 +1,239 @@
+//! `deployment`, `why`, and `submit` for jobs of steps: entries that keep their state on the store.
+
+use std::{fmt, fs, net::SocketAddr};
+
+use oxhttp::model::{Method, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+
+use crate::{
+    process::on_store::{DeploymentView, NotDone, StepJobFile, StepJobView, WORKSPACE_KEY_HEADER},
+    tool::{
+        Exit, Printed, ToolError, ToolSettings,
+        entries::{Answer, Call, CallError, Header, nobody},
+        options::SubmitOptions,
+    },
+    utils::Name,
+    version::Finding,
+};
+
+/// Times longer than the tool's timeout that a hand-in may take, since the entry may try the store
+/// several times.
+const HAND_IN_FACTOR: u32 = 2;
+
+/// Returns whether a file describes a job of steps.
+pub(super) fn is_steps(bytes: &[u8]) -> bool {
+    let value: Result<serde_json::Value, _> = serde_json::from_slice(bytes);
+    value.is_ok_and(|v| v.get("steps").is_some())
+}
+
+/// Submits a job of steps. Its name is chosen here, and one name is accepted once, so the job goes
+/// to the next entry where the answer of one was lost.
+pub(super) fn submit(
+    settings: &ToolSettings,
+    options: &SubmitOptions,
+    job: &Name,
+    bytes: &[u8],
+) -> Result<Printed, ToolError> {
+    let file: StepJobFile = serde_json::from_slice(bytes).map_err(|e| {
+        ToolError::Findings(vec![Finding {
+            place: options.file.clone(),
+            what: format!("{e}."),
+        }])
+    })?;
+    let body = serde_json::to_vec(&file).map_err(|e| ToolError::Usage(e.to_string()))?;
+    let call = Call {
+        method: Method::POST,
+        path: format!("/v1/jobs/{job}"),
+        headers: workspace_key(options)?,
+        body,
+        timeout: settings.timeout * HAND_IN_FACTOR,
+    };
+    let mut uncertain = false;
+    let mut refused = None;
+    let mut errors = Vec::new();
+    for address in settings.some_entries()? {
+        match call.make(*address) {
+            Ok(answer) if answer.status == StatusCode::OK => {
+                return Ok(Printed::new(&Accepted { job: job.clone() }, Exit::Done));
+            }
+            Ok(answer) if answer.status == StatusCode::SERVICE_UNAVAILABLE => {
+                refused = Some(not_done(&answer));
+            }
+            Ok(answer) if answer.status == StatusCode::GATEWAY_TIMEOUT => uncertain = true,
+            Ok(answer) => return Err(ToolError::Refused(not_done(&answer))),
+            Err(error) => {
+                uncertain |= matches!(error, CallError::Lost(_));
+                errors.push((*address, error));
+            }
+        }
+    }
+    // A refusal at one entry says nothing of a call whose answer another entry lost.
+    if uncertain {
+        return Err(ToolError::NotKnown(format!(
+            "job {job} may be accepted; submitting it again with --id {job} does no harm"
+        )));
+    }
+    match refused {
+        Some(why) => Err(ToolError::Refused(why)),
+        None => Err(ToolError::NotKnown(nobody(&errors))),
+    }
+}
+
+fn workspace_key(options: &SubmitOptions) -> Result<Vec<Header>, ToolError> {
+    let Some(file) = &options.workspace_key_file else {
+        return Ok(Vec::new());
+    };
+    let key = fs::read_to_string(file)
+        .map_err(|e| ToolError::Usage(format!("can't read {file}: {e}")))?;
+    Ok(vec![Header {
+        name: WORKSPACE_KEY_HEADER,
+        value: key.trim().to_owned(),
+    }])
+}
+
+/// Says why an entry did not do what it was asked.
+fn not_done(answer: &Answer) -> String {
+    match answer.json::<NotDone>() {
+        Ok(NotDone {
+            reason,
+            retry_after_ms: Some(ms),
+        }) => format!("not run: {reason}; try again in {ms} ms"),
+        Ok(NotDone { reason, .. }) => format!("not run: {reason}"),
+        Err(_) => format!("not run: status {}", answer.status),
+    }
+}
+
+/// Shows a job of steps and what it waits for. The planner's entry knows the latter, so all entries
+/// are asked until it has answered.
+pub(super) fn why(settings: &ToolSettings, job: &Name) -> Result<Printed, ToolError> {
+    let views: Vec<(SocketAddr, StepJobView)> = ask_all(settings, &format!("/v1/why/{job}"))?;
+    let by_planner = views.iter().find(|(_, v)| v.waits_for.is_some());
+    let Some((_, view)) = by_planner.or(views.first()) else {
+        let what = "there is no such job, or its end is no longer remembered";
+        return Err(ToolError::Refused(what.to_owned()));
+    };
+    Ok(Printed::new(&ShownJob(view.clone()), Exit::Done))
+}
+
+/// Shows the deployment as each entry sees it.
+pub(super) fn deployment(settings: &ToolSettings) -> Result<Printed, ToolError> {
+    let views = ask_all(settings, "/v1/deployment")?;
+    let views = views.into_iter().map(|(_, view)| view).collect();
+    Ok(Printed::new(&ShownDeployment(views), Exit::Done))
+}
+
+/// Returns the answers of all entries that know one; an error where none could be asked.
+fn ask_all<T: DeserializeOwned>(
+    settings: &ToolSettings,
+    path: &str,
+) -> Result<Vec<(SocketAddr, T)>, ToolError> {
+    let call = Call::get(path, settings.timeout);
+    let mut found = Vec::new();
+    let mut errors = Vec::new();
+    let mut asked = false;
+    for address in settings.some_entries()? {
+        match call.make(*address) {
+            Ok(answer) if answer.status == StatusCode::NOT_FOUND => asked = true,
+            Ok(answer) => match answer.json() {
+                Ok(view) => found.push((*address, view)),
+                Err(error) => errors.push((*address, error)),
+            },
+            Err(error) => errors.push((*address, error)),
+        }
+    }
+    if found.is_empty() && !asked {
+        return Err(ToolError::NotKnown(nobody(&errors)));
+    }
+    Ok(found)
+}
+
+#[derive(Serialize)]
+struct Accepted {
+    job: Name,
+}
+
+impl fmt::Display for Accepted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "job {}: accepted", self.job)
+    }
+}
+
+#[derive(Serialize)]
+#[serde(transparent)]
+struct ShownJob(StepJobView);
+
+impl fmt::Display for ShownJob {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let view = &self.0;
+        write!(f, "job {}: {}, queue {}", view.job, view.state, view.queue)?;
+        if let Some(workspace) = &view.workspace {
+            write!(f, ", workspace {workspace}")?;
+        }
+        write!(f, ", priority {}", view.priority)?;
+        for (number, step) in view.steps.iter().enumerate() {
+            write!(
+                f,
+                "\nstep {number}: {} of {} tasks done",
+                step.done, step.tasks
+            )?;
+            if step.failed_runs > 0 {
+                write!(f, ", {} failed runs", step.failed_runs)?;
+            }
+            if !step.on.is_empty() {
+                let on: Vec<&str> = step.on.iter().map(|w| &**w).collect();
+                write!(f, ", on {}", on.join(" "))?;
+            }
+        }
+        if let Some(waiting) = &view.waits_for {
+            write!(
+                f,
+                "\nwaits: step {}, {} tasks: {}; {} demands come before it, {} ms of slack",
+                waiting.step, waiting.tasks, waiting.reason, waiting.before, waiting.slack_ms
+            )?;
+        } else if matches!(&*view.state, "queued" | "running") {
+            write!(
+                f,
+                "\nnothing of it waits for room, as far as known; planner: {}",
+                view.planner
+            )?;
+        }
+        Ok(())
+    }
+}
+
+#[derive(Serialize)]
+#[serde(transparent)]
+struct ShownDeployment(Vec<DeploymentView>);
+
+impl fmt::Display for ShownDeployment {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let age = |ms: Option<u64>| ms.map_or_else(|| "never".to_owned(), |ms| format!("{ms} ms"));
+        for (number, view) in self.0.iter().enumerate() {
+            if number > 0 {
+                writeln!(f)?;
+            }
+            let ready = if view.ready { "ready" } else { "not ready" };
+            let version = view
+                .configuration
+                .map_or_else(|| "none".to_owned(), |v| v.to_string());
+            write!(
+                f,
+                "entry {}: {ready}, configuration {version} proved {} ago, jobs {} ago; planner {} \
+                 in term {}, seen {} ms ago; {} jobs wait, {} run, {} ended",
+                view.entry,
+                age(view.configuration_age_ms),
+                age(view.jobs_age_ms),
+                view.planner,
+                view.term,
+                view.planner_seen_ms,
+                view.waiting,
+                view.running,
+                view.ended
+            )?;
+            for domain in &view.out_of_service {
+                write!(f, "; {domain} is out of service")?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -56,6 +56,10 @@
     Job(JobOptions),
     /// cancel a job
     Cancel(JobOptions),
+    /// say how far a job of steps is and what it waits for
+    Why(JobOptions),
+    /// show who plans, and what each entry on the store knows and how fresh that is
+    Deployment(PlainOptions),
     /// send a request to a service
     Request(RequestOptions),
     /// print the key of an editor, derived from the deployment's secret
@@ -72,9 +76,9 @@
             Self::Show(o) => o.json,
             Self::Explain(o) => o.json,
             Self::Drain(o) | Self::Return(o) => o.json,
-            Self::Status(o) | Self::Jobs(o) => o.json,
+            Self::Status(o) | Self::Jobs(o) | Self::Deployment(o) => o.json,
             Self::Submit(o) => o.json,
-            Self::Job(o) | Self::Cancel(o) => o.json,
+            Self::Job(o) | Self::Cancel(o) | Self::Why(o) => o.json,
             Self::Request(o) => o.json,
             Self::IssueKey(o) => o.json,
         }
@@ -192,6 +196,9 @@
     /// the name of the job (default: a new one); the same name is accepted once only
     #[options(no_short, meta = "NAME", parse(from_str = "Name::from"))]
     pub id: Option<Name>,
+    /// file with the workspace's key, for a job of steps
+    #[options(no_short, meta = "FILE")]
+    pub workspace_key_file: Option<String>,
     /// the file that describes the job
     #[options(free, required)]
     pub file: String,
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -22,9 +22,10 @@
 mod task;
 mod term;
 mod tickets;
+mod waiting;
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
-pub use book::{Book, LookUp};
+pub use book::{Book, BookEntry, LookUp};
 pub use fleet::{Closing, Fleet, FleetWorker, RunOver, RunOverReason, WorkerRun};
 pub use job::{Job, JobRequest, Occurrences, Resources, Step};
 pub use message::{Order, OrderMessage, Report, TaskStart};
@@ -35,3 +36,4 @@
 pub use schedule::{Demand, Hold, Room};
 pub use task::{RunId, TaskId};
 pub use term::{Election, TermStep};
+pub use waiting::{WaitReason, Waiting};
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -13,6 +13,8 @@
         RunId,
         RunTimes,
         Step,
+        WaitReason,
+        Waiting,
         WorkerRun,
         live::{LiveJob, guaranteed_jobs},
         planner::View,
@@ -60,6 +62,8 @@
 pub(super) struct PassOutcome {
     pub(super) starts: Vec<Placed>,
     pub(super) evictions: Vec<(Name, RunId)>,
+    /// What jobs wait for, each by the first of its demands that is not served.
+    pub(super) waiting: HashMap<Name, Waiting>,
 }
 
 /// The room of all workers, while a pass takes from it.
@@ -107,16 +111,23 @@
 
     /// Serves the demands in their order.
     pub(super) fn run(mut self, demands: &[Demand<'_>]) -> PassOutcome {
-        for demand in demands {
-            self.serve(demand);
+        for (before, demand) in demands.iter().enumerate() {
+            if let Some(reason) = self.serve(demand) {
+                let waiting = self.outcome.waiting.entry(demand.job.clone());
+                waiting.or_insert_with(|| demand.waiting(before, reason));
+            }
         }
         self.outcome
     }
 
-    fn serve(&mut self, demand: &Demand<'_>) {
+    /// Starts a demand or makes room for it; returns why it waits where it was not started.
+    fn serve(&mut self, demand: &Demand<'_>) -> Option<WaitReason> {
         let placed = self.count(demand);
-        if self.start_now(demand, &placed) || self.make_room(demand, &placed) {
-            return;
+        if self.start_now(demand, &placed) {
+            return None;
+        }
+        if self.make_room(demand, &placed) {
+            return Some(WaitReason::RoomBeingMade);
         }
         if demand.guaranteed {
             // The guarantee holds also where no rack can be cleared for it.
@@ -124,13 +135,32 @@
                 far_allowed: true,
                 ..demand.clone()
             };
-            if self.start_now(&far, &placed) || self.make_room(&far, &placed) {
-                return;
+            if self.start_now(&far, &placed) {
+                return None;
+            }
+            if self.make_room(&far, &placed) {
+                return Some(WaitReason::RoomBeingMade);
             }
         }
         let large = demand.shape.gang || self.is_large(demand);
         if large && self.holds < MOST_HOLDS && schedule::hold(demand, &mut self.rooms, &placed) {
             self.holds += 1;
+            return Some(WaitReason::RoomHeld);
+        }
+        Some(self.no_room(demand))
+    }
+
+    fn no_room(&self, demand: &Demand<'_>) -> WaitReason {
+        let suitable = self.rooms.iter();
+        let suitable = suitable.filter(|r| schedule::is_suitable(demand, r));
+        let suitable: Vec<&Room> = suitable.collect();
+        if suitable.is_empty() {
+            return WaitReason::NoSuitableWorker;
+        }
+        let with_room = suitable.iter().filter(|r| r.free.fits(&demand.shape.needs));
+        WaitReason::NoRoom {
+            suitable: suitable.len(),
+            with_room: with_room.count(),
         }
     }
 
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -15,10 +15,10 @@
         Configuration,
         StoreRecord, //
     },
-    utils::{HashSet, Name, Timestamp},
+    utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
         Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, Room, RunId,
-        RunTimes, TaskId, TaskPlan, TaskStart,
+        RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
         live::LiveJob,
         pass::{Pass, Placed},
@@ -91,6 +91,8 @@
     pub questions: Vec<AdviceQuestion>,
     /// How long the jobs have waited of which the first tasks start.
     pub waits: Vec<Duration>,
+    /// What jobs wait for, each by the first of its demands that is not served.
+    pub waiting: HashMap<Name, Waiting>,
 }
 
 /// The planner's table.
@@ -297,10 +299,11 @@
         }
         self.fence_silent(view);
         self.settle_jobs(view);
-        if view.is_fresh {
-            self.start_tasks(view);
+        let waiting = self.start_tasks(view);
+        Decisions {
+            waiting,
+            ..self.collect(view)
         }
-        self.collect(view)
     }
 
     fn collect(&mut self, view: &View<'_>) -> Decisions {
@@ -395,7 +398,9 @@
         view.now.since(heard) > self.bounds.silence * 2
     }
 
-    fn start_tasks(&mut self, view: &View<'_>) {
+    /// Starts what fits; returns what waits. Without a fresh proof of the configuration nothing
+    /// starts, since a failure domain may have been taken out of service meanwhile.
+    fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
         let pass = Pass::new(&self.fleet, &self.jobs, &self.run_times, view);
         let demands = Demands {
             bounds: &self.bounds,
@@ -404,6 +409,13 @@
             idle: pass.is_idle(),
         };
         let mut demands = demands.all(&self.jobs);
+        if !view.is_fresh {
+            let stale = |(before, demand): (usize, &Demand<'_>)| {
+                let waiting = demand.waiting(before, WaitReason::ConfigurationStale);
+                (demand.job.clone(), waiting)
+            };
+            return demands.iter().enumerate().map(stale).collect();
+        }
         self.tickets_for(view, pass.rooms(), &mut demands);
         let outcome = pass.run(&demands);
         for (worker, run) in outcome.evictions {
@@ -415,6 +427,7 @@
         for placed in outcome.starts {
             self.start(view, &placed);
         }
+        outcome.waiting
     }
 
     /// Limits demands of queues whose policy asks the advisor to the workers that have tickets.
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -38,7 +38,7 @@
     Accepted(Box<Job>),
     /// A job was cancelled.
     Cancelled(Name),
-    /// How far a job is; none where it may be forgotten.
+    /// How far a job is; none where it may be forgotten, which drops all its keys.
     Plan(Name, Option<Box<JobPlan>>),
     /// Who is planner.
     Planner(Term),
@@ -52,11 +52,17 @@
             return Some(Self::Planner(decode(value?)?));
         }
         if let Some(name) = record.key.strip_prefix(JOB_PREFIX) {
-            let job: Job = decode(value?)?;
+            let Some(value) = value else {
+                return Some(Self::Plan(name.into(), None));
+            };
+            let job: Job = decode(value)?;
             return (&*job.name == name).then(|| Self::Accepted(Box::new(job)));
         }
         if let Some(name) = record.key.strip_prefix(CANCEL_PREFIX) {
-            return value.map(|_| Self::Cancelled(name.into()));
+            return Some(match value {
+                Some(_) => Self::Cancelled(name.into()),
+                None => Self::Plan(name.into(), None),
+            });
         }
         let name = record.key.strip_prefix(PLAN_PREFIX)?;
         let plan = match value {
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     utils::{HashMap, Name},
-    workload::{Resources, RunId, Step},
+    workload::{Resources, RunId, Step, WaitReason, Waiting},
 };
 
 /// A gang, or one task that stands alone, that waits for room.
@@ -43,6 +43,19 @@
     pub only: Option<Vec<Name>>,
 }
 
+impl Demand<'_> {
+    /// Returns what is known of the demand where it was not served, after `before` others.
+    pub(super) fn waiting(&self, before: usize, reason: WaitReason) -> Waiting {
+        Waiting {
+            step: self.step,
+            tasks: self.indexes.len(),
+            reason,
+            before,
+            slack_ms: self.slack_ms,
+        }
+    }
+}
+
 /// Room on a worker that is kept for a demand that waits for it.
 #[derive(Clone, Copy, Debug)]
 pub struct Hold {
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -79,6 +79,11 @@
         &self.term
     }
 
+    /// Returns when the newest sign of life of a planner was seen.
+    pub fn seen(&self) -> Timestamp {
+        self.seen
+    }
+
     /// Returns what to do at `now`.
     pub fn step(&self, now: Timestamp) -> TermStep {
         let stagger = STAGGER * (stagger_place(&self.entry) % 4);
