Replay recorded loads beside a naive policy, and move urgent runs off workers that stand still

Ruled out: placement on the sick worker (it was doubtful at once), evictions (10 accelerator-seconds wasted).

--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -57,39 +57,55 @@
         guaranteed: bool,
         demands: &mut Vec<Demand<'j>>,
     ) {
-        let job = &live.job;
-        let begin_ms = live.begin_ms(occurrence);
-        let estimate = |s: &Step| self.times.estimate_ms(&job.queue, s.estimate_ms);
-        let objective_ms = live.objective_ms(self.times, occurrence);
-        let service = service_of(job, self.view.configuration);
-        for (step, shape) in (0_u32..).zip(&job.request.steps) {
+        for (step, shape) in (0_u32..).zip(&live.job.request.steps) {
             let waiting = live.waiting(occurrence, step);
             if waiting.is_empty() {
                 continue;
             }
-            let estimate_ms = estimate(shape);
-            let slack_ms = objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64;
-            let demand = |indexes: Vec<u32>| Demand {
-                job: job.name.clone(),
-                occurrence,
-                step,
-                indexes,
-                shape,
-                service: service.clone(),
-                priority: job.priority,
+            let demand = Demand {
                 guaranteed,
-                estimate_ms,
-                slack_ms,
-                objective_ms,
-                avoid: live.failed_on.clone(),
-                far_allowed: self.far_allowed(begin_ms, estimate_ms),
-                only: None,
+                ..self.of_step(live, occurrence, step, shape)
             };
             if shape.gang {
-                demands.push(demand(waiting));
-            } else {
-                demands.extend(waiting.into_iter().map(|index| demand(vec![index])));
+                demands.push(Demand {
+                    indexes: waiting,
+                    ..demand
+                });
+                continue;
             }
+            demands.extend(waiting.into_iter().map(|index| Demand {
+                indexes: vec![index],
+                ..demand.clone()
+            }));
+        }
+    }
+
+    /// Returns a demand of a step, for no tasks yet and without a guarantee.
+    pub(super) fn of_step<'j>(
+        &self,
+        live: &LiveJob,
+        occurrence: u32,
+        step: u32,
+        shape: &'j Step,
+    ) -> Demand<'j> {
+        let job = &live.job;
+        let estimate_ms = self.times.estimate_ms(&job.queue, shape.estimate_ms);
+        let objective_ms = live.objective_ms(self.times, occurrence);
+        Demand {
+            job: job.name.clone(),
+            occurrence,
+            step,
+            indexes: Vec::new(),
+            shape,
+            service: service_of(job, self.view.configuration),
+            priority: job.priority,
+            guaranteed: false,
+            estimate_ms,
+            slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64,
+            objective_ms,
+            avoid: live.failed_on.clone(),
+            far_allowed: self.far_allowed(live.begin_ms(occurrence), estimate_ms),
+            only: None,
         }
     }
 
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -5,7 +5,7 @@
 use crate::{
     port::Configuration,
     utils::{HashMap, HashSet, Name},
-    workload::{Job, JobPlan, Outcome, RunTimes, Step},
+    workload::{Job, JobPlan, Outcome, RunTimes, Step, TaskId},
 };
 
 /// A job, its plan, and what the planner remembers of its runs beside that.
@@ -18,9 +18,23 @@
     pub(super) failed_on: Vec<Name>,
     /// How often runs of it were evicted.
     pub(super) evictions: u32,
+    /// Tasks of which an overdue run was stopped: the next one is left alone, however long it takes.
+    pub(super) moved: HashSet<TaskId>,
 }
 
 impl LiveJob {
+    /// Returns a job of which nothing has been planned yet.
+    pub(super) fn new(job: Box<Job>) -> Self {
+        Self {
+            job,
+            cancelled: false,
+            plan: JobPlan::default(),
+            failed_on: Vec::new(),
+            evictions: 0,
+            moved: HashSet::default(),
+        }
+    }
+
     /// Returns the tasks of a step that may be started, by their places in it: none before all
     /// steps that it waits for are done, and of a gang all or none.
     pub(super) fn waiting(&self, occurrence: u32, step: u32) -> Vec<u32> {
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -12,6 +12,7 @@
 mod job;
 mod live;
 mod message;
+mod overdue;
 mod pass;
 mod plan;
 mod planner;
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -17,6 +17,7 @@
         Waiting,
         WorkerRun,
         live::{LiveJob, guaranteed_jobs},
+        overdue::is_overdue,
         planner::View,
         schedule::{self, Horizon, Victim, slowness_step}, //
     },
@@ -37,12 +38,6 @@
 /// for each. They stand open while less than half of the room is in use.
 const CLOSED_TO: [(u32, f64); 2] = [(2, 0.3), (1, 0.1)];
 
-/// A run that has taken so many times its expected time makes its worker doubtful.
-const OVERDUE: f64 = 3.0;
-
-/// Milliseconds that a run has to be overdue at the least: short tasks scatter more.
-const OVERDUE_MS: f64 = 2_000.0;
-
 /// Milliseconds that a run which is past its expected end is taken to go on.
 const PAST_END_MS: u64 = 500;
 
@@ -99,6 +94,17 @@
         }
     }
 
+    /// Returns whether a demand could start now on sound workers.
+    pub(super) fn has_sound_room(&mut self, demand: &Demand<'_>) -> bool {
+        let placed = self.count(demand);
+        let found = schedule::place(demand, &self.rooms, Horizon::Now, &placed);
+        let sound = |i: &usize| {
+            let room = &self.rooms[*i];
+            room.doubt == 0 && !demand.avoid.contains(&room.worker)
+        };
+        found.is_some_and(|found| found.iter().all(sound))
+    }
+
     /// Returns the room of all workers.
     pub(super) fn rooms(&self) -> &[Room] {
         &self.rooms
@@ -288,7 +294,7 @@
         for (run, state) in &worker.runs {
             let expected = expected_ms(jobs, times, run) as f64 * times.slowness(name).max(1.0);
             let elapsed = elapsed_ms(state, view) as f64;
-            overdue |= elapsed > (expected * OVERDUE).max(expected + OVERDUE_MS);
+            overdue |= is_overdue(expected, elapsed);
             let left = (expected - elapsed).max(0.0) as u64;
             releases.push((left.max(PAST_END_MS), state.needs));
         }
@@ -346,13 +352,13 @@
     steps.any(such)
 }
 
-fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
+pub(super) fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
     let live = jobs.get(&run.task.job);
     let step = live.and_then(|l| Some((l, l.job.request.steps.get(run.task.step as usize)?)));
     step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
 }
 
-fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
+pub(super) fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
     u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
 }
 
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -21,6 +21,7 @@
         RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
         live::LiveJob,
+        overdue,
         pass::{Pass, Placed},
         tickets::Tickets,
     },
@@ -160,11 +161,9 @@
             }
         }
         let live = LiveJob {
-            job,
             cancelled,
             plan,
-            failed_on: Vec::new(),
-            evictions: 0,
+            ..LiveJob::new(job)
         };
         self.jobs.insert(name.clone(), live);
     }
@@ -173,13 +172,7 @@
     pub fn job_record(&mut self, record: &JobRecord) {
         match record {
             JobRecord::Accepted(job) if !self.jobs.contains_key(&job.name) => {
-                let live = LiveJob {
-                    job: job.clone(),
-                    cancelled: false,
-                    plan: JobPlan::default(),
-                    failed_on: Vec::new(),
-                    evictions: 0,
-                };
+                let live = LiveJob::new(job.clone());
                 self.jobs.insert(job.name.clone(), live);
             }
             JobRecord::Cancelled(name) => {
@@ -401,14 +394,14 @@
     /// Starts what fits; returns what waits. Without a fresh proof of the configuration nothing
     /// starts, since a failure domain may have been taken out of service meanwhile.
     fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
-        let pass = Pass::new(&self.fleet, &self.jobs, &self.run_times, view);
-        let demands = Demands {
+        let mut pass = Pass::new(&self.fleet, &self.jobs, &self.run_times, view);
+        let builder = Demands {
             bounds: &self.bounds,
             view,
             times: &self.run_times,
             idle: pass.is_idle(),
         };
-        let mut demands = demands.all(&self.jobs);
+        let mut demands = builder.all(&self.jobs);
         if !view.is_fresh {
             let stale = |(before, demand): (usize, &Demand<'_>)| {
                 let waiting = demand.waiting(before, WaitReason::ConfigurationStale);
@@ -417,7 +410,9 @@
             return demands.iter().enumerate().map(stale).collect();
         }
         self.tickets_for(view, pass.rooms(), &mut demands);
+        let overdue = overdue::to_move(&self.fleet, &self.jobs, &builder, &mut pass);
         let outcome = pass.run(&demands);
+        self.move_overdue(overdue);
         for (worker, run) in outcome.evictions {
             if let Some(live) = self.jobs.get_mut(&run.task.job) {
                 live.evictions += 1;
@@ -430,6 +425,17 @@
         outcome.waiting
     }
 
+    /// Stops overdue runs; what they worked on waits again once they are over.
+    fn move_overdue(&mut self, runs: Vec<(Name, RunId)>) {
+        for (worker, run) in runs {
+            if let Some(live) = self.jobs.get_mut(&run.task.job) {
+                live.moved.insert(run.task.clone());
+                live.failed_on.push(worker.clone());
+            }
+            self.stop(&worker, &run, "overdue");
+        }
+    }
+
     /// Limits demands of queues whose policy asks the advisor to the workers that have tickets.
     fn tickets_for(&self, view: &View<'_>, rooms: &[Room], demands: &mut [Demand<'_>]) {
         let mut tickets = self.tickets.borrow_mut();
--- /dev/null
+++ b/dragonflyrun/tests/load_replay.rs
@@ -0,0 +1,67 @@
+//! The planner's decisions under recorded loads, beside the naive policy.
+
+mod replay;
+mod workload_tables;
+
+use replay::{Naive, Outcome, Pattern, Planned, replay};
+
+const PATTERNS: [&str; 9] = [
+    "urgent",
+    "large",
+    "threefold",
+    "long",
+    "cancel",
+    "half-lost",
+    "sick-workers",
+    "domain-out",
+    "rolling",
+];
+
+fn print(name: &str, policy: &str, outcome: &Outcome) {
+    let mut starts = outcome.large_starts_ms.clone();
+    starts.sort_unstable();
+    let median = starts.get(starts.len() / 2).copied().unwrap_or(0);
+    let shares = |p| format!("{:.2} / {:.2}", outcome.share(p), outcome.in_time(p));
+    println!(
+        "| {name} | {policy} | {} | {} | {} | {:.0} | {:.0} | {:.0} | {:.1} s |",
+        shares(0),
+        shares(1),
+        shares(2),
+        outcome.useful,
+        outcome.wasted,
+        outcome.idle,
+        median as f64 / 1_000.0
+    );
+}
+
+fn outcomes(name: &str) -> (Outcome, Outcome) {
+    let pattern = Pattern::read(name);
+    assert_eq!(pattern.name, name);
+    let naive = replay(&pattern, &mut Naive::new(pattern.workers));
+    let planned = replay(&pattern, &mut Planned::new(pattern.workers));
+    print(name, "naive", &naive);
+    print(name, "planner", &planned);
+    (naive, planned)
+}
+
+/// More comes than fits, or workers fail, stand still or leave meanwhile. A clerk with an urgent check
+/// must be served no worse than if everybody simply waited in line, and nobody's job may be left
+/// lying for good.
+#[test]
+fn no_worse_than_naive() {
+    println!(
+        "| load | policy | urgent | normal | patient | useful | wasted | idle | large gangs |"
+    );
+    for name in PATTERNS {
+        let (naive, planned) = outcomes(name);
+        assert!(
+            planned.share(0) >= naive.share(0),
+            "{name}: urgent jobs served"
+        );
+        assert!(
+            planned.in_time(0) >= naive.in_time(0),
+            "{name}: urgent jobs in time"
+        );
+        assert_eq!(planned.unfinished, 0, "{name}: jobs that never ended");
+    }
+}
--- /dev/null
+++ b/dragonflyrun/tests/replay/planned.rs
@@ -0,0 +1,154 @@
+//! The product's planner as a policy: its table alone, with reports that come at once.
+
+use std::time::Duration;
+
+use dragonflyrun::{
+    port::{End, EndKind},
+    workload::{Job, JobRecord, JobRequest, RunId},
+};
+
+use super::{
+    Command, Policy, job_name,
+    pattern::{PatternJob, objective},
+};
+use crate::workload_tables::{Bed, EPOCH_MS};
+
+/// Milliseconds between two reports of a worker where nothing happens.
+const REPORT_MS: u64 = 1_000;
+
+/// Milliseconds between two passes where nothing happens.
+const PASS_MS: u64 = 100;
+
+/// The policy.
+pub(crate) struct Planned {
+    bed: Bed,
+    next_report_ms: u64,
+    next_pass_ms: u64,
+    /// How long the passes took.
+    pub(crate) passes: Vec<Duration>,
+}
+
+impl Planned {
+    /// Returns the policy for so many workers.
+    pub(crate) fn new(workers: usize) -> Self {
+        let mut bed = Bed::new(workers);
+        let queue = bed.configuration.queues[0].clone();
+        bed.configuration.queues = (0..3)
+            .map(|priority| dragonflyrun::port::Queue {
+                name: format!("q{priority}").into(),
+                priority,
+                ..queue.clone()
+            })
+            .collect();
+        Self {
+            bed,
+            next_report_ms: 0,
+            next_pass_ms: 0,
+            passes: Vec::new(),
+        }
+    }
+}
+
+fn name(worker: usize) -> String {
+    format!("w{worker}")
+}
+
+impl Policy for Planned {
+    fn submit(&mut self, number: usize, job: &PatternJob) {
+        let (stretch, target_ms) = objective(job.priority);
+        let record = JobRecord::Accepted(Box::new(Job {
+            name: job_name(number),
+            queue: format!("q{}", job.priority).into(),
+            service: "svc".into(),
+            workspace: Some("w".into()),
+            priority: job.priority,
+            max_attempts: 4,
+            stretch,
+            target_ms,
+            accepted_ms: EPOCH_MS + job.at_ms,
+            request: JobRequest {
+                payload: "text".into(),
+                steps: job.steps.iter().map(super::PatternStep::step).collect(),
+                occurrences: None,
+            },
+        }));
+        self.bed.planner.job_record(&record);
+        self.next_pass_ms = 0;
+    }
+
+    fn cancel(&mut self, number: usize) {
+        let record = JobRecord::Cancelled(job_name(number));
+        self.bed.planner.job_record(&record);
+        self.next_pass_ms = 0;
+    }
+
+    fn ended(&mut self, worker: usize, run: &RunId, kind: EndKind, saved_ms: u64) {
+        self.bed.change(&name(worker), |report| {
+            report.running.retain(|r| r.run != *run);
+            let last = report.ends.last().map(|e| e.number);
+            report.ends.push(End {
+                number: last.unwrap_or(report.sequence * 100) + 1,
+                run: run.clone(),
+                kind,
+                checkpoint: if saved_ms > 0 {
+                    saved_ms.to_string()
+                } else {
+                    String::new()
+                },
+            });
+        });
+        self.next_pass_ms = 0;
+    }
+
+    fn worker(&mut self, worker: usize, here: bool) {
+        self.bed.change(&name(worker), |report| {
+            report.closed = !here;
+            report.running.clear();
+            report.ends.clear();
+            if here {
+                report.session += 1;
+                report.sequence = 0;
+                report.heartbeat.born_ms += 1;
+            }
+        });
+        self.next_pass_ms = 0;
+    }
+
+    fn domain(&mut self, domain: &str, out: bool) {
+        if out {
+            self.bed.evacuated.insert(domain.into());
+        } else {
+            self.bed.evacuated.remove(domain);
+        }
+    }
+
+    fn decide(&mut self, now_ms: u64) -> Vec<Command> {
+        self.bed.now_ms = now_ms;
+        if now_ms >= self.next_report_ms {
+            self.next_report_ms = now_ms + REPORT_MS;
+            self.bed.report_all();
+        }
+        if now_ms < self.next_pass_ms {
+            return Vec::new();
+        }
+        self.next_pass_ms = now_ms + PASS_MS;
+        let began = std::time::Instant::now();
+        let decisions = self.bed.pass();
+        self.passes.push(began.elapsed());
+        let mut commands = Vec::new();
+        for order in decisions.orders {
+            let worker = order.worker.trim_start_matches('w').parse();
+            let worker: usize = worker.expect("a worker of the pattern");
+            let stops = order.order.stops.into_iter();
+            commands.extend(stops.map(|run| Command::Stop { run }));
+            for start in order.order.starts {
+                commands.push(Command::Start {
+                    run: start.run,
+                    worker,
+                    done_ms: start.checkpoint.parse().unwrap_or(0),
+                });
+            }
+        }
+        commands
+    }
+}
