--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -59,7 +59,7 @@
 
 /// An agent.
 pub struct StoreAgent<S, W> {
-    settings: StoreSettings,
+    lanes: Lanes,
     store: Arc<S>,
     worker: Arc<W>,
     counters: Arc<Counters>,
@@ -84,7 +84,7 @@
     ) -> Arc<Self> {
         let table = AgentTable::new(settings.bounds.lease);
         Arc::new(Self {
-            settings,
+            lanes: Lanes::new(settings.partitions),
             store,
             worker,
             counters,
@@ -111,8 +111,8 @@
                 wait_for(&self.life, IDLE_LOOK).await;
                 continue;
             };
-            let lane = Lanes::new(self.settings.partitions).lane_of(&worker);
-            let partition = Lanes::new(self.settings.partitions).partition(lane);
+            let lane = self.lanes.lane_of(&worker);
+            let partition = self.lanes.partition(lane);
             let Some(number) = self.open_session(partition, &worker).await else {
                 sleep(PAUSE).await;
                 continue;
@@ -330,11 +330,10 @@
         if reports.is_empty() {
             return;
         }
-        let lanes = Lanes::new(self.settings.partitions);
         for report in reports {
             let worker = report.heartbeat.worker.clone();
             let append = Append {
-                partition: lanes.reports_of(&worker),
+                partition: self.lanes.reports_of(&worker),
                 records: vec![StoreRecord {
                     key: worker,
                     value: Some(encode(&report)),
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -13,6 +13,7 @@
 mod own_interface;
 mod planner_term;
 mod settings;
+mod term_writer;
 mod view;
 
 pub use agent::StoreAgent;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -17,13 +17,11 @@
 };
 
 use crate::{
-    port::{
-        AdviceQuestion, Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord,
-        Writer,
-    },
+    port::{AdviceQuestion, Advisor, Append, Appended, Partition, Store, StoreRecord, Writer},
     process::on_store::{
         Batch, Follower, Lanes, StoreEntry,
         entry::{READ_WAIT, unix_ms, wait_for},
+        term_writer::{APPEND_TIMEOUT, FIRST_SEQUENCE, TermWriter, WRITER},
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
@@ -32,9 +30,6 @@
     },
 };
 
-/// The name that all planners have as writers in the store.
-const WRITER: &str = "planner";
-
 /// How often the planner shows a sign of life.
 const SIGN_OF_LIFE: Duration = Duration::from_millis(350);
 
@@ -59,12 +54,6 @@
 /// Added to the time after which a lease is over, for the steps of the clocks themselves.
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
 
-/// Time for one append of the planner.
-const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Pause between two tries of an append.
-const APPEND_PAUSE: Duration = Duration::from_millis(50);
-
 /// How long a read of reports waits for one.
 const REPORT_WAIT: Duration = Duration::from_millis(1_200);
 
@@ -77,17 +66,13 @@
     term: Term,
     lanes: Lanes,
     planner: RefCell<Planner>,
-    /// The sequence number of the next append to each partition.
-    sequences: RefCell<HashMap<Partition, u64>>,
-    /// One append at a time to each partition, so that its sequence numbers arrive in order.
-    turns: RefCell<HashMap<Partition, Rc<tokio::sync::Mutex<()>>>>,
+    writer: TermWriter<S, A>,
     senders: RefCell<HashMap<u32, mpsc::UnboundedSender<WorkerOrder>>>,
     /// Whether all that runs is known.
     taken_over: Cell<bool>,
     reports_since: Cell<Option<Timestamp>>,
     /// Partitions of reports that can't be read, or have not been yet.
     unread: Cell<HashSet<u32>>,
-    lost: Cell<bool>,
     /// Whether a plan was written since the last sign of life, which it stands for.
     planned: Cell<bool>,
 }
@@ -116,7 +101,7 @@
             writer: Some(Writer {
                 name: WRITER,
                 term: term.number,
-                sequence: 1,
+                sequence: FIRST_SEQUENCE,
             }),
             at: Some(end),
         };
@@ -137,16 +122,14 @@
         };
         Some(Rc::new(Self {
             entry: entry.clone(),
+            writer: TermWriter::new(entry.clone(), term.number),
             term,
             lanes: Lanes::new(entry.settings.partitions),
             planner: RefCell::new(planner),
-            sequences: RefCell::new(HashMap::from_iter([(Partition::JOBS, 2)])),
-            turns: RefCell::default(),
             senders: RefCell::default(),
             taken_over: Cell::new(false),
             reports_since: Cell::new(None),
             unread: Cell::default(),
-            lost: Cell::new(false),
             planned: Cell::new(false),
         }))
     }
@@ -155,13 +138,13 @@
     async fn hold(self: Rc<Self>) {
         let reports = tokio::task::spawn_local(self.clone().take_over());
         let life = tokio::task::spawn_local(self.clone().show_life());
-        while !self.lost.get() && !self.entry.stopping.load(Ordering::Relaxed) {
+        while !self.writer.is_lost() && !self.entry.stopping.load(Ordering::Relaxed) {
             wait_for(&self.entry.news, PASS).await;
             if self.taken_over.get() {
                 self.pass().await;
             }
         }
-        self.lost.set(true);
+        self.writer.give_up();
         {
             let mut state = lock(&self.entry.state);
             state.plans = false;
@@ -181,8 +164,9 @@
             resigned: true,
             ..self.term.clone()
         };
-        let append = self.jobs_append(vec![JobRecord::Planner(term).encode()]);
-        if let Err(error) = self.entry.store.append(&append, APPEND_TIMEOUT).await {
+        let records = vec![JobRecord::Planner(term).encode()];
+        let resigned = self.writer.append_once(Partition::JOBS, records).await;
+        if let Err(error) = resigned {
             log::warn!(reason:% = error; "term_not_resigned");
         }
     }
@@ -197,7 +181,7 @@
             let proof = lock(&self.entry.state).book_proof;
             if proof.is_some_and(|p| p.elapsed() < FRESH) {
                 let alive = JobRecord::Planner(self.term.clone()).encode();
-                self.append_in_order(Partition::JOBS, vec![alive]).await;
+                self.writer.append(Partition::JOBS, vec![alive]).await;
             }
         }
     }
@@ -218,14 +202,14 @@
         // All at once: one after the other they would take 25 s at 62 workers and a slow store.
         let fences = workers.into_iter().map(|worker| self.fence_earlier(worker));
         join_all(fences).await;
-        if !self.lost.get() {
+        if !self.writer.is_lost() {
             self.follow_reports().await;
         }
     }
 
     async fn fence_earlier(&self, worker: Name) {
         let partition = self.lanes.partition(self.lanes.lane_of(&worker));
-        if let Some(fenced) = self.append_in_order(partition, Vec::new()).await {
+        if let Some(fenced) = self.writer.append(partition, Vec::new()).await {
             self.planner.borrow_mut().orders_end(&worker, fenced.end);
         }
     }
@@ -324,7 +308,8 @@
         lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
         if !decisions.plans.is_empty() {
             if self
-                .append_in_order(Partition::JOBS, decisions.plans)
+                .writer
+                .append(Partition::JOBS, decisions.plans)
                 .await
                 .is_none()
             {
@@ -389,7 +374,7 @@
                 })),
             });
             let partition = self.lanes.partition(lane);
-            let appended = self.append_in_order(partition, records.collect()).await;
+            let appended = self.writer.append(partition, records.collect()).await;
             let Some(appended) = appended else {
                 return;
             };
@@ -431,77 +416,6 @@
             }
         });
     }
-
-    fn jobs_append(&self, records: Vec<StoreRecord>) -> Append {
-        self.append_for(Partition::JOBS, records)
-    }
-
-    fn append_for(&self, partition: Partition, records: Vec<StoreRecord>) -> Append {
-        let mut sequences = self.sequences.borrow_mut();
-        let next = sequences.entry(partition).or_insert(1);
-        let sequence = *next;
-        *next += 1;
-        Append {
-            partition,
-            records,
-            writer: Some(Writer {
-                name: WRITER,
-                term: self.term.number,
-                sequence,
-            }),
-            at: None,
-        }
-    }
-
-    /// Appends until the store has confirmed it, or the term is lost. A repeat has the sequence
-    /// number of the first try, so it is done once.
-    async fn append_in_order(
-        &self,
-        partition: Partition,
-        records: Vec<StoreRecord>,
-    ) -> Option<Appended> {
-        let turn = self.turn(partition);
-        let _turn = turn.lock().await;
-        let mut append = self.append_for(partition, records);
-        loop {
-            if self.lost.get() {
-                return None;
-            }
-            match self.entry.store.append(&append, APPEND_TIMEOUT).await {
-                Ok(appended) => return Some(appended),
-                Err(AppendError::Fenced | AppendError::Moved(_)) => {
-                    log::warn!(term = self.term.number, partition:? = partition; "term_lost");
-                    self.lose();
-                    return None;
-                }
-                Err(AppendError::OutOfOrder(expected)) => {
-                    // All earlier appends of this term to the partition are confirmed, so what the
-                    // store expects is the number of this one.
-                    log::info!(partition:? = partition, expected:?; "append_out_of_order");
-                    if let (Some(expected), Some(writer)) = (expected, &mut append.writer) {
-                        writer.sequence = expected;
-                        self.sequences.borrow_mut().insert(partition, expected + 1);
-                    }
-                }
-                Err(error) => log::debug!(reason:% = error; "append_again"),
-            }
-            sleep(APPEND_PAUSE).await;
-        }
-    }
-
-    fn turn(&self, partition: Partition) -> Rc<tokio::sync::Mutex<()>> {
-        self.turns
-            .borrow_mut()
-            .entry(partition)
-            .or_default()
-            .clone()
-    }
-
-    fn lose(&self) {
-        self.entry.counters.event("term_lost");
-        self.lost.set(true);
-        self.entry.news.notify_one();
-    }
 }
 
 /// Returns the term that this entry should try to win, and where the partition has to end for it.
--- /dev/null
+++ b/dragonflyrun/src/process/on_store/term_writer.rs
@@ -0,0 +1,137 @@
+//! Appends of a planner under its term: numbered, in order, and refused once it has been succeeded.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    port::{Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
+    process::on_store::StoreEntry,
+    utils::HashMap,
+};
+
+/// The name that all planners have as writers in the store.
+pub(super) const WRITER: &str = "planner";
+
+/// Time for one append of the planner.
+pub(super) const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Pause between two tries of an append.
+const APPEND_PAUSE: Duration = Duration::from_millis(50);
+
+/// The number of the append that wins a term.
+pub(super) const FIRST_SEQUENCE: u64 = 1;
+
+/// The writer of a term that was won by an append to the jobs' partition.
+pub(super) struct TermWriter<S, A> {
+    entry: Arc<StoreEntry<S, A>>,
+    term: u64,
+    /// The sequence number of the next append to each partition.
+    sequences: RefCell<HashMap<Partition, u64>>,
+    /// One append at a time to each partition, so that its sequence numbers arrive in order.
+    turns: RefCell<HashMap<Partition, Rc<tokio::sync::Mutex<()>>>>,
+    lost: Cell<bool>,
+}
+
+impl<S: Store, A> TermWriter<S, A> {
+    /// Returns the writer of the term with this number, whose first append was the claim.
+    pub(super) fn new(entry: Arc<StoreEntry<S, A>>, term: u64) -> Self {
+        let claimed = (Partition::JOBS, FIRST_SEQUENCE + 1);
+        Self {
+            entry,
+            term,
+            sequences: RefCell::new(HashMap::from_iter([claimed])),
+            turns: RefCell::default(),
+            lost: Cell::new(false),
+        }
+    }
+
+    /// Returns whether the term is over: the store has refused it, or it was given up.
+    pub(super) fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// Tries no append again from now on.
+    pub(super) fn give_up(&self) {
+        self.lost.set(true);
+    }
+
+    /// Appends until the store has confirmed it, or the term is lost. A repeat has the sequence
+    /// number of the first try, so it is done once.
+    pub(super) async fn append(
+        &self,
+        partition: Partition,
+        records: Vec<StoreRecord>,
+    ) -> Option<Appended> {
+        let turn = self.turn(partition);
+        let _turn = turn.lock().await;
+        let mut append = self.next(partition, records);
+        loop {
+            if self.is_lost() {
+                return None;
+            }
+            match self.entry.store.append(&append, APPEND_TIMEOUT).await {
+                Ok(appended) => return Some(appended),
+                Err(AppendError::Fenced | AppendError::Moved(_)) => {
+                    log::warn!(term = self.term, partition:? = partition; "term_lost");
+                    self.lose();
+                    return None;
+                }
+                Err(AppendError::OutOfOrder(expected)) => {
+                    // All earlier appends of this term to the partition are confirmed, so what the
+                    // store expects is the number of this one.
+                    log::info!(partition:? = partition, expected:?; "append_out_of_order");
+                    if let (Some(expected), Some(writer)) = (expected, &mut append.writer) {
+                        writer.sequence = expected;
+                        self.sequences.borrow_mut().insert(partition, expected + 1);
+                    }
+                }
+                Err(error) => log::debug!(reason:% = error; "append_again"),
+            }
+            sleep(APPEND_PAUSE).await;
+        }
+    }
+
+    /// Appends with a single try, also after the term was given up.
+    pub(super) async fn append_once(
+        &self,
+        partition: Partition,
+        records: Vec<StoreRecord>,
+    ) -> Result<Appended, AppendError> {
+        let append = self.next(partition, records);
+        self.entry.store.append(&append, APPEND_TIMEOUT).await
+    }
+
+    fn next(&self, partition: Partition, records: Vec<StoreRecord>) -> Append {
+        let mut sequences = self.sequences.borrow_mut();
+        let next = sequences.entry(partition).or_insert(FIRST_SEQUENCE);
+        let sequence = *next;
+        *next += 1;
+        Append {
+            partition,
+            records,
+            writer: Some(Writer {
+                name: WRITER,
+                term: self.term,
+                sequence,
+            }),
+            at: None,
+        }
+    }
+
+    fn turn(&self, partition: Partition) -> Rc<tokio::sync::Mutex<()>> {
+        let mut turns = self.turns.borrow_mut();
+        turns.entry(partition).or_default().clone()
+    }
+
+    fn lose(&self) {
+        self.entry.counters.event("term_lost");
+        self.lost.set(true);
+        self.entry.news.notify_one();
+    }
+}
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    utils::{HashMap, HashSet, Name},
+    utils::{HashMap, Name},
     workload::{
         Demand,
         Fleet,
@@ -65,8 +65,8 @@
 pub(super) struct Pass<'a> {
     fleet: &'a Fleet,
     rooms: Vec<Room>,
+    /// What may be evicted; one that was taken in this pass has no parts any more.
     victims: Vec<Victim>,
-    evicted: HashSet<usize>,
     counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
     holds: u32,
     outcome: PassOutcome,
@@ -87,7 +87,6 @@
             fleet,
             rooms,
             victims,
-            evicted: HashSet::default(),
             counts: HashMap::default(),
             holds: 0,
             outcome: PassOutcome::default(),
@@ -188,12 +187,9 @@
             self.take(demand, &found);
             return true;
         }
-        let numbers: Vec<usize> = (0..self.victims.len())
-            .filter(|v| !self.evicted.contains(v))
-            .collect();
-        let open: Vec<Victim> = numbers.iter().map(|v| self.victims[*v].clone()).collect();
         let most = most_cost(demand);
-        let Some(found) = schedule::evict(demand, &self.rooms, &open, placed, most) else {
+        let found = schedule::evict(demand, &self.rooms, &self.victims, placed, most);
+        let Some(found) = found else {
             return false;
         };
         log::info!(
@@ -203,10 +199,11 @@
             "room_made"
         );
         for v in found.victims {
-            self.evicted.insert(numbers[v]);
-            schedule::give_back(&mut self.rooms, &open[v]);
-            let parts = open[v].parts.iter();
-            let runs = parts.map(|(i, run, _)| (self.rooms[*i].worker.clone(), run.clone()));
+            schedule::give_back(&mut self.rooms, &self.victims[v]);
+            let parts = std::mem::take(&mut self.victims[v].parts);
+            let runs = parts
+                .iter()
+                .map(|(i, run, _)| (self.rooms[*i].worker.clone(), run.clone()));
             self.outcome.evictions.extend(runs);
         }
         self.take(demand, &found.rooms);
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -224,7 +224,6 @@
             // worker that has started again drop ends that nobody has seen.
             self.orders.remove(&worker);
         }
-        let confirmed_before = self.fleet.get(&worker).map_or(0, |w| w.confirmed);
         let ends = report.ends.len();
         let over = self.fleet.report(now, report, needs_of);
         for run in over {
@@ -237,7 +236,7 @@
                 log::warn!(worker:% = worker, for_ms:? = SHUN_FOR; "worker_set_aside");
             }
             let confirmed = known.confirmed;
-            if ends > 0 && confirmed >= confirmed_before {
+            if ends > 0 {
                 self.orders.entry(worker).or_default().confirmed = confirmed;
             }
         }
