Show jobs of steps in the quick start, on a store and workers in memory

Found on the way: an agent asks its worker again at once while an end is listed that is not confirmed; on a worker that answers without a pause it took the whole thread (the first run of this example stood still for 10 minutes).

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod log;
 pub mod quickstart;
 pub mod relay;
+pub mod steps;
 pub mod worker;
--- a/standins/src/quickstart/mod.rs
+++ b/standins/src/quickstart/mod.rs
@@ -16,6 +16,11 @@
 
 use cluster::Cluster;
 
+use crate::steps;
+
+/// The file that an example of jobs of steps has; these run on the store's side of the product.
+const STEPS: &str = "steps.json";
+
 /// Runs the deployment and the workload of an example's folder, prints what became of each, and
 /// returns whether nothing was lost or doubled.
 ///
@@ -23,6 +28,9 @@
 ///
 /// Where the example can't be read, a process does not start, or it does not become ready.
 pub fn run(example: &Path) -> io::Result<bool> {
+    if example.join(STEPS).is_file() {
+        return steps::run(example);
+    }
     let plan = Plan::read(example)?;
     let cluster = Cluster::start(&plan)?;
     report::print_start(&plan, &cluster);
