Pause before asking a worker again whose end nobody has confirmed yet

Ruled out: the wait in the call itself (the users' worker ends it where there is an end to list). Change: 25 ms pause while an end is known and not confirmed; orders still wake the agent at once.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -36,6 +36,11 @@
 /// How long the worker may hold back its lists to wait for an end.
 const END_WAIT: Duration = Duration::from_millis(400);
 
+/// Pause before the next look while an end waits for its confirmation, which takes the planner some
+/// 50 ms. A worker with an end to list answers at once, so that without a pause the agent asked it
+/// some 500 times a second, and without end while the store was away.
+const UNCONFIRMED_PAUSE: Duration = Duration::from_millis(25);
+
 /// Time between two looks at a worker on which nothing runs.
 const IDLE_LOOK: Duration = Duration::from_millis(700);
 
@@ -312,6 +317,8 @@
             self.carry_out(session, again);
             if !busy {
                 wait_for(&self.look, IDLE_LOOK).await;
+            } else if lock(&self.table).has_ends() {
+                wait_for(&self.look, UNCONFIRMED_PAUSE).await;
             }
         }
     }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -401,6 +401,11 @@
         })
     }
 
+    /// Returns whether the worker lists ends that are not confirmed.
+    pub fn has_ends(&self) -> bool {
+        self.life.as_ref().is_some_and(|l| !l.ends.is_empty())
+    }
+
     /// Returns the next report about the worker, and about workers that it has replaced.
     pub fn reports(&mut self, unix_ms: u64) -> Vec<Report> {
         let mut reports = std::mem::take(&mut self.departed);
