--- a/dragonflyrun/src/process/on_store/view.rs
+++ b/dragonflyrun/src/process/on_store/view.rs
@@ -81,7 +81,7 @@
     pub on: Vec<Name>,
 }
 
-/// A job of steps as its file says it, in the body of `POST /v1/queues/QUEUE/jobs/ID`.
+/// A job of steps as its file says it, in the body of `POST /v1/jobs/ID`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct StepJobFile {
--- a/dragonflyrun/src/workload/overdue.rs
+++ b/dragonflyrun/src/workload/overdue.rs
@@ -1,8 +1,8 @@
 //! Runs that take far longer than they should, on workers that stand still or have turned slow.
 //!
 //! Load pattern answered here: a worker says that it is well, and what runs on it does not come to an
-//! end. An urgent run is stopped there and started again on a sound worker while its job is still of
-//! use; the clerk would otherwise wait for as long as the worker is sick.
+//! end. An urgent run is stopped there and started again on a sound worker that has room; the clerk
+//! would otherwise wait for as long as the worker is sick.
 
 use std::collections::BTreeMap;
 
