Never be refused for ever: a claim that the store refused raises the next one; report a worker's first lists at once

All entries derived their claims from the newest term in the log, were lower in the same rank, and were refused for ever. Callers see all accepted jobs stand still for good. Ruled out: the history that the store forgot (the followers had started over and read on), the planner's lanes. Change: a refused claim raises the rank of the next one until a new term is seen.

Change: first lists are reported at once; a predecessor is given up in either order. Tests: planner_succession::refused_claim, agent_orders::first_lists_reported, run_proofs::successor_read_first.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -17,7 +17,10 @@
 };
 
 use crate::{
-    port::{AdviceQuestion, Advisor, Append, Appended, Partition, Store, StoreRecord, Writer},
+    port::{
+        AdviceQuestion, Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord,
+        Writer,
+    },
     process::on_store::{
         Batch, Follower, Lanes, StoreEntry,
         entry::{READ_WAIT, unix_ms, wait_for},
@@ -109,6 +112,9 @@
             Ok(Appended { .. }) => {}
             Err(error) => {
                 log::info!(term = term.number, reason:% = error; "term_not_won");
+                if error == AppendError::Fenced {
+                    lock(&entry.state).election.was_refused();
+                }
                 return None;
             }
         }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -330,6 +330,9 @@
         if other_life || asked < life.lists_seen {
             return false;
         }
+        // The planner can use a worker, and give up its predecessor at the same address, only after
+        // the first report, which would otherwise come with the next regular one, 1.2 s later.
+        let first = life.lists_seen == 0;
         life.lists_seen = asked;
         life.clock_ms = life.clock_ms.max(Some(lists.clock_ms));
         let Some(session) = &mut life.session else {
@@ -347,7 +350,8 @@
             .filter(|e| e.number > confirmed)
             .collect();
         let last = |ends: &[End]| ends.iter().map(|e| e.number).max().unwrap_or(0);
-        let urgent = last(&ends) > last(&life.ends) || std::mem::take(&mut life.unreachable);
+        let new_end = last(&ends) > last(&life.ends);
+        let urgent = first || new_end || std::mem::take(&mut life.unreachable);
         life.ends = ends;
         life.running = lists.running;
         urgent
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -276,12 +276,30 @@
             over.extend(worker.all_gone(&name));
         }
         over.extend(self.replaced_by(&report.heartbeat));
+        let newest = self.newest_at(&report.heartbeat).cloned();
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.report = Some(report);
         }
+        if let Some(newest) = newest {
+            over.extend(self.replaced_by(&newest));
+        }
         over
     }
 
+    /// Returns the newest worker at the address of `older`, where that is another one.
+    ///
+    /// A new planner reads the reports in the order of the workers' names, and so may read of a
+    /// worker that is gone after its successor. Looked at on the successor's reports alone, it
+    /// would count as running until the next of these, 1.2 s later.
+    fn newest_at(&self, older: &Heartbeat) -> Option<&Heartbeat> {
+        let reports = self.workers.values().filter_map(|w| w.report.as_ref());
+        let here = reports.map(|r| &r.heartbeat).filter(|h| {
+            let same_address = !h.address.is_empty() && h.address == older.address;
+            same_address && h.worker != older.worker && h.born_ms > older.born_ms
+        });
+        here.max_by_key(|h| h.born_ms)
+    }
+
     /// Closes the sessions of older workers at the address of a worker that has answered its agent.
     ///
     /// After a host lost power a new worker comes at its address under another name. Without this
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -40,6 +40,8 @@
     nonce: u64,
     term: Term,
     seen: Timestamp,
+    /// Claims that the store refused since the newest term, as lower than one that it has seen.
+    refused: u64,
 }
 
 impl Election {
@@ -51,12 +53,14 @@
             nonce: nonce % NONCES,
             term: Term::default(),
             seen: now,
+            refused: 0,
         }
     }
 
     /// Takes note of a sign of life.
     pub fn saw(&mut self, now: Timestamp, term: &Term) {
         if term.number >= self.term.number {
+            self.refused = 0;
             self.term = term.clone();
             self.seen = now;
         }
@@ -84,6 +88,15 @@
         self.seen
     }
 
+    /// Takes note that the store refused a claim since it has seen a higher one.
+    ///
+    /// The store remembers the number of a claim also where it did not do it, since the partition had
+    /// moved on. Where that candidate then died, all others drew lower numbers for the same term over
+    /// and over, and nobody planned any more.
+    pub fn was_refused(&mut self) {
+        self.refused += 1;
+    }
+
     /// Returns what to do at `now`.
     pub fn step(&self, now: Timestamp) -> TermStep {
         let stagger = STAGGER * (stagger_place(&self.entry) % 4);
@@ -101,7 +114,7 @@
             return TermStep::Wait;
         }
         TermStep::Try(Term {
-            number: (self.term.number / NONCES + 1) * NONCES + self.nonce,
+            number: (self.term.number / NONCES + 1 + self.refused) * NONCES + self.nonce,
             entry: self.entry.clone(),
             resigned: false,
         })
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -217,3 +217,16 @@
         vec![(run(1), StartOutcome::Draining)]
     );
 }
+
+/// A worker has started and its agent has opened a session. The planner must hear of it at once: until
+/// then nothing starts there, and what its predecessor ran counts as running.
+#[test]
+fn first_lists_reported() {
+    let mut table = AgentTable::new(Duration::from_secs(6));
+    table.heartbeat(heartbeat("w", 5, 1), Instant::now());
+    assert!(table.begin_session("w", 5, 7));
+    let (asked, token, ..) = table.ask_lists().expect("a session");
+    assert!(table.lists(asked, token, lists(1_000, &[])));
+    let (asked, token, ..) = table.ask_lists().expect("a session");
+    assert!(!table.lists(asked, token, lists(1_010, &[])));
+}
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -116,3 +116,32 @@
     let term = tried(election.step(at(1_100)));
     assert!(term.number > known.number);
 }
+
+/// A candidate's claim is not done since the partition has moved on, but the store keeps its number, and
+/// the candidate dies. The others must not be refused for ever: nobody would plan, and callers
+/// would see all accepted jobs stand still.
+#[test]
+fn refused_claim() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    let known = Term {
+        number: 3 << 20,
+        entry: "gone".into(),
+        resigned: true,
+    };
+    election.saw(at(0), &known);
+    let dead = (4 << 20) + 900;
+    let first = tried(election.step(at(1_000)));
+    assert!(first.number < dead);
+    election.was_refused();
+    let second = tried(election.step(at(1_100)));
+    assert!(second.number > dead);
+    election.saw(
+        at(1_200),
+        &Term {
+            resigned: true,
+            ..second.clone()
+        },
+    );
+    let next = tried(election.step(at(2_300)));
+    assert_eq!(next.number >> 20, (second.number >> 20) + 1);
+}
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -4,9 +4,12 @@
 
 use dragonflyrun::{
     Timestamp,
-    port::{EndKind, StartOutcome},
+    port::{EndKind, RunningTask, StartOutcome},
     utils::HashSet,
-    workload::{Book, JobRecord, Outcome, Planner, Step, View},
+    workload::{
+        Book, Fleet, JobRecord, Outcome, Planner, Resources, RunId, RunOverReason, Step, TaskId,
+        View,
+    },
 };
 use workload_tables::{Bed, EPOCH_MS, bounds, task};
 
@@ -277,3 +280,38 @@
     bed.pass();
     assert_eq!(&*bed.running("job")[0].0, "new");
 }
+
+/// All hosts have lost power, and a new planner reads of a worker that is gone after its successor at
+/// the same address. Its tasks must start again at once, not when the successor reports the next
+/// time: callers would see all work stand still for another second.
+#[test]
+fn successor_read_first() {
+    let now = Timestamp::default();
+    let run = RunId {
+        task: TaskId {
+            job: "job".into(),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        number: 1,
+    };
+    let mut reports = Bed::new(2).reports;
+    let mut old = reports.remove(0);
+    old.running.push(RunningTask {
+        run: run.clone(),
+        checkpoint: String::new(),
+        percent: 100,
+    });
+    let mut new = reports.remove(0);
+    new.heartbeat.address = old.heartbeat.address.clone();
+    new.heartbeat.born_ms = old.heartbeat.born_ms + 1;
+    let needs = Resources::default();
+    let mut fleet = Fleet::default();
+    let worker = old.heartbeat.worker.clone();
+    fleet.adopt(now, &worker, old.session, run.clone(), needs);
+    assert!(fleet.report(now, new, |_| needs).is_empty());
+    let over = fleet.report(now, old, |_| needs);
+    assert_eq!(over.len(), 1);
+    assert_eq!((&over[0].run, &over[0].why), (&run, &RunOverReason::Gone));
+}
