--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -250,11 +250,7 @@
 
     /// Takes the answer to a start; returns whether the planner should hear of it at once.
     pub fn start_result(&mut self, run: &RunId, token: u64, result: StartResult) -> bool {
-        let Some(life) = self.in_session(token) else {
-            return false;
-        };
-        let lists_asked = life.lists_asked;
-        let Some(session) = &mut life.session else {
+        let Some((session, lists_asked)) = self.session_of(token) else {
             return false;
         };
         let Some(Pending::Asked { doubtful, .. }) = session.pending.get_mut(run) else {
@@ -286,11 +282,7 @@
 
     /// Takes the answer to a stop.
     pub fn stop_result(&mut self, run: &RunId, token: u64, result: &Result<(), CallError>) {
-        let Some(life) = self.in_session(token) else {
-            return;
-        };
-        let lists_asked = life.lists_asked;
-        if let (Some(session), Ok(())) = (&mut life.session, result) {
+        if let (Some((session, lists_asked)), Ok(())) = (self.session_of(token), result) {
             session
                 .pending
                 .insert(run.clone(), Pending::Settled(lists_asked));
@@ -420,6 +412,12 @@
         reports
     }
 
+    /// Returns the session with this token, and the number of the newest call for the lists.
+    fn session_of(&mut self, token: u64) -> Option<(&mut Session, u64)> {
+        let life = self.in_session(token)?;
+        Some((life.session.as_mut()?, life.lists_asked))
+    }
+
     fn in_session(&mut self, token: u64) -> Option<&mut Life> {
         let current = |l: &&mut Life| l.session.as_ref().is_some_and(|s| s.number == token);
         self.life.as_mut().filter(current)
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -7,12 +7,12 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    utils::Name,
+    utils::{HashSet, Name},
     workload::{
         Demand,
         RunTimes,
         Step,
-        live::{LiveJob, guaranteed_jobs, service_of},
+        live::{LiveJob, service_of},
         planner::{PlannerBounds, View}, //
     },
 };
@@ -26,6 +26,8 @@
     pub(super) bounds: &'a PlannerBounds,
     pub(super) view: &'a View<'v>,
     pub(super) times: &'a RunTimes,
+    /// The jobs that fit into what their workspaces are guaranteed.
+    pub(super) guaranteed: &'a HashSet<Name>,
     /// Whether less than half of the room is in use.
     pub(super) idle: bool,
 }
@@ -33,7 +35,6 @@
 impl Demands<'_, '_> {
     /// Returns what waits, in the order in which it is to be served.
     pub(super) fn all<'j>(&self, jobs: &'j BTreeMap<Name, LiveJob>) -> Vec<Demand<'j>> {
-        let guaranteed = guaranteed_jobs(jobs, self.view.configuration);
         let mut demands = Vec::new();
         for (name, live) in jobs {
             if live.plan.outcome.is_some() || live.cancelled {
@@ -43,7 +44,12 @@
                 if self.view.unix_ms < live.job.due_ms(occurrence) {
                     break;
                 }
-                self.of_job(live, occurrence, guaranteed.contains(name), &mut demands);
+                self.of_job(
+                    live,
+                    occurrence,
+                    self.guaranteed.contains(name),
+                    &mut demands,
+                );
             }
         }
         demands.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.job.cmp(&b.job)));
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    port::{End, EndKind, Heartbeat, StartOutcome},
+    port::{End, EndKind, StartOutcome},
     utils::{HashMap, Name, Timestamp},
     workload::{Report, Resources, RunId},
 };
@@ -275,46 +275,37 @@
             worker.closing = Closing::Closed;
             over.extend(worker.all_gone(&name));
         }
-        over.extend(self.replaced_by(&report.heartbeat));
-        let newest = self.newest_at(&report.heartbeat).cloned();
+        let address = report.heartbeat.address.clone();
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.report = Some(report);
         }
-        if let Some(newest) = newest {
-            over.extend(self.replaced_by(&newest));
-        }
+        over.extend(self.close_predecessors(&address));
         over
     }
 
-    /// Returns the newest worker at the address of `older`, where that is another one.
-    ///
-    /// A new planner reads the reports in the order of the workers' names, and so may read of a
-    /// worker that is gone after its successor. Looked at on the successor's reports alone, it
-    /// would count as running until the next of these, 1.2 s later.
-    fn newest_at(&self, older: &Heartbeat) -> Option<&Heartbeat> {
-        let reports = self.workers.values().filter_map(|w| w.report.as_ref());
-        let here = reports.map(|r| &r.heartbeat).filter(|h| {
-            let same_address = !h.address.is_empty() && h.address == older.address;
-            same_address && h.worker != older.worker && h.born_ms > older.born_ms
-        });
-        here.max_by_key(|h| h.born_ms)
-    }
-
-    /// Closes the sessions of older workers at the address of a worker that has answered its agent.
+    /// Closes the sessions of all workers at an address but the newest.
     ///
     /// After a host lost power a new worker comes at its address under another name. Without this
     /// its predecessor would be waited for until its lease has run out, some 14 s with a lease of
-    /// 10 s, and every task that it ran would stand still for so long.
-    fn replaced_by(&mut self, newer: &Heartbeat) -> Vec<RunOver> {
+    /// 10 s, and every task that it ran would stand still for so long. A new planner reads the
+    /// reports in the order of the workers' names, so either may come first.
+    fn close_predecessors(&mut self, address: &Name) -> Vec<RunOver> {
+        if address.is_empty() {
+            return Vec::new();
+        }
+        let reports = self.workers.values().filter_map(|w| w.report.as_ref());
+        let here = reports
+            .map(|r| &r.heartbeat)
+            .filter(|h| h.address == *address);
+        let Some(newest) = here.max_by_key(|h| h.born_ms).cloned() else {
+            return Vec::new();
+        };
         let mut over = Vec::new();
         for (name, worker) in &mut self.workers {
-            let Some(old) = worker.report.as_ref().map(|r| &r.heartbeat) else {
-                continue;
-            };
-            let same_address = !old.address.is_empty() && old.address == newer.address;
-            let older = old.worker != newer.worker && old.born_ms < newer.born_ms;
-            if same_address && older && worker.closing != Closing::Closed {
-                log::info!(worker:% = name, by:% = newer.worker; "worker_replaced");
+            let old = worker.report.as_ref().map(|r| &r.heartbeat);
+            let older = old.is_some_and(|o| o.address == *address && o.born_ms < newest.born_ms);
+            if older && worker.closing != Closing::Closed {
+                log::info!(worker:% = name, by:% = newest.worker; "worker_replaced");
                 worker.closing = Closing::Closed;
                 over.extend(worker.all_gone(name));
             }
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use crate::{
-    utils::{HashMap, Name},
+    utils::{HashMap, HashSet, Name},
     workload::{
         Demand,
         Fleet,
@@ -16,7 +16,7 @@
         WaitReason,
         Waiting,
         WorkerRun,
-        live::{LiveJob, guaranteed_jobs},
+        live::LiveJob,
         overdue::is_overdue,
         planner::View,
         schedule::{self, Horizon, Victim, slowness_step}, //
@@ -69,26 +69,42 @@
     victims: Vec<Victim>,
     counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
     holds: u32,
+    idle: bool,
     outcome: PassOutcome,
 }
 
+/// What became of a demand in a pass.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Served {
+    Started,
+    RoomBeingMade,
+    RoomHeld,
+    NoRoom,
+}
+
 impl<'a> Pass<'a> {
-    /// Returns a pass over the workers as they are.
+    /// Returns a pass over the workers as they are. `guaranteed` are the jobs that fit into what their
+    /// workspaces are guaranteed.
     pub(super) fn new(
         fleet: &'a Fleet,
         jobs: &BTreeMap<Name, LiveJob>,
+        guaranteed: &HashSet<Name>,
         times: &RunTimes,
         view: &View<'_>,
     ) -> Self {
         let mut rooms = rooms(fleet, jobs, times, view);
-        close(&mut rooms);
-        let victims = victims(fleet, jobs, times, view, &rooms);
+        let idle = is_idle(&rooms);
+        if !idle {
+            close(&mut rooms);
+        }
+        let victims = victims(fleet, jobs, guaranteed, times, view, &rooms);
         Self {
             fleet,
             rooms,
             victims,
             counts: HashMap::default(),
             holds: 0,
+            idle,
             outcome: PassOutcome::default(),
         }
     }
@@ -111,28 +127,32 @@
 
     /// Returns whether less than half of the room is in use.
     pub(super) fn is_idle(&self) -> bool {
-        is_idle(&self.rooms)
+        self.idle
     }
 
     /// Serves the demands in their order.
     pub(super) fn run(mut self, demands: &[Demand<'_>]) -> PassOutcome {
         for (before, demand) in demands.iter().enumerate() {
-            if let Some(reason) = self.serve(demand) {
-                let waiting = self.outcome.waiting.entry(demand.job.clone());
-                waiting.or_insert_with(|| demand.waiting(before, reason));
+            let served = self.serve(demand);
+            // A job waits for what the first of its blocked demands waits for; a job of many tasks
+            // has many.
+            if served == Served::Started || self.outcome.waiting.contains_key(&demand.job) {
+                continue;
             }
+            let waiting = demand.waiting(before, self.reason(demand, served));
+            self.outcome.waiting.insert(demand.job.clone(), waiting);
         }
         self.outcome
     }
 
-    /// Starts a demand or makes room for it; returns why it waits where it was not started.
-    fn serve(&mut self, demand: &Demand<'_>) -> Option<WaitReason> {
+    /// Starts a demand, or makes or keeps room for it.
+    fn serve(&mut self, demand: &Demand<'_>) -> Served {
         let placed = self.count(demand);
         if self.start_now(demand, &placed) {
-            return None;
+            return Served::Started;
         }
         if self.make_room(demand, &placed) {
-            return Some(WaitReason::RoomBeingMade);
+            return Served::RoomBeingMade;
         }
         if demand.guaranteed {
             // The guarantee holds also where no rack can be cleared for it.
@@ -141,21 +161,27 @@
                 ..demand.clone()
             };
             if self.start_now(&far, &placed) {
-                return None;
+                return Served::Started;
             }
             if self.make_room(&far, &placed) {
-                return Some(WaitReason::RoomBeingMade);
+                return Served::RoomBeingMade;
             }
         }
         let large = demand.shape.gang || self.is_large(demand);
         if large && self.holds < MOST_HOLDS && schedule::hold(demand, &mut self.rooms, &placed) {
             self.holds += 1;
-            return Some(WaitReason::RoomHeld);
+            return Served::RoomHeld;
         }
-        Some(self.no_room(demand))
+        Served::NoRoom
     }
 
-    fn no_room(&self, demand: &Demand<'_>) -> WaitReason {
+    /// Returns why a demand that was not started waits.
+    fn reason(&self, demand: &Demand<'_>, served: Served) -> WaitReason {
+        match served {
+            Served::RoomBeingMade => return WaitReason::RoomBeingMade,
+            Served::RoomHeld => return WaitReason::RoomHeld,
+            Served::Started | Served::NoRoom => {}
+        }
         let suitable = self.rooms.iter();
         let suitable = suitable.filter(|r| schedule::is_suitable(demand, r));
         let suitable: Vec<&Room> = suitable.collect();
@@ -324,9 +350,6 @@
 /// Closes a share of the workers to less urgent work: always the same ones, rack by rack, so that
 /// they run empty and gangs find them side by side.
 fn close(rooms: &mut [Room]) {
-    if is_idle(rooms) {
-        return;
-    }
     let mut order: Vec<usize> = (0..rooms.len()).collect();
     order.sort_by(|a, b| {
         let key = |i: usize| (&rooms[i].rack, &rooms[i].worker);
@@ -379,11 +402,11 @@
 fn victims(
     fleet: &Fleet,
     jobs: &BTreeMap<Name, LiveJob>,
+    guaranteed: &HashSet<Name>,
     times: &RunTimes,
     view: &View<'_>,
     rooms: &[Room],
 ) -> Vec<Victim> {
-    let guaranteed = guaranteed_jobs(jobs, view.configuration);
     let mut units: BTreeMap<(Name, u32, u32, Option<u32>), Victim> = BTreeMap::new();
     for (i, room) in rooms.iter().enumerate() {
         let runs = fleet.get(&room.worker).into_iter().flat_map(|w| &w.runs);
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,7 +20,7 @@
         Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, Room, RunId,
         RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
-        live::LiveJob,
+        live::{LiveJob, guaranteed_jobs},
         overdue,
         pass::{Pass, Placed},
         tickets::Tickets,
@@ -393,11 +393,13 @@
     /// Starts what fits; returns what waits. Without a fresh proof of the configuration nothing
     /// starts, since a failure domain may have been taken out of service meanwhile.
     fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
-        let mut pass = Pass::new(&self.fleet, &self.jobs, &self.run_times, view);
+        let guaranteed = guaranteed_jobs(&self.jobs, view.configuration);
+        let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &self.run_times, view);
         let builder = Demands {
             bounds: &self.bounds,
             view,
             times: &self.run_times,
+            guaranteed: &guaranteed,
             idle: pass.is_idle(),
         };
         let mut demands = builder.all(&self.jobs);
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -202,12 +202,7 @@
     if !(demand.shape.one_rack && demand.indexes.len() > 1) {
         return fill(demand, rooms, candidates, horizon, placed);
     }
-    let racks = candidates.iter().filter_map(|i| rooms[*i].rack.as_ref());
-    let mut racks: Vec<&Name> = racks.collect();
-    racks.sort_unstable();
-    racks.dedup();
-    let found = racks.into_iter().filter_map(|rack| {
-        let near = on_rack(rooms, candidates, rack);
+    let found = by_rack(rooms, candidates).into_iter().filter_map(|near| {
         let found = fill(demand, rooms, &near, horizon, placed)?;
         let slow = found.iter().map(|i| rooms[*i].slow).max().unwrap_or(0);
         let left: u64 = near
@@ -226,6 +221,16 @@
         .collect()
 }
 
+/// Returns the candidates rack by rack, in the order of the racks' names.
+fn by_rack(rooms: &[Room], candidates: &[usize]) -> Vec<Vec<usize>> {
+    let racks = candidates.iter().filter_map(|i| rooms[*i].rack.as_ref());
+    let mut racks: Vec<&Name> = racks.collect();
+    racks.sort_unstable();
+    racks.dedup();
+    let racks = racks.into_iter();
+    racks.map(|rack| on_rack(rooms, candidates, rack)).collect()
+}
+
 /// A worker while a demand is being placed.
 struct Candidate {
     room: usize,
@@ -387,14 +392,7 @@
 fn groups(demand: &Demand<'_>, rooms: &[Room], suitable: &[usize]) -> Vec<Vec<usize>> {
     let near = match &demand.shape.rack {
         Some(rack) => vec![on_rack(rooms, suitable, rack)],
-        None if demand.shape.one_rack && demand.indexes.len() > 1 => {
-            let racks = suitable.iter().filter_map(|i| rooms[*i].rack.as_ref());
-            let mut racks: Vec<&Name> = racks.collect();
-            racks.sort_unstable();
-            racks.dedup();
-            let racks = racks.into_iter();
-            racks.map(|rack| on_rack(rooms, suitable, rack)).collect()
-        }
+        None if demand.shape.one_rack && demand.indexes.len() > 1 => by_rack(rooms, suitable),
         None => Vec::new(),
     };
     let anywhere = near.is_empty() || demand.far_allowed;
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -13,6 +13,15 @@
     Timestamp::from_millis(ms)
 }
 
+/// A term of the rank `rank`, held by `entry`.
+fn term(rank: u64, entry: &str, resigned: bool) -> Term {
+    Term {
+        number: rank << 20,
+        entry: entry.into(),
+        resigned,
+    }
+}
+
 fn tried(step: TermStep) -> Term {
     match step {
         TermStep::Try(term) => term,
@@ -26,11 +35,7 @@
 fn terms_differ() {
     let mut one = Election::new("one".into(), 17, at(0));
     let mut other = Election::new("other".into(), 18, at(0));
-    let known = Term {
-        number: 5 << 20,
-        entry: "gone".into(),
-        resigned: false,
-    };
+    let known = term(5, "gone", false);
     one.saw(at(0), &known);
     other.saw(at(0), &known);
     let later = at(0) + LATER;
@@ -42,11 +47,7 @@
 #[test]
 fn silence_and_plans() {
     let mut election = Election::new("one".into(), 17, at(0));
-    let known = Term {
-        number: 1 << 20,
-        entry: "other".into(),
-        resigned: false,
-    };
+    let known = term(1, "other", false);
     election.saw(at(1_000), &known);
     assert_eq!(election.step(at(1_900)), TermStep::Wait);
     election.saw_plan(at(2_000));
@@ -58,11 +59,7 @@
 #[test]
 fn resigned() {
     let mut election = Election::new("one".into(), 17, at(0));
-    let known = Term {
-        number: 1 << 20,
-        entry: "other".into(),
-        resigned: true,
-    };
+    let known = term(1, "other", true);
     election.saw(at(1_000), &known);
     assert!(matches!(election.step(at(1_100)), TermStep::Try(_)));
 }
@@ -72,11 +69,7 @@
 #[test]
 fn own_outage() {
     let mut election = Election::new("one".into(), 17, at(0));
-    let known = Term {
-        number: 1 << 20,
-        entry: "other".into(),
-        resigned: false,
-    };
+    let known = term(1, "other", false);
     election.saw(at(1_000), &known);
     election.was_cut_off(at(9_000));
     assert_eq!(election.step(at(9_500)), TermStep::Wait);
@@ -86,17 +79,9 @@
 #[test]
 fn old_term() {
     let mut election = Election::new("one".into(), 17, at(0));
-    let known = Term {
-        number: 9 << 20,
-        entry: "other".into(),
-        resigned: false,
-    };
+    let known = term(9, "other", false);
     election.saw(at(1_000), &known);
-    let old = Term {
-        number: 1 << 20,
-        entry: "gone".into(),
-        resigned: false,
-    };
+    let old = term(1, "gone", false);
     election.saw(at(3_000), &old);
     assert!(matches!(election.step(at(4_000)), TermStep::Try(_)));
 }
@@ -107,14 +92,10 @@
 #[test]
 fn own_term() {
     let mut election = Election::new("one".into(), 17, at(0));
-    let known = Term {
-        number: 1 << 20,
-        entry: "one".into(),
-        resigned: false,
-    };
+    let known = term(1, "one", false);
     election.saw(at(1_000), &known);
-    let term = tried(election.step(at(1_100)));
-    assert!(term.number > known.number);
+    let next = tried(election.step(at(1_100)));
+    assert!(next.number > known.number);
 }
 
 /// A candidate's claim is not done since the partition has moved on, but the store keeps its number, and
@@ -123,11 +104,7 @@
 #[test]
 fn refused_claim() {
     let mut election = Election::new("one".into(), 17, at(0));
-    let known = Term {
-        number: 3 << 20,
-        entry: "gone".into(),
-        resigned: true,
-    };
+    let known = term(3, "gone", true);
     election.saw(at(0), &known);
     let dead = (4 << 20) + 900;
     let first = tried(election.step(at(1_000)));
--- a/dragonflyrun/tests/task_placement.rs
+++ b/dragonflyrun/tests/task_placement.rs
@@ -222,10 +222,8 @@
     assert_eq!(&*stopped[0].task.job, "borrower");
 }
 
-/// An urgent job without a guarantee finds the pool full of work that has run for long. Throwing
-/// all that away would cost others more than the urgent job is worth, so it waits.
-#[test]
-fn dear_work_is_spared() {
+/// A worker that is full of small tasks, each of which has run for 30 s of its 60.
+fn full_of_old_work() -> Bed {
     let mut bed = Bed::new(1);
     bed.submit(
         "patient",
@@ -238,6 +236,14 @@
     );
     bed.pass();
     bed.wait(30_000);
+    bed
+}
+
+/// An urgent job without a guarantee finds the pool full of work that has run for long. Throwing
+/// all that away would cost others more than the urgent job is worth, so it waits.
+#[test]
+fn dear_work_is_spared() {
+    let mut bed = full_of_old_work();
     bed.submit(
         "urgent",
         0,
@@ -251,18 +257,7 @@
         d.orders.iter().map(|o| o.order.stops.len()).sum()
     };
     assert_eq!(stops(&before), 1, "one small task is cheap enough");
-    let mut bed = Bed::new(1);
-    bed.submit(
-        "patient",
-        2,
-        vec![Step {
-            tasks: 8,
-            estimate_ms: 60_000,
-            ..task(1)
-        }],
-    );
-    bed.pass();
-    bed.wait(30_000);
+    let mut bed = full_of_old_work();
     bed.submit(
         "urgent",
         0,
