--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -68,6 +68,8 @@
     /// Whether the worker's process is gone for certain.
     dead: bool,
     unreachable: bool,
+    /// Looks in a row that had no answer.
+    unanswered: u32,
     /// The newest look at the worker's clock.
     clock_ms: Option<u64>,
     lease_until_ms: Option<u64>,
@@ -90,6 +92,10 @@
 /// Silence of a worker that sends a heartbeat each 1.5 s after which one is missing for certain.
 const HEARTBEAT_SILENCE: Duration = Duration::from_millis(2_200);
 
+/// Looks in a row without an answer after which a worker counts as unreachable. A single answer gets
+/// lost now and then; taken for an unreachable worker, its room would stand empty for a second.
+const UNREACHABLE_AFTER: u32 = 2;
+
 /// Refused starts that are kept for the report; the planner needs only the newest.
 const MOST_REFUSED: usize = 64;
 
@@ -143,6 +149,7 @@
             left: false,
             dead: false,
             unreachable: false,
+            unanswered: 0,
             clock_ms: None,
             lease_until_ms: None,
             running: Vec::new(),
@@ -326,6 +333,7 @@
         // the first report, which would otherwise come with the next regular one, 1.2 s later.
         let first = life.lists_seen == 0;
         life.lists_seen = asked;
+        life.unanswered = 0;
         life.clock_ms = life.clock_ms.max(Some(lists.clock_ms));
         let Some(session) = &mut life.session else {
             return false;
@@ -360,6 +368,10 @@
         };
         let silent = now.saturating_duration_since(life.heard) > HEARTBEAT_SILENCE;
         let dead = not_listening && silent;
+        life.unanswered += 1;
+        if !not_listening && life.unanswered < UNREACHABLE_AFTER {
+            return false;
+        }
         let new = !life.unreachable || (dead && !life.dead);
         life.unreachable = true;
         life.dead |= dead;
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -230,3 +230,17 @@
     let (asked, token, ..) = table.ask_lists().expect("a session");
     assert!(!table.lists(asked, token, lists(1_010, &[])));
 }
+
+/// The answer to one look at the worker is lost on the way. The worker is well, and the planner goes on
+/// starting tasks there; only the second look in a row without an answer says otherwise.
+#[test]
+fn lost_look() {
+    let mut table = agent();
+    let now = Instant::now();
+    assert!(!table.unreachable(false, now));
+    assert!(!report(&mut table).unreachable);
+    look(&mut table, lists(1_100, &[]));
+    assert!(!table.unreachable(false, now), "counted in a row");
+    assert!(table.unreachable(false, now));
+    assert!(report(&mut table).unreachable);
+}
