Learn how fast workers are from checkpoint to checkpoint, and keep gangs in a hurry off slow ones

Cause: a third of the workers take 1.3 times as long, a gang is as slow as its slowest worker, and callers' guesses are too rough to show it.

The time between two checkpoints shows 0.97 to 1.0 and 1.25 to 1.30 after two seconds.

Change: agents time their runs' checkpoints and report it, also of the newest four that are over, so that a new planner learns at once; the planner takes a worker for as slow as the average one until it knows more. Work with little time to lose is placed on as few steps of slowness as it fits into, other work on the slow workers first, never on those that have turned slow as long as there are others; the racks with the fewest slow workers are the closed ones. Tests: worker_speeds, agent_orders (paced_run, unseen_checkpoints). `run_ordered` logs the worker's slowness.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -87,7 +87,8 @@
         worker: Arc<W>,
         counters: Arc<Counters>,
     ) -> Arc<Self> {
-        let table = AgentTable::new(settings.bounds.lease);
+        let table = AgentTable::new(settings.bounds.lease)
+            .with_checkpoints(settings.bounds.checkpoint_every);
         Arc::new(Self {
             lanes: Lanes::new(settings.partitions),
             store,
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -448,5 +448,6 @@
         lease_over: bounds.lease.mul_f64(CLOCK_SKEW) + LEASE_MARGIN,
         keep_ended: bounds.keep_ended,
         far_factor: bounds.far_factor,
+        checkpoint_every: bounds.checkpoint_every,
     }
 }
--- a/dragonflyrun/src/process/on_store/settings.rs
+++ b/dragonflyrun/src/process/on_store/settings.rs
@@ -18,6 +18,8 @@
     pub grace: Duration,
     /// How many times longer a task takes away from its data or its gang.
     pub far_factor: f64,
+    /// The span of work after which a run saves a checkpoint; zero where it is not known.
+    pub checkpoint_every: Duration,
 }
 
 /// Settings of an entry or an agent on the store.
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -12,7 +12,7 @@
 use crate::{
     port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
     utils::{HashSet, Name},
-    workload::{Order, Report, RunId, TaskStart},
+    workload::{Order, Report, RunId, TaskStart, pace::Paces},
 };
 
 /// What is to be done at the worker.
@@ -74,6 +74,7 @@
     clock_ms: Option<u64>,
     lease_until_ms: Option<u64>,
     running: Vec<RunningTask>,
+    paces: Paces,
     ends: Vec<End>,
     confirmed: u64,
     lists_asked: u64,
@@ -85,6 +86,7 @@
 #[derive(Debug)]
 pub struct AgentTable {
     lease: Duration,
+    checkpoint_every: Duration,
     life: Option<Life>,
     departed: Vec<Report>,
 }
@@ -104,11 +106,20 @@
     pub fn new(lease: Duration) -> Self {
         Self {
             lease,
+            checkpoint_every: Duration::ZERO,
             life: None,
             departed: Vec::new(),
         }
     }
 
+    /// Returns the table with the span of work after which a run saves a checkpoint.
+    pub fn with_checkpoints(self, every: Duration) -> Self {
+        Self {
+            checkpoint_every: every,
+            ..self
+        }
+    }
+
     /// Takes a heartbeat; returns whether anything that the planner should know has changed.
     ///
     /// A heartbeat that was held up by the network may come after a new life of the worker has
@@ -153,6 +164,7 @@
             clock_ms: None,
             lease_until_ms: None,
             running: Vec::new(),
+            paces: Paces::new(self.checkpoint_every),
             ends: Vec::new(),
             confirmed: 0,
             lists_asked: 0,
@@ -353,6 +365,7 @@
         let new_end = last(&ends) > last(&life.ends);
         let urgent = first || new_end || std::mem::take(&mut life.unreachable);
         life.ends = ends;
+        life.paces.look(lists.clock_ms, &lists.running);
         life.running = lists.running;
         urgent
     }
@@ -531,6 +544,7 @@
             starting: session.pending.keys().cloned().collect(),
             refused: session.refused.clone(),
             running: self.running.clone(),
+            paces: self.paces.all(),
             ends: self.ends.clone(),
             closed,
             left: self.left,
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -149,6 +149,11 @@
         well && self.is_live && self.closing == Closing::No
     }
 
+    /// Returns the rack that it stands in, where it says so.
+    pub fn rack(&self) -> Option<&Name> {
+        self.report.as_ref()?.heartbeat.rack.as_ref()
+    }
+
     /// Returns what is taken up, by all that runs or may run there.
     pub fn used(&self) -> Resources {
         let runs = self.runs.values();
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -8,6 +8,7 @@
     port::{End, Heartbeat, RunningTask, StartOutcome},
     utils::Name,
     workload::{
+        Pace,
         RunId,
         skip::{is_false, is_zero_u64}, //
     },
@@ -102,6 +103,9 @@
     /// What runs.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<RunningTask>,
+    /// How fast runs that save checkpoints have come on.
+    #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
+    pub paces: Vec<Pace>,
     /// Ends that have not been confirmed.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<End>,
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -19,7 +19,7 @@
         live::LiveJob,
         overdue::is_overdue,
         planner::View,
-        schedule::{self, Horizon, Victim, slowness_step}, //
+        schedule::{self, Horizon, Victim}, //
     },
 };
 
@@ -315,7 +315,8 @@
         let mut releases = Vec::new();
         let mut overdue = false;
         for (run, state) in &worker.runs {
-            let expected = expected_ms(jobs, times, run) as f64 * times.slowness(name).max(1.0);
+            let slowness = times.slowness(name).max(times.speeds().slowness(name));
+            let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
             let elapsed = elapsed_ms(state, view) as f64;
             overdue |= is_overdue(expected, elapsed);
             let left = (expected - elapsed).max(0.0) as u64;
@@ -335,7 +336,7 @@
             serves: has_step(jobs, worker, |s| s.response_ms > 0),
             leftovers: has_step(jobs, worker, |s| s.leftovers),
             doubt: worker.failures + u32::from(overdue),
-            slow: slowness_step(times.slowness(name)),
+            slow: schedule::slowness_step(times, name),
         })
     });
     rooms.collect()
@@ -348,12 +349,17 @@
 }
 
 /// Closes a share of the workers to less urgent work: always the same ones, rack by rack, so that
-/// they run empty and gangs find them side by side.
+/// they run empty and gangs find them side by side; the racks with the fewest slow workers first, as
+/// urgent work has the least time to lose.
 fn close(rooms: &mut [Room]) {
     let mut order: Vec<usize> = (0..rooms.len()).collect();
-    order.sort_by(|a, b| {
-        let key = |i: usize| (&rooms[i].rack, &rooms[i].worker);
-        key(*a).cmp(&key(*b))
+    let slow_on = |rack: &Option<Name>| {
+        let on_rack = rooms.iter().filter(|r| r.rack == *rack);
+        on_rack.map(|r| r.slow).sum::<u32>()
+    };
+    order.sort_by_cached_key(|i| {
+        let room = &rooms[*i];
+        (slow_on(&room.rack), room.rack.clone(), room.worker.clone())
     });
     for (priority, share) in CLOSED_TO {
         let count = (rooms.len() as f64 * share) as usize;
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -17,8 +17,8 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Book, Closing, Demand, Fleet, Job, JobPlan, JobRecord, Order, Place, Report, Room, RunId,
-        RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
+        Book, Closing, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, Order, Pace, Place,
+        Report, Room, RunId, RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
         live::{LiveJob, guaranteed_jobs},
         overdue,
@@ -34,6 +34,9 @@
 /// clocks differ a little.
 const RECENT_MS: u64 = 2_500;
 
+/// A run that takes less than so many times the time of its work works at full speed.
+const FULL_SPEED: f64 = 1.1;
+
 /// How long it is left alone.
 const SHUN_FOR: Duration = Duration::from_secs(6);
 
@@ -48,6 +51,8 @@
     pub keep_ended: Duration,
     /// How many times longer a task takes away from its data or its gang.
     pub far_factor: f64,
+    /// The span of work after which a run saves a checkpoint; zero where it is not known.
+    pub checkpoint_every: Duration,
 }
 
 /// What the planner sees of the world beside jobs and reports.
@@ -225,7 +230,9 @@
             self.orders.remove(&worker);
         }
         let ends = report.ends.len();
+        let paces = report.paces.clone();
         let over = self.fleet.report(now, report, needs_of);
+        self.learn_paces(&worker, &paces);
         for run in over {
             self.run_over(now, run);
         }
@@ -242,6 +249,30 @@
         }
     }
 
+    /// Learns from runs' paces how fast a worker is.
+    ///
+    /// Away from its data a run is slow on any worker. A gang over several workers comes on as its
+    /// slowest one does, so only a fast one tells about all of them.
+    fn learn_paces(&mut self, worker: &Name, paces: &[Pace]) {
+        let rack = self.fleet.get(worker).and_then(FleetWorker::rack);
+        let every_s = self.bounds.checkpoint_every.as_secs_f64();
+        for pace in paces {
+            let live = self.jobs.get(&pace.run.task.job);
+            let step = live.and_then(|l| l.job.request.steps.get(pace.run.task.step as usize));
+            let near = step.is_some_and(|s| s.rack.is_none() || s.rack.as_ref() == rack);
+            if !near {
+                continue;
+            }
+            let work_s = f64::from(pace.spans) * every_s;
+            let took_s = pace.took_ms as f64 / 1_000.0;
+            let alone = step.is_some_and(|s| !s.gang);
+            if alone || took_s < work_s * FULL_SPEED {
+                let speeds = self.run_times.speeds_mut();
+                speeds.learn(worker, &pace.run, work_s, took_s);
+            }
+        }
+    }
+
     /// Takes note of the offset at which an order stands in the store.
     pub fn ordered(&mut self, now: Timestamp, order: &WorkerOrder, offset: u64) {
         let Some(worker) = self.fleet.get_mut(&order.worker) else {
@@ -511,7 +542,8 @@
             log::info!(
                 job:% = placed.job, run:% = run, worker:% = worker, session,
                 waited_ms = view.unix_ms.saturating_sub(live.job.accepted_ms),
-                configuration = view.configuration.version, resumed = !checkpoint.is_empty();
+                configuration = view.configuration.version,
+                slowness = self.run_times.speeds().slowness(worker), resumed = !checkpoint.is_empty();
                 "run_ordered"
             );
             let ticket =
--- a/dragonflyrun/src/workload/run_times.rs
+++ b/dragonflyrun/src/workload/run_times.rs
@@ -4,7 +4,10 @@
 //! A guess is kept where it has been the better predictor for its queue, and replaced by the
 //! queue's mean where not.
 
-use crate::utils::{HashMap, Name};
+use crate::{
+    utils::{HashMap, Name},
+    workload::WorkerSpeeds,
+};
 
 /// Tasks of a queue after which the mean may replace callers' guesses.
 const LEARNED_AFTER: u32 = 4;
@@ -23,6 +26,7 @@
 pub struct RunTimes {
     queues: HashMap<Name, QueueTimes>,
     workers: HashMap<Name, f64>,
+    speeds: WorkerSpeeds,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -56,6 +60,16 @@
         }
     }
 
+    /// Returns the speeds of workers.
+    pub fn speeds(&self) -> &WorkerSpeeds {
+        &self.speeds
+    }
+
+    /// Returns the speeds of workers, to learn.
+    pub fn speeds_mut(&mut self) -> &mut WorkerSpeeds {
+        &mut self.speeds
+    }
+
     /// Returns how many times longer than expected tasks have taken on a worker.
     pub fn slowness(&self, worker: &Name) -> f64 {
         self.workers.get(worker).copied().unwrap_or(1.0)
@@ -64,6 +78,7 @@
     /// Forgets a worker that is gone.
     pub fn forget(&mut self, worker: &Name) {
         self.workers.remove(worker);
+        self.speeds.forget(worker);
     }
 }
 
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     utils::{HashMap, Name},
-    workload::{Resources, RunId, Step, WaitReason, Waiting},
+    workload::{Resources, RunId, RunTimes, Step, WaitReason, Waiting, speeds::SLOWEST_STEP},
 };
 
 /// A gang, or one task that stands alone, that waits for room.
@@ -44,6 +44,11 @@
 }
 
 impl Demand<'_> {
+    /// Returns whether it has too little time to be run on slow workers as well as on fast ones.
+    fn is_hurried(&self) -> bool {
+        self.priority == 0 || self.slack_ms < self.estimate_ms as i64
+    }
+
     /// Returns what is known of the demand where it was not served, after `before` others.
     pub(super) fn waiting(&self, before: usize, reason: WaitReason) -> Waiting {
         Waiting {
@@ -127,15 +132,17 @@
 /// longer than the few milliseconds that an entry's share of a core allows.
 const MOST_MOMENTS: usize = 24;
 
-/// Steps of slowness: a worker in a higher step is taken later. The first bound lies above the
-/// scatter of run times on equal workers, the last one tells a worker that has turned slow from
-/// one of an older kind.
-const SLOWNESS: [f64; 3] = [1.15, 1.6, 2.5];
+/// A worker on which tasks take so many times as long as expected has turned slow. Guesses of run
+/// times are rough, so the bound lies far above the differences between kinds of workers.
+const TURNED_SLOW: f64 = 2.5;
 
-/// Returns the step of a worker on which tasks take `slowness` times as long as expected.
-pub(super) fn slowness_step(slowness: f64) -> u32 {
-    let steps = SLOWNESS.iter().filter(|bound| slowness > **bound);
-    u32::try_from(steps.count()).unwrap_or(0)
+/// Returns how much slower than others a worker is, in steps: 0 for full speed.
+pub(super) fn slowness_step(times: &RunTimes, worker: &Name) -> u32 {
+    if times.slowness(worker) > TURNED_SLOW {
+        SLOWEST_STEP
+    } else {
+        times.speeds().step(worker)
+    }
 }
 
 impl Room {
@@ -175,9 +182,10 @@
         .collect();
     let sound = |i: &usize| !demand.avoid.contains(&rooms[*i].worker) && rooms[*i].doubt == 0;
     let sound: Vec<usize> = fitting.iter().copied().filter(sound).collect();
-    let near = [&sound, &fitting].into_iter();
+    let near = tiers(demand, rooms, &sound).into_iter();
     let near = near
-        .filter_map(|rows| place_near(demand, rooms, rows, horizon, placed))
+        .chain([sound.clone(), fitting.clone()])
+        .filter_map(|rows| place_near(demand, rooms, &rows, horizon, placed))
         .next();
     if near.is_some() || !demand.far_allowed {
         return near;
@@ -187,6 +195,37 @@
         .next()
 }
 
+/// Returns the sets of workers among the candidates in the order in which the demand is to try
+/// them: each has one more step of speeds than the one before.
+///
+/// A gang over workers of two kinds is as slow as the slower ones and keeps the faster ones waiting.
+/// Work that has little time to lose takes the fast workers, which other work leaves to it as long
+/// as it finds room on the slower ones.
+fn tiers(demand: &Demand<'_>, rooms: &[Room], candidates: &[usize]) -> Vec<Vec<usize>> {
+    let mut steps: Vec<u32> = candidates.iter().map(|i| rooms[*i].slow).collect();
+    steps.sort_unstable();
+    steps.dedup();
+    // The last set is that of all candidates, which come anyway.
+    steps.pop();
+    let hurried = demand.is_hurried();
+    if !hurried {
+        steps.reverse();
+    }
+    let tier = |step: u32| {
+        let of_tier = candidates.iter().filter(|i| {
+            let slow = rooms[**i].slow;
+            // Workers that have turned slow are for nobody as long as there are others.
+            if hurried {
+                slow <= step
+            } else {
+                slow > step && slow < SLOWEST_STEP
+            }
+        });
+        of_tier.copied().collect()
+    };
+    steps.into_iter().map(tier).collect()
+}
+
 /// Places where the tasks work at full speed: on one rack, or on the rack of the data.
 fn place_near(
     demand: &Demand<'_>,
@@ -278,10 +317,10 @@
 /// Urgent work takes the fastest worker; other work avoids only those that have turned slow, since
 /// packing tasks tightly is worth more to all.
 fn rank_of_speed(demand: &Demand<'_>, room: &Room) -> u32 {
-    if demand.priority == 0 {
+    if demand.is_hurried() {
         return room.slow;
     }
-    u32::from(room.slow as usize == SLOWNESS.len())
+    u32::from(room.slow == SLOWEST_STEP)
 }
 
 fn candidate(
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -244,3 +244,40 @@
     assert!(table.unreachable(false, now));
     assert!(report(&mut table).unreachable);
 }
+
+/// Returns the lists of a worker on which a run has saved so many checkpoints.
+fn saved(clock_ms: u64, checkpoints: u64) -> WorkerLists {
+    let mut lists = lists(clock_ms, &[1]);
+    lists.running[0].checkpoint = checkpoints.to_string();
+    lists
+}
+
+/// A run saves a checkpoint after each 500 ms of work, on a worker that takes 650 ms for that. Its
+/// agent tells the planner both, so that gangs in a hurry are kept off the worker.
+#[test]
+fn paced_run() {
+    let mut table = AgentTable::new(Duration::from_millis(LEASE_MS))
+        .with_checkpoints(Duration::from_millis(500));
+    table.heartbeat(heartbeat("w", 5, 1), Instant::now());
+    table.begin_session("w", 5, 7);
+    for looked in 0..40 {
+        let clock_ms = 1_000 + looked * 130;
+        look(&mut table, saved(clock_ms, (clock_ms - 1_000) / 650));
+    }
+    let pace = report(&mut table).paces.pop().expect("a pace");
+    assert_eq!((pace.spans, pace.took_ms), (6, 3_900));
+}
+
+/// Looks at the worker had no answer for longer than it takes to save two checkpoints. Counted as one,
+/// they would make the worker appear twice as slow as it is.
+#[test]
+fn unseen_checkpoints() {
+    let mut table = AgentTable::new(Duration::from_millis(LEASE_MS))
+        .with_checkpoints(Duration::from_millis(500));
+    table.heartbeat(heartbeat("w", 5, 1), Instant::now());
+    table.begin_session("w", 5, 7);
+    for clock_ms in [1_000, 1_400, 1_800, 2_200, 2_600, 3_800, 4_200] {
+        look(&mut table, saved(clock_ms, clock_ms / 500));
+    }
+    assert!(report(&mut table).paces.is_empty());
+}
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -61,6 +61,7 @@
         lease_over: Duration::from_secs(6),
         keep_ended: Duration::from_secs(120),
         far_factor: 3.0,
+        checkpoint_every: Duration::from_secs(2),
     }
 }
 
@@ -110,6 +111,7 @@
             starting: Vec::new(),
             refused: Vec::new(),
             running: Vec::new(),
+            paces: Vec::new(),
             ends: Vec::new(),
             closed: false,
             left: false,
--- a/dragonflyrun/tests/workload_world/planner.rs
+++ b/dragonflyrun/tests/workload_world/planner.rs
@@ -42,6 +42,7 @@
             lease_over: Duration::from_millis(LEASE_MS).mul_f64(1.03),
             keep_ended: Duration::from_secs(10_000),
             far_factor: 3.0,
+            checkpoint_every: Duration::from_secs(2),
         };
         let planner = Planner::take_over(bounds, &book, Timestamp::from_millis(world.now));
         let workers = planner.fleet().workers().map(|(name, _)| name.to_string());
