Keep as much room ready for urgent work as its peaks have been seen to take up

Cause: urgent work waits for stops (0.5 s in the median, 0.9 s at the ninth tenth), which is most of the time that it has to lose. They also stood open in a pool that was less than half in use, so that one pass could fill all of it with patient tasks.

Change: `load` learns the peaks of each priority's work with all that is more urgent, half of which is forgotten in 20 s; so large a share of the workers, 10% to 65%, is kept. In a pool in less than half use they stand open but are taken last, and they close in the pass that fills half of it. Use is now the share of the resource that is used most; by cores and accelerators weighted, a worker whose accelerators were all taken counted as half empty. Test: kept_room.

--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -63,6 +63,18 @@
         u32::try_from(fits).unwrap_or(u32::MAX).min(most)
     }
 
+    /// Returns the share of `whole` that `self` takes up, of the kind of which it takes most.
+    pub fn share_of(&self, whole: &Self) -> f64 {
+        let kinds = [
+            (self.cpu_millis, whole.cpu_millis),
+            (self.memory_mb, whole.memory_mb),
+            (self.accelerators, whole.accelerators),
+        ];
+        let shares = kinds.iter().filter(|(_, of)| *of > 0);
+        let shares = shares.map(|(part, of)| *part as f64 / *of as f64);
+        shares.fold(0.0, f64::max)
+    }
+
     /// Returns core-seconds in a second of use, where an accelerator counts as so many cores.
     pub fn weight(&self) -> f64 {
         /// Cores that one accelerator stands for: what the users' price list says.
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -11,6 +11,7 @@
 mod fleet;
 mod job;
 mod live;
+mod load;
 mod message;
 mod overdue;
 mod pace;
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -17,6 +17,7 @@
         Waiting,
         WorkerRun,
         live::LiveJob,
+        load::PeakLoad,
         overdue::is_overdue,
         planner::View,
         schedule::{self, Horizon, Victim}, //
@@ -33,11 +34,6 @@
 /// Blocked demands for which room is held in one pass: each holds back smaller work.
 const MOST_HOLDS: u32 = 3;
 
-/// Shares of the workers that are kept free of work of priority 2 or less urgent, and of priority 1:
-/// urgent gangs need whole workers, and small tasks spread over all of them would have to be evicted
-/// for each. They stand open while less than half of the room is in use.
-const CLOSED_TO: [(u32, f64); 2] = [(2, 0.3), (1, 0.1)];
-
 /// Milliseconds that a run which is past its expected end is taken to go on.
 const PAST_END_MS: u64 = 500;
 
@@ -90,13 +86,13 @@
         jobs: &BTreeMap<Name, LiveJob>,
         guaranteed: &HashSet<Name>,
         times: &RunTimes,
+        peaks: &PeakLoad,
         view: &View<'_>,
     ) -> Self {
         let mut rooms = rooms(fleet, jobs, times, view);
         let idle = is_idle(&rooms);
-        if !idle {
-            close(&mut rooms);
-        }
+        close(&mut rooms, peaks);
+        set_open(&mut rooms, idle);
         let victims = victims(fleet, jobs, guaranteed, times, view, &rooms);
         Self {
             fleet,
@@ -125,6 +121,29 @@
         &self.rooms
     }
 
+    /// Returns the work that runs or waits, by its priority, as shares of all room.
+    pub(super) fn load(
+        &self,
+        jobs: &BTreeMap<Name, LiveJob>,
+        waiting: &[Demand<'_>],
+    ) -> BTreeMap<u32, f64> {
+        let all = sum(&self.rooms, |r| r.capacity);
+        let mut load: BTreeMap<u32, f64> = BTreeMap::new();
+        for demand in waiting {
+            let tasks = demand.indexes.len() as f64;
+            *load.entry(demand.priority).or_default() += demand.shape.needs.share_of(&all) * tasks;
+        }
+        for (_, worker) in self.fleet.workers() {
+            for (run, state) in worker.runs.iter().filter(|(_, state)| !state.stopping) {
+                if let Some(live) = jobs.get(&run.task.job) {
+                    let share = state.needs.share_of(&all);
+                    *load.entry(live.job.priority).or_default() += share;
+                }
+            }
+        }
+        load
+    }
+
     /// Returns whether less than half of the room is in use.
     pub(super) fn is_idle(&self) -> bool {
         self.idle
@@ -238,6 +257,11 @@
 
     fn start(&mut self, demand: &Demand<'_>, found: &[usize]) {
         self.take(demand, found);
+        if self.idle && !is_idle(&self.rooms) {
+            // A flood of small tasks would otherwise fill an idle pool in one pass.
+            self.idle = false;
+            set_open(&mut self.rooms, false);
+        }
         let workers = found.iter().map(|i| self.rooms[*i].worker.clone());
         let members: Vec<(u32, Name)> = demand.indexes.iter().copied().zip(workers).collect();
         if demand.shape.per_worker > 0 {
@@ -333,6 +357,7 @@
             releases,
             hold: None,
             closed_to: u32::MAX,
+            is_open: true,
             serves: has_step(jobs, worker, |s| s.response_ms > 0),
             leftovers: has_step(jobs, worker, |s| s.leftovers),
             doubt: worker.failures + u32::from(overdue),
@@ -343,15 +368,22 @@
 }
 
 fn is_idle(rooms: &[Room]) -> bool {
-    let weight =
-        |of: fn(&Room) -> &Resources| -> f64 { rooms.iter().map(|r| of(r).weight()).sum() };
-    weight(|r| &r.free) > weight(|r| &r.capacity) / 2.0
+    let all = sum(rooms, |r| r.capacity);
+    let used = all.minus(&sum(rooms, |r| r.free));
+    used.share_of(&all) < 0.5
+}
+
+fn sum(rooms: &[Room], of: fn(&Room) -> Resources) -> Resources {
+    rooms
+        .iter()
+        .fold(Resources::default(), |sum, room| sum.plus(&of(room)))
 }
 
-/// Closes a share of the workers to less urgent work: always the same ones, rack by rack, so that
-/// they run empty and gangs find them side by side; the racks with the fewest slow workers first, as
-/// urgent work has the least time to lose.
-fn close(rooms: &mut [Room]) {
+/// Closes shares of the workers to less urgent work: always the same ones, rack by rack, so that
+/// they run empty and gangs find whole workers side by side. Small tasks spread over all of them
+/// would have to be evicted for each. The racks with the fewest slow workers come first, as urgent
+/// work has the least time to lose.
+fn close(rooms: &mut [Room], peaks: &PeakLoad) {
     let mut order: Vec<usize> = (0..rooms.len()).collect();
     let slow_on = |rack: &Option<Name>| {
         let on_rack = rooms.iter().filter(|r| r.rack == *rack);
@@ -361,7 +393,7 @@
         let room = &rooms[*i];
         (slow_on(&room.rack), room.rack.clone(), room.worker.clone())
     });
-    for (priority, share) in CLOSED_TO {
+    for (priority, share) in peaks.kept() {
         let count = (rooms.len() as f64 * share) as usize;
         for i in order.iter().take(count) {
             rooms[*i].closed_to = priority;
@@ -369,6 +401,13 @@
     }
 }
 
+/// Opens the closed workers to all work, or not: in a pool that is half empty they stand open.
+fn set_open(rooms: &mut [Room], is_open: bool) {
+    for room in rooms {
+        room.is_open = is_open;
+    }
+}
+
 /// Returns whether a task of a step that is such runs on a worker.
 fn has_step(jobs: &BTreeMap<Name, LiveJob>, worker: &FleetWorker, such: fn(&Step) -> bool) -> bool {
     let mut steps = worker.runs.keys().filter_map(|run| {
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -21,6 +21,7 @@
         Report, Room, RunId, RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
         live::{LiveJob, guaranteed_jobs},
+        load::PeakLoad,
         overdue,
         pass::{Pass, Placed},
         tickets::Tickets,
@@ -109,6 +110,7 @@
     changed: HashSet<Name>,
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
+    peaks: PeakLoad,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
 }
@@ -123,6 +125,7 @@
             changed: HashSet::default(),
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
+            peaks: PeakLoad::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
         };
@@ -425,7 +428,14 @@
     /// starts, since a failure domain may have been taken out of service meanwhile.
     fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
         let guaranteed = guaranteed_jobs(&self.jobs, view.configuration);
-        let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &self.run_times, view);
+        let mut pass = Pass::new(
+            &self.fleet,
+            &self.jobs,
+            &guaranteed,
+            &self.run_times,
+            &self.peaks,
+            view,
+        );
         let builder = Demands {
             bounds: &self.bounds,
             view,
@@ -441,6 +451,7 @@
             };
             return demands.iter().enumerate().map(stale).collect();
         }
+        self.peaks.see(view.now, &pass.load(&self.jobs, &demands));
         self.tickets_for(view, pass.rooms(), &mut demands);
         let overdue = overdue::to_move(&self.fleet, &self.jobs, &builder, &mut pass);
         let outcome = pass.run(&demands);
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -94,6 +94,8 @@
     /// The lowest priority number, that is the most urgent, of work that is kept off the worker so
     /// that more urgent work finds whole workers free.
     pub closed_to: u32,
+    /// Whether it takes such work all the same, where no other worker does.
+    pub is_open: bool,
     /// Higher for workers that have failed tasks or stand still.
     pub doubt: u32,
     /// Whether tasks run there that serve their own users.
@@ -301,6 +303,7 @@
             let left = c.free.accelerators - needs.accelerators;
             (
                 room.doubt,
+                is_kept_from(demand, room),
                 rank_of_speed(demand, room),
                 left,
                 c.free.cpu_millis,
@@ -314,6 +317,11 @@
     Some(found)
 }
 
+/// Returns whether the worker is kept for work that is more urgent than the demand.
+fn is_kept_from(demand: &Demand<'_>, room: &Room) -> bool {
+    demand.priority >= room.closed_to
+}
+
 /// Urgent work takes the fastest worker; other work avoids only those that have turned slow, since
 /// packing tasks tightly is worth more to all.
 fn rank_of_speed(demand: &Demand<'_>, room: &Room) -> u32 {
@@ -354,7 +362,7 @@
 pub(super) fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
     let label = demand.shape.label.as_ref();
     room.service == demand.service
-        && demand.priority < room.closed_to
+        && (room.is_open || !is_kept_from(demand, room))
         && demand
             .only
             .as_ref()
--- /dev/null
+++ b/dragonflyrun/tests/kept_room.rs
@@ -0,0 +1,74 @@
+//! Room that is kept ready for urgent work.
+
+mod workload_tables;
+
+use dragonflyrun::{port::EndKind, workload::Step};
+use workload_tables::{Bed, task};
+
+const WORKERS: usize = 10;
+
+/// Hands a gang of so many whole workers in, and a flood of patient tasks, each of one accelerator.
+fn flood(bed: &mut Bed, name: &str) {
+    let tasks = Step {
+        tasks: 8 * WORKERS as u32,
+        estimate_ms: 20_000,
+        ..task(1)
+    };
+    bed.submit(name, 2, vec![tasks]);
+}
+
+fn urgent(tasks: u32) -> Step {
+    Step {
+        tasks,
+        gang: true,
+        ..task(8)
+    }
+}
+
+/// Urgent gangs come again and again to a pool with more patient work than fits. The first has to
+/// wait until others are stopped for it; from then on the room that they take up at their peaks is
+/// kept, and the next one starts in the moment in which it comes.
+#[test]
+fn second_gang_starts_at_once() {
+    let mut bed = Bed::new(WORKERS);
+    flood(&mut bed, "flood");
+    bed.pass();
+    bed.report_all();
+    bed.submit("first", 0, vec![urgent(5)]);
+    bed.pass();
+    assert!(bed.running("first").is_empty(), "the pool is full");
+    bed.end("flood", EndKind::Stopped);
+    bed.pass();
+    bed.report_all();
+    assert_eq!(bed.running("first").len(), 5, "room was made");
+    bed.wait(2_000);
+    bed.end("first", EndKind::Done);
+    bed.pass();
+    bed.report_all();
+    bed.submit("second", 0, vec![urgent(5)]);
+    bed.pass();
+    assert_eq!(bed.running("second").len(), 5);
+}
+
+/// No urgent work has come for minutes. The room that was kept for it goes back to the patient work,
+/// which would otherwise wait beside idle workers for good.
+#[test]
+fn room_is_given_back() {
+    let mut bed = Bed::new(WORKERS);
+    bed.submit("urgent", 0, vec![urgent(6)]);
+    bed.pass();
+    bed.wait(2_000);
+    bed.end("urgent", EndKind::Done);
+    flood(&mut bed, "flood");
+    bed.pass();
+    let kept = bed.running("flood").len();
+    assert!(
+        kept <= 8 * WORKERS / 2,
+        "{kept} patient tasks started beside kept room"
+    );
+    bed.wait(200_000);
+    bed.pass();
+    bed.pass();
+    let given = bed.running("flood").len();
+    assert!(given >= 8 * 8, "{given} patient tasks run minutes later");
+}
