--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -385,13 +385,14 @@
 /// work has the least time to lose.
 fn close(rooms: &mut [Room], peaks: &PeakLoad) {
     let mut order: Vec<usize> = (0..rooms.len()).collect();
-    let slow_on = |rack: &Option<Name>| {
-        let on_rack = rooms.iter().filter(|r| r.rack == *rack);
-        on_rack.map(|r| r.slow).sum::<u32>()
-    };
+    let mut slow_on: HashMap<Option<Name>, u32> = HashMap::default();
+    for room in &*rooms {
+        *slow_on.entry(room.rack.clone()).or_default() += room.slow;
+    }
     order.sort_by_cached_key(|i| {
         let room = &rooms[*i];
-        (slow_on(&room.rack), room.rack.clone(), room.worker.clone())
+        let slow = slow_on.get(&room.rack).copied();
+        (slow, room.rack.clone(), room.worker.clone())
     });
     for (priority, share) in peaks.kept() {
         let count = (rooms.len() as f64 * share) as usize;
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -554,7 +554,8 @@
                 job:% = placed.job, run:% = run, worker:% = worker, session,
                 waited_ms = view.unix_ms.saturating_sub(live.job.accepted_ms),
                 configuration = view.configuration.version,
-                slowness = self.run_times.speeds().slowness(worker), resumed = !checkpoint.is_empty();
+                slowness = self.run_times.speeds().slowness(worker),
+                resumed = !checkpoint.is_empty();
                 "run_ordered"
             );
             let ticket =
--- a/dragonflyrun/src/workload/speeds.rs
+++ b/dragonflyrun/src/workload/speeds.rs
@@ -42,8 +42,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct WorkerSpeeds {
     workers: HashMap<Name, Vec<Timing>>,
-    /// The mean of the logarithm of the slowness of the workers that are known.
-    mean: f64,
+    /// The sum, over the workers that are known, of the logarithm of their slowness.
+    sum: f64,
 }
 
 impl WorkerSpeeds {
@@ -54,6 +54,7 @@
             return;
         }
         let timings = self.workers.entry(worker.clone()).or_default();
+        self.sum -= mean_of(timings);
         timings.retain(|t| t.run != *run);
         timings.push(Timing {
             run: run.clone(),
@@ -62,11 +63,7 @@
         });
         let excess = timings.len().saturating_sub(MOST_RUNS);
         timings.drain(..excess);
-        let (sum, count) = self.workers.values().fold((0.0, 0), |(sum, count), t| {
-            let (of_worker, weights) = sum_up(t);
-            (sum + of_worker / weights.max(f64::MIN_POSITIVE), count + 1)
-        });
-        self.mean = (sum / f64::from(count)).max(0.0);
+        self.sum += mean_of(timings);
     }
 
     /// Returns how many times longer tasks take on a worker than on one of full speed: as on the
@@ -74,7 +71,8 @@
     pub fn slowness(&self, worker: &Name) -> f64 {
         let timings = self.workers.get(worker);
         let (sum, weights) = timings.map_or((0.0, 0.0), |t| sum_up(t));
-        let sum = sum + PRIOR_WEIGHT * self.mean;
+        let average = (self.sum / self.workers.len().max(1) as f64).max(0.0);
+        let sum = sum + PRIOR_WEIGHT * average;
         (sum / (weights + PRIOR_WEIGHT)).exp()
     }
 
@@ -86,10 +84,18 @@
 
     /// Forgets a worker that is gone.
     pub fn forget(&mut self, worker: &Name) {
-        self.workers.remove(worker);
+        if let Some(timings) = self.workers.remove(worker) {
+            self.sum -= mean_of(&timings);
+        }
     }
 }
 
+/// Returns the mean of what was seen of a worker; 0 where that is nothing.
+fn mean_of(timings: &[Timing]) -> f64 {
+    let (sum, weights) = sum_up(timings);
+    if weights > 0.0 { sum / weights } else { 0.0 }
+}
+
 /// Returns the weighted sum of what was seen of a worker, and the sum of the weights.
 fn sum_up(timings: &[Timing]) -> (f64, f64) {
     timings.iter().fold((0.0, 0.0), |(sum, weights), t| {
