Start the first task of a job that stands still in room kept for more urgent work

The trace: the pool was just over half in use by its scarcest resource, so the kept workers were closed; a peak above the whole pool kept its share at the most for more than a half life after the last urgent job; and the backlog went through the open workers one task after the other.

Ruled out: a store or a planner that was away (none after 37 s), workers set aside, labels.

Change: a job of which nothing has run for 8 s starts its first task, or gang, in kept room; and peaks are bounded when they are seen. Tests: kept_room, nothing_stands_still.

--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -21,6 +21,10 @@
 /// Longer, and callers would see a job stand still in an idle pool.
 const IDLE_WAIT_MS: f64 = 2_000.0;
 
+/// Milliseconds after which a job of which nothing runs starts its first task, or gang, in room that is
+/// kept for more urgent work: its callers would see it stand still beside free workers.
+const STANDING_MS: u64 = 8_000;
+
 /// Builds the demands of one pass.
 pub(super) struct Demands<'a, 'v> {
     pub(super) bounds: &'a PlannerBounds,
@@ -68,6 +72,9 @@
             if waiting.is_empty() {
                 continue;
             }
+            let begin_ms = live.begin_ms(occurrence);
+            let stands_still =
+                !live.plan.has_runs() && self.view.unix_ms.saturating_sub(begin_ms) > STANDING_MS;
             let demand = Demand {
                 guaranteed,
                 ..self.of_step(live, occurrence, step, shape)
@@ -75,12 +82,15 @@
             if shape.gang {
                 demands.push(Demand {
                     indexes: waiting,
+                    stands_still,
                     ..demand
                 });
                 continue;
             }
+            let first = waiting.first().copied();
             demands.extend(waiting.into_iter().map(|index| Demand {
                 indexes: vec![index],
+                stands_still: stands_still && Some(index) == first,
                 ..demand.clone()
             }));
         }
@@ -111,6 +121,7 @@
             objective_ms,
             avoid: live.failed_on.clone(),
             far_allowed: self.far_allowed(live.begin_ms(occurrence), estimate_ms),
+            stands_still: false,
             only: None,
         }
     }
--- a/dragonflyrun/src/workload/load.rs
+++ b/dragonflyrun/src/workload/load.rs
@@ -40,7 +40,7 @@
         for (priority, share) in load {
             as_urgent += share;
             let peak = self.peaks.entry(*priority).or_default();
-            *peak = peak.max(as_urgent);
+            *peak = peak.max(as_urgent).min(MOST_KEPT);
         }
     }
 
@@ -48,6 +48,6 @@
     /// work, the least urgent first.
     pub(super) fn kept(&self) -> impl Iterator<Item = (u32, f64)> {
         let peaks = self.peaks.iter().rev();
-        peaks.map(|(priority, peak)| (*priority + 1, peak.clamp(LEAST_KEPT, MOST_KEPT)))
+        peaks.map(|(priority, peak)| (*priority + 1, peak.max(LEAST_KEPT)))
     }
 }
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -39,6 +39,8 @@
     pub avoid: Vec<Name>,
     /// Whether it takes another rack than that of its data, or more than one.
     pub far_allowed: bool,
+    /// Whether nothing of its job has run for so long that it takes room kept for more urgent work.
+    pub stands_still: bool,
     /// The only workers that may run it, where the queue's policy says which.
     pub only: Option<Vec<Name>>,
 }
@@ -362,7 +364,7 @@
 pub(super) fn is_suitable(demand: &Demand<'_>, room: &Room) -> bool {
     let label = demand.shape.label.as_ref();
     room.service == demand.service
-        && (room.is_open || !is_kept_from(demand, room))
+        && (room.is_open || demand.stands_still || !is_kept_from(demand, room))
         && demand
             .only
             .as_ref()
--- a/dragonflyrun/tests/kept_room.rs
+++ b/dragonflyrun/tests/kept_room.rs
@@ -2,7 +2,10 @@
 
 mod workload_tables;
 
-use dragonflyrun::{port::EndKind, workload::Step};
+use dragonflyrun::{
+    port::EndKind,
+    workload::{JobRecord, Step},
+};
 use workload_tables::{Bed, task};
 
 const WORKERS: usize = 10;
@@ -72,3 +75,29 @@
     let given = bed.running("flood").len();
     assert!(given >= 8 * 8, "{given} patient tasks run minutes later");
 }
+
+/// Half of the pool is in use and the rest is kept for urgent work that does not come. A patient job of
+/// which nothing has run for many seconds must not stand still beside free workers: one of its tasks
+/// begins there, and the others go on waiting.
+#[test]
+fn nothing_stands_still() {
+    let mut bed = Bed::new(WORKERS);
+    let cancelled = bed.submit("urgent", 0, vec![urgent(6)]);
+    bed.pass();
+    bed.planner.job_record(&JobRecord::Cancelled(cancelled));
+    bed.end("urgent", EndKind::Stopped);
+    flood(&mut bed, "flood");
+    bed.pass();
+    bed.report_all();
+    let waiting = Step {
+        tasks: 2,
+        estimate_ms: 20_000,
+        ..task(8)
+    };
+    bed.submit("waiting", 2, vec![waiting]);
+    bed.pass();
+    assert!(bed.running("waiting").is_empty(), "kept from the free room");
+    bed.wait(9_000);
+    bed.pass();
+    assert_eq!(bed.running("waiting").len(), 1);
+}
