Read the jobs at intervals at entries that do not plan, and at once where a caller asks

Cause: all entries read the jobs' partition by long polls, so each append of the planner woke every one of them. Ruled out: reading only a caller's key (an entry needs the whole book to take the planner's place and to count what waits). Change: an entry that does not plan pauses 200 ms between two reads; a caller's question ends the pause, and a job that is not known is looked for again after the next read. A claim on the planner's term reads first, since it holds only at the partition's end.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -21,7 +21,10 @@
     },
     process::{
         Counters,
-        on_store::{Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm},
+        on_store::{
+            Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm,
+            read_pause::ReadPause,
+        },
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{Book, Election, Job, JobRecord, LookUp, Waiting},
@@ -32,6 +35,12 @@
 /// above that. With 1.2 s and a bound of 2 s, nothing was started for a third of the time.
 pub(super) const READ_WAIT: Duration = Duration::from_millis(800);
 
+/// Pause between two reads of the jobs at an entry that does not plan; see [`ReadPause`].
+const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
+
+/// How long a caller's question waits for a read that it has asked for.
+const CATCH_UP: Duration = Duration::from_millis(150);
+
 /// Pause after a read that failed, so that a store that is down is not asked without end.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
@@ -51,7 +60,7 @@
 /// Age of the newest proof from the store above which the balancer is told to go elsewhere.
 const READY_AGE: Duration = Duration::from_millis(2_200);
 
-const _: () = assert!(READY_AGE.as_millis() > 2 * READ_WAIT.as_millis());
+const _: () = assert!(READY_AGE.as_millis() > 2 * READ_WAIT.as_millis() + FOLLOW_PAUSE.as_millis());
 
 /// Share of the bound on revoked keys up to which an old proof still counts; the rest covers the
 /// time that a request is under way.
@@ -88,6 +97,7 @@
     pub(super) advisor: A,
     pub(super) counters: Arc<Counters>,
     pub(super) state: Mutex<EntryState>,
+    job_reads: ReadPause,
     /// Wakes the planner: a job, a cancellation, a configuration or a report has come.
     pub(super) news: Notify,
     pub(super) stopping: AtomicBool,
@@ -123,6 +133,7 @@
                 news: Vec::new(),
                 waiting: HashMap::default(),
             }),
+            job_reads: ReadPause::default(),
             news: Notify::new(),
             stopping: AtomicBool::new(false),
             suspect: AtomicBool::new(false),
@@ -210,12 +221,14 @@
     async fn follow_jobs(self: Arc<Self>) {
         let mut follower = Follower::new(self.store.clone(), Partition::JOBS);
         let mut reachable = true;
+        let mut wait = READ_WAIT;
         loop {
-            match follower.next(READ_WAIT).await {
+            match follower.next(wait).await {
                 Ok(batch) => {
                     let regained = !reachable;
                     self.report_reach(&mut reachable, true, "jobs", "");
                     self.fold_jobs(batch, regained);
+                    wait = self.pause_reads().await;
                 }
                 Err(error) => {
                     self.report_reach(&mut reachable, false, "jobs", &error.to_string());
@@ -225,6 +238,34 @@
         }
     }
 
+    /// Pauses before the next read of the jobs, unless this entry plans; returns how long that read
+    /// is to wait for news.
+    async fn pause_reads(&self) -> Duration {
+        self.job_reads.was_read();
+        if lock(&self.state).plans {
+            return READ_WAIT;
+        }
+        let wanted = self.job_reads.pause(FOLLOW_PAUSE).await;
+        if wanted { Duration::ZERO } else { READ_WAIT }
+    }
+
+    /// Brings the book up to date before a question is answered from it.
+    pub(super) async fn catch_up(&self) {
+        self.job_reads.catch_up(CATCH_UP).await;
+    }
+
+    /// Returns what the book has of a job, as current as the store's answers allow.
+    async fn look_up(&self, name: &Name) -> LookUp {
+        self.catch_up().await;
+        let found = lock(&self.state).book.look_up(name);
+        if found != LookUp::Unknown {
+            return found;
+        }
+        // Another entry may have accepted it since the read under way was answered.
+        self.job_reads.next_read(CATCH_UP).await;
+        lock(&self.state).book.look_up(name)
+    }
+
     fn fold_jobs(&self, batch: Batch, regained: bool) {
         let now = self.now();
         self.counters.latency("state_read", batch.asked.elapsed());
@@ -307,8 +348,7 @@
     }
 
     async fn cancel(&self, req: &CallerRequest, name: &Name) -> CallerAnswer {
-        let found = lock(&self.state).book.look_up(name);
-        let LookUp::Known(state) = found else {
+        let LookUp::Known(state) = self.look_up(name).await else {
             return self.not_known();
         };
         if matches!(
@@ -462,13 +502,10 @@
             CallerCall::Look if name.is_empty() => {
                 CallerAnswer::Pending(lock(&self.state).book.pending(&admitted.queue.name))
             }
-            CallerCall::Look => {
-                let found = lock(&self.state).book.look_up(&name);
-                match found {
-                    LookUp::Known(state) => CallerAnswer::State(state),
-                    LookUp::Unknown => self.not_known(),
-                }
-            }
+            CallerCall::Look => match self.look_up(&name).await {
+                LookUp::Known(state) => CallerAnswer::State(state),
+                LookUp::Unknown => self.not_known(),
+            },
             CallerCall::Cancel => self.cancel(&req, &name).await,
             CallerCall::Submit(Some(job)) if job.is_sound() && !name.is_empty() => {
                 let job = Job {
@@ -535,8 +572,7 @@
     }
 }
 
-/// Waits for `notify`, up to `most`.
-pub(super) async fn wait_for(notify: &Notify, most: Duration) {
-    // Whether the time ran out makes no difference to the caller.
-    let _ = timeout(most, notify.notified()).await;
+/// Waits for `notify`, up to `most`; returns whether it came.
+pub(super) async fn wait_for(notify: &Notify, most: Duration) -> bool {
+    timeout(most, notify.notified()).await.is_ok()
 }
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -12,6 +12,7 @@
 mod lanes;
 mod own_interface;
 mod planner_term;
+mod read_pause;
 mod settings;
 mod term_writer;
 mod view;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -88,6 +88,12 @@
             if entry.stopping.load(Ordering::Relaxed) {
                 continue;
             }
+            if candidacy(&entry).is_none() {
+                continue;
+            }
+            // The claim holds only at the end of the partition, and the planner may have shown a
+            // sign of life since the last read.
+            entry.catch_up().await;
             let Some((term, end)) = candidacy(&entry) else {
                 continue;
             };
