Move runs off workers that have said when they leave, and know such a worker gone as soon as it is

The agents lived on and saw that nobody listened any more, but waited 2.2 s for a missing heartbeat, and in one case the store was away by then: the tasks stood still for 13 s. Change: a table of departures. What ends in time goes on; what saves its state moves where there is room, or stops in the last second with its newest checkpoint; urgent work that saves nothing moves at the notice where there is room; other work stays, since the worker may stay longer. An agent takes a leaving worker whose time is up for gone when nobody listens there.

--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -374,13 +374,14 @@
     /// whether that is new.
     ///
     /// A worker that neither listens nor sends heartbeats has crashed: nothing of it runs, and its
-    /// tasks need not wait for its lease. One of the two alone is no proof.
+    /// tasks need not wait for its lease. One of the two alone is no proof. A worker that has said
+    /// when it leaves needs no silence beside that once the time has come.
     pub fn unreachable(&mut self, not_listening: bool, now: Instant) -> bool {
         let Some(life) = &mut self.life else {
             return false;
         };
         let silent = now.saturating_duration_since(life.heard) > HEARTBEAT_SILENCE;
-        let dead = not_listening && silent;
+        let dead = not_listening && (silent || life.was_to_leave_by(now));
         life.unanswered += 1;
         if !not_listening && life.unanswered < UNREACHABLE_AFTER {
             return false;
@@ -518,6 +519,13 @@
         runs.into_iter().map(|run| self.stop(run)).collect()
     }
 
+    /// Returns whether the worker has said that it leaves, and its time is up.
+    fn was_to_leave_by(&self, now: Instant) -> bool {
+        let remaining = self.heartbeat.remaining_ms.map(Duration::from_millis);
+        let leaves = remaining.filter(|_| self.heartbeat.draining);
+        leaves.is_some_and(|left| now.saturating_duration_since(self.heard) >= left)
+    }
+
     fn is_closed(&self) -> bool {
         let Some(session) = &self.session else {
             return false;
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -5,7 +5,7 @@
 //! lease that its agent can have obtained has run out. Without one of these a task is never
 //! started again, since two runs of it could work at once.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     port::{End, EndKind, StartOutcome},
@@ -61,6 +61,8 @@
     pub is_live: bool,
     /// Since when its agent says that it does not answer.
     pub unreachable_since: Option<Timestamp>,
+    /// Until when it stays at the least, where it has said that it leaves.
+    pub leaves_at: Option<Timestamp>,
     /// Whether the session is being closed.
     pub closing: Closing,
     /// What runs there, or may.
@@ -133,6 +135,7 @@
             reported: now,
             is_live: false,
             unreachable_since: None,
+            leaves_at: None,
             closing: Closing::No,
             runs: BTreeMap::new(),
             confirmed: 0,
@@ -271,6 +274,7 @@
             true => worker.unreachable_since.or(Some(now)),
             false => None,
         };
+        worker.take_departure(now, &report);
         let mut over = worker.take_ends(&name, &report);
         if !report.closed {
             worker.take_running(now, &report, needs_of);
@@ -368,6 +372,21 @@
 }
 
 impl FleetWorker {
+    /// Takes note of when the worker leaves, by its newest heartbeat. A report may repeat a heartbeat.
+    fn take_departure(&mut self, now: Timestamp, report: &Report) {
+        let heartbeat = &report.heartbeat;
+        if !heartbeat.draining {
+            self.leaves_at = None;
+            return;
+        }
+        let before = self.report.as_ref().map(|r| &r.heartbeat);
+        let repeated = before.is_some_and(|b| b.sequence == heartbeat.sequence);
+        if self.leaves_at.is_none() || !repeated {
+            let remaining = Duration::from_millis(heartbeat.remaining_ms.unwrap_or(0));
+            self.leaves_at = Some(now + remaining);
+        }
+    }
+
     fn take_ends(&mut self, name: &Name, report: &Report) -> Vec<RunOver> {
         let mut over = Vec::new();
         for end in report.ends.iter().filter(|e| e.number > self.confirmed) {
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -8,6 +8,7 @@
 mod agent_table;
 mod book;
 mod demands;
+mod departure;
 mod fleet;
 mod job;
 mod live;
@@ -19,6 +20,7 @@
 mod plan;
 mod planner;
 mod record;
+mod relocation;
 mod run_times;
 mod schedule;
 mod skip;
--- a/dragonflyrun/src/workload/overdue.rs
+++ b/dragonflyrun/src/workload/overdue.rs
@@ -9,10 +9,11 @@
 use crate::{
     utils::Name,
     workload::{
-        Demand, Fleet, FleetWorker, RunId,
+        Fleet, FleetWorker, RunId,
         demands::Demands,
         live::LiveJob,
         pass::{Pass, elapsed_ms, expected_ms},
+        relocation::{demand_of, runs_of},
     },
 };
 
@@ -57,9 +58,10 @@
             let Some(live) = urgent else {
                 continue;
             };
-            let Some(demand) = demand_of(live, run, worker, demands) else {
+            let Some(mut demand) = demand_of(live, run, demands) else {
                 continue;
             };
+            demand.avoid.push(worker.clone());
             if pass.has_sound_room(&demand) {
                 found.extend(runs_of(fleet, &demand, run));
             }
@@ -84,35 +86,3 @@
     });
     late.map(|(run, _)| run).collect()
 }
-
-/// Returns what an overdue run would need elsewhere.
-fn demand_of<'j>(
-    live: &'j LiveJob,
-    run: &RunId,
-    worker: &Name,
-    demands: &Demands<'_, '_>,
-) -> Option<Demand<'j>> {
-    let shape = live.job.request.steps.get(run.task.step as usize)?;
-    let mut demand = demands.of_step(live, run.task.occurrence, run.task.step, shape);
-    demand.indexes = if shape.gang {
-        (0..shape.tasks).collect()
-    } else {
-        vec![run.task.index]
-    };
-    demand.avoid.push(worker.clone());
-    Some(demand)
-}
-
-/// Returns all runs that are under way of what a demand stands for.
-fn runs_of(fleet: &Fleet, demand: &Demand<'_>, run: &RunId) -> Vec<(Name, RunId)> {
-    let gang = demand.shape.gang;
-    let workers = fleet.workers();
-    let runs = workers.flat_map(|(name, w)| w.runs.keys().map(move |r| (name, r)));
-    let of_demand = runs.filter(|(_, r)| {
-        let same_step = r.task.job == run.task.job
-            && r.task.occurrence == run.task.occurrence
-            && r.task.step == run.task.step;
-        *r == run || (gang && same_step)
-    });
-    of_demand.map(|(w, r)| (w.clone(), r.clone())).collect()
-}
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -107,13 +107,27 @@
 
     /// Returns whether a demand could start now on sound workers.
     pub(super) fn has_sound_room(&mut self, demand: &Demand<'_>) -> bool {
+        self.sound_room(demand).is_some()
+    }
+
+    /// Takes the room on sound workers that a demand could start on now, so that nothing else of this
+    /// pass counts on it; returns whether there is such room.
+    pub(super) fn reserve(&mut self, demand: &Demand<'_>) -> bool {
+        let found = self.sound_room(demand);
+        if let Some(found) = &found {
+            self.take(demand, found);
+        }
+        found.is_some()
+    }
+
+    fn sound_room(&mut self, demand: &Demand<'_>) -> Option<Vec<usize>> {
         let placed = self.count(demand);
         let found = schedule::place(demand, &self.rooms, Horizon::Now, &placed);
         let sound = |i: &usize| {
             let room = &self.rooms[*i];
             room.doubt == 0 && !demand.avoid.contains(&room.worker)
         };
-        found.is_some_and(|found| found.iter().all(sound))
+        found.filter(|found| found.iter().all(sound))
     }
 
     /// Returns the room of all workers.
@@ -150,7 +164,7 @@
     }
 
     /// Serves the demands in their order.
-    pub(super) fn run(mut self, demands: &[Demand<'_>]) -> PassOutcome {
+    pub(super) fn run(&mut self, demands: &[Demand<'_>]) -> PassOutcome {
         for (before, demand) in demands.iter().enumerate() {
             let served = self.serve(demand);
             // A job waits for what the first of its blocked demands waits for; a job of many tasks
@@ -161,7 +175,7 @@
             let waiting = demand.waiting(before, self.reason(demand, served));
             self.outcome.waiting.insert(demand.job.clone(), waiting);
         }
-        self.outcome
+        std::mem::take(&mut self.outcome)
     }
 
     /// Starts a demand, or makes or keeps room for it.
@@ -424,6 +438,18 @@
     step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
 }
 
+/// Returns the milliseconds that a run is expected to take yet.
+pub(super) fn expected_left_ms(
+    jobs: &BTreeMap<Name, LiveJob>,
+    times: &RunTimes,
+    run: &RunId,
+    state: &WorkerRun,
+    view: &View<'_>,
+) -> u64 {
+    let left = expected_ms(jobs, times, run).saturating_sub(elapsed_ms(state, view));
+    left.max(PAST_END_MS)
+}
+
 pub(super) fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
     u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
 }
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,6 +20,7 @@
         Book, Closing, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, Order, Pace, Place,
         Report, Room, RunId, RunTimes, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
+        departure,
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
@@ -455,7 +456,11 @@
         self.tickets_for(view, pass.rooms(), &mut demands);
         let overdue = overdue::to_move(&self.fleet, &self.jobs, &builder, &mut pass);
         let outcome = pass.run(&demands);
+        let leaving = departure::to_move(&self.fleet, &self.jobs, &builder, &mut pass);
         self.move_overdue(overdue);
+        for (worker, run) in leaving {
+            self.stop(&worker, &run, "worker_leaves");
+        }
         for (worker, run) in outcome.evictions {
             if let Some(live) = self.jobs.get_mut(&run.task.job) {
                 live.evictions += 1;
--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -140,7 +140,8 @@
 
     pub(super) fn stop(&mut self, worker: &Name, run: &RunId, why: &str) {
         let known = self.fleet.get_mut(worker);
-        if let Some(state) = known.and_then(|w| w.runs.get_mut(run)) {
+        let state = known.and_then(|w| w.runs.get_mut(run));
+        if let Some(state) = state.filter(|s| !s.stopping) {
             state.stopping = true;
             self.orders
                 .entry(worker.clone())
--- /dev/null
+++ b/dragonflyrun/src/workload/relocation.rs
@@ -0,0 +1,36 @@
+//! What a run would need elsewhere, and what has to be stopped with it.
+
+use crate::{
+    utils::Name,
+    workload::{Demand, Fleet, RunId, demands::Demands, live::LiveJob},
+};
+
+/// Returns what a run, or the gang that it is part of, would need to be started again.
+pub(super) fn demand_of<'j>(
+    live: &'j LiveJob,
+    run: &RunId,
+    demands: &Demands<'_, '_>,
+) -> Option<Demand<'j>> {
+    let shape = live.job.request.steps.get(run.task.step as usize)?;
+    let mut demand = demands.of_step(live, run.task.occurrence, run.task.step, shape);
+    demand.indexes = if shape.gang {
+        (0..shape.tasks).collect()
+    } else {
+        vec![run.task.index]
+    };
+    Some(demand)
+}
+
+/// Returns all runs that are under way of what a demand stands for.
+pub(super) fn runs_of(fleet: &Fleet, demand: &Demand<'_>, run: &RunId) -> Vec<(Name, RunId)> {
+    let gang = demand.shape.gang;
+    let workers = fleet.workers();
+    let runs = workers.flat_map(|(name, w)| w.runs.keys().map(move |r| (name, r)));
+    let of_demand = runs.filter(|(_, r)| {
+        let same_step = r.task.job == run.task.job
+            && r.task.occurrence == run.task.occurrence
+            && r.task.step == run.task.step;
+        *r == run || (gang && same_step)
+    });
+    of_demand.map(|(w, r)| (w.clone(), r.clone())).collect()
+}
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -281,3 +281,23 @@
     }
     assert!(report(&mut table).paces.is_empty());
 }
+
+/// Guards against tasks that stand still for seconds after their worker has left as announced: it
+/// needs no missing heartbeat to prove that.
+#[test]
+fn leaver_is_gone() {
+    let mut table = agent();
+    let told = Instant::now();
+    let leaving = Heartbeat {
+        draining: true,
+        remaining_ms: Some(500),
+        ..heartbeat("w", 5, 2)
+    };
+    assert!(table.heartbeat(leaving, told));
+    table.unreachable(true, told + Duration::from_millis(400));
+    assert!(!report(&mut table).closed, "it was to stay longer");
+    table.unreachable(false, told + Duration::from_millis(600));
+    assert!(!report(&mut table).closed, "somebody listens there");
+    assert!(table.unreachable(true, told + Duration::from_millis(700)));
+    assert!(report(&mut table).closed);
+}
