Give agents up by comparison with the others, and spread reports over all partitions of their topic

From 31.1 s on some 160 of 240 sessions were closed one by one, below the half at which the planner doubts itself, and all gangs that ran were stopped and began again at 34 s. Change: an agent is silent after four times the silence of half of the others, at least the bound and at most twice it; reports go to all partitions that a topic has (24 here). Orders are spread over 64 topics in place of 8, so that an order wakes one agent. Tests: run_proofs late_together (fails before), silent_among_late.

--- a/dragonflyrun/src/process/on_store/lanes.rs
+++ b/dragonflyrun/src/process/on_store/lanes.rs
@@ -5,14 +5,9 @@
     utils::spread,
 };
 
-/// Topics that carry orders. With 12 partitions each, the agents of 300 workers share a partition
-/// with two others; a partition of its own for each would need more topics than the store allows.
-const ORDER_TOPICS: u32 = 8;
-
-/// Partitions that carry reports, at the most. A partition takes one append at a time; on a store
-/// that takes 0.2 s for each, the reports of 62 workers in one partition came so late that the
-/// planner took all of them for silent and closed their sessions.
-const REPORT_PARTITIONS: u32 = 8;
+/// Topics that carry orders. All agents whose workers share a partition are woken by each order in
+/// it, so there are about as many partitions as the store's bound on topics leaves room for.
+const ORDER_TOPICS: u32 = 64;
 
 /// The partitions for orders and reports.
 #[derive(Clone, Copy, Debug)]
@@ -40,9 +35,13 @@
         Partition::workers(u32::try_from(spread(worker) % number).unwrap_or(0))
     }
 
-    /// Returns the number of partitions that carry reports.
+    /// Returns the number of partitions that carry reports: all that a topic has.
+    ///
+    /// A partition takes one append at a time. On a store that takes 0.1 to 0.2 s for each, the
+    /// reports of some 30 workers in one partition come so late that the planner takes their agents
+    /// for silent.
     pub fn report_partitions(&self) -> u32 {
-        self.partitions.min(REPORT_PARTITIONS)
+        self.partitions
     }
 
     /// Returns the partition of a lane.
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -32,6 +32,9 @@
 /// A worker that has failed so many runs in a row, of whatever jobs, is left alone for a while.
 const SHUN_AFTER: u32 = 2;
 
+/// An agent is silent that has not reported for so many times as long as half of the others.
+const SILENT_TIMES: u32 = 4;
+
 /// Age of a report up to which its agent is taken to live: it reports again within 1.2 s, and hosts'
 /// clocks differ a little.
 const RECENT_MS: u64 = 2_500;
@@ -389,9 +392,10 @@
         let Some(reports_since) = view.reports_since else {
             return;
         };
+        let most = self.most_silence(view, reports_since);
         let silent = self.fleet.workers().filter(|(_, w)| {
             let heard = w.reported.max(reports_since);
-            let silent = view.now.since(heard) > silence;
+            let silent = view.now.since(heard) > most;
             // A worker that stays away from its agent may run on under its last lease.
             let lost = w
                 .unreachable_since
@@ -410,7 +414,8 @@
                 worker.closing = Closing::Ordered;
                 log::warn!(
                     worker:% = name, session = worker.session, runs = worker.runs.len(),
-                    silent_ms = view.now.since(worker.reported).as_millis() as u64;
+                    silent_ms = view.now.since(worker.reported).as_millis() as u64,
+                    most_ms = most.as_millis() as u64;
                     "worker_silent"
                 );
                 self.orders.entry(name).or_default().fence = true;
@@ -418,6 +423,25 @@
         }
     }
 
+    /// Returns the silence up to which an agent is taken to live: longer where the others are late too.
+    ///
+    /// On a slow store the reports of all agents queue. Held to the bound of a fast one, agents that
+    /// live were given up one by one, and everything that ran on their workers was stopped.
+    fn most_silence(&self, view: &View<'_>, reports_since: Timestamp) -> Duration {
+        let open = self
+            .fleet
+            .workers()
+            .filter(|(_, w)| w.closing == Closing::No);
+        let silences = open.map(|(_, w)| view.now.since(w.reported.max(reports_since)));
+        let mut silences: Vec<Duration> = silences.collect();
+        let silence = self.bounds.silence;
+        let Some(last) = silences.len().checked_sub(1) else {
+            return silence;
+        };
+        let (_, usual, _) = silences.select_nth_unstable(last / 2);
+        (*usual * SILENT_TIMES).clamp(silence, silence * 2)
+    }
+
     /// Returns whether every agent has been silent for twice the time that is allowed.
     fn long_silent(&self, view: &View<'_>, reports_since: Timestamp) -> bool {
         let newest = self.fleet.workers().map(|(_, w)| w.reported).max();
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -315,3 +315,38 @@
     assert_eq!(over.len(), 1);
     assert_eq!((&over[0].run, &over[0].why), (&run, &RunOverReason::Gone));
 }
+
+/// Guards against agents given up one by one on a slow store, where the reports of all of them queue:
+/// everything that runs on their workers would be stopped.
+#[test]
+fn late_together() {
+    const WORKERS: u64 = 7;
+    const EVERY_MS: u64 = 4_200;
+    let mut bed = Bed::new(WORKERS as usize);
+    for turn in 0..30 {
+        bed.now_ms += EVERY_MS / WORKERS;
+        bed.report(&format!("w{}", turn % WORKERS));
+        let decisions = bed.pass();
+        assert!(decisions.orders.iter().all(|o| !o.order.fence), "{turn}");
+    }
+}
+
+/// Guards against an agent that is never given up since others are late too.
+#[test]
+fn silent_among_late() {
+    const WORKERS: u64 = 7;
+    const EVERY_MS: u64 = 3_600;
+    let mut bed = Bed::new(WORKERS as usize);
+    let mut fenced = Vec::new();
+    for turn in 0..30 {
+        bed.now_ms += EVERY_MS / WORKERS;
+        let next = turn % WORKERS;
+        if next != 0 {
+            bed.report(&format!("w{next}"));
+        }
+        let orders = bed.pass().orders;
+        fenced.extend(orders.into_iter().filter(|o| o.order.fence));
+    }
+    assert_eq!(fenced.len(), 1);
+    assert_eq!(&*fenced[0].worker, "w0");
+}
