Order no stops of a gang's members whose job is done

Change: runs of a completed job are left for 2 s in which their ends follow, then stopped. Tests: gang_ends (done_unstopped fails before).

--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -5,11 +5,14 @@
     port::{EndKind, StartOutcome},
     utils::{Name, Timestamp},
     workload::{
-        RunId, RunOver, RunOverReason,
+        Outcome, RunId, RunOver, RunOverReason,
         planner::{Planner, View},
     },
 };
 
+/// Milliseconds in which the ends of a gang's other members are reported after the first one.
+const ENDS_FOLLOW_MS: u64 = 2_000;
+
 impl Planner {
     /// Takes note that a run is over.
     pub(super) fn run_over(&mut self, now: Timestamp, over: RunOver) {
@@ -119,16 +122,16 @@
                 }
             }
         }
-        self.stop_unwanted();
+        self.stop_unwanted(view);
     }
 
     /// Orders stops of all runs that no plan wants.
-    fn stop_unwanted(&mut self) {
+    fn stop_unwanted(&mut self, view: &View<'_>) {
         let mut stops = Vec::new();
         for (name, worker) in self.fleet.workers() {
             for (run, state) in &worker.runs {
                 // An order that is still on its way is stopped once it stands.
-                if !state.stopping && state.ordered.is_some() && !self.is_wanted(name, run) {
+                if !state.stopping && state.ordered.is_some() && !self.is_wanted(view, name, run) {
                     stops.push((name.clone(), run.clone()));
                 }
             }
@@ -152,12 +155,17 @@
         }
     }
 
-    fn is_wanted(&self, worker: &Name, run: &RunId) -> bool {
+    fn is_wanted(&self, view: &View<'_>, worker: &Name, run: &RunId) -> bool {
         let Some(live) = self.jobs.get(&run.task.job) else {
             return false;
         };
-        if live.plan.outcome.is_some() {
-            return false;
+        match live.plan.outcome {
+            // The members of a gang end together; the ends of the others are on their way.
+            Some(Outcome::Completed) => {
+                return view.unix_ms < live.plan.ended_ms + ENDS_FOLLOW_MS;
+            }
+            Some(Outcome::Failed | Outcome::Cancelled) => return false,
+            None => {}
         }
         let Some(number) = live.job.number(&run.task) else {
             return false;
