Send a read again on another connection where its answer is overdue

Ruled out: shorter limits alone (a slow store would be taken for a silent one). Change: a read whose answer is overdue by 150 ms, or three times the store's usual delay, is sent a second time, without waiting for news; the first answer counts. The planner's reads wait 0.3 and 0.4 s for news, since only then silence shows. Tests: hedged_reads (silent_connection fails before; slow_store bounds the load).

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -20,6 +20,7 @@
         on_store::{
             Lanes, StoreSettings,
             entry::{unix_ms, wait_for},
+            reader::Reader,
         },
     },
     utils::{HashSet, Name, lock},
@@ -168,6 +169,7 @@
     ) {
         let mut next = session + 1;
         let mut reachable = true;
+        let mut reader = Reader::new(self.store.clone(), partition);
         loop {
             let looked_ms = {
                 let table = lock(&self.table);
@@ -183,7 +185,7 @@
             }
             let busy = lock(&self.table).is_busy();
             let wait = if busy { ORDER_WAIT } else { IDLE_ORDER_WAIT };
-            let read = self.store.read(partition, next, wait).await;
+            let read = reader.read(next, wait).await;
             match read {
                 Ok(page) => {
                     next += page.records.len() as u64;
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -35,6 +35,10 @@
 /// above that. With 1.2 s and a bound of 2 s, nothing was started for a third of the time.
 pub(super) const READ_WAIT: Duration = Duration::from_millis(800);
 
+/// How long a read of the jobs waits for news at the entry that plans: all work waits where its
+/// connection has fallen silent, which shows only after that.
+const PLANNER_READ_WAIT: Duration = Duration::from_millis(300);
+
 /// Pause between two reads of the jobs at an entry that does not plan; see [`ReadPause`].
 const FOLLOW_PAUSE: Duration = Duration::from_millis(200);
 
@@ -243,7 +247,7 @@
     async fn pause_reads(&self) -> Duration {
         self.job_reads.was_read();
         if lock(&self.state).plans {
-            return READ_WAIT;
+            return PLANNER_READ_WAIT;
         }
         let wanted = self.job_reads.pause(FOLLOW_PAUSE).await;
         if wanted { Duration::ZERO } else { READ_WAIT }
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     port::{Partition, ReadError, Store, StoreRecord},
-    process::on_store::BootTime,
+    process::on_store::{BootTime, reader::Reader},
 };
 
 /// What a follower has read.
@@ -24,6 +24,7 @@
 pub struct Follower<S> {
     store: Arc<S>,
     partition: Partition,
+    reader: Reader<S>,
     next: Option<u64>,
 }
 
@@ -31,12 +32,18 @@
     /// Returns a follower that has read nothing.
     pub fn new(store: Arc<S>, partition: Partition) -> Self {
         Self {
+            reader: Reader::new(store.clone(), partition),
             store,
             partition,
             next: None,
         }
     }
 
+    /// Returns how long the store has taken for answers of late.
+    pub fn usual_delay(&self) -> Duration {
+        self.reader.usual_delay()
+    }
+
     /// Returns what is new, waiting for it up to `wait`.
     ///
     /// # Errors
@@ -48,7 +55,7 @@
             return self.newest().await;
         };
         let asked = BootTime::now();
-        match self.store.read(self.partition, next, wait).await {
+        match self.reader.read(next, wait).await {
             Ok(page) => {
                 let end = next + page.records.len() as u64;
                 self.next = Some(end);
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -13,6 +13,7 @@
 mod own_interface;
 mod planner_term;
 mod read_pause;
+mod reader;
 mod settings;
 mod term_writer;
 mod view;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -57,8 +57,8 @@
 /// Added to the time after which a lease is over, for the steps of the clocks themselves.
 const LEASE_MARGIN: Duration = Duration::from_millis(150);
 
-/// How long a read of reports waits for one.
-const REPORT_WAIT: Duration = Duration::from_millis(1_200);
+/// How long a read of reports waits for one: a connection that has fallen silent shows after that.
+const REPORT_WAIT: Duration = Duration::from_millis(400);
 
 /// Pause after a read that failed.
 const READ_PAUSE: Duration = Duration::from_millis(100);
--- /dev/null
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -0,0 +1,113 @@
+//! Reads of one partition that do not hang with their connection.
+//!
+//! Load pattern answered here: open connections to the store fall silent while new ones work. A read
+//! waits for news most of the time, so the silence of its connection shows only once the answer is
+//! overdue. A second read on another connection is sent then, and the first answer counts: a hedged
+//! request (Dean and Barroso, "The Tail at Scale", CACM 2013). On a store that is slow altogether it
+//! waits longer before that, so that the load of such a store does not double.
+
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+use tokio::{
+    pin, select,
+    time::{Instant, timeout},
+};
+
+use crate::port::{Page, Partition, ReadError, Store};
+
+/// An answer counts as overdue so long after its time at the least.
+const LEAST_OVERDUE: Duration = Duration::from_millis(150);
+
+/// How many times the usual delay an answer may take.
+const OVERDUE_TIMES: u32 = 3;
+
+/// Reads one partition.
+pub(super) struct Reader<S> {
+    store: Arc<S>,
+    partition: Partition,
+    delay: StoreDelay,
+}
+
+/// How long the store takes for an answer, beside the time that it waits for news.
+#[derive(Debug, Default)]
+struct StoreDelay {
+    /// The newest answers; of one that came early for its news, the delay is at most that time.
+    newest: VecDeque<Duration>,
+}
+
+impl StoreDelay {
+    /// Answers that are remembered: so many in a row that all came late for their news are rare.
+    const REMEMBERED: usize = 4;
+
+    fn learn(&mut self, took: Duration, wait: Duration) {
+        if self.newest.len() == Self::REMEMBERED {
+            self.newest.pop_front();
+        }
+        let delay = took.checked_sub(wait).unwrap_or(took);
+        self.newest.push_back(delay);
+    }
+
+    fn usual(&self) -> Duration {
+        self.newest.iter().min().copied().unwrap_or_default()
+    }
+}
+
+impl<S: Store> Reader<S> {
+    /// Returns a reader that knows nothing of the store's pace.
+    pub(super) fn new(store: Arc<S>, partition: Partition) -> Self {
+        Self {
+            store,
+            partition,
+            delay: StoreDelay::default(),
+        }
+    }
+
+    /// Returns how long the store takes for an answer.
+    pub(super) fn usual_delay(&self) -> Duration {
+        self.delay.usual()
+    }
+
+    /// Returns the records from offset `from` on, waiting for the first up to `wait`.
+    ///
+    /// # Errors
+    ///
+    /// Where neither read has an answer.
+    pub(super) async fn read(&mut self, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        let store = self.store.clone();
+        let partition = self.partition;
+        let sent = Instant::now();
+        let first = store.read(partition, from, wait);
+        pin!(first);
+        let overdue = wait + LEAST_OVERDUE.max(self.delay.usual() * OVERDUE_TIMES);
+        if let Ok(answer) = timeout(overdue, &mut first).await {
+            self.learn(sent, wait, &answer);
+            return answer;
+        }
+        log::debug!(partition:? = partition, from, overdue_ms = overdue.as_millis() as u64; "read_overdue");
+        let sent_again = Instant::now();
+        let second = store.read(partition, from, Duration::ZERO);
+        pin!(second);
+        select! {
+            answer = &mut first => {
+                self.learn(sent, wait, &answer);
+                match answer {
+                    Err(ReadError::Unavailable(_)) => second.await,
+                    answer => answer,
+                }
+            }
+            answer = &mut second => {
+                self.learn(sent_again, Duration::ZERO, &answer);
+                match answer {
+                    Err(ReadError::Unavailable(_)) => first.await,
+                    answer => answer,
+                }
+            }
+        }
+    }
+
+    fn learn(&mut self, sent: Instant, wait: Duration, answer: &Result<Page, ReadError>) {
+        if answer.is_ok() {
+            self.delay.learn(sent.elapsed(), wait);
+        }
+    }
+}
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -388,7 +388,6 @@
     }
 
     fn fence_silent(&mut self, view: &View<'_>) {
-        let silence = self.bounds.silence;
         let Some(reports_since) = view.reports_since else {
             return;
         };
@@ -399,7 +398,7 @@
             // A worker that stays away from its agent may run on under its last lease.
             let lost = w
                 .unreachable_since
-                .is_some_and(|s| view.now.since(s) > silence);
+                .is_some_and(|s| view.now.since(s) > self.bounds.silence);
             w.closing == Closing::No && (silent || lost)
         });
         let silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
--- /dev/null
+++ b/dragonflyrun/tests/hedged_reads.rs
@@ -0,0 +1,89 @@
+//! Reads whose answers are overdue.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use dragonflyrun::{
+    port::{Append, AppendError, Appended, Newest, Page, Partition, ReadError, Store},
+    process::on_store::Follower,
+    utils::lock,
+};
+use tokio::time::{Instant, sleep};
+
+const WAIT: Duration = Duration::from_millis(400);
+
+/// A store without news.
+#[derive(Default)]
+struct QuietStore {
+    /// Reads that were asked for.
+    reads: AtomicU32,
+    /// The read that is never answered.
+    silent: Mutex<Option<u32>>,
+    /// How late each answer is.
+    delay: Mutex<Duration>,
+}
+
+impl Store for QuietStore {
+    async fn append(&self, _: &Append, _: Duration) -> Result<Appended, AppendError> {
+        Err(AppendError::NotDone("a store to read".to_owned()))
+    }
+
+    async fn read(&self, _: Partition, end: u64, wait: Duration) -> Result<Page, ReadError> {
+        let number = self.reads.fetch_add(1, Ordering::Relaxed);
+        if *lock(&self.silent) == Some(number) {
+            std::future::pending::<()>().await;
+        }
+        let delay = *lock(&self.delay);
+        sleep(wait + delay).await;
+        Ok(Page {
+            end,
+            records: Vec::new(),
+        })
+    }
+
+    async fn newest(&self, _: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+        Ok(Newest {
+            records: Vec::new(),
+            more: false,
+            end: 0,
+        })
+    }
+}
+
+async fn follower(store: &Arc<QuietStore>) -> Follower<QuietStore> {
+    let mut follower = Follower::new(store.clone(), Partition::JOBS);
+    follower.next(WAIT).await.expect("the newest records");
+    follower
+}
+
+/// Guards against work that stands still for as long as a connection that has fallen silent is waited
+/// for.
+#[tokio::test(start_paused = true)]
+async fn silent_connection() {
+    let store = Arc::new(QuietStore::default());
+    let mut follower = follower(&store).await;
+    follower.next(WAIT).await.expect("an answer");
+    *lock(&store.silent) = Some(store.reads.load(Ordering::Relaxed));
+    let asked = Instant::now();
+    follower.next(WAIT).await.expect("the second answer");
+    assert!(asked.elapsed() < WAIT + Duration::from_millis(250));
+}
+
+/// Guards against twice the load on a store that is slow altogether.
+#[tokio::test(start_paused = true)]
+async fn slow_store() {
+    const ROUNDS: u32 = 20;
+    let store = Arc::new(QuietStore::default());
+    let mut follower = follower(&store).await;
+    *lock(&store.delay) = Duration::from_millis(300);
+    for _ in 0..ROUNDS {
+        follower.next(WAIT).await.expect("an answer");
+    }
+    let reads = store.reads.load(Ordering::Relaxed);
+    assert!(reads < ROUNDS + 4, "{reads}");
+}
