Keep a slow store from stopping the planner, and spend a job's last attempt on workers that work

The planner's signs of life queued, all 55 entries stood at once, their claims filled the jobs' partition (503, more than 2 s waiting), and ends that were reported at 29.9 s had not been shown at 34.5 s. Agents' regular reports queued before those that told of an end. Change: silence of the planner counts by the store's delay as each entry observes it; candidates stand one after the other; agents space regular reports by what the last one took. Change: while several workers have failed of late, the last attempt of a task or gang waits up to 2.5 s for workers that have been seen to work since, and prefers them after that. Tests: planner_succession slow_store and few_stand, last_attempt (fail before).

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -21,6 +21,7 @@
             Lanes, StoreSettings,
             entry::{unix_ms, wait_for},
             reader::Reader,
+            time_for_try,
         },
     },
     utils::{HashSet, Name, lock},
@@ -51,6 +52,13 @@
 /// Time between two reports of an idle worker; the planner takes three times that for silence.
 const IDLE_REPORT: Duration = Duration::from_millis(1_200);
 
+/// Time between two reports at the most, with that for the append: the planner waits 3 s for one.
+const LONGEST_REPORT: Duration = Duration::from_millis(2_600);
+
+/// How many times the time that the store takes for a report lies between two of them. On a slow
+/// store reports that say nothing new would keep those waiting that tell of an end.
+const REPORT_SPACING: u32 = 4;
+
 /// Pause while the worker's clock has not been looked at in a session; a look takes some 2 ms.
 const FIRST_LOOK: Duration = Duration::from_millis(10);
 
@@ -222,7 +230,7 @@
         // The planner has to hear that the session is closed before another one opens.
         self.report.notify_one();
         if lock(&self.table).is_closed() {
-            self.append_reports().await;
+            self.append_reports(REPORT_TIMEOUT).await;
             lock(&self.table).forget_departed();
         }
     }
@@ -327,15 +335,21 @@
     }
 
     async fn send_reports(self: Arc<Self>) {
+        let mut took = Duration::ZERO;
         loop {
             let busy = lock(&self.table).is_busy();
-            let most = if busy { BUSY_REPORT } else { IDLE_REPORT };
-            wait_for(&self.report, most).await;
-            self.append_reports().await;
+            let usual = if busy { BUSY_REPORT } else { IDLE_REPORT };
+            let longest = LONGEST_REPORT.saturating_sub(took);
+            let spaced = (took * REPORT_SPACING).min(longest).max(usual);
+            wait_for(&self.report, spaced).await;
+            let began = Instant::now();
+            self.append_reports(took).await;
+            took = began.elapsed();
         }
     }
 
-    async fn append_reports(&self) {
+    /// Appends what there is to report, on a store that has taken `delay` for the last report.
+    async fn append_reports(&self, delay: Duration) {
         let reports = lock(&self.table).reports(unix_ms());
         if reports.is_empty() {
             return;
@@ -351,7 +365,8 @@
                 writer: None,
                 at: None,
             };
-            if let Err(error) = self.store.append(&append, REPORT_TIMEOUT).await {
+            let within = time_for_try(0, delay, REPORT_TIMEOUT);
+            if let Err(error) = self.store.append(&append, within).await {
                 self.counters.event("report_not_stored");
                 log::debug!(reason:% = error; "report_not_stored");
                 sleep(PAUSE).await;
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -23,11 +23,11 @@
         Counters,
         on_store::{
             Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm,
-            read_pause::ReadPause,
+            read_pause::ReadPause, time_for_try,
         },
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
-    workload::{Book, Election, Job, JobRecord, LookUp, Waiting},
+    workload::{Book, Election, Job, JobRecord, LookUp, StoreReach, Waiting},
 };
 
 /// How long a read waits for news. An answer proves that what is known was current when the read
@@ -84,8 +84,9 @@
     pub(super) configuration: Option<Arc<Configuration>>,
     pub(super) evacuated: Arc<HashSet<Name>>,
     pub(super) operator_proof: Option<BootTime>,
-    /// When a read was last answered.
-    pub(super) answered: Option<Instant>,
+    pub(super) reach: StoreReach,
+    /// How long the store takes for an answer.
+    pub(super) store_delay: Duration,
     pub(super) election: Election,
     /// Whether this entry plans, so that its planner wants to hear of `news`.
     pub(super) plans: bool,
@@ -105,8 +106,6 @@
     /// Wakes the planner: a job, a cancellation, a configuration or a report has come.
     pub(super) news: Notify,
     pub(super) stopping: AtomicBool,
-    /// Whether the newest call to the store ran out of time with no other answer since.
-    suspect: AtomicBool,
     started: Instant,
 }
 
@@ -131,7 +130,8 @@
                 configuration: None,
                 evacuated: Arc::default(),
                 operator_proof: None,
-                answered: None,
+                reach: StoreReach::default(),
+                store_delay: Duration::ZERO,
                 election,
                 plans: false,
                 news: Vec::new(),
@@ -140,7 +140,6 @@
             job_reads: ReadPause::default(),
             news: Notify::new(),
             stopping: AtomicBool::new(false),
-            suspect: AtomicBool::new(false),
             started: Instant::now(),
         })
     }
@@ -179,6 +178,7 @@
                 }
                 Err(error) => {
                     self.report_reach(&mut reachable, false, "operators", &error.to_string());
+                    lock(&self.state).reach.read_failed();
                     sleep(READ_PAUSE).await;
                 }
             }
@@ -214,8 +214,7 @@
         }
         state.evacuated = Arc::new(evacuated);
         state.operator_proof = Some(batch.asked);
-        state.answered = Some(Instant::now());
-        self.suspect.store(false, Ordering::Relaxed);
+        state.reach.answered(Instant::now());
         drop(state);
         if changed {
             self.news.notify_one();
@@ -232,10 +231,12 @@
                     let regained = !reachable;
                     self.report_reach(&mut reachable, true, "jobs", "");
                     self.fold_jobs(batch, regained);
+                    lock(&self.state).store_delay = follower.usual_delay();
                     wait = self.pause_reads().await;
                 }
                 Err(error) => {
                     self.report_reach(&mut reachable, false, "jobs", &error.to_string());
+                    lock(&self.state).reach.read_failed();
                     sleep(READ_PAUSE).await;
                 }
             }
@@ -295,8 +296,7 @@
         }
         state.book_end = batch.end;
         state.book_proof = Some(batch.asked);
-        state.answered = Some(Instant::now());
-        self.suspect.store(false, Ordering::Relaxed);
+        state.reach.answered(Instant::now());
         drop(state);
         if changed {
             self.news.notify_one();
@@ -317,11 +317,6 @@
     }
 
     async fn submit(&self, req: &CallerRequest, job: Job) -> CallerAnswer {
-        if self.suspect.load(Ordering::Relaxed) {
-            // An append now would most likely be in doubt until the caller has given up; unsent, the
-            // job is refused truly, and the caller still has the time to try elsewhere.
-            return self.refuse(Refusal::StoreAway);
-        }
         let known = lock(&self.state)
             .book
             .get(&job.name)
@@ -392,25 +387,33 @@
         };
         let end = Instant::now() + req.patience.mul_f64(PATIENCE_SHARE);
         let mut doubtful = false;
+        let mut unanswered = 0;
         let mut refused = 0;
         loop {
             let left = end.saturating_duration_since(Instant::now());
             if left.is_zero() {
                 return Err(self.not_stored(doubtful));
             }
+            if !doubtful && self.store_is_away() {
+                return Err(self.refuse(Refusal::StoreAway));
+            }
             let asked = Instant::now();
-            let appended = self.store.append(&append, left.min(APPEND_TIMEOUT)).await;
+            let within = time_for_try(unanswered, self.store_delay(), APPEND_TIMEOUT.min(left));
+            let appended = self.store.append(&append, within).await;
             self.counters.latency("append", asked.elapsed());
             match appended {
                 Ok(_) => {
-                    self.suspect.store(false, Ordering::Relaxed);
+                    lock(&self.state).reach.answered(Instant::now());
                     return Ok(());
                 }
                 Err(AppendError::Unknown(reason)) => {
                     doubtful = true;
-                    if self.silent_for() >= APPEND_TIMEOUT {
-                        self.suspect.store(true, Ordering::Relaxed);
-                    }
+                    unanswered += 1;
+                    let mut state = lock(&self.state);
+                    state
+                        .reach
+                        .append_unanswered(Instant::now(), APPEND_TIMEOUT);
+                    drop(state);
                     self.counters.event("append_doubtful");
                     log::debug!(reason; "append_doubtful");
                 }
@@ -426,12 +429,14 @@
         }
     }
 
-    /// Returns for how long no read of the store has had an answer.
-    fn silent_for(&self) -> Duration {
+    /// Returns how long the store takes for an answer.
+    pub(super) fn store_delay(&self) -> Duration {
+        lock(&self.state).store_delay
+    }
+
+    fn store_is_away(&self) -> bool {
         let state = lock(&self.state);
-        let newest = state.answered;
-        drop(state);
-        newest.map_or(Duration::MAX, |answered| answered.elapsed())
+        state.reach.is_away(Instant::now(), state.store_delay)
     }
 
     fn not_stored(&self, doubtful: bool) -> CallerAnswer {
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -34,7 +34,7 @@
 };
 
 /// How often the planner shows a sign of life.
-const SIGN_OF_LIFE: Duration = Duration::from_millis(350);
+const SIGN_OF_LIFE: Duration = Duration::from_millis(200);
 
 /// How often the planner decides where nothing has come.
 const PASS: Duration = Duration::from_millis(100);
@@ -441,7 +441,7 @@
     if !current || state.configuration.is_none() {
         return None;
     }
-    match state.election.step(now) {
+    match state.election.step(now, state.store_delay) {
         TermStep::Wait => None,
         TermStep::Try(term) => Some((term, state.book_end)),
     }
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -4,11 +4,12 @@
 //! in time, the nearest objective first; what has lost its objective comes last of its priority,
 //! and still gets whatever room the others leave.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
     utils::{HashSet, Name},
     workload::{
+        Caution,
         Demand,
         RunTimes,
         Step,
@@ -25,6 +26,9 @@
 /// kept for more urgent work: its callers would see it stand still beside free workers.
 const STANDING_MS: u64 = 8_000;
 
+/// Time after a failure for which the last attempt waits for workers that have been seen to work.
+const CAUTIOUS_FOR: Duration = Duration::from_millis(2_500);
+
 /// Builds the demands of one pass.
 pub(super) struct Demands<'a, 'v> {
     pub(super) bounds: &'a PlannerBounds,
@@ -75,12 +79,14 @@
             let begin_ms = live.begin_ms(occurrence);
             let stands_still =
                 !live.plan.has_runs() && self.view.unix_ms.saturating_sub(begin_ms) > STANDING_MS;
+            let caution = |index: u32| self.caution(live, occurrence, step, index);
             let demand = Demand {
                 guaranteed,
                 ..self.of_step(live, occurrence, step, shape)
             };
             if shape.gang {
                 demands.push(Demand {
+                    caution: caution(0),
                     indexes: waiting,
                     stands_still,
                     ..demand
@@ -89,6 +95,7 @@
             }
             let first = waiting.first().copied();
             demands.extend(waiting.into_iter().map(|index| Demand {
+                caution: caution(index),
                 indexes: vec![index],
                 stands_still: stands_still && Some(index) == first,
                 ..demand.clone()
@@ -123,6 +130,21 @@
             far_allowed: self.far_allowed(live.begin_ms(occurrence), estimate_ms),
             stands_still: false,
             only: None,
+            caution: Caution::None,
+        }
+    }
+
+    /// Returns how much a task, or its gang, cares where it runs: its last attempt does, and waits a
+    /// while after the failure before it.
+    fn caution(&self, live: &LiveJob, occurrence: u32, step: u32, index: u32) -> Caution {
+        if !live.is_last_attempt(occurrence, step, index) {
+            return Caution::None;
+        }
+        let failed = live.failed_at.map(|at| self.view.now.since(at));
+        if failed.is_some_and(|ago| ago < CAUTIOUS_FOR) {
+            Caution::OnlyProven
+        } else {
+            Caution::PreferProven
         }
     }
 
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -13,6 +13,9 @@
     workload::{Report, Resources, RunId},
 };
 
+/// A run that has gone on for so long shows that its worker does not fail all that it starts.
+const WORKS_AFTER: Duration = Duration::from_secs(1);
+
 /// What the planner knows of one run on a worker.
 #[derive(Clone, Debug)]
 pub struct WorkerRun {
@@ -71,6 +74,8 @@
     pub confirmed: u64,
     /// Starts that failed there one after the other.
     pub failures: u32,
+    /// When the newest run was ordered that has come to its end there, or has gone on for a while.
+    pub worked_since: Option<Timestamp>,
     /// Until when it is left alone for its failures.
     pub shunned_until: Timestamp,
 }
@@ -140,6 +145,7 @@
             runs: BTreeMap::new(),
             confirmed: 0,
             failures: 0,
+            worked_since: None,
             shunned_until: Timestamp::default(),
         }
     }
@@ -263,6 +269,7 @@
             if !same_life {
                 worker.confirmed = 0;
                 worker.failures = 0;
+                worker.worked_since = None;
             }
             log::info!(
                 worker:% = name, session = report.session, same_life,
@@ -391,6 +398,9 @@
         let mut over = Vec::new();
         for end in report.ends.iter().filter(|e| e.number > self.confirmed) {
             let run = self.runs.remove(&end.run);
+            if end.kind == EndKind::Done {
+                self.worked_since = self.worked_since.max(run.as_ref().map(|r| r.placed_at));
+            }
             over.push(RunOver {
                 run: end.run.clone(),
                 worker: name.clone(),
@@ -430,7 +440,10 @@
                     ..WorkerRun::new(now, needs_of(&listed.run))
                 }
             });
-            run.running_since.get_or_insert(now);
+            let since = *run.running_since.get_or_insert(now);
+            if now.since(since) >= WORKS_AFTER {
+                self.worked_since = self.worked_since.max(Some(run.placed_at));
+            }
             if !listed.checkpoint.is_empty() && listed.checkpoint != run.checkpoint {
                 run.checkpoint.clone_from(&listed.checkpoint);
                 run.saved_at = now;
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     port::Configuration,
-    utils::{HashMap, HashSet, Name},
+    utils::{HashMap, HashSet, Name, Timestamp},
     workload::{Job, JobPlan, Outcome, RunTimes, Step, TaskId},
 };
 
@@ -16,6 +16,8 @@
     pub(super) plan: JobPlan,
     /// Workers on which runs of it failed.
     pub(super) failed_on: Vec<Name>,
+    /// When a run of it failed last.
+    pub(super) failed_at: Option<Timestamp>,
     /// How often runs of it were evicted.
     pub(super) evictions: u32,
     /// Tasks of which an overdue run was stopped: the next one is left alone, however long it takes.
@@ -30,6 +32,7 @@
             cancelled: false,
             plan: JobPlan::default(),
             failed_on: Vec::new(),
+            failed_at: None,
             evictions: 0,
             moved: HashSet::default(),
         }
@@ -58,6 +61,20 @@
         waiting
     }
 
+    /// Returns whether the next run of a task, or of its gang, is the last that may fail.
+    pub(super) fn is_last_attempt(&self, occurrence: u32, step: u32, index: u32) -> bool {
+        let gang = self
+            .job
+            .request
+            .steps
+            .get(step as usize)
+            .is_some_and(|s| s.gang);
+        let first = self.job.numbers(occurrence, step).start;
+        let counted = if gang { first } else { first + index };
+        let failed = self.plan.tasks.get(&counted).map_or(0, |t| t.failed);
+        failed > 0 && failed + 1 >= self.job.max_attempts
+    }
+
     /// Returns the Unix milliseconds by which an occurrence should be done.
     pub(super) fn objective_ms(&self, times: &RunTimes, occurrence: u32) -> u64 {
         let job = &self.job;
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -20,7 +20,8 @@
         load::PeakLoad,
         overdue::is_overdue,
         planner::View,
-        schedule::{self, Horizon, Victim}, //
+        schedule::{self, Horizon, Victim},
+        trust::RecentFailures, //
     },
 };
 
@@ -57,6 +58,13 @@
     pub(super) waiting: HashMap<Name, Waiting>,
 }
 
+/// What has been learned of workers and load.
+pub(super) struct Learned<'a> {
+    pub(super) times: &'a RunTimes,
+    pub(super) peaks: &'a PeakLoad,
+    pub(super) failures: &'a RecentFailures,
+}
+
 /// The room of all workers, while a pass takes from it.
 pub(super) struct Pass<'a> {
     fleet: &'a Fleet,
@@ -85,15 +93,14 @@
         fleet: &'a Fleet,
         jobs: &BTreeMap<Name, LiveJob>,
         guaranteed: &HashSet<Name>,
-        times: &RunTimes,
-        peaks: &PeakLoad,
+        learned: &Learned<'_>,
         view: &View<'_>,
     ) -> Self {
-        let mut rooms = rooms(fleet, jobs, times, view);
+        let mut rooms = rooms(fleet, jobs, learned, view);
         let idle = is_idle(&rooms);
-        close(&mut rooms, peaks);
+        close(&mut rooms, learned.peaks);
         set_open(&mut rooms, idle);
-        let victims = victims(fleet, jobs, guaranteed, times, view, &rooms);
+        let victims = victims(fleet, jobs, guaranteed, learned.times, view, &rooms);
         Self {
             fleet,
             rooms,
@@ -338,9 +345,10 @@
 fn rooms(
     fleet: &Fleet,
     jobs: &BTreeMap<Name, LiveJob>,
-    times: &RunTimes,
+    learned: &Learned<'_>,
     view: &View<'_>,
 ) -> Vec<Room> {
+    let times = learned.times;
     let usable = fleet
         .workers()
         .filter(|(_, w)| w.takes_tasks() && w.shunned_until <= view.now);
@@ -375,6 +383,7 @@
             serves: has_step(jobs, worker, |s| s.response_ms > 0),
             leftovers: has_step(jobs, worker, |s| s.leftovers),
             doubt: worker.failures + u32::from(overdue),
+            proven: learned.failures.is_proven(worker),
             slow: schedule::slowness_step(times, name),
         })
     });
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -24,8 +24,9 @@
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
-        pass::{Pass, Placed},
+        pass::{Learned, Pass, Placed},
         tickets::Tickets,
+        trust::RecentFailures,
     },
 };
 
@@ -115,6 +116,7 @@
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
     peaks: PeakLoad,
+    failures: RecentFailures,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
 }
@@ -130,6 +132,7 @@
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
             peaks: PeakLoad::default(),
+            failures: RecentFailures::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
         };
@@ -452,14 +455,13 @@
     /// starts, since a failure domain may have been taken out of service meanwhile.
     fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
         let guaranteed = guaranteed_jobs(&self.jobs, view.configuration);
-        let mut pass = Pass::new(
-            &self.fleet,
-            &self.jobs,
-            &guaranteed,
-            &self.run_times,
-            &self.peaks,
-            view,
-        );
+        self.failures.forget(view.now);
+        let learned = Learned {
+            times: &self.run_times,
+            peaks: &self.peaks,
+            failures: &self.failures,
+        };
+        let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &learned, view);
         let builder = Demands {
             bounds: &self.bounds,
             view,
--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -96,6 +96,8 @@
                     counted.failed_run = run.number;
                     counted.failed += 1;
                 }
+                live.failed_at = Some(now);
+                self.failures.failed(now, &worker);
                 live.failed_on.push(worker);
             }
             EndKind::Stopped
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     utils::{HashMap, Name},
-    workload::{Resources, RunId, RunTimes, Step, WaitReason, Waiting, speeds::SLOWEST_STEP},
+    workload::{
+        Caution, Resources, RunId, RunTimes, Step, WaitReason, Waiting, speeds::SLOWEST_STEP,
+    },
 };
 
 /// A gang, or one task that stands alone, that waits for room.
@@ -43,6 +45,8 @@
     pub stands_still: bool,
     /// The only workers that may run it, where the queue's policy says which.
     pub only: Option<Vec<Name>>,
+    /// Whether it is for workers that have been seen to work.
+    pub caution: Caution,
 }
 
 impl Demand<'_> {
@@ -100,6 +104,8 @@
     pub is_open: bool,
     /// Higher for workers that have failed tasks or stand still.
     pub doubt: u32,
+    /// Whether it has been seen to work since workers began to fail; true where none do.
+    pub proven: bool,
     /// Whether tasks run there that serve their own users.
     pub serves: bool,
     /// Whether tasks run there that take what processor time is left over.
@@ -305,6 +311,7 @@
             let left = c.free.accelerators - needs.accelerators;
             (
                 room.doubt,
+                demand.caution != Caution::None && !room.proven,
                 is_kept_from(demand, room),
                 rank_of_speed(demand, room),
                 left,
@@ -371,6 +378,7 @@
             .is_none_or(|only| only.contains(&room.worker))
         && !(demand.shape.leftovers && room.serves)
         && !(demand.shape.response_ms > 0 && room.leftovers)
+        && (room.proven || demand.caution != Caution::OnlyProven)
         && label.is_none_or(|label| room.labels.contains(label))
         && room.capacity.fits(&demand.shape.needs)
 }
--- /dev/null
+++ b/dragonflyrun/src/workload/store_reach.rs
@@ -0,0 +1,64 @@
+//! Whether the store is away, as far as an entry can tell.
+//!
+//! Load pattern answered here: the store is down, or turns this host away while it serves others. A caller
+//! whose record is sent then may never hear what became of it, and cannot hand its job in again
+//! elsewhere; refused before anything is sent, it has all its time left for another entry.
+
+use std::time::{Duration, Instant};
+
+/// Silence that is bridged while reads fail: a store that refuses for a moment is not away.
+const BRIDGED: Duration = Duration::from_millis(300);
+
+/// Silence of the store after which it is away though no read has failed: the longest wait for news,
+/// and time for an answer on another connection.
+const MOST_SILENT: Duration = Duration::from_millis(1_300);
+
+/// How many of its usual delays the store may be silent beside that.
+const DELAYS: u32 = 4;
+
+/// What an entry has heard of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreReach {
+    /// When a call was last answered.
+    answered: Option<Instant>,
+    /// Whether a read has failed since.
+    failing: bool,
+    /// Whether an append has run out of time since, and no read was answered for as long.
+    suspect: bool,
+}
+
+impl StoreReach {
+    /// Takes note of an answer.
+    pub fn answered(&mut self, now: Instant) {
+        *self = Self {
+            answered: Some(now),
+            failing: false,
+            suspect: false,
+        };
+    }
+
+    /// Takes note of a read without an answer, or that was refused.
+    pub fn read_failed(&mut self) {
+        self.failing = true;
+    }
+
+    /// Takes note of an append that had no answer for `within`.
+    pub fn append_unanswered(&mut self, now: Instant, within: Duration) {
+        self.suspect |= self.silence(now) >= within;
+    }
+
+    /// Returns whether a record that is sent now would most likely be in doubt or refused, where the
+    /// store usually takes `delay` for an answer.
+    pub fn is_away(&self, now: Instant, delay: Duration) -> bool {
+        let silence = self.silence(now);
+        let refused = self.failing && silence > BRIDGED;
+        let silent = silence > MOST_SILENT + delay * DELAYS;
+        self.suspect || refused || silent
+    }
+
+    fn silence(&self, now: Instant) -> Duration {
+        self.answered.map_or(Duration::MAX, |answered| {
+            now.saturating_duration_since(answered)
+        })
+    }
+}
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -8,16 +8,20 @@
 use std::time::Duration;
 
 use crate::{
-    utils::{Name, Timestamp},
+    utils::{Name, Timestamp, spread},
     workload::Term,
 };
 
-/// Silence after which a planner is replaced. Two of its signs of life and the half second that a slow
-/// store takes for one of them; a shorter time would replace planners that are well.
-const SILENCE: Duration = Duration::from_millis(1_200);
+/// Silence after which a planner is replaced on a store that answers at once: three of its signs of life,
+/// and the pause with which other entries read them. A claim fails where another one has come meanwhile.
+const SILENCE: Duration = Duration::from_millis(800);
 
-/// Further silence, by the place of an entry's name among all: candidates rarely meet.
-const STAGGER: Duration = Duration::from_millis(100);
+/// Silence that is allowed beside that, in delays of the store: on a slow store the planner's signs of
+/// life queue with everything else.
+const SILENCE_DELAYS: u32 = 8;
+
+/// Names are spread over so many places, which tells candidates apart.
+const PLACES: u32 = 1 << 10;
 
 /// Numbers that terms of one rank are drawn from. Two candidates must not try with the same term:
 /// the store takes the second append for a repeat of the first and confirms it, and both would
@@ -97,9 +101,10 @@
         self.refused += 1;
     }
 
-    /// Returns what to do at `now`.
-    pub fn step(&self, now: Timestamp) -> TermStep {
-        let stagger = STAGGER * (stagger_place(&self.entry) % 4);
+    /// Returns what to do at `now`, where the store takes `delay` for an answer.
+    pub fn step(&self, now: Timestamp, delay: Duration) -> TermStep {
+        let silence = SILENCE + delay * SILENCE_DELAYS;
+        let stagger = silence.mul_f64(self.place().powi(2));
         // Whoever asks does not plan, so a term in its own name is one that an earlier process of
         // it held. Waiting for a sign of life of that one left all work standing for 1.2 s after
         // each loss of power of all hosts.
@@ -108,7 +113,7 @@
         let wait = if vacant {
             stagger / 4
         } else {
-            SILENCE + stagger
+            silence + stagger
         };
         if now.since(self.seen) < wait {
             return TermStep::Wait;
@@ -119,10 +124,12 @@
             resigned: false,
         })
     }
-}
 
-fn stagger_place(entry: &str) -> u32 {
-    entry.bytes().fold(0_u32, |sum, b| {
-        sum.wrapping_mul(31).wrapping_add(u32::from(b))
-    })
+    /// Returns the place of this entry among the candidates for the next term, from 0 to 1. Its square
+    /// spreads them so that the first few of many stand one after the other, and that of three the first
+    /// still stands soon.
+    fn place(&self) -> f64 {
+        let place = spread(&format!("{}/{}", self.entry, self.term.number)) % u64::from(PLACES);
+        place as f64 / f64::from(PLACES)
+    }
 }
--- /dev/null
+++ b/dragonflyrun/tests/last_attempt.rs
@@ -0,0 +1,56 @@
+//! Where the last attempt of a task runs while workers fail all that they start.
+
+mod workload_tables;
+
+use dragonflyrun::{port::EndKind, workload::Step};
+use workload_tables::{Bed, task};
+
+/// Fails the job's first two runs, of three that it may have, each on another worker.
+fn failed_twice(workers: usize) -> Bed {
+    let mut bed = Bed::new(workers);
+    bed.submit("job", 0, vec![task(8)]);
+    for _ in 0..2 {
+        bed.pass();
+        bed.report_all();
+        bed.end("job", EndKind::Failed);
+    }
+    bed
+}
+
+/// Guards against a job that is called failed since its last attempt went to a sick worker as well.
+#[test]
+fn waits_for_proof() {
+    let mut bed = failed_twice(3);
+    bed.pass();
+    assert!(bed.running("job").is_empty(), "nothing has worked since");
+    bed.wait(3_000);
+    bed.pass();
+    assert_eq!(bed.running("job").len(), 1, "it waits no longer than that");
+}
+
+/// Guards against a worker that has shown that it works and is passed over for one that has not.
+#[test]
+fn proven_first() {
+    let mut bed = failed_twice(4);
+    let small = Step {
+        estimate_ms: 9_000,
+        ..task(1)
+    };
+    bed.submit("probe", 2, vec![small]);
+    bed.pass();
+    bed.report_all();
+    let (proven, _) = bed.running("probe")[0].clone();
+    bed.wait(1_500);
+    bed.end("probe", EndKind::Done);
+    bed.pass();
+    assert_eq!(bed.running("job")[0].0, proven);
+}
+
+/// Guards against work that waits for proofs where a single job fails wherever it runs.
+#[test]
+fn first_attempts_go_on() {
+    let mut bed = failed_twice(3);
+    bed.submit("other", 0, vec![task(4)]);
+    bed.pass();
+    assert_eq!(bed.running("other").len(), 1);
+}
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -9,6 +9,9 @@
 
 const LATER: Duration = Duration::from_secs(5);
 
+/// The delay of a store that answers at once.
+const PROMPT: Duration = Duration::ZERO;
+
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
 }
@@ -39,7 +42,10 @@
     one.saw(at(0), &known);
     other.saw(at(0), &known);
     let later = at(0) + LATER;
-    let (one, other) = (tried(one.step(later)), tried(other.step(later)));
+    let (one, other) = (
+        tried(one.step(later, PROMPT)),
+        tried(other.step(later, PROMPT)),
+    );
     assert_ne!(one.number, other.number);
     assert!(one.number > known.number && other.number > known.number);
 }
@@ -49,10 +55,10 @@
     let mut election = Election::new("one".into(), 17, at(0));
     let known = term(1, "other", false);
     election.saw(at(1_000), &known);
-    assert_eq!(election.step(at(1_900)), TermStep::Wait);
+    assert_eq!(election.step(at(1_900), PROMPT), TermStep::Wait);
     election.saw_plan(at(2_000));
-    assert_eq!(election.step(at(2_900)), TermStep::Wait);
-    assert!(matches!(election.step(at(4_000)), TermStep::Try(_)));
+    assert_eq!(election.step(at(2_900), PROMPT), TermStep::Wait);
+    assert!(matches!(election.step(at(4_000), PROMPT), TermStep::Try(_)));
 }
 
 /// The planner stops as planned and says so. Callers should not wait out its silence.
@@ -61,7 +67,7 @@
     let mut election = Election::new("one".into(), 17, at(0));
     let known = term(1, "other", true);
     election.saw(at(1_000), &known);
-    assert!(matches!(election.step(at(1_100)), TermStep::Try(_)));
+    assert!(matches!(election.step(at(1_100), PROMPT), TermStep::Try(_)));
 }
 
 /// The entry itself could not read for a while. What it calls silence is its own, and standing on
@@ -72,7 +78,7 @@
     let known = term(1, "other", false);
     election.saw(at(1_000), &known);
     election.was_cut_off(at(9_000));
-    assert_eq!(election.step(at(9_500)), TermStep::Wait);
+    assert_eq!(election.step(at(9_500), PROMPT), TermStep::Wait);
 }
 
 /// A record of a term that was succeeded arrives late. It is no sign of life of the planner of now.
@@ -83,7 +89,7 @@
     election.saw(at(1_000), &known);
     let old = term(1, "gone", false);
     election.saw(at(3_000), &old);
-    assert!(matches!(election.step(at(4_000)), TermStep::Try(_)));
+    assert!(matches!(election.step(at(4_000), PROMPT), TermStep::Try(_)));
 }
 
 /// All hosts lose power, the planner's among them, and start again. Nobody plans, and the entry that
@@ -94,7 +100,7 @@
     let mut election = Election::new("one".into(), 17, at(0));
     let known = term(1, "one", false);
     election.saw(at(1_000), &known);
-    let next = tried(election.step(at(1_100)));
+    let next = tried(election.step(at(1_100), PROMPT));
     assert!(next.number > known.number);
 }
 
@@ -107,10 +113,10 @@
     let known = term(3, "gone", true);
     election.saw(at(0), &known);
     let dead = (4 << 20) + 900;
-    let first = tried(election.step(at(1_000)));
+    let first = tried(election.step(at(1_000), PROMPT));
     assert!(first.number < dead);
     election.was_refused();
-    let second = tried(election.step(at(1_100)));
+    let second = tried(election.step(at(1_100), PROMPT));
     assert!(second.number > dead);
     election.saw(
         at(1_200),
@@ -119,6 +125,37 @@
             ..second.clone()
         },
     );
-    let next = tried(election.step(at(2_300)));
+    let next = tried(election.step(at(2_300), PROMPT));
     assert_eq!(next.number >> 20, (second.number >> 20) + 1);
 }
+
+/// Guards against a planner that is replaced since its signs of life queue on a slow store.
+#[test]
+fn slow_store() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    election.saw(at(0), &term(1, "other", false));
+    let delay = Duration::from_millis(250);
+    assert_eq!(election.step(at(2_700), delay), TermStep::Wait);
+    assert!(matches!(election.step(at(9_000), delay), TermStep::Try(_)));
+}
+
+/// Guards against a crowd of candidates: their claims queue on the partition that the planner writes to.
+#[test]
+fn few_stand() {
+    const ENTRIES: usize = 55;
+    let mut stood = Vec::new();
+    for ms in (0..5_000).step_by(20) {
+        let elections = (0..ENTRIES).map(|i| {
+            let name = format!("front-{i}");
+            let mut election = Election::new(name.as_str().into(), 17, at(0));
+            election.saw(at(0), &term(1, "other", false));
+            election
+        });
+        let standing = elections.filter(|e| e.step(at(ms), PROMPT) != TermStep::Wait);
+        stood.push(standing.count());
+    }
+    let first = stood.iter().position(|n| *n > 0).expect("a candidate");
+    // A claim takes some 40 ms to be won and read by the others.
+    assert!(stood[first + 2] <= 12, "{:?}", &stood[first..first + 5]);
+    assert_eq!(stood.last(), Some(&ENTRIES));
+}
