Let last attempts wait for proven workers only where several workers fail all that they start

Change: it waits only where two workers or more have failed two runs in a row; elsewhere it prefers proven workers and starts at once. Tests: last_attempt single_failures (fails before), sick_workers set up as the load shows them.

--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -38,6 +38,8 @@
     pub(super) guaranteed: &'a HashSet<Name>,
     /// Whether less than half of the room is in use.
     pub(super) idle: bool,
+    /// Whether several workers fail all that they start.
+    pub(super) sick_workers: bool,
 }
 
 impl Demands<'_, '_> {
@@ -135,13 +137,13 @@
     }
 
     /// Returns how much a task, or its gang, cares where it runs: its last attempt does, and waits a
-    /// while after the failure before it.
+    /// while after the failure before it where workers are sick.
     fn caution(&self, live: &LiveJob, occurrence: u32, step: u32, index: u32) -> Caution {
         if !live.is_last_attempt(occurrence, step, index) {
             return Caution::None;
         }
         let failed = live.failed_at.map(|at| self.view.now.since(at));
-        if failed.is_some_and(|ago| ago < CAUTIOUS_FOR) {
+        if self.sick_workers && failed.is_some_and(|ago| ago < CAUTIOUS_FOR) {
             Caution::OnlyProven
         } else {
             Caution::PreferProven
--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -97,7 +97,8 @@
                     counted.failed += 1;
                 }
                 live.failed_at = Some(now);
-                self.failures.failed(now, &worker);
+                let in_a_row = self.fleet.get(&worker).map_or(1, |w| w.failures);
+                self.failures.failed(now, &worker, in_a_row);
                 live.failed_on.push(worker);
             }
             EndKind::Stopped
--- a/dragonflyrun/src/workload/trust.rs
+++ b/dragonflyrun/src/workload/trust.rs
@@ -15,10 +15,13 @@
 /// Time for which a failure counts.
 const REMEMBERED: Duration = Duration::from_secs(10);
 
-/// Workers that have failed lately from which on more of them are taken to be sick. A single one may
-/// have been given a task that fails anywhere.
+/// Workers that have failed lately from which on others may be sick as well. A single one may have been
+/// given a task that fails anywhere.
 const MANY: usize = 2;
 
+/// Failures in a row after which a worker is taken to be sick; single ones happen anywhere.
+const IN_A_ROW: u32 = 2;
+
 /// How much a demand cares on which workers it runs.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Caution {
@@ -34,20 +37,32 @@
 /// The failures of the last seconds, by worker.
 #[derive(Clone, Debug, Default)]
 pub(super) struct RecentFailures {
-    failures: VecDeque<(Timestamp, Name)>,
+    failures: VecDeque<Failure>,
+}
+
+#[derive(Clone, Debug)]
+struct Failure {
+    at: Timestamp,
+    worker: Name,
+    /// How many runs had failed there one after the other.
+    in_a_row: u32,
 }
 
 impl RecentFailures {
-    /// Takes note that a run failed on a worker.
-    pub(super) fn failed(&mut self, now: Timestamp, worker: &Name) {
-        self.failures.push_back((now, worker.clone()));
+    /// Takes note that a run failed on a worker, the newest of so many in a row.
+    pub(super) fn failed(&mut self, now: Timestamp, worker: &Name, in_a_row: u32) {
+        self.failures.push_back(Failure {
+            at: now,
+            worker: worker.clone(),
+            in_a_row,
+        });
         self.forget(now);
     }
 
     /// Forgets old failures.
     pub(super) fn forget(&mut self, now: Timestamp) {
-        while let Some((at, _)) = self.failures.front()
-            && now.since(*at) > REMEMBERED
+        while let Some(oldest) = self.failures.front()
+            && now.since(oldest.at) > REMEMBERED
         {
             self.failures.pop_front();
         }
@@ -55,9 +70,20 @@
 
     /// Returns since when several workers have been failing; none where it is one at the most.
     pub(super) fn since(&self) -> Option<Timestamp> {
-        let workers: HashSet<&Name> = self.failures.iter().map(|(_, worker)| worker).collect();
-        let (first, _) = self.failures.front()?;
-        (workers.len() >= MANY).then_some(*first)
+        let first = self.failures.front()?;
+        (self.workers(1) >= MANY).then_some(first.at)
+    }
+
+    /// Returns whether several workers fail all that they start.
+    pub(super) fn are_workers_sick(&self) -> bool {
+        self.workers(IN_A_ROW) >= MANY
+    }
+
+    /// Returns the number of workers that have failed at least so many runs in a row.
+    fn workers(&self, in_a_row: u32) -> usize {
+        let failures = self.failures.iter().filter(|f| f.in_a_row >= in_a_row);
+        let workers: HashSet<&Name> = failures.map(|f| &f.worker).collect();
+        workers.len()
     }
 
     /// Returns whether a worker has been seen to work since workers began to fail.
--- a/dragonflyrun/tests/last_attempt.rs
+++ b/dragonflyrun/tests/last_attempt.rs
@@ -2,7 +2,7 @@
 
 mod workload_tables;
 
-use dragonflyrun::{port::EndKind, workload::Step};
+use dragonflyrun::port::EndKind;
 use workload_tables::{Bed, task};
 
 /// Fails the job's first two runs, of three that it may have, each on another worker.
@@ -17,10 +17,36 @@
     bed
 }
 
+/// Returns workers of which the first two have failed two runs each.
+fn sick_workers(workers: usize) -> Bed {
+    let jobs = ["one", "other"];
+    let mut bed = Bed::new(2);
+    for name in jobs {
+        bed.submit(name, 2, vec![task(8)]);
+    }
+    for _ in 0..2 {
+        bed.pass();
+        bed.report_all();
+        for name in jobs {
+            bed.end(name, EndKind::Failed);
+        }
+    }
+    for i in 2..workers {
+        bed.add_worker(&format!("w{i}"), "r0");
+    }
+    bed
+}
+
 /// Guards against a job that is called failed since its last attempt went to a sick worker as well.
 #[test]
 fn waits_for_proof() {
-    let mut bed = failed_twice(3);
+    let mut bed = sick_workers(12);
+    bed.submit("job", 0, vec![task(8)]);
+    for _ in 0..2 {
+        bed.pass();
+        bed.report_all();
+        bed.end("job", EndKind::Failed);
+    }
     bed.pass();
     assert!(bed.running("job").is_empty(), "nothing has worked since");
     bed.wait(3_000);
@@ -28,22 +54,31 @@
     assert_eq!(bed.running("job").len(), 1, "it waits no longer than that");
 }
 
+/// Guards against waiting for proofs where nothing but single failures has been seen.
+#[test]
+fn single_failures() {
+    let mut bed = failed_twice(3);
+    bed.pass();
+    assert_eq!(bed.running("job").len(), 1);
+}
+
 /// Guards against a worker that has shown that it works and is passed over for one that has not.
 #[test]
 fn proven_first() {
-    let mut bed = failed_twice(4);
-    let small = Step {
-        estimate_ms: 9_000,
-        ..task(1)
-    };
-    bed.submit("probe", 2, vec![small]);
+    let mut bed = Bed::new(4);
+    bed.submit("job", 0, vec![task(8)]);
+    bed.pass();
+    bed.report_all();
+    bed.end("job", EndKind::Failed);
+    bed.submit("probe", 0, vec![task(8)]);
     bed.pass();
     bed.report_all();
-    let (proven, _) = bed.running("probe")[0].clone();
+    let probed = bed.running("probe")[0].0.clone();
     bed.wait(1_500);
     bed.end("probe", EndKind::Done);
+    bed.end("job", EndKind::Failed);
     bed.pass();
-    assert_eq!(bed.running("job")[0].0, proven);
+    assert_eq!(bed.running("job")[0].0, probed);
 }
 
 /// Guards against work that waits for proofs where a single job fails wherever it runs.
