Refuse jobs whose names are longer than a record's key holds

Cause: the key of a job's record is cut at 255 bytes; a job with a longer name was accepted and never read again (open in docs/PROMISES.md).

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -27,7 +27,7 @@
         },
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
-    workload::{Book, Election, Job, JobRecord, LookUp, StoreReach, Waiting},
+    workload::{Book, Election, Job, JobRecord, LookUp, MOST_NAME_BYTES, StoreReach, Waiting},
 };
 
 /// How long a read waits for news. An answer proves that what is known was current when the read
@@ -516,7 +516,7 @@
                 LookUp::Unknown => self.not_known(),
             },
             CallerCall::Cancel => self.cancel(&req, &name).await,
-            CallerCall::Submit(Some(job)) if job.is_sound() && !name.is_empty() => {
+            CallerCall::Submit(Some(job)) if job.is_sound() && is_storable(&name) => {
                 let job = Job {
                     name,
                     queue: admitted.queue.name.clone(),
@@ -573,6 +573,11 @@
     u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
 }
 
+/// Returns whether records of a job with this name can be told apart in the store.
+fn is_storable(name: &str) -> bool {
+    !name.is_empty() && name.len() <= MOST_NAME_BYTES
+}
+
 fn outcome_name(answer: &Result<(), CallerAnswer>) -> &'static str {
     match answer {
         Ok(()) => "stored",
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -40,7 +40,7 @@
 pub use pace::Pace;
 pub use plan::{JobPlan, Outcome, Place, TaskPlan};
 pub use planner::{Decisions, Planner, PlannerBounds, View, WorkerOrder};
-pub use record::{JobRecord, Term, decode, encode};
+pub use record::{JobRecord, MOST_NAME_BYTES, Term, decode, encode};
 pub use run_times::RunTimes;
 pub use schedule::{Demand, Hold, Room};
 pub use speeds::WorkerSpeeds;
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -16,6 +16,12 @@
 const PLANNER_KEY: &str = "planner";
 
 const JOB_PREFIX: &str = "j/";
+
+/// Bytes that a key of the store holds at the most.
+const KEY_BYTES: usize = 255;
+
+/// Bytes of a job's name at the most: its records are kept under keys that have it behind a prefix.
+pub const MOST_NAME_BYTES: usize = KEY_BYTES - JOB_PREFIX.len();
 const CANCEL_PREFIX: &str = "c/";
 const PLAN_PREFIX: &str = "p/";
 
