Let gangs that starve clear patient work, and spare work that would be of no use if it began again

Change: a gang of which nothing has run for 8 s may evict less urgent work, within the same bound on lost work as urgent work. The cost of an eviction counts three times the work of a job that would be done too late to be of use, with the time that it waited for room before.

--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -26,8 +26,9 @@
 /// kept for more urgent work: its callers would see it stand still beside free workers.
 const STANDING_MS: u64 = 8_000;
 
-/// Time after a failure for which the last attempt waits for workers that have been seen to work.
-const CAUTIOUS_FOR: Duration = Duration::from_millis(2_500);
+/// Share of a job's time to its objective for which its last attempt waits, after the failure before it,
+/// for workers that have been seen to work.
+const CAUTIOUS_SHARE: u64 = 3;
 
 /// Builds the demands of one pass.
 pub(super) struct Demands<'a, 'v> {
@@ -143,7 +144,9 @@
             return Caution::None;
         }
         let failed = live.failed_at.map(|at| self.view.now.since(at));
-        if self.sick_workers && failed.is_some_and(|ago| ago < CAUTIOUS_FOR) {
+        let time_ms = live.objective_ms(self.times, occurrence) - live.begin_ms(occurrence);
+        let most = Duration::from_millis(time_ms / CAUTIOUS_SHARE);
+        if self.sick_workers && failed.is_some_and(|ago| ago < most) {
             Caution::OnlyProven
         } else {
             Caution::PreferProven
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -32,6 +32,12 @@
 /// Added to the cost of evicting urgent work, in core-seconds: more than any task has to lose.
 const URGENT_COST: f64 = 1e6;
 
+/// A job that is done later than so many times its objective is of no use to its caller.
+const OF_USE: u64 = 3;
+
+/// How many times its own work it costs that a job is of no use: its caller has waited for nothing.
+const UNSERVED_COST: f64 = 3.0;
+
 /// Blocked demands for which room is held in one pass: each holds back smaller work.
 const MOST_HOLDS: u32 = 3;
 
@@ -245,8 +251,7 @@
 
     /// Returns whether the demand waits for room that is being made, after ordering what is missing.
     fn make_room(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
-        let may_evict = demand.guaranteed || (demand.priority == 0 && demand.slack_ms > 0);
-        if !may_evict {
+        if !may_evict(demand) {
             return false;
         }
         if let Some(found) = schedule::place(demand, &self.rooms, Horizon::Soon, placed) {
@@ -332,6 +337,15 @@
     }
 }
 
+/// Returns whether other work may be stopped for a demand: for urgent work that can be in time, and for a gang
+/// of which nothing has run for long. Small tasks would keep such a gang from whole workers side by
+/// side for as long as they keep coming.
+fn may_evict(demand: &Demand<'_>) -> bool {
+    let in_time = demand.priority == 0 && demand.slack_ms > 0;
+    let starves = demand.shape.gang && demand.stands_still;
+    demand.guaranteed || in_time || starves
+}
+
 /// Returns the core-seconds that may be thrown away for a demand.
 fn most_cost(demand: &Demand<'_>) -> f64 {
     if demand.guaranteed {
@@ -463,20 +477,37 @@
     u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Returns what it costs that a run's job loses its objective by beginning anew, in core-seconds:
-/// its own work, which would then be done for little.
-fn lateness(live: &LiveJob, run: &RunId, times: &RunTimes, view: &View<'_>) -> f64 {
+/// Returns what it costs that a run's job loses its objective, or its use, by beginning anew, in
+/// core-seconds: its own work, which would then be done for little, or several times that.
+fn lateness(
+    live: &LiveJob,
+    run: &RunId,
+    state: &WorkerRun,
+    times: &RunTimes,
+    view: &View<'_>,
+) -> f64 {
     let Some(step) = live.job.request.steps.get(run.task.step as usize) else {
         return 0.0;
     };
     let estimate_ms = times.estimate_ms(&live.job.queue, step.estimate_ms);
+    let work = step.needs.weight() * estimate_ms as f64 / 1_000.0;
+    let begin_ms = live.begin_ms(run.task.occurrence);
     let objective_ms = live.objective_ms(times, run.task.occurrence);
-    let is_lost = objective_ms < view.unix_ms;
-    let would_be = objective_ms < view.unix_ms + estimate_ms;
-    if is_lost || !would_be {
-        return 0.0;
+    let useless_ms = begin_ms + (objective_ms - begin_ms) * OF_USE;
+    // It may have to wait for room as long as it did before it was started.
+    let waited_ms = view
+        .unix_ms
+        .saturating_sub(begin_ms + elapsed_ms(state, view));
+    let again_ms = view.unix_ms + estimate_ms;
+    if useless_ms < view.unix_ms {
+        0.0
+    } else if useless_ms < again_ms + waited_ms {
+        work * UNSERVED_COST
+    } else if view.unix_ms <= objective_ms && objective_ms < again_ms {
+        work
+    } else {
+        0.0
     }
-    step.needs.weight() * estimate_ms as f64 / 1_000.0
 }
 
 /// Returns what may be evicted, with what that loses.
@@ -526,7 +557,7 @@
             // and over while others are spared.
             let again = f64::from(live.evictions + 1);
             victim.cost +=
-                unsaved * state.needs.weight() * again + lateness(live, run, times, view);
+                unsaved * state.needs.weight() * again + lateness(live, run, state, times, view);
             victim.parts.push((i, run.clone(), state.needs));
         }
     }
