Write what a caller handed in once an order, and learn the store's delay from empty answers exactly

Change: starts of one order that share it carry it once. Tests: packed_starts (payload_once fails before). The store's delay was taken for nothing where news came shortly after the wait; answers with news now count with all of their time.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -21,7 +21,6 @@
             Lanes, StoreSettings,
             entry::{unix_ms, wait_for},
             reader::Reader,
-            time_for_try,
         },
     },
     utils::{HashSet, Name, lock},
@@ -230,7 +229,7 @@
         // The planner has to hear that the session is closed before another one opens.
         self.report.notify_one();
         if lock(&self.table).is_closed() {
-            self.append_reports(REPORT_TIMEOUT).await;
+            self.append_reports().await;
             lock(&self.table).forget_departed();
         }
     }
@@ -343,13 +342,12 @@
             let spaced = (took * REPORT_SPACING).min(longest).max(usual);
             wait_for(&self.report, spaced).await;
             let began = Instant::now();
-            self.append_reports(took).await;
+            self.append_reports().await;
             took = began.elapsed();
         }
     }
 
-    /// Appends what there is to report, on a store that has taken `delay` for the last report.
-    async fn append_reports(&self, delay: Duration) {
+    async fn append_reports(&self) {
         let reports = lock(&self.table).reports(unix_ms());
         if reports.is_empty() {
             return;
@@ -365,8 +363,7 @@
                 writer: None,
                 at: None,
             };
-            let within = time_for_try(0, delay, REPORT_TIMEOUT);
-            if let Err(error) = self.store.append(&append, within).await {
+            if let Err(error) = self.store.append(&append, REPORT_TIMEOUT).await {
                 self.counters.event("report_not_stored");
                 log::debug!(reason:% = error; "report_not_stored");
                 sleep(PAUSE).await;
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -23,7 +23,7 @@
         Counters,
         on_store::{
             Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm,
-            read_pause::ReadPause, time_for_try,
+            read_pause::ReadPause,
         },
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
@@ -387,7 +387,6 @@
         };
         let end = Instant::now() + req.patience.mul_f64(PATIENCE_SHARE);
         let mut doubtful = false;
-        let mut unanswered = 0;
         let mut refused = 0;
         loop {
             let left = end.saturating_duration_since(Instant::now());
@@ -398,8 +397,7 @@
                 return Err(self.refuse(Refusal::StoreAway));
             }
             let asked = Instant::now();
-            let within = time_for_try(unanswered, self.store_delay(), APPEND_TIMEOUT.min(left));
-            let appended = self.store.append(&append, within).await;
+            let appended = self.store.append(&append, left.min(APPEND_TIMEOUT)).await;
             self.counters.latency("append", asked.elapsed());
             match appended {
                 Ok(_) => {
@@ -408,7 +406,6 @@
                 }
                 Err(AppendError::Unknown(reason)) => {
                     doubtful = true;
-                    unanswered += 1;
                     let mut state = lock(&self.state);
                     state
                         .reach
@@ -429,11 +426,6 @@
         }
     }
 
-    /// Returns how long the store takes for an answer.
-    pub(super) fn store_delay(&self) -> Duration {
-        lock(&self.state).store_delay
-    }
-
     fn store_is_away(&self) -> bool {
         let state = lock(&self.state);
         state.reach.is_away(Instant::now(), state.store_delay)
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -6,7 +6,6 @@
 //! `docs/SYSTEM.md` tells the design.
 
 mod agent;
-mod append_time;
 mod boot_clock;
 mod entry;
 mod follower;
@@ -20,7 +19,6 @@
 mod view;
 
 pub use agent::StoreAgent;
-pub use append_time::time_for_try;
 pub use boot_clock::BootTime;
 pub use entry::{OperatorDecoder, StoreEntry};
 pub use follower::{Batch, Follower};
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -31,7 +31,8 @@
 /// How long the store takes for an answer, beside the time that it waits for news.
 #[derive(Debug, Default)]
 struct StoreDelay {
-    /// The newest answers; of one that came early for its news, the delay is at most that time.
+    /// Of the newest answers: what an empty one took beyond the wait, and what one with news took in
+    /// all, since nobody knows when the news came.
     newest: VecDeque<Duration>,
 }
 
@@ -39,11 +40,15 @@
     /// Answers that are remembered: so many in a row that all came late for their news are rare.
     const REMEMBERED: usize = 4;
 
-    fn learn(&mut self, took: Duration, wait: Duration) {
+    fn learn(&mut self, took: Duration, wait: Duration, has_news: bool) {
         if self.newest.len() == Self::REMEMBERED {
             self.newest.pop_front();
         }
-        let delay = took.checked_sub(wait).unwrap_or(took);
+        let delay = if has_news {
+            took
+        } else {
+            took.saturating_sub(wait)
+        };
         self.newest.push_back(delay);
     }
 
@@ -106,8 +111,9 @@
     }
 
     fn learn(&mut self, sent: Instant, wait: Duration, answer: &Result<Page, ReadError>) {
-        if answer.is_ok() {
-            self.delay.learn(sent.elapsed(), wait);
+        if let Ok(page) = answer {
+            let has_news = !page.records.is_empty();
+            self.delay.learn(sent.elapsed(), wait, has_news);
         }
     }
 }
--- a/dragonflyrun/src/process/on_store/term_writer.rs
+++ b/dragonflyrun/src/process/on_store/term_writer.rs
@@ -10,8 +10,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    port::{Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
-    process::on_store::{StoreEntry, time_for_try},
+    port::{Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
+    process::on_store::StoreEntry,
     utils::HashMap,
 };
 
@@ -38,7 +38,7 @@
     lost: Cell<bool>,
 }
 
-impl<S: Store, A: Advisor> TermWriter<S, A> {
+impl<S: Store, A> TermWriter<S, A> {
     /// Returns the writer of the term with this number, whose first append was the claim.
     pub(super) fn new(entry: Arc<StoreEntry<S, A>>, term: u64) -> Self {
         let claimed = (Partition::JOBS, FIRST_SEQUENCE + 1);
@@ -71,13 +71,11 @@
         let turn = self.turn(partition);
         let _turn = turn.lock().await;
         let mut append = self.next(partition, records);
-        let mut unanswered = 0;
         loop {
             if self.is_lost() {
                 return None;
             }
-            let within = time_for_try(unanswered, self.entry.store_delay(), APPEND_TIMEOUT);
-            match self.entry.store.append(&append, within).await {
+            match self.entry.store.append(&append, APPEND_TIMEOUT).await {
                 Ok(appended) => return Some(appended),
                 Err(AppendError::Fenced | AppendError::Moved(_)) => {
                     log::warn!(term = self.term, partition:? = partition; "term_lost");
@@ -93,10 +91,7 @@
                         self.sequences.borrow_mut().insert(partition, expected + 1);
                     }
                 }
-                Err(error) => {
-                    unanswered += u32::from(matches!(error, AppendError::Unknown(_)));
-                    log::debug!(reason:% = error; "append_again");
-                }
+                Err(error) => log::debug!(reason:% = error; "append_again"),
             }
             sleep(APPEND_PAUSE).await;
         }
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -10,24 +10,21 @@
     workload::{
         Pace,
         RunId,
+        packed_starts,
         skip::{is_false, is_zero_u64}, //
     },
 };
 
 /// A run that an agent is to start.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TaskStart {
     /// Which run of which task.
-    #[serde(rename = "r")]
     pub run: RunId,
     /// What the caller handed in.
-    #[serde(rename = "p")]
     pub payload: Arc<str>,
     /// Where the task goes on; empty for the beginning.
-    #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
     /// Proof for the queue's policy that the worker may run the step.
-    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub ticket: Option<String>,
 }
 
@@ -38,7 +35,12 @@
     #[serde(rename = "x", default, skip_serializing_if = "Vec::is_empty")]
     pub stops: Vec<RunId>,
     /// Runs to start.
-    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(
+        rename = "s",
+        default,
+        skip_serializing_if = "Vec::is_empty",
+        with = "packed_starts"
+    )]
     pub starts: Vec<TaskStart>,
     /// Ends up to this number stand in the plan and may be confirmed to the worker.
     #[serde(rename = "n", default, skip_serializing_if = "is_zero_u64")]
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -16,6 +16,7 @@
 mod message;
 mod overdue;
 mod pace;
+mod packed_starts;
 mod pass;
 mod plan;
 mod planner;
