Refuse a job at once where a short read shows that the store cannot be reached

Ruled out: a shorter time for appends (the outcome is in doubt all the same, and repeats queue on a slow store). Tests: store_faults cut_off_entry (504 before).

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -17,7 +17,7 @@
 use crate::{
     port::{
         Advisor, Append, AppendError, CallerAnswer, CallerCall, CallerRequest, Configuration,
-        Entrance, JobState, OperatorRecord, Partition, Refusal, Store, StoreRecord,
+        Entrance, JobState, OperatorRecord, Partition, ReadError, Refusal, Store, StoreRecord,
     },
     process::{
         Counters,
@@ -51,6 +51,12 @@
 /// Time for one append of a caller's record.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time for the read that shows whether the store can be reached.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How many of the store's usual delays that read may take.
+const PROBE_DELAYS: u32 = 4;
+
 /// Pause between two tries of an append.
 const APPEND_PAUSE: Duration = Duration::from_millis(60);
 
@@ -385,6 +391,9 @@
             writer: None,
             at: None,
         };
+        if !self.store_answers().await {
+            return Err(self.refuse(Refusal::StoreAway));
+        }
         let end = Instant::now() + req.patience.mul_f64(PATIENCE_SHARE);
         let mut doubtful = false;
         let mut refused = 0;
@@ -426,6 +435,34 @@
         }
     }
 
+    /// Returns whether the store can be reached, by an answer of a moment ago or by a short read.
+    ///
+    /// A record that is sent into a partition leaves its caller in doubt until its patience ends. A read that
+    /// is not answered harms nobody: the caller is refused truly, and tries another entry.
+    async fn store_answers(&self) -> bool {
+        let (recent, delay, end) = {
+            let state = lock(&self.state);
+            let recent = state.reach.is_recent(Instant::now(), state.store_delay);
+            (recent, state.store_delay, state.book_end)
+        };
+        if recent {
+            return true;
+        }
+        let within = PROBE_TIMEOUT.max(delay * PROBE_DELAYS);
+        let read = self.store.read(Partition::JOBS, end, Duration::ZERO);
+        let answered = match timeout(within, read).await {
+            Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
+            Ok(Err(ReadError::Unavailable(_))) | Err(_) => false,
+        };
+        let mut state = lock(&self.state);
+        if answered {
+            state.reach.answered(Instant::now());
+        } else {
+            state.reach.read_failed();
+        }
+        answered
+    }
+
     fn store_is_away(&self) -> bool {
         let state = lock(&self.state);
         state.reach.is_away(Instant::now(), state.store_delay)
--- a/dragonflyrun/src/workload/store_reach.rs
+++ b/dragonflyrun/src/workload/store_reach.rs
@@ -9,6 +9,9 @@
 /// Silence that is bridged while reads fail: a store that refuses for a moment is not away.
 const BRIDGED: Duration = Duration::from_millis(300);
 
+/// Age up to which an answer shows that the store can be reached now.
+const RECENT: Duration = Duration::from_millis(100);
+
 /// Silence of the store after which it is away though no read has failed: the longest wait for news,
 /// and time for an answer on another connection.
 const MOST_SILENT: Duration = Duration::from_millis(1_300);
@@ -56,6 +59,11 @@
         self.suspect || refused || silent
     }
 
+    /// Returns whether the store has answered a moment ago.
+    pub fn is_recent(&self, now: Instant, delay: Duration) -> bool {
+        self.silence(now) < RECENT + delay
+    }
+
     fn silence(&self, now: Instant) -> Duration {
         self.answered.map_or(Duration::MAX, |answered| {
             now.saturating_duration_since(answered)
