--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -7,6 +7,8 @@
 
 mod agent;
 mod boot_clock;
+mod caller_records;
+mod entrance;
 mod entry;
 mod follower;
 mod lanes;
--- a/dragonflyrun/src/workload/packed_starts.rs
+++ b/dragonflyrun/src/workload/packed_starts.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern answered here: a step of hundreds of small tasks is started at once by a planner whose
 //! host has a slow link. Each worker takes several of the tasks, and the same text in each of their
-//! starts kept everything that came after them waiting for some 0.2 s.
+//! starts would keep everything that comes after them waiting.
 
 use std::sync::Arc;
 
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -428,7 +428,7 @@
     /// Returns the silence up to which an agent is taken to live: longer where the others are late too.
     ///
     /// On a slow store the reports of all agents queue. Held to the bound of a fast one, agents that
-    /// live were given up one by one, and everything that ran on their workers was stopped.
+    /// live would be given up one by one, and everything that runs on their workers stopped.
     fn most_silence(&self, view: &View<'_>, reports_since: Timestamp) -> Duration {
         let open = self
             .fleet
--- a/dragonflyrun/src/workload/store_reach.rs
+++ b/dragonflyrun/src/workload/store_reach.rs
@@ -16,6 +16,12 @@
 /// and time for an answer on another connection.
 const MOST_SILENT: Duration = Duration::from_millis(1_300);
 
+/// When callers come back after a refusal at the earliest: the time in which a short outage ends.
+const LEAST_RETRY: Duration = Duration::from_secs(1);
+
+/// When they come back at the latest: only this host may be cut off, and others would serve them.
+const MOST_RETRY: Duration = Duration::from_secs(2);
+
 /// How many of its usual delays the store may be silent beside that.
 const DELAYS: u32 = 4;
 
@@ -59,6 +65,12 @@
         self.suspect || refused || silent
     }
 
+    /// Returns when a caller that is refused should come back: an outage is expected to last as long again
+    /// as it has lasted. Callers try a few times only, and must not use up their tries while it lasts.
+    pub fn retry_after(&self, now: Instant) -> Duration {
+        self.silence(now).clamp(LEAST_RETRY, MOST_RETRY)
+    }
+
     /// Returns whether the store has answered a moment ago.
     pub fn is_recent(&self, now: Instant, delay: Duration) -> bool {
         self.silence(now) < RECENT + delay
--- a/dragonflyrun/tests/store_reach.rs
+++ b/dragonflyrun/tests/store_reach.rs
@@ -54,3 +54,17 @@
     reach.append_unanswered(start + ms(950), ms(900));
     assert!(reach.is_away(start + ms(950), PROMPT));
 }
+
+/// Guards against callers that use up their few tries while an outage of some seconds lasts.
+#[test]
+fn retries_outlast() {
+    const TRIES: u32 = 5;
+    let start = Instant::now();
+    let reach = reached(start);
+    let mut asked = start + ms(400);
+    for _ in 1..TRIES {
+        asked += reach.retry_after(asked);
+    }
+    assert!(asked > start + ms(6_000));
+    assert!(reach.retry_after(start) <= ms(1_000), "a short refusal");
+}
