Tell sick workers by runs of several jobs that fail at once

Change: a failure within 0.7 s of a run's start, or the second in a row, speaks against its worker; 2% of the workers, two at least, and more than one job have to show it. Tests: last_attempt fails_at_once (fails before), single_failures as before.

--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -468,7 +468,7 @@
             times: &self.run_times,
             guaranteed: &guaranteed,
             idle: pass.is_idle(),
-            sick_workers: self.failures.are_workers_sick(),
+            sick_workers: self.failures.are_workers_sick(self.fleet.workers().count()),
         };
         let mut demands = builder.all(&self.jobs);
         if !view.is_fresh {
--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -1,6 +1,8 @@
 //! What follows from a run that is over: ends of tasks, gangs and jobs, and stops of what must not
 //! run any more.
 
+use std::time::Duration;
+
 use crate::{
     port::{EndKind, StartOutcome},
     utils::{Name, Timestamp},
@@ -98,7 +100,9 @@
                 }
                 live.failed_at = Some(now);
                 let in_a_row = self.fleet.get(&worker).map_or(1, |w| w.failures);
-                self.failures.failed(now, &worker, in_a_row);
+                let ran = running_since.map_or(Duration::ZERO, |since| now.since(since));
+                self.failures
+                    .failed(now, &worker, &run.task.job, ran, in_a_row);
                 live.failed_on.push(worker);
             }
             EndKind::Stopped
--- a/dragonflyrun/src/workload/trust.rs
+++ b/dragonflyrun/src/workload/trust.rs
@@ -19,9 +19,16 @@
 /// given a task that fails anywhere.
 const MANY: usize = 2;
 
+/// Share of all workers from which on those that have failed are more than chance brings.
+const MANY_SHARE: f64 = 0.02;
+
 /// Failures in a row after which a worker is taken to be sick; single ones happen anywhere.
 const IN_A_ROW: u32 = 2;
 
+/// A run that fails sooner after its start speaks against its worker: tasks that fail by themselves
+/// work for a while before.
+const AT_ONCE: Duration = Duration::from_millis(700);
+
 /// How much a demand cares on which workers it runs.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Caution {
@@ -44,17 +51,26 @@
 struct Failure {
     at: Timestamp,
     worker: Name,
-    /// How many runs had failed there one after the other.
-    in_a_row: u32,
+    job: Name,
+    /// Whether it speaks against the worker rather than the task.
+    is_sign: bool,
 }
 
 impl RecentFailures {
-    /// Takes note that a run failed on a worker, the newest of so many in a row.
-    pub(super) fn failed(&mut self, now: Timestamp, worker: &Name, in_a_row: u32) {
+    /// Takes note that a run of a job failed on a worker after `ran`, the newest of so many in a row.
+    pub(super) fn failed(
+        &mut self,
+        now: Timestamp,
+        worker: &Name,
+        job: &Name,
+        ran: Duration,
+        in_a_row: u32,
+    ) {
         self.failures.push_back(Failure {
             at: now,
             worker: worker.clone(),
-            in_a_row,
+            job: job.clone(),
+            is_sign: in_a_row >= IN_A_ROW || ran < AT_ONCE,
         });
         self.forget(now);
     }
@@ -71,19 +87,17 @@
     /// Returns since when several workers have been failing; none where it is one at the most.
     pub(super) fn since(&self) -> Option<Timestamp> {
         let first = self.failures.front()?;
-        (self.workers(1) >= MANY).then_some(first.at)
-    }
-
-    /// Returns whether several workers fail all that they start.
-    pub(super) fn are_workers_sick(&self) -> bool {
-        self.workers(IN_A_ROW) >= MANY
+        let workers: HashSet<&Name> = self.failures.iter().map(|f| &f.worker).collect();
+        (workers.len() >= MANY).then_some(first.at)
     }
 
-    /// Returns the number of workers that have failed at least so many runs in a row.
-    fn workers(&self, in_a_row: u32) -> usize {
-        let failures = self.failures.iter().filter(|f| f.in_a_row >= in_a_row);
-        let workers: HashSet<&Name> = failures.map(|f| &f.worker).collect();
-        workers.len()
+    /// Returns whether several of so many workers fail all that they start, of more than one job.
+    pub(super) fn are_workers_sick(&self, all: usize) -> bool {
+        let signs = || self.failures.iter().filter(|f| f.is_sign);
+        let workers: HashSet<&Name> = signs().map(|f| &f.worker).collect();
+        let jobs: HashSet<&Name> = signs().map(|f| &f.job).collect();
+        let many = MANY.max((all as f64 * MANY_SHARE) as usize);
+        workers.len() >= many && jobs.len() > 1
     }
 
     /// Returns whether a worker has been seen to work since workers began to fail.
--- a/dragonflyrun/tests/last_attempt.rs
+++ b/dragonflyrun/tests/last_attempt.rs
@@ -89,3 +89,23 @@
     bed.pass();
     assert_eq!(bed.running("other").len(), 1);
 }
+
+/// Guards against a last attempt that is used up in the first second in which workers fail what they
+/// start, before any of them has failed twice.
+#[test]
+fn fails_at_once() {
+    let mut bed = Bed::new(12);
+    let jobs: Vec<String> = (0..4).map(|i| format!("job{i}")).collect();
+    for name in &jobs {
+        bed.submit(name, 0, vec![task(8)]);
+    }
+    for _ in 0..2 {
+        bed.pass();
+        bed.report_all();
+        for name in &jobs {
+            bed.end(name, EndKind::Failed);
+        }
+    }
+    bed.pass();
+    assert!(jobs.iter().all(|name| bed.running(name).is_empty()));
+}
