Keep the jobs' partition of a slow store for what has to stand there

Every second one of the planner was a sign of life of 43 bytes, sent while a plan was under way or right after it; from 32 s on all writers gave up after 0.8 or 0.9 s what stood in a queue of up to 2 s and sent it again, and nothing came through until the power failed at 34.5 s. Jobs that had ended at 28 s were shown at 36 s. Ruled out: the size of plans (29 kB at the most). Change: no sign of life while a plan is under way or has just been appended; an append may take eight times the store's usual delay, 0.8 or 0.9 s at the least.

--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -9,7 +9,7 @@
         Advisor, Append, AppendError, CallerAnswer, CallerRequest, JobState, Partition, ReadError,
         Refusal, Store,
     },
-    process::on_store::StoreEntry,
+    process::on_store::{StoreEntry, append_time},
     utils::{Name, lock},
     workload::{Job, JobRecord, LookUp},
 };
@@ -118,7 +118,8 @@
                 return Err(self.refuse(Refusal::StoreAway));
             }
             let asked = Instant::now();
-            let appended = self.store.append(&append, left.min(APPEND_TIMEOUT)).await;
+            let within = append_time(APPEND_TIMEOUT, lock(&self.state).store_delay);
+            let appended = self.store.append(&append, left.min(within)).await;
             self.counters.latency("append", asked.elapsed());
             match appended {
                 Ok(_) => {
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -6,6 +6,7 @@
 //! `docs/SYSTEM.md` tells the design.
 
 mod agent;
+mod append_time;
 mod boot_clock;
 mod caller_records;
 mod entrance;
@@ -21,6 +22,7 @@
 mod view;
 
 pub use agent::StoreAgent;
+pub use append_time::append_time;
 pub use boot_clock::BootTime;
 pub use entry::{OperatorDecoder, StoreEntry};
 pub use follower::{Batch, Follower};
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -28,8 +28,8 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Decisions, JobRecord, OrderMessage, Planner, PlannerBounds, Report, Term, TermStep, View,
-        WorkerOrder, decode, encode,
+        Decisions, JobRecord, LifeSigns, OrderMessage, Planner, PlannerBounds, Report, Term,
+        TermStep, View, WorkerOrder, decode, encode,
     },
 };
 
@@ -76,8 +76,7 @@
     reports_since: Cell<Option<Timestamp>>,
     /// Partitions of reports that can't be read, or have not been yet.
     unread: Cell<HashSet<u32>>,
-    /// Whether a plan was written since the last sign of life, which it stands for.
-    planned: Cell<bool>,
+    life: RefCell<LifeSigns>,
 }
 
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
@@ -142,7 +141,7 @@
             taken_over: Cell::new(false),
             reports_since: Cell::new(None),
             unread: Cell::default(),
-            planned: Cell::new(false),
+            life: RefCell::default(),
         }))
     }
 
@@ -186,7 +185,7 @@
     async fn show_life(self: Rc<Self>) {
         loop {
             sleep(SIGN_OF_LIFE).await;
-            if self.planned.replace(false) {
+            if !self.life.borrow_mut().is_due() {
                 continue;
             }
             // A planner that can't read must not keep others from following it.
@@ -319,6 +318,7 @@
         self.measure(&decisions, came);
         lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
         if !decisions.plans.is_empty() {
+            self.life.borrow_mut().plan_sent();
             if self
                 .writer
                 .append(Partition::JOBS, decisions.plans)
@@ -327,7 +327,7 @@
             {
                 return;
             }
-            self.planned.set(true);
+            self.life.borrow_mut().plan_stands();
         }
         for order in decisions.orders {
             self.send(order);
--- a/dragonflyrun/src/process/on_store/term_writer.rs
+++ b/dragonflyrun/src/process/on_store/term_writer.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     port::{Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
-    process::on_store::StoreEntry,
-    utils::HashMap,
+    process::on_store::{StoreEntry, append_time},
+    utils::{HashMap, lock},
 };
 
 /// The name that all planners have as writers in the store.
@@ -75,7 +75,8 @@
             if self.is_lost() {
                 return None;
             }
-            match self.entry.store.append(&append, APPEND_TIMEOUT).await {
+            let within = append_time(APPEND_TIMEOUT, lock(&self.entry.state).store_delay);
+            match self.entry.store.append(&append, within).await {
                 Ok(appended) => return Some(appended),
                 Err(AppendError::Fenced | AppendError::Moved(_)) => {
                     log::warn!(term = self.term, partition:? = partition; "term_lost");
