--- a/dragonflyrun/src/process/on_store/read_pause.rs
+++ b/dragonflyrun/src/process/on_store/read_pause.rs
@@ -12,7 +12,7 @@
 
 use tokio::{sync::Notify, time::timeout};
 
-use super::entry::wait_for;
+use crate::process::on_store::entry::wait_for;
 
 /// The pause between two reads of one follower.
 #[derive(Debug, Default)]
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -363,6 +363,7 @@
     view: &View<'_>,
 ) -> Vec<Room> {
     let times = learned.times;
+    let failing_since = learned.failures.since();
     let usable = fleet
         .workers()
         .filter(|(_, w)| w.takes_tasks() && w.shunned_until <= view.now);
@@ -397,7 +398,7 @@
             serves: has_step(jobs, worker, |s| s.response_ms > 0),
             leftovers: has_step(jobs, worker, |s| s.leftovers),
             doubt: worker.failures + u32::from(overdue),
-            proven: learned.failures.is_proven(worker),
+            proven: failing_since.is_none_or(|since| worker.worked_since >= Some(since)),
             slow: schedule::slowness_step(times, name),
         })
     });
--- a/dragonflyrun/src/workload/planner/settle.rs
+++ b/dragonflyrun/src/workload/planner/settle.rs
@@ -9,6 +9,7 @@
     workload::{
         Outcome, RunId, RunOver, RunOverReason,
         planner::{Planner, View},
+        trust::Failure,
     },
 };
 
@@ -100,9 +101,13 @@
                 }
                 live.failed_at = Some(now);
                 let in_a_row = self.fleet.get(&worker).map_or(1, |w| w.failures);
-                let ran = running_since.map_or(Duration::ZERO, |since| now.since(since));
-                self.failures
-                    .failed(now, &worker, &run.task.job, ran, in_a_row);
+                self.failures.add(Failure {
+                    at: now,
+                    worker: worker.clone(),
+                    job: run.task.job.clone(),
+                    ran: running_since.map_or(Duration::ZERO, |since| now.since(since)),
+                    in_a_row,
+                });
                 live.failed_on.push(worker);
             }
             EndKind::Stopped
--- a/dragonflyrun/src/workload/trust.rs
+++ b/dragonflyrun/src/workload/trust.rs
@@ -7,10 +7,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use crate::{
-    utils::{HashSet, Name, Timestamp},
-    workload::FleetWorker,
-};
+use crate::utils::{HashSet, Name, Timestamp};
 
 /// Time for which a failure counts.
 const REMEMBERED: Duration = Duration::from_secs(10);
@@ -47,31 +44,30 @@
     failures: VecDeque<Failure>,
 }
 
+/// A run that failed.
 #[derive(Clone, Debug)]
-struct Failure {
-    at: Timestamp,
-    worker: Name,
-    job: Name,
-    /// Whether it speaks against the worker rather than the task.
-    is_sign: bool,
+pub(super) struct Failure {
+    pub(super) at: Timestamp,
+    pub(super) worker: Name,
+    pub(super) job: Name,
+    /// How long it had run.
+    pub(super) ran: Duration,
+    /// How many runs had failed on the worker one after the other.
+    pub(super) in_a_row: u32,
+}
+
+impl Failure {
+    /// Returns whether it speaks against the worker rather than the task.
+    fn is_sign(&self) -> bool {
+        self.in_a_row >= IN_A_ROW || self.ran < AT_ONCE
+    }
 }
 
 impl RecentFailures {
-    /// Takes note that a run of a job failed on a worker after `ran`, the newest of so many in a row.
-    pub(super) fn failed(
-        &mut self,
-        now: Timestamp,
-        worker: &Name,
-        job: &Name,
-        ran: Duration,
-        in_a_row: u32,
-    ) {
-        self.failures.push_back(Failure {
-            at: now,
-            worker: worker.clone(),
-            job: job.clone(),
-            is_sign: in_a_row >= IN_A_ROW || ran < AT_ONCE,
-        });
+    /// Takes note of a failure.
+    pub(super) fn add(&mut self, failure: Failure) {
+        let now = failure.at;
+        self.failures.push_back(failure);
         self.forget(now);
     }
 
@@ -93,18 +89,10 @@
 
     /// Returns whether several of so many workers fail all that they start, of more than one job.
     pub(super) fn are_workers_sick(&self, all: usize) -> bool {
-        let signs = || self.failures.iter().filter(|f| f.is_sign);
+        let signs = || self.failures.iter().filter(|f| f.is_sign());
         let workers: HashSet<&Name> = signs().map(|f| &f.worker).collect();
         let jobs: HashSet<&Name> = signs().map(|f| &f.job).collect();
         let many = MANY.max((all as f64 * MANY_SHARE) as usize);
         workers.len() >= many && jobs.len() > 1
     }
-
-    /// Returns whether a worker has been seen to work since workers began to fail.
-    pub(super) fn is_proven(&self, worker: &FleetWorker) -> bool {
-        let Some(since) = self.since() else {
-            return true;
-        };
-        worker.worked_since.is_some_and(|worked| worked >= since)
-    }
 }
