Let the answer about a running job wait a moment for its end

Cause: callers ask the moment their last task ends. The store learns of that end some 30 ms later (report, plan, two reads), so the first question was answered `running`, and the end was heard of with the next question 0.25 s later. Ruled out: a slow planner or reader (the end stood in the plan within 10 ms of the planner's log line). Change: a question about a running job waits up to 100 ms and four of the store's delays, a tenth of the caller's patience at the most, for the job's end; reads of the jobs go on without pauses meanwhile.

--- a/dragonflyrun/src/process/on_store/entrance.rs
+++ b/dragonflyrun/src/process/on_store/entrance.rs
@@ -1,9 +1,13 @@
 //! How an entry answers callers: by the configuration in force, and from the jobs as the store has them.
 
-use std::sync::atomic::Ordering;
+use std::{sync::atomic::Ordering, time::Duration};
+
+use tokio::time::{Instant, timeout_at};
 
 use crate::{
-    port::{Advisor, CallerAnswer, CallerCall, CallerRequest, Entrance, Queue, Refusal, Store},
+    port::{
+        Advisor, CallerAnswer, CallerCall, CallerRequest, Entrance, JobState, Queue, Refusal, Store,
+    },
     process::on_store::{
         BootTime, StoreEntry,
         entry::{READY_AGE, unix_ms},
@@ -16,7 +20,40 @@
 /// time that a request is under way.
 const REVOKE_SHARE: f64 = 0.85;
 
+/// How long the answer to a question about a running job waits for its end. Callers ask when their work
+/// is done, which the store learns some 30 ms later; sent away with `running`, they would hear of
+/// the end only with their next question.
+const END_WAIT: Duration = Duration::from_millis(100);
+
+/// How many of the store's delays it waits beside that: an end is reported, read, planned and read.
+const END_DELAYS: u32 = 4;
+
+/// Share of a caller's patience that may be spent on waiting for the end.
+const END_PATIENCE_SHARE: f64 = 0.1;
+
 impl<S: Store, A: Advisor> StoreEntry<S, A> {
+    /// Returns the state of a job; that of a running one after waiting a moment for its end.
+    async fn look_up_end(&self, req: &CallerRequest, name: &Name) -> LookUp {
+        let found = self.look_up(name).await;
+        if found != LookUp::Known(JobState::Running) {
+            return found;
+        }
+        let delay = lock(&self.state).store_delay;
+        let most = req.patience.mul_f64(END_PATIENCE_SHARE);
+        let until = Instant::now() + (END_WAIT + delay * END_DELAYS).min(most);
+        let watch = self.job_reads.watch();
+        loop {
+            let folded = watch.folded();
+            let found = lock(&self.state).book.look_up(name);
+            if found != LookUp::Known(JobState::Running) {
+                return found;
+            }
+            if timeout_at(until, folded).await.is_err() {
+                return found;
+            }
+        }
+    }
+
     /// Returns what the book has of a job, as current as the store's answers allow.
     pub(super) async fn look_up(&self, name: &Name) -> LookUp {
         self.catch_up().await;
@@ -88,7 +125,7 @@
             CallerCall::Look if name.is_empty() => {
                 CallerAnswer::Pending(lock(&self.state).book.pending(&admitted.queue.name))
             }
-            CallerCall::Look => match self.look_up(&name).await {
+            CallerCall::Look => match self.look_up_end(&req, &name).await {
                 LookUp::Known(state) => CallerAnswer::State(state),
                 LookUp::Unknown => self.not_known(),
             },
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -19,8 +19,9 @@
     process::{
         Counters,
         on_store::{
-            Batch, BootTime, Follower, StoreSettings, planner_term::PlannerTerm,
-            read_pause::ReadPause,
+            Batch, BootTime, Follower, StoreSettings,
+            planner_term::PlannerTerm,
+            read_pause::{PauseEnd, ReadPause},
         },
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
@@ -227,8 +228,10 @@
         if lock(&self.state).plans {
             return PLANNER_READ_WAIT;
         }
-        let wanted = self.job_reads.pause(FOLLOW_PAUSE).await;
-        if wanted { Duration::ZERO } else { READ_WAIT }
+        match self.job_reads.pause(FOLLOW_PAUSE).await {
+            PauseEnd::Asked => Duration::ZERO,
+            PauseEnd::Due => READ_WAIT,
+        }
     }
 
     /// Brings the book up to date before a question is answered from it.
