Tell an agent's new session anew what has to stop

Cause: after all processes were killed, a new planner sent the stops of a cancelled job to the sessions that it read from the store, while the agents were opening new ones. A session obeys its own orders only, and the planner went on to take the runs for stopping: they ran on for 19.3 s. Ruled out: the caller's cancelling (it stood in the store) and the order itself (the log has it, for session 0). Change: a new session of the same life makes the planner forget which stops it has ordered. Test run_proofs::stop_after_restart, which failed before.

--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -271,6 +271,7 @@
                 worker.failures = 0;
                 worker.worked_since = None;
             }
+            worker.forget_stops();
             log::info!(
                 worker:% = name, session = report.session, same_life,
                 running = report.running.len(), ends = report.ends.len();
@@ -379,6 +380,14 @@
 }
 
 impl FleetWorker {
+    /// Takes the stops that an earlier session was told for not ordered: a session obeys its own orders only,
+    /// and runs of the same life go on in the next one.
+    fn forget_stops(&mut self) {
+        for run in self.runs.values_mut() {
+            run.stopping = false;
+        }
+    }
+
     /// Takes note of when the worker leaves, by its newest heartbeat. A report may repeat a heartbeat.
     fn take_departure(&mut self, now: Timestamp, report: &Report) {
         let heartbeat = &report.heartbeat;
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -88,6 +88,30 @@
     assert_eq!(bed.running("job")[0].1.number, 2);
 }
 
+/// Guards against runs of cancelled jobs that go on: a stop that was sent to an agent's session before its
+/// process ended is never carried out, and the next session has to be told anew.
+#[test]
+fn stop_after_restart() {
+    let mut bed = Bed::new(1);
+    let name = bed.submit("job", 1, vec![task(8)]);
+    bed.pass();
+    bed.report_all();
+    let (_, run) = bed.running("job")[0].clone();
+    bed.planner.job_record(&JobRecord::Cancelled(name));
+    let stops = |bed: &mut Bed, session: u64| {
+        let orders = bed.pass().orders;
+        let mut orders = orders.iter().filter(|o| o.session == session);
+        orders.any(|o| o.order.stops.contains(&run))
+    };
+    assert!(stops(&mut bed, 1), "the first session is told");
+    bed.change("w0", |report| {
+        report.session = 100;
+        report.sequence = 0;
+        report.orders_seen = 101;
+    });
+    assert!(stops(&mut bed, 100), "the second session is told as well");
+}
+
 /// After a loss of power another worker answers at the address of the old one. The old one can't
 /// run any more, and its tasks need not wait for its lease.
 #[test]
