Read without waiting for news after a read that failed

Cause: after the store's return the first read of the operators' records waited for news for up to 0.8 s, and nothing starts without a proof that they are current. Change: a read after one that failed asks for what is there, and is given up after 0.4 s and eight delays, since a store that was silent answers no read that was sent before its return. Test hedged_reads::store_returned.

--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -5,6 +5,9 @@
 //! overdue. A second read on another connection is sent then, and the first answer counts: a hedged
 //! request (Dean and Barroso, "The Tail at Scale", CACM 2013). On a store that is slow altogether it
 //! waits longer before that, so that the load of such a store does not double.
+//!
+//! After a read that failed the next one waits for no news: it proves at once that the store is back,
+//! which a read that waits for news on a store without any would prove only when its wait is over.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -21,11 +24,20 @@
 /// How many times the usual delay an answer may take.
 const OVERDUE_TIMES: u32 = 3;
 
+/// Time for a read after one that failed, beside [`PROBE_DELAYS`]. A store that was silent answers no
+/// read that was sent before its return.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// How many times the usual delay such a read may take beside that.
+const PROBE_DELAYS: u32 = 8;
+
 /// Reads one partition.
 pub(super) struct Reader<S> {
     store: Arc<S>,
     partition: Partition,
     delay: StoreDelay,
+    /// Whether the newest read failed.
+    failing: bool,
 }
 
 /// How long the store takes for an answer, beside the time that it waits for news.
@@ -64,6 +76,7 @@
             store,
             partition,
             delay: StoreDelay::default(),
+            failing: false,
         }
     }
 
@@ -72,12 +85,30 @@
         self.delay.usual()
     }
 
-    /// Returns the records from offset `from` on, waiting for the first up to `wait`.
+    /// Returns the records from offset `from` on, waiting for the first up to `wait`, and not at all
+    /// where the read before failed.
     ///
     /// # Errors
     ///
     /// Where neither read has an answer.
     pub(super) async fn read(&mut self, from: u64, wait: Duration) -> Result<Page, ReadError> {
+        let answer = if self.failing {
+            self.probe(from).await
+        } else {
+            self.read_hedged(from, wait).await
+        };
+        self.failing = matches!(answer, Err(ReadError::Unavailable(_)));
+        answer
+    }
+
+    async fn probe(&mut self, from: u64) -> Result<Page, ReadError> {
+        let within = PROBE_TIMEOUT + self.delay.usual() * PROBE_DELAYS;
+        let read = self.read_hedged(from, Duration::ZERO);
+        let silent = |_| Err(ReadError::Unavailable("timeout".to_owned()));
+        timeout(within, read).await.unwrap_or_else(silent)
+    }
+
+    async fn read_hedged(&mut self, from: u64, wait: Duration) -> Result<Page, ReadError> {
         let store = self.store.clone();
         let partition = self.partition;
         let sent = Instant::now();
--- a/dragonflyrun/tests/hedged_reads.rs
+++ b/dragonflyrun/tests/hedged_reads.rs
@@ -3,7 +3,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
@@ -24,6 +24,8 @@
     reads: AtomicU32,
     /// The read that is never answered.
     silent: Mutex<Option<u32>>,
+    /// Whether it refuses all reads.
+    refuses: AtomicBool,
     /// How late each answer is.
     delay: Mutex<Duration>,
 }
@@ -35,6 +37,9 @@
 
     async fn read(&self, _: Partition, end: u64, wait: Duration) -> Result<Page, ReadError> {
         let number = self.reads.fetch_add(1, Ordering::Relaxed);
+        if self.refuses.load(Ordering::Relaxed) {
+            return Err(ReadError::Unavailable("refused".to_owned()));
+        }
         if *lock(&self.silent) == Some(number) {
             std::future::pending::<()>().await;
         }
@@ -87,3 +92,19 @@
     let reads = store.reads.load(Ordering::Relaxed);
     assert!(reads < ROUNDS + 4, "{reads}");
 }
+
+/// Guards against work that stands still after the store's return for as long as a read waits for news.
+#[tokio::test(start_paused = true)]
+async fn store_returned() {
+    let store = Arc::new(QuietStore::default());
+    let mut follower = follower(&store).await;
+    store.refuses.store(true, Ordering::Relaxed);
+    follower.next(WAIT).await.expect_err("a refusal");
+    store.refuses.store(false, Ordering::Relaxed);
+    let asked = Instant::now();
+    follower.next(WAIT).await.expect("an answer");
+    assert!(asked.elapsed() < Duration::from_millis(50));
+    let asked = Instant::now();
+    follower.next(WAIT).await.expect("an answer");
+    assert!(asked.elapsed() >= WAIT, "it waits for news again");
+}
