Let urgent work clear others' for as long as it is of use

Cause: an urgent job might evict only until its objective was past by its guess. Change: the right lasts until the job would be of no use, three times its objective. Ruled out as worse before: the same without the limit on what may be lost.

--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -129,6 +129,7 @@
             estimate_ms,
             slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64,
             objective_ms,
+            of_use: self.view.unix_ms + estimate_ms < live.useless_ms(objective_ms, occurrence),
             avoid: live.failed_on.clone(),
             far_allowed: self.far_allowed(live.begin_ms(occurrence), estimate_ms),
             stands_still: false,
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -8,6 +8,9 @@
     workload::{Job, JobPlan, Outcome, RunTimes, Step, TaskId},
 };
 
+/// A job that is done later than so many times its objective is of no use to its caller.
+const OF_USE: u64 = 3;
+
 /// A job, its plan, and what the planner remembers of its runs beside that.
 #[derive(Clone, Debug)]
 pub(super) struct LiveJob {
@@ -83,6 +86,13 @@
         self.begin_ms(occurrence) + (job.stretch * chain_ms) as u64 + job.target_ms
     }
 
+    /// Returns the Unix milliseconds from which on an occurrence with this objective is of no use to its
+    /// caller.
+    pub(super) fn useless_ms(&self, objective_ms: u64, occurrence: u32) -> u64 {
+        let begin_ms = self.begin_ms(occurrence);
+        begin_ms + (objective_ms - begin_ms) * OF_USE
+    }
+
     /// Returns the Unix milliseconds from which an occurrence waits.
     pub(super) fn begin_ms(&self, occurrence: u32) -> u64 {
         self.job.accepted_ms.max(self.job.due_ms(occurrence))
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -32,9 +32,6 @@
 /// Added to the cost of evicting urgent work, in core-seconds: more than any task has to lose.
 const URGENT_COST: f64 = 1e6;
 
-/// A job that is done later than so many times its objective is of no use to its caller.
-const OF_USE: u64 = 3;
-
 /// How many times its own work it costs that a job is of no use: its caller has waited for nothing.
 const UNSERVED_COST: f64 = 3.0;
 
@@ -341,7 +338,7 @@
 /// of which nothing has run for long. Small tasks would keep such a gang from whole workers side by
 /// side for as long as they keep coming.
 fn may_evict(demand: &Demand<'_>) -> bool {
-    let in_time = demand.priority == 0 && demand.slack_ms > 0;
+    let in_time = demand.priority == 0 && demand.of_use;
     let starves = demand.shape.gang && demand.stands_still;
     demand.guaranteed || in_time || starves
 }
@@ -494,7 +491,7 @@
     let work = step.needs.weight() * estimate_ms as f64 / 1_000.0;
     let begin_ms = live.begin_ms(run.task.occurrence);
     let objective_ms = live.objective_ms(times, run.task.occurrence);
-    let useless_ms = begin_ms + (objective_ms - begin_ms) * OF_USE;
+    let useless_ms = live.useless_ms(objective_ms, run.task.occurrence);
     // It may have to wait for room as long as it did before it was started.
     let waited_ms = view
         .unix_ms
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -37,6 +37,8 @@
     pub slack_ms: i64,
     /// Unix milliseconds by which the job should be done.
     pub objective_ms: u64,
+    /// Whether it would be of use to its caller yet if it started at once.
+    pub of_use: bool,
     /// Workers where runs of the job failed; taken only where no other has room.
     pub avoid: Vec<Name>,
     /// Whether it takes another rack than that of its data, or more than one.
