Reckon by runs' progress what they have left and what tasks take

Cause: workers list how far each run is done, in percent; the field was read as the share of speed that a run is allowed and went unused. A scratch copy that logged the lists showed it rise from 0 to 100 evenly over each run, 7 to 10 a look of 0.4 s, in step for all members of a gang. So what becomes free when, whom to stop and move, and what a job needs that begins again hung on callers' guesses, which are off by a factor of two and more. Change: agents tell each run's pace over the last ten looks; the planner takes from it when a run is done, and what a task takes on a worker of full speed.

--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -48,7 +48,7 @@
     /// Its newest checkpoint; empty for none.
     #[serde(rename = "c", default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
-    /// The share of the worker's speed that it has been allowed, in percent.
+    /// How much of its work is done, in percent; one that serves users is at work at 100.
     #[serde(rename = "p", default)]
     pub percent: u32,
 }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -12,7 +12,7 @@
 use crate::{
     port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
     utils::{HashSet, Name},
-    workload::{Order, Report, RunId, TaskStart, pace::Paces},
+    workload::{Order, Report, RunId, TaskStart, pace::Paces, progress::Progresses},
 };
 
 /// What is to be done at the worker.
@@ -75,6 +75,7 @@
     lease_until_ms: Option<u64>,
     running: Vec<RunningTask>,
     paces: Paces,
+    progress: Progresses,
     ends: Vec<End>,
     confirmed: u64,
     lists_asked: u64,
@@ -165,6 +166,7 @@
             lease_until_ms: None,
             running: Vec::new(),
             paces: Paces::new(self.checkpoint_every),
+            progress: Progresses::default(),
             ends: Vec::new(),
             confirmed: 0,
             lists_asked: 0,
@@ -366,6 +368,7 @@
         let urgent = first || new_end || std::mem::take(&mut life.unreachable);
         life.ends = ends;
         life.paces.look(lists.clock_ms, &lists.running);
+        life.progress.look(lists.clock_ms, &lists.running);
         life.running = lists.running;
         urgent
     }
@@ -552,6 +555,7 @@
             starting: session.pending.keys().cloned().collect(),
             refused: session.refused.clone(),
             running: self.running.clone(),
+            progress: self.progress.all(&self.running),
             paces: self.paces.all(),
             ends: self.ends.clone(),
             closed,
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -74,6 +74,7 @@
         guaranteed: bool,
         demands: &mut Vec<Demand<'j>>,
     ) {
+        let objective_ms = live.objective_ms(self.times, occurrence);
         for (step, shape) in (0_u32..).zip(&live.job.request.steps) {
             let waiting = live.waiting(occurrence, step);
             if waiting.is_empty() {
@@ -83,45 +84,41 @@
             let stands_still =
                 !live.plan.has_runs() && self.view.unix_ms.saturating_sub(begin_ms) > STANDING_MS;
             let caution = |index: u32| self.caution(live, occurrence, step, index);
-            let demand = Demand {
-                guaranteed,
-                ..self.of_step(live, occurrence, step, shape)
-            };
             if shape.gang {
                 demands.push(Demand {
+                    guaranteed,
                     caution: caution(0),
-                    indexes: waiting,
                     stands_still,
-                    ..demand
+                    ..self.of_tasks(live, (occurrence, step), shape, objective_ms, waiting)
                 });
                 continue;
             }
             let first = waiting.first().copied();
             demands.extend(waiting.into_iter().map(|index| Demand {
+                guaranteed,
                 caution: caution(index),
-                indexes: vec![index],
                 stands_still: stands_still && Some(index) == first,
-                ..demand.clone()
+                ..self.of_tasks(live, (occurrence, step), shape, objective_ms, vec![index])
             }));
         }
     }
 
-    /// Returns a demand of a step, for no tasks yet and without a guarantee.
-    pub(super) fn of_step<'j>(
+    /// Returns a demand of tasks of a step of an occurrence, without a guarantee.
+    pub(super) fn of_tasks<'j>(
         &self,
         live: &LiveJob,
-        occurrence: u32,
-        step: u32,
+        (occurrence, step): (u32, u32),
         shape: &'j Step,
+        objective_ms: u64,
+        indexes: Vec<u32>,
     ) -> Demand<'j> {
         let job = &live.job;
-        let estimate_ms = self.times.estimate_ms(&job.queue, shape.estimate_ms);
-        let objective_ms = live.objective_ms(self.times, occurrence);
+        let estimate_ms = live.estimate_ms(self.times, occurrence, step, shape, &indexes);
         Demand {
             job: job.name.clone(),
             occurrence,
             step,
-            indexes: Vec::new(),
+            indexes,
             shape,
             service: service_of(job, self.view.configuration),
             priority: job.priority,
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -33,6 +33,10 @@
     pub saved_at: Timestamp,
     /// When it was ordered, or taken over.
     pub placed_at: Timestamp,
+    /// When it will be done at its pace, where that is known.
+    pub ends_at: Option<Timestamp>,
+    /// Milliseconds that all of its work takes at its pace, where that is known.
+    pub total_ms: Option<u64>,
     /// Whether it does the whole task and was ordered by this planner, so that its time tells how
     /// long the task takes.
     pub is_whole: bool,
@@ -126,6 +130,8 @@
             checkpoint: String::new(),
             saved_at: now,
             placed_at: now,
+            ends_at: None,
+            total_ms: None,
             is_whole: false,
         }
     }
@@ -441,7 +447,7 @@
         report: &Report,
         needs_of: impl Fn(&RunId) -> Resources,
     ) {
-        for listed in &report.running {
+        for (i, listed) in report.running.iter().enumerate() {
             let run = self.runs.entry(listed.run.clone()).or_insert_with(|| {
                 log::warn!(worker:% = report.heartbeat.worker, run:% = listed.run; "run_not_ordered");
                 WorkerRun {
@@ -453,6 +459,13 @@
             if now.since(since) >= WORKS_AFTER {
                 self.worked_since = self.worked_since.max(Some(run.placed_at));
             }
+            if let Some(progress) = report.progress.get(i) {
+                let left = progress.left_ms.map(Duration::from_millis);
+                run.ends_at = left.map(|left| now + left).or(run.ends_at);
+                run.total_ms = Some(progress.total_ms)
+                    .filter(|ms| *ms > 0)
+                    .or(run.total_ms);
+            }
             if !listed.checkpoint.is_empty() && listed.checkpoint != run.checkpoint {
                 run.checkpoint.clone_from(&listed.checkpoint);
                 run.saved_at = now;
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -280,13 +280,13 @@
             && (1..=MOST_REPEATS).contains(&self.repeats())
     }
 
-    /// Returns the milliseconds of the longest chain of steps, by the caller's guesses.
-    pub fn chain_ms(&self, estimate: impl Fn(&Step) -> u64) -> u64 {
+    /// Returns the milliseconds of the longest chain of steps, by what each is estimated to take.
+    pub fn chain_ms(&self, estimate: impl Fn(u32, &Step) -> u64) -> u64 {
         let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for step in &self.steps {
+        for (number, step) in (0_u32..).zip(&self.steps) {
             let start = step.after.iter().filter_map(|a| ends.get(*a as usize));
             let start = start.copied().max().unwrap_or(0);
-            ends.push(start + estimate(step));
+            ends.push(start + estimate(number, step));
         }
         ends.into_iter().max().unwrap_or(0)
     }
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -25,6 +25,8 @@
     pub(super) evictions: u32,
     /// Tasks of which an overdue run was stopped: the next one is left alone, however long it takes.
     pub(super) moved: HashSet<TaskId>,
+    /// What the tasks take in milliseconds, by the progress of their runs and their numbers in the job.
+    pub(super) measured_ms: HashMap<u32, u64>,
 }
 
 impl LiveJob {
@@ -38,6 +40,7 @@
             failed_at: None,
             evictions: 0,
             moved: HashSet::default(),
+            measured_ms: HashMap::default(),
         }
     }
 
@@ -78,10 +81,37 @@
         failed > 0 && failed + 1 >= self.job.max_attempts
     }
 
+    /// Takes note of what a task takes, by the progress of a run.
+    pub(super) fn measured(&mut self, task: &TaskId, total_ms: u64) {
+        if let Some(number) = self.job.number(task) {
+            self.measured_ms.insert(number, total_ms);
+        }
+    }
+
+    /// Returns the milliseconds that tasks of a step take together: as runs of them have shown, or as
+    /// is expected of their queue.
+    pub(super) fn estimate_ms(
+        &self,
+        times: &RunTimes,
+        occurrence: u32,
+        step: u32,
+        shape: &Step,
+        indexes: &[u32],
+    ) -> u64 {
+        let first = self.job.numbers(occurrence, step).start;
+        let measured = indexes.iter();
+        let measured = measured.filter_map(|i| self.measured_ms.get(&(first + i)));
+        let expected = || times.estimate_ms(&self.job.queue, shape.estimate_ms);
+        measured.max().copied().unwrap_or_else(expected)
+    }
+
     /// Returns the Unix milliseconds by which an occurrence should be done.
     pub(super) fn objective_ms(&self, times: &RunTimes, occurrence: u32) -> u64 {
         let job = &self.job;
-        let estimate = |s: &Step| times.estimate_ms(&job.queue, s.estimate_ms);
+        let estimate = |step: u32, shape: &Step| {
+            let all: Vec<u32> = (0..shape.tasks).collect();
+            self.estimate_ms(times, occurrence, step, shape, &all)
+        };
         let chain_ms = job.request.chain_ms(estimate) as f64;
         self.begin_ms(occurrence) + (job.stretch * chain_ms) as u64 + job.target_ms
     }
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -9,6 +9,7 @@
     utils::Name,
     workload::{
         Pace,
+        Progress,
         RunId,
         packed_starts,
         skip::{is_false, is_zero_u64}, //
@@ -105,6 +106,9 @@
     /// What runs.
     #[serde(rename = "r", default, skip_serializing_if = "Vec::is_empty")]
     pub running: Vec<RunningTask>,
+    /// How it comes on, in the same order; shorter where the agent does not say so.
+    #[serde(rename = "w", default, skip_serializing_if = "Vec::is_empty")]
+    pub progress: Vec<Progress>,
     /// How fast runs that save checkpoints have come on.
     #[serde(rename = "v", default, skip_serializing_if = "Vec::is_empty")]
     pub paces: Vec<Pace>,
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -377,8 +377,11 @@
             let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
             let elapsed = elapsed_ms(state, view) as f64;
             overdue |= is_overdue(expected, elapsed);
-            let left = (expected - elapsed).max(0.0) as u64;
-            releases.push((left.max(PAST_END_MS), state.needs));
+            let left = match state.ends_at {
+                Some(ends_at) => ends_at.since(view.now).as_millis() as u64,
+                None => ((expected - elapsed).max(0.0) as u64).max(PAST_END_MS),
+            };
+            releases.push((left, state.needs));
         }
         Some(Room {
             worker: name.clone(),
@@ -467,6 +470,10 @@
     state: &WorkerRun,
     view: &View<'_>,
 ) -> u64 {
+    if let Some(ends_at) = state.ends_at {
+        let left = ends_at.since(view.now).as_millis();
+        return u64::try_from(left).unwrap_or(u64::MAX);
+    }
     let left = expected_ms(jobs, times, run).saturating_sub(elapsed_ms(state, view));
     left.max(PAST_END_MS)
 }
@@ -487,7 +494,8 @@
     let Some(step) = live.job.request.steps.get(run.task.step as usize) else {
         return 0.0;
     };
-    let estimate_ms = times.estimate_ms(&live.job.queue, step.estimate_ms);
+    let task = &run.task;
+    let estimate_ms = live.estimate_ms(times, task.occurrence, task.step, step, &[task.index]);
     let work = step.needs.weight() * estimate_ms as f64 / 1_000.0;
     let begin_ms = live.begin_ms(run.task.occurrence);
     let objective_ms = live.objective_ms(times, run.task.occurrence);
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -243,6 +243,7 @@
         let paces = report.paces.clone();
         let over = self.fleet.report(now, report, needs_of);
         self.learn_paces(&worker, &paces);
+        self.learn_totals(&worker);
         for run in over {
             self.run_over(now, run);
         }
@@ -283,6 +284,18 @@
         }
     }
 
+    /// Takes note of what the tasks on a worker would take on one of full speed, by their progress.
+    fn learn_totals(&mut self, worker: &Name) {
+        let slowness = self.run_times.speeds().slowness(worker).max(1.0);
+        let runs = self.fleet.get(worker).into_iter().flat_map(|w| &w.runs);
+        for (run, state) in runs {
+            let live = self.jobs.get_mut(&run.task.job);
+            if let (Some(live), Some(total_ms)) = (live, state.total_ms) {
+                live.measured(&run.task, (total_ms as f64 / slowness) as u64);
+            }
+        }
+    }
+
     /// Takes note of the offset at which an order stands in the store.
     pub fn ordered(&mut self, now: Timestamp, order: &WorkerOrder, offset: u64) {
         let Some(worker) = self.fleet.get_mut(&order.worker) else {
--- a/dragonflyrun/src/workload/relocation.rs
+++ b/dragonflyrun/src/workload/relocation.rs
@@ -12,13 +12,15 @@
     demands: &Demands<'_, '_>,
 ) -> Option<Demand<'j>> {
     let shape = live.job.request.steps.get(run.task.step as usize)?;
-    let mut demand = demands.of_step(live, run.task.occurrence, run.task.step, shape);
-    demand.indexes = if shape.gang {
+    let indexes = if shape.gang {
         (0..shape.tasks).collect()
     } else {
         vec![run.task.index]
     };
-    Some(demand)
+    let task = &run.task;
+    let objective_ms = live.objective_ms(demands.times, task.occurrence);
+    let step = (task.occurrence, task.step);
+    Some(demands.of_tasks(live, step, shape, objective_ms, indexes))
 }
 
 /// Returns all runs that are under way of what a demand stands for.
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -111,6 +111,7 @@
             starting: Vec::new(),
             refused: Vec::new(),
             running: Vec::new(),
+            progress: Vec::new(),
             paces: Vec::new(),
             ends: Vec::new(),
             closed: false,
