Wait for runs that end as soon as others could be stopped

Cause: room for urgent work was made by stopping others even where runs were about to end by themselves; a stop takes some 0.2 s with its order and report. Change: where the room that a demand needs is free within 0.25 s by measured progress, nothing is stopped for it, unless it is guaranteed the room. A run that should be over by its progress has stopped to come on and counts as before. Tests ending_runs.

--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -38,6 +38,9 @@
 /// Blocked demands for which room is held in one pass: each holds back smaller work.
 const MOST_HOLDS: u32 = 3;
 
+/// Milliseconds from the order to stop a run until its room is known to be free.
+const STOP_MS: u64 = 250;
+
 /// Milliseconds that a run which is past its expected end is taken to go on.
 const PAST_END_MS: u64 = 500;
 
@@ -255,6 +258,9 @@
             self.take(demand, &found);
             return true;
         }
+        if !demand.guaranteed && self.wait_for_ends(demand, placed) {
+            return true;
+        }
         let most = most_cost(demand);
         let found = schedule::evict(demand, &self.rooms, &self.victims, placed, most);
         let Some(found) = found else {
@@ -278,6 +284,16 @@
         true
     }
 
+    /// Returns whether the room that the demand needs becomes free by itself as soon as others could be
+    /// stopped for it. A guarantee doesn't hang on what runs are expected to do.
+    fn wait_for_ends(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
+        let found = schedule::place(demand, &self.rooms, Horizon::At(STOP_MS), placed);
+        if let Some(found) = &found {
+            self.take(demand, found);
+        }
+        found.is_some()
+    }
+
     fn start(&mut self, demand: &Demand<'_>, found: &[usize]) {
         self.take(demand, found);
         if self.idle && !is_idle(&self.rooms) {
@@ -377,8 +393,9 @@
             let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
             let elapsed = elapsed_ms(state, view) as f64;
             overdue |= is_overdue(expected, elapsed);
-            let left = match state.ends_at {
-                Some(ends_at) => ends_at.since(view.now).as_millis() as u64,
+            let left = match measured_left_ms(state, view) {
+                _ if state.stopping => STOP_MS,
+                Some(left_ms) => left_ms,
                 None => ((expected - elapsed).max(0.0) as u64).max(PAST_END_MS),
             };
             releases.push((left, state.needs));
@@ -470,14 +487,21 @@
     state: &WorkerRun,
     view: &View<'_>,
 ) -> u64 {
-    if let Some(ends_at) = state.ends_at {
-        let left = ends_at.since(view.now).as_millis();
-        return u64::try_from(left).unwrap_or(u64::MAX);
+    if let Some(left_ms) = measured_left_ms(state, view) {
+        return left_ms;
     }
     let left = expected_ms(jobs, times, run).saturating_sub(elapsed_ms(state, view));
     left.max(PAST_END_MS)
 }
 
+/// Returns the milliseconds that a run has left by its progress, where that tells. One that should be over
+/// by now has stopped to come on.
+fn measured_left_ms(state: &WorkerRun, view: &View<'_>) -> Option<u64> {
+    let left = state.ends_at?.since(view.now).as_millis();
+    let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
+    Some(if left_ms == 0 { PAST_END_MS } else { left_ms })
+}
+
 pub(super) fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
     u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
 }
--- /dev/null
+++ b/dragonflyrun/tests/ending_runs.rs
@@ -0,0 +1,42 @@
+//! Urgent work that comes to a full pool of which some runs are about to end.
+
+mod workload_tables;
+
+use dragonflyrun::workload::Progress;
+use workload_tables::{Bed, task};
+
+/// Returns how many runs are stopped for an urgent task where a patient one, which fills the only worker,
+/// has so long left.
+fn stopped_for_urgent(left_ms: u64) -> usize {
+    let mut bed = Bed::new(1);
+    bed.submit("patient", 2, vec![task(8)]);
+    bed.pass();
+    bed.report_all();
+    bed.submit("urgent", 0, vec![task(8)]);
+    bed.change("w0", |report| {
+        report.progress = vec![Progress {
+            left_ms: Some(left_ms),
+            total_ms: 10_000,
+        }];
+    });
+    let orders = bed.pass().orders;
+    orders.iter().map(|o| o.order.stops.len()).sum()
+}
+
+/// Guards against work that is thrown away though its room would have been free as soon by itself.
+#[test]
+fn ending_awaited() {
+    assert_eq!(stopped_for_urgent(100), 0);
+}
+
+/// Guards against urgent work that waits for others' ends.
+#[test]
+fn others_stopped() {
+    assert_eq!(stopped_for_urgent(5_000), 1);
+}
+
+/// Guards against urgent work that waits for a run which should have ended and has stopped to come on.
+#[test]
+fn overrun_stopped() {
+    assert_eq!(stopped_for_urgent(0), 1);
+}
