--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -103,10 +103,10 @@
             writer: None,
             at: None,
         };
-        if !self.store_answers().await {
+        let end = Instant::now() + req.patience.mul_f64(PATIENCE_SHARE);
+        if !self.store_answers(end).await {
             return Err(self.refuse(Refusal::StoreAway));
         }
-        let end = Instant::now() + req.patience.mul_f64(PATIENCE_SHARE);
         let mut doubtful = false;
         let mut refused = 0;
         loop {
@@ -148,11 +148,12 @@
         }
     }
 
-    /// Returns whether the store can be reached, by an answer of a moment ago or by a short read.
+    /// Returns whether the store can be reached, by an answer of a moment ago or by a short read that takes
+    /// until `until` at the most.
     ///
     /// A record that is sent into a partition leaves its caller in doubt until its patience ends. A read that
     /// is not answered harms nobody: the caller is refused truly, and tries another entry.
-    async fn store_answers(&self) -> bool {
+    async fn store_answers(&self, until: Instant) -> bool {
         let (recent, delay, end) = {
             let state = lock(&self.state);
             let recent = state.reach.is_recent(Instant::now(), state.store_delay);
@@ -161,7 +162,8 @@
         if recent {
             return true;
         }
-        let within = PROBE_TIMEOUT.max(delay * PROBE_DELAYS);
+        let left = until.saturating_duration_since(Instant::now());
+        let within = PROBE_TIMEOUT.max(delay * PROBE_DELAYS).min(left);
         let read = self.store.read(Partition::JOBS, end, Duration::ZERO);
         let answered = match timeout(within, read).await {
             Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
--- /dev/null
+++ b/dragonflyrun/tests/caller_patience.rs
@@ -0,0 +1,171 @@
+//! How long a caller is kept waiting for an answer.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use dragonflyrun::{
+    port::{
+        AdviceAnswer, AdviceQuestion, Advisor, Append, AppendError, Appended, CallerAnswer,
+        CallerCall, CallerRequest, Configuration, Entrance, Newest, OperatorRecord, Page,
+        Partition, Queue, ReadError, Store, StoreRecord, Topic,
+    },
+    process::{
+        Counters,
+        on_store::{StoreBounds, StoreEntry, StoreSettings},
+    },
+    workload::{JobRequest, Step},
+};
+use tokio::{
+    task::LocalSet,
+    time::{sleep, timeout},
+};
+
+const PATIENCE: Duration = Duration::from_secs(3);
+
+/// How long the store takes for an answer.
+const DELAY: Duration = Duration::from_millis(600);
+
+/// A slow store that takes no records and at last has no news.
+#[derive(Default)]
+struct SlowStore {
+    /// Reads of the jobs that were answered.
+    answered: AtomicU32,
+    /// Whether no read is answered any more but those of `probed`.
+    silent: AtomicBool,
+    /// Whether reads that do not wait for news are answered all the same.
+    probed: AtomicBool,
+}
+
+impl Store for SlowStore {
+    async fn append(&self, _: &Append, within: Duration) -> Result<Appended, AppendError> {
+        sleep(within).await;
+        Err(AppendError::Unknown("no answer".to_owned()))
+    }
+
+    async fn read(
+        &self,
+        partition: Partition,
+        end: u64,
+        wait: Duration,
+    ) -> Result<Page, ReadError> {
+        sleep(wait + DELAY).await;
+        let probe = wait.is_zero() && self.probed.load(Ordering::Relaxed);
+        if self.silent.load(Ordering::Relaxed) && !probe {
+            std::future::pending::<()>().await;
+        }
+        if partition == Partition::JOBS {
+            self.answered.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(Page {
+            end,
+            records: Vec::new(),
+        })
+    }
+
+    async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+        let record = StoreRecord {
+            key: "config".into(),
+            value: Some(Vec::new()),
+        };
+        let records = if partition.topic == Topic::Operator {
+            vec![record]
+        } else {
+            Vec::new()
+        };
+        Ok(Newest {
+            records,
+            more: false,
+            end: 0,
+        })
+    }
+}
+
+struct NoAdvisor;
+
+impl Advisor for NoAdvisor {
+    async fn advise(&self, _: &AdviceQuestion) -> Option<AdviceAnswer> {
+        None
+    }
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 1,
+        queues: vec![Queue {
+            name: "q".into(),
+            host: "host".into(),
+            prefix: "/q/".into(),
+            service: "svc".into(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            public: true,
+            advice: None,
+        }],
+        ..Configuration::default()
+    }
+}
+
+fn settings() -> StoreSettings {
+    StoreSettings {
+        name: "entry".into(),
+        partitions: 12,
+        bounds: StoreBounds {
+            lease: Duration::from_secs(10),
+            revoke: Duration::from_secs(60),
+            keep_ended: Duration::from_secs(120),
+            grace: Duration::from_secs(6),
+            far_factor: 3.0,
+            checkpoint_every: Duration::ZERO,
+        },
+    }
+}
+
+fn hand_in() -> CallerRequest {
+    CallerRequest {
+        host: "host".to_owned(),
+        path: "/q/0123456789abcdef".to_owned(),
+        key: None,
+        patience: PATIENCE,
+        call: CallerCall::Submit(Some(JobRequest {
+            payload: "".into(),
+            steps: vec![Step {
+                tasks: 1,
+                ..Step::default()
+            }],
+            occurrences: None,
+        })),
+    }
+}
+
+/// Guards against answers after a caller's deadline: the time for the read that shows whether the store can
+/// be reached is the caller's as well.
+#[tokio::test]
+async fn probe_counted() {
+    let test = async {
+        let store = Arc::new(SlowStore::default());
+        let counters = Arc::new(Counters::new().expect("counters"));
+        let entry = StoreEntry::new(settings(), store.clone(), NoAdvisor, counters);
+        entry.start(Arc::new(|_: &StoreRecord| {
+            Some(OperatorRecord::Configuration(Box::new(configuration())))
+        }));
+        while store.answered.load(Ordering::Relaxed) < 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        store.silent.store(true, Ordering::Relaxed);
+        // Only an entry that has heard nothing for a while asks before it sends a record.
+        sleep(DELAY + Duration::from_millis(150)).await;
+        store.probed.store(true, Ordering::Relaxed);
+        let asked = Instant::now();
+        let answer = timeout(PATIENCE * 2, entry.call(hand_in())).await;
+        assert!(matches!(answer, Ok(CallerAnswer::Unknown)), "{answer:?}");
+        assert!(asked.elapsed() < PATIENCE, "{:?}", asked.elapsed());
+    };
+    LocalSet::new().run_until(test).await;
+}
