Keep the longest task of each step beside what its tasks take

Cause, found by reading: the objective of a job was worked out anew for each of its runs in a pass, over all tasks of its steps: the square of a step's tasks in each pass since progress is measured. Change: the longest time of a step is kept as it is measured. No change of behaviour.

--- a/dragonflyrun/src/process/on_store/entrance.rs
+++ b/dragonflyrun/src/process/on_store/entrance.rs
@@ -21,8 +21,8 @@
 const REVOKE_SHARE: f64 = 0.85;
 
 /// How long the answer to a question about a running job waits for its end. Callers ask when their work
-/// is done, which the store learns some 30 ms later; sent away with `running`, they would hear of
-/// the end only with their next question.
+/// is done, and the store learns that some 30 ms later. An answer of `running` in between would let them
+/// hear of the end with their next question only.
 const END_WAIT: Duration = Duration::from_millis(100);
 
 /// How many of the store's delays it waits beside that: an end is reported, read, planned and read.
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -26,7 +26,9 @@
     /// Tasks of which an overdue run was stopped: the next one is left alone, however long it takes.
     pub(super) moved: HashSet<TaskId>,
     /// What the tasks take in milliseconds, by the progress of their runs and their numbers in the job.
-    pub(super) measured_ms: HashMap<u32, u64>,
+    measured_ms: BTreeMap<u32, u64>,
+    /// The longest of these of each step, by the number of its first task.
+    longest_ms: HashMap<u32, u64>,
 }
 
 impl LiveJob {
@@ -40,7 +42,8 @@
             failed_at: None,
             evictions: 0,
             moved: HashSet::default(),
-            measured_ms: HashMap::default(),
+            measured_ms: BTreeMap::new(),
+            longest_ms: HashMap::default(),
         }
     }
 
@@ -83,9 +86,14 @@
 
     /// Takes note of what a task takes, by the progress of a run.
     pub(super) fn measured(&mut self, task: &TaskId, total_ms: u64) {
-        if let Some(number) = self.job.number(task) {
-            self.measured_ms.insert(number, total_ms);
-        }
+        let Some(number) = self.job.number(task) else {
+            return;
+        };
+        self.measured_ms.insert(number, total_ms);
+        let numbers = self.job.numbers(task.occurrence, task.step);
+        let of_step = self.measured_ms.range(numbers.clone());
+        let longest = of_step.map(|(_, ms)| *ms).max().unwrap_or(total_ms);
+        self.longest_ms.insert(numbers.start, longest);
     }
 
     /// Returns the milliseconds that tasks of a step take together: as runs of them have shown, or as
@@ -109,8 +117,9 @@
     pub(super) fn objective_ms(&self, times: &RunTimes, occurrence: u32) -> u64 {
         let job = &self.job;
         let estimate = |step: u32, shape: &Step| {
-            let all: Vec<u32> = (0..shape.tasks).collect();
-            self.estimate_ms(times, occurrence, step, shape, &all)
+            let first = job.numbers(occurrence, step).start;
+            let longest = self.longest_ms.get(&first).copied();
+            longest.unwrap_or_else(|| times.estimate_ms(&job.queue, shape.estimate_ms))
         };
         let chain_ms = job.request.chain_ms(estimate) as f64;
         self.begin_ms(occurrence) + (job.stretch * chain_ms) as u64 + job.target_ms
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -175,11 +175,9 @@
                 }
             }
         }
-        let live = LiveJob {
-            cancelled,
-            plan,
-            ..LiveJob::new(job)
-        };
+        let mut live = LiveJob::new(job);
+        live.cancelled = cancelled;
+        live.plan = plan;
         self.jobs.insert(name.clone(), live);
     }
 
