--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -22,14 +22,14 @@
         Writer,
     },
     process::on_store::{
-        Batch, Follower, Lanes, StoreEntry,
+        Batch, BootTime, Follower, Lanes, StoreEntry,
         entry::{READ_WAIT, unix_ms, wait_for},
         term_writer::{APPEND_TIMEOUT, FIRST_SEQUENCE, TermWriter, WRITER},
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
         Decisions, JobRecord, LifeSigns, OrderMessage, Planner, PlannerBounds, Report, Term,
-        TermStep, View, WorkerOrder, decode, encode,
+        TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
     },
 };
 
@@ -77,6 +77,7 @@
     /// Partitions of reports that can't be read, or have not been yet.
     unread: Cell<HashSet<u32>>,
     life: RefCell<LifeSigns>,
+    withheld: RefCell<WithheldStarts>,
 }
 
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
@@ -142,6 +143,7 @@
             reports_since: Cell::new(None),
             unread: Cell::default(),
             life: RefCell::default(),
+            withheld: RefCell::default(),
         }))
     }
 
@@ -294,7 +296,7 @@
     /// Decides once, makes the decisions last, and sends the orders.
     async fn pass(self: &Rc<Self>) {
         let came = Instant::now();
-        let mut decisions = {
+        let (mut decisions, proof_age) = {
             let mut state = lock(&self.entry.state);
             let mut planner = self.planner.borrow_mut();
             for record in state.news.drain(..) {
@@ -304,18 +306,20 @@
                 return;
             };
             let evacuated = state.evacuated.clone();
-            let proof = state.operator_proof;
+            let proof_age = state.operator_proof.map(BootTime::elapsed);
             drop(state);
-            planner.decide(&View {
+            let decisions = planner.decide(&View {
                 now: self.entry.now(),
                 unix_ms: unix_ms(),
                 configuration: &configuration,
                 evacuated: &evacuated,
-                is_fresh: proof.is_some_and(|p| p.elapsed() < FRESH),
+                is_fresh: proof_age.is_some_and(|age| age < FRESH),
                 reports_since: self.reports_since.get(),
-            })
+            });
+            (decisions, proof_age)
         };
         self.measure(&decisions, came);
+        self.log_withheld(&decisions, proof_age);
         lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
         if !decisions.plans.is_empty() {
             self.life.borrow_mut().plan_sent();
@@ -358,6 +362,27 @@
         counters.level("term", self.term.number as f64);
     }
 
+    /// Logs that waiting work is not started for want of a proof of the configuration, and that it is again.
+    fn log_withheld(&self, decisions: &Decisions, proof_age: Option<Duration>) {
+        let is_fresh = proof_age.is_some_and(|age| age < FRESH);
+        let jobs = decisions.waiting.len();
+        let counters = &self.entry.counters;
+        let age_ms = proof_age.map(|age| age.as_millis() as u64);
+        counters.level("configuration_age_ms", age_ms.unwrap_or(0) as f64);
+        let now = self.entry.now();
+        match self.withheld.borrow_mut().pass(now, is_fresh, jobs) {
+            Some(WithheldChange::Withheld) => {
+                counters.event("starts_withheld");
+                log::warn!(term = self.term.number, reason = "configuration_stale", age_ms, jobs; "starts_withheld");
+            }
+            Some(WithheldChange::Resumed { after }) => {
+                let withheld_ms = after.as_millis() as u64;
+                log::info!(term = self.term.number, withheld_ms, jobs; "starts_resumed");
+            }
+            None => {}
+        }
+    }
+
     fn send(self: &Rc<Self>, order: WorkerOrder) {
         let lane = self.lanes.lane_of(&order.worker);
         let mut senders = self.senders.borrow_mut();
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -34,6 +34,7 @@
 mod tickets;
 mod trust;
 mod waiting;
+mod withheld;
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use book::{Book, BookEntry, LookUp};
@@ -54,3 +55,4 @@
 pub use term::{Election, TermStep};
 pub use trust::Caution;
 pub use waiting::{WaitReason, Waiting};
+pub use withheld::{WithheldChange, WithheldStarts};
