Failing tests: a page read in part counts as proof that all has been read

Follower::next gives what one page holds, and fold_jobs and fold_operators take the time at which it was asked for as a proof that the book and the configuration are current, also where the partition goes on behind the page.

Both tests give one record a page, 100 ms each, and ask when 35 of 80 records have been read.

--- /dev/null
+++ b/dragonflyrun/tests/partial_pages.rs
@@ -0,0 +1,246 @@
+//! What an entry answers while it has read only a part of what the store holds.
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use dragonflyrun::{
+    port::{
+        AdviceAnswer, AdviceQuestion, Advisor, Append, AppendError, Appended, CallerAnswer,
+        CallerCall, CallerRequest, Configuration, Entrance, Newest, OperatorRecord, Page,
+        Partition, Queue, ReadError, Refusal, Store, StoreRecord, Workspace,
+    },
+    process::{
+        Counters,
+        on_store::{StoreBounds, StoreEntry, StoreSettings},
+    },
+    utils::lock,
+    workload::{Job, JobRecord, JobRequest, Step},
+};
+use tokio::{task::LocalSet, time::sleep};
+
+/// How long the store's link takes for a page, which holds one record.
+const PAGE_TIME: Duration = Duration::from_millis(100);
+
+/// Records that come at once.
+const BACKLOG: u64 = 80;
+
+/// Records that were read when the caller comes: their pages took longer than any proof is good for.
+const READ_BEFORE: u64 = 35;
+
+/// A bound on keys that were taken away which is shorter than the time for those pages.
+const SHORT_REVOKE: Duration = Duration::from_secs(1);
+
+/// One that is longer.
+const LONG_REVOKE: Duration = Duration::from_secs(60);
+
+/// A store that is read over a slow link, one record a page.
+#[derive(Default)]
+struct PagedStore {
+    jobs: Mutex<Vec<StoreRecord>>,
+    operators: Mutex<Vec<StoreRecord>>,
+    /// Records that the entry has been given of what came at once.
+    given: AtomicU64,
+}
+
+impl PagedStore {
+    fn records(&self, partition: Partition) -> &Mutex<Vec<StoreRecord>> {
+        if partition == Partition::JOBS {
+            &self.jobs
+        } else {
+            &self.operators
+        }
+    }
+}
+
+impl Store for PagedStore {
+    async fn append(&self, _: &Append, _: Duration) -> Result<Appended, AppendError> {
+        Err(AppendError::NotDone("a store to read".to_owned()))
+    }
+
+    async fn read(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Page, ReadError> {
+        sleep(PAGE_TIME).await;
+        let has_news = || lock(self.records(partition)).len() as u64 > from;
+        if !has_news() {
+            sleep(wait).await;
+        }
+        let records = lock(self.records(partition));
+        let page = records.get(from as usize).cloned();
+        if page.is_some() {
+            self.given.fetch_max(from + 1, Ordering::Relaxed);
+        }
+        Ok(Page {
+            end: records.len() as u64,
+            records: page.into_iter().collect(),
+        })
+    }
+
+    async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+        let records = lock(self.records(partition)).clone();
+        Ok(Newest {
+            end: records.len() as u64,
+            records,
+            more: false,
+        })
+    }
+}
+
+struct NoAdvisor;
+
+impl Advisor for NoAdvisor {
+    async fn advise(&self, _: &AdviceQuestion) -> Option<AdviceAnswer> {
+        None
+    }
+}
+
+type Entry = StoreEntry<PagedStore, NoAdvisor>;
+
+/// Starts an entry that has read a store with the first version of the configuration.
+async fn started(store: &Arc<PagedStore>, revoke: Duration) -> Arc<Entry> {
+    lock(&store.operators).push(version(1));
+    let settings = StoreSettings {
+        name: "entry".into(),
+        partitions: 12,
+        bounds: StoreBounds {
+            lease: Duration::from_secs(10),
+            revoke,
+            keep_ended: Duration::from_secs(120),
+            grace: Duration::from_secs(6),
+            far_factor: 3.0,
+            checkpoint_every: Duration::ZERO,
+        },
+    };
+    let counters = Arc::new(Counters::new().expect("counters"));
+    let entry = StoreEntry::new(settings, store.clone(), NoAdvisor, counters);
+    entry.start(Arc::new(|record: &StoreRecord| {
+        let version = record.value.as_ref()?.first().copied()?;
+        let configuration = configuration(u64::from(version));
+        Some(OperatorRecord::Configuration(Box::new(configuration)))
+    }));
+    while !entry.is_ready() {
+        sleep(PAGE_TIME).await;
+    }
+    entry
+}
+
+/// Waits until the entry has been given so much of what came at once, and much is left.
+async fn read_in_part(store: &PagedStore) {
+    while store.given.load(Ordering::Relaxed) < READ_BEFORE {
+        sleep(PAGE_TIME / 4).await;
+    }
+    assert!(store.given.load(Ordering::Relaxed) < BACKLOG - 20);
+}
+
+fn version(number: u64) -> StoreRecord {
+    StoreRecord {
+        key: "config".into(),
+        value: Some(vec![u8::try_from(number).expect("a small number")]),
+    }
+}
+
+/// Returns a version of the configuration; the last one has taken the key away.
+fn configuration(version: u64) -> Configuration {
+    let keys = if version < BACKLOG {
+        vec!["key".into()]
+    } else {
+        Vec::new()
+    };
+    Configuration {
+        version,
+        queues: vec![Queue {
+            name: "q".into(),
+            host: "host".into(),
+            prefix: "/q/".into(),
+            service: "svc".into(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            public: false,
+            advice: None,
+        }],
+        workspaces: vec![Workspace {
+            name: "w".into(),
+            keys,
+            guaranteed_accelerators: 0,
+        }],
+        ..Configuration::default()
+    }
+}
+
+fn accepted(name: &str) -> StoreRecord {
+    let job = Job {
+        name: name.into(),
+        queue: "q".into(),
+        service: "svc".into(),
+        workspace: Some("w".into()),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 3.0,
+        target_ms: 1_000,
+        accepted_ms: 1,
+        request: JobRequest {
+            payload: "".into(),
+            steps: vec![Step {
+                tasks: 1,
+                ..Step::default()
+            }],
+            occurrences: None,
+        },
+    };
+    JobRecord::Accepted(Box::new(job)).encode()
+}
+
+fn look(job: &str) -> CallerRequest {
+    CallerRequest {
+        host: "host".to_owned(),
+        path: format!("/q/{job}"),
+        key: Some("key".to_owned()),
+        patience: Duration::from_secs(3),
+        call: CallerCall::Look,
+    }
+}
+
+/// Guards against a caller who is told that there is no such job, where the entry has not yet read the
+/// page in which it stands.
+#[tokio::test]
+async fn unread_job() {
+    let test = async {
+        let store = Arc::new(PagedStore::default());
+        let entry = started(&store, LONG_REVOKE).await;
+        let names = (0..BACKLOG).map(|i| format!("{i:016x}"));
+        lock(&store.jobs).extend(names.map(|name| accepted(&name)));
+        read_in_part(&store).await;
+        let answer = entry.call(look(&format!("{:016x}", BACKLOG - 1))).await;
+        assert!(!matches!(answer, CallerAnswer::NoJob), "{answer:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
+
+/// Guards against a key that goes on being served since each older version that is read counts as the
+/// newest one.
+#[tokio::test]
+async fn unread_version() {
+    let test = async {
+        let store = Arc::new(PagedStore::default());
+        let entry = started(&store, SHORT_REVOKE).await;
+        lock(&store.operators).extend((2..=BACKLOG).map(version));
+        read_in_part(&store).await;
+        let answer = entry.call(look("")).await;
+        let stale = matches!(
+            answer,
+            CallerAnswer::Refused(Refusal::ConfigurationStale, _)
+        );
+        assert!(stale, "{answer:?}");
+    };
+    LocalSet::new().run_until(test).await;
+}
