Failing test: orders of a burst never leave a planner with a slow link

The orders for each lane are one append with a bound of 800 ms on its whole time. Those of all lanes share the link, so all run out of time together and begin anew, without end; the planner's signs of life are small, get through and keep the term.

The test hands in five jobs with 4,000 bytes and a task for each of 50 workers, at a planner with 2 Mbit/s.

--- /dev/null
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -0,0 +1,303 @@
+//! Orders of a planner whose host has a slow link.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use dragonflyrun::{
+    port::{
+        AdviceAnswer, AdviceQuestion, Advisor, Append, AppendError, Appended, Configuration,
+        Heartbeat, Newest, OperatorRecord, Page, Partition, Queue, ReadError, Store, StoreRecord,
+        Topic,
+    },
+    process::{
+        Counters,
+        on_store::{Lanes, StoreBounds, StoreEntry, StoreSettings},
+    },
+    utils::{HashMap, HashSet, lock},
+    workload::{
+        Job, JobRecord, JobRequest, OrderMessage, Report, Resources, RunId, Step, decode, encode,
+    },
+};
+use tokio::{
+    task::LocalSet,
+    time::{sleep, timeout},
+};
+
+/// Partitions of a topic.
+const PARTITIONS: u32 = 24;
+
+const WORKERS: u32 = 50;
+
+/// Jobs that come at once, each with a task for each worker.
+const JOBS: usize = 5;
+
+/// The longest text that a caller hands in with a job.
+const PAYLOAD_BYTES: usize = 4_000;
+
+/// Bytes a second of a link with 2 Mbit/s.
+const LINK: u32 = 250_000;
+
+/// Bytes that the link carries before it is the next append's turn.
+const PIECE: usize = 4_096;
+
+/// How often the appends of one partition may run out of time before they will never be done.
+const MOST_CUT_OFF: u32 = 8;
+
+/// A store at the end of a slow link, which all appends share.
+#[derive(Default)]
+struct FarStore {
+    link: tokio::sync::Mutex<()>,
+    jobs: Mutex<Vec<StoreRecord>>,
+    /// Runs whose orders stand.
+    ordered: Mutex<HashSet<RunId>>,
+    /// How often orders of a partition have run out of time.
+    cut_off: Mutex<HashMap<Partition, u32>>,
+    /// Numbers the reports.
+    reports: Mutex<u64>,
+}
+
+impl FarStore {
+    async fn carry(&self, bytes: usize) {
+        for _ in 0..bytes.div_ceil(PIECE) {
+            let _turn = self.link.lock().await;
+            sleep(Duration::from_secs(1) * PIECE as u32 / LINK).await;
+        }
+    }
+
+    /// Returns the newest report of each worker that has them in a partition.
+    fn reports_in(&self, partition: Partition) -> Vec<StoreRecord> {
+        let mut number = lock(&self.reports);
+        let lanes = Lanes::new(PARTITIONS);
+        let names = (0..WORKERS).map(|i| format!("w{i}"));
+        let here = names.filter(|name| lanes.reports_of(name) == partition);
+        let reports = here.map(|name| {
+            *number += 1;
+            StoreRecord {
+                key: name.as_str().into(),
+                value: Some(encode(&report(&name, *number))),
+            }
+        });
+        reports.collect()
+    }
+
+    fn take_orders(&self, records: &[StoreRecord]) {
+        let mut ordered = lock(&self.ordered);
+        for record in records {
+            let message = record.value.as_deref().and_then(decode::<OrderMessage>);
+            if let Some(OrderMessage::Order { order, .. }) = message {
+                ordered.extend(order.starts.into_iter().map(|start| start.run));
+            }
+        }
+    }
+}
+
+impl Store for FarStore {
+    async fn append(&self, append: &Append, within: Duration) -> Result<Appended, AppendError> {
+        let values = append.records.iter().filter_map(|r| r.value.as_ref());
+        let bytes = values.map(Vec::len).sum();
+        let is_order = matches!(append.partition.topic, Topic::Orders(_));
+        if timeout(within, self.carry(bytes)).await.is_err() {
+            if is_order {
+                *lock(&self.cut_off).entry(append.partition).or_default() += 1;
+            }
+            return Err(AppendError::Unknown("timeout".to_owned()));
+        }
+        if is_order {
+            self.take_orders(&append.records);
+            return Ok(Appended {
+                offset: 10,
+                end: 11,
+            });
+        }
+        let mut jobs = lock(&self.jobs);
+        let offset = jobs.len() as u64;
+        if append.at.is_some_and(|at| at != offset) {
+            return Err(AppendError::Moved(offset));
+        }
+        jobs.extend(append.records.iter().cloned());
+        let end = jobs.len() as u64;
+        Ok(Appended { offset, end })
+    }
+
+    async fn read(
+        &self,
+        partition: Partition,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Page, ReadError> {
+        if partition == Partition::JOBS && lock(&self.jobs).len() as u64 > from {
+            sleep(Duration::from_millis(2)).await;
+        } else {
+            sleep(wait.max(Duration::from_millis(2))).await;
+        }
+        let records = match partition.topic {
+            Topic::Jobs => lock(&self.jobs)[from as usize..].to_vec(),
+            Topic::Workers => self.reports_in(partition),
+            Topic::Operator | Topic::Orders(_) => Vec::new(),
+        };
+        Ok(Page {
+            end: from + records.len() as u64,
+            records,
+        })
+    }
+
+    async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+        let records = match partition.topic {
+            Topic::Jobs => lock(&self.jobs).clone(),
+            Topic::Workers => self.reports_in(partition),
+            Topic::Operator => vec![StoreRecord {
+                key: "config".into(),
+                value: Some(Vec::new()),
+            }],
+            Topic::Orders(_) => Vec::new(),
+        };
+        Ok(Newest {
+            end: records.len() as u64,
+            records,
+            more: false,
+        })
+    }
+}
+
+struct NoAdvisor;
+
+impl Advisor for NoAdvisor {
+    async fn advise(&self, _: &AdviceQuestion) -> Option<AdviceAnswer> {
+        None
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.expect("a time after 1970").as_millis() as u64
+}
+
+fn report(worker: &str, sequence: u64) -> Report {
+    Report {
+        heartbeat: Heartbeat {
+            worker: worker.into(),
+            born_ms: 1,
+            address: format!("{worker}:1").into(),
+            service: "svc".into(),
+            failure_domain: "d".into(),
+            draining: false,
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mb: 128_000,
+                accelerators: 8,
+            },
+            labels: Vec::new(),
+            rack: None,
+            remaining_ms: None,
+            sequence,
+        },
+        session: 1,
+        sequence,
+        sent_ms: unix_ms(),
+        orders_seen: 2,
+        starting: Vec::new(),
+        refused: Vec::new(),
+        running: Vec::new(),
+        progress: Vec::new(),
+        paces: Vec::new(),
+        ends: Vec::new(),
+        closed: false,
+        left: false,
+        unreachable: false,
+    }
+}
+
+fn configuration() -> Configuration {
+    Configuration {
+        version: 1,
+        queues: vec![Queue {
+            name: "q".into(),
+            host: "host".into(),
+            prefix: "/q/".into(),
+            service: "svc".into(),
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target: Duration::from_secs(1),
+            public: true,
+            advice: None,
+        }],
+        ..Configuration::default()
+    }
+}
+
+fn accepted(name: String) -> StoreRecord {
+    let job = Job {
+        name: name.into(),
+        queue: "q".into(),
+        service: "svc".into(),
+        workspace: None,
+        priority: 1,
+        max_attempts: 3,
+        stretch: 3.0,
+        target_ms: 1_000,
+        accepted_ms: unix_ms(),
+        request: JobRequest {
+            payload: "x".repeat(PAYLOAD_BYTES).into(),
+            steps: vec![Step {
+                tasks: WORKERS,
+                needs: Resources {
+                    cpu_millis: 1_000,
+                    memory_mb: 1_000,
+                    accelerators: 1,
+                },
+                estimate_ms: 9_500,
+                per_worker: 1,
+                ..Step::default()
+            }],
+            occurrences: None,
+        },
+    };
+    JobRecord::Accepted(Box::new(job)).encode()
+}
+
+fn settings() -> StoreSettings {
+    StoreSettings {
+        name: "entry".into(),
+        partitions: PARTITIONS,
+        bounds: StoreBounds {
+            lease: Duration::from_secs(10),
+            revoke: Duration::from_secs(5),
+            keep_ended: Duration::from_secs(120),
+            grace: Duration::from_secs(6),
+            far_factor: 3.0,
+            checkpoint_every: Duration::ZERO,
+        },
+    }
+}
+
+/// Guards against orders that are never sent: those for many workers share a slow link, all run out of
+/// time at once, and each is begun anew, while the planner shows that it lives and keeps the term.
+#[tokio::test]
+async fn orders_of_burst() {
+    let test = async {
+        let store = Arc::new(FarStore::default());
+        lock(&store.jobs).extend((0..JOBS).map(|i| accepted(format!("{i:016x}"))));
+        let counters = Arc::new(Counters::new().expect("counters"));
+        let entry = StoreEntry::new(settings(), store.clone(), NoAdvisor, counters);
+        entry.start(Arc::new(|_: &StoreRecord| {
+            Some(OperatorRecord::Configuration(Box::new(configuration())))
+        }));
+        let all = JOBS * WORKERS as usize;
+        loop {
+            let ordered = lock(&store.ordered).len();
+            if ordered == all {
+                return;
+            }
+            let cut_off = lock(&store.cut_off).values().copied().max().unwrap_or(0);
+            assert!(
+                cut_off < MOST_CUT_OFF,
+                "orders of {ordered} of {all} runs, and one partition cut off {cut_off} times"
+            );
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    LocalSet::new().run_until(test).await;
+}
