--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -1,6 +1,6 @@
 //! The platform's store: a log in partitions, of which some keep each key's newest record.
 
-use std::time::Duration;
+use std::{future::Future, pin::Pin, time::Duration};
 
 use quick_error::quick_error;
 
@@ -131,6 +131,35 @@
     pub records: Vec<StoreRecord>,
 }
 
+/// A page whose answer has begun to come.
+///
+/// That it has begun shows that the store can be reached. How long the rest takes hangs on how much it is and
+/// on the host's link, so no bound on the store's answers may count it
+/// (`docs/incidents/planner-without-configuration.md`).
+pub struct PageBody<'a>(Pin<Box<dyn Future<Output = Result<Page, ReadError>> + 'a>>);
+
+impl<'a> PageBody<'a> {
+    /// Returns a page that `rest` brings.
+    pub fn new(rest: impl Future<Output = Result<Page, ReadError>> + 'a) -> Self {
+        Self(Box::pin(rest))
+    }
+
+    /// Returns the page once all of it has come.
+    ///
+    /// # Errors
+    ///
+    /// Where the answer ends early, falls silent or can't be used.
+    pub async fn whole(self) -> Result<Page, ReadError> {
+        self.0.await
+    }
+}
+
+impl From<Page> for PageBody<'_> {
+    fn from(page: Page) -> Self {
+        Self::new(async { Ok(page) })
+    }
+}
+
 /// A page of the newest record of each key.
 #[derive(Clone, Debug, Default)]
 pub struct Newest {
@@ -166,13 +195,14 @@
     /// Appends records, waiting up to `within` for the confirmation.
     async fn append(&self, append: &Append, within: Duration) -> Result<Appended, AppendError>;
 
-    /// Reads from offset `from` on, and waits up to `wait` for a record to come.
+    /// Reads from offset `from` on, and waits up to `wait` for a record to come; returns as soon as the
+    /// answer begins to come.
     async fn read(
         &self,
         partition: Partition,
         from: u64,
         wait: Duration,
-    ) -> Result<Page, ReadError>;
+    ) -> Result<PageBody<'_>, ReadError>;
 
     /// Reads the newest record of each key after `after`.
     async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<Newest, ReadError>;
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -4,7 +4,8 @@
 //! waits for news most of the time, so the silence of its connection shows only once the answer is
 //! overdue. A second read on another connection is sent then, and the first answer counts: a hedged
 //! request (Dean and Barroso, "The Tail at Scale", CACM 2013). On a store that is slow altogether it
-//! waits longer before that, so that the load of such a store does not double.
+//! waits longer before that, so that the load of such a store does not double. An answer that has begun to
+//! come is not overdue, however long the rest takes: sent again, it would take half of the link from itself.
 //!
 //! After a read that failed the next one waits for no news: it proves at once that the store is back,
 //! which a read that waits for news on a store without any would prove only when its wait is over.
@@ -16,7 +17,7 @@
     time::{Instant, timeout},
 };
 
-use crate::port::{Page, Partition, ReadError, Store};
+use crate::port::{Page, PageBody, Partition, ReadError, Store};
 
 /// An answer counts as overdue so long after its time at the least.
 const LEAST_OVERDUE: Duration = Duration::from_millis(150);
@@ -103,48 +104,76 @@
 
     async fn probe(&mut self, from: u64) -> Result<Page, ReadError> {
         let within = PROBE_TIMEOUT + self.delay.usual() * PROBE_DELAYS;
-        let read = self.read_hedged(from, Duration::ZERO);
+        let store = self.store.clone();
+        let read = self.begin_hedged(&store, from, Duration::ZERO);
         let silent = |_| Err(ReadError::Unavailable("timeout".to_owned()));
-        timeout(within, read).await.unwrap_or_else(silent)
+        let begun = timeout(within, read).await.unwrap_or_else(silent);
+        self.finish(begun?).await
     }
 
     async fn read_hedged(&mut self, from: u64, wait: Duration) -> Result<Page, ReadError> {
         let store = self.store.clone();
+        let begun = self.begin_hedged(&store, from, wait).await?;
+        self.finish(begun).await
+    }
+
+    /// Returns the first answer that begins to come.
+    async fn begin_hedged<'s>(
+        &self,
+        store: &'s S,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Begun<'s>, ReadError> {
         let partition = self.partition;
-        let sent = Instant::now();
-        let first = store.read(partition, from, wait);
+        let first = begin(store, partition, from, wait);
         pin!(first);
         let overdue = wait + LEAST_OVERDUE.max(self.delay.usual() * OVERDUE_TIMES);
         if let Ok(answer) = timeout(overdue, &mut first).await {
-            self.learn(sent, wait, &answer);
             return answer;
         }
         log::debug!(partition:? = partition, from, overdue_ms = overdue.as_millis() as u64; "read_overdue");
-        let sent_again = Instant::now();
-        let second = store.read(partition, from, Duration::ZERO);
+        let second = begin(store, partition, from, Duration::ZERO);
         pin!(second);
         select! {
-            answer = &mut first => {
-                self.learn(sent, wait, &answer);
-                match answer {
-                    Err(ReadError::Unavailable(_)) => second.await,
-                    answer => answer,
-                }
-            }
-            answer = &mut second => {
-                self.learn(sent_again, Duration::ZERO, &answer);
-                match answer {
-                    Err(ReadError::Unavailable(_)) => first.await,
-                    answer => answer,
-                }
-            }
+            answer = &mut first => match answer {
+                Err(ReadError::Unavailable(_)) => second.await,
+                answer => answer,
+            },
+            answer = &mut second => match answer {
+                Err(ReadError::Unavailable(_)) => first.await,
+                answer => answer,
+            },
         }
     }
 
-    fn learn(&mut self, sent: Instant, wait: Duration, answer: &Result<Page, ReadError>) {
-        if let Ok(page) = answer {
-            let has_news = !page.records.is_empty();
-            self.delay.learn(sent.elapsed(), wait, has_news);
-        }
+    async fn finish(&mut self, begun: Begun<'_>) -> Result<Page, ReadError> {
+        let page = begun.body.whole().await?;
+        self.delay
+            .learn(begun.took, begun.wait, !page.records.is_empty());
+        Ok(page)
     }
 }
+
+/// An answer that has begun to come.
+struct Begun<'s> {
+    body: PageBody<'s>,
+    /// How long it took until then.
+    took: Duration,
+    /// How long the store was allowed to wait for news.
+    wait: Duration,
+}
+
+async fn begin<S: Store>(
+    store: &S,
+    partition: Partition,
+    from: u64,
+    wait: Duration,
+) -> Result<Begun<'_>, ReadError> {
+    let sent = Instant::now();
+    let body = store.read(partition, from, wait).await?;
+    Ok(Begun {
+        body,
+        took: sent.elapsed(),
+        wait,
+    })
+}
--- a/dragonflyrun/tests/caller_patience.rs
+++ b/dragonflyrun/tests/caller_patience.rs
@@ -11,7 +11,7 @@
 use dragonflyrun::{
     port::{
         AdviceAnswer, AdviceQuestion, Advisor, Append, AppendError, Appended, CallerAnswer,
-        CallerCall, CallerRequest, Configuration, Entrance, Newest, OperatorRecord, Page,
+        CallerCall, CallerRequest, Configuration, Entrance, Newest, OperatorRecord, Page, PageBody,
         Partition, Queue, ReadError, Store, StoreRecord, Topic,
     },
     process::{
@@ -52,7 +52,7 @@
         partition: Partition,
         end: u64,
         wait: Duration,
-    ) -> Result<Page, ReadError> {
+    ) -> Result<PageBody<'_>, ReadError> {
         sleep(wait + DELAY).await;
         let probe = wait.is_zero() && self.probed.load(Ordering::Relaxed);
         if self.silent.load(Ordering::Relaxed) && !probe {
@@ -61,10 +61,11 @@
         if partition == Partition::JOBS {
             self.answered.fetch_add(1, Ordering::Relaxed);
         }
-        Ok(Page {
+        let page = Page {
             end,
             records: Vec::new(),
-        })
+        };
+        Ok(page.into())
     }
 
     async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
--- a/dragonflyrun/tests/hedged_reads.rs
+++ b/dragonflyrun/tests/hedged_reads.rs
@@ -9,7 +9,7 @@
 };
 
 use dragonflyrun::{
-    port::{Append, AppendError, Appended, Newest, Page, Partition, ReadError, Store},
+    port::{Append, AppendError, Appended, Newest, Page, PageBody, Partition, ReadError, Store},
     process::on_store::Follower,
     utils::lock,
 };
@@ -28,6 +28,8 @@
     refuses: AtomicBool,
     /// How late each answer is.
     delay: Mutex<Duration>,
+    /// How long an answer takes from its beginning to its end.
+    transfer: Mutex<Duration>,
 }
 
 impl Store for QuietStore {
@@ -35,7 +37,12 @@
         Err(AppendError::NotDone("a store to read".to_owned()))
     }
 
-    async fn read(&self, _: Partition, end: u64, wait: Duration) -> Result<Page, ReadError> {
+    async fn read(
+        &self,
+        _: Partition,
+        end: u64,
+        wait: Duration,
+    ) -> Result<PageBody<'_>, ReadError> {
         let number = self.reads.fetch_add(1, Ordering::Relaxed);
         if self.refuses.load(Ordering::Relaxed) {
             return Err(ReadError::Unavailable("refused".to_owned()));
@@ -45,10 +52,15 @@
         }
         let delay = *lock(&self.delay);
         sleep(wait + delay).await;
-        Ok(Page {
+        let page = Page {
             end,
             records: Vec::new(),
-        })
+        };
+        let transfer = *lock(&self.transfer);
+        Ok(PageBody::new(async move {
+            sleep(transfer).await;
+            Ok(page)
+        }))
     }
 
     async fn newest(&self, _: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
@@ -108,3 +120,30 @@
     follower.next(WAIT).await.expect("an answer");
     assert!(asked.elapsed() >= WAIT, "it waits for news again");
 }
+
+/// Guards against a large answer on a slow link that is cut short, or sent a second time beside the first.
+#[tokio::test(start_paused = true)]
+async fn arriving_answer() {
+    const TRANSFER: Duration = Duration::from_secs(5);
+    let store = Arc::new(QuietStore::default());
+    let mut follower = follower(&store).await;
+    *lock(&store.transfer) = TRANSFER;
+    let asked = Instant::now();
+    follower.next(WAIT).await.expect("the whole answer");
+    assert!(asked.elapsed() >= WAIT + TRANSFER);
+    assert_eq!(store.reads.load(Ordering::Relaxed), 1);
+    // Nor does it count as the store's delay.
+    assert!(follower.usual_delay() < Duration::from_millis(50));
+}
+
+/// Guards against the same for the read after one that failed, which is given less time.
+#[tokio::test(start_paused = true)]
+async fn arriving_probe() {
+    let store = Arc::new(QuietStore::default());
+    let mut follower = follower(&store).await;
+    store.refuses.store(true, Ordering::Relaxed);
+    follower.next(WAIT).await.expect_err("a refusal");
+    store.refuses.store(false, Ordering::Relaxed);
+    *lock(&store.transfer) = Duration::from_secs(5);
+    follower.next(WAIT).await.expect("the whole answer");
+}
--- a/dragonflyrun/tests/partial_pages.rs
+++ b/dragonflyrun/tests/partial_pages.rs
@@ -11,7 +11,7 @@
 use dragonflyrun::{
     port::{
         AdviceAnswer, AdviceQuestion, Advisor, Append, AppendError, Appended, CallerAnswer,
-        CallerCall, CallerRequest, Configuration, Entrance, Newest, OperatorRecord, Page,
+        CallerCall, CallerRequest, Configuration, Entrance, Newest, OperatorRecord, Page, PageBody,
         Partition, Queue, ReadError, Refusal, Store, StoreRecord, Workspace,
     },
     process::{
@@ -67,7 +67,7 @@
         partition: Partition,
         from: u64,
         wait: Duration,
-    ) -> Result<Page, ReadError> {
+    ) -> Result<PageBody<'_>, ReadError> {
         sleep(PAGE_TIME).await;
         let has_news = || lock(self.records(partition)).len() as u64 > from;
         if !has_news() {
@@ -78,10 +78,11 @@
         if page.is_some() {
             self.given.fetch_max(from + 1, Ordering::Relaxed);
         }
-        Ok(Page {
+        let page = Page {
             end: records.len() as u64,
             records: page.into_iter().collect(),
-        })
+        };
+        Ok(page.into())
     }
 
     async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -8,8 +8,8 @@
 use dragonflyrun::{
     port::{
         AdviceAnswer, AdviceQuestion, Advisor, Append, AppendError, Appended, Configuration,
-        Heartbeat, Newest, OperatorRecord, Page, Partition, Queue, ReadError, Store, StoreRecord,
-        Topic,
+        Heartbeat, Newest, OperatorRecord, Page, PageBody, Partition, Queue, ReadError, Store,
+        StoreRecord, Topic,
     },
     process::{
         Counters,
@@ -126,7 +126,7 @@
         partition: Partition,
         from: u64,
         wait: Duration,
-    ) -> Result<Page, ReadError> {
+    ) -> Result<PageBody<'_>, ReadError> {
         if partition == Partition::JOBS && lock(&self.jobs).len() as u64 > from {
             sleep(Duration::from_millis(2)).await;
         } else {
@@ -137,10 +137,11 @@
             Topic::Workers => self.reports_in(partition),
             Topic::Operator | Topic::Orders(_) => Vec::new(),
         };
-        Ok(Page {
+        let page = Page {
             end: from + records.len() as u64,
             records,
-        })
+        };
+        Ok(page.into())
     }
 
     async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
--- a/standins/src/steps/store.rs
+++ b/standins/src/steps/store.rs
@@ -4,8 +4,8 @@
 
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, Newest, Page, Partition, ReadError, Store, StoreRecord,
-        Writer,
+        Append, AppendError, Appended, Newest, Page, PageBody, Partition, ReadError, Store,
+        StoreRecord, Writer,
     },
     utils::{HashMap, Name},
 };
@@ -86,7 +86,7 @@
         partition: Partition,
         from: u64,
         wait: Duration,
-    ) -> Result<Page, ReadError> {
+    ) -> Result<PageBody<'_>, ReadError> {
         let end = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
@@ -104,7 +104,7 @@
             };
             // A wait that is over answers with an empty page, as the platform's store does.
             if !page.records.is_empty() || timeout_at(end, changed).await.is_err() {
-                return Ok(page);
+                return Ok(page.into());
             }
         }
     }
