Let an entry that can prove the configuration replace a planner that can't

Callers saw accepted jobs stand still for good though seven other entries were well: the planner had no fresh proof of the configuration, so it started nothing, and it kept the term by its signs of life (the second fault of the incident; the first made its reads fail).

Cause: a term was held by whoever lives, not by whoever can plan, and candidates were not asked for a proof either. Class of fault: a lease renewed by a process that can't do the work that the lease is for.

Change: a sign of life says when its planner is stale (no proof for 3 s and four delays of the store); an entry with a proof then claims the term after 0.25 s. Without a proof an entry stands later for a free term. Where nobody has one the term stays where it is, since ends are still to be noted. The operators' tool shows it, term_won logs what came before. Weighed: the planner resigns (nobody notes ends while all are stale), and signs of life only with a proof (the same, and the term changes hands over and over).

New: stale_planner, stale_everywhere, stale_briefly, unproved_candidate, stale_is_told.

--- a/dragonflyrun/src/process/on_store/own_interface.rs
+++ b/dragonflyrun/src/process/on_store/own_interface.rs
@@ -122,6 +122,7 @@
             term: state.election.term().number,
             plans_here: state.plans,
             planner_seen_ms: u64::try_from(seen.as_millis()).unwrap_or(u64::MAX),
+            planner_stale: state.election.term().stale,
             out_of_service,
             waiting: counts[0],
             running: counts[1],
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -28,8 +28,8 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Decisions, JobRecord, LifeSigns, OrderMessage, Planner, PlannerBounds, Report, Term,
-        TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
+        Candidate, Decisions, JobRecord, LifeSigns, OrderMessage, Planner, PlannerBounds, Report,
+        Term, TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
     },
 };
 
@@ -48,6 +48,13 @@
 
 const _: () = assert!(FRESH.as_millis() > 2 * READ_WAIT.as_millis());
 
+/// Age of that read from which on another entry that reads better is to plan: a change of planner costs
+/// about as long as a short gap.
+const STALE: Duration = Duration::from_millis(3_000);
+
+/// How many of the store's usual delays are allowed beside that: on a slow store all read late.
+const STALE_DELAYS: u32 = 4;
+
 /// Silence of an agent, which reports each second at the least, after which its session is closed.
 const AGENT_SILENCE: Duration = Duration::from_millis(3_000);
 
@@ -104,6 +111,7 @@
     }
 
     async fn win(entry: &Arc<StoreEntry<S, A>>, term: Term, end: u64) -> Option<Rc<Self>> {
+        let before = lock(&entry.state).election.term().clone();
         let append = Append {
             partition: Partition::JOBS,
             records: vec![JobRecord::Planner(term.clone()).encode()],
@@ -125,7 +133,11 @@
             }
         }
         entry.counters.event("term_won");
-        log::info!(term = term.number, entry:% = term.entry, end; "term_won");
+        log::info!(
+            term = term.number, entry:% = term.entry, end, stale = term.stale,
+            before:% = before.entry, before_resigned = before.resigned, before_stale = before.stale;
+            "term_won"
+        );
         let planner = {
             let mut state = lock(&entry.state);
             state.news.clear();
@@ -135,15 +147,15 @@
         Some(Rc::new(Self {
             entry: entry.clone(),
             writer: TermWriter::new(entry.clone(), term.number),
-            term,
             lanes: Lanes::new(entry.settings.partitions),
             planner: RefCell::new(planner),
             senders: RefCell::default(),
             taken_over: Cell::new(false),
             reports_since: Cell::new(None),
             unread: Cell::default(),
-            life: RefCell::default(),
+            life: RefCell::new(LifeSigns::claimed(term.stale)),
             withheld: RefCell::default(),
+            term,
         }))
     }
 
@@ -187,13 +199,23 @@
     async fn show_life(self: Rc<Self>) {
         loop {
             sleep(SIGN_OF_LIFE).await;
-            if !self.life.borrow_mut().is_due() {
+            let (book_proof, operator_proof, delay) = {
+                let state = lock(&self.entry.state);
+                (state.book_proof, state.operator_proof, state.store_delay)
+            };
+            let most = STALE + delay * STALE_DELAYS;
+            let stale = operator_proof.is_none_or(|p| p.elapsed() > most);
+            if !self.life.borrow_mut().is_due(stale) {
                 continue;
             }
             // A planner that can't read must not keep others from following it.
-            let proof = lock(&self.entry.state).book_proof;
-            if proof.is_some_and(|p| p.elapsed() < FRESH) {
-                let alive = JobRecord::Planner(self.term.clone()).encode();
+            if book_proof.is_some_and(|p| p.elapsed() < FRESH) {
+                let term = Term {
+                    stale,
+                    ..self.term.clone()
+                };
+                self.life.borrow_mut().record_sent(stale);
+                let alive = JobRecord::Planner(term).encode();
                 self.writer.append(Partition::JOBS, vec![alive]).await;
             }
         }
@@ -466,7 +488,11 @@
     if !current || state.configuration.is_none() {
         return None;
     }
-    match state.election.step(now, state.store_delay) {
+    let candidate = Candidate {
+        store_delay: state.store_delay,
+        proves: state.operator_proof.is_some_and(|p| p.elapsed() < FRESH),
+    };
+    match state.election.step(now, candidate) {
         TermStep::Wait => None,
         TermStep::Try(term) => Some((term, state.book_end)),
     }
--- a/dragonflyrun/src/process/on_store/view.rs
+++ b/dragonflyrun/src/process/on_store/view.rs
@@ -34,6 +34,9 @@
     pub plans_here: bool,
     /// Milliseconds since the newest sign of life of the planner.
     pub planner_seen_ms: u64,
+    /// Whether the planner says that it can't prove the configuration and so starts nothing.
+    #[serde(default)]
+    pub planner_stale: bool,
     /// Failure domains that are out of service.
     pub out_of_service: Vec<Name>,
     /// Jobs of which nothing has started.
--- a/dragonflyrun/src/tool/commands/steps.rs
+++ b/dragonflyrun/src/tool/commands/steps.rs
@@ -219,13 +219,18 @@
             write!(
                 f,
                 "entry {}: {ready}, configuration {version} proved {} ago, jobs {} ago; planner {} \
-                 in term {}, seen {} ms ago; {} jobs wait, {} run, {} ended",
+                 in term {}, seen {} ms ago{}; {} jobs wait, {} run, {} ended",
                 view.entry,
                 age(view.configuration_age_ms),
                 age(view.jobs_age_ms),
                 view.planner,
                 view.term,
                 view.planner_seen_ms,
+                if view.planner_stale {
+                    ", starts nothing without a proof of the configuration"
+                } else {
+                    ""
+                },
                 view.waiting,
                 view.running,
                 view.ended
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -52,7 +52,7 @@
 pub use speeds::WorkerSpeeds;
 pub use store_reach::StoreReach;
 pub use task::{RunId, TaskId};
-pub use term::{Election, TermStep};
+pub use term::{Candidate, Election, TermStep};
 pub use trust::Caution;
 pub use waiting::{WaitReason, Waiting};
 pub use withheld::{WithheldChange, WithheldStarts};
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -35,6 +35,9 @@
     /// Whether it has stepped down, so that another may follow at once.
     #[serde(default)]
     pub resigned: bool,
+    /// Whether it starts nothing since it can't prove the configuration: an entry that can may take over.
+    #[serde(default)]
+    pub stale: bool,
 }
 
 /// A record of the jobs' topic.
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -4,6 +4,10 @@
 //! candidate has read to; its number is the fencing token of all later appends of the planner. So
 //! of two candidates one wins, and a planner that was replaced can append nothing any more,
 //! however late its calls arrive.
+//!
+//! A planner that lives and can't prove the configuration starts nothing, and says so in its signs of life. It
+//! goes on noting ends, so it is replaced only by an entry that has such a proof; where nobody has one, the
+//! term stays with it (`docs/incidents/planner-without-configuration.md`).
 
 use std::time::Duration;
 
@@ -20,6 +24,14 @@
 /// life queue with everything else.
 const SILENCE_DELAYS: u32 = 8;
 
+/// How long a planner has to be stale before another entry takes over: its next sign of life may already say
+/// that it no longer is.
+const STALE: Duration = Duration::from_millis(250);
+
+/// How many times the silence that is allowed a candidate waits longer that can't prove the configuration:
+/// it would start nothing, and others may have the proof.
+const UNPROVED_SILENCES: u32 = 2;
+
 /// Names are spread over so many places, which tells candidates apart.
 const PLACES: u32 = 1 << 10;
 
@@ -37,6 +49,15 @@
     Try(Term),
 }
 
+/// What a candidate knows of itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// How long the store takes to answer it.
+    pub store_delay: Duration,
+    /// Whether it can prove the configuration, so that it would start tasks.
+    pub proves: bool,
+}
+
 /// An entry's view of the planner.
 #[derive(Clone, Debug)]
 pub struct Election {
@@ -44,6 +65,8 @@
     nonce: u64,
     term: Term,
     seen: Timestamp,
+    /// Since when the planner says that it is stale.
+    stale_since: Option<Timestamp>,
     /// Claims that the store refused since the newest term, as lower than one that it has seen.
     refused: u64,
 }
@@ -57,6 +80,7 @@
             nonce: nonce % NONCES,
             term: Term::default(),
             seen: now,
+            stale_since: None,
             refused: 0,
         }
     }
@@ -64,6 +88,8 @@
     /// Takes note of a sign of life.
     pub fn saw(&mut self, now: Timestamp, term: &Term) {
         if term.number >= self.term.number {
+            let since = self.stale_since.filter(|_| term.number == self.term.number);
+            self.stale_since = term.stale.then(|| since.unwrap_or(now));
             self.refused = 0;
             self.term = term.clone();
             self.seen = now;
@@ -77,9 +103,11 @@
         }
     }
 
-    /// Takes note that the store could not be read until now: silence counts from here.
+    /// Takes note that the store could not be read until now: silence counts from here, and the planner may
+    /// no longer be stale.
     pub fn was_cut_off(&mut self, now: Timestamp) {
         self.seen = now;
+        self.stale_since = self.stale_since.map(|_| now);
     }
 
     /// Returns the newest term.
@@ -101,30 +129,43 @@
         self.refused += 1;
     }
 
-    /// Returns what to do at `now`, where the store takes `delay` for an answer.
-    pub fn step(&self, now: Timestamp, delay: Duration) -> TermStep {
-        let silence = SILENCE + delay * SILENCE_DELAYS;
+    /// Returns what to do at `now`.
+    pub fn step(&self, now: Timestamp, candidate: Candidate) -> TermStep {
+        let silence = SILENCE + candidate.store_delay * SILENCE_DELAYS;
         let stagger = silence.mul_f64(self.place().powi(2));
-        // Whoever asks does not plan, so a term in its own name is one that an earlier process of
-        // it held. Waiting for a sign of life of that one left all work standing for 1.2 s after
-        // each loss of power of all hosts.
-        let own = self.term.entry == self.entry;
-        let vacant = own || self.term.resigned || self.term.number == 0;
-        let wait = if vacant {
+        let wait = if self.is_vacant() {
             stagger / 4
         } else {
             silence + stagger
         };
-        if now.since(self.seen) < wait {
+        let handicap = match candidate.proves {
+            true => Duration::ZERO,
+            false => silence * UNPROVED_SILENCES,
+        };
+        let is_silent = now.since(self.seen) >= wait + handicap;
+        let stale = self.stale_since.filter(|_| candidate.proves);
+        let is_stale = stale.is_some_and(|since| now.since(since) >= STALE + stagger / 4);
+        if !is_silent && !is_stale {
             return TermStep::Wait;
         }
         TermStep::Try(Term {
             number: (self.term.number / NONCES + 1 + self.refused) * NONCES + self.nonce,
             entry: self.entry.clone(),
             resigned: false,
+            stale: !candidate.proves,
         })
     }
 
+    /// Returns whether nobody plans.
+    ///
+    /// Whoever asks does not plan, so a term in its own name is one that an earlier process of it held.
+    /// Waiting for a sign of life of that one left all work standing for 1.2 s after each loss of power of
+    /// all hosts.
+    fn is_vacant(&self) -> bool {
+        let own = self.term.entry == self.entry;
+        own || self.term.resigned || self.term.number == 0
+    }
+
     /// Returns the place of this entry among the candidates for the next term, from 0 to 1. Its square
     /// spreads them so that the first few of many stand one after the other, and that of three the first
     /// still stands soon.
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -4,13 +4,22 @@
 
 use dragonflyrun::{
     Timestamp,
-    workload::{Election, Term, TermStep},
+    workload::{Candidate, Election, Term, TermStep},
 };
 
 const LATER: Duration = Duration::from_secs(5);
 
-/// The delay of a store that answers at once.
-const PROMPT: Duration = Duration::ZERO;
+/// A candidate that can prove the configuration on a store that answers at once.
+const PROMPT: Candidate = Candidate {
+    store_delay: Duration::ZERO,
+    proves: true,
+};
+
+/// The same without that proof.
+const UNPROVED: Candidate = Candidate {
+    proves: false,
+    ..PROMPT
+};
 
 fn at(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
@@ -22,6 +31,7 @@
         number: rank << 20,
         entry: entry.into(),
         resigned,
+        stale: false,
     }
 }
 
@@ -134,9 +144,12 @@
 fn slow_store() {
     let mut election = Election::new("one".into(), 17, at(0));
     election.saw(at(0), &term(1, "other", false));
-    let delay = Duration::from_millis(250);
-    assert_eq!(election.step(at(2_700), delay), TermStep::Wait);
-    assert!(matches!(election.step(at(9_000), delay), TermStep::Try(_)));
+    let slow = Candidate {
+        store_delay: Duration::from_millis(250),
+        ..PROMPT
+    };
+    assert_eq!(election.step(at(2_700), slow), TermStep::Wait);
+    assert!(matches!(election.step(at(9_000), slow), TermStep::Try(_)));
 }
 
 /// Guards against a crowd of candidates: their claims queue on the partition that the planner writes to.
@@ -159,3 +172,63 @@
     assert!(stood[first + 2] <= 12, "{:?}", &stood[first..first + 5]);
     assert_eq!(stood.last(), Some(&ENTRIES));
 }
+
+/// Returns the sign of life of a planner that can't prove the configuration.
+fn stale(rank: u64, entry: &str) -> Term {
+    Term {
+        stale: true,
+        ..term(rank, entry, false)
+    }
+}
+
+/// Guards against a planner that keeps the term by its signs of life though it starts nothing.
+#[test]
+fn stale_planner() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    for ms in (1_000..=2_000).step_by(200) {
+        election.saw(at(ms), &stale(1, "other"));
+    }
+    let next = tried(election.step(at(2_100), PROMPT));
+    assert!(!next.stale);
+}
+
+/// Guards against a term that goes from one planner without a proof to the next while nobody has one: ends
+/// would be noted by none of them.
+#[test]
+fn stale_everywhere() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    for ms in (1_000..=60_000).step_by(200) {
+        election.saw(at(ms), &stale(1, "other"));
+        assert_eq!(election.step(at(ms + 100), UNPROVED), TermStep::Wait);
+    }
+}
+
+/// Guards against a change of planner for a gap that was over when it was heard of.
+#[test]
+fn stale_briefly() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    election.saw(at(1_000), &stale(1, "other"));
+    assert_eq!(election.step(at(1_100), PROMPT), TermStep::Wait);
+    election.saw(at(1_200), &term(1, "other", false));
+    assert_eq!(election.step(at(1_900), PROMPT), TermStep::Wait);
+    // An entry that was cut off itself has heard of it late.
+    election.saw(at(2_000), &stale(1, "other"));
+    election.was_cut_off(at(9_000));
+    assert_eq!(election.step(at(9_100), PROMPT), TermStep::Wait);
+}
+
+/// Guards against a successor that can't start anything where another one could, and against none at all
+/// where nobody can: ends have to be noted.
+#[test]
+fn unproved_candidate() {
+    for resigned in [false, true] {
+        let mut election = Election::new("one".into(), 17, at(0));
+        election.saw(at(0), &term(1, "other", resigned));
+        let first =
+            |candidate| (0..20_000).find(|ms| election.step(at(*ms), candidate) != TermStep::Wait);
+        let proved = first(PROMPT).expect("it stands");
+        let unproved = first(UNPROVED).expect("it stands at last");
+        assert!(unproved > proved + 1_000, "{proved} {unproved}");
+        assert!(tried(election.step(at(unproved), UNPROVED)).stale);
+    }
+}
--- a/dragonflyrun/tests/slow_appends.rs
+++ b/dragonflyrun/tests/slow_appends.rs
@@ -17,12 +17,28 @@
 #[test]
 fn plans_show_life() {
     let mut signs = LifeSigns::default();
-    assert!(signs.is_due(), "nothing was shown");
+    assert!(signs.is_due(false), "nothing was shown");
     signs.plan_sent();
     for _ in 0..5 {
-        assert!(!signs.is_due(), "the plan is under way");
+        assert!(!signs.is_due(false), "the plan is under way");
     }
     signs.plan_stands();
-    assert!(!signs.is_due(), "it has just been shown");
-    assert!(signs.is_due());
+    assert!(!signs.is_due(false), "it has just been shown");
+    assert!(signs.is_due(false));
+}
+
+/// Guards against a planner that has turned stale and whose plans hide it.
+#[test]
+fn stale_is_told() {
+    let mut signs = LifeSigns::default();
+    signs.plan_stands();
+    assert!(signs.is_due(true), "a plan does not tell that it is stale");
+    signs.record_sent(true);
+    signs.plan_stands();
+    assert!(!signs.is_due(true), "it has been told");
+    signs.plan_stands();
+    assert!(signs.is_due(false), "nor that it no longer is");
+    let mut claimed = LifeSigns::claimed(true);
+    claimed.plan_stands();
+    assert!(claimed.is_due(false));
 }
