Take no page that ends before its partition for a proof

Cause: each batch renewed the proofs of the configuration and of the jobs, though a page holds 512 kB at the most and more may stand behind it. Class of fault: a proof of currency from a partial read.

Change: a batch says whether it reaches the end of its partition as the store answered; only then it renews a proof, ends a caller's wait for the next read, counts a partition of reports as read, or is followed by a pause.

unread_job and unread_version pass; standby_reads and hedged_reads as before.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -191,7 +191,9 @@
             }
         }
         state.evacuated = Arc::new(evacuated);
-        state.operator_proof = Some(batch.asked);
+        if batch.is_current {
+            state.operator_proof = Some(batch.asked);
+        }
         state.reach.answered(Instant::now());
         drop(state);
         if changed {
@@ -207,10 +209,13 @@
             match follower.next(wait).await {
                 Ok(batch) => {
                     let regained = !reachable;
+                    let is_current = batch.is_current;
                     self.report_reach(&mut reachable, true, "jobs", "");
                     self.fold_jobs(batch, regained);
                     lock(&self.state).store_delay = follower.usual_delay();
-                    wait = self.pause_reads().await;
+                    if is_current {
+                        wait = self.pause_reads().await;
+                    }
                 }
                 Err(error) => {
                     self.report_reach(&mut reachable, false, "jobs", &error.to_string());
@@ -268,7 +273,9 @@
             }
         }
         state.book_end = batch.end;
-        state.book_proof = Some(batch.asked);
+        if batch.is_current {
+            state.book_proof = Some(batch.asked);
+        }
         state.reach.answered(Instant::now());
         drop(state);
         if changed {
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -10,8 +10,11 @@
 /// What a follower has read.
 #[derive(Debug)]
 pub struct Batch {
-    /// When the read was sent: everything that stood in the store then has been read.
+    /// When the read was sent.
     pub asked: BootTime,
+    /// Whether everything that stood in the store then has been read: more may stand behind a full page, and
+    /// what is known without it may be long out of date.
+    pub is_current: bool,
     /// Whether these are the newest records of all keys, in place of everything read before.
     pub replaces: bool,
     /// The records.
@@ -59,9 +62,9 @@
             Ok(page) => {
                 let end = next + page.records.len() as u64;
                 self.next = Some(end);
-                // More may stand behind a full page; it proves only what it holds.
                 Ok(Batch {
                     asked,
+                    is_current: end >= page.end,
                     replaces: false,
                     records: page.records,
                     end,
@@ -92,6 +95,7 @@
                 self.next = Some(start);
                 return Ok(Batch {
                     asked,
+                    is_current: true,
                     replaces: true,
                     records,
                     end: start,
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -264,8 +264,9 @@
             match follower.next(REPORT_WAIT).await {
                 Ok(batch) => {
                     self.entry.report_reach(&mut reachable, true, "workers", "");
+                    let is_current = batch.is_current;
                     self.take_reports(batch);
-                    self.is_read(number, true);
+                    self.is_read(number, is_current);
                 }
                 Err(error) => {
                     self.is_read(number, false);
