Give lost workers up though they are more than half of all

Cause: silence of more than half is taken for a slow store, and the hold-back ended only once every agent had been silent for twice the bound; one that reports held it back for ever. Ruled out: workers whose sessions are closed as the reason (they only raise the number of all).

Change: an agent that has been silent for a lease beyond the silence that is allowed is given up in any case. It has read no order for so long, most likely, so nothing runs there that the hold-back could save.

--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -406,21 +406,21 @@
             return;
         };
         let most = self.most_silence(view, reports_since);
+        let quiet = |w: &FleetWorker| view.now.since(w.reported.max(reports_since));
         let silent = self.fleet.workers().filter(|(_, w)| {
-            let heard = w.reported.max(reports_since);
-            let silent = view.now.since(heard) > most;
             // A worker that stays away from its agent may run on under its last lease.
             let lost = w
                 .unreachable_since
                 .is_some_and(|s| view.now.since(s) > self.bounds.silence);
-            w.closing == Closing::No && (silent || lost)
+            w.closing == Closing::No && (quiet(w) > most || lost)
         });
-        let silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
+        let mut silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
         if silent.len() * 2 > self.fleet.workers().count() && !self.long_silent(view, reports_since)
         {
             // So many agents at once are not gone; the store is slow. Closing their sessions would
-            // stop all running work.
-            return;
+            // stop all running work. One that others outlive by a lease has nothing left to stop.
+            let lapsed = |w: &FleetWorker| quiet(w) > most + self.bounds.lease_over;
+            silent.retain(|name| self.fleet.get(name).is_some_and(lapsed));
         }
         for name in silent {
             if let Some(worker) = self.fleet.get_mut(&name) {
