Count only workers with an open session where most agents are late

They counted among all, so that more than half of those that live could be late without being taken for that, and everything that ran on them was stopped: departed_not_counted, two of nine left, four of seven late, fenced after 7 s (red before this change, with the message left: 4, right: 0).

lost_majority and run_proofs pass.

--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -415,8 +415,9 @@
             w.closing == Closing::No && (quiet(w) > most || lost)
         });
         let mut silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
-        if silent.len() * 2 > self.fleet.workers().count() && !self.long_silent(view, reports_since)
-        {
+        let open = self.fleet.workers();
+        let open = open.filter(|(_, w)| w.closing == Closing::No).count();
+        if silent.len() * 2 > open && !self.long_silent(view, reports_since) {
             // So many agents at once are not gone; the store is slow. Closing their sessions would
             // stop all running work. One that others outlive by a lease has nothing left to stop.
             let lapsed = |w: &FleetWorker| quiet(w) > most + self.bounds.lease_over;
--- a/dragonflyrun/tests/lost_majority.rs
+++ b/dragonflyrun/tests/lost_majority.rs
@@ -23,3 +23,25 @@
         "three of five workers have been silent for a minute"
     );
 }
+
+/// Guards against sessions closed since workers that left long ago count as ones that report: the store is
+/// slow, and all that runs on the workers that are late would be stopped.
+#[test]
+fn departed_not_counted() {
+    let mut bed = Bed::new(9);
+    for report in bed.reports.iter_mut().take(2) {
+        report.closed = true;
+    }
+    bed.wait(100);
+    bed.reports.drain(..2);
+    bed.reports.truncate(3);
+    for second in 1..=8 {
+        bed.wait(1_000);
+        let fences = bed.pass().orders.into_iter().filter(|o| o.order.fence);
+        assert_eq!(
+            fences.count(),
+            0,
+            "of seven workers four are late, {second} s"
+        );
+    }
+}
