Close the session of an agent that reports and reads no orders

Cause: only silence of reports closed a session, though a lease is extended by reads of orders.

Change: a start that has stood unread for a lease beyond the silence that is allowed, counted while reports could be read, closes the session. An agent that reads nothing for so long extends no lease either, so nothing that works is lost by it. Without the part about readable reports own_silence failed, rightly.

order_never_read passes, run_proofs, run_schedules and load_replay as before.

--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -169,6 +169,14 @@
         self.report.as_ref()?.heartbeat.rack.as_ref()
     }
 
+    /// Returns since when a start has been ordered that the agent has not read, by its newest report.
+    pub fn unread_since(&self) -> Option<Timestamp> {
+        let seen = self.report.as_ref()?.orders_seen;
+        let unread = self.runs.values();
+        let unread = unread.filter(|run| run.ordered.is_some_and(|offset| offset >= seen));
+        unread.map(|run| run.placed_at).min()
+    }
+
     /// Returns what is taken up, by all that runs or may run there.
     pub fn used(&self) -> Resources {
         let runs = self.runs.values();
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -412,7 +412,12 @@
             let lost = w
                 .unreachable_since
                 .is_some_and(|s| view.now.since(s) > self.bounds.silence);
-            w.closing == Closing::No && (quiet(w) > most || lost)
+            // One that reads no orders extends no lease: its session is closed when it has none left.
+            let unread = w
+                .unread_since()
+                .map(|s| view.now.since(s.max(reports_since)));
+            let reads_none = unread.is_some_and(|u| u > most + self.bounds.lease_over);
+            w.closing == Closing::No && (quiet(w) > most || lost || reads_none)
         });
         let mut silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
         let open = self.fleet.workers();
@@ -429,6 +434,7 @@
                 log::warn!(
                     worker:% = name, session = worker.session, runs = worker.runs.len(),
                     silent_ms = view.now.since(worker.reported).as_millis() as u64,
+                    unread_ms = worker.unread_since().map(|s| view.now.since(s).as_millis() as u64),
                     most_ms = most.as_millis() as u64;
                     "worker_silent"
                 );
