Look up the queues of a pass by name in a map

The planner searched all queues of the configuration for each demand of a pass, twice. A pass now builds a map by name once. The first of several queues of one name holds, as before.

The new tests passed before the change too. The one of two queues of one name fails where the map keeps the last.

--- /dev/null
+++ b/dragonflyrun/benches/passes.rs
@@ -0,0 +1,174 @@
+//! Measures one pass of the planner over work that waits, by the number of queues that operators
+//! have in force: `cargo bench -p dragonflyrun --bench passes`.
+//!
+//! 50 workers are full, so each pass finds the same jobs waiting, of queues from all over the
+//! configuration.
+
+use std::time::Duration;
+
+use divan::Bencher;
+use dragonflyrun::{
+    Timestamp,
+    port::{Configuration, Heartbeat, Queue},
+    utils::HashSet,
+    workload::{
+        Book, Decisions, Job, JobRecord, JobRequest, Planner, PlannerBounds, Report, Resources,
+        Step, View,
+    },
+};
+
+const QUEUES: [usize; 2] = [45, 4_245];
+const WORKERS: usize = 50;
+const ACCELERATORS: u64 = 8;
+const WAITING: [usize; 2] = [1, 300];
+
+/// Unix milliseconds at which all jobs are handed in.
+const EPOCH_MS: u64 = 1_000_000;
+
+fn main() {
+    divan::main();
+}
+
+/// One pass in which nothing starts.
+#[divan::bench(args = QUEUES, consts = WAITING)]
+fn pass_over_waiting<const JOBS: usize>(bencher: Bencher<'_, '_>, queues: usize) {
+    let mut bed = Bed::new(queues, JOBS);
+    let decisions = bed.decide();
+    assert_eq!(decisions.waiting.len(), JOBS, "all of them wait");
+    assert!(decisions.orders.is_empty(), "nothing starts");
+    bencher.bench_local(|| bed.decide());
+}
+
+struct Bed {
+    planner: Planner,
+    configuration: Configuration,
+}
+
+impl Bed {
+    fn new(queues: usize, waiting: usize) -> Self {
+        let bounds = PlannerBounds {
+            silence: Duration::from_secs(3),
+            lease_over: Duration::from_secs(6),
+            keep_ended: Duration::from_secs(120),
+            far_factor: 3.0,
+            checkpoint_every: Duration::from_secs(2),
+        };
+        let mut bed = Self {
+            planner: Planner::take_over(bounds, &Book::default(), Timestamp::default()),
+            configuration: Configuration {
+                version: 1,
+                queues: (0..queues).map(queue).collect(),
+                ..Configuration::default()
+            },
+        };
+        for worker in 0..WORKERS {
+            bed.planner.report(Timestamp::default(), report(worker));
+        }
+        bed.submit("fill", WORKERS, ACCELERATORS);
+        assert_eq!(bed.decide().orders.len(), WORKERS, "all workers are full");
+        bed.submit("wait", waiting, 1);
+        bed
+    }
+
+    /// Hands in `jobs` jobs of one task, of queues at even distances in the configuration.
+    fn submit(&mut self, name: &str, jobs: usize, accelerators: u64) {
+        for number in 0..jobs {
+            let queue = (2 * number + 1) * self.configuration.queues.len() / (2 * jobs);
+            let job = job(format!("{name}-{number}"), queue, accelerators);
+            self.planner.job_record(&JobRecord::Accepted(Box::new(job)));
+        }
+    }
+
+    fn decide(&mut self) -> Decisions {
+        self.planner.decide(&View {
+            now: Timestamp::default(),
+            unix_ms: EPOCH_MS,
+            configuration: &self.configuration,
+            evacuated: &HashSet::default(),
+            is_fresh: true,
+            reports_since: None,
+        })
+    }
+}
+
+fn queue_name(number: usize) -> String {
+    format!("queue-{number}")
+}
+
+fn queue(number: usize) -> Queue {
+    Queue {
+        name: queue_name(number).into(),
+        host: format!("host-{number}").into(),
+        prefix: "/jobs/".into(),
+        service: "service".into(),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 3.0,
+        target: Duration::from_secs(1),
+        public: true,
+        advice: None,
+    }
+}
+
+fn job(name: String, queue: usize, accelerators: u64) -> Job {
+    Job {
+        name: name.into(),
+        queue: queue_name(queue).into(),
+        service: "service".into(),
+        workspace: None,
+        priority: 1,
+        max_attempts: 3,
+        stretch: 3.0,
+        target_ms: 1_000,
+        accepted_ms: EPOCH_MS,
+        request: JobRequest {
+            payload: "text".into(),
+            steps: vec![Step {
+                tasks: 1,
+                needs: Resources {
+                    cpu_millis: 1_000,
+                    memory_mb: 1_000,
+                    accelerators,
+                },
+                estimate_ms: 2_000,
+                ..Step::default()
+            }],
+            occurrences: None,
+        },
+    }
+}
+
+fn report(worker: usize) -> Report {
+    Report {
+        heartbeat: Heartbeat {
+            worker: format!("worker-{worker}").into(),
+            born_ms: 1,
+            address: format!("worker-{worker}:1").into(),
+            service: "service".into(),
+            failure_domain: format!("domain-{}", worker / 3 % 3).into(),
+            draining: false,
+            capacity: Resources {
+                cpu_millis: 64_000,
+                memory_mb: 128_000,
+                accelerators: ACCELERATORS,
+            },
+            labels: Vec::new(),
+            rack: Some(format!("rack-{}", worker / 3).into()),
+            remaining_ms: None,
+            sequence: 1,
+        },
+        session: 1,
+        sequence: 1,
+        sent_ms: EPOCH_MS,
+        orders_seen: 2,
+        starting: Vec::new(),
+        refused: Vec::new(),
+        running: Vec::new(),
+        progress: Vec::new(),
+        paces: Vec::new(),
+        ends: Vec::new(),
+        closed: false,
+        left: false,
+        unreachable: false,
+    }
+}
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -14,7 +14,8 @@
         RunTimes,
         Step,
         live::{LiveJob, service_of},
-        planner::{PlannerBounds, View}, //
+        planner::{PlannerBounds, View},
+        queues::Queues, //
     },
 };
 
@@ -34,6 +35,8 @@
 pub(super) struct Demands<'a, 'v> {
     pub(super) bounds: &'a PlannerBounds,
     pub(super) view: &'a View<'v>,
+    /// The queues that are in force.
+    pub(super) queues: &'a Queues<'v>,
     pub(super) times: &'a RunTimes,
     /// The jobs that fit into what their workspaces are guaranteed.
     pub(super) guaranteed: &'a HashSet<Name>,
@@ -120,7 +123,7 @@
             step,
             indexes,
             shape,
-            service: service_of(job, self.view.configuration),
+            service: service_of(job, self.queues),
             priority: job.priority,
             guaranteed: false,
             estimate_ms,
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -5,7 +5,7 @@
 use crate::{
     port::Configuration,
     utils::{HashMap, HashSet, Name, Timestamp},
-    workload::{Job, JobPlan, Outcome, RunTimes, Step, TaskId},
+    workload::{Job, JobPlan, Outcome, RunTimes, Step, TaskId, queues::Queues},
 };
 
 /// A job that is done later than so many times its objective is of no use to its caller.
@@ -154,8 +154,8 @@
 
 /// Returns the service whose workers run the job: that of its queue now, or of its queue when it
 /// was accepted where the queue is gone.
-pub(super) fn service_of(job: &Job, configuration: &Configuration) -> Name {
-    let queue = configuration.queues.iter().find(|q| q.name == job.queue);
+pub(super) fn service_of(job: &Job, queues: &Queues<'_>) -> Name {
+    let queue = queues.get(&job.queue);
     queue.map_or_else(|| job.service.clone(), |q| q.service.clone())
 }
 
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -22,6 +22,7 @@
 mod plan;
 mod planner;
 mod progress;
+mod queues;
 mod record;
 mod relocation;
 mod run_times;
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -25,6 +25,7 @@
         load::PeakLoad,
         overdue,
         pass::{Learned, Pass, Placed},
+        queues::Queues,
         tickets::Tickets,
         trust::RecentFailures,
     },
@@ -480,9 +481,11 @@
             failures: &self.failures,
         };
         let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &learned, view);
+        let queues = Queues::of(view.configuration);
         let builder = Demands {
             bounds: &self.bounds,
             view,
+            queues: &queues,
             times: &self.run_times,
             guaranteed: &guaranteed,
             idle: pass.is_idle(),
@@ -497,7 +500,7 @@
             return demands.iter().enumerate().map(stale).collect();
         }
         self.peaks.see(view.now, &pass.load(&self.jobs, &demands));
-        self.tickets_for(view, pass.rooms(), &mut demands);
+        self.tickets_for(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::to_move(&self.fleet, &self.jobs, &builder, &mut pass);
         let outcome = pass.run(&demands);
         let leaving = departure::to_move(&self.fleet, &self.jobs, &builder, &mut pass);
@@ -529,18 +532,23 @@
     }
 
     /// Limits demands of queues whose policy asks the advisor to the workers that have tickets.
-    fn tickets_for(&self, view: &View<'_>, rooms: &[Room], demands: &mut [Demand<'_>]) {
+    fn tickets_for(
+        &self,
+        now: Timestamp,
+        queues: &Queues<'_>,
+        rooms: &[Room],
+        demands: &mut [Demand<'_>],
+    ) {
         let mut tickets = self.tickets.borrow_mut();
         for demand in demands {
-            let queue = self.jobs.get(&demand.job).map(|l| &l.job.queue);
-            let mut queues = view.configuration.queues.iter();
-            let queue = queues.find(|q| Some(&q.name) == queue);
+            let live = self.jobs.get(&demand.job);
+            let queue = live.and_then(|l| queues.get(&l.job.queue));
             let Some(advice) = queue.and_then(|q| q.advice.as_ref()) else {
                 continue;
             };
-            tickets.ask(view.now, demand, advice, rooms);
+            tickets.ask(now, demand, advice, rooms);
             let held = rooms.iter().map(|r| &r.worker);
-            let held = held.filter(|w| tickets.ticket(view.now, demand, w).is_some());
+            let held = held.filter(|w| tickets.ticket(now, demand, w).is_some());
             demand.only = Some(held.cloned().collect());
         }
     }
