--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -23,6 +23,8 @@
     pub needs: Resources,
     /// The offset of the order that starts it; none while that is being appended.
     pub ordered: Option<u64>,
+    /// Since when that order is known to stand in the store; until then, when it was placed.
+    pub stands_since: Timestamp,
     /// Whether it has been listed as running, and since when the planner knows.
     pub running_since: Option<Timestamp>,
     /// Whether it has been told to stop.
@@ -125,6 +127,7 @@
         Self {
             needs,
             ordered: None,
+            stands_since: now,
             running_since: None,
             stopping: false,
             checkpoint: String::new(),
@@ -169,12 +172,12 @@
         self.report.as_ref()?.heartbeat.rack.as_ref()
     }
 
-    /// Returns since when a start has been ordered that the agent has not read, by its newest report.
+    /// Returns since when an order to start stands that the agent has not read, by its newest report.
     pub fn unread_since(&self) -> Option<Timestamp> {
         let seen = self.report.as_ref()?.orders_seen;
         let unread = self.runs.values();
         let unread = unread.filter(|run| run.ordered.is_some_and(|offset| offset >= seen));
-        unread.map(|run| run.placed_at).min()
+        unread.map(|run| run.stands_since).min()
     }
 
     /// Returns what is taken up, by all that runs or may run there.
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -303,6 +303,7 @@
         for start in &order.order.starts {
             if let Some(run) = worker.runs.get_mut(&start.run) {
                 run.ordered = Some(offset);
+                run.stands_since = now;
             }
         }
         if order.order.fence
--- a/dragonflyrun/tests/unread_orders.rs
+++ b/dragonflyrun/tests/unread_orders.rs
@@ -2,7 +2,8 @@
 
 mod workload_tables;
 
-use workload_tables::{Bed, task};
+use dragonflyrun::{Timestamp, workload::View};
+use workload_tables::{Bed, EPOCH_MS, task};
 
 /// Seconds after which the planner has to see that an order was not read: ten times what it takes for
 /// the silence of an agent.
@@ -27,3 +28,28 @@
     });
     assert!(given_up, "the run is still taken for ordered");
 }
+
+/// Guards against a session closed as soon as an order stands whose append was late: the agent can't have read
+/// it before, and what runs on its worker would be stopped.
+#[test]
+fn late_order() {
+    let mut bed = Bed::new(3);
+    bed.submit("job", 1, vec![task(8)]);
+    let decide = |bed: &mut Bed| {
+        let view = View {
+            now: Timestamp::from_millis(bed.now_ms),
+            unix_ms: EPOCH_MS + bed.now_ms,
+            configuration: &bed.configuration,
+            evacuated: &bed.evacuated,
+            is_fresh: true,
+            reports_since: Some(Timestamp::default()),
+        };
+        bed.planner.decide(&view).orders
+    };
+    let orders = decide(&mut bed);
+    bed.wait(20_000);
+    let now = Timestamp::from_millis(bed.now_ms);
+    bed.planner.ordered(now, &orders[0], 11);
+    let fences = decide(&mut bed).into_iter().filter(|o| o.order.fence);
+    assert_eq!(fences.count(), 0);
+}
