Wait longer for a stale planner's proof on a slow store, and tell it while plans are appended

Found in the review: 0.25 s after a sign of life that says stale, the next one cannot have come on a slow store, so a planner that has regained its proof would be replaced; and while a plan is appended nothing told either change.

--- a/dragonflyrun/src/workload/life_signs.rs
+++ b/dragonflyrun/src/workload/life_signs.rs
@@ -38,7 +38,7 @@
     /// Returns whether a record is due of a planner that is `stale` or not; to be asked at intervals.
     pub fn is_due(&mut self, stale: bool) -> bool {
         let shown = std::mem::take(&mut self.shown);
-        !self.appending && (!shown || stale != self.stale)
+        stale != self.stale || (!self.appending && !shown)
     }
 
     /// Takes note of a record that says whether the planner is stale.
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -144,7 +144,8 @@
         };
         let is_silent = now.since(self.seen) >= wait + handicap;
         let stale = self.stale_since.filter(|_| candidate.proves);
-        let is_stale = stale.is_some_and(|since| now.since(since) >= STALE + stagger / 4);
+        let grace = STALE + candidate.store_delay * SILENCE_DELAYS + stagger / 4;
+        let is_stale = stale.is_some_and(|since| now.since(since) >= grace);
         if !is_silent && !is_stale {
             return TermStep::Wait;
         }
