Count reports as unread while their read goes on for long

Found in the review: since a read that has begun may take as long as it takes, a partition of reports that trickles in counted as read, and its agents as silent; before, such a read failed after 1.3 s, and silence said nothing. That is so again. By reading only; it has no test of its own.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -12,8 +12,9 @@
 
 use futures_util::future::join_all;
 use tokio::{
+    pin,
     sync::mpsc,
-    time::sleep, //
+    time::{sleep, timeout}, //
 };
 
 use crate::{
@@ -67,6 +68,9 @@
 /// How long a read of reports waits for one: a connection that has fallen silent shows after that.
 const REPORT_WAIT: Duration = Duration::from_millis(400);
 
+/// Time after which a read of reports that is still under way says nothing about its agents' silence.
+const REPORT_LATE: Duration = Duration::from_millis(1_300);
+
 /// Pause after a read that failed.
 const READ_PAUSE: Duration = Duration::from_millis(100);
 
@@ -261,7 +265,16 @@
         let mut follower = Follower::new(self.entry.store.clone(), partition);
         let mut reachable = true;
         loop {
-            match follower.next(REPORT_WAIT).await {
+            let read = follower.next(REPORT_WAIT);
+            pin!(read);
+            let answer = match timeout(REPORT_LATE, &mut read).await {
+                Ok(answer) => answer,
+                Err(_) => {
+                    self.is_read(number, false);
+                    read.await
+                }
+            };
+            match answer {
                 Ok(batch) => {
                     self.entry.report_reach(&mut reachable, true, "workers", "");
                     let is_current = batch.is_current;
