--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -104,10 +104,10 @@
             at: None,
         };
         let end = Instant::now() + req.patience.mul_f64(PATIENCE_SHARE);
-        let _transfer = self.link_load.begin(append.bytes());
         if !self.store_answers(end).await {
             return Err(self.refuse(Refusal::StoreAway));
         }
+        let _transfer = self.link_load.begin(append.bytes());
         let mut doubtful = false;
         let mut refused = 0;
         loop {
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -426,7 +426,7 @@
         let open = open.filter(|(_, w)| w.closing == Closing::No).count();
         if silent.len() * 2 > open && !self.long_silent(view, reports_since) {
             // So many agents at once are not gone; the store is slow. Closing their sessions would
-            // stop all running work. One that others outlive by a lease has nothing left to stop.
+            // stop all running work. One that stays silent for a lease more is given up all the same.
             let lapsed = |w: &FleetWorker| quiet(w) > most + self.bounds.lease_over;
             silent.retain(|name| self.fleet.get(name).is_some_and(lapsed));
         }
