Read the operators' records again at once after one that had news

A proof is as old as the read that brought it, and that of a record of a megabyte over 10 Mbit/s had waited up to 0.8 s and then taken 0.9 s: at each new version the planner there withheld its starts for 0.2 to 0.3 s, twice in a row.

The read after one with news waits for none, so its proof is new; one call more for each change.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -151,10 +151,16 @@
     async fn follow_operators(self: Arc<Self>, decoder: Arc<OperatorDecoder>) {
         let mut follower = Follower::new(self.store.clone(), Partition::OPERATOR);
         let mut reachable = true;
+        let mut wait = READ_WAIT;
         loop {
-            match follower.next(READ_WAIT).await {
+            match follower.next(wait).await {
                 Ok(batch) => {
                     self.report_reach(&mut reachable, true, "operators", "");
+                    // A large record proves what was in force when its read was sent, long ago.
+                    wait = match batch.records.is_empty() {
+                        true => READ_WAIT,
+                        false => Duration::ZERO,
+                    };
                     self.fold_operators(batch, &decoder);
                 }
                 Err(error) => {
