--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -49,9 +49,9 @@
 
 const _: () = assert!(FRESH.as_millis() > 2 * READ_WAIT.as_millis());
 
-/// Age of that read from which on another entry that reads better is to plan: a change of planner costs
-/// about as long as a short gap.
-const STALE: Duration = Duration::from_millis(3_000);
+/// Age of that read from which on an entry that reads better is to plan: a change of planner costs as much as
+/// a short gap.
+const STALE_AGE: Duration = Duration::from_millis(3_000);
 
 /// How many of the store's usual delays are allowed beside that: on a slow store all read late.
 const STALE_DELAYS: u32 = 4;
@@ -207,7 +207,7 @@
                 let state = lock(&self.entry.state);
                 (state.book_proof, state.operator_proof, state.store_delay)
             };
-            let most = STALE + delay * STALE_DELAYS;
+            let most = STALE_AGE + delay * STALE_DELAYS;
             let stale = operator_proof.is_none_or(|p| p.elapsed() > most);
             if !self.life.borrow_mut().is_due(stale) {
                 continue;
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -26,7 +26,7 @@
 
 /// How long a planner has to be stale before another entry takes over: its next sign of life may already say
 /// that it no longer is.
-const STALE: Duration = Duration::from_millis(250);
+const STALE_GRACE: Duration = Duration::from_millis(250);
 
 /// How many times the silence that is allowed a candidate waits longer that can't prove the configuration:
 /// it would start nothing, and others may have the proof.
@@ -144,7 +144,7 @@
         };
         let is_silent = now.since(self.seen) >= wait + handicap;
         let stale = self.stale_since.filter(|_| candidate.proves);
-        let grace = STALE + candidate.store_delay * SILENCE_DELAYS + stagger / 4;
+        let grace = STALE_GRACE + candidate.store_delay * SILENCE_DELAYS + stagger / 4;
         let is_stale = stale.is_some_and(|since| now.since(since) >= grace);
         if !is_silent && !is_stale {
             return TermStep::Wait;
@@ -160,8 +160,7 @@
     /// Returns whether nobody plans.
     ///
     /// Whoever asks does not plan, so a term in its own name is one that an earlier process of it held.
-    /// Waiting for a sign of life of that one left all work standing for 1.2 s after each loss of power of
-    /// all hosts.
+    /// After a loss of power of all hosts nobody else would notice before its silence is over.
     fn is_vacant(&self) -> bool {
         let own = self.term.entry == self.entry;
         own || self.term.resigned || self.term.number == 0
