Wake the planner only by reports with news, and compare addresses only where they change

Cause: each report of an agent caused a pass over all workers and a comparison of its address with those of all workers, so the planner's processor time grew with the square of the hosts: 823 agents report some 680 times a second. Ruled out: the store's calls (they stay the same) and the decisions (passes each 100 ms and after each end, new session, changed heartbeat or lost run are as before). Change: Report::has_news_since decides whether a report wakes a pass; Fleet::report looks for replaced workers only where a session, an address or a time of birth is new.

--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -39,6 +39,17 @@
     pub sequence: u64,
 }
 
+impl Heartbeat {
+    /// Returns whether this says the same as `other`, apart from the sequence number.
+    pub fn repeats(&self, other: &Self) -> bool {
+        let same = Self {
+            sequence: other.sequence,
+            ..self.clone()
+        };
+        same == *other
+    }
+}
+
 /// A task that is running on a worker.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RunningTask {
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -335,7 +335,7 @@
     fn apply_reports(&self, batch: Batch) {
         let mut planner = self.planner.borrow_mut();
         let now = self.entry.now();
-        let has_records = !batch.records.is_empty();
+        let mut has_news = batch.replaces;
         for record in batch.records {
             let Some(value) = record.value else {
                 continue;
@@ -344,11 +344,11 @@
                 Some(report) if batch.replaces => {
                     planner.apply_stored_report(now, unix_ms(), report)
                 }
-                Some(report) => planner.apply_report(now, report),
+                Some(report) => has_news |= planner.apply_report(now, report),
                 None => log::warn!(key:% = record.key; "report_unreadable"),
             }
         }
-        if has_records {
+        if has_news {
             self.entry.planner_wakeup.notify_one();
         }
     }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -139,9 +139,7 @@
                 if heartbeat.sequence <= known.sequence {
                     return false;
                 }
-                let mut same = known.clone();
-                same.sequence = heartbeat.sequence;
-                let changed = same != heartbeat;
+                let changed = !heartbeat.repeats(known);
                 incarnation.heartbeat = heartbeat;
                 incarnation.heartbeat_at = now;
                 return changed;
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -273,12 +273,17 @@
         let name = report.heartbeat.worker.clone();
         let worker = self.workers.entry(name.clone());
         let worker = worker.or_insert_with(|| FleetWorker::unknown(report.session, now));
-        let known = worker.report.as_ref();
-        let known = known.map_or((worker.session, 0), |r| (r.session, r.sequence));
+        let newest = worker.report.as_ref();
+        let known = newest.map_or((worker.session, 0), |r| (r.session, r.sequence));
         // Late and repeated reports are outdated and must not bring back a run that is over.
         if (report.session, report.sequence) < known {
             return Vec::new();
         }
+        let may_replace = newest.is_none_or(|r| {
+            r.session != report.session
+                || r.heartbeat.born_ms != report.heartbeat.born_ms
+                || r.heartbeat.address != report.heartbeat.address
+        });
         worker.reported_at = now;
         if report.session > worker.session || worker.report.is_none() {
             worker.session = report.session;
@@ -317,7 +322,10 @@
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.report = Some(report);
         }
-        over.extend(self.close_replaced(&address));
+        // Looking at all workers for each report would cost the square of their number.
+        if may_replace {
+            over.extend(self.close_replaced(&address));
+        }
         over
     }
 
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -130,3 +130,17 @@
     #[serde(rename = "u", default, skip_serializing_if = "is_false")]
     pub unreachable: bool,
 }
+
+impl Report {
+    /// Returns whether the report tells the planner something on which a decision may depend now,
+    /// compared with the report before it. The progress of runs isn't such news: it changes with
+    /// each report, and the planner looks at it in its regular passes.
+    pub fn has_news_since(&self, before: Option<&Self>) -> bool {
+        before.is_none_or(|before| {
+            let state = |r: &Self| (r.session, r.closed, r.left, r.unreachable);
+            !self.ends.is_empty()
+                || state(self) != state(before)
+                || !self.heartbeat.repeats(&before.heartbeat)
+        })
+    }
+}
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -203,13 +203,15 @@
         }
     }
 
-    /// Applies a report that an agent has just sent.
-    pub fn apply_report(&mut self, now: Timestamp, report: Report) {
+    /// Applies a report that an agent has just sent. Returns whether it contains news for which the
+    /// next pass should not wait for its regular time.
+    pub fn apply_report(&mut self, now: Timestamp, report: Report) -> bool {
         let worker = report.heartbeat.worker.clone();
-        self.take_report(now, report);
+        let mut has_news = self.take_report(now, report);
         if let Some(known) = self.fleet.get_mut(&worker) {
-            known.is_known_alive = true;
+            has_news |= !std::mem::replace(&mut known.is_known_alive, true);
         }
+        has_news
     }
 
     /// Applies the newest stored report of an agent when the planner takes over.
@@ -225,7 +227,8 @@
         }
     }
 
-    fn take_report(&mut self, now: Timestamp, report: Report) {
+    /// Applies a report and returns whether it contains news.
+    fn take_report(&mut self, now: Timestamp, report: Report) -> bool {
         let jobs = &self.jobs;
         let worker = report.heartbeat.worker.clone();
         let needs_of = |run: &RunId| {
@@ -244,7 +247,10 @@
         }
         let ends = report.ends.len();
         let paces = report.paces.clone();
+        let before = self.fleet.get(&worker).and_then(|w| w.report.as_ref());
+        let has_news = report.has_news_since(before);
         let over = self.fleet.report(now, report, needs_of);
+        let has_news = has_news || !over.is_empty();
         self.learn_paces(&worker, &paces);
         self.learn_task_times(&worker);
         for run in over {
@@ -262,6 +268,7 @@
                 self.orders.entry(worker).or_default().confirmed = confirmed;
             }
         }
+        has_news
     }
 
     /// Learns the speed of a worker from the pace of its runs.
