Let the agents of idle workers follow seldom until the planner asks them

It grows with hosts times time. Change: the planner keeps as many idle workers close as the peak of the busy ones lets expect (idle_workers), at least 20 of each reserved share of the pool, and releases the others: they wait in long reads of their orders and report each 20 s. Before it places work on one of them it asks the agent for a report; an order ends a long read at once, and a worker that does not answer within 0.4 s is passed over until it reports. So placement has a proof of life as young as before. An order found by a long read is read again with a new reading of the worker's clock, since a lease counts from it. Where most of those that follow closely are late, others are asked, so that the loss of a failure domain in which most busy workers are is not taken for a slow store.

--- a/dragonflyrun/benches/passes.rs
+++ b/dragonflyrun/benches/passes.rs
@@ -12,8 +12,8 @@
     port::{Configuration, Heartbeat, Queue},
     utils::HashSet,
     workload::{
-        Decisions, Job, JobRecord, JobRequest, JobTable, Planner, PlannerBounds, Report, Resources,
-        Step, View,
+        Attention, Decisions, Job, JobRecord, JobRequest, JobTable, Planner, PlannerBounds, Report,
+        Resources, Step, View,
     },
 };
 
@@ -52,6 +52,7 @@
             keep_ended: Duration::from_secs(120),
             far_factor: 3.0,
             checkpoint_every: Duration::from_secs(2),
+            min_close_workers: usize::MAX,
         };
         let mut harness = Self {
             planner: Planner::take_over(bounds, &JobTable::default(), Timestamp::default()),
@@ -94,6 +95,7 @@
             evacuated: &HashSet::default(),
             is_fresh: true,
             reports_since: None,
+            store_delay: Duration::ZERO,
         })
     }
 }
@@ -177,5 +179,6 @@
         closed: false,
         left: false,
         unreachable: false,
+        attention: Attention::Close,
     }
 }
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -6,6 +6,7 @@
 };
 
 use tokio::{
+    select,
     sync::Notify,
     time::sleep, //
 };
@@ -24,7 +25,10 @@
         },
     },
     utils::{HashSet, Name, lock},
-    workload::{AgentAction, AgentTable, Order, OrderMessage, RunId, StartResult, decode, encode},
+    workload::{
+        AgentAction, AgentTable, Attention, Order, OrderMessage, RunId, SELDOM_REPORT_INTERVAL,
+        StartResult, decode, encode,
+    },
 };
 
 /// How long a read of orders waits for a new one while tasks run. Each read extends the worker's
@@ -35,6 +39,11 @@
 /// extended.
 const IDLE_ORDER_WAIT: Duration = Duration::from_millis(1_500);
 
+/// How long a read of orders waits at an agent that follows seldom. The store allows 30 s. If the
+/// connection goes silent, orders stay unread until the end of the wait; the planner notices by the
+/// missing report and uses another worker.
+const SELDOM_ORDER_WAIT: Duration = Duration::from_secs(25);
+
 /// How long the worker may delay its answer to wait for a run to end.
 const END_WAIT: Duration = Duration::from_millis(400);
 
@@ -181,6 +190,7 @@
     ) {
         let mut next = session + 1;
         let mut reachable = true;
+        let mut woken = false;
         let mut reader = Reader::new(self.store.clone(), partition);
         loop {
             let worker_clock_ms = {
@@ -196,10 +206,20 @@
                 sleep(FIRST_POLL_DELAY).await;
                 continue;
             }
-            let is_busy = lock(&self.table).is_busy();
-            let wait = if is_busy { ORDER_WAIT } else { IDLE_ORDER_WAIT };
-            let read = reader.read(next, wait).await;
+            let wait = match std::mem::take(&mut woken) {
+                true => Duration::ZERO,
+                false => self.order_wait(),
+            };
+            let read = select! {
+                read = reader.read(next, wait) => read,
+                // The worker has changed; a session of another worker or incarnation may have to
+                // begin.
+                () = self.session_wakeup.notified(), if wait > IDLE_ORDER_WAIT => continue,
+            };
             match read {
+                // The worker's clock was read before the read was sent, which is too long ago for a
+                // lease. The orders are read once more with a newer reading.
+                Ok(page) if wait > IDLE_ORDER_WAIT && !page.records.is_empty() => woken = true,
                 Ok(page) => {
                     next += page.records.len() as u64;
                     if !reachable {
@@ -211,10 +231,14 @@
                     let worker_clock_ms = worker_clock_ms.filter(|_| next >= page.end);
                     let orders = orders_for(&page.records, worker, session);
                     let has_orders = !orders.is_empty();
+                    let must_report = orders.iter().any(|order| order.attention.is_some());
                     let actions = lock(&self.table).orders(worker_clock_ms, orders, next);
                     if has_orders {
                         self.poll_wakeup.notify_one();
                     }
+                    if must_report {
+                        self.report_wakeup.notify_one();
+                    }
                     self.spawn_calls(session, actions);
                 }
                 Err(ReadError::Dropped(first)) => {
@@ -241,6 +265,24 @@
         }
     }
 
+    fn order_wait(&self) -> Duration {
+        let table = lock(&self.table);
+        match table.attention() {
+            _ if table.is_busy() => ORDER_WAIT,
+            Attention::Close => IDLE_ORDER_WAIT,
+            Attention::Seldom => SELDOM_ORDER_WAIT,
+        }
+    }
+
+    fn report_interval(&self) -> Duration {
+        let table = lock(&self.table);
+        match table.attention() {
+            _ if table.is_busy() => BUSY_REPORT_INTERVAL,
+            Attention::Close => IDLE_REPORT_INTERVAL,
+            Attention::Seldom => SELDOM_REPORT_INTERVAL,
+        }
+    }
+
     fn spawn_calls(self: &Arc<Self>, session: u64, actions: Vec<AgentAction>) {
         for action in actions {
             let call = match &action {
@@ -314,6 +356,7 @@
                     let refused = error == CallError::NotListening;
                     let newly_unreachable = lock(&self.table).unreachable(refused, Instant::now());
                     if newly_unreachable {
+                        self.session_wakeup.notify_one();
                         log::warn!(worker:% = worker, session, why:% = error; "worker_unreachable");
                     }
                     sleep(RETRY_DELAY).await;
@@ -343,12 +386,7 @@
     async fn send_reports(self: Arc<Self>) {
         let mut append_elapsed = Duration::ZERO;
         loop {
-            let is_busy = lock(&self.table).is_busy();
-            let usual_interval = if is_busy {
-                BUSY_REPORT_INTERVAL
-            } else {
-                IDLE_REPORT_INTERVAL
-            };
+            let usual_interval = self.report_interval();
             let max_interval = MAX_REPORT_INTERVAL.saturating_sub(append_elapsed);
             let interval = (append_elapsed * REPORT_APPEND_TIMES)
                 .min(max_interval)
@@ -401,6 +439,7 @@
     fn leave(&self, worker: &str) {
         if lock(&self.table).leave(worker) {
             log::info!(worker; "worker_left");
+            self.session_wakeup.notify_one();
             self.report_wakeup.notify_one();
         }
     }
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -66,6 +66,10 @@
 /// and on a slow store at least every 2.6 s.
 const MAX_AGENT_SILENCE: Duration = Duration::from_millis(3_000);
 
+/// Number of idle workers whose agents follow closely whatever the load, for each share of the pool
+/// that is reserved against a priority: about a rack, so that a gang that needs one can start.
+const MIN_CLOSE_WORKERS: usize = 20;
+
 /// How much slower a worker's clock may run than the planner's, as the ratio of the planner's rate
 /// to the worker's.
 const MAX_CLOCK_RATE_RATIO: f64 = 1.02;
@@ -367,6 +371,7 @@
                 return;
             };
             let evacuated = state.evacuated.clone();
+            let store_delay = state.store_delay;
             let configuration_age = state.operators_current_at.map(BootTime::elapsed);
             drop(state);
             let decisions = planner.decide(&View {
@@ -376,6 +381,7 @@
                 evacuated: &evacuated,
                 is_fresh: configuration_age.is_some_and(|age| age < MAX_FRESH_READ_AGE),
                 reports_since: self.reports_readable_since.get(),
+                store_delay,
             });
             (decisions, configuration_age)
         };
@@ -557,5 +563,6 @@
         keep_ended: bounds.keep_ended,
         far_factor: bounds.far_factor,
         checkpoint_every: bounds.checkpoint_every,
+        min_close_workers: MIN_CLOSE_WORKERS,
     }
 }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -13,7 +13,9 @@
 use crate::{
     port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
     utils::{HashSet, Name},
-    workload::{Order, Report, RunId, TaskStart, pace::PaceTable, progress::ProgressTable},
+    workload::{
+        Attention, Order, Report, RunId, TaskStart, pace::PaceTable, progress::ProgressTable,
+    },
 };
 
 /// A call that the agent has to make to the worker.
@@ -59,6 +61,7 @@
     /// Runs that the agent has ordered to stop.
     stopped: HashSet<RunId>,
     report_sequence: u64,
+    attention: Attention,
 }
 
 #[derive(Clone, Debug)]
@@ -221,10 +224,17 @@
             refused: Vec::new(),
             stopped: HashSet::default(),
             report_sequence: 0,
+            attention: Attention::default(),
         });
         true
     }
 
+    /// Returns how closely the agent has to follow its orders while nothing runs.
+    pub fn attention(&self) -> Attention {
+        let session = self.incarnation.as_ref().and_then(|l| l.session.as_ref());
+        session.map_or_else(Attention::default, |s| s.attention)
+    }
+
     /// Returns the newest reading of the worker's clock. Callers fetch it before they send a read of
     /// orders.
     pub fn clock_ms(&self) -> Option<u64> {
@@ -249,6 +259,8 @@
         };
         session.orders_seen = session.orders_seen.max(end);
         session.fenced |= fence;
+        let attentions = orders.iter().filter_map(Order::attention_after);
+        session.attention = attentions.last().unwrap_or(session.attention);
         if let (Some(read_ms), false) = (clock_read_ms, session.fenced) {
             incarnation.lease_until_ms = incarnation.lease_until_ms.max(Some(read_ms + lease));
         }
@@ -590,6 +602,7 @@
             closed,
             left: self.left,
             unreachable: self.unreachable,
+            attention: session.attention,
         })
     }
 }
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -11,7 +11,7 @@
 use crate::{
     port::{End, EndKind, StartOutcome},
     utils::{HashMap, Name, Timestamp},
-    workload::{Report, Resources, RunId},
+    workload::{Contact, Report, Resources, RunId},
 };
 
 /// A run that has been running for this long proves that its worker doesn't fail every start.
@@ -70,6 +70,12 @@
     /// Whether the agent is known to be alive: a report has arrived since this planner took over, or
     /// the stored one was recent at that time.
     pub is_known_alive: bool,
+    /// How closely the agent follows.
+    pub contact: Contact,
+    /// When the agent was last released.
+    pub released_at: Option<Timestamp>,
+    /// When the worker last had a run.
+    pub last_used: Option<Timestamp>,
     /// Since when the agent reports that the worker doesn't answer.
     pub unreachable_since: Option<Timestamp>,
     /// The earliest time at which a draining worker leaves.
@@ -151,6 +157,9 @@
             session,
             reported_at: now,
             is_known_alive: false,
+            contact: Contact::default(),
+            released_at: None,
+            last_used: None,
             unreachable_since: None,
             leaves_at: None,
             session_state: SessionState::Open,
@@ -163,11 +172,18 @@
     }
 
     /// Returns whether tasks may be started on the worker, judging by its agent's report and session.
+    /// An agent that follows seldom has to be asked first, which proves that it is alive.
     pub fn accepts_tasks(&self) -> bool {
         let report = self.report.as_ref();
         let available =
             report.is_some_and(|r| !r.heartbeat.draining && !r.closed && !r.left && !r.unreachable);
-        available && self.is_known_alive && self.session_state == SessionState::Open
+        let is_proven = self.is_known_alive || self.contact != Contact::Close;
+        available && is_proven && self.session_state == SessionState::Open
+    }
+
+    /// Returns whether the agent reports so often that its silence shows that it is lost.
+    pub(super) fn is_followed_closely(&self) -> bool {
+        self.contact == Contact::Close || !self.runs.is_empty()
     }
 
     /// Returns the rack of the worker, if its heartbeat names one.
@@ -257,6 +273,7 @@
                 ..WorkerRun::new(now, needs)
             };
             known.runs.insert(run, placed);
+            known.last_used = Some(now);
         }
     }
 
@@ -285,6 +302,10 @@
                 || r.heartbeat.address != report.heartbeat.address
         });
         worker.reported_at = now;
+        worker.contact = worker.contact.after_report(report.attention);
+        if !worker.runs.is_empty() {
+            worker.last_used = Some(now);
+        }
         if report.session > worker.session || worker.report.is_none() {
             worker.session = report.session;
             worker.session_state = SessionState::Open;
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -8,6 +8,7 @@
     port::{End, Heartbeat, RunningTask, StartOutcome},
     utils::Name,
     workload::{
+        Attention,
         Pace,
         Progress,
         RunId,
@@ -50,6 +51,10 @@
     /// and has to begin a new session, since the tasks may be started elsewhere.
     #[serde(rename = "f", default, skip_serializing_if = "is_false")]
     pub fence: bool,
+    /// How closely the agent has to follow from now on, if that changes. The agent answers with a
+    /// report.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub attention: Option<Attention>,
 }
 
 impl Order {
@@ -57,6 +62,12 @@
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
+
+    /// Returns the agent's attention after the order, if that may differ from before.
+    pub fn attention_after(&self) -> Option<Attention> {
+        let starts = !self.starts.is_empty();
+        self.attention.or(starts.then_some(Attention::Close))
+    }
 }
 
 /// A record of an orders partition, which several agents may share.
@@ -129,6 +140,9 @@
     /// Whether the worker doesn't answer its agent.
     #[serde(rename = "u", default, skip_serializing_if = "is_false")]
     pub unreachable: bool,
+    /// How closely the agent follows, and so when the next report is due.
+    #[serde(rename = "t", default, skip_serializing_if = "Attention::is_close")]
+    pub attention: Attention,
 }
 
 impl Report {
@@ -137,7 +151,7 @@
     /// each report, and the planner looks at it in its regular passes.
     pub fn has_news_since(&self, before: Option<&Self>) -> bool {
         before.is_none_or(|before| {
-            let state = |r: &Self| (r.session, r.closed, r.left, r.unreachable);
+            let state = |r: &Self| (r.session, r.closed, r.left, r.unreachable, r.attention);
             !self.ends.is_empty()
                 || state(self) != state(before)
                 || !self.heartbeat.repeats(&before.heartbeat)
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -7,9 +7,11 @@
 //! `docs/SYSTEM.md` describes the design.
 
 mod agent_table;
+mod attention;
 mod demands;
 mod departure;
 mod fleet;
+mod idle_workers;
 mod job;
 mod job_table;
 mod live;
@@ -39,6 +41,7 @@
 mod withheld;
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
+pub use attention::{Attention, Contact, SELDOM_REPORT_INTERVAL};
 pub use fleet::{Fleet, FleetWorker, RunOver, RunOverReason, SessionState, WorkerRun};
 pub use job::{Job, JobRequest, Occurrences, Resources, Step};
 pub use job_table::{JobLookup, JobTable, KnownJob};
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -6,6 +6,7 @@
 use crate::{
     utils::{HashMap, HashSet, Name},
     workload::{
+        Contact,
         Demand,
         Fleet,
         FleetWorker,
@@ -63,6 +64,8 @@
 pub(super) struct PassOutcome {
     pub(super) starts: Vec<Placed>,
     pub(super) evictions: Vec<(Name, RunId)>,
+    /// Workers whose agents follow seldom and on which something will start once they report.
+    pub(super) asked: Vec<Name>,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub(super) waiting: HashMap<Name, Waiting>,
 }
@@ -90,6 +93,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ServeResult {
     Started,
+    WorkersAsked,
     RoomBeingMade,
     RoomHeld,
     NoRoom,
@@ -146,6 +150,11 @@
         found.filter(|found| found.iter().all(healthy))
     }
 
+    /// Returns the workers that were asked for since the demands were served.
+    pub(super) fn take_asked(&mut self) -> Vec<Name> {
+        std::mem::take(&mut self.outcome.asked)
+    }
+
     /// Returns the room of all workers.
     pub(super) fn rooms(&self) -> &[Room] {
         &self.rooms
@@ -196,8 +205,8 @@
     /// Starts a demand, or else makes or holds room for it.
     fn serve(&mut self, demand: &Demand<'_>) -> ServeResult {
         let placed = self.count(demand);
-        if self.start_now(demand, &placed) {
-            return ServeResult::Started;
+        if let Some(result) = self.start_now(demand, &placed) {
+            return result;
         }
         if self.make_room(demand, &placed) {
             return ServeResult::RoomBeingMade;
@@ -208,8 +217,8 @@
                 far_allowed: true,
                 ..demand.clone()
             };
-            if self.start_now(&far, &placed) {
-                return ServeResult::Started;
+            if let Some(result) = self.start_now(&far, &placed) {
+                return result;
             }
             if self.make_room(&far, &placed) {
                 return ServeResult::RoomBeingMade;
@@ -229,6 +238,7 @@
     /// Returns why a demand that was not started waits.
     fn reason(&self, demand: &Demand<'_>, served: ServeResult) -> WaitReason {
         match served {
+            ServeResult::WorkersAsked => return WaitReason::WorkersAsked,
             ServeResult::RoomBeingMade => return WaitReason::RoomBeingMade,
             ServeResult::RoomHeld => return WaitReason::RoomHeld,
             ServeResult::Started | ServeResult::NoRoom => {}
@@ -246,12 +256,20 @@
         }
     }
 
-    fn start_now(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
-        let found = schedule::place(demand, &self.rooms, Horizon::Now, placed);
-        if let Some(found) = &found {
-            self.start(demand, found);
+    /// Starts the demand if it has room now. If some of the workers have to report first, their
+    /// agents are asked and the room is kept for the demand in this pass.
+    fn start_now(
+        &mut self,
+        demand: &Demand<'_>,
+        placed: &HashMap<Name, u32>,
+    ) -> Option<ServeResult> {
+        let found = schedule::place(demand, &self.rooms, Horizon::Now, placed)?;
+        if found.iter().any(|i| self.rooms[*i].must_be_asked()) {
+            self.take(demand, &found);
+            return Some(ServeResult::WorkersAsked);
         }
-        found.is_some()
+        self.start(demand, &found);
+        Some(ServeResult::Started)
     }
 
     /// Returns whether the demand has been given room that will be free soon. The room comes from
@@ -329,7 +347,11 @@
 
     fn take(&mut self, demand: &Demand<'_>, found: &[usize]) {
         for i in found {
-            self.rooms[*i].take(&demand.shape.needs, demand.estimate_ms);
+            let room = &mut self.rooms[*i];
+            room.take(&demand.shape.needs, demand.estimate_ms);
+            if room.contact == Contact::Seldom {
+                self.outcome.asked.push(room.worker.clone());
+            }
         }
     }
 
@@ -387,7 +409,8 @@
     let failing_since = learned.failures.failing_since();
     let usable = fleet
         .workers()
-        .filter(|(_, w)| w.accepts_tasks() && w.quarantined_until <= view.now);
+        .filter(|(_, w)| w.accepts_tasks() && w.quarantined_until <= view.now)
+        .filter(|(_, w)| !w.contact.is_overdue(view.now, view.store_delay));
     let rooms = usable.filter_map(|(name, worker)| {
         let heartbeat = &worker.report.as_ref()?.heartbeat;
         if view.evacuated.contains(&heartbeat.failure_domain) {
@@ -425,6 +448,7 @@
             fault_count: worker.failures + u32::from(overdue),
             proven: failing_since.is_none_or(|since| worker.last_good_start >= Some(since)),
             slowness_step: schedule::slowness_step(times, name),
+            contact: worker.contact,
         })
     });
     rooms.collect()
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -17,10 +17,13 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order, Pace, Place, Report,
-        Room, RunId, RunTimes, SessionState, TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
+        Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
+        Pace, Place, Report, Room, RunId, RunTimes, SessionState, TaskId, TaskPlan, TaskStart,
+        WaitReason, Waiting,
+        attention::MAX_SELDOM_SILENCE,
         demands::Demands,
         departure,
+        idle_workers::{AttentionChanges, IdleWorkers},
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
@@ -63,6 +66,9 @@
     pub far_factor: f64,
     /// The amount of work after which a run saves a checkpoint; zero if it isn't known.
     pub checkpoint_every: Duration,
+    /// The number of idle workers whose agents follow closely whatever the load, for each share of
+    /// the pool that is reserved against a priority.
+    pub min_close_workers: usize,
 }
 
 /// The inputs of a decision besides jobs and reports.
@@ -81,6 +87,8 @@
     /// The time since which reports have been read without interruption. `None` while they can't be
     /// read: the silence of agents then says nothing about them.
     pub reports_since: Option<Timestamp>,
+    /// The store's usual delay before it answers.
+    pub store_delay: Duration,
 }
 
 /// An order for the agent of one worker.
@@ -120,6 +128,7 @@
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
     peaks: PeakLoad,
+    idle_workers: IdleWorkers,
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
@@ -136,6 +145,7 @@
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
             peaks: PeakLoad::default(),
+            idle_workers: IdleWorkers::default(),
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
@@ -420,7 +430,12 @@
         let Some(reports_since) = view.reports_since else {
             return;
         };
+        self.ask_about_silence(view, reports_since);
         let allowed = self.allowed_silence(view, reports_since);
+        let allowed_for = |w: &FleetWorker| match w.is_followed_closely() {
+            true => allowed,
+            false => MAX_SELDOM_SILENCE,
+        };
         let silence_of = |w: &FleetWorker| view.now.since(w.reported_at.max(reports_since));
         let silent = self.fleet.workers().filter(|(_, w)| {
             // A worker that its agent can't reach may still run tasks under its last lease.
@@ -434,19 +449,17 @@
                 .map(|s| view.now.since(s.max(reports_since)));
             let reads_no_orders = unread.is_some_and(|u| u > allowed + self.bounds.lease_expiry);
             w.session_state == SessionState::Open
-                && (silence_of(w) > allowed || unreachable || reads_no_orders)
+                && (silence_of(w) > allowed_for(w) || unreachable || reads_no_orders)
         });
         let mut silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
-        let open = self.fleet.workers();
-        let open = open
-            .filter(|(_, w)| w.session_state == SessionState::Open)
-            .count();
-        if silent.len() * 2 > open && !self.all_silent(view, reports_since) {
+        let close = self.fleet.workers().filter(|(_, w)| is_open_and_close(w));
+        let close = close.count();
+        if silent.len() * 2 > close && !self.all_silent(view, reports_since) {
             // More than half of the agents rarely fail at once; more likely the store is slow.
             // Closing their sessions would stop all running work. An agent that stays silent for
             // the lease expiry time beyond the limit is still fenced.
             let silent_past_lease =
-                |w: &FleetWorker| silence_of(w) > allowed + self.bounds.lease_expiry;
+                |w: &FleetWorker| silence_of(w) > allowed_for(w) + self.bounds.lease_expiry;
             silent.retain(|name| self.fleet.get(name).is_some_and(silent_past_lease));
         }
         for name in silent {
@@ -464,17 +477,47 @@
         }
     }
 
+    /// Asks agents that follow seldom for a report while most of those that follow closely are late.
+    ///
+    /// The answers tell whether the store delays all reports, or whether the late agents are lost:
+    /// most of the busy ones may be in one failure domain, and then they are no sign of a slow store.
+    fn ask_about_silence(&mut self, view: &View<'_>, reports_since: Timestamp) {
+        let (mut late, mut on_time) = (0_usize, 0_usize);
+        let open = |w: &&FleetWorker| w.session_state == SessionState::Open;
+        for worker in self.fleet.workers().map(|(_, w)| w).filter(open) {
+            let silence = view.now.since(worker.reported_at.max(reports_since));
+            match worker.contact {
+                Contact::Close if silence > self.bounds.max_silence / 2 => late += 1,
+                Contact::Close => on_time += 1,
+                // An answer that is not overdue is expected to come.
+                Contact::Asked(_) if !worker.contact.is_overdue(view.now, view.store_delay) => {
+                    on_time += 1;
+                }
+                Contact::Asked(_) | Contact::Seldom => {}
+            }
+        }
+        let missing = late.saturating_sub(on_time);
+        if missing == 0 {
+            return;
+        }
+        let seldom = self.fleet.workers();
+        let seldom = seldom.filter(|(_, w)| w.contact == Contact::Seldom && open(w));
+        let seldom: Vec<Name> = seldom.map(|(name, _)| name.clone()).collect();
+        // Spread over the whole pool.
+        let step = (seldom.len() / missing).max(1);
+        for worker in seldom.into_iter().step_by(step) {
+            self.ask(view.now, worker);
+        }
+    }
+
     /// Returns the silence up to which an agent is taken to be alive. It grows with the silence of
     /// the other agents, up to twice the configured limit.
     ///
     /// On a slow store the reports of all agents are delayed. With the limit for a fast store, the
     /// sessions of live agents would be closed one by one and all runs on their workers stopped.
     fn allowed_silence(&self, view: &View<'_>, reports_since: Timestamp) -> Duration {
-        let open = self
-            .fleet
-            .workers()
-            .filter(|(_, w)| w.session_state == SessionState::Open);
-        let silences = open.map(|(_, w)| view.now.since(w.reported_at.max(reports_since)));
+        let close = self.fleet.workers().filter(|(_, w)| is_open_and_close(w));
+        let silences = close.map(|(_, w)| view.now.since(w.reported_at.max(reports_since)));
         let mut silences: Vec<Duration> = silences.collect();
         let silence = self.bounds.max_silence;
         let Some(last) = silences.len().checked_sub(1) else {
@@ -527,8 +570,17 @@
             .observe(view.now, &pass.load(&self.jobs, &demands));
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
-        let outcome = pass.run(&demands);
+        let mut outcome = pass.run(&demands);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
+        let mut changes = self.idle_workers.changes(
+            view.now,
+            &self.fleet,
+            pass.rooms(),
+            self.bounds.min_close_workers,
+        );
+        // The moves of overdue and leaving runs ask for workers too.
+        changes.asked.append(&mut outcome.asked);
+        changes.asked.append(&mut pass.take_asked());
         self.stop_overdue(overdue);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
@@ -542,9 +594,44 @@
         for placed in outcome.starts {
             self.start(view, &placed);
         }
+        self.change_attention(view.now, changes);
         outcome.waiting
     }
 
+    /// Asks the agents of idle workers for a report, or releases them.
+    fn change_attention(&mut self, now: Timestamp, changes: AttentionChanges) {
+        let released = changes.released.len();
+        let mut asked = 0;
+        for worker in changes.asked {
+            asked += u32::from(self.ask(now, worker));
+        }
+        for worker in changes.released {
+            if let Some(known) = self.fleet.get_mut(&worker) {
+                known.contact = Contact::Seldom;
+                known.released_at = Some(now);
+                self.orders.entry(worker).or_default().attention = Some(Attention::Seldom);
+            }
+        }
+        if asked > 0 || released > 0 {
+            let close = self
+                .fleet
+                .workers()
+                .filter(|(_, w)| w.is_followed_closely());
+            log::info!(asked, released, close = close.count(); "attention_changed");
+        }
+    }
+
+    /// Asks the agent of a worker for a report if it follows seldom; returns whether it does.
+    fn ask(&mut self, now: Timestamp, worker: Name) -> bool {
+        let known = self.fleet.get_mut(&worker);
+        let Some(known) = known.filter(|w| w.contact == Contact::Seldom) else {
+            return false;
+        };
+        known.contact = Contact::Asked(now);
+        self.orders.entry(worker).or_default().attention = Some(Attention::Close);
+        true
+    }
+
     /// Stops overdue runs. Their tasks wait for a new start once the runs are over.
     fn stop_overdue(&mut self, runs: Vec<(Name, RunId)>) {
         for (worker, run) in runs {
@@ -660,3 +747,8 @@
         }
     }
 }
+
+/// Returns whether the silence of a worker's agent says something about the store or the agent.
+fn is_open_and_close(worker: &FleetWorker) -> bool {
+    worker.session_state == SessionState::Open && worker.is_followed_closely()
+}
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -7,7 +7,8 @@
 use crate::{
     utils::{HashMap, Name},
     workload::{
-        Caution, Resources, RunId, RunTimes, Step, WaitReason, Waiting, speeds::SLOWEST_STEP,
+        Caution, Contact, Resources, RunId, RunTimes, Step, WaitReason, Waiting,
+        speeds::SLOWEST_STEP,
     },
 };
 
@@ -120,6 +121,9 @@
     pub has_leftover_tasks: bool,
     /// How much slower than a full-speed worker it is, in steps; 0 is full speed.
     pub slowness_step: u32,
+    /// How closely the worker's agent follows. Only where it follows closely can a task start at
+    /// once.
+    pub contact: Contact,
 }
 
 /// Runs that are evicted together: a gang or a single task.
@@ -172,6 +176,11 @@
         }
     }
 
+    /// Returns whether the worker's agent has to report before a task can start.
+    pub(super) fn must_be_asked(&self) -> bool {
+        self.contact != Contact::Close
+    }
+
     fn free_at(&self, ms: u64) -> Resources {
         let ended = self.releases.iter().filter(|(end, _)| *end <= ms);
         ended.fold(self.free, |sum, (_, needs)| sum.plus(needs))
@@ -271,7 +280,8 @@
             .iter()
             .map(|i| rooms[*i].available(horizon).accelerators)
             .sum();
-        Some(((slow, left), found))
+        let asked = found.iter().filter(|i| rooms[**i].must_be_asked()).count();
+        Some(((slow, left, asked), found))
     });
     // Filling the rack with the least room keeps the others whole for larger gangs.
     found.min_by_key(|(rank, _)| *rank).map(|(_, found)| found)
@@ -328,6 +338,7 @@
                 is_reserved_against(demand, room),
                 speed_rank(demand, room),
                 left,
+                room.must_be_asked(),
                 c.free.cpu_millis,
             )
         })?;
--- a/dragonflyrun/src/workload/waiting.rs
+++ b/dragonflyrun/src/workload/waiting.rs
@@ -33,6 +33,8 @@
         /// Number of those that have room for a task now.
         with_room: usize,
     },
+    /// It has room on workers whose agents have been asked to report first.
+    WorkersAsked,
     /// Other runs are being stopped to make room for it.
     RoomBeingMade,
     /// Room that will become free is held for it.
@@ -52,6 +54,7 @@
                 f,
                 "{with_room} of {suitable} suitable workers have room for a task"
             ),
+            Self::WorkersAsked => f.write_str("idle workers are asked whether they are alive"),
             Self::RoomBeingMade => f.write_str("other runs are being stopped for it"),
             Self::RoomHeld => f.write_str("room that is becoming free is held for it"),
             Self::ConfigurationStale => {
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -5,7 +5,8 @@
 use dragonflyrun::{
     port::{Heartbeat, RunningTask, StartOutcome, WorkerLists},
     workload::{
-        AgentAction, AgentTable, Order, Report, Resources, RunId, StartResult, TaskId, TaskStart,
+        AgentAction, AgentTable, Attention, Order, Report, Resources, RunId, StartResult, TaskId,
+        TaskStart,
     },
 };
 
@@ -321,3 +322,21 @@
     assert!(table.unreachable(true, announced_at + Duration::from_millis(700)));
     assert!(report(&mut table).closed);
 }
+
+/// Guards against an agent that goes on reporting seldom although work was sent to it, or although a
+/// new planner does not know that it was released.
+#[test]
+fn released_until_work() {
+    let release = Order {
+        attention: Some(Attention::Seldom),
+        ..Order::default()
+    };
+    let mut table = agent();
+    table.orders(Some(1_000), vec![release.clone()], 9);
+    assert_eq!(report(&mut table).attention, Attention::Seldom);
+    table.orders(Some(1_000), vec![start_order(1)], 10);
+    assert_eq!(report(&mut table).attention, Attention::Close);
+    table.orders(Some(1_000), vec![release], 11);
+    assert!(table.begin_session("w", 5, 12));
+    assert_eq!(table.attention(), Attention::Close);
+}
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -2,6 +2,8 @@
 
 mod workload_tables;
 
+use std::time::Duration;
+
 use dragonflyrun::{
     Timestamp,
     port::{EndKind, RunningTask, StartOutcome},
@@ -67,6 +69,7 @@
         evacuated: &harness.evacuated,
         is_fresh: true,
         reports_since: since,
+        store_delay: Duration::ZERO,
     };
     let decisions = harness.planner.decide(&view(60_000, None));
     assert!(decisions.orders.is_empty());
@@ -277,6 +280,7 @@
         evacuated: &HashSet::default(),
         is_fresh: true,
         reports_since: Some(now),
+        store_delay: Duration::ZERO,
     };
     successor.set_orders_end("w0", 12);
     let mut report = harness.reports[0].clone();
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -18,7 +18,8 @@
     },
     utils::{HashMap, HashSet, lock},
     workload::{
-        Job, JobRecord, JobRequest, OrderMessage, Report, Resources, RunId, Step, decode, encode,
+        Attention, Job, JobRecord, JobRequest, OrderMessage, Report, Resources, RunId, Step,
+        decode, encode,
     },
 };
 use store_entry::{NoAdvisor, configuration};
@@ -201,6 +202,7 @@
         closed: false,
         left: false,
         unreachable: false,
+        attention: Attention::Close,
     }
 }
 
--- a/dragonflyrun/tests/unread_orders.rs
+++ b/dragonflyrun/tests/unread_orders.rs
@@ -2,6 +2,8 @@
 
 mod workload_tables;
 
+use std::time::Duration;
+
 use dragonflyrun::{Timestamp, workload::View};
 use workload_tables::{EPOCH_MS, Harness, task};
 
@@ -43,6 +45,7 @@
             evacuated: &harness.evacuated,
             is_fresh: true,
             reports_since: Some(Timestamp::default()),
+            store_delay: Duration::ZERO,
         };
         harness.planner.decide(&view).orders
     };
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -20,8 +20,8 @@
     },
     utils::{HashSet, Name},
     workload::{
-        Decisions, Job, JobPlan, JobRecord, JobRequest, JobTable, Outcome, Planner, PlannerBounds,
-        Report, Resources, RunId, Step, View,
+        Attention, Decisions, Job, JobPlan, JobRecord, JobRequest, JobTable, Outcome, Planner,
+        PlannerBounds, Report, Resources, RunId, Step, View,
     },
 };
 
@@ -35,6 +35,7 @@
     pub(crate) configuration: Configuration,
     pub(crate) evacuated: HashSet<Name>,
     pub(crate) is_fresh: bool,
+    pub(crate) store_delay: Duration,
     /// The newest report of each worker.
     pub(crate) reports: Vec<Report>,
     /// All plan records that the planner has written.
@@ -63,18 +64,25 @@
         keep_ended: Duration::from_secs(120),
         far_factor: 3.0,
         checkpoint_every: Duration::from_secs(2),
+        min_close_workers: usize::MAX,
     }
 }
 
 impl Harness {
     /// Returns a planner with the given number of workers of 8 accelerators, three per rack.
     pub(crate) fn new(workers: usize) -> Self {
+        Self::with_bounds(workers, bounds())
+    }
+
+    /// Returns a planner with other bounds and the same workers.
+    pub(crate) fn with_bounds(workers: usize, bounds: PlannerBounds) -> Self {
         let mut harness = Self {
-            planner: Planner::take_over(bounds(), &JobTable::default(), Timestamp::default()),
+            planner: Planner::take_over(bounds, &JobTable::default(), Timestamp::default()),
             now_ms: 0,
             configuration: configuration(),
             evacuated: HashSet::default(),
             is_fresh: true,
+            store_delay: Duration::ZERO,
             reports: Vec::new(),
             written_records: Vec::new(),
             offset: 10,
@@ -118,6 +126,7 @@
             closed: false,
             left: false,
             unreachable: false,
+            attention: Attention::Close,
         });
         self.report(name);
     }
@@ -166,6 +175,7 @@
             evacuated: &self.evacuated,
             is_fresh: self.is_fresh,
             reports_since: Some(Timestamp::default()),
+            store_delay: self.store_delay,
         });
         self.written_records
             .extend(decisions.plans.iter().filter_map(JobRecord::decode));
@@ -179,6 +189,7 @@
                 .find(|r| r.heartbeat.worker == order.worker);
             let Some(report) = report else { continue };
             report.orders_seen = self.offset + 1;
+            report.attention = order.order.attention_after().unwrap_or(report.attention);
             report.ends.retain(|e| e.number > order.order.confirmed);
             for start in &order.order.starts {
                 report.running.push(RunningTask {
@@ -216,12 +227,18 @@
         }
     }
 
-    /// Advances the time. All workers report every second.
+    /// Advances the time. All workers that follow closely report every second, the others every 20 s.
     pub(crate) fn advance(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         while self.now_ms < end_ms {
             self.now_ms += (end_ms - self.now_ms).min(1_000);
-            self.report_all();
+            let seldom_due = self.now_ms % 20_000 < 1_000;
+            let due = self.reports.iter();
+            let due = due.filter(|r| seldom_due || r.attention == Attention::Close);
+            let due: Vec<Name> = due.map(|r| r.heartbeat.worker.clone()).collect();
+            for name in due {
+                self.report(&name);
+            }
         }
     }
 
--- a/dragonflyrun/tests/workload_world/agent.rs
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -4,12 +4,18 @@
 
 use dragonflyrun::{
     port::{CallError, StartOutcome, WorkerLists},
-    workload::{AgentAction, AgentTable, Order, OrderMessage, RunId, StartResult},
+    workload::{AgentAction, AgentTable, Attention, Order, OrderMessage, RunId, StartResult},
 };
 use rand::Rng;
 
 use super::{LEASE_MS, World, worker};
 
+/// How long a read of orders waits at an agent that follows seldom.
+const SELDOM_READ_MS: u64 = 5_000;
+
+/// Age of the reading of the worker's clock up to which a read of orders extends the lease.
+const MAX_CLOCK_AGE_MS: u64 = 1_500;
+
 /// A message in flight between an agent and its worker or the store.
 #[derive(Debug)]
 enum Event {
@@ -27,6 +33,7 @@
         worker: String,
         session: u64,
         from: u64,
+        sent_at: u64,
     },
 }
 
@@ -148,6 +155,12 @@
     report(world, i);
 }
 
+/// Returns whether the agent was released and nothing runs on its worker.
+fn follows_seldom(world: &World, i: usize) -> bool {
+    let table = &world.agents[i].table;
+    table.attention() == Attention::Seldom && !table.is_busy()
+}
+
 fn open_session(world: &mut World, i: usize) {
     let connected = world.now >= world.agents[i].disconnected_until;
     let agent = &mut world.agents[i];
@@ -186,6 +199,7 @@
         worker: worker.to_string(),
         session,
         from: agent.next_offset,
+        sent_at: world.now,
     };
     let at = world.now + world.rng.random_range(5..200);
     world.agents[i].reading = true;
@@ -251,7 +265,8 @@
     if now < world.agents[i].next_report_at || now < world.agents[i].disconnected_until {
         return;
     }
-    world.agents[i].next_report_at = now + 150;
+    let interval = if follows_seldom(world, i) { 4_000 } else { 150 };
+    world.agents[i].next_report_at = now + interval;
     for report in world.agents[i].table.reports(0) {
         let late = world.fault_rates.late_appends;
         if world.happens(late) {
@@ -275,6 +290,7 @@
             worker,
             session,
             from,
+            sent_at,
         } => {
             let lost = world.fault_rates.lost_answers;
             if world.happens(lost) || world.now < world.agents[i].disconnected_until {
@@ -282,6 +298,23 @@
                 return;
             }
             let records = world.store.read_lane(&worker, from);
+            let waited = world.now - sent_at;
+            if records.is_empty() && follows_seldom(world, i) && waited < SELDOM_READ_MS {
+                let again = Event::Read {
+                    clock_read_ms,
+                    worker,
+                    session,
+                    from,
+                    sent_at,
+                };
+                world.agents[i].events.push((world.now + 10, again));
+                return;
+            }
+            if !records.is_empty() && waited > MAX_CLOCK_AGE_MS {
+                // Read again with a newer reading of the worker's clock.
+                world.agents[i].reading = false;
+                return;
+            }
             let end = from + records.len() as u64;
             let orders = records.into_iter().filter_map(|message| match message {
                 OrderMessage::Order {
@@ -397,7 +430,11 @@
             if !current || table.session() != Some(session) {
                 return;
             }
+            let must_report = orders.iter().any(|order| order.attention.is_some());
             let actions = table.orders(clock_read_ms, orders, end);
+            if must_report {
+                world.agents[i].next_report_at = 0;
+            }
             world.agents[i].next_offset = end;
             world.agents[i].reading = false;
             send_actions(world, i, actions);
--- a/dragonflyrun/tests/workload_world/planner.rs
+++ b/dragonflyrun/tests/workload_world/planner.rs
@@ -43,6 +43,7 @@
             keep_ended: Duration::from_secs(10_000),
             far_factor: 3.0,
             checkpoint_every: Duration::from_secs(2),
+            min_close_workers: 0,
         };
         let planner = Planner::take_over(bounds, &job_table, Timestamp::from_millis(world.now));
         let workers = planner.fleet().workers().map(|(name, _)| name.to_string());
@@ -108,6 +109,7 @@
         evacuated: &HashSet::default(),
         is_fresh: true,
         reports_since: Some(Timestamp::from_millis(planner.reports_since)),
+        store_delay: Duration::ZERO,
     });
     let plans: Vec<JobRecord> = decisions
         .plans
