Let nine entries stand by to plan, on hosts with room, and the others read seldom

And the election drew by hash: three hosts of four have 0.12 cores and 20 Mbit/s. Ruled out: longer pauses for all (later succession), and leases of standbys in the store (writes each few seconds, and a list that is wrong after all hosts lost power). Change: entries announce themselves with the room of their host, once a minute. From these records each computes the same order of succession for a term, hosts with room first; the first nine watch closely and claim one after the other, 60 ms apart. The others read each 1.5 s, at once where a caller asks, and closely while the planner has been silent for 2.5 s. A planner on a small host leaves its term to a larger one that announces itself, never the other way. Reads of the configuration wait as long as the bounds on it allow (1.9 s on the fleet, 0.8 s as before where it has to be in force within 2 s) at entries that neither plan nor stand by. The read before a hand-in asks for the end of the operators' records instead of all that has happened to the jobs.

--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -163,14 +163,16 @@
             let is_recent = state
                 .reachability
                 .is_recent(Instant::now(), state.store_delay);
-            (is_recent, state.store_delay, state.job_table_end)
+            (is_recent, state.store_delay, state.operators_end)
         };
         if is_recent {
             return true;
         }
         let remaining = deadline.saturating_duration_since(Instant::now());
         let limit = PROBE_TIMEOUT.max(delay * PROBE_STORE_DELAYS).min(remaining);
-        let read = self.store.read(Partition::JOBS, end, Duration::ZERO);
+        // The operators' records are known up to their end, so the answer is empty. A read of the jobs
+        // would return all that has happened since this entry last read them.
+        let read = self.store.read(Partition::OPERATOR, end, Duration::ZERO);
         let answered = match timeout(limit, read).await {
             Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
             Ok(Err(ReadError::Unavailable(_))) | Err(_) => false,
--- a/dragonflyrun/src/process/on_store/caller_requests.rs
+++ b/dragonflyrun/src/process/on_store/caller_requests.rs
@@ -11,16 +11,12 @@
     },
     process::on_store::{
         BootTime, StoreEntry,
-        entry::{MAX_READY_AGE, unix_ms},
+        entry::{MAX_READY_AGE, READ_WAIT, unix_ms},
     },
     utils::{Name, lock},
     workload::{Job, JobLookup, MAX_JOB_NAME_BYTES},
 };
 
-/// Share of the bound on revoked keys up to which the last current read of the configuration still
-/// counts. The rest covers the time that a request takes.
-const REVOKE_BOUND_SHARE: f64 = 0.85;
-
 /// How long the answer to a query about a running job waits for the job's end. Callers query when
 /// their work is done, and the store learns of that about 30 ms later. If the answer were
 /// `running` in between, they would learn of the end only with their next query.
@@ -88,7 +84,7 @@
         let configuration_age = state.operators_current_at.map(BootTime::elapsed);
         let has_read_jobs = state.job_table_current_at.is_some();
         drop(state);
-        let max_age = self.settings.bounds.revoke.mul_f64(REVOKE_BOUND_SHARE);
+        let max_age = self.settings.bounds.max_configuration_age();
         if configuration_age.is_none_or(|age| age > max_age) || !has_read_jobs {
             return Err(self.refuse(Refusal::ConfigurationStale));
         }
@@ -154,11 +150,18 @@
 
     fn is_ready(&self) -> bool {
         let state = lock(&self.state);
-        let current =
-            |current_at: Option<BootTime>| current_at.is_some_and(|p| p.elapsed() < MAX_READY_AGE);
+        let current = |current_at: Option<BootTime>, max_age: Duration| {
+            current_at.is_some_and(|p| p.elapsed() < max_age)
+        };
+        let bounds = &self.settings.bounds;
+        let wait = bounds.max_operators_wait().max(READ_WAIT);
+        let max_configuration_age = MAX_READY_AGE + (wait - READ_WAIT) * 2;
         state.configuration.is_some()
-            && current(state.operators_current_at)
-            && current(state.job_table_current_at)
+            && current(
+                state.operators_current_at,
+                max_configuration_age.min(bounds.max_configuration_age()),
+            )
+            && current(state.job_table_current_at, MAX_READY_AGE)
             && !self.stopping.load(Ordering::Relaxed)
     }
 }
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -26,7 +26,10 @@
         },
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
-    workload::{Election, JobRecord, JobTable, StoreReachability, Waiting},
+    workload::{
+        Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable, StoreReachability,
+        Waiting,
+    },
 };
 
 /// How long a read waits for new records. An answer shows that the known state was current when
@@ -42,6 +45,14 @@
 /// Pause between two reads of the jobs at an entry that does not plan; see [`ReadPause`].
 const STANDBY_READ_PAUSE: Duration = Duration::from_millis(200);
 
+/// Pause between two reads of the jobs at an entry that does not even stand by to plan. Together with
+/// the read it is shorter than [`MAX_READY_AGE`], because these reads show that the store is
+/// reachable.
+const DISTANT_READ_PAUSE: Duration = Duration::from_millis(1_500);
+
+/// Age of the planner's newest sign of life from which on every entry stands by.
+const MAX_PLANNER_SILENCE: Duration = Duration::from_millis(2_500);
+
 /// How long a caller's request waits for a read that it has triggered.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -57,6 +68,8 @@
 const _: () =
     assert!(MAX_READY_AGE.as_millis() > 2 * READ_WAIT.as_millis() + STANDBY_READ_PAUSE.as_millis());
 
+const _: () = assert!(MAX_READY_AGE.as_millis() > DISTANT_READ_PAUSE.as_millis() + 500);
+
 /// Decodes operators' records, whose format only the adapter knows.
 pub type OperatorDecoder = dyn Fn(&StoreRecord) -> Option<OperatorRecord>;
 
@@ -68,12 +81,17 @@
     pub(super) job_table_current_at: Option<BootTime>,
     pub(super) configuration: Option<Arc<Configuration>>,
     pub(super) evacuated: Arc<HashSet<Name>>,
+    /// The offset up to which the operators' records have been read.
+    pub(super) operators_end: u64,
     /// When the last current read of the operators' records was sent.
     pub(super) operators_current_at: Option<BootTime>,
     pub(super) reachability: StoreReachability,
     /// The store's usual delay before it answers.
     pub(super) store_delay: Duration,
     pub(super) election: Election,
+    pub(super) entries: EntryTable,
+    /// Whether the planner of this entry should leave its term to an entry on a host with room.
+    pub(super) should_yield: bool,
     /// Whether this entry is the planner, so that its planner needs `new_records`.
     pub(super) is_planner: bool,
     pub(super) new_records: Vec<JobRecord>,
@@ -118,10 +136,13 @@
                 job_table_current_at: None,
                 configuration: None,
                 evacuated: Arc::default(),
+                operators_end: 0,
                 operators_current_at: None,
                 reachability: StoreReachability::default(),
                 store_delay: Duration::ZERO,
                 election,
+                entries: EntryTable::default(),
+                should_yield: false,
                 is_planner: false,
                 new_records: Vec::new(),
                 waiting: HashMap::default(),
@@ -137,6 +158,7 @@
     pub fn start(self: &Arc<Self>, decoder: Arc<OperatorDecoder>) {
         tokio::task::spawn_local(self.clone().follow_operators(decoder));
         tokio::task::spawn_local(self.clone().follow_jobs());
+        tokio::task::spawn_local(self.clone().announce());
         tokio::task::spawn_local(PlannerTerm::run(self.clone()));
     }
 
@@ -169,7 +191,7 @@
                     // when its read was sent. The read after a batch with records therefore
                     // returns at once.
                     wait = match batch.records.is_empty() {
-                        true => READ_WAIT,
+                        true => self.operators_wait(),
                         false => Duration::ZERO,
                     };
                     self.fold_operators(batch, &decoder);
@@ -183,6 +205,17 @@
         }
     }
 
+    /// Returns how long a read of the operators' records may wait. The planner and those that may
+    /// succeed it need a newer proof of the configuration than callers' requests do.
+    fn operators_wait(&self) -> Duration {
+        let mut state = lock(&self.state);
+        let needs_proof = state.is_planner || state.stands_by(&self.settings.name, self.now());
+        match needs_proof {
+            true => READ_WAIT,
+            false => READ_WAIT.max(self.settings.bounds.max_operators_wait()),
+        }
+    }
+
     fn fold_operators(&self, batch: Batch, decoder: &Arc<OperatorDecoder>) {
         let mut state = lock(&self.state);
         let changed = batch.replaces || !batch.records.is_empty();
@@ -211,6 +244,7 @@
             }
         }
         state.evacuated = Arc::new(evacuated);
+        state.operators_end = batch.end;
         if batch.is_current {
             state.operators_current_at = Some(batch.requested_at);
         }
@@ -250,12 +284,21 @@
     /// read may wait for new records.
     async fn pause_reads(&self) -> Duration {
         self.job_read_pause.notify_read_folded();
-        if lock(&self.state).is_planner {
-            return PLANNER_READ_WAIT;
-        }
-        match self.job_read_pause.pause(STANDBY_READ_PAUSE).await {
+        let stands_by = {
+            let mut state = lock(&self.state);
+            if state.is_planner {
+                return PLANNER_READ_WAIT;
+            }
+            state.stands_by(&self.settings.name, self.now())
+        };
+        let (pause, wait) = match stands_by {
+            true => (STANDBY_READ_PAUSE, READ_WAIT),
+            false => (DISTANT_READ_PAUSE, Duration::ZERO),
+        };
+        match self.job_read_pause.pause(pause).await {
             PauseEnd::ReadRequested => Duration::ZERO,
-            PauseEnd::Due => READ_WAIT,
+            PauseEnd::Watched => READ_WAIT,
+            PauseEnd::Due => wait,
         }
     }
 
@@ -286,6 +329,10 @@
             match &record {
                 JobRecord::Planner(term) => state.election.saw_heartbeat(now, term),
                 JobRecord::Plan(..) => state.election.saw_plan(now),
+                JobRecord::Entry(entry) => {
+                    state.entry_announced(now, self.settings.host_room(), entry);
+                }
+                JobRecord::EntryGone(name) => state.entries.remove(name),
                 JobRecord::Accepted(_) | JobRecord::Cancelled(_) => {}
             }
             if state.job_table.fold(record.clone()) && !matches!(record, JobRecord::Planner(_)) {
@@ -319,6 +366,20 @@
 }
 
 impl EntryState {
+    /// Returns whether the entry has to watch the planner closely because it may have to succeed it.
+    pub(super) fn stands_by(&mut self, name: &Name, now: Timestamp) -> bool {
+        let is_silent = now.since(self.election.seen()) > MAX_PLANNER_SILENCE;
+        is_silent || self.entries.stands_by(name, self.election.term().number)
+    }
+
+    fn entry_announced(&mut self, now: Timestamp, own: HostRoom, entry: &EntryRecord) {
+        self.entries.announced(now, entry);
+        if self.is_planner && self.entries.should_yield(own, entry) {
+            log::info!(to:% = entry.name; "term_yielded");
+            self.should_yield = true;
+        }
+    }
+
     pub(super) fn queue_for_planner(&mut self, record: JobRecord) {
         if self.is_planner {
             self.new_records.push(record);
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -6,6 +6,7 @@
 //! entry state, then planner. `docs/SYSTEM.md` describes the design.
 
 mod agent;
+mod announcement;
 mod api;
 mod append_timeout;
 mod boot_clock;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -181,27 +181,34 @@
     async fn plan_until_lost(self: Rc<Self>) {
         let reports = tokio::task::spawn_local(self.clone().take_over());
         let heartbeats = tokio::task::spawn_local(self.clone().send_heartbeats());
-        while !self.writer.is_lost() && !self.entry.stopping.load(Ordering::Relaxed) {
+        while !self.writer.is_lost() && !self.must_resign() {
             wait_for(&self.entry.planner_wakeup, PASS_INTERVAL).await;
             if self.taken_over.get() {
                 self.pass().await;
             }
         }
+        let must_resign = self.must_resign();
         self.writer.abandon_term();
         {
             let mut state = lock(&self.entry.state);
             state.is_planner = false;
+            state.should_yield = false;
             state.waiting.clear();
         }
         reports.abort();
         heartbeats.abort();
         self.senders.borrow_mut().clear();
-        if self.entry.stopping.load(Ordering::Relaxed) {
+        if must_resign {
             self.resign().await;
         }
         log::info!(term = self.term.number; "term_ended");
     }
 
+    /// Returns whether this entry stops, or leaves its term to an entry with more room.
+    fn must_resign(&self) -> bool {
+        self.entry.stopping.load(Ordering::Relaxed) || lock(&self.entry.state).should_yield
+    }
+
     async fn resign(&self) {
         let term = Term {
             resigned: true,
@@ -536,14 +543,17 @@
     /// whose reads are late would also plan from outdated state.
     const MAX_CANDIDATE_READ_AGE: Duration = Duration::from_millis(1_700);
     let now = entry.now();
-    let state = lock(&entry.state);
+    let mut state = lock(&entry.state);
     let current = state
         .job_table_current_at
         .is_some_and(|p| p.elapsed() < MAX_CANDIDATE_READ_AGE);
     if !current || state.configuration.is_none() {
         return None;
     }
+    let term = state.election.term().number;
+    let rank = state.entries.rank(&entry.settings.name, term);
     let candidate = Candidate {
+        rank,
         store_delay: state.store_delay,
         has_fresh_configuration: state
             .operators_current_at
--- a/dragonflyrun/src/process/on_store/read_pause.rs
+++ b/dragonflyrun/src/process/on_store/read_pause.rs
@@ -37,7 +37,9 @@
     /// A caller's request waits for the next read, which must return at once even without new
     /// records.
     ReadRequested,
-    /// The next read may wait for new records.
+    /// A caller waits for a change, so the next read has to wait for new records.
+    Watched,
+    /// The pause is over.
     Due,
 }
 
@@ -70,8 +72,11 @@
         let end = select! {
             biased;
             () = self.read_requested.notified() => PauseEnd::ReadRequested,
-            () = self.watcher_added.notified() => PauseEnd::Due,
-            () = sleep(limit) => PauseEnd::Due,
+            () = self.watcher_added.notified() => PauseEnd::Watched,
+            () = sleep(limit) => match self.watchers.load(Ordering::Relaxed) {
+                0 => PauseEnd::Due,
+                _ => PauseEnd::Watched,
+            },
         };
         self.pausing.store(false, Ordering::Relaxed);
         end
--- a/dragonflyrun/src/workload/job_table.rs
+++ b/dragonflyrun/src/workload/job_table.rs
@@ -66,6 +66,7 @@
                 }
                 newer
             }
+            JobRecord::Entry(_) | JobRecord::EntryGone(_) => false,
         }
     }
 
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -10,6 +10,7 @@
 mod attention;
 mod demands;
 mod departure;
+mod entries;
 mod fleet;
 mod idle_workers;
 mod job;
@@ -42,6 +43,7 @@
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use attention::{Attention, Contact, SELDOM_REPORT_INTERVAL};
+pub use entries::{EntryRecord, EntryTable, HostRoom};
 pub use fleet::{Fleet, FleetWorker, RunOver, RunOverReason, SessionState, WorkerRun};
 pub use job::{Job, JobRequest, Occurrences, Resources, Step};
 pub use job_table::{JobLookup, JobTable, KnownJob};
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -209,7 +209,11 @@
             }
             // Only the planner writes plans, and its own state is newer than what the store
             // returns.
-            JobRecord::Accepted(_) | JobRecord::Plan(..) | JobRecord::Planner(_) => {}
+            JobRecord::Accepted(_)
+            | JobRecord::Plan(..)
+            | JobRecord::Planner(_)
+            | JobRecord::Entry(_)
+            | JobRecord::EntryGone(_) => {}
         }
     }
 
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -9,7 +9,7 @@
 use crate::{
     port::StoreRecord,
     utils::Name,
-    workload::{Job, JobPlan},
+    workload::{EntryRecord, Job, JobPlan},
 };
 
 /// The key of the record that holds the planner's term.
@@ -24,6 +24,7 @@
 pub const MAX_JOB_NAME_BYTES: usize = MAX_KEY_BYTES - JOB_PREFIX.len();
 const CANCEL_PREFIX: &str = "c/";
 const PLAN_PREFIX: &str = "p/";
+const ENTRY_PREFIX: &str = "e/";
 
 /// The term of a planner, stored as its claim and heartbeats.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,6 +54,10 @@
     Plan(Name, Option<Box<JobPlan>>),
     /// The planner's term: a claim, a heartbeat or a resignation.
     Planner(Term),
+    /// The announcement of an entry.
+    Entry(EntryRecord),
+    /// The entry of this name is gone.
+    EntryGone(Name),
 }
 
 impl JobRecord {
@@ -75,6 +80,12 @@
                 None => Self::Plan(name.into(), None),
             });
         }
+        if let Some(name) = record.key.strip_prefix(ENTRY_PREFIX) {
+            return Some(match value {
+                Some(value) => Self::Entry(decode(value)?),
+                None => Self::EntryGone(name.into()),
+            });
+        }
         let name = record.key.strip_prefix(PLAN_PREFIX)?;
         let plan = match value {
             Some(value) => Some(Box::new(decode(value)?)),
@@ -90,6 +101,8 @@
             Self::Cancelled(name) => (format!("{CANCEL_PREFIX}{name}"), Some(vec![1])),
             Self::Plan(name, plan) => (format!("{PLAN_PREFIX}{name}"), plan.as_deref().map(encode)),
             Self::Planner(term) => (PLANNER_KEY.to_owned(), Some(encode(term))),
+            Self::Entry(entry) => (format!("{ENTRY_PREFIX}{}", entry.name), Some(encode(entry))),
+            Self::EntryGone(name) => (format!("{ENTRY_PREFIX}{name}"), None),
         };
         StoreRecord {
             key: key.into(),
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     utils::{Name, Timestamp, stable_hash},
-    workload::Term,
+    workload::{Term, entries::is_standby},
 };
 
 /// Time without a heartbeat or a plan after which a planner is replaced if the store answers without
@@ -36,6 +36,13 @@
 /// silence. As planner it would start no tasks, and other entries may have the proof.
 const UNVERIFIED_EXTRA_SILENCES: u32 = 2;
 
+/// Time between the claims of two entries that stand by: a claim is stored and read by the next
+/// entry within it.
+const RANK_STAGGER: Duration = Duration::from_millis(60);
+
+/// The same time on a slow store, as a multiple of the store's delay that is added.
+const RANK_STAGGER_STORE_DELAYS: u32 = 2;
+
 /// Number of steps of the stagger between candidates; the hash of a candidate's name and of the term
 /// selects its step.
 const STAGGER_STEPS: u32 = 1 << 10;
@@ -62,6 +69,8 @@
     pub store_delay: Duration,
     /// Whether the entry can prove that its configuration is in force, so that it would start tasks.
     pub has_fresh_configuration: bool,
+    /// The entry's rank in the succession; `None` if it isn't known.
+    pub rank: Option<usize>,
 }
 
 /// An entry's view of the planner and of the election.
@@ -140,7 +149,7 @@
     /// Returns what to do at `now`.
     pub fn step(&self, now: Timestamp, candidate: Candidate) -> TermStep {
         let silence = MAX_SILENCE + candidate.store_delay * SILENCE_STORE_DELAYS;
-        let stagger = silence.mul_f64(self.stagger_fraction().powi(2));
+        let stagger = self.stagger(candidate, silence);
         let wait = if self.has_no_planner() {
             stagger / 4
         } else {
@@ -177,6 +186,21 @@
         own || self.term.resigned || self.term.number == 0
     }
 
+    /// Returns how much later than the first candidate this entry claims the next term.
+    ///
+    /// The entries that stand by claim one after the other. The others come after all of them, since
+    /// they see the planner's heartbeats only when they read, at intervals.
+    fn stagger(&self, candidate: Candidate, silence: Duration) -> Duration {
+        match candidate.rank {
+            Some(rank) if is_standby(rank) => {
+                let step = RANK_STAGGER + candidate.store_delay * RANK_STAGGER_STORE_DELAYS;
+                step * u32::try_from(rank).unwrap_or(u32::MAX)
+            }
+            Some(_) => silence.mul_f64(1.0 + self.stagger_fraction()),
+            None => silence.mul_f64(self.stagger_fraction().powi(2)),
+        }
+    }
+
     /// Returns the stagger of this entry among the candidates for the next term, from 0 to 1.
     ///
     /// Its square spreads the waits so that the first few of many candidates claim one after the
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -13,6 +13,7 @@
 const PROMPT: Candidate = Candidate {
     store_delay: Duration::ZERO,
     has_fresh_configuration: true,
+    rank: None,
 };
 
 /// The same candidate without that proof.
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -239,6 +239,7 @@
 fn settings() -> StoreSettings {
     StoreSettings {
         partitions: PARTITIONS,
+        cpu_millis: None,
         link_bytes_per_s: Some(u64::from(LINK_BYTES_PER_S)),
         ..store_entry::settings()
     }
--- a/dragonflyrun/tests/store_entry/mod.rs
+++ b/dragonflyrun/tests/store_entry/mod.rs
@@ -41,10 +41,12 @@
     StoreSettings {
         name: "entry".into(),
         partitions: 12,
+        cpu_millis: None,
         link_bytes_per_s: None,
         bounds: StoreBounds {
             lease: Duration::from_secs(10),
             revoke: Duration::from_secs(60),
+            apply: Duration::from_secs(5),
             keep_ended: Duration::from_secs(120),
             grace: Duration::from_secs(6),
             far_factor: 3.0,
--- a/standins/src/steps/deployment.rs
+++ b/standins/src/steps/deployment.rs
@@ -165,10 +165,12 @@
     StoreSettings {
         name: name.into(),
         partitions: 4,
+        cpu_millis: None,
         link_bytes_per_s: None,
         bounds: StoreBounds {
             lease: Duration::from_secs(6),
             revoke: Duration::from_secs(5),
+            apply: Duration::from_secs(5),
             keep_ended: Duration::from_secs(120),
             grace: Duration::from_secs(6),
             far_factor: 3.0,
