Read the jobs at once after a term is won, and back off while the store refuses calls

And a store that turns hosts away for 9 s was called by each of their loops ten times a second, 11,432 refused reads of the entries alone. Change: winning a term ends the pause and a long read of the configuration. Retries of reads and of reports back off to 0.4 s, 1.6 s at agents on whose workers nothing runs (Backoff).

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -26,8 +26,8 @@
     },
     utils::{HashSet, Name, lock},
     workload::{
-        AgentAction, AgentTable, Attention, Order, OrderMessage, RunId, SELDOM_REPORT_INTERVAL,
-        StartResult, decode, encode,
+        AgentAction, AgentTable, Attention, Backoff, Order, OrderMessage, RunId,
+        SELDOM_REPORT_INTERVAL, StartResult, decode, encode,
     },
 };
 
@@ -74,9 +74,16 @@
 /// takes about 2 ms.
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(10);
 
-/// Delay before a failed call is retried.
+/// Delay before a failed call to the worker, or the opening of a session, is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// Longest delay before a failed call to the store is retried while something runs on the worker,
+/// whose lease has to be extended.
+const MAX_BUSY_RETRY_DELAY: Duration = Duration::from_millis(400);
+
+/// The same delay while nothing runs there.
+const MAX_IDLE_RETRY_DELAY: Duration = Duration::from_millis(1_600);
+
 /// Time limit for the append of a report. A shorter limit would only make the agent send the
 /// report twice on a slow store.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_800);
@@ -191,6 +198,7 @@
         let mut next = session + 1;
         let mut reachable = true;
         let mut woken = false;
+        let mut backoff = Backoff::default();
         let mut reader = Reader::new(self.store.clone(), partition);
         loop {
             let worker_clock_ms = {
@@ -222,6 +230,7 @@
                 Ok(page) if wait > IDLE_ORDER_WAIT && !page.records.is_empty() => woken = true,
                 Ok(page) => {
                     next += page.records.len() as u64;
+                    backoff.succeeded();
                     if !reachable {
                         log::info!(what = "orders"; "store_regained");
                         reachable = true;
@@ -253,14 +262,16 @@
                         log::warn!(what = "orders", why:% = error; "store_lost");
                         reachable = false;
                     }
-                    sleep(RETRY_DELAY).await;
+                    sleep(backoff.failed(self.max_retry_delay())).await;
                 }
             }
         }
         // The planner must learn that this session is closed before the next one opens.
         self.report_wakeup.notify_one();
         if lock(&self.table).is_closed() {
-            self.append_reports().await;
+            if !self.append_reports().await {
+                self.report_wakeup.notify_one();
+            }
             lock(&self.table).forget_departed();
         }
     }
@@ -274,6 +285,13 @@
         }
     }
 
+    fn max_retry_delay(&self) -> Duration {
+        match lock(&self.table).is_busy() {
+            true => MAX_BUSY_RETRY_DELAY,
+            false => MAX_IDLE_RETRY_DELAY,
+        }
+    }
+
     fn report_interval(&self) -> Duration {
         let table = lock(&self.table);
         match table.attention() {
@@ -385,6 +403,7 @@
 
     async fn send_reports(self: Arc<Self>) {
         let mut append_elapsed = Duration::ZERO;
+        let mut backoff = Backoff::default();
         loop {
             let usual_interval = self.report_interval();
             let max_interval = MAX_REPORT_INTERVAL.saturating_sub(append_elapsed);
@@ -393,16 +412,21 @@
                 .max(usual_interval);
             wait_for(&self.report_wakeup, interval).await;
             let began = Instant::now();
-            self.append_reports().await;
+            let is_stored = self.append_reports().await;
             append_elapsed = began.elapsed();
+            if is_stored {
+                backoff.succeeded();
+            } else {
+                sleep(backoff.failed(self.max_retry_delay())).await;
+                self.report_wakeup.notify_one();
+            }
         }
     }
 
-    async fn append_reports(&self) {
+    /// Appends the reports that are due; returns whether all of them are stored.
+    async fn append_reports(&self) -> bool {
+        let mut is_stored = true;
         let reports = lock(&self.table).reports(unix_ms());
-        if reports.is_empty() {
-            return;
-        }
         for report in reports {
             let worker = report.heartbeat.worker.clone();
             let append = Append {
@@ -417,10 +441,10 @@
             if let Err(error) = self.store.append(&append, REPORT_TIMEOUT).await {
                 self.counters.event("report_not_stored");
                 log::debug!(reason:% = error; "report_not_stored");
-                sleep(RETRY_DELAY).await;
-                self.report_wakeup.notify_one();
+                is_stored = false;
             }
         }
+        is_stored
     }
 }
 
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -10,6 +10,7 @@
 };
 
 use tokio::{
+    select,
     sync::Notify,
     time::{sleep, timeout}, //
 };
@@ -27,8 +28,8 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable, StoreReachability,
-        Waiting,
+        Backoff, Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable,
+        StoreReachability, Waiting,
     },
 };
 
@@ -56,9 +57,8 @@
 /// How long a caller's request waits for a read that it has triggered.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Delay before a failed read is retried, so that an unreachable store is not polled in a tight
-/// loop.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Longest delay before a failed read is retried. Callers are refused until a read succeeds.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Age of the last current read above which the entry reports itself as not ready, so that the
 /// load balancer sends requests elsewhere. A read is current if it returned everything that the
@@ -111,6 +111,8 @@
     pub(super) link_load: LinkLoad,
     /// Wakes the planner after a new job, cancellation, configuration or report.
     pub(super) planner_wakeup: Notify,
+    /// Ends a long read of the operators' records when this entry has won a term.
+    term_won: Notify,
     pub(super) stopping: AtomicBool,
     started: Instant,
 }
@@ -149,6 +151,7 @@
             }),
             job_read_pause: ReadPause::default(),
             planner_wakeup: Notify::new(),
+            term_won: Notify::new(),
             stopping: AtomicBool::new(false),
             started: Instant::now(),
         })
@@ -182,10 +185,20 @@
     async fn follow_operators(self: Arc<Self>, decoder: Arc<OperatorDecoder>) {
         let mut follower = Follower::new(self.store.clone(), Partition::OPERATOR);
         let mut reachable = true;
+        let mut backoff = Backoff::default();
         let mut wait = READ_WAIT;
         loop {
-            match follower.next(wait).await {
+            let read = select! {
+                read = follower.next(wait) => read,
+                // A planner needs a newer proof than an entry that does not stand by.
+                () = self.term_won.notified() => {
+                    wait = Duration::ZERO;
+                    continue;
+                }
+            };
+            match read {
                 Ok(batch) => {
+                    backoff.succeeded();
                     self.log_reachability(&mut reachable, true, "operators", "");
                     // A large record may take long to arrive, and confirms only what was in force
                     // when its read was sent. The read after a batch with records therefore
@@ -199,7 +212,7 @@
                 Err(error) => {
                     self.log_reachability(&mut reachable, false, "operators", &error.to_string());
                     lock(&self.state).reachability.read_failed();
-                    sleep(READ_RETRY_DELAY).await;
+                    sleep(backoff.failed(MAX_RETRY_DELAY)).await;
                 }
             }
         }
@@ -258,10 +271,12 @@
     async fn follow_jobs(self: Arc<Self>) {
         let mut follower = Follower::new(self.store.clone(), Partition::JOBS);
         let mut reachable = true;
+        let mut backoff = Backoff::default();
         let mut wait = READ_WAIT;
         loop {
             match follower.next(wait).await {
                 Ok(batch) => {
+                    backoff.succeeded();
                     let regained = !reachable;
                     let is_current = batch.is_current;
                     self.log_reachability(&mut reachable, true, "jobs", "");
@@ -274,7 +289,7 @@
                 Err(error) => {
                     self.log_reachability(&mut reachable, false, "jobs", &error.to_string());
                     lock(&self.state).reachability.read_failed();
-                    sleep(READ_RETRY_DELAY).await;
+                    sleep(backoff.failed(MAX_RETRY_DELAY)).await;
                 }
             }
         }
@@ -302,6 +317,12 @@
         }
     }
 
+    /// Begins to follow the store as closely as a planner has to.
+    pub(super) fn follow_as_planner(&self) {
+        self.job_read_pause.end();
+        self.term_won.notify_one();
+    }
+
     /// Brings the job table up to date before a request is answered from it.
     pub(super) async fn catch_up_jobs(&self) {
         self.job_read_pause.catch_up(CATCH_UP_TIMEOUT).await;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -162,6 +162,7 @@
             state.is_planner = true;
             Planner::take_over(planner_bounds(entry), &state.job_table, entry.now())
         };
+        entry.follow_as_planner();
         Some(Rc::new(Self {
             entry: entry.clone(),
             writer: TermWriter::new(entry.clone(), term.number),
--- a/dragonflyrun/src/process/on_store/read_pause.rs
+++ b/dragonflyrun/src/process/on_store/read_pause.rs
@@ -96,6 +96,13 @@
         self.folded.notify_waiters();
     }
 
+    /// Ends the pause, if there is one.
+    pub(super) fn end(&self) {
+        if self.pausing.load(Ordering::Relaxed) {
+            self.read_requested.notify_one();
+        }
+    }
+
     /// Ends the pause and waits up to `limit` for the next read. Returns at once if a read is
     /// pending, because the store answers it as soon as a new record arrives.
     pub(super) async fn catch_up(&self, limit: Duration) {
@@ -107,9 +114,7 @@
     /// Ends the pause and waits up to `limit` until the next read has been applied.
     pub(super) async fn await_next_read(&self, limit: Duration) {
         let folded = self.folded.notified();
-        if self.pausing.load(Ordering::Relaxed) {
-            self.read_requested.notify_one();
-        }
+        self.end();
         if timeout(limit, folded).await.is_err() {
             log::debug!(waited_ms = limit.as_millis() as u64; "read_wait_timed_out");
         }
--- a/dragonflyrun/src/workload/idle_workers.rs
+++ b/dragonflyrun/src/workload/idle_workers.rs
@@ -24,6 +24,9 @@
 /// How long a worker stays close after its last run.
 const KEEP_CLOSE_AFTER_RUN: Duration = Duration::from_secs(8);
 
+/// How long a planner that has taken over jobs learns the load before it releases agents.
+const LEARNING_TIME: Duration = Duration::from_secs(3);
+
 /// Time after which a release that has had no effect is repeated.
 const RELEASE_RETRY: Duration = Duration::from_secs(30);
 
@@ -52,7 +55,7 @@
     /// Returns the state of a planner that takes over at `now`, `with_jobs` or without any.
     pub(super) fn new(now: Timestamp, with_jobs: bool) -> Self {
         let learning = if with_jobs {
-            KEEP_CLOSE_AFTER_RUN
+            LEARNING_TIME
         } else {
             Duration::ZERO
         };
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -8,6 +8,7 @@
 
 mod agent_table;
 mod attention;
+mod backoff;
 mod demands;
 mod departure;
 mod entries;
@@ -43,6 +44,7 @@
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use attention::{Attention, Contact, SELDOM_REPORT_INTERVAL};
+pub use backoff::Backoff;
 pub use entries::{EntryRecord, EntryTable, HostRoom};
 pub use fleet::{Fleet, FleetWorker, RunOver, RunOverReason, SessionState, WorkerRun};
 pub use job::{Job, JobRequest, Occurrences, Resources, Step};
