Ask a whole failure domain when several of its agents do not answer

Cause: read, then shown by a test: after the loss of a failure domain the planner still knows its idle workers that followed seldom. A gang that needs a rack was placed on one lost rack after the other, 0.4 s each, as long as no worker that follows closely was free: 197 passes of 0.1 s with 133 lost racks (idle_attention::lost_idle_domain). Change: three agents that have not answered put their failure domain in doubt, and all of its agents that follow seldom are asked at once: 12 passes at the most. What tells lost agents from late ones is in a module of its own (planner/silence). Ruled out: fencing them sooner, since an agent whose connection is silent answers late but lives.

--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -259,8 +259,8 @@
         };
         session.orders_seen = session.orders_seen.max(end);
         session.fenced |= fence;
-        let attentions = orders.iter().filter_map(Order::attention_after);
-        session.attention = attentions.last().unwrap_or(session.attention);
+        let attention = orders.iter().rev().find_map(Order::attention_after);
+        session.attention = attention.unwrap_or(session.attention);
         if let (Some(read_ms), false) = (clock_read_ms, session.fenced) {
             incarnation.lease_until_ms = incarnation.lease_until_ms.max(Some(read_ms + lease));
         }
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -191,6 +191,12 @@
         self.report.as_ref()?.heartbeat.rack.as_ref()
     }
 
+    /// Returns the failure domain of the worker, if its agent has reported.
+    pub fn failure_domain(&self) -> Option<&Name> {
+        let report = self.report.as_ref()?;
+        Some(&report.heartbeat.failure_domain)
+    }
+
     /// Returns when the oldest start order was stored that the agent had not read by its newest
     /// report.
     pub fn unread_order_since(&self) -> Option<Timestamp> {
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -5,6 +5,7 @@
 //! knows every run that may exist.
 
 mod run_ends;
+mod silence;
 
 use std::{cell::RefCell, collections::BTreeMap, time::Duration};
 
@@ -20,7 +21,6 @@
         Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
         Pace, Place, Report, Room, RunId, RunTimes, SessionState, TaskId, TaskPlan, TaskStart,
         WaitReason, Waiting,
-        attention::MAX_SELDOM_SILENCE,
         demands::Demands,
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
@@ -38,10 +38,6 @@
 /// quarantined.
 const QUARANTINE_AFTER_FAILURES: u32 = 2;
 
-/// An agent is silent if its last report is older than this multiple of the median age of all
-/// agents' last reports.
-const SILENCE_RATIO: u32 = 4;
-
 /// Age in milliseconds up to which a stored report shows that its agent is alive: agents report
 /// again within 1.2 s, and the hosts' clocks differ a little.
 const RECENT_REPORT_MS: u64 = 2_500;
@@ -371,6 +367,7 @@
             self.run_over(view.now, run);
         }
         self.fence_silent_agents(view);
+        self.ask_doubtful_domains(view);
         self.finish_jobs(view);
         let waiting = self.start_tasks(view);
         Decisions {
@@ -430,114 +427,6 @@
         records
     }
 
-    fn fence_silent_agents(&mut self, view: &View<'_>) {
-        let Some(reports_since) = view.reports_since else {
-            return;
-        };
-        self.ask_about_silence(view, reports_since);
-        let allowed = self.allowed_silence(view, reports_since);
-        let allowed_for = |w: &FleetWorker| match w.is_followed_closely() {
-            true => allowed,
-            false => MAX_SELDOM_SILENCE,
-        };
-        let silence_of = |w: &FleetWorker| view.now.since(w.reported_at.max(reports_since));
-        let silent = self.fleet.workers().filter(|(_, w)| {
-            // A worker that its agent can't reach may still run tasks under its last lease.
-            let unreachable = w
-                .unreachable_since
-                .is_some_and(|s| view.now.since(s) > self.bounds.max_silence);
-            // An agent that reads no orders extends no lease. Its session is closed once all of its
-            // leases must have expired.
-            let unread = w
-                .unread_order_since()
-                .map(|s| view.now.since(s.max(reports_since)));
-            let reads_no_orders = unread.is_some_and(|u| u > allowed + self.bounds.lease_expiry);
-            w.session_state == SessionState::Open
-                && (silence_of(w) > allowed_for(w) || unreachable || reads_no_orders)
-        });
-        let mut silent: Vec<Name> = silent.map(|(name, _)| name.clone()).collect();
-        let close = self.fleet.workers().filter(|(_, w)| is_open_and_close(w));
-        let close = close.count();
-        if silent.len() * 2 > close && !self.all_silent(view, reports_since) {
-            // More than half of the agents rarely fail at once; more likely the store is slow.
-            // Closing their sessions would stop all running work. An agent that stays silent for
-            // the lease expiry time beyond the limit is still fenced.
-            let silent_past_lease =
-                |w: &FleetWorker| silence_of(w) > allowed_for(w) + self.bounds.lease_expiry;
-            silent.retain(|name| self.fleet.get(name).is_some_and(silent_past_lease));
-        }
-        for name in silent {
-            if let Some(worker) = self.fleet.get_mut(&name) {
-                worker.session_state = SessionState::FenceOrdered;
-                log::warn!(
-                    worker:% = name, session = worker.session, runs = worker.runs.len(),
-                    silent_ms = view.now.since(worker.reported_at).as_millis() as u64,
-                    unread_ms = worker.unread_order_since().map(|s| view.now.since(s).as_millis() as u64),
-                    most_ms = allowed.as_millis() as u64;
-                    "worker_silent"
-                );
-                self.orders.entry(name).or_default().fence = true;
-            }
-        }
-    }
-
-    /// Asks agents that follow seldom for a report while most of those that follow closely are late.
-    ///
-    /// The answers tell whether the store delays all reports, or whether the late agents are lost:
-    /// most of the busy ones may be in one failure domain, and then they are no sign of a slow store.
-    fn ask_about_silence(&mut self, view: &View<'_>, reports_since: Timestamp) {
-        let (mut late, mut on_time) = (0_usize, 0_usize);
-        let open = |w: &&FleetWorker| w.session_state == SessionState::Open;
-        for worker in self.fleet.workers().map(|(_, w)| w).filter(open) {
-            let silence = view.now.since(worker.reported_at.max(reports_since));
-            match worker.contact {
-                Contact::Close if silence > self.bounds.max_silence / 2 => late += 1,
-                Contact::Close => on_time += 1,
-                // An answer that is not overdue is expected to come.
-                Contact::Asked(_) if !worker.contact.is_overdue(view.now, view.store_delay) => {
-                    on_time += 1;
-                }
-                Contact::Asked(_) | Contact::Seldom => {}
-            }
-        }
-        let missing = late.saturating_sub(on_time);
-        if missing == 0 {
-            return;
-        }
-        let seldom = self.fleet.workers();
-        let seldom = seldom.filter(|(_, w)| w.contact == Contact::Seldom && open(w));
-        let seldom: Vec<Name> = seldom.map(|(name, _)| name.clone()).collect();
-        // Spread over the whole pool.
-        let step = (seldom.len() / missing).max(1);
-        for worker in seldom.into_iter().step_by(step) {
-            self.ask(view.now, worker);
-        }
-    }
-
-    /// Returns the silence up to which an agent is taken to be alive. It grows with the silence of
-    /// the other agents, up to twice the configured limit.
-    ///
-    /// On a slow store the reports of all agents are delayed. With the limit for a fast store, the
-    /// sessions of live agents would be closed one by one and all runs on their workers stopped.
-    fn allowed_silence(&self, view: &View<'_>, reports_since: Timestamp) -> Duration {
-        let close = self.fleet.workers().filter(|(_, w)| is_open_and_close(w));
-        let silences = close.map(|(_, w)| view.now.since(w.reported_at.max(reports_since)));
-        let mut silences: Vec<Duration> = silences.collect();
-        let silence = self.bounds.max_silence;
-        let Some(last) = silences.len().checked_sub(1) else {
-            return silence;
-        };
-        let (_, median, _) = silences.select_nth_unstable(last / 2);
-        (*median * SILENCE_RATIO).clamp(silence, silence * 2)
-    }
-
-    /// Returns whether all agents have been silent for more than twice the limit.
-    fn all_silent(&self, view: &View<'_>, reports_since: Timestamp) -> bool {
-        let newest = self.fleet.workers().map(|(_, w)| w.reported_at).max();
-        let last_report = newest.unwrap_or_default().max(reports_since);
-        view.now.since(last_report) > self.bounds.max_silence * 2
-    }
-
     /// Starts the tasks that fit and returns why the other jobs wait. Without a fresh proof of the
     /// configuration nothing is started, because a failure domain may have been taken out of
     /// service in the meantime.
@@ -751,8 +640,3 @@
         }
     }
 }
-
-/// Returns whether the silence of a worker's agent says something about the store or the agent.
-fn is_open_and_close(worker: &FleetWorker) -> bool {
-    worker.session_state == SessionState::Open && worker.is_followed_closely()
-}
--- a/dragonflyrun/tests/idle_attention.rs
+++ b/dragonflyrun/tests/idle_attention.rs
@@ -18,10 +18,15 @@
 
 /// Returns a harness whose idle workers have been released as far as the planner wants.
 fn settled(workers: usize) -> Harness {
+    settled_with(workers, MIN_CLOSE)
+}
+
+/// Returns the same with another number of idle workers that are kept close.
+fn settled_with(workers: usize, min_close_workers: usize) -> Harness {
     let mut harness = Harness::with_bounds(
         workers,
         PlannerBounds {
-            min_close_workers: MIN_CLOSE,
+            min_close_workers,
             ..bounds()
         },
     );
@@ -215,3 +220,30 @@
     }
     assert_eq!(starts(&harness.pass()), 5);
 }
+
+/// Guards against a gang that waits for the workers of one lost rack after the other: the failure domain
+/// of many idle workers is lost, and no worker that follows closely is free.
+#[test]
+fn lost_idle_domain() {
+    let mut harness = settled_with(600, 0);
+    let lost = |i: usize| i < 400;
+    for i in 0..600 {
+        let domain = if lost(i) { "lost" } else { "kept" };
+        harness.change_report(&format!("w{i}"), |report| {
+            report.heartbeat.failure_domain = domain.into();
+        });
+    }
+    harness
+        .reports
+        .retain(|r| &*r.heartbeat.failure_domain != "lost");
+    let of_rack = Step {
+        one_rack: true,
+        ..gang(3)
+    };
+    harness.submit("job", 0, vec![of_rack]);
+    let passes = (1..).find(|_| starts(&step(&mut harness)) > 0);
+    assert!(
+        passes.is_some_and(|n| n <= 12),
+        "started after {passes:?} passes"
+    );
+}
