Report a start that the agent refuses at once

Refusals of the worker were reported at once. Change: such a refusal makes a report due, as a request for one does. agent_orders::refusal_reported_at_once fails on the code before.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -240,8 +240,11 @@
                     let worker_clock_ms = worker_clock_ms.filter(|_| next >= page.end);
                     let orders = orders_for(&page.records, worker, session);
                     let has_orders = !orders.is_empty();
-                    let must_report = orders.iter().any(|order| order.attention.is_some());
-                    let actions = lock(&self.table).orders(worker_clock_ms, orders, next);
+                    let (actions, must_report) = {
+                        let mut table = lock(&self.table);
+                        let actions = table.orders(worker_clock_ms, orders, next);
+                        (actions, table.take_report_due())
+                    };
                     if has_orders {
                         self.poll_wakeup.notify_one();
                     }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -62,6 +62,8 @@
     stopped: HashSet<RunId>,
     report_sequence: u64,
     attention: Attention,
+    /// Whether the planner waits for something that the next report tells.
+    is_report_due: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -225,6 +227,7 @@
             stopped: HashSet::default(),
             report_sequence: 0,
             attention: Attention::default(),
+            is_report_due: false,
         });
         true
     }
@@ -235,6 +238,13 @@
         session.map_or_else(Attention::default, |s| s.attention)
     }
 
+    /// Returns whether the orders since the last call have to be answered by a report at once: the
+    /// planner has asked for one, or a start was refused here, for which the rest of a gang waits.
+    pub fn take_report_due(&mut self) -> bool {
+        let session = self.incarnation.as_mut().and_then(|l| l.session.as_mut());
+        session.is_some_and(|s| std::mem::take(&mut s.is_report_due))
+    }
+
     /// Returns the newest reading of the worker's clock. Callers fetch it before they send a read of
     /// orders.
     pub fn clock_ms(&self) -> Option<u64> {
@@ -261,6 +271,7 @@
         session.fenced |= fence;
         let attention = orders.iter().rev().find_map(Order::attention_after);
         session.attention = attention.unwrap_or(session.attention);
+        session.is_report_due |= orders.iter().any(|order| order.attention.is_some());
         if let (Some(read_ms), false) = (clock_read_ms, session.fenced) {
             incarnation.lease_until_ms = incarnation.lease_until_ms.max(Some(read_ms + lease));
         }
@@ -517,6 +528,7 @@
                 StartOutcome::Fenced
             };
             session.refused.push((start.run, outcome));
+            session.is_report_due = true;
             return None;
         }
         let order = StartOrder {
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -333,6 +333,7 @@
     };
     let mut table = agent();
     table.orders(Some(1_000), vec![release.clone()], 9);
+    assert!(table.take_report_due(), "the planner asks for a report");
     assert_eq!(report(&mut table).attention, Attention::Seldom);
     table.orders(Some(1_000), vec![start_order(1)], 10);
     assert_eq!(report(&mut table).attention, Attention::Close);
@@ -340,3 +341,16 @@
     assert!(table.begin_session("w", 5, 12));
     assert_eq!(table.attention(), Attention::Close);
 }
+
+/// Guards against a gang that waits for the next regular report of an agent that has refused a member,
+/// up to 0.9 s later.
+#[test]
+fn refusal_reported_at_once() {
+    let mut table = agent();
+    table.orders(Some(1_000), vec![start_order(1)], 9);
+    assert!(!table.take_report_due());
+    table.leave("w");
+    table.orders(Some(1_000), vec![start_order(2)], 10);
+    assert!(table.take_report_due());
+    assert!(!table.take_report_due(), "it is reported once");
+}
--- a/dragonflyrun/tests/workload_world/agent.rs
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -430,9 +430,8 @@
             if !current || table.session() != Some(session) {
                 return;
             }
-            let must_report = orders.iter().any(|order| order.attention.is_some());
             let actions = table.orders(clock_read_ms, orders, end);
-            if must_report {
+            if table.take_report_due() {
                 world.agents[i].next_report_at = 0;
             }
             world.agents[i].next_offset = end;
