Count the time of a failed attempt towards the delay before the next one

Cause: on a slow store reads fail by their time limit. Change: the delay counts from the beginning of the attempt that failed, and is 0.1 s at least. retry_backoff::slow_attempts fails on the code before.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -218,6 +218,7 @@
                 true => Duration::ZERO,
                 false => self.order_wait(),
             };
+            let sent_at = Instant::now();
             let read = select! {
                 read = reader.read(next, wait) => read,
                 // The worker has changed; a session of another worker or incarnation may have to
@@ -265,7 +266,7 @@
                         log::warn!(what = "orders", why:% = error; "store_lost");
                         reachable = false;
                     }
-                    sleep(backoff.failed(self.max_retry_delay())).await;
+                    sleep(backoff.failed(sent_at.elapsed(), self.max_retry_delay())).await;
                 }
             }
         }
@@ -420,7 +421,7 @@
             if is_stored {
                 backoff.succeeded();
             } else {
-                sleep(backoff.failed(self.max_retry_delay())).await;
+                sleep(backoff.failed(append_elapsed, self.max_retry_delay())).await;
                 self.report_wakeup.notify_one();
             }
         }
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -188,6 +188,7 @@
         let mut backoff = Backoff::default();
         let mut wait = READ_WAIT;
         loop {
+            let sent_at = Instant::now();
             let read = select! {
                 read = follower.next(wait) => read,
                 // A planner needs a newer proof than an entry that does not stand by.
@@ -212,7 +213,7 @@
                 Err(error) => {
                     self.log_reachability(&mut reachable, false, "operators", &error.to_string());
                     lock(&self.state).reachability.read_failed();
-                    sleep(backoff.failed(MAX_RETRY_DELAY)).await;
+                    sleep(backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY)).await;
                 }
             }
         }
@@ -274,6 +275,7 @@
         let mut backoff = Backoff::default();
         let mut wait = READ_WAIT;
         loop {
+            let sent_at = Instant::now();
             match follower.next(wait).await {
                 Ok(batch) => {
                     backoff.succeeded();
@@ -289,7 +291,7 @@
                 Err(error) => {
                     self.log_reachability(&mut reachable, false, "jobs", &error.to_string());
                     lock(&self.state).reachability.read_failed();
-                    sleep(backoff.failed(MAX_RETRY_DELAY)).await;
+                    sleep(backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY)).await;
                 }
             }
         }
--- a/dragonflyrun/src/workload/backoff.rs
+++ b/dragonflyrun/src/workload/backoff.rs
@@ -27,11 +27,14 @@
         self.failures = 0;
     }
 
-    /// Records that an attempt has failed and returns the delay before the next one: twice the one
-    /// before, but about `max` at the most.
-    pub fn failed(&mut self, max: Duration) -> Duration {
-        let delay = MIN_DELAY.saturating_mul(1 << self.failures.min(16));
+    /// Records that an attempt has failed after the time `took` and returns the delay before the next
+    /// one. From the beginning of one attempt to that of the next it is twice as long as the time
+    /// before, but about `max` at the most: an attempt that waited for its answer in vain has been no
+    /// load meanwhile, and on a slow store the next one may succeed.
+    pub fn failed(&mut self, took: Duration, max: Duration) -> Duration {
+        let interval = MIN_DELAY.saturating_mul(1 << self.failures.min(16));
         self.failures += 1;
-        delay.min(max).mul_f64(rand::rng().random_range(JITTER))
+        let delay = interval.min(max).saturating_sub(took).max(MIN_DELAY);
+        delay.mul_f64(rand::rng().random_range(JITTER))
     }
 }
--- a/dragonflyrun/tests/retry_backoff.rs
+++ b/dragonflyrun/tests/retry_backoff.rs
@@ -15,7 +15,7 @@
     let mut backoff = Backoff::default();
     let mut elapsed = Duration::ZERO;
     let retries = (0..).take_while(|_| {
-        elapsed += backoff.failed(MAX_DELAY);
+        elapsed += backoff.failed(Duration::ZERO, MAX_DELAY);
         elapsed < OUTAGE
     });
     let retries = retries.count();
@@ -30,8 +30,19 @@
 fn starts_over() {
     let mut backoff = Backoff::default();
     for _ in 0..40 {
-        assert!(backoff.failed(MAX_DELAY) <= MAX_DELAY.mul_f64(1.25));
+        assert!(backoff.failed(Duration::ZERO, MAX_DELAY) <= MAX_DELAY.mul_f64(1.25));
     }
     backoff.succeeded();
-    assert!(backoff.failed(MAX_DELAY) <= Duration::from_millis(125));
+    assert!(backoff.failed(Duration::ZERO, MAX_DELAY) <= Duration::from_millis(125));
+}
+
+/// Guards against a store that is slow and counts as lost: an attempt that took long is followed by the
+/// next one as soon as the first retry.
+#[test]
+fn slow_attempts() {
+    let mut backoff = Backoff::default();
+    for _ in 0..10 {
+        let delay = backoff.failed(Duration::from_millis(500), MAX_DELAY);
+        assert!(delay <= Duration::from_millis(125), "{delay:?}");
+    }
 }
