Learn workers' speeds from gangs, in both directions, and split the pass

Cause: a gang's pace taught only if the gang ran at full speed, and speeds ended at nominal, so in a pool where a third of the workers takes 1.6 times and a third 0.6 times the nominal time the planner knew no speed. Change: speeds are distributions that samples of whole gangs update (the slowest member bounds all and measures one), with the pool's distribution as prior. Rooms and evictions move from the pass into modules of their own.

--- a/dragonflyrun/src/workload/departure.rs
+++ b/dragonflyrun/src/workload/departure.rs
@@ -13,8 +13,9 @@
         Fleet, RunId, WorkerRun,
         demands::Demands,
         live::LiveJob,
-        pass::{Pass, expected_remaining_ms},
+        pass::Pass,
         relocation::{demand_for_run, runs_of_demand},
+        rooms::expected_remaining_ms,
     },
 };
 
--- a/dragonflyrun/src/workload/overdue.rs
+++ b/dragonflyrun/src/workload/overdue.rs
@@ -12,8 +12,9 @@
         Fleet, FleetWorker, RunId,
         demands::Demands,
         live::LiveJob,
-        pass::{Pass, elapsed_ms, expected_ms},
+        pass::Pass,
         relocation::{demand_for_run, runs_of_demand},
+        rooms::{elapsed_ms, expected_ms},
     },
 };
 
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -6,48 +6,27 @@
 use crate::{
     utils::{HashMap, HashSet, Name},
     workload::{
-        Contact,
-        Demand,
-        Fleet,
-        FleetWorker,
-        Resources,
-        Room,
-        RunId,
-        RunTimes,
-        Step,
-        WaitReason,
-        Waiting,
-        WorkerRun,
+        Contact, Demand, Fleet, Resources, Room, RunId, RunTimes, WaitReason, Waiting,
+        eviction::{self, Victim, max_cost, may_evict, victims},
         live::LiveJob,
         load::PeakLoad,
-        overdue::is_overdue,
         planner::View,
         recent_failures::RecentFailures,
-        schedule::{self, Horizon, Victim}, //
+        rooms::{
+            EXPECTED_STOP_MS,
+            is_idle,
+            reserve_workers,
+            rooms,
+            set_open_to_all,
+            sum, //
+        },
+        schedule::{self, Horizon},
     },
 };
 
-/// Limit on the work that an eviction may discard for an urgent demand, as a multiple of the
-/// demand's own work. Above it, the eviction loses more than the urgent task is worth.
-const MAX_EVICTION_COST_RATIO: f64 = 2.0;
-
-/// Cost in core-seconds that is added to the eviction of urgent work. It exceeds what any task has
-/// to lose.
-const URGENT_EVICTION_COST_CORE_S: f64 = 1e6;
-
-/// Cost of making a job useless to its caller, as a multiple of the evicted run's own work: the
-/// caller has then waited for nothing.
-const USELESS_JOB_COST_RATIO: f64 = 3.0;
-
 /// Blocked demands for which one pass holds room. Each hold delays smaller work.
 const MAX_HOLDS_PER_PASS: u32 = 3;
 
-/// Milliseconds from the order to stop a run until its room is known to be free.
-const EXPECTED_STOP_MS: u64 = 250;
-
-/// Minimum remaining time in milliseconds that is assumed for a run, also past its expected end.
-const MIN_REMAINING_MS: u64 = 500;
-
 /// A demand and the workers that were found for it.
 pub(super) struct Placed {
     pub(super) job: Name,
@@ -294,7 +273,7 @@
             return true;
         }
         let max_cost = max_cost(demand);
-        let found = schedule::evict(demand, &self.rooms, &self.victims, placed, max_cost);
+        let found = eviction::evict(demand, &self.rooms, &self.victims, placed, max_cost);
         let Some(found) = found else {
             return false;
         };
@@ -305,7 +284,7 @@
             "room_made"
         );
         for v in found.victims {
-            schedule::return_room(&mut self.rooms, &self.victims[v]);
+            eviction::return_room(&mut self.rooms, &self.victims[v]);
             let parts = std::mem::take(&mut self.victims[v].parts);
             let runs = parts
                 .iter()
@@ -385,262 +364,3 @@
         suitable.all(|r| !r.capacity.fits(&twice))
     }
 }
-
-/// Returns whether other runs may be stopped for a demand. That holds for guaranteed demands, for
-/// urgent work that would still be useful, and for a gang whose job has been starved. A steady
-/// stream of small tasks would otherwise keep such a gang from ever finding whole workers next to
-/// each other.
-fn may_evict(demand: &Demand<'_>) -> bool {
-    let in_time = demand.priority == 0 && demand.still_useful;
-    let starved = demand.shape.gang && demand.is_starved;
-    demand.guaranteed || in_time || starved
-}
-
-/// Returns the core-seconds of work that may be discarded for a demand.
-fn max_cost(demand: &Demand<'_>) -> f64 {
-    if demand.guaranteed {
-        return f64::INFINITY;
-    }
-    let tasks = demand.indexes.len() as f64;
-    let seconds = demand.estimate_ms as f64 / 1_000.0;
-    demand.shape.needs.core_equivalents() * tasks * seconds * MAX_EVICTION_COST_RATIO
-}
-
-fn rooms(
-    fleet: &Fleet,
-    jobs: &BTreeMap<Name, LiveJob>,
-    learned: &Observations<'_>,
-    view: &View<'_>,
-) -> Vec<Room> {
-    let times = learned.times;
-    let failing_since = learned.failures.failing_since();
-    let usable = fleet
-        .workers()
-        .filter(|(_, w)| w.accepts_tasks() && w.quarantined_until <= view.now)
-        .filter(|(_, w)| !w.contact.is_overdue(view.now, view.store_delay));
-    let rooms = usable.filter_map(|(name, worker)| {
-        let heartbeat = &worker.report.as_ref()?.heartbeat;
-        if view.evacuated.contains(&heartbeat.failure_domain) {
-            return None;
-        }
-        let free = heartbeat.capacity.minus(&worker.used());
-        let mut releases = Vec::new();
-        let mut overdue = false;
-        for (run, state) in &worker.runs {
-            let slowness = times.slowness(name).max(times.speeds().slowness(name));
-            let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
-            let elapsed = elapsed_ms(state, view) as f64;
-            overdue |= is_overdue(expected, elapsed);
-            let left = match measured_remaining_ms(state, view) {
-                _ if state.stopping => EXPECTED_STOP_MS,
-                Some(left_ms) => left_ms,
-                None => ((expected - elapsed).max(0.0) as u64).max(MIN_REMAINING_MS),
-            };
-            releases.push((left, state.needs));
-        }
-        Some(Room {
-            worker: name.clone(),
-            service: heartbeat.service.clone(),
-            labels: heartbeat.labels.clone(),
-            rack: heartbeat.rack.clone(),
-            free,
-            after_stops: free.plus(&worker.stopping()),
-            capacity: heartbeat.capacity,
-            releases,
-            hold: None,
-            reserved_against: u32::MAX,
-            open_to_all: true,
-            has_serving_tasks: runs_step_where(jobs, worker, |s| s.response_ms > 0),
-            has_leftover_tasks: runs_step_where(jobs, worker, |s| s.leftovers),
-            fault_count: worker.failures + u32::from(overdue),
-            proven: failing_since.is_none_or(|since| worker.last_good_start >= Some(since)),
-            slowness_step: schedule::slowness_step(times, name),
-            contact: worker.contact,
-        })
-    });
-    rooms.collect()
-}
-
-fn is_idle(rooms: &[Room]) -> bool {
-    let all = sum(rooms, |r| r.capacity);
-    let used = all.minus(&sum(rooms, |r| r.free));
-    used.share_of(&all) < 0.5
-}
-
-fn sum(rooms: &[Room], of: fn(&Room) -> Resources) -> Resources {
-    rooms
-        .iter()
-        .fold(Resources::default(), |sum, room| sum.plus(&of(room)))
-}
-
-/// Reserves shares of the workers for more urgent work. The reserved workers are always the same
-/// ones, rack by rack, so that they run empty and gangs find whole workers next to each other;
-/// small tasks spread over all workers would have to be evicted for each gang. The racks with the
-/// fewest slow workers come first, as urgent work has the least time to lose.
-fn reserve_workers(rooms: &mut [Room], peaks: &PeakLoad) {
-    let mut order: Vec<usize> = (0..rooms.len()).collect();
-    let mut slow_on: HashMap<Option<Name>, u32> = HashMap::default();
-    for room in &*rooms {
-        *slow_on.entry(room.rack.clone()).or_default() += room.slowness_step;
-    }
-    order.sort_by_cached_key(|i| {
-        let room = &rooms[*i];
-        let slow = slow_on.get(&room.rack).copied();
-        (slow, room.rack.clone(), room.worker.clone())
-    });
-    for (priority, share) in peaks.reserved_shares() {
-        let count = (rooms.len() as f64 * share) as usize;
-        for i in order.iter().take(count) {
-            rooms[*i].reserved_against = priority;
-        }
-    }
-}
-
-/// Sets whether the reserved workers also accept other work. They do while less than half of the
-/// pool is in use.
-fn set_open_to_all(rooms: &mut [Room], open_to_all: bool) {
-    for room in rooms {
-        room.open_to_all = open_to_all;
-    }
-}
-
-/// Returns whether the worker runs a task of a step that matches `predicate`.
-fn runs_step_where(
-    jobs: &BTreeMap<Name, LiveJob>,
-    worker: &FleetWorker,
-    predicate: fn(&Step) -> bool,
-) -> bool {
-    let mut steps = worker.runs.keys().filter_map(|run| {
-        let live = jobs.get(&run.task.job)?;
-        live.job.request.steps.get(run.task.step as usize)
-    });
-    steps.any(predicate)
-}
-
-pub(super) fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
-    let live = jobs.get(&run.task.job);
-    let step = live.and_then(|l| Some((l, l.job.request.steps.get(run.task.step as usize)?)));
-    step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
-}
-
-/// Returns the milliseconds that a run is still expected to take.
-pub(super) fn expected_remaining_ms(
-    jobs: &BTreeMap<Name, LiveJob>,
-    times: &RunTimes,
-    run: &RunId,
-    state: &WorkerRun,
-    view: &View<'_>,
-) -> u64 {
-    if let Some(left_ms) = measured_remaining_ms(state, view) {
-        return left_ms;
-    }
-    let left = expected_ms(jobs, times, run).saturating_sub(elapsed_ms(state, view));
-    left.max(MIN_REMAINING_MS)
-}
-
-/// Returns the milliseconds that a run still takes according to its reported progress, if that is
-/// known. A run that should have ended by now has stopped making progress, and `MIN_REMAINING_MS`
-/// is assumed for it.
-fn measured_remaining_ms(state: &WorkerRun, view: &View<'_>) -> Option<u64> {
-    let left = state.ends_at?.since(view.now).as_millis();
-    let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
-    Some(if left_ms == 0 {
-        MIN_REMAINING_MS
-    } else {
-        left_ms
-    })
-}
-
-pub(super) fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
-    u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
-}
-
-/// Returns the cost in core-seconds of the delay that restarting a run causes to its job: the run's
-/// own work if the job would then miss its objective, because a late result is worth less, and
-/// `USELESS_JOB_COST_RATIO` times that if the job would become useless to its caller.
-fn lateness_cost(
-    live: &LiveJob,
-    run: &RunId,
-    state: &WorkerRun,
-    times: &RunTimes,
-    view: &View<'_>,
-) -> f64 {
-    let Some(step) = live.job.request.steps.get(run.task.step as usize) else {
-        return 0.0;
-    };
-    let task = &run.task;
-    let estimate_ms = live.estimate_ms(times, task.occurrence, task.step, step, &[task.index]);
-    let work = step.needs.core_equivalents() * estimate_ms as f64 / 1_000.0;
-    let begin_ms = live.waiting_since_ms(run.task.occurrence);
-    let objective_ms = live.objective_ms(times, run.task.occurrence);
-    let useless_ms = live.useful_until_ms(objective_ms, run.task.occurrence);
-    // The run may have to wait for room again as long as it did before its start.
-    let waited_ms = view
-        .unix_ms
-        .saturating_sub(begin_ms + elapsed_ms(state, view));
-    let again_ms = view.unix_ms + estimate_ms;
-    if useless_ms < view.unix_ms {
-        0.0
-    } else if useless_ms < again_ms + waited_ms {
-        work * USELESS_JOB_COST_RATIO
-    } else if view.unix_ms <= objective_ms && objective_ms < again_ms {
-        work
-    } else {
-        0.0
-    }
-}
-
-/// Returns the runs that may be evicted, with the cost of each eviction.
-fn victims(
-    fleet: &Fleet,
-    jobs: &BTreeMap<Name, LiveJob>,
-    guaranteed: &HashSet<Name>,
-    times: &RunTimes,
-    view: &View<'_>,
-    rooms: &[Room],
-) -> Vec<Victim> {
-    let mut victims_by_key: BTreeMap<(Name, u32, u32, Option<u32>), Victim> = BTreeMap::new();
-    for (i, room) in rooms.iter().enumerate() {
-        let runs = fleet.get(&room.worker).into_iter().flat_map(|w| &w.runs);
-        for (run, state) in runs {
-            let Some(live) = jobs.get(&run.task.job) else {
-                continue;
-            };
-            if state.stopping || state.order_offset.is_none() {
-                continue;
-            }
-            let step = live.job.request.steps.get(run.task.step as usize);
-            // Lasting tasks serve users continuously, so they are never interrupted for waiting
-            // work.
-            if step.is_some_and(|s| s.lasting) {
-                continue;
-            }
-            let single_task = step.is_none_or(|s| !s.gang).then_some(run.task.index);
-            let key = (
-                run.task.job.clone(),
-                run.task.occurrence,
-                run.task.step,
-                single_task,
-            );
-            let victim = victims_by_key.entry(key).or_insert_with(|| Victim {
-                parts: Vec::new(),
-                priority: live.job.priority,
-                guaranteed: guaranteed.contains(&run.task.job),
-                // Urgent work is evicted only where nothing else can be.
-                cost: if live.job.priority == 0 {
-                    URGENT_EVICTION_COST_CORE_S
-                } else {
-                    0.0
-                },
-            });
-            let unsaved = view.now.since(state.checkpointed_at).as_secs_f64();
-            // The cost rises with each eviction of the job, so that one job isn't stopped over and
-            // over while others are spared.
-            let eviction_factor = f64::from(live.evictions + 1);
-            victim.cost += unsaved * state.needs.core_equivalents() * eviction_factor
-                + lateness_cost(live, run, state, times, view);
-            victim.parts.push((i, run.clone(), state.needs));
-        }
-    }
-    victims_by_key.into_values().collect()
-}
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -19,8 +19,8 @@
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
         Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
-        Pace, Place, Report, Room, RunId, RunTimes, SessionState, TaskId, TaskPlan, TaskStart,
-        WaitReason, Waiting,
+        Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
+        TaskStart, WaitReason, Waiting,
         demands::Demands,
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
@@ -42,8 +42,8 @@
 /// again within 1.2 s, and the hosts' clocks differ a little.
 const RECENT_REPORT_MS: u64 = 2_500;
 
-/// A run whose time is below this multiple of its nominal work time runs at full speed.
-const FULL_SPEED_RATIO: f64 = 1.1;
+/// Error in seconds of the measured time between two checkpoints: an agent checks every 0.4 s.
+const PACE_TIMING_ERROR_S: f64 = 0.3;
 
 /// How long a worker stays quarantined.
 const QUARANTINE_TIME: Duration = Duration::from_secs(6);
@@ -281,34 +281,61 @@
         has_news
     }
 
-    /// Learns the speed of a worker from the pace of its runs.
+    /// Learns the speed of workers from the pace of the runs on one of them.
     ///
-    /// A run on another rack than its data is slow on any worker, so its pace is ignored. A gang over
-    /// several workers is as fast as its slowest worker, so the speed of each worker is known only
-    /// if the gang runs at full speed.
+    /// A run on another rack than its data is slow on any worker, and so is a gang over several racks
+    /// that should run in one, so their pace is ignored.
     fn learn_paces(&mut self, worker: &Name, paces: &[Pace]) {
-        let rack = self.fleet.get(worker).and_then(FleetWorker::rack);
         let every_s = self.bounds.checkpoint_every.as_secs_f64();
         for pace in paces {
-            let live = self.jobs.get(&pace.run.task.job);
-            let step = live.and_then(|l| l.job.request.steps.get(pace.run.task.step as usize));
-            let near = step.is_some_and(|s| s.rack.is_none() || s.rack.as_ref() == rack);
-            if !near {
+            let Some((run, workers)) = self.timed_workers(worker, &pace.run) else {
                 continue;
-            }
+            };
             let work_s = f64::from(pace.intervals) * every_s;
             let took_s = pace.took_ms as f64 / 1_000.0;
-            let is_single_task = step.is_some_and(|s| !s.gang);
-            if is_single_task || took_s < work_s * FULL_SPEED_RATIO {
-                let speeds = self.run_times.speeds_mut();
-                speeds.learn(worker, &pace.run, work_s, took_s);
+            if work_s <= 0.0 || took_s <= 0.0 {
+                continue;
             }
+            self.run_times.speeds_mut().observe(SpeedSample {
+                run,
+                ratio: took_s / work_s,
+                deviation: PACE_TIMING_ERROR_S / took_s,
+                workers,
+            });
         }
     }
 
+    /// Returns the run or gang that the pace of a run on `worker` measures, and its workers. Returns
+    /// `None` if the run is slowed down by where it runs, or if the workers of its gang are not known
+    /// any more.
+    fn timed_workers(&self, worker: &Name, run: &RunId) -> Option<(RunId, Vec<Name>)> {
+        let live = self.jobs.get(&run.task.job)?;
+        let shape = live.job.request.steps.get(run.task.step as usize)?;
+        let rack_of = |worker: &Name| self.fleet.get(worker).and_then(FleetWorker::rack);
+        let mut workers = vec![worker.clone()];
+        if shape.gang && shape.tasks > 1 {
+            let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
+            let places = numbers.map(|number| {
+                let task = live.plan.tasks.get(&number)?;
+                let place = task.place.as_ref()?;
+                (task.run == run.number).then(|| place.worker.clone())
+            });
+            workers = places.collect::<Option<Vec<Name>>>()?;
+            workers.sort_unstable();
+            workers.dedup();
+        }
+        let mut racks: Vec<Option<&Name>> = workers.iter().map(rack_of).collect();
+        racks.dedup();
+        let near = match &shape.rack {
+            Some(rack) => racks == [Some(rack)],
+            None => !shape.one_rack || racks.len() == 1,
+        };
+        near.then(|| (run.of_gang(shape.gang), workers))
+    }
+
     /// Records how long the tasks on a worker would take on a full-speed worker, by their progress.
     fn learn_task_times(&mut self, worker: &Name) {
-        let slowness = self.run_times.speeds().slowness(worker).max(1.0);
+        let slowness = self.run_times.speeds().slowness(worker);
         let runs = self.fleet.get(worker).into_iter().flat_map(|w| &w.runs);
         for (run, state) in runs {
             let live = self.jobs.get_mut(&run.task.job);
--- /dev/null
+++ b/dragonflyrun/src/workload/rooms.rs
@@ -0,0 +1,167 @@
+//! The room of all workers at the beginning of a pass, and the workers that are reserved for urgent
+//! work.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    utils::{HashMap, Name},
+    workload::{
+        Fleet, FleetWorker, Resources, Room, RunId, RunTimes, Step, WorkerRun, live::LiveJob,
+        load::PeakLoad, overdue::is_overdue, pass::Observations, planner::View, schedule,
+    },
+};
+
+/// Milliseconds from the order to stop a run until its room is known to be free.
+pub(super) const EXPECTED_STOP_MS: u64 = 250;
+
+/// Minimum remaining time in milliseconds that is assumed for a run, also past its expected end.
+const MIN_REMAINING_MS: u64 = 500;
+
+pub(super) fn rooms(
+    fleet: &Fleet,
+    jobs: &BTreeMap<Name, LiveJob>,
+    learned: &Observations<'_>,
+    view: &View<'_>,
+) -> Vec<Room> {
+    let times = learned.times;
+    let failing_since = learned.failures.failing_since();
+    let usable = fleet
+        .workers()
+        .filter(|(_, w)| w.accepts_tasks() && w.quarantined_until <= view.now)
+        .filter(|(_, w)| !w.contact.is_overdue(view.now, view.store_delay));
+    let rooms = usable.filter_map(|(name, worker)| {
+        let heartbeat = &worker.report.as_ref()?.heartbeat;
+        if view.evacuated.contains(&heartbeat.failure_domain) {
+            return None;
+        }
+        let free = heartbeat.capacity.minus(&worker.used());
+        let mut releases = Vec::new();
+        let mut overdue = false;
+        for (run, state) in &worker.runs {
+            let slowness = times.slowness(name).max(times.speeds().slowness(name));
+            let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
+            let elapsed = elapsed_ms(state, view) as f64;
+            overdue |= is_overdue(expected, elapsed);
+            let left = match measured_remaining_ms(state, view) {
+                _ if state.stopping => EXPECTED_STOP_MS,
+                Some(left_ms) => left_ms,
+                None => ((expected - elapsed).max(0.0) as u64).max(MIN_REMAINING_MS),
+            };
+            releases.push((left, state.needs));
+        }
+        Some(Room {
+            worker: name.clone(),
+            service: heartbeat.service.clone(),
+            labels: heartbeat.labels.clone(),
+            rack: heartbeat.rack.clone(),
+            free,
+            after_stops: free.plus(&worker.stopping()),
+            capacity: heartbeat.capacity,
+            releases,
+            hold: None,
+            reserved_against: u32::MAX,
+            open_to_all: true,
+            has_serving_tasks: runs_step_where(jobs, worker, |s| s.response_ms > 0),
+            has_leftover_tasks: runs_step_where(jobs, worker, |s| s.leftovers),
+            fault_count: worker.failures + u32::from(overdue),
+            proven: failing_since.is_none_or(|since| worker.last_good_start >= Some(since)),
+            slowness_step: schedule::slowness_step(times, name),
+            contact: worker.contact,
+        })
+    });
+    rooms.collect()
+}
+
+pub(super) fn is_idle(rooms: &[Room]) -> bool {
+    let all = sum(rooms, |r| r.capacity);
+    let used = all.minus(&sum(rooms, |r| r.free));
+    used.share_of(&all) < 0.5
+}
+
+pub(super) fn sum(rooms: &[Room], of: fn(&Room) -> Resources) -> Resources {
+    rooms
+        .iter()
+        .fold(Resources::default(), |sum, room| sum.plus(&of(room)))
+}
+
+/// Reserves shares of the workers for more urgent work. The reserved workers are always the same
+/// ones, rack by rack, so that they run empty and gangs find whole workers next to each other;
+/// small tasks spread over all workers would have to be evicted for each gang. The racks with the
+/// fewest slow workers come first, as urgent work has the least time to lose.
+pub(super) fn reserve_workers(rooms: &mut [Room], peaks: &PeakLoad) {
+    let mut order: Vec<usize> = (0..rooms.len()).collect();
+    let mut slow_on: HashMap<Option<Name>, i32> = HashMap::default();
+    for room in &*rooms {
+        *slow_on.entry(room.rack.clone()).or_default() += room.slowness_step;
+    }
+    order.sort_by_cached_key(|i| {
+        let room = &rooms[*i];
+        let slow = slow_on.get(&room.rack).copied();
+        (slow, room.rack.clone(), room.worker.clone())
+    });
+    for (priority, share) in peaks.reserved_shares() {
+        let count = (rooms.len() as f64 * share) as usize;
+        for i in order.iter().take(count) {
+            rooms[*i].reserved_against = priority;
+        }
+    }
+}
+
+/// Sets whether the reserved workers also accept other work. They do while less than half of the
+/// pool is in use.
+pub(super) fn set_open_to_all(rooms: &mut [Room], open_to_all: bool) {
+    for room in rooms {
+        room.open_to_all = open_to_all;
+    }
+}
+
+/// Returns whether the worker runs a task of a step that matches `predicate`.
+fn runs_step_where(
+    jobs: &BTreeMap<Name, LiveJob>,
+    worker: &FleetWorker,
+    predicate: fn(&Step) -> bool,
+) -> bool {
+    let mut steps = worker.runs.keys().filter_map(|run| {
+        let live = jobs.get(&run.task.job)?;
+        live.job.request.steps.get(run.task.step as usize)
+    });
+    steps.any(predicate)
+}
+
+pub(super) fn expected_ms(jobs: &BTreeMap<Name, LiveJob>, times: &RunTimes, run: &RunId) -> u64 {
+    let live = jobs.get(&run.task.job);
+    let step = live.and_then(|l| Some((l, l.job.request.steps.get(run.task.step as usize)?)));
+    step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
+}
+
+/// Returns the milliseconds that a run is still expected to take.
+pub(super) fn expected_remaining_ms(
+    jobs: &BTreeMap<Name, LiveJob>,
+    times: &RunTimes,
+    run: &RunId,
+    state: &WorkerRun,
+    view: &View<'_>,
+) -> u64 {
+    if let Some(left_ms) = measured_remaining_ms(state, view) {
+        return left_ms;
+    }
+    let left = expected_ms(jobs, times, run).saturating_sub(elapsed_ms(state, view));
+    left.max(MIN_REMAINING_MS)
+}
+
+/// Returns the milliseconds that a run still takes according to its reported progress, if that is
+/// known. A run that should have ended by now has stopped making progress, and `MIN_REMAINING_MS`
+/// is assumed for it.
+fn measured_remaining_ms(state: &WorkerRun, view: &View<'_>) -> Option<u64> {
+    let left = state.ends_at?.since(view.now).as_millis();
+    let left_ms = u64::try_from(left).unwrap_or(u64::MAX);
+    Some(if left_ms == 0 {
+        MIN_REMAINING_MS
+    } else {
+        left_ms
+    })
+}
+
+pub(super) fn elapsed_ms(state: &WorkerRun, view: &View<'_>) -> u64 {
+    u64::try_from(view.now.since(state.placed_at).as_millis()).unwrap_or(u64::MAX)
+}
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -7,8 +7,7 @@
 use crate::{
     utils::{HashMap, Name},
     workload::{
-        Caution, Contact, Resources, RunId, RunTimes, Step, WaitReason, Waiting,
-        speeds::SLOWEST_STEP,
+        Caution, Contact, Resources, RunTimes, Step, WaitReason, Waiting, speeds::SLOWEST_STEP,
     },
 };
 
@@ -119,26 +118,13 @@
     pub has_serving_tasks: bool,
     /// Whether the worker runs tasks that use leftover processor time.
     pub has_leftover_tasks: bool,
-    /// How much slower than a full-speed worker it is, in steps; 0 is full speed.
-    pub slowness_step: u32,
+    /// How much slower than a nominal worker it is, in steps; negative for a faster one.
+    pub slowness_step: i32,
     /// How closely the worker's agent follows. Only where it follows closely can a task start at
     /// once.
     pub contact: Contact,
 }
 
-/// Runs that are evicted together: a gang or a single task.
-#[derive(Clone, Debug)]
-pub(super) struct Victim {
-    /// The runs, each with the index of its room and the resources that it uses.
-    pub parts: Vec<(usize, RunId, Resources)>,
-    /// The job's priority.
-    pub priority: u32,
-    /// Whether the job fits into its workspace's guarantee.
-    pub guaranteed: bool,
-    /// Core-seconds that the eviction loses.
-    pub cost: f64,
-}
-
 /// The time at which room has to be free.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Horizon {
@@ -160,12 +146,12 @@
 /// times are rough, so the limit is far above the differences between kinds of workers.
 const DEGRADED_SLOWNESS: f64 = 2.5;
 
-/// Returns how much slower than a full-speed worker a worker is, in steps; 0 is full speed.
-pub(super) fn slowness_step(times: &RunTimes, worker: &Name) -> u32 {
+/// Returns how much slower than a nominal worker a worker is, in steps; negative for a faster one.
+pub(super) fn slowness_step(times: &RunTimes, worker: &Name) -> i32 {
     if times.slowness(worker) > DEGRADED_SLOWNESS {
         SLOWEST_STEP
     } else {
-        times.speeds().slowness_step(worker)
+        times.speeds().step(worker)
     }
 }
 
@@ -232,7 +218,7 @@
 /// time-critical demand therefore tries the fast workers first, and other work prefers the slower
 /// ones as long as they have room.
 fn speed_tiers(demand: &Demand<'_>, rooms: &[Room], candidates: &[usize]) -> Vec<Vec<usize>> {
-    let mut steps: Vec<u32> = candidates.iter().map(|i| rooms[*i].slowness_step).collect();
+    let mut steps: Vec<i32> = candidates.iter().map(|i| rooms[*i].slowness_step).collect();
     steps.sort_unstable();
     steps.dedup();
     // The last set would hold all candidates, which the caller tries anyway.
@@ -241,7 +227,7 @@
     if !time_critical {
         steps.reverse();
     }
-    let tier = |step: u32| {
+    let tier = |step: i32| {
         let members = candidates.iter().filter(|i| {
             let slow = rooms[**i].slowness_step;
             // Degraded workers are used only if no others have room.
@@ -289,14 +275,14 @@
     found.min_by_key(|(rank, _)| *rank).map(|(_, found)| found)
 }
 
-fn on_rack(rooms: &[Room], candidates: &[usize], rack: &Name) -> Vec<usize> {
+pub(super) fn on_rack(rooms: &[Room], candidates: &[usize], rack: &Name) -> Vec<usize> {
     let near = candidates.iter().copied();
     near.filter(|i| rooms[*i].rack.as_ref() == Some(rack))
         .collect()
 }
 
 /// Returns the candidates grouped by rack, in the order of the racks' names.
-fn by_rack(rooms: &[Room], candidates: &[usize]) -> Vec<Vec<usize>> {
+pub(super) fn by_rack(rooms: &[Room], candidates: &[usize]) -> Vec<Vec<usize>> {
     let racks = candidates.iter().filter_map(|i| rooms[*i].rack.as_ref());
     let mut racks: Vec<&Name> = racks.collect();
     racks.sort_unstable();
@@ -359,11 +345,11 @@
 
 /// Returns the rank of a worker by speed. Time-critical work takes the fastest worker; other work
 /// avoids only the slowest step, because packing tasks tightly benefits everyone more.
-fn speed_rank(demand: &Demand<'_>, room: &Room) -> u32 {
+fn speed_rank(demand: &Demand<'_>, room: &Room) -> i32 {
     if demand.is_time_critical() {
         return room.slowness_step;
     }
-    u32::from(room.slowness_step == SLOWEST_STEP)
+    i32::from(room.slowness_step == SLOWEST_STEP)
 }
 
 fn candidate(
@@ -443,167 +429,3 @@
     }
     false
 }
-
-/// An eviction that makes room for a demand.
-pub(super) struct Eviction {
-    /// The indexes of the victims.
-    pub(super) victims: Vec<usize>,
-    /// The index of the room for each task of the demand.
-    pub(super) rooms: Vec<usize>,
-    /// Core-seconds that are lost.
-    pub(super) cost: f64,
-}
-
-/// Finds the cheapest victims whose eviction makes `demand` fit, with a loss of at most `max_cost`
-/// core-seconds.
-///
-/// Each task is placed on the worker that can be cleared for it at the least loss. Choosing the
-/// cheapest victims of the whole pool instead would stop small tasks everywhere without clearing
-/// any worker.
-pub(super) fn evict(
-    demand: &Demand<'_>,
-    rooms: &[Room],
-    victims: &[Victim],
-    placed: &HashMap<Name, u32>,
-    max_cost: f64,
-) -> Option<Eviction> {
-    let suitable = (0..rooms.len()).filter(|i| is_suitable(demand, &rooms[*i]));
-    let suitable: Vec<usize> = suitable.collect();
-    let worker_groups = worker_groups(demand, rooms, &suitable);
-    let found = worker_groups.iter().filter_map(|group| {
-        let mut search = EvictionSearch::new(demand, rooms, victims, placed);
-        search.select_for_group(group).then_some(search.eviction)
-    });
-    let cheapest = found.min_by(|a, b| a.cost.total_cmp(&b.cost))?;
-    (cheapest.cost <= max_cost).then_some(cheapest)
-}
-
-/// Returns the sets of workers that can run all tasks of the demand together.
-fn worker_groups(demand: &Demand<'_>, rooms: &[Room], suitable: &[usize]) -> Vec<Vec<usize>> {
-    let near = match &demand.shape.rack {
-        Some(rack) => vec![on_rack(rooms, suitable, rack)],
-        None if demand.shape.one_rack && demand.indexes.len() > 1 => by_rack(rooms, suitable),
-        None => Vec::new(),
-    };
-    let anywhere = near.is_empty() || demand.far_allowed;
-    near.into_iter()
-        .chain(anywhere.then(|| suitable.to_vec()))
-        .collect()
-}
-
-/// A search for victims that places the tasks of one demand one after the other.
-struct EvictionSearch<'a> {
-    demand: &'a Demand<'a>,
-    victims: &'a [Victim],
-    after_stops: Vec<Resources>,
-    tasks_left: Vec<u32>,
-    victims_by_room: Vec<Vec<usize>>,
-    eviction: Eviction,
-}
-
-impl<'a> EvictionSearch<'a> {
-    fn new(
-        demand: &'a Demand<'a>,
-        rooms: &[Room],
-        victims: &'a [Victim],
-        placed: &HashMap<Name, u32>,
-    ) -> Self {
-        let mut victims_by_room = vec![Vec::new(); rooms.len()];
-        for (v, victim) in victims
-            .iter()
-            .enumerate()
-            .filter(|(_, v)| must_yield(v, demand))
-        {
-            for (i, ..) in &victim.parts {
-                victims_by_room[*i].push(v);
-            }
-        }
-        for room_victims in &mut victims_by_room {
-            room_victims.sort_by(|a, b| victims[*a].cost.total_cmp(&victims[*b].cost));
-            room_victims.dedup();
-        }
-        let tasks_left = rooms.iter().map(|r| match demand.shape.per_worker {
-            0 => u32::MAX,
-            limit => limit.saturating_sub(placed.get(&r.worker).copied().unwrap_or(0)),
-        });
-        Self {
-            demand,
-            victims,
-            after_stops: rooms.iter().map(|r| r.after_stops).collect(),
-            tasks_left: tasks_left.collect(),
-            victims_by_room,
-            eviction: Eviction {
-                victims: Vec::new(),
-                rooms: Vec::new(),
-                cost: 0.0,
-            },
-        }
-    }
-
-    /// Selects victims on the workers of `group` for all tasks. Returns whether all tasks fit.
-    fn select_for_group(&mut self, group: &[usize]) -> bool {
-        for _ in &self.demand.indexes {
-            let cheapest = group
-                .iter()
-                .filter(|i| self.tasks_left[**i] > 0)
-                .filter_map(|i| self.cost_on(*i).map(|(cost, taken)| (cost, taken, *i)))
-                .min_by(|a, b| a.0.total_cmp(&b.0));
-            let Some((cost, taken, i)) = cheapest else {
-                return false;
-            };
-            for v in taken {
-                self.take(v);
-            }
-            self.eviction.cost += cost;
-            self.eviction.rooms.push(i);
-            self.after_stops[i] = self.after_stops[i].minus(&self.demand.shape.needs);
-            self.tasks_left[i] -= 1;
-        }
-        true
-    }
-
-    /// Returns the cost of making one more task fit on a worker, and the victims.
-    fn cost_on(&self, i: usize) -> Option<(f64, Vec<usize>)> {
-        let mut after_stops = self.after_stops[i];
-        let mut cost = 0.0;
-        let mut taken = Vec::new();
-        let open = self.victims_by_room[i]
-            .iter()
-            .filter(|v| !self.eviction.victims.contains(v));
-        for v in open {
-            if after_stops.fits(&self.demand.shape.needs) {
-                break;
-            }
-            let parts = self.victims[*v]
-                .parts
-                .iter()
-                .filter(|(room, ..)| *room == i);
-            after_stops = parts.fold(after_stops, |sum, (_, _, needs)| sum.plus(needs));
-            cost += self.victims[*v].cost;
-            taken.push(*v);
-        }
-        after_stops
-            .fits(&self.demand.shape.needs)
-            .then_some((cost, taken))
-    }
-
-    fn take(&mut self, v: usize) {
-        for (i, _, needs) in &self.victims[v].parts {
-            self.after_stops[*i] = self.after_stops[*i].plus(needs);
-        }
-        self.eviction.victims.push(v);
-    }
-}
-
-/// Returns whether a victim can be evicted for a demand. Less urgent work can be, and for a
-/// guaranteed demand also work of any priority that runs outside its own guarantee.
-fn must_yield(victim: &Victim, demand: &Demand<'_>) -> bool {
-    victim.priority > demand.priority || (demand.guaranteed && !victim.guaranteed)
-}
-
-/// Returns a victim's resources to the room that is free after the stops.
-pub(super) fn return_room(rooms: &mut [Room], victim: &Victim) {
-    for (i, _, needs) in &victim.parts {
-        rooms[*i].after_stops = rooms[*i].after_stops.plus(needs);
-    }
-}
--- a/dragonflyrun/src/workload/task.rs
+++ b/dragonflyrun/src/workload/task.rs
@@ -35,6 +35,20 @@
     pub number: u32,
 }
 
+impl RunId {
+    /// Returns the run that stands for a whole gang: the run of its first task, if `is_gang`.
+    pub(super) fn of_gang(&self, is_gang: bool) -> Self {
+        let index = if is_gang { 0 } else { self.task.index };
+        Self {
+            task: TaskId {
+                index,
+                ..self.task.clone()
+            },
+            ..self.clone()
+        }
+    }
+}
+
 impl fmt::Display for TaskId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
