Learn workers' speeds from progress, durations and steps, and keep them with agents

Gangs that end within two seconds save no checkpoints, so their pace was never measured. The whole time of a run by its progress, or its duration, is compared with the caller's estimate, whose error is learned for each queue. The planner sends each estimate along with an order, and the agent repeats it in its reports, from which a new planner restores it.

--- a/dragonflyrun/benches/passes.rs
+++ b/dragonflyrun/benches/passes.rs
@@ -180,5 +180,6 @@
         left: false,
         unreachable: false,
         attention: Attention::Close,
+        speed: None,
     }
 }
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -434,6 +434,9 @@
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
         counters.level("workers", planner.fleet().workers().count() as f64);
+        let speeds = planner.speeds();
+        counters.level("speed_deviation", speeds.mean_deviation());
+        counters.level("speed_workers_known", speeds.known_workers() as f64);
         counters.level("term", self.term.number as f64);
     }
 
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -14,7 +14,8 @@
     port::{CallError, End, Heartbeat, RunningTask, StartOrder, StartOutcome, WorkerLists},
     utils::{HashSet, Name},
     workload::{
-        Attention, Order, Report, RunId, TaskStart, pace::PaceTable, progress::ProgressTable,
+        Attention, Order, Report, RunId, SpeedEstimate, TaskStart, pace::PaceTable,
+        progress::ProgressTable,
     },
 };
 
@@ -85,6 +86,8 @@
     progress: ProgressTable,
     ends: Vec<End>,
     confirmed: u64,
+    /// The newest estimate of the worker's speed that a planner has sent.
+    speed: Option<SpeedEstimate>,
     lists_requested: u64,
     lists_received: u64,
     session: Option<Session>,
@@ -176,6 +179,7 @@
             progress: ProgressTable::default(),
             ends: Vec::new(),
             confirmed: 0,
+            speed: None,
             lists_requested: 0,
             lists_received: 0,
             session: None,
@@ -278,6 +282,7 @@
         let mut actions = Vec::new();
         for order in orders {
             incarnation.confirmed = incarnation.confirmed.max(order.confirmed);
+            incarnation.speed = order.speed.or(incarnation.speed);
             actions.extend(incarnation.order(order));
         }
         if fence {
@@ -615,6 +620,7 @@
             left: self.left,
             unreachable: self.unreachable,
             attention: session.attention,
+            speed: self.speed,
         })
     }
 }
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -12,6 +12,7 @@
         Pace,
         Progress,
         RunId,
+        SpeedEstimate,
         packed_starts,
         skip::{is_false, is_zero_u64}, //
     },
@@ -55,12 +56,21 @@
     /// report.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub attention: Option<Attention>,
+    /// The estimate of the worker's speed, which the agent repeats in its reports. It is sent along
+    /// with orders only.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<SpeedEstimate>,
 }
 
 impl Order {
-    /// Returns whether the order requires nothing.
+    /// Returns whether the order requires nothing. An estimate of the speed alone isn't worth an
+    /// append.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        let only_speed = Self {
+            speed: self.speed,
+            ..Self::default()
+        };
+        *self == only_speed
     }
 
     /// Returns the agent's attention after the order, if that may differ from before.
@@ -143,6 +153,10 @@
     /// How closely the agent follows, and so when the next report is due.
     #[serde(rename = "t", default, skip_serializing_if = "Attention::is_close")]
     pub attention: Attention,
+    /// The newest estimate of the worker's speed that a planner has told the agent since the worker
+    /// booted.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<SpeedEstimate>,
 }
 
 impl Report {
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -36,6 +36,7 @@
 mod run_times;
 mod schedule;
 mod skip;
+mod speed_samples;
 mod speeds;
 mod store_reachability;
 mod task;
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -14,13 +14,14 @@
         AdviceAnswer,
         AdviceQuestion,
         Configuration,
+        Heartbeat,
         StoreRecord, //
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
-        Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
-        TaskStart, WaitReason, Waiting,
+        Attention, Contact, Demand, Fleet, Job, JobPlan, JobRecord, JobTable, Order, Pace, Place,
+        Report, Room, RunId, RunTimes, SessionState, SpeedEstimate, TaskId, TaskPlan, TaskStart,
+        WaitReason, Waiting, WorkerSpeeds,
         demands::Demands,
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
@@ -30,6 +31,7 @@
         pass::{Observations, Pass, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
+        speed_samples::{SpeedSampler, TimedRun},
         tickets::Tickets,
     },
 };
@@ -42,9 +44,6 @@
 /// again within 1.2 s, and the hosts' clocks differ a little.
 const RECENT_REPORT_MS: u64 = 2_500;
 
-/// Error in seconds of the measured time between two checkpoints: an agent checks every 0.4 s.
-const PACE_TIMING_ERROR_S: f64 = 0.3;
-
 /// How long a worker stays quarantined.
 const QUARANTINE_TIME: Duration = Duration::from_secs(6);
 
@@ -123,6 +122,7 @@
     changed: HashSet<Name>,
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
+    samples: SpeedSampler,
     peaks: PeakLoad,
     idle_workers: IdleWorkers,
     failures: RecentFailures,
@@ -140,6 +140,7 @@
             changed: HashSet::default(),
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
+            samples: SpeedSampler::default(),
             peaks: PeakLoad::default(),
             idle_workers: IdleWorkers::new(now, book.jobs().next().is_some()),
             failures: RecentFailures::default(),
@@ -259,9 +260,12 @@
         let paces = report.paces.clone();
         let before = self.fleet.get(&worker).and_then(|w| w.report.as_ref());
         let has_news = report.has_news_since(before);
+        let born_before = before.map(|r| r.heartbeat.born_ms);
+        let (heartbeat, told) = (report.heartbeat.clone(), report.speed);
         let over = self.fleet.report(now, report, needs_of);
         let has_news = has_news || !over.is_empty();
-        self.learn_paces(&worker, &paces);
+        self.restore_speed(born_before, &heartbeat, told);
+        self.learn_speeds(&worker, &paces);
         self.learn_task_times(&worker);
         for run in over {
             self.run_over(now, run);
@@ -281,56 +285,44 @@
         has_news
     }
 
-    /// Learns the speed of workers from the pace of the runs on one of them.
-    ///
-    /// A run on another rack than its data is slow on any worker, and so is a gang over several racks
-    /// that should run in one, so their pace is ignored.
-    fn learn_paces(&mut self, worker: &Name, paces: &[Pace]) {
+    /// Learns the speed of workers from the runs on one of them: from the time between checkpoints,
+    /// and from the progress of the runs.
+    fn learn_speeds(&mut self, worker: &Name, paces: &[Pace]) {
         let every_s = self.bounds.checkpoint_every.as_secs_f64();
+        let (fleet, jobs) = (&self.fleet, &self.jobs);
+        let speeds = self.run_times.speeds_mut();
         for pace in paces {
-            let Some((run, workers)) = self.timed_workers(worker, &pace.run) else {
+            if let Some(timed) = TimedRun::of(fleet, jobs, worker, &pace.run) {
+                self.samples.observe_pace(speeds, &timed, pace, every_s);
+            }
+        }
+        let runs = fleet.get(worker).into_iter().flat_map(|w| &w.runs);
+        for (run, state) in runs.filter(|(_, state)| !state.stopping) {
+            let Some(total_ms) = state.total_ms else {
                 continue;
             };
-            let work_s = f64::from(pace.intervals) * every_s;
-            let took_s = pace.took_ms as f64 / 1_000.0;
-            if work_s <= 0.0 || took_s <= 0.0 {
-                continue;
+            if let Some(timed) = TimedRun::of(fleet, jobs, worker, run) {
+                self.samples.observe_progress(speeds, &timed, total_ms);
             }
-            self.run_times.speeds_mut().observe(SpeedSample {
-                run,
-                ratio: took_s / work_s,
-                deviation: PACE_TIMING_ERROR_S / took_s,
-                workers,
-            });
         }
     }
 
-    /// Returns the run or gang that the pace of a run on `worker` measures, and its workers. Returns
-    /// `None` if the run is slowed down by where it runs, or if the workers of its gang are not known
-    /// any more.
-    fn timed_workers(&self, worker: &Name, run: &RunId) -> Option<(RunId, Vec<Name>)> {
-        let live = self.jobs.get(&run.task.job)?;
-        let shape = live.job.request.steps.get(run.task.step as usize)?;
-        let rack_of = |worker: &Name| self.fleet.get(worker).and_then(FleetWorker::rack);
-        let mut workers = vec![worker.clone()];
-        if shape.gang && shape.tasks > 1 {
-            let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
-            let places = numbers.map(|number| {
-                let task = live.plan.tasks.get(&number)?;
-                let place = task.place.as_ref()?;
-                (task.run == run.number).then(|| place.worker.clone())
-            });
-            workers = places.collect::<Option<Vec<Name>>>()?;
-            workers.sort_unstable();
-            workers.dedup();
-        }
-        let mut racks: Vec<Option<&Name>> = workers.iter().map(rack_of).collect();
-        racks.dedup();
-        let near = match &shape.rack {
-            Some(rack) => racks == [Some(rack)],
-            None => !shape.one_rack || racks.len() == 1,
-        };
-        near.then(|| (run.of_gang(shape.gang), workers))
+    /// Applies what the report says about the speed of its worker: the estimate that an earlier
+    /// planner has told the agent, or that the worker has booted again.
+    fn restore_speed(
+        &mut self,
+        before: Option<u64>,
+        report: &Heartbeat,
+        told: Option<SpeedEstimate>,
+    ) {
+        let worker = &report.worker;
+        if before.is_some_and(|born_ms| born_ms < report.born_ms) {
+            self.run_times.speeds_mut().remove_worker(worker);
+            self.samples.remove_worker(worker);
+        }
+        if let Some(estimate) = told {
+            self.run_times.speeds_mut().restore(worker, estimate);
+        }
     }
 
     /// Records how long the tasks on a worker would take on a full-speed worker, by their progress.
@@ -374,6 +366,11 @@
         &self.fleet
     }
 
+    /// Returns the learned speeds of workers.
+    pub fn speeds(&self) -> &WorkerSpeeds {
+        self.run_times.speeds()
+    }
+
     /// Returns the number of jobs that have not started any task.
     pub fn waiting(&self) -> usize {
         let jobs = self.jobs.values();
@@ -422,20 +419,36 @@
                 continue;
             };
             if !order.is_empty() {
+                let speed = self.speed_to_tell(&worker);
                 decisions.orders.push(WorkerOrder {
                     worker,
                     session,
-                    order,
+                    order: Order { speed, ..order },
                 });
             }
         }
         decisions.gone_workers = self.fleet.forget(view.now, self.bounds.keep_ended);
         for worker in &decisions.gone_workers {
             self.run_times.remove_worker(worker);
+            self.samples.remove_worker(worker);
         }
         decisions
     }
 
+    /// Returns the estimate of a worker's speed to send along with an order, if the agent doesn't keep
+    /// a similar one already.
+    fn speed_to_tell(&mut self, worker: &Name) -> Option<SpeedEstimate> {
+        let speeds = self.run_times.speeds_mut();
+        let estimate = speeds.estimate(worker)?;
+        let report = self.fleet.get(worker)?.report.as_ref();
+        let kept = report.and_then(|r| r.speed);
+        if kept.is_some_and(|kept| !estimate.replaces(kept)) {
+            return None;
+        }
+        speeds.told(worker);
+        Some(estimate)
+    }
+
     fn remove_ended_jobs(&mut self, view: &View<'_>) -> Vec<StoreRecord> {
         let keep_ms = u64::try_from(self.bounds.keep_ended.as_millis()).unwrap_or(u64::MAX);
         let old = self.jobs.iter().filter(|(_, l)| {
--- a/dragonflyrun/src/workload/planner/run_ends.rs
+++ b/dragonflyrun/src/workload/planner/run_ends.rs
@@ -10,6 +10,7 @@
         Outcome, RunId, RunOver, RunOverReason,
         planner::{Planner, View},
         recent_failures::Failure,
+        speed_samples::TimedRun,
     },
 };
 
@@ -28,7 +29,7 @@
             running_since,
             full_run_since,
         } = over;
-        let Some(live) = self.jobs.get_mut(&run.task.job) else {
+        let Some(live) = self.jobs.get(&run.task.job) else {
             log::warn!(run:% = run, worker:% = worker, why:? = why; "run_over_of_unknown_job");
             return;
         };
@@ -41,6 +42,17 @@
             ran_ms = running_since.map_or(0, |s| now.since(s).as_millis() as u64);
             "run_over"
         );
+        if let (RunOverReason::Ended(end), Some(since)) = (&why, full_run_since)
+            && end.kind == EndKind::Done
+            && let Some(timed) = TimedRun::of(&self.fleet, &self.jobs, &worker, &run)
+        {
+            let took_ms = now.since(since).as_millis() as f64;
+            let speeds = self.run_times.speeds_mut();
+            self.samples.observe_done(speeds, &timed, took_ms);
+        }
+        let Some(live) = self.jobs.get_mut(&run.task.job) else {
+            return;
+        };
         self.changed.insert(run.task.job.clone());
         let step = run.task.step;
         let shape = &live.job.request.steps[step as usize];
--- a/dragonflyrun/src/workload/speeds/belief.rs
+++ b/dragonflyrun/src/workload/speeds/belief.rs
@@ -97,6 +97,11 @@
         points.map(|(i, p)| p * f(ln_slowness(i))).sum()
     }
 
+    /// Returns the probability that the slowness is nominal, for a normalized distribution.
+    pub(super) fn nominal_probability(&self) -> f64 {
+        self.0[NOMINAL]
+    }
+
     /// Returns the mean and the standard deviation of the logarithm.
     pub(super) fn moments(&self) -> (f64, f64) {
         let mean = self.expect(|x| x);
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -58,6 +58,9 @@
 /// Smallest standard deviation of a sample's logarithm: the grid is not finer.
 const MIN_DEVIATION: f64 = 0.05;
 
+/// Probability of being nominal from which on a worker counts as nominal.
+const MIN_NOMINAL_PROBABILITY: f64 = 0.5;
+
 /// The step of a worker that is degraded.
 pub(super) const SLOWEST_STEP: i32 = 9;
 
@@ -85,6 +88,16 @@
     pub deviation_milli: u32,
 }
 
+impl SpeedEstimate {
+    /// Returns whether the estimate differs from the one that an agent keeps by enough to send it: by
+    /// more than half a step, or in a deviation that has fallen by a fifth.
+    pub fn replaces(&self, kept: Self) -> bool {
+        let half_step_milli = (STEP_RATIO.ln() * 500.0) as u32;
+        self.ln_milli.abs_diff(kept.ln_milli) > half_step_milli
+            || f64::from(self.deviation_milli) <= f64::from(kept.deviation_milli) * 0.8
+    }
+}
+
 #[derive(Clone, Debug)]
 struct KnownWorker {
     /// The product of the messages of all samples that are no longer kept, and of the estimate of an
@@ -265,10 +278,14 @@
         }
         let mean = f64::from(estimate.ln_milli) / 1_000.0;
         let deviation = f64::from(estimate.deviation_milli) / 1_000.0;
-        // The estimate includes the pool's distribution, which is the prior here as well. For a
-        // well-known worker that changes little; one that is hardly known adds nothing.
-        let likelihood = Belief::normal(mean, deviation.max(MIN_DEVIATION));
-        let likelihood = likelihood.plus(&Belief::flat(), OUTLIER_SHARE).bounded();
+        // The estimate includes the pool's distribution as its prior, which is applied again here.
+        // Where the earlier planner knew little, that leaves a likelihood that says little.
+        let estimate = Belief::normal(mean, deviation.max(MIN_DEVIATION)).normalized();
+        let pool = initial_pool();
+        let likelihood = pool
+            .plus(&estimate, 1.0 / OUTLIER_SHARE - 1.0)
+            .without(&pool)
+            .bounded();
         known.past = known.past.times(&likelihood).bounded();
         known.evidence = known.evidence.times(&likelihood).bounded();
         known.update(&self.pool);
@@ -310,12 +327,45 @@
     }
 
     /// Returns the slowness of a worker in steps; 0 is nominal, and faster workers have negative
-    /// steps.
+    /// steps. A worker that is probably nominal has step 0: in a pool of equal workers, a few rough
+    /// measurements must not change where work is placed.
     pub fn step(&self, worker: &Name) -> i32 {
+        if self.belief(worker).nominal_probability() >= MIN_NOMINAL_PROBABILITY {
+            return 0;
+        }
         let steps = self.slowness(worker).ln() / STEP_RATIO.ln();
         (steps.round() as i32).min(SLOWEST_STEP - 1)
     }
 
+    /// Returns the mean and the standard deviation of the logarithm of a gang's slowness, without what
+    /// the sample of `run` says about it.
+    pub fn moments_without(&self, workers: &[Name], run: &RunId) -> (f64, f64) {
+        let sample = self.samples.iter().find(|s| s.run == *run);
+        let message = |worker: &Name| {
+            let sample = sample?;
+            let i = sample.workers.iter().position(|w| w == worker)?;
+            sample.messages.get(i)
+        };
+        let beliefs: Vec<Belief> = workers
+            .iter()
+            .map(|worker| match (self.workers.get(worker), message(worker)) {
+                (Some(known), Some(message)) => {
+                    let evidence = known.evidence.without(message).bounded();
+                    self.pool.times(&evidence).normalized()
+                }
+                _ => self.belief(worker).clone(),
+            })
+            .collect();
+        largest(beliefs.iter()).moments()
+    }
+
+    /// Returns the mean standard deviation of the logarithm of the slowness of the workers about which
+    /// there is evidence; 0 without any.
+    pub fn mean_deviation(&self) -> f64 {
+        let deviations = self.workers.values().map(|known| known.belief.moments().1);
+        deviations.sum::<f64>() / self.workers.len().max(1) as f64
+    }
+
     /// Returns the number of workers about which there is evidence.
     pub fn known_workers(&self) -> usize {
         self.workers.len()
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -203,6 +203,7 @@
         left: false,
         unreachable: false,
         attention: Attention::Close,
+        speed: None,
     }
 }
 
--- /dev/null
+++ b/dragonflyrun/tests/speed_samples.rs
@@ -0,0 +1,245 @@
+//! Which reports of runs teach the planner the speeds of workers.
+
+mod workload_tables;
+
+use dragonflyrun::{
+    port::EndKind,
+    utils::Name,
+    workload::{Progress, RunId, Step},
+};
+use workload_tables::{Harness, task};
+
+/// Lets a worker report that each of its runs of a job will take `total_ms` as a whole.
+fn report_total(harness: &mut Harness, worker: &str, job: &str, total_ms: u64) {
+    let job = job.to_owned();
+    harness.change_report(worker, |report| {
+        let totals = report
+            .running
+            .iter()
+            .map(|run| match *run.run.task.job == *job {
+                true => Progress {
+                    remaining_ms: Some(total_ms / 2),
+                    total_ms,
+                },
+                false => Progress::default(),
+            });
+        report.progress = totals.collect();
+    });
+}
+
+fn gang(tasks: u32, estimate_ms: u64) -> Step {
+    Step {
+        tasks,
+        gang: true,
+        one_rack: true,
+        estimate_ms,
+        ..task(8)
+    }
+}
+
+fn slowness(harness: &Harness, worker: &str) -> f64 {
+    harness.planner.speeds().slowness(&Name::from(worker))
+}
+
+/// Runs the job's only step until its end, with the same time of the whole work on all workers.
+fn run_to_end(harness: &mut Harness, job: &str, steps: Vec<Step>, total_ms: u64) -> Vec<Name> {
+    harness.submit(job, 0, steps);
+    harness.pass();
+    let runs = harness.running(job);
+    for (worker, _) in &runs {
+        report_total(harness, worker, job, total_ms);
+    }
+    harness.now_ms += total_ms + 300;
+    harness.end_runs(job, EndKind::Done);
+    harness.pass();
+    runs.into_iter().map(|(worker, _)| worker).collect()
+}
+
+/// Guards against a pool that stays unknown because its gangs save no checkpoints. All gangs on some
+/// workers take 1.6 times their callers' estimate, and those on the others take as long as estimated.
+#[test]
+fn progress_of_gangs() {
+    let mut harness = Harness::new(6);
+    for i in 0..12 {
+        let job = format!("gang-{i}");
+        harness.submit(&job, 0, vec![gang(3, 2_000)]);
+        harness.pass();
+        let runs = harness.running(&job);
+        let slow = runs.iter().any(|(worker, _)| &**worker < "w3");
+        let total_ms = if slow { 3_200 } else { 2_000 };
+        for (worker, _) in &runs {
+            report_total(&mut harness, worker, &job, total_ms);
+        }
+        harness.now_ms += total_ms + 300;
+        // Two gangs at a time fill the pool, so that both racks are used.
+        if i % 2 == 1 {
+            harness.end_runs(&format!("gang-{}", i - 1), EndKind::Done);
+            harness.end_runs(&job, EndKind::Done);
+            harness.pass();
+        }
+    }
+    let of_gang = |workers: [&str; 3]| {
+        let workers = workers.map(Name::from);
+        harness.planner.speeds().gang_slowness(workers.iter())
+    };
+    let (slow, nominal) = (of_gang(["w0", "w1", "w2"]), of_gang(["w3", "w4", "w5"]));
+    assert!(slow > 1.35 && nominal < 1.1, "{slow} and {nominal}");
+}
+
+/// Guards against short tasks that teach nothing because they end before the planner has heard of
+/// their progress.
+#[test]
+fn duration_of_short_tasks() {
+    let mut harness = Harness::new(2);
+    for i in 0..12 {
+        let job = format!("short-{i}");
+        harness.submit(
+            &job,
+            0,
+            vec![Step {
+                tasks: 2,
+                ..task(8)
+            }],
+        );
+        harness.pass();
+        let runs = harness.running(&job);
+        harness.now_ms += 2_300;
+        end_on(&mut harness, &runs, "w0");
+        harness.now_ms += 1_200;
+        end_on(&mut harness, &runs, "w1");
+        harness.pass();
+    }
+    let (nominal, slow) = (slowness(&harness, "w0"), slowness(&harness, "w1"));
+    assert!(slow > 1.25 && nominal < 1.1, "{slow} and {nominal}");
+}
+
+fn end_on(harness: &mut Harness, runs: &[(Name, RunId)], worker: &str) {
+    for (_, run) in runs.iter().filter(|(w, _)| &**w == worker) {
+        harness.end_run(run, EndKind::Done);
+    }
+    harness.report(worker);
+}
+
+/// Guards against a step whose caller's estimate is far off and that makes all its workers appear
+/// slow, while one of them really is: the tasks of the step show which one.
+#[test]
+fn tasks_of_one_step() {
+    let mut harness = Harness::new(6);
+    let tasks = Step {
+        tasks: 24,
+        estimate_ms: 4_000,
+        ..task(2)
+    };
+    harness.submit("many", 2, vec![tasks]);
+    harness.pass();
+    // The work is 10 s, of which the caller knew nothing.
+    for worker in 0..6 {
+        let total_ms = if worker == 2 { 16_000 } else { 10_000 };
+        report_total(&mut harness, &format!("w{worker}"), "many", total_ms);
+    }
+    harness.report_all();
+    let slow = slowness(&harness, "w2");
+    let others = [0, 1, 3, 4, 5].map(|i| slowness(&harness, &format!("w{i}")));
+    let slowest = others.into_iter().fold(0.0, f64::max);
+    assert!(slow > 1.2 && slow > slowest * 1.15, "{slow} and {others:?}");
+}
+
+/// Guards against a pool that is learned to be slow, or its callers to be wrong, when estimates are
+/// off in both directions on equal workers.
+#[test]
+fn rough_estimates() {
+    let mut harness = Harness::new(6);
+    for i in 0..24 {
+        let estimate_ms = if i % 2 == 0 { 3_000 } else { 1_300 };
+        run_to_end(
+            &mut harness,
+            &format!("job-{i}"),
+            vec![gang(3, estimate_ms)],
+            2_000,
+        );
+    }
+    for i in 0..6 {
+        let worker = Name::from(format!("w{i}"));
+        assert_eq!(harness.planner.speeds().step(&worker), 0, "{worker}");
+    }
+}
+
+/// Guards against healthy workers that count as slow because their gang was spread over two racks
+/// although it should run in one, which is slow on any workers.
+#[test]
+fn spread_gangs() {
+    let mut harness = Harness::new(6);
+    for i in 0..6 {
+        // A gang of four doesn't fit into a rack of three workers.
+        harness.submit(&format!("wide-{i}"), 0, vec![gang(4, 2_000)]);
+        harness.pass();
+        harness.advance(9_000);
+        harness.pass();
+        let job = format!("wide-{i}");
+        let runs = harness.running(&job);
+        assert_eq!(runs.len(), 4, "the gang starts on two racks");
+        for (worker, _) in &runs {
+            report_total(&mut harness, worker, &job, 6_000);
+        }
+        harness.now_ms += 6_300;
+        harness.end_runs(&job, EndKind::Done);
+        harness.pass();
+    }
+    for i in 0..6 {
+        assert_eq!(
+            slowness(&harness, &format!("w{i}")),
+            slowness(&harness, "none")
+        );
+    }
+}
+
+/// Guards against a fast worker that counts as slow, or the reverse, because a run resumed from a
+/// checkpoint is compared with the whole work, and against lasting tasks, which have no work that
+/// ends.
+#[test]
+fn resumed_and_lasting() {
+    let mut harness = Harness::new(1);
+    let lasting = Step {
+        lasting: true,
+        ..task(1)
+    };
+    harness.submit("lasting", 1, vec![lasting]);
+    let resumable = Step {
+        checkpoints: true,
+        ..task(4)
+    };
+    harness.submit("resumed", 1, vec![resumable]);
+    harness.pass();
+    harness.change_report("w0", |report| {
+        for run in &mut report.running {
+            run.checkpoint = "c1".into();
+        }
+    });
+    let (_, run) = harness.running("resumed").remove(0);
+    harness.end_run(&run, EndKind::Stopped);
+    harness.report_all();
+    harness.pass();
+    assert!(
+        harness.running("resumed")[0].1.number > run.number,
+        "it runs again"
+    );
+    report_total(&mut harness, "w0", "lasting", 9_000);
+    report_total(&mut harness, "w0", "resumed", 9_000);
+    harness.now_ms += 9_000;
+    harness.end_runs("resumed", EndKind::Done);
+    assert_eq!(harness.planner.speeds().known_workers(), 0);
+}
+
+/// Guards against a worker that counts as slow or fast because it fails what it starts.
+#[test]
+fn failing_worker() {
+    let mut harness = Harness::new(1);
+    for i in 0..6 {
+        harness.submit(&format!("job-{i}"), 0, vec![task(8)]);
+        harness.pass();
+        harness.now_ms += 50;
+        harness.end_runs(&format!("job-{i}"), EndKind::Failed);
+        harness.now_ms += 10_000;
+    }
+    assert_eq!(harness.planner.speeds().known_workers(), 0);
+}
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -127,6 +127,7 @@
             left: false,
             unreachable: false,
             attention: Attention::Close,
+            speed: None,
         });
         self.report(name);
     }
