--- a/dragonflyrun/src/workload/speeds/belief.rs
+++ b/dragonflyrun/src/workload/speeds/belief.rs
@@ -29,6 +29,11 @@
         Self([1.0; POINTS])
     }
 
+    /// Returns the sum of no distributions.
+    pub(super) fn zero() -> Self {
+        Self([0.0; POINTS])
+    }
+
     /// Returns the distribution or likelihood with the given value for each logarithm of a slowness.
     pub(super) fn from_fn(f: impl Fn(f64) -> f64) -> Self {
         Self(std::array::from_fn(|point| f(ln_slowness(point))))
@@ -73,6 +78,12 @@
         Self(self.0.map(|p| p / sum))
     }
 
+    /// Returns the likelihood with a maximum of 1.
+    pub(super) fn scaled(&self) -> Self {
+        let max = self.0.iter().copied().fold(f64::MIN_POSITIVE, f64::max);
+        Self(self.0.map(|p| p / max))
+    }
+
     /// Returns the likelihood with a maximum of 1 and no value below the minimum.
     pub(super) fn bounded(&self) -> Self {
         let max = self.0.iter().copied().fold(0.0, f64::max);
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -20,7 +20,7 @@
 
 mod belief;
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -31,23 +31,26 @@
 
 use belief::{Belief, POINTS, STEP_RATIO, largest};
 
-/// Number of most recent samples that are visited again. It covers a pool of some hundred workers
-/// twice; older samples have left their messages in the distributions.
-const MAX_SAMPLES: usize = 192;
+/// Number of samples that are kept for each worker. What older ones have said is kept with a bound,
+/// so that newer ones can overturn it.
+const MAX_WORKER_SAMPLES: usize = 16;
 
-/// Number of older samples that are visited again with each new one.
-const REVISITED_SAMPLES: usize = 8;
+/// Number of older samples with common workers that are visited again with each new one.
+const REVISITED_SHARED: usize = 8;
+
+/// Number of other samples that are visited again in turn.
+const REVISITED_IN_TURN: usize = 4;
 
 /// Probability that a sample says nothing about its workers because one of them was degraded for a
 /// while or the measurement is wrong.
 const OUTLIER_SHARE: f64 = 0.05;
 
-/// Weight of the assumption that workers are nominal, as a number of workers that are known to be
-/// so.
-const PRIOR_WORKERS: f64 = 2.0;
+/// Weight of the initial distribution of the pool, as a number of workers. With 2, a few gangs that
+/// were estimated too long made a whole pool of equal workers appear fast.
+const PRIOR_WORKERS: f64 = 6.0;
 
 /// Share of workers that are nominal before anything is known; the others may have any speed.
-const NOMINAL_SHARE: f64 = 0.7;
+const NOMINAL_SHARE: f64 = 0.8;
 
 /// Standard deviation of the logarithm of the slowness of nominal workers.
 const NOMINAL_DEVIATION: f64 = 0.04;
@@ -58,8 +61,18 @@
 /// Smallest standard deviation of a sample's logarithm: the grid is not finer.
 const MIN_DEVIATION: f64 = 0.05;
 
+/// Largest ratio of a sample, in either direction and apart from its error. Kinds of workers in one
+/// pool differ by less. A worker that takes longer is degraded for a while, which
+/// [`RunTimes`](super::RunTimes) handles: it must not count as a slow kind of worker afterwards.
+const MAX_RATIO: f64 = 3.2;
+
 /// Probability of being nominal from which on a worker counts as nominal.
-const MIN_NOMINAL_PROBABILITY: f64 = 0.5;
+const PROBABLY_NOMINAL: f64 = 0.6;
+
+/// Probability of being nominal from which on a worker is at most one step away from nominal. Without
+/// this, rough samples of gangs moved single workers of an equal pool by up to four steps
+/// (`tests/speed_pools.rs`).
+const MAYBE_NOMINAL: f64 = 0.3;
 
 /// The step of a worker that is degraded.
 pub(super) const SLOWEST_STEP: i32 = 9;
@@ -100,13 +113,15 @@
 
 #[derive(Clone, Debug)]
 struct KnownWorker {
-    /// The product of the messages of all samples that are no longer kept, and of the estimate of an
-    /// earlier planner.
+    /// The product of the messages of all samples that are no longer kept for the worker, and of the
+    /// estimate of an earlier planner, bounded.
     past: Belief,
-    /// The product of `past` and the messages of all kept samples, bounded.
-    evidence: Belief,
-    /// The distribution with the pool's as prior.
-    belief: Belief,
+    /// The kept samples of the worker, oldest first, with its index among their workers.
+    samples: VecDeque<(u64, usize)>,
+    /// The product of `past` and the messages of the kept samples.
+    product: Belief,
+    /// The worker's part in the distribution of the pool.
+    share: Belief,
     /// Whether the estimate of an earlier planner was applied, or this planner has told its own.
     is_restored: bool,
 }
@@ -118,26 +133,37 @@
     likelihood: Belief,
     /// The message to each worker; flat before the sample was visited.
     messages: Vec<Belief>,
+    /// The number of workers that still keep the sample.
+    kept_by: usize,
 }
 
 /// Learned speeds of workers.
 #[derive(Clone, Debug)]
 pub struct WorkerSpeeds {
     workers: HashMap<Name, KnownWorker>,
-    samples: VecDeque<KeptSample>,
+    /// The kept samples, numbered in their order.
+    samples: BTreeMap<u64, KeptSample>,
+    numbers: HashMap<RunId, u64>,
+    last_number: u64,
+    /// The sum of the shares of all workers and of the initial distribution.
+    pool_sum: Belief,
     /// The distribution of the pool, which is the prior of each worker.
     pool: Belief,
-    /// The sample to visit again next.
-    next: usize,
+    /// The number of the sample that was revisited last in turn.
+    revisited: u64,
 }
 
 impl Default for WorkerSpeeds {
     fn default() -> Self {
+        let pool = initial_pool();
         Self {
             workers: HashMap::default(),
-            samples: VecDeque::new(),
-            pool: initial_pool(),
-            next: 0,
+            samples: BTreeMap::new(),
+            numbers: HashMap::default(),
+            last_number: 0,
+            pool_sum: Belief::zero().plus(&pool, PRIOR_WORKERS),
+            pool,
+            revisited: 0,
         }
     }
 }
@@ -145,134 +171,198 @@
 fn initial_pool() -> Belief {
     let nominal = Belief::normal(0.0, NOMINAL_DEVIATION).normalized();
     let other = Belief::normal(0.0, OTHER_DEVIATION).normalized();
-    Belief::from_fn(|_| 0.0)
+    Belief::zero()
         .plus(&nominal, NOMINAL_SHARE)
         .plus(&other, 1.0 - NOMINAL_SHARE)
         .normalized()
 }
 
-impl KnownWorker {
-    fn new(pool: &Belief) -> Self {
-        Self {
-            past: Belief::flat(),
-            evidence: Belief::flat(),
-            belief: pool.clone(),
-            is_restored: false,
-        }
-    }
-
-    fn update(&mut self, pool: &Belief) {
-        self.belief = pool.times(&self.evidence).normalized();
-    }
-}
-
 impl WorkerSpeeds {
     /// Adds a sample, or replaces the earlier one of the same run.
     pub fn observe(&mut self, sample: SpeedSample) {
-        let is_measured = sample.ratio.is_finite() && sample.ratio > 0.0;
-        if !is_measured || sample.workers.is_empty() {
+        let (ratio_ln, deviation) = (sample.ratio.ln(), sample.deviation.max(MIN_DEVIATION));
+        let is_plausible = ratio_ln.abs() <= MAX_RATIO.ln() + deviation;
+        if !is_plausible || sample.workers.is_empty() {
             return;
         }
-        let (ratio_ln, deviation) = (sample.ratio.ln(), sample.deviation.max(MIN_DEVIATION));
         let normal = Belief::normal(ratio_ln, deviation);
-        let likelihood = Belief::from_fn(|_| OUTLIER_SHARE).plus(&normal, 1.0 - OUTLIER_SHARE);
-        for worker in &sample.workers {
-            self.workers
-                .entry(worker.clone())
-                .or_insert_with(|| KnownWorker::new(&self.pool));
+        let likelihood = Belief::flat().plus(&normal, 1.0 / OUTLIER_SHARE - 1.0);
+        let number = self.keep(sample.run, sample.workers, likelihood.bounded());
+        self.visit(number);
+        for other in self.samples_to_revisit(number) {
+            self.visit(other);
         }
-        let known = self
-            .samples
-            .iter()
-            .position(|s| s.run == sample.run && s.workers == sample.workers);
-        let kept = match known {
-            Some(i) => {
-                self.samples[i].likelihood = likelihood;
-                i
+        self.visit(number);
+    }
+
+    /// Keeps a sample and returns its number.
+    fn keep(&mut self, run: RunId, workers: Vec<Name>, likelihood: Belief) -> u64 {
+        let known = self.numbers.get(&run).copied();
+        if let Some(number) = known
+            && let Some(kept) = self.samples.get_mut(&number)
+        {
+            if kept.workers == workers {
+                kept.likelihood = likelihood;
+                return number;
             }
-            None => {
-                let messages = vec![Belief::flat(); sample.workers.len()];
-                self.samples.push_back(KeptSample {
-                    run: sample.run,
-                    workers: sample.workers,
-                    likelihood,
-                    messages,
-                });
-                self.drop_oldest();
-                self.samples.len() - 1
+            self.remove_sample(number);
+        }
+        self.last_number += 1;
+        let number = self.last_number;
+        for (i, worker) in workers.iter().enumerate() {
+            let known = self.known_mut(worker);
+            known.samples.push_back((number, i));
+            if known.samples.len() > MAX_WORKER_SAMPLES
+                && let Some((oldest, i)) = known.samples.pop_front()
+            {
+                self.release(worker, oldest, i);
             }
-        };
-        self.visit(kept);
-        for _ in 0..REVISITED_SAMPLES.min(self.samples.len()) {
-            self.next = (self.next + 1) % self.samples.len();
-            self.visit(self.next);
         }
-        self.learn_pool();
+        self.numbers.insert(run.clone(), number);
+        let kept = KeptSample {
+            run,
+            messages: vec![Belief::flat(); workers.len()],
+            kept_by: workers.len(),
+            workers,
+            likelihood,
+        };
+        self.samples.insert(number, kept);
+        number
+    }
+
+    fn known_mut(&mut self, worker: &Name) -> &mut KnownWorker {
+        self.workers
+            .entry(worker.clone())
+            .or_insert_with(|| KnownWorker {
+                past: Belief::flat(),
+                samples: VecDeque::new(),
+                product: Belief::flat(),
+                share: Belief::zero(),
+                is_restored: false,
+            })
     }
 
-    /// Moves the messages of the oldest sample into the past of its workers if there are too many.
-    fn drop_oldest(&mut self) {
-        if self.samples.len() <= MAX_SAMPLES {
+    /// Moves the message of a sample to one of its workers into the worker's past. A sample that no
+    /// worker keeps is dropped.
+    fn release(&mut self, worker: &Name, number: u64, index: usize) {
+        let Some(sample) = self.samples.get_mut(&number) else {
             return;
+        };
+        sample.kept_by -= 1;
+        if let Some(known) = self.workers.get_mut(worker) {
+            let message = &sample.messages[index];
+            let past = known.past.times(message).bounded();
+            let kept = known.product.without(message).without(&known.past);
+            known.product = kept.times(&past).scaled();
+            known.past = past;
         }
-        let Some(oldest) = self.samples.pop_front() else {
+        if sample.kept_by == 0 {
+            self.drop_sample(number);
+        }
+    }
+
+    fn drop_sample(&mut self, number: u64) {
+        if let Some(sample) = self.samples.remove(&number) {
+            self.numbers.remove(&sample.run);
+        }
+    }
+
+    /// Removes a sample together with its messages to the workers that still keep it.
+    fn remove_sample(&mut self, number: u64) {
+        let Some(sample) = self.samples.remove(&number) else {
             return;
         };
-        for (worker, message) in oldest.workers.iter().zip(&oldest.messages) {
-            if let Some(known) = self.workers.get_mut(worker) {
-                known.past = known.past.times(message).bounded();
+        self.numbers.remove(&sample.run);
+        for (worker, message) in sample.workers.iter().zip(&sample.messages) {
+            let Some(known) = self.workers.get_mut(worker) else {
+                continue;
+            };
+            let kept = known.samples.len();
+            known.samples.retain(|(n, _)| *n != number);
+            if known.samples.len() < kept {
+                known.product = known.product.without(message).scaled();
             }
+            self.update_share(worker);
         }
     }
 
-    /// Updates the messages of a sample to its workers.
-    fn visit(&mut self, sample: usize) {
-        let KeptSample {
-            workers,
-            likelihood,
-            messages,
-            ..
-        } = &mut self.samples[sample];
-        let others: Vec<Belief> = workers
-            .iter()
-            .zip(&*messages)
-            .map(|(worker, message)| match self.workers.get(worker) {
-                Some(known) => {
-                    let evidence = known.evidence.without(message).bounded();
-                    self.pool.times(&evidence).normalized()
+    /// Returns the numbers of older samples to visit again: those that share workers with a sample,
+    /// newest first, and some others in turn.
+    fn samples_to_revisit(&mut self, number: u64) -> Vec<u64> {
+        let mut chosen: Vec<u64> = Vec::new();
+        let workers = self.samples.get(&number).map(|s| &s.workers);
+        let known = workers.into_iter().flatten();
+        let known: Vec<&KnownWorker> = known.filter_map(|w| self.workers.get(w)).collect();
+        for back in 0..MAX_WORKER_SAMPLES {
+            let of_round = known
+                .iter()
+                .filter_map(|k| k.samples.iter().rev().nth(back));
+            for (other, _) in of_round {
+                if *other != number && !chosen.contains(other) && chosen.len() < REVISITED_SHARED {
+                    chosen.push(*other);
                 }
-                None => self.pool.clone(),
-            })
-            .collect();
-        let new = messages_to_members(likelihood, &others);
-        for ((worker, old), new) in workers.iter().zip(messages.iter_mut()).zip(new) {
-            if let Some(known) = self.workers.get_mut(worker) {
-                known.evidence = known.evidence.without(old).times(&new).bounded();
-                known.update(&self.pool);
             }
-            *old = new;
         }
+        for _ in 0..REVISITED_IN_TURN {
+            let next = self.samples.range(self.revisited + 1..).next();
+            let next = next.or_else(|| self.samples.iter().next());
+            self.revisited = next.map_or(0, |(number, _)| *number);
+            chosen.push(self.revisited);
+        }
+        chosen
+    }
+
+    /// Returns the distribution of a worker without what the sample with the given number says about
+    /// it.
+    fn belief_without(&self, worker: &Name, number: u64) -> Belief {
+        let Some(known) = self.workers.get(worker) else {
+            return self.pool.clone();
+        };
+        let kept = known.samples.iter().find(|(n, _)| *n == number);
+        let message = kept.and_then(|(n, i)| self.samples.get(n)?.messages.get(*i));
+        let product = message.map_or_else(
+            || known.product.clone(),
+            |message| known.product.without(message),
+        );
+        self.pool.times(&product.bounded()).normalized()
     }
 
-    /// Learns the distribution of the pool from the workers about which there is evidence.
-    fn learn_pool(&mut self) {
-        let mut pool = Belief::from_fn(|_| 0.0).plus(&initial_pool(), PRIOR_WORKERS);
-        for known in self.workers.values() {
-            pool = pool.plus(&known.belief, 1.0);
+    /// Updates the messages of a sample to its workers.
+    fn visit(&mut self, number: u64) {
+        let Some(sample) = self.samples.get(&number) else {
+            return;
+        };
+        let others = sample.workers.iter();
+        let others: Vec<Belief> = others.map(|w| self.belief_without(w, number)).collect();
+        let new = messages_to_members(&sample.likelihood, &others);
+        let workers = sample.workers.clone();
+        for (i, (worker, new)) in workers.iter().zip(new).enumerate() {
+            let keeps = |known: &&mut KnownWorker| known.samples.iter().any(|(n, _)| *n == number);
+            let known = self.workers.get_mut(worker).filter(keeps);
+            let sample = self.samples.get_mut(&number);
+            if let (Some(known), Some(sample)) = (known, sample) {
+                let old = std::mem::replace(&mut sample.messages[i], new.clone());
+                known.product = known.product.without(&old).times(&new).scaled();
+            }
+            self.update_share(worker);
         }
-        self.pool = pool.normalized();
-        for known in self.workers.values_mut() {
-            known.update(&self.pool);
+        self.pool = self.pool_sum.normalized();
+    }
+
+    /// Updates the share of a worker in the distribution of the pool.
+    fn update_share(&mut self, worker: &Name) {
+        if let Some(known) = self.workers.get_mut(worker) {
+            let share = self.pool.times(&known.product.bounded()).normalized();
+            let sum = self.pool_sum.plus(&known.share, -1.0);
+            self.pool_sum = sum.plus(&share, 1.0);
+            known.share = share;
         }
     }
 
     /// Takes over what an earlier planner knew about a worker, unless this one has already told its
     /// agent an estimate of its own.
     pub fn restore(&mut self, worker: &Name, estimate: SpeedEstimate) {
-        let known = self
-            .workers
-            .entry(worker.clone())
-            .or_insert_with(|| KnownWorker::new(&self.pool));
+        let known = self.known_mut(worker);
         if std::mem::replace(&mut known.is_restored, true) {
             return;
         }
@@ -286,9 +376,11 @@
             .plus(&estimate, 1.0 / OUTLIER_SHARE - 1.0)
             .without(&pool)
             .bounded();
-        known.past = known.past.times(&likelihood).bounded();
-        known.evidence = known.evidence.times(&likelihood).bounded();
-        known.update(&self.pool);
+        let past = known.past.times(&likelihood).bounded();
+        known.product = known.product.without(&known.past).times(&past).scaled();
+        known.past = past;
+        self.update_share(worker);
+        self.pool = self.pool_sum.normalized();
     }
 
     /// Records that the worker's agent is told the current estimate.
@@ -298,8 +390,11 @@
         }
     }
 
-    fn belief(&self, worker: &Name) -> &Belief {
-        self.workers.get(worker).map_or(&self.pool, |k| &k.belief)
+    fn belief(&self, worker: &Name) -> Belief {
+        match self.workers.get(worker) {
+            Some(known) => self.pool.times(&known.product.bounded()).normalized(),
+            None => self.pool.clone(),
+        }
     }
 
     /// Returns how many times longer tasks are expected to take on a worker than on a nominal one.
@@ -314,7 +409,8 @@
 
     /// Returns what is known about a worker; `None` if there is no evidence.
     pub fn estimate(&self, worker: &Name) -> Option<SpeedEstimate> {
-        let (mean, deviation) = self.workers.get(worker)?.belief.moments();
+        self.workers.get(worker)?;
+        let (mean, deviation) = self.belief(worker).moments();
         Some(SpeedEstimate {
             ln_milli: (mean * 1_000.0).round() as i32,
             deviation_milli: (deviation * 1_000.0).round() as u32,
@@ -323,46 +419,38 @@
 
     /// Returns the expected slowness of a gang on these workers, which is that of its slowest one.
     pub fn gang_slowness<'a>(&self, workers: impl Iterator<Item = &'a Name>) -> f64 {
-        largest(workers.map(|w| self.belief(w))).expect(f64::exp)
+        let beliefs: Vec<Belief> = workers.map(|w| self.belief(w)).collect();
+        largest(beliefs.iter()).expect(f64::exp)
     }
 
     /// Returns the slowness of a worker in steps; 0 is nominal, and faster workers have negative
-    /// steps. A worker that is probably nominal has step 0: in a pool of equal workers, a few rough
-    /// measurements must not change where work is placed.
+    /// steps. In a pool of equal workers, a few rough measurements must not change where work is
+    /// placed, so a worker that is probably nominal has step 0, and one that may well be nominal at
+    /// most one step.
     pub fn step(&self, worker: &Name) -> i32 {
-        if self.belief(worker).nominal_probability() >= MIN_NOMINAL_PROBABILITY {
-            return 0;
+        let belief = self.belief(worker);
+        let steps = belief.expect(f64::exp).ln() / STEP_RATIO.ln();
+        let steps = (steps.round() as i32).min(SLOWEST_STEP - 1);
+        match belief.nominal_probability() {
+            p if p >= PROBABLY_NOMINAL => 0,
+            p if p >= MAYBE_NOMINAL => steps.clamp(-1, 1),
+            _ => steps,
         }
-        let steps = self.slowness(worker).ln() / STEP_RATIO.ln();
-        (steps.round() as i32).min(SLOWEST_STEP - 1)
     }
 
     /// Returns the mean and the standard deviation of the logarithm of a gang's slowness, without what
     /// the sample of `run` says about it.
     pub fn moments_without(&self, workers: &[Name], run: &RunId) -> (f64, f64) {
-        let sample = self.samples.iter().find(|s| s.run == *run);
-        let message = |worker: &Name| {
-            let sample = sample?;
-            let i = sample.workers.iter().position(|w| w == worker)?;
-            sample.messages.get(i)
-        };
-        let beliefs: Vec<Belief> = workers
-            .iter()
-            .map(|worker| match (self.workers.get(worker), message(worker)) {
-                (Some(known), Some(message)) => {
-                    let evidence = known.evidence.without(message).bounded();
-                    self.pool.times(&evidence).normalized()
-                }
-                _ => self.belief(worker).clone(),
-            })
-            .collect();
+        let number = self.numbers.get(run).copied().unwrap_or(0);
+        let beliefs = workers.iter().map(|w| self.belief_without(w, number));
+        let beliefs: Vec<Belief> = beliefs.collect();
         largest(beliefs.iter()).moments()
     }
 
     /// Returns the mean standard deviation of the logarithm of the slowness of the workers about which
     /// there is evidence; 0 without any.
     pub fn mean_deviation(&self) -> f64 {
-        let deviations = self.workers.values().map(|known| known.belief.moments().1);
+        let deviations = self.workers.keys().map(|worker| self.deviation(worker));
         deviations.sum::<f64>() / self.workers.len().max(1) as f64
     }
 
@@ -371,11 +459,28 @@
         self.workers.len()
     }
 
-    /// Removes what is known about a worker that is gone or has booted again.
+    /// Removes what is known about a worker that is gone or has booted again. What its gangs have said
+    /// about their other members stays.
     pub fn remove_worker(&mut self, worker: &Name) {
-        self.workers.remove(worker);
-        self.samples.retain(|s| !s.workers.contains(worker));
-        self.next = 0;
+        let Some(known) = self.workers.remove(worker) else {
+            return;
+        };
+        self.pool_sum = self.pool_sum.plus(&known.share, -1.0);
+        self.pool = self.pool_sum.normalized();
+        for (number, _) in known.samples {
+            let workers = self.samples.get(&number).map(|s| s.workers.clone());
+            for (i, other) in workers.into_iter().flatten().enumerate() {
+                let Some(known) = self.workers.get_mut(&other) else {
+                    continue;
+                };
+                let kept = known.samples.len();
+                known.samples.retain(|(n, _)| *n != number);
+                if known.samples.len() < kept {
+                    self.release(&other, number, i);
+                }
+            }
+            self.drop_sample(number);
+        }
     }
 }
 
