Measure the first pace from the begin of the work, and the total of short runs

A pace was known after two checkpoints, and runs of two seconds often ended before a report of their progress. The agent derives when the work began from the progress, and reports the total of each ended run.

--- a/dragonflyrun/benches/passes.rs
+++ b/dragonflyrun/benches/passes.rs
@@ -176,6 +176,7 @@
         progress: Vec::new(),
         paces: Vec::new(),
         ends: Vec::new(),
+        end_totals_ms: Vec::new(),
         closed: false,
         left: false,
         unreachable: false,
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -525,6 +525,9 @@
     fn start(&mut self, start: TaskStart) -> Option<AgentAction> {
         let leaving = self.heartbeat.draining || self.left;
         let lease = self.lease_until_ms;
+        if start.checkpoint.is_empty() {
+            self.paces.start(&start.run);
+        }
         let session = self.session.as_mut()?;
         if leaving || session.fenced {
             let outcome = if leaving {
@@ -615,6 +618,7 @@
             running: self.running.clone(),
             progress: self.progress.all(&self.running),
             paces: self.paces.all(),
+            end_totals_ms: self.progress.ended_totals_ms(&self.ends),
             ends: self.ends.clone(),
             closed,
             left: self.left,
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -141,6 +141,10 @@
     /// The ends that the planner hasn't confirmed.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<End>,
+    /// The milliseconds that the whole work of each ended run took by its progress, in the order of
+    /// `ends`; 0 if unknown. Empty if the agent doesn't report it.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub end_totals_ms: Vec<u64>,
     /// Whether the session is over and no run of it is left: it was fenced, or the worker has ended.
     #[serde(rename = "z", default, skip_serializing_if = "is_false")]
     pub closed: bool,
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -14,6 +14,7 @@
         AdviceAnswer,
         AdviceQuestion,
         Configuration,
+        EndKind,
         Heartbeat,
         StoreRecord, //
     },
@@ -262,10 +263,18 @@
         let has_news = report.has_news_since(before);
         let born_before = before.map(|r| r.heartbeat.born_ms);
         let (heartbeat, told) = (report.heartbeat.clone(), report.speed);
+        let totals = report.ends.iter().zip(&report.end_totals_ms);
+        let totals = totals.filter(|(end, _)| end.kind == EndKind::Done);
+        let totals: Vec<(RunId, u64)> = totals.map(|(end, ms)| (end.run.clone(), *ms)).collect();
         let over = self.fleet.report(now, report, needs_of);
         let has_news = has_news || !over.is_empty();
         self.restore_speed(born_before, &heartbeat, told);
         self.learn_speeds(&worker, &paces);
+        for (run, total_ms) in totals {
+            if over.iter().any(|o| o.run == run) {
+                self.learn_total(&worker, &run, total_ms);
+            }
+        }
         self.learn_task_times(&worker);
         for run in over {
             self.run_over(now, run);
@@ -307,6 +316,14 @@
         }
     }
 
+    /// Learns the speed of workers from the time that the whole work of a run took by its progress.
+    fn learn_total(&mut self, worker: &Name, run: &RunId, total_ms: u64) {
+        if let Some(timed) = TimedRun::of(&self.fleet, &self.jobs, worker, run) {
+            let speeds = self.run_times.speeds_mut();
+            self.samples.observe_progress(speeds, &timed, total_ms);
+        }
+    }
+
     /// Applies what the report says about the speed of its worker: the estimate that an earlier
     /// planner has told the agent, or that the worker has booted again.
     fn restore_speed(
--- a/dragonflyrun/src/workload/speed_samples.rs
+++ b/dragonflyrun/src/workload/speed_samples.rs
@@ -24,8 +24,9 @@
     },
 };
 
-/// Error in seconds of the measured time between two checkpoints: an agent checks every 0.4 s.
-const PACE_TIMING_ERROR_S: f64 = 0.3;
+/// Error in seconds of the measured time between two checkpoints: an agent checks every 0.4 s, which
+/// makes both ends uncertain, and its calls take a while.
+const PACE_TIMING_ERROR_S: f64 = 0.25;
 
 /// Error of the logarithm of a run's whole time by its progress: the worker rounds to whole percents,
 /// and other work on it makes the pace vary.
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -199,6 +199,7 @@
         progress: Vec::new(),
         paces: Vec::new(),
         ends: Vec::new(),
+        end_totals_ms: Vec::new(),
         closed: false,
         left: false,
         unreachable: false,
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -123,6 +123,7 @@
             progress: Vec::new(),
             paces: Vec::new(),
             ends: Vec::new(),
+            end_totals_ms: Vec::new(),
             closed: false,
             left: false,
             unreachable: false,
