--- a/dragonflyrun/benches/passes.rs
+++ b/dragonflyrun/benches/passes.rs
@@ -176,9 +176,11 @@
         progress: Vec::new(),
         paces: Vec::new(),
         ends: Vec::new(),
+        end_totals_ms: Vec::new(),
         closed: false,
         left: false,
         unreachable: false,
         attention: Attention::Close,
+        speed: None,
     }
 }
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -12,6 +12,7 @@
         Pace,
         Progress,
         RunId,
+        SpeedEstimate,
         packed_starts,
         skip::{is_false, is_zero_u64}, //
     },
@@ -55,12 +56,21 @@
     /// report.
     #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
     pub attention: Option<Attention>,
+    /// The estimate of the worker's speed, which the agent repeats in its reports. It is sent along
+    /// with orders only.
+    #[serde(rename = "v", default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<SpeedEstimate>,
 }
 
 impl Order {
-    /// Returns whether the order requires nothing.
+    /// Returns whether the order requires nothing. An estimate of the speed alone isn't worth an
+    /// append.
     pub fn is_empty(&self) -> bool {
-        *self == Self::default()
+        let only_speed = Self {
+            speed: self.speed,
+            ..Self::default()
+        };
+        *self == only_speed
     }
 
     /// Returns the agent's attention after the order, if that may differ from before.
@@ -131,6 +141,10 @@
     /// The ends that the planner hasn't confirmed.
     #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
     pub ends: Vec<End>,
+    /// The milliseconds that the whole work of each ended run took by its progress, in the order of
+    /// `ends`; 0 if unknown. Empty if the agent doesn't report it.
+    #[serde(rename = "p", default, skip_serializing_if = "Vec::is_empty")]
+    pub end_totals_ms: Vec<u64>,
     /// Whether the session is over and no run of it is left: it was fenced, or the worker has ended.
     #[serde(rename = "z", default, skip_serializing_if = "is_false")]
     pub closed: bool,
@@ -143,6 +157,10 @@
     /// How closely the agent follows, and so when the next report is due.
     #[serde(rename = "t", default, skip_serializing_if = "Attention::is_close")]
     pub attention: Attention,
+    /// The newest estimate of the worker's speed that a planner has told the agent since the worker
+    /// booted.
+    #[serde(rename = "d", default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<SpeedEstimate>,
 }
 
 impl Report {
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -123,10 +123,12 @@
             progress: Vec::new(),
             paces: Vec::new(),
             ends: Vec::new(),
+            end_totals_ms: Vec::new(),
             closed: false,
             left: false,
             unreachable: false,
             attention: Attention::Close,
+            speed: None,
         });
         self.report(name);
     }
