Share short capacity between workspaces by dominant share

Cause: demands of a priority are served in the order of their objectives, so all workspaces wait behind the burst of one. Change: workload/shares.rs computes what each workspace is entitled to, by progressive filling weighted by guarantee, for the work of each priority together with all more urgent work. While that is short, demands beyond the entitlement come behind those within it, after demands that have lost their objective are put last. Costs of stopping runs are scaled by at most 1.5 by how far the workspace is above or below its entitlement. Sums of resources saturate, since callers may ask for any amount.

--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -68,7 +68,7 @@
                 );
             }
         }
-        demands.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.job.cmp(&b.job)));
+        sort(&mut demands);
         demands
     }
 
@@ -126,8 +126,10 @@
             indexes,
             shape,
             service: service_of(job, self.queues),
+            workspace: job.workspace.clone(),
             priority: job.priority,
             guaranteed: false,
+            exceeds_share: false,
             estimate_ms,
             slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64,
             objective_ms,
@@ -172,12 +174,18 @@
     }
 }
 
-fn rank(demand: &Demand<'_>) -> (u32, bool, bool, u64) {
+/// Sorts demands into the order in which they should be served.
+pub(super) fn sort(demands: &mut [Demand<'_>]) {
+    demands.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.job.cmp(&b.job)));
+}
+
+fn rank(demand: &Demand<'_>) -> (u32, bool, bool, bool, u64) {
     let objective_lost = demand.slack_ms < 0;
     (
         demand.priority,
         !demand.guaranteed,
         objective_lost,
+        demand.exceeds_share,
         demand.objective_ms,
     )
 }
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -40,12 +40,31 @@
         }
     }
 
-    /// Returns the sum of `self` and `more`.
+    /// Returns the sum of `self` and `more`, where each resource is at most `u64::MAX`: callers may
+    /// ask for any amount.
     pub const fn plus(&self, more: &Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + more.cpu_millis,
-            memory_mb: self.memory_mb + more.memory_mb,
-            accelerators: self.accelerators + more.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(more.cpu_millis),
+            memory_mb: self.memory_mb.saturating_add(more.memory_mb),
+            accelerators: self.accelerators.saturating_add(more.accelerators),
+        }
+    }
+
+    /// Returns `self` times `count`, where each resource is at most `u64::MAX`.
+    pub const fn times(&self, count: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
+    /// Returns the larger amount of each resource.
+    pub fn max(&self, other: &Self) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            accelerators: self.accelerators.max(other.accelerators),
         }
     }
 
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -21,6 +21,7 @@
             sum, //
         },
         schedule::{self, Horizon},
+        shares::Shares,
     },
 };
 
@@ -107,6 +108,20 @@
         }
     }
 
+    /// Scales the costs of stopping runs by the shares of their workspaces, so that of two runs with
+    /// about the same cost the one whose workspace is further above its entitlement is stopped.
+    pub(super) fn apply_shares(&mut self, shares: &Shares, jobs: &BTreeMap<Name, LiveJob>) {
+        for victim in &mut self.victims {
+            let Some((i, run, _)) = victim.parts.first() else {
+                continue;
+            };
+            let live = jobs.get(&run.task.job);
+            let workspace = live.and_then(|l| l.job.workspace.as_ref());
+            let service = &self.rooms[*i].service;
+            victim.cost *= shares.stop_cost_factor(service, workspace, victim.priority);
+        }
+    }
+
     /// Returns whether a demand could start now on healthy workers.
     pub(super) fn has_healthy_room(&mut self, demand: &Demand<'_>) -> bool {
         self.healthy_room(demand).is_some()
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,8 +20,8 @@
     workload::{
         Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
         Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
-        TaskStart, WaitReason, Waiting,
-        demands::Demands,
+        TaskStart, WaitReason, Waiting, WorkspaceShare,
+        demands::{self, Demands},
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
         live::{LiveJob, guaranteed_jobs},
@@ -30,6 +30,7 @@
         pass::{Observations, Pass, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
+        shares::Shares,
         tickets::Tickets,
     },
 };
@@ -113,6 +114,8 @@
     pub waits: Vec<Duration>,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub waiting: HashMap<Name, Waiting>,
+    /// The share of each workspace that holds or asks for something, before this pass's starts.
+    pub shares: Vec<WorkspaceShare>,
 }
 
 /// The planner's state.
@@ -396,9 +399,10 @@
         self.fence_silent_agents(view);
         self.ask_doubtful_domains(view);
         self.finish_jobs(view);
-        let waiting = self.start_tasks(view);
+        let (waiting, shares) = self.start_tasks(view);
         Decisions {
             waiting,
+            shares,
             ..self.collect(view)
         }
     }
@@ -454,10 +458,10 @@
         records
     }
 
-    /// Starts the tasks that fit and returns why the other jobs wait. Without a fresh proof of the
-    /// configuration nothing is started, because a failure domain may have been taken out of
-    /// service in the meantime.
-    fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
+    /// Starts the tasks that fit. Returns why the other jobs wait, and the shares of the workspaces.
+    /// Without a fresh proof of the configuration nothing is started, because a failure domain may
+    /// have been taken out of service in the meantime.
+    fn start_tasks(&mut self, view: &View<'_>) -> (HashMap<Name, Waiting>, Vec<WorkspaceShare>) {
         let guaranteed = guaranteed_jobs(&self.jobs, view.configuration);
         self.failures.remove_old(view.now);
         let learned = Observations {
@@ -479,15 +483,27 @@
                 .are_workers_faulty(self.fleet.workers().count()),
         };
         let mut demands = builder.all(&self.jobs);
+        let shares = Shares::of(
+            view.configuration,
+            &self.fleet,
+            pass.rooms(),
+            &self.jobs,
+            &demands,
+        );
         if !view.is_fresh {
             let stale = |(before, demand): (usize, &Demand<'_>)| {
                 let waiting = demand.waiting(before, WaitReason::ConfigurationStale);
                 (demand.job.clone(), waiting)
             };
-            return demands.iter().enumerate().map(stale).collect();
+            let waiting = demands.iter().enumerate().map(stale).collect();
+            return (waiting, shares.list());
         }
         self.peaks
             .observe(view.now, &pass.load(&self.jobs, &demands));
+        if shares.mark(&mut demands) {
+            demands::sort(&mut demands);
+        }
+        pass.apply_shares(&shares, &self.jobs);
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut outcome = pass.run(&demands);
@@ -515,7 +531,7 @@
             self.start(view, &placed);
         }
         self.change_attention(view.now, changes);
-        outcome.waiting
+        (outcome.waiting, shares.list())
     }
 
     /// Asks the agents of idle workers for a report, or releases them.
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -26,11 +26,15 @@
     pub shape: &'a Step,
     /// The service whose workers run the tasks.
     pub service: Name,
+    /// The workspace of the job; `None` for a job of a public queue.
+    pub workspace: Option<Name>,
     /// The priority; 0 is the most urgent.
     pub priority: u32,
     /// Whether the job fits into its workspace's guarantee, so that other work has to make room for
     /// it.
     pub guaranteed: bool,
+    /// Whether capacity is short and the workspace would have more than its share of it.
+    pub exceeds_share: bool,
     /// Expected milliseconds that a task takes on a healthy worker.
     pub estimate_ms: u64,
     /// Milliseconds for which the start can be delayed before the job misses its objective;
@@ -59,6 +63,11 @@
         self.priority == 0 || self.slack_ms < self.estimate_ms as i64
     }
 
+    /// Returns the resources of all tasks together.
+    pub(super) fn needs(&self) -> Resources {
+        self.shape.needs.times(self.indexes.len() as u64)
+    }
+
     /// Returns the status of a demand that was not served and has `before` demands ahead of it.
     pub(super) fn waiting(&self, before: usize, reason: WaitReason) -> Waiting {
         Waiting {
--- a/dragonflyrun/tests/replay/mod.rs
+++ b/dragonflyrun/tests/replay/mod.rs
@@ -82,7 +82,7 @@
     stop_at_ms: Option<u64>,
 }
 
-/// The results for the jobs of one priority.
+/// The results for the jobs of one priority or workspace.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PriorityOutcome {
     pub(crate) jobs: usize,
@@ -90,11 +90,24 @@
     pub(crate) late: usize,
 }
 
+impl PriorityOutcome {
+    /// Adds a job with the milliseconds that it took, or `None` if it did not end.
+    fn add(&mut self, took: Option<u64>, objective: u64) {
+        let in_time = took.is_some_and(|took| took <= objective);
+        let useful = took.is_some_and(|took| took <= objective * USEFUL_FACTOR);
+        self.jobs += 1;
+        self.in_time += usize::from(in_time);
+        self.late += usize::from(useful && !in_time);
+    }
+}
+
 /// The results of a replay.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outcome {
     /// The results by priority.
     pub(crate) by_priority: [PriorityOutcome; 3],
+    /// The results by workspace, for the jobs that name one.
+    pub(crate) by_workspace: BTreeMap<String, PriorityOutcome>,
     /// Accelerator-seconds of work that counted and of work that was lost, and idle ones until the
     /// last job's arrival.
     pub(crate) useful: f64,
@@ -369,16 +382,17 @@
             if job.cancel_ms.is_some() {
                 continue;
             }
-            let counts = &mut self.outcome.by_priority[job.priority as usize];
-            counts.jobs += 1;
-            let Some(ended) = ended else {
-                self.outcome.unfinished += 1;
-                continue;
-            };
-            let took = ended - job.at_ms;
-            let objective = job.objective_ms();
-            counts.in_time += usize::from(took <= objective);
-            counts.late += usize::from(took > objective && took <= objective * USEFUL_FACTOR);
+            let took = ended.map(|ended| ended - job.at_ms);
+            self.outcome.unfinished += usize::from(took.is_none());
+            let by_workspace = &mut self.outcome.by_workspace;
+            let of_workspace = job
+                .workspace
+                .clone()
+                .map(|w| by_workspace.entry(w).or_default());
+            let of_priority = &mut self.outcome.by_priority[job.priority as usize];
+            for counts in of_workspace.into_iter().chain([of_priority]) {
+                counts.add(took, job.objective_ms());
+            }
         }
         self.outcome
     }
--- a/dragonflyrun/tests/replay/pattern.rs
+++ b/dragonflyrun/tests/replay/pattern.rs
@@ -38,6 +38,9 @@
     pub(crate) cancel_ms: Option<u64>,
     /// The priority; 0 is the most urgent.
     pub(crate) priority: u32,
+    /// The workspace of its caller.
+    #[serde(default)]
+    pub(crate) workspace: Option<String>,
     /// The steps of the job.
     pub(crate) steps: Vec<PatternStep>,
 }
--- a/dragonflyrun/tests/replay/planned.rs
+++ b/dragonflyrun/tests/replay/planned.rs
@@ -60,7 +60,7 @@
             name: job_name(number),
             queue: format!("q{}", job.priority).into(),
             service: "svc".into(),
-            workspace: Some("w".into()),
+            workspace: Some(job.workspace.as_deref().unwrap_or("w").into()),
             priority: job.priority,
             max_attempts: 4,
             stretch,
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -144,7 +144,16 @@
         priority: u32,
         steps: Vec<Step>,
     ) -> Name {
-        let job = Job {
+        let job = self.job(workspace, name, priority, steps);
+        let name = job.name.clone();
+        self.planner
+            .apply_job_record(&JobRecord::Accepted(Box::new(job)));
+        name
+    }
+
+    /// Returns a job that is accepted now.
+    pub(crate) fn job(&self, workspace: &str, name: &str, priority: u32, steps: Vec<Step>) -> Job {
+        Job {
             name: name.into(),
             queue: "q".into(),
             service: "svc".into(),
@@ -159,11 +168,7 @@
                 steps,
                 occurrences: None,
             },
-        };
-        let name = job.name.clone();
-        self.planner
-            .apply_job_record(&JobRecord::Accepted(Box::new(job)));
-        name
+        }
     }
 
     /// Runs one pass of the planner and lets the workers execute its orders.
