Refuse jobs at once that would be useless when their turn comes

The planner estimates how long new work of each service and priority has to wait and publishes it in the jobs topic (key `load`), but only while a job could be refused by it. Entries refuse a submission by a record that is not older than 3 s and from the planner's present term, before anything of the job is sent to the store. Whatever an entry is not sure of, it decides in favour of the job.

--- a/dragonflyrun/src/port/caller.rs
+++ b/dragonflyrun/src/port/caller.rs
@@ -56,6 +56,8 @@
     StoreRefused,
     /// The store does not answer; nothing was sent to it.
     StoreUnreachable,
+    /// Because of load, the job would start too late to be useful; nothing was sent to the store.
+    Overloaded,
 }
 
 impl Refusal {
@@ -66,6 +68,7 @@
             Self::ConfigurationStale => "configuration_stale",
             Self::StoreRefused => "store_refused",
             Self::StoreUnreachable => "store_away",
+            Self::Overloaded => "overloaded",
         }
     }
 }
--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -42,8 +42,13 @@
         if known {
             return CallerAnswer::Accepted;
         }
+        if let Some(answer) = self.refuse_for_load(&job).await {
+            return answer;
+        }
         let summary = job.to_string();
         let name = job.name.clone();
+        let now = self.now();
+        lock(&self.state).admission.submission_sent(now, &name);
         let record = JobRecord::Accepted(Box::new(job));
         let started_at = Instant::now();
         let answer = self.append(req, &record).await;
@@ -56,6 +61,9 @@
         if answer.is_ok() {
             self.fold_stored(record);
         }
+        if !matches!(answer, Err(CallerAnswer::Unknown)) {
+            lock(&self.state).admission.submission_settled(&name);
+        }
         log::info!(
             job:% = name, outcome = outcome_label(&answer), summary,
             patience_ms = req.patience.as_millis() as u64;
@@ -135,6 +143,7 @@
                     state
                         .reachability
                         .append_unanswered(Instant::now(), APPEND_TIMEOUT);
+                    state.admission.append_doubtful(self.now());
                     drop(state);
                     self.counters.event("append_doubtful");
                     log::debug!(reason; "append_doubtful");
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -21,6 +21,7 @@
         Counters,
         on_store::{
             Batch, BootTime, Follower, StoreSettings,
+            caller_load::RefusalLog,
             link_load::LinkLoad,
             planner_term::PlannerTerm,
             read_pause::{PauseEnd, ReadPause},
@@ -28,7 +29,7 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Backoff, Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable,
+        Backoff, Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable, LoadAdmission,
         StoreReachability, Waiting,
     },
 };
@@ -98,6 +99,8 @@
     /// Why jobs wait, as the planner of this entry found in its last pass; empty while the entry
     /// does not plan.
     pub(super) waiting: HashMap<Name, Waiting>,
+    pub(super) admission: LoadAdmission,
+    pub(super) refusal_log: RefusalLog,
 }
 
 /// An entry that follows the store.
@@ -148,6 +151,8 @@
                 is_planner: false,
                 new_records: Vec::new(),
                 waiting: HashMap::default(),
+                admission: LoadAdmission::default(),
+                refusal_log: RefusalLog::default(),
             }),
             job_read_pause: ReadPause::default(),
             planner_wakeup: Notify::new(),
@@ -356,6 +361,7 @@
                     state.entry_announced(now, self.settings.host_room(), entry);
                 }
                 JobRecord::EntryGone(name) => state.entries.remove(name),
+                JobRecord::Load(load) => state.admission.apply(load.clone()),
                 JobRecord::Accepted(_) | JobRecord::Cancelled(_) => {}
             }
             if state.job_table.fold(record.clone()) && !matches!(record, JobRecord::Planner(_)) {
@@ -368,7 +374,11 @@
             state.job_table_current_at = Some(batch.requested_at);
         }
         state.reachability.answered(Instant::now());
+        let load_age_ms = state.admission.record_age_ms(unix_ms());
         drop(state);
+        if let Some(age_ms) = load_age_ms {
+            self.counters.level("load_record_age_ms", age_ms as f64);
+        }
         if changed {
             self.planner_wakeup.notify_one();
         }
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -10,6 +10,7 @@
 mod api;
 mod append_timeout;
 mod boot_clock;
+mod caller_load;
 mod caller_records;
 mod caller_requests;
 mod counted_store;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -29,8 +29,9 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Candidate, Decisions, JobRecord, OrderMessage, Planner, PlannerBounds, PlannerHeartbeat,
-        Report, Term, TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
+        Candidate, Decisions, JobRecord, LoadPublisher, LoadRecord, OrderMessage, Planner,
+        PlannerBounds, PlannerHeartbeat, Report, Term, TermStep, View, WithheldChange,
+        WithheldStarts, WorkerOrder, decode, encode,
     },
 };
 
@@ -85,6 +86,9 @@
 /// sign that an agent is silent.
 const REPORT_READ_OVERDUE: Duration = Duration::from_millis(1_300);
 
+/// The store's usual delay up to which the load record is appended without a plan.
+const MAX_LONE_LOAD_DELAY: Duration = Duration::from_millis(100);
+
 /// Delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -103,6 +107,7 @@
     unread_partitions: Cell<HashSet<u32>>,
     heartbeats: RefCell<PlannerHeartbeat>,
     withheld_starts: RefCell<WithheldStarts>,
+    load_publisher: RefCell<LoadPublisher>,
 }
 
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
@@ -174,6 +179,7 @@
             unread_partitions: Cell::default(),
             heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.stale)),
             withheld_starts: RefCell::default(),
+            load_publisher: RefCell::default(),
             term,
         }))
     }
@@ -396,17 +402,20 @@
         self.record_metrics(&decisions, started_at);
         self.log_withheld_starts(&decisions, configuration_age);
         lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
-        if !decisions.plans.is_empty() {
-            self.heartbeats.borrow_mut().plan_sent();
-            if self
-                .writer
-                .append(Partition::JOBS, decisions.plans)
-                .await
-                .is_none()
-            {
+        let has_plans = !decisions.plans.is_empty();
+        let mut records = decisions.plans;
+        records.extend(self.load_record(has_plans).map(|record| record.encode()));
+        if !records.is_empty() {
+            if has_plans {
+                self.heartbeats.borrow_mut().plan_sent();
+            }
+            let appended = self.writer.append(Partition::JOBS, records).await;
+            if appended.is_none() {
                 return;
             }
-            self.heartbeats.borrow_mut().plan_stored();
+            if has_plans {
+                self.heartbeats.borrow_mut().plan_stored();
+            }
         }
         for order in decisions.orders {
             self.queue_order(order);
@@ -419,6 +428,30 @@
         }
     }
 
+    /// Returns the load record if one is due. On a slow store it waits for the next plan: an append of
+    /// its own would delay the pass.
+    fn load_record(&self, has_plans: bool) -> Option<JobRecord> {
+        let now = self.entry.now();
+        let (is_doubtful, is_slow) = {
+            let state = lock(&self.entry.state);
+            let is_slow = state.store_delay > MAX_LONE_LOAD_DELAY;
+            (state.admission.is_doubtful(now), is_slow)
+        };
+        if is_slow && !has_plans {
+            return None;
+        }
+        let mut load = self.planner.borrow().load(self.term.number, unix_ms());
+        if is_doubtful {
+            load = LoadRecord {
+                term: load.term,
+                at_ms: load.at_ms,
+                ..LoadRecord::default()
+            };
+        }
+        let due = self.load_publisher.borrow_mut().due(now, load);
+        due.map(JobRecord::Load)
+    }
+
     fn record_metrics(&self, decisions: &Decisions, started_at: Instant) {
         let counters = &self.entry.counters;
         counters.latency("pass", started_at.elapsed());
@@ -434,6 +467,8 @@
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
         counters.level("workers", planner.fleet().workers().count() as f64);
+        let expected_wait = planner.longest_expected_wait();
+        counters.level("expected_wait_ms", expected_wait.as_millis() as f64);
         counters.level("term", self.term.number as f64);
     }
 
--- a/dragonflyrun/src/process/on_store/term_writer.rs
+++ b/dragonflyrun/src/process/on_store/term_writer.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    port::{Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
+    port::{Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
     process::on_store::{StoreEntry, append_timeout},
     utils::{HashMap, lock},
 };
@@ -39,7 +39,7 @@
     lost: Cell<bool>,
 }
 
-impl<S: Store, A> TermWriter<S, A> {
+impl<S: Store, A: Advisor> TermWriter<S, A> {
     /// Returns the writer of term `term`, whose first append was the claim.
     pub(super) fn new(entry: Arc<StoreEntry<S, A>>, term: u64) -> Self {
         let claimed = (Partition::JOBS, FIRST_SEQUENCE + 1);
@@ -95,7 +95,13 @@
                         self.sequences.borrow_mut().insert(partition, expected + 1);
                     }
                 }
-                Err(error) => log::debug!(reason:% = error; "append_retried"),
+                Err(error) => {
+                    if matches!(error, AppendError::Unknown(_)) {
+                        let now = self.entry.now();
+                        lock(&self.entry.state).admission.append_doubtful(now);
+                    }
+                    log::debug!(reason:% = error; "append_retried");
+                }
             }
             sleep(APPEND_RETRY_DELAY).await;
         }
--- a/dragonflyrun/src/workload/job.rs
+++ b/dragonflyrun/src/workload/job.rs
@@ -261,6 +261,14 @@
         self.steps.iter().map(|s| s.tasks).sum()
     }
 
+    /// Returns the number of accelerators that all tasks of one occurrence need together.
+    pub fn accelerators(&self) -> u64 {
+        let steps = self.steps.iter();
+        steps
+            .map(|s| u64::from(s.tasks) * s.needs.accelerators)
+            .sum()
+    }
+
     /// Returns the number of occurrences, which is 1 unless the job is timed.
     pub fn repeats(&self) -> u32 {
         self.occurrences.map_or(1, |o| o.count)
--- a/dragonflyrun/src/workload/job_table.rs
+++ b/dragonflyrun/src/workload/job_table.rs
@@ -66,7 +66,7 @@
                 }
                 newer
             }
-            JobRecord::Entry(_) | JobRecord::EntryGone(_) => false,
+            JobRecord::Entry(_) | JobRecord::EntryGone(_) | JobRecord::Load(_) => false,
         }
     }
 
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -10,7 +10,7 @@
 
 /// An occurrence that takes longer than this multiple of the time that its objective allows is of no
 /// use to its caller.
-const USEFUL_OBJECTIVES: u64 = 3;
+pub(super) const USEFUL_OBJECTIVES: u64 = 3;
 
 /// A job, its stored plan, and the planner's volatile state about its runs.
 #[derive(Clone, Debug)]
@@ -186,12 +186,8 @@
             .iter()
             .find(|w| w.name == *workspace);
         let guarantee = guarantee.map_or(0, |w| u64::from(w.guaranteed_accelerators));
-        let steps = live.job.request.steps.iter();
-        let needs: u64 = steps
-            .map(|s| u64::from(s.tasks) * s.needs.accelerators)
-            .sum();
         let used = used.entry(workspace).or_default();
-        *used += needs;
+        *used += live.job.request.accelerators();
         if *used <= guarantee {
             found.insert(live.job.name.clone());
         }
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -6,6 +6,7 @@
 //! modules are best read in the order `job`, `plan`, `fleet`, `schedule`, `planner`.
 //! `docs/SYSTEM.md` describes the design.
 
+mod admission;
 mod agent_table;
 mod attention;
 mod backoff;
@@ -44,6 +45,10 @@
 mod waiting;
 mod withheld;
 
+pub use admission::{
+    EntryView, ExpectedWaits, LoadAdmission, LoadPublisher, LoadRecord, LoadRefusal, PoolWork,
+    RunningWork, WaitEstimator, WaitingWork, Waits, is_covered,
+};
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use attention::{Attention, Contact, SELDOM_REPORT_INTERVAL};
 pub use backoff::Backoff;
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -18,9 +18,10 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
-        Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
-        TaskStart, WaitReason, Waiting,
+        Attention, Contact, Demand, ExpectedWaits, Fleet, FleetWorker, Job, JobPlan, JobRecord,
+        JobTable, LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState,
+        SpeedSample, TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting,
+        admission::PlannerWork,
         demands::Demands,
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
@@ -128,6 +129,12 @@
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
+    wait_estimator: WaitEstimator,
+    expected_waits: Vec<ExpectedWaits>,
+    /// The load as it was last estimated, without what no job would be refused by.
+    load: LoadRecord,
+    /// The workspaces that are above their entitlement.
+    above: HashSet<Name>,
 }
 
 impl Planner {
@@ -145,6 +152,10 @@
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
+            wait_estimator: WaitEstimator::default(),
+            expected_waits: Vec::new(),
+            load: LoadRecord::default(),
+            above: HashSet::default(),
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -209,7 +220,8 @@
             | JobRecord::Plan(..)
             | JobRecord::Planner(_)
             | JobRecord::Entry(_)
-            | JobRecord::EntryGone(_) => {}
+            | JobRecord::EntryGone(_)
+            | JobRecord::Load(_) => {}
         }
     }
 
@@ -381,6 +393,33 @@
             .count()
     }
 
+    /// Returns the load as it was last estimated, without what no job would be refused by.
+    pub fn load(&self, term: u64, unix_ms: u64) -> LoadRecord {
+        LoadRecord {
+            term,
+            at_ms: unix_ms,
+            ..self.load.clone()
+        }
+    }
+
+    /// Returns the longest time that new work of any service and priority is expected to wait.
+    pub fn longest_expected_wait(&self) -> Duration {
+        let longest = self.expected_waits.iter().map(ExpectedWaits::longest_ms);
+        Duration::from_millis(longest.max().unwrap_or(0))
+    }
+
+    fn set_expected_waits(&mut self, waits: Vec<ExpectedWaits>, configuration: &Configuration) {
+        let mut above: Vec<Name> = self.above.iter().cloned().collect();
+        above.sort_unstable();
+        let load = LoadRecord {
+            waits: waits.clone(),
+            above,
+            ..LoadRecord::default()
+        };
+        self.load = load.reduced(configuration);
+        self.expected_waits = waits;
+    }
+
     /// Returns the number of jobs that have started and not ended.
     pub fn running(&self) -> usize {
         let jobs = self.jobs.values();
@@ -484,10 +523,26 @@
                 let waiting = demand.waiting(before, WaitReason::ConfigurationStale);
                 (demand.job.clone(), waiting)
             };
-            return demands.iter().enumerate().map(stale).collect();
+            let waiting = demands.iter().enumerate().map(stale).collect();
+            self.set_expected_waits(Vec::new(), view.configuration);
+            return waiting;
         }
         self.peaks
             .observe(view.now, &pass.load(&self.jobs, &demands));
+        let mut estimated_waits = None;
+        if self.wait_estimator.is_due(view.now) {
+            let work = PlannerWork {
+                fleet: &self.fleet,
+                jobs: &self.jobs,
+                times: &self.run_times,
+                view,
+                queues: &queues,
+                above: &self.above,
+            };
+            let pools = work.pools(pass.rooms(), &demands);
+            let waits = self.wait_estimator.estimate(view.now, &pools);
+            estimated_waits = Some(waits);
+        }
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut outcome = pass.run(&demands);
@@ -501,6 +556,9 @@
         // The moves of overdue and leaving runs ask for workers too.
         changes.asked.append(&mut outcome.asked);
         changes.asked.append(&mut pass.take_asked());
+        if let Some(waits) = estimated_waits {
+            self.set_expected_waits(waits, view.configuration);
+        }
         self.stop_overdue(overdue);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
--- a/dragonflyrun/src/workload/queues.rs
+++ b/dragonflyrun/src/workload/queues.rs
@@ -28,4 +28,9 @@
     pub(super) fn get(&self, name: &str) -> Option<&'c Queue> {
         self.by_name.get(name).copied()
     }
+
+    /// Returns all queues, in no particular order.
+    pub(super) fn all(&self) -> impl Iterator<Item = &'c Queue> {
+        self.by_name.values().copied()
+    }
 }
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -9,12 +9,15 @@
 use crate::{
     port::StoreRecord,
     utils::Name,
-    workload::{EntryRecord, Job, JobPlan},
+    workload::{EntryRecord, Job, JobPlan, LoadRecord},
 };
 
 /// The key of the record that holds the planner's term.
 const PLANNER_KEY: &str = "planner";
 
+/// The key of the record that holds the load as the planner publishes it.
+const LOAD_KEY: &str = "load";
+
 const JOB_PREFIX: &str = "j/";
 
 /// Maximum length of a key in the store, in bytes.
@@ -58,6 +61,8 @@
     Entry(EntryRecord),
     /// The entry of this name is gone.
     EntryGone(Name),
+    /// The load, by which entries refuse jobs that would come too late.
+    Load(LoadRecord),
 }
 
 impl JobRecord {
@@ -67,6 +72,9 @@
         if &*record.key == PLANNER_KEY {
             return Some(Self::Planner(decode(value?)?));
         }
+        if &*record.key == LOAD_KEY {
+            return Some(Self::Load(decode(value?)?));
+        }
         if let Some(name) = record.key.strip_prefix(JOB_PREFIX) {
             let Some(value) = value else {
                 return Some(Self::Plan(name.into(), None));
@@ -103,6 +111,7 @@
             Self::Planner(term) => (PLANNER_KEY.to_owned(), Some(encode(term))),
             Self::Entry(entry) => (format!("{ENTRY_PREFIX}{}", entry.name), Some(encode(entry))),
             Self::EntryGone(name) => (format!("{ENTRY_PREFIX}{name}"), None),
+            Self::Load(load) => (LOAD_KEY.to_owned(), Some(encode(load))),
         };
         StoreRecord {
             key: key.into(),
