--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,9 +20,11 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, Fleet, Job, JobPlan, JobRecord, JobTable, Order, Pace, Place,
-        Report, Room, RunId, RunTimes, SessionState, SpeedEstimate, TaskId, TaskPlan, TaskStart,
-        WaitReason, Waiting, WorkerSpeeds, WorkspaceShare,
+        Attention, Contact, Demand, ExpectedWaits, Fleet, Job, JobPlan, JobRecord, JobTable,
+        LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedEstimate,
+        TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting, WorkerSpeeds,
+        WorkspaceShare,
+        admission::PlannerWork,
         demands::{self, Demands},
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
@@ -132,6 +134,12 @@
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
+    wait_estimator: WaitEstimator,
+    expected_waits: Vec<ExpectedWaits>,
+    /// The load as it was last estimated, without what no job would be refused by.
+    load: LoadRecord,
+    /// The workspaces that are above their entitlement.
+    above: HashSet<Name>,
 }
 
 impl Planner {
@@ -150,6 +158,10 @@
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
+            wait_estimator: WaitEstimator::default(),
+            expected_waits: Vec::new(),
+            load: LoadRecord::default(),
+            above: HashSet::default(),
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -214,7 +226,8 @@
             | JobRecord::Plan(..)
             | JobRecord::Planner(_)
             | JobRecord::Entry(_)
-            | JobRecord::EntryGone(_) => {}
+            | JobRecord::EntryGone(_)
+            | JobRecord::Load(_) => {}
         }
     }
 
@@ -398,6 +411,33 @@
             .count()
     }
 
+    /// Returns the load as it was last estimated, without what no job would be refused by.
+    pub fn load(&self, term: u64, unix_ms: u64) -> LoadRecord {
+        LoadRecord {
+            term,
+            at_ms: unix_ms,
+            ..self.load.clone()
+        }
+    }
+
+    /// Returns the longest time that new work of any service and priority is expected to wait.
+    pub fn longest_expected_wait(&self) -> Duration {
+        let longest = self.expected_waits.iter().map(ExpectedWaits::longest_ms);
+        Duration::from_millis(longest.max().unwrap_or(0))
+    }
+
+    fn set_expected_waits(&mut self, waits: Vec<ExpectedWaits>, configuration: &Configuration) {
+        let mut above: Vec<Name> = self.above.iter().cloned().collect();
+        above.sort_unstable();
+        let load = LoadRecord {
+            waits: waits.clone(),
+            above,
+            ..LoadRecord::default()
+        };
+        self.load = load.reduced(configuration);
+        self.expected_waits = waits;
+    }
+
     /// Returns the number of jobs that have started and not ended.
     pub fn running(&self) -> usize {
         let jobs = self.jobs.values();
@@ -526,6 +566,7 @@
                 (demand.job.clone(), waiting)
             };
             let waiting = demands.iter().enumerate().map(stale).collect();
+            self.set_expected_waits(Vec::new(), view.configuration);
             return (waiting, shares.list());
         }
         self.peaks
@@ -534,6 +575,23 @@
             demands::sort(&mut demands);
         }
         pass.apply_shares(&shares, &self.jobs);
+        let listed = shares.list().into_iter();
+        let above = listed.filter(WorkspaceShare::is_above_entitlement);
+        self.above = above.filter_map(|share| share.workspace).collect();
+        let mut estimated_waits = None;
+        if self.wait_estimator.is_due(view.now) {
+            let work = PlannerWork {
+                fleet: &self.fleet,
+                jobs: &self.jobs,
+                times: &self.run_times,
+                view,
+                queues: &queues,
+                above: &self.above,
+            };
+            let pools = work.pools(pass.rooms(), &demands);
+            let waits = self.wait_estimator.estimate(view.now, &pools);
+            estimated_waits = Some(waits);
+        }
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut outcome = pass.run(&demands);
@@ -547,6 +605,9 @@
         // The moves of overdue and leaving runs ask for workers too.
         changes.asked.append(&mut outcome.asked);
         changes.asked.append(&mut pass.take_asked());
+        if let Some(waits) = estimated_waits {
+            self.set_expected_waits(waits, view.configuration);
+        }
         self.stop_overdue(overdue);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
