--- a/dragonflyrun/tests/speed_samples.rs
+++ b/dragonflyrun/tests/speed_samples.rs
@@ -4,9 +4,10 @@
 
 use dragonflyrun::{
     port::EndKind,
-    utils::Name,
+    utils::{HashMap, Name},
     workload::{Progress, RunId, Step},
 };
+use rand::{Rng, SeedableRng, rngs::SmallRng};
 use workload_tables::{Harness, task};
 
 /// Lets a worker report that each of its runs of a job will take `total_ms` as a whole.
@@ -243,3 +244,195 @@
     }
     assert_eq!(harness.planner.speeds().known_workers(), 0);
 }
+
+/// A run, how long it takes as a whole in milliseconds, and when it began.
+type TimedRun = (RunId, f64, u64);
+
+/// A pool of 64 workers in racks of 8, each of one of the given speeds,
+/// with urgent gangs and patient single tasks that execute in simulated time.
+struct Day {
+    harness: Harness,
+    rng: SmallRng,
+    slowness: HashMap<Name, f64>,
+    /// The work of each job's tasks in milliseconds on a nominal worker, by the index of the task.
+    works: HashMap<String, Vec<f64>>,
+    /// When each run began.
+    began: HashMap<RunId, u64>,
+}
+
+impl Day {
+    fn new(seed: u64, mix: &[f64]) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut harness = Harness::new(0);
+        let mut slowness = HashMap::default();
+        for i in 0..64 {
+            let name = format!("w{i:02}");
+            harness.add_worker(&name, &format!("r{}", i / 8));
+            slowness.insert(name.into(), mix[rng.random_range(0..mix.len())]);
+        }
+        Self {
+            harness,
+            rng,
+            slowness,
+            works: HashMap::default(),
+            began: HashMap::default(),
+        }
+    }
+
+    fn factor(&mut self, deviation: f64) -> f64 {
+        let (u, v): (f64, f64) = (self.rng.random(), self.rng.random());
+        let normal = (-2.0 * (1.0 - u).ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+        (deviation * normal).exp()
+    }
+
+    fn submit(&mut self, job: String, priority: u32, step: Step, work_ms: f64, errors: [f64; 2]) {
+        let [estimate_error, task_spread] = errors;
+        let factors: Vec<f64> = (0..step.tasks).map(|_| self.factor(task_spread)).collect();
+        let step = Step {
+            estimate_ms: (work_ms * self.factor(estimate_error)) as u64,
+            ..step
+        };
+        self.harness.submit(&job, priority, vec![step]);
+        let works = factors.into_iter().map(|f| f * work_ms).collect();
+        self.works.insert(job, works);
+    }
+
+    /// Returns how long a run takes as a whole; a gang is as slow as its slowest worker.
+    fn total_ms(&self, worker: &Name, run: &RunId) -> f64 {
+        let job = &*run.task.job;
+        let slowest = if job.starts_with("gang") {
+            let members = self.harness.running(job);
+            members
+                .iter()
+                .map(|(w, _)| self.slowness[w])
+                .fold(0.0, f64::max)
+        } else {
+            self.slowness[worker]
+        };
+        self.works[job][run.task.index as usize] * slowest
+    }
+
+    /// Advances by 0.4 s: ends runs, and lets all workers report.
+    fn step(&mut self) {
+        self.harness.now_ms += 400;
+        let now_ms = self.harness.now_ms;
+        let mut updates: Vec<(Name, Vec<TimedRun>)> = Vec::new();
+        for report in &self.harness.reports {
+            let worker = &report.heartbeat.worker;
+            let runs = report.running.iter().map(|running| {
+                let run = running.run.clone();
+                let began_ms = *self.began.entry(run.clone()).or_insert(now_ms - 200);
+                (run, began_ms)
+            });
+            let runs: Vec<(RunId, u64)> = runs.collect();
+            let timed = runs.into_iter();
+            let timed = timed.map(|(run, began)| (run.clone(), self.total_ms(worker, &run), began));
+            updates.push((worker.clone(), timed.collect()));
+        }
+        for (worker, runs) in updates {
+            for (run, total_ms, began_ms) in &runs {
+                if (now_ms - began_ms) as f64 >= *total_ms {
+                    self.harness.end_run(run, EndKind::Done);
+                }
+            }
+            let totals = |run: &RunId| {
+                let found = runs.iter().find(|(r, ..)| r == run);
+                found.map_or((0, 0), |(_, total_ms, began_ms)| {
+                    (*total_ms as u64, now_ms - began_ms)
+                })
+            };
+            self.harness.change_report(&worker, |report| {
+                let progress = report.running.iter().map(|running| {
+                    let (total_ms, elapsed_ms) = totals(&running.run);
+                    match elapsed_ms >= 600 {
+                        true => Progress {
+                            remaining_ms: Some(total_ms.saturating_sub(elapsed_ms)),
+                            total_ms,
+                        },
+                        false => Progress::default(),
+                    }
+                });
+                report.progress = progress.collect();
+                let ended = report.ends.iter().map(|end| totals(&end.run).0);
+                report.end_totals_ms = ended.collect();
+            });
+        }
+        self.harness.pass();
+    }
+
+    /// Returns the mean error of the logarithm of the slowness, and the share of rightly ordered pairs
+    /// of workers.
+    fn errors(&self) -> (f64, f64) {
+        let estimate = |worker: &Name| self.harness.planner.speeds().slowness(worker).ln();
+        let workers: Vec<(f64, f64)> = self
+            .slowness
+            .iter()
+            .map(|(worker, slowness)| (slowness.ln(), estimate(worker)))
+            .collect();
+        let error: f64 = workers.iter().map(|(s, e)| (s - e).abs()).sum();
+        let (mut right, mut pairs) = (0.0, 0.0_f64);
+        for (s, e) in &workers {
+            for (_, f) in workers.iter().filter(|(t, _)| s < t) {
+                pairs += 1.0;
+                right += if (f - e).abs() < 1e-9 {
+                    0.5
+                } else {
+                    f64::from(u8::from(f > e))
+                };
+            }
+        }
+        (error / workers.len() as f64, right / pairs.max(1.0))
+    }
+}
+
+/// Guards against a planner that knows too little about its workers after half a traffic day, and
+/// against one that finds differences in a pool of equal workers.
+#[test]
+fn half_a_day() {
+    for (mix, most, least) in [
+        (vec![0.6, 1.0, 1.6], 0.25, 0.8),
+        (vec![1.0, 1.0, 1.3], 0.09, 0.74),
+        (vec![1.0], 0.05, 0.0),
+    ] {
+        let mut day = Day::new(7, &mix);
+        let mut number = 0;
+        for step in 0..75 {
+            if step % 2 == 0 {
+                number += 1;
+                let gang = gang(day.rng.random_range(3..=7), 0);
+                day.submit(format!("gang-{number}"), 0, gang, 2_300.0, [0.2, 0.0]);
+            }
+            if step % 10 == 0 {
+                let tasks = Step {
+                    tasks: 39,
+                    ..task(1)
+                };
+                day.submit(format!("many-{number}"), 2, tasks, 8_500.0, [0.5, 0.2]);
+            }
+            day.step();
+            if [12, 25, 50, 74].contains(&step) {
+                let (error, ordered) = day.errors();
+                let known = day.harness.planner.speeds().known_workers();
+                println!(
+                    "mix={mix:?} seconds={:.1} known={known} error={error:.3} ordered={ordered:.3}",
+                    day.harness.now_ms as f64 / 1_000.0
+                );
+            }
+        }
+        let (error, ordered) = day.errors();
+        assert!(
+            error <= most && ordered >= least,
+            "{mix:?}: {error} {ordered}"
+        );
+        if mix.len() == 1 {
+            let speeds = day.harness.planner.speeds();
+            let steps: Vec<i32> = day.slowness.keys().map(|w| speeds.step(w)).collect();
+            let nominal = steps.iter().filter(|s| **s == 0).count();
+            println!("equal workers: nominal={nominal} of {}", steps.len());
+            assert!(
+                steps.iter().all(|s| s.abs() <= 1) && nominal >= 60,
+                "{steps:?}"
+            );
+        }
+    }
+}
