--- a/dragonflyrun/tests/load_replay.rs
+++ b/dragonflyrun/tests/load_replay.rs
@@ -37,8 +37,8 @@
 fn replay_both(name: &str) -> (Outcome, Outcome) {
     let pattern = Pattern::read(name);
     assert_eq!(pattern.name, name);
-    let naive = replay(&pattern, &mut Naive::new(pattern.workers));
-    let planned = replay(&pattern, &mut Planned::new(pattern.workers));
+    let naive = replay(&pattern, &mut Naive::new(&pattern));
+    let planned = replay(&pattern, &mut Planned::new(&pattern));
     print_row(name, "naive", &naive);
     print_row(name, "planner", &planned);
     (naive, planned)
--- a/dragonflyrun/tests/replay/mod.rs
+++ b/dragonflyrun/tests/replay/mod.rs
@@ -6,7 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use dragonflyrun::{port::EndKind, utils::Name, workload::RunId};
+use dragonflyrun::{
+    port::{EndKind, RunningTask},
+    utils::Name,
+    workload::RunId,
+};
 
 pub(crate) use naive::Naive;
 pub(crate) use pattern::Pattern;
@@ -31,8 +35,8 @@
 /// Milliseconds of work between two checkpoints.
 const CHECKPOINT_MS: u64 = 2_000;
 
-/// Number of workers per rack. Each rack is a failure domain.
-const WORKERS_PER_RACK: usize = 3;
+/// Milliseconds between two readings of a worker's list of running tasks by its agent.
+const READ_MS: u64 = 400;
 
 /// A late job is still useful if it takes at most this multiple of its objective.
 const USEFUL_FACTOR: u64 = 3;
@@ -65,6 +69,8 @@
     fn worker_changed(&mut self, worker: usize, is_present: bool);
     /// A failure domain was taken out of service, or put back into it.
     fn domain_changed(&mut self, domain: &str, out: bool);
+    /// The agent of a worker has read its list of running tasks.
+    fn runs_read(&mut self, _now_ms: u64, _worker: usize, _running: &[RunningTask]) {}
     /// Returns the commands to execute now.
     fn decide(&mut self, now_ms: u64) -> Vec<Command>;
 }
@@ -179,6 +185,9 @@
             }
         }
         self.advance_runs(policy);
+        if self.now_ms.is_multiple_of(READ_MS) {
+            self.read_runs(policy);
+        }
         for command in policy.decide(self.now_ms) {
             self.execute(command);
         }
@@ -206,6 +215,24 @@
         }
     }
 
+    /// Lets the agents of all workers read the running tasks.
+    fn read_runs(&self, policy: &mut dyn Policy) {
+        let mut running = vec![Vec::new(); self.pattern.workers];
+        for run in &self.running {
+            let pattern_step = self.step_of(run);
+            let total_ms = run.restored_work_ms + run.worked_ms as u64;
+            let saved_ms = saved_ms(pattern_step, total_ms).max(run.restored_work_ms);
+            running[run.worker].push(RunningTask {
+                run: run.run.clone(),
+                checkpoint: checkpoint(saved_ms),
+                percent: (total_ms * 100 / pattern_step.true_ms.max(1)) as u32,
+            });
+        }
+        for (worker, running) in running.iter().enumerate() {
+            policy.runs_read(self.now_ms, worker, running);
+        }
+    }
+
     fn runs_on(&self, worker: usize) -> impl Iterator<Item = &Running> {
         self.running.iter().filter(move |r| r.worker == worker)
     }
@@ -223,7 +250,7 @@
             } => {
                 let job = job_number(&run.task.job);
                 if run.task.index == 0 && self.is_large(job, run.task.step) {
-                    let waited = self.now_ms - self.pattern.jobs[job].at_ms;
+                    let waited = self.now_ms.saturating_sub(self.pattern.jobs[job].at_ms);
                     self.outcome.large_starts_ms.push(waited);
                 }
                 self.running.push(Running {
@@ -294,15 +321,24 @@
         } else {
             vec![run]
         };
-        let stalled = members
-            .iter()
-            .any(|r| self.state[r.worker] == Change::Stalled);
+        let stalled = members.iter().any(|r| {
+            let starting = self.now_ms < r.started_ms + self.pattern.start_ms;
+            starting || self.state[r.worker] == Change::Stalled
+        });
         let slow = members.iter().any(|r| self.state[r.worker] == Change::Slow);
-        let rack = run.worker / WORKERS_PER_RACK;
-        let is_far =
-            pattern_step.one_rack && members.iter().any(|r| r.worker / WORKERS_PER_RACK != rack);
+        let rack = self.pattern.rack_of(run.worker);
+        let is_far = pattern_step.one_rack
+            && members
+                .iter()
+                .any(|r| self.pattern.rack_of(r.worker) != rack);
         let factor = if slow { SLOW_FACTOR } else { 1 } * if is_far { FAR_FACTOR } else { 1 };
-        if stalled { 0.0 } else { 1.0 / factor as f64 }
+        let slowness = members.iter().map(|r| self.pattern.slowness_of(r.worker));
+        let slowness = slowness.fold(0.0, f64::max);
+        if stalled {
+            0.0
+        } else {
+            1.0 / (factor as f64 * slowness)
+        }
     }
 
     fn end_run(&mut self, run: &RunId, kind: EndKind, policy: &mut dyn Policy) {
@@ -344,15 +380,10 @@
     fn remove_run(&mut self, run: &RunId, done: bool) -> Option<(usize, u64)> {
         let at = self.running.iter().position(|r| r.run == *run)?;
         let pattern_step = self.step_of(&self.running[at]);
-        let (accelerators, checkpoints) =
-            (pattern_step.accelerators as f64, pattern_step.checkpoints);
+        let accelerators = pattern_step.accelerators as f64;
+        let total = self.running[at].restored_work_ms + self.running[at].worked_ms as u64;
+        let saved_ms = saved_ms(pattern_step, total);
         let run = self.running.remove(at);
-        let total = run.restored_work_ms + run.worked_ms as u64;
-        let saved_ms = if checkpoints {
-            total - total % CHECKPOINT_MS
-        } else {
-            0
-        };
         let kept_ms = if done {
             total
         } else {
@@ -384,6 +415,24 @@
     }
 }
 
+/// Returns the milliseconds of a task's work that are checkpointed once `total_ms` are done.
+fn saved_ms(pattern_step: &PatternStep, total_ms: u64) -> u64 {
+    if pattern_step.checkpoints {
+        total_ms - total_ms % CHECKPOINT_MS
+    } else {
+        0
+    }
+}
+
+/// Returns the checkpoint after `saved_ms` milliseconds of work; empty if nothing is saved.
+fn checkpoint(saved_ms: u64) -> String {
+    if saved_ms > 0 {
+        saved_ms.to_string()
+    } else {
+        String::new()
+    }
+}
+
 /// Returns the name of the job with a number.
 pub(crate) fn job_name(number: usize) -> Name {
     format!("job-{number}").into()
--- a/dragonflyrun/tests/replay/naive.rs
+++ b/dragonflyrun/tests/replay/naive.rs
@@ -7,7 +7,14 @@
     workload::{Resources, RunId, TaskId},
 };
 
-use super::{ACCELERATORS, Command, Policy, job_name, job_number, pattern::PatternJob};
+use super::{
+    ACCELERATORS,
+    Command,
+    Policy,
+    job_name,
+    job_number,
+    pattern::{Pattern, PatternJob}, //
+};
 
 /// Processor capacity and memory of a worker.
 const CPU_MILLIS: u64 = 64_000;
@@ -28,16 +35,18 @@
     placed: Vec<(usize, RunId, Resources)>,
     present: Vec<bool>,
     domains_out: BTreeSet<String>,
+    workers_per_rack: usize,
 }
 
 impl Naive {
-    /// Returns the policy for the given number of workers.
-    pub(crate) fn new(workers: usize) -> Self {
+    /// Returns the policy for the workers of a pattern.
+    pub(crate) fn new(pattern: &Pattern) -> Self {
         Self {
             jobs: Vec::new(),
             placed: Vec::new(),
-            present: vec![true; workers],
+            present: vec![true; pattern.workers],
             domains_out: BTreeSet::new(),
+            workers_per_rack: pattern.workers_per_rack,
         }
     }
 
@@ -55,7 +64,7 @@
         self.present[worker]
             && !self
                 .domains_out
-                .contains(&format!("d{}", worker / super::WORKERS_PER_RACK))
+                .contains(&format!("d{}", worker / self.workers_per_rack))
     }
 
     /// Starts the tasks `indexes` of a step if all of them fit.
--- a/dragonflyrun/tests/replay/pattern.rs
+++ b/dragonflyrun/tests/replay/pattern.rs
@@ -16,6 +16,16 @@
     pub(crate) _why: String,
     /// The number of workers.
     pub(crate) workers: usize,
+    /// The number of workers per rack. Each rack is a failure domain.
+    #[serde(default = "default_workers_per_rack")]
+    pub(crate) workers_per_rack: usize,
+    /// How many times longer tasks take on each worker than on a nominal one. Workers that are not
+    /// listed are nominal.
+    #[serde(default)]
+    pub(crate) slowness: Vec<f64>,
+    /// The milliseconds from the order to start a run until its work begins.
+    #[serde(default)]
+    pub(crate) start_ms: u64,
     /// The pattern whose jobs are used, if this one only adds events.
     #[serde(default)]
     pub(crate) jobs_of: Option<String>,
@@ -27,6 +37,10 @@
     pub(crate) events: Vec<Event>,
 }
 
+fn default_workers_per_rack() -> usize {
+    3
+}
+
 /// A job of a pattern.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -106,6 +120,16 @@
         }
         pattern
     }
+
+    /// Returns the number of a worker's rack.
+    pub(crate) fn rack_of(&self, worker: usize) -> usize {
+        worker / self.workers_per_rack
+    }
+
+    /// Returns how many times longer tasks take on a worker than on a nominal one.
+    pub(crate) fn slowness_of(&self, worker: usize) -> f64 {
+        self.slowness.get(worker).copied().unwrap_or(1.0)
+    }
 }
 
 impl PatternJob {
--- a/dragonflyrun/tests/replay/planned.rs
+++ b/dragonflyrun/tests/replay/planned.rs
@@ -1,17 +1,17 @@
 //! The real planner as a policy: its decision table alone, with reports that arrive immediately.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use dragonflyrun::{
-    port::{End, EndKind},
-    workload::{Job, JobRecord, JobRequest, RunId},
+    port::{End, EndKind, Heartbeat, Queue, RunningTask, WorkerLists},
+    workload::{AgentTable, Job, JobRecord, JobRequest, RunId},
 };
 
 use super::{
-    Command, Policy, job_name,
-    pattern::{PatternJob, objective},
+    Command, Policy, checkpoint, job_name,
+    pattern::{Pattern, PatternJob, objective},
 };
-use crate::workload_tables::{EPOCH_MS, Harness};
+use crate::workload_tables::{EPOCH_MS, Harness, bounds};
 
 /// Milliseconds between two reports of a worker without changes.
 const REPORT_MS: u64 = 1_000;
@@ -19,9 +19,15 @@
 /// Milliseconds between two passes without changes.
 const PASS_MS: u64 = 100;
 
+/// The lease and the session of the agents. They don't matter for what agents measure.
+const LEASE: Duration = Duration::from_secs(10);
+const SESSION: u64 = 1;
+
 /// The planner with its simulated workers.
 pub(crate) struct Planned {
     harness: Harness,
+    /// The tables of the agents, which measure the progress and the pace of the runs.
+    agents: Vec<AgentTable>,
     next_report_ms: u64,
     next_pass_ms: u64,
     /// The durations of the passes.
@@ -29,19 +35,27 @@
 }
 
 impl Planned {
-    /// Returns the policy for the given number of workers.
-    pub(crate) fn new(workers: usize) -> Self {
-        let mut harness = Harness::new(workers);
+    /// Returns the policy for the workers of a pattern.
+    pub(crate) fn new(pattern: &Pattern) -> Self {
+        let mut harness = Harness::with_racks(pattern.workers, pattern.workers_per_rack);
+        let agents = harness.reports.iter();
+        let agents = agents.map(|report| agent(&report.heartbeat)).collect();
         let queue = harness.configuration.queues[0].clone();
         harness.configuration.queues = (0..3)
-            .map(|priority| dragonflyrun::port::Queue {
-                name: format!("q{priority}").into(),
-                priority,
-                ..queue.clone()
+            .map(|priority| {
+                let (stretch, target_ms) = objective(priority);
+                Queue {
+                    name: format!("q{priority}").into(),
+                    priority,
+                    stretch,
+                    target: Duration::from_millis(target_ms),
+                    ..queue.clone()
+                }
             })
             .collect();
         Self {
             harness,
+            agents,
             next_report_ms: 0,
             next_pass_ms: 0,
             pass_times: Vec::new(),
@@ -49,6 +63,14 @@
     }
 }
 
+/// Returns the table of an agent in its first session.
+fn agent(heartbeat: &Heartbeat) -> AgentTable {
+    let mut agent = AgentTable::new(LEASE).with_checkpoints(bounds().checkpoint_every);
+    agent.heartbeat(heartbeat.clone(), Instant::now());
+    agent.begin_session(&heartbeat.worker, heartbeat.born_ms, SESSION);
+    agent
+}
+
 fn worker_name(worker: usize) -> String {
     format!("w{worker}")
 }
@@ -84,17 +106,18 @@
 
     fn run_ended(&mut self, worker: usize, run: &RunId, kind: EndKind, saved_ms: u64) {
         self.harness.change_report(&worker_name(worker), |report| {
-            report.running.retain(|r| r.run != *run);
+            if let Some(i) = report.running.iter().position(|r| r.run == *run) {
+                report.running.remove(i);
+                if i < report.progress.len() {
+                    report.progress.remove(i);
+                }
+            }
             let last = report.ends.last().map(|e| e.number);
             report.ends.push(End {
                 number: last.unwrap_or(report.sequence * 100) + 1,
                 run: run.clone(),
                 kind,
-                checkpoint: if saved_ms > 0 {
-                    saved_ms.to_string()
-                } else {
-                    String::new()
-                },
+                checkpoint: checkpoint(saved_ms),
             });
         });
         self.next_pass_ms = 0;
@@ -104,6 +127,8 @@
         self.harness.change_report(&worker_name(worker), |report| {
             report.closed = !is_present;
             report.running.clear();
+            report.progress.clear();
+            report.paces.clear();
             report.ends.clear();
             if is_present {
                 report.session += 1;
@@ -111,6 +136,7 @@
                 report.heartbeat.born_ms += 1;
             }
         });
+        self.agents[worker] = agent(&self.harness.reports[worker].heartbeat);
         self.next_pass_ms = 0;
     }
 
@@ -122,6 +148,28 @@
         }
     }
 
+    fn runs_read(&mut self, now_ms: u64, worker: usize, running: &[RunningTask]) {
+        let report = &mut self.harness.reports[worker];
+        for listed in &mut report.running {
+            if let Some(read) = running.iter().find(|r| r.run == listed.run) {
+                *listed = read.clone();
+            }
+        }
+        let agent = &mut self.agents[worker];
+        let (request, session, ..) = agent.request_lists().expect("a session");
+        let lists = WorkerLists {
+            clock_ms: now_ms,
+            born_ms: None,
+            running: report.running.clone(),
+            run_ends: Vec::new(),
+        };
+        agent.lists(request, session, lists);
+        if let Some(measured) = agent.reports(EPOCH_MS + now_ms).pop() {
+            report.progress = measured.progress;
+            report.paces = measured.paces;
+        }
+    }
+
     fn decide(&mut self, now_ms: u64) -> Vec<Command> {
         self.harness.now_ms = now_ms;
         if now_ms >= self.next_report_ms {
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -74,6 +74,15 @@
         Self::with_bounds(workers, bounds())
     }
 
+    /// Returns a planner with workers of 8 accelerators in racks of the given size.
+    pub(crate) fn with_racks(workers: usize, per_rack: usize) -> Self {
+        let mut harness = Self::new(0);
+        for i in 0..workers {
+            harness.add_worker(&format!("w{i}"), &format!("r{}", i / per_rack));
+        }
+        harness
+    }
+
     /// Returns a planner with other bounds and the same workers.
     pub(crate) fn with_bounds(workers: usize, bounds: PlannerBounds) -> Self {
         let mut harness = Self {
