--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -46,6 +46,7 @@
 mod tickets;
 mod waiting;
 mod withheld;
+mod worker_sets;
 
 pub use admission::{
     EntryView, ExpectedWaits, LoadAdmission, LoadPublisher, LoadRecord, LoadRefusal, PoolWork,
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -29,7 +29,8 @@
     workload::RunId,
 };
 
-use belief::{Belief, POINTS, STEP_RATIO, largest};
+pub(super) use belief::STEP_RATIO;
+use belief::{Belief, POINTS, largest};
 
 /// Number of samples that are kept for each worker. What older ones have said is kept with a bound,
 /// so that newer ones can overturn it.
