--- a/dragonflyrun/tests/replay/mod.rs
+++ b/dragonflyrun/tests/replay/mod.rs
@@ -41,6 +41,9 @@
 /// A late job is still useful if it takes at most this multiple of its objective.
 const USEFUL_FACTOR: u64 = 3;
 
+/// Number of times that a caller submits a job that is refused.
+const MAX_SUBMISSIONS: u32 = 3;
+
 /// Number of accelerators per worker.
 pub(crate) const ACCELERATORS: u64 = 8;
 
@@ -61,6 +64,10 @@
 pub(crate) trait Policy {
     /// A job has arrived.
     fn submit(&mut self, number: usize, job: &PatternJob);
+    /// Returns the milliseconds after which the caller of a job should return if the job is refused.
+    fn refuse(&mut self, _now_ms: u64, _number: usize, _job: &PatternJob) -> Option<u64> {
+        None
+    }
     /// The caller of a job has cancelled it.
     fn cancel(&mut self, number: usize);
     /// A run has ended. `saved_ms` milliseconds of the task's work are checkpointed.
@@ -97,16 +104,27 @@
 }
 
 impl PriorityOutcome {
-    /// Adds a job with the milliseconds that it took, or `None` if it did not end.
-    fn add(&mut self, took: Option<u64>, objective: u64) {
-        let in_time = took.is_some_and(|took| took <= objective);
-        let useful = took.is_some_and(|took| took <= objective * USEFUL_FACTOR);
+    fn add(&mut self, result: JobResult) {
         self.jobs += 1;
-        self.in_time += usize::from(in_time);
-        self.late += usize::from(useful && !in_time);
+        self.in_time += usize::from(result == JobResult::InTime);
+        self.late += usize::from(result == JobResult::Late);
     }
 }
 
+/// What became of a job.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum JobResult {
+    InTime,
+    Late,
+    /// It ended when its result was of no use any more.
+    Useless,
+    /// It was refused as often as its caller returned.
+    Refused,
+    /// It was cancelled, or did not end.
+    #[default]
+    Other,
+}
+
 /// The results of a replay.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outcome {
@@ -124,6 +142,10 @@
     pub(crate) large_starts_ms: Vec<u64>,
     /// The number of jobs that did not end.
     pub(crate) unfinished: usize,
+    /// The results of all jobs, in the order of their arrival.
+    pub(crate) results: Vec<JobResult>,
+    /// The number of refusals of each job.
+    pub(crate) refusals: Vec<u32>,
 }
 
 impl Outcome {
@@ -147,6 +169,9 @@
     running: Vec<Running>,
     state: Vec<Change>,
     ended_ms: Vec<Option<u64>>,
+    /// The refused jobs that will return, with the time and the number of their submissions.
+    returning: Vec<(u64, usize, u32)>,
+    refused: Vec<bool>,
     done: BTreeMap<(usize, u32, u32), bool>,
     outcome: Outcome,
 }
@@ -159,12 +184,16 @@
         running: Vec::new(),
         state: vec![Change::Healthy; pattern.workers],
         ended_ms: vec![None; pattern.jobs.len()],
+        returning: Vec::new(),
+        refused: vec![false; pattern.jobs.len()],
         done: BTreeMap::new(),
-        outcome: Outcome::default(),
+        outcome: Outcome {
+            refusals: vec![0; pattern.jobs.len()],
+            ..Outcome::default()
+        },
     };
     let last_ms = pattern.jobs.last().map_or(0, |j| j.at_ms);
-    while replay.now_ms < last_ms + AFTER_LAST_JOB_MS && replay.ended_ms.iter().any(Option::is_none)
-    {
+    while replay.now_ms < last_ms + AFTER_LAST_JOB_MS && replay.has_open_jobs() {
         replay.step(policy, last_ms);
         replay.now_ms += TICK_MS;
     }
@@ -172,6 +201,30 @@
 }
 
 impl Replay<'_> {
+    fn has_open_jobs(&self) -> bool {
+        let mut jobs = self.ended_ms.iter().zip(&self.refused);
+        jobs.any(|(ended, refused)| ended.is_none() && !refused)
+    }
+
+    /// Submits a job for the given time, unless the policy refuses it.
+    fn submit(&mut self, policy: &mut dyn Policy, number: usize, submission: u32) {
+        let job = PatternJob {
+            at_ms: self.now_ms.max(self.pattern.jobs[number].at_ms),
+            ..self.pattern.jobs[number].clone()
+        };
+        let Some(after_ms) = policy.refuse(self.now_ms, number, &job) else {
+            policy.submit(number, &job);
+            return;
+        };
+        self.outcome.refusals[number] += 1;
+        if submission < MAX_SUBMISSIONS {
+            self.returning
+                .push((self.now_ms + after_ms, number, submission + 1));
+        } else {
+            self.refused[number] = true;
+        }
+    }
+
     fn step(&mut self, policy: &mut dyn Policy, last_ms: u64) {
         let due = self.now_ms..self.now_ms + TICK_MS;
         for event in self
@@ -189,7 +242,7 @@
         }
         for (number, job) in self.pattern.jobs.iter().enumerate() {
             if due.contains(&job.at_ms) {
-                policy.submit(number, job);
+                self.submit(policy, number, 1);
             }
             if job.cancel_ms.is_some_and(|at| due.contains(&at)) && self.ended_ms[number].is_none()
             {
@@ -197,6 +250,10 @@
                 self.ended_ms[number] = Some(self.now_ms);
             }
         }
+        let returning = self.returning.extract_if(.., |r| due.contains(&r.0));
+        for (_, number, submission) in returning.collect::<Vec<_>>() {
+            self.submit(policy, number, submission);
+        }
         self.advance_runs(policy);
         if self.now_ms.is_multiple_of(READ_MS) {
             self.read_runs(policy);
@@ -409,12 +466,22 @@
     }
 
     fn summarize(mut self) -> Outcome {
-        for (job, ended) in self.pattern.jobs.iter().zip(&self.ended_ms) {
+        self.outcome.results = vec![JobResult::default(); self.pattern.jobs.len()];
+        for (number, (job, ended)) in self.pattern.jobs.iter().zip(&self.ended_ms).enumerate() {
             if job.cancel_ms.is_some() {
                 continue;
             }
             let took = ended.map(|ended| ended - job.at_ms);
-            self.outcome.unfinished += usize::from(took.is_none());
+            let objective = job.objective_ms();
+            let result = match took {
+                _ if self.refused[number] => JobResult::Refused,
+                None => JobResult::Other,
+                Some(took) if took <= objective => JobResult::InTime,
+                Some(took) if took <= objective * USEFUL_FACTOR => JobResult::Late,
+                Some(_) => JobResult::Useless,
+            };
+            self.outcome.results[number] = result;
+            self.outcome.unfinished += usize::from(result == JobResult::Other);
             let by_workspace = &mut self.outcome.by_workspace;
             let of_workspace = job
                 .workspace
@@ -422,7 +489,7 @@
                 .map(|w| by_workspace.entry(w).or_default());
             let of_priority = &mut self.outcome.by_priority[job.priority as usize];
             for counts in of_workspace.into_iter().chain([of_priority]) {
-                counts.add(took, job.objective_ms());
+                counts.add(result);
             }
         }
         self.outcome
