Evict only where the demand is then in time, and spare jobs that were stopped before

Room is made only on workers on which the demand meets its objective, for a guarantee, or for a starved gang. The expected end counts the stop, the start, the store's delay, the workers' speeds and the usual error of the queue's estimates. Victims cost their unsaved work and the lateness that a restart causes; a small run that can start again at once in other free room costs no wait, and that room is taken for it. A job that was stopped is stopped again only where nothing else is left, and after three stops within its objective only for a guarantee. The count is part of the plan.

A second demand no longer counts on room that the same stops or run ends free for another one.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -430,6 +430,16 @@
                 counters.event("run_stopped");
             }
         }
+        let evictions = &decisions.evictions;
+        for _ in 0..evictions.runs_evicted {
+            counters.event("runs_evicted");
+        }
+        for _ in 0..evictions.in_vain {
+            counters.event("eviction_in_vain");
+        }
+        let fragmented = evictions.fragmented_accelerators;
+        counters.level("fragmented_accelerators", fragmented as f64);
+        counters.level("core_seconds_discarded", evictions.core_seconds_discarded);
         let planner = self.planner.borrow();
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -22,8 +22,6 @@
     pub(super) failed_on: Vec<Name>,
     /// When a run of the job last failed.
     pub(super) failed_at: Option<Timestamp>,
-    /// The number of evictions of the job's runs.
-    pub(super) evictions: u32,
     /// The tasks of which an overdue run was stopped. Their next run isn't stopped, however long it
     /// takes.
     pub(super) overdue_stopped: HashSet<TaskId>,
@@ -43,7 +41,6 @@
             plan: JobPlan::default(),
             failed_on: Vec::new(),
             failed_at: None,
-            evictions: 0,
             overdue_stopped: HashSet::default(),
             measured_ms: BTreeMap::new(),
             longest_ms: HashMap::default(),
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -7,7 +7,8 @@
     utils::{HashMap, HashSet, Name},
     workload::{
         Contact, Demand, Fleet, Resources, Room, RunId, RunTimes, WaitReason, Waiting,
-        eviction::{self, Victim, max_cost, may_evict, victims},
+        eviction::{self, Eviction, Sources, Victim, max_cost, may_claim_room},
+        eviction_records::{RoomMade, RoomNotMade},
         live::LiveJob,
         load::PeakLoad,
         planner::View,
@@ -43,6 +44,10 @@
 pub(super) struct PassOutcome {
     pub(super) starts: Vec<Placed>,
     pub(super) evictions: Vec<(Name, RunId)>,
+    pub(super) rooms_made: Vec<RoomMade>,
+    pub(super) rooms_not_made: Vec<RoomNotMade>,
+    /// Idle accelerators that can't serve the largest waiting shape.
+    pub(super) fragmented_accelerators: u64,
     /// Workers whose agents follow seldom and on which something will start once they report.
     pub(super) asked: Vec<Name>,
     /// Why each waiting job waits, by the first of its demands that was not served.
@@ -59,7 +64,13 @@
 /// The room of all workers. A pass subtracts from it what it assigns.
 pub(super) struct Pass<'a> {
     fleet: &'a Fleet,
+    sources: Sources<'a>,
     rooms: Vec<Room>,
+    /// The room on each worker that runs free which end before a stop would free it, without what
+    /// this pass has given away.
+    ending: Vec<Resources>,
+    /// The slowness of each room's worker; empty until an eviction is considered.
+    slowness: Vec<f64>,
     /// Runs that may be evicted. A victim that this pass has already chosen has no parts left.
     victims: Vec<Victim>,
     counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
@@ -84,20 +95,30 @@
     /// into the guarantees of their workspaces.
     pub(super) fn new(
         fleet: &'a Fleet,
-        jobs: &BTreeMap<Name, LiveJob>,
+        jobs: &'a BTreeMap<Name, LiveJob>,
         guaranteed: &HashSet<Name>,
-        learned: &Observations<'_>,
-        view: &View<'_>,
+        learned: &Observations<'a>,
+        view: &View<'a>,
     ) -> Self {
         let mut rooms = rooms(fleet, jobs, learned, view);
         let idle = is_idle(&rooms);
         reserve_workers(&mut rooms, learned.peaks);
         set_open_to_all(&mut rooms, idle);
-        let victims = victims(fleet, jobs, guaranteed, learned.times, view, &rooms);
+        let sources = Sources {
+            fleet,
+            jobs,
+            times: learned.times,
+            view: *view,
+        };
+        let victims = sources.victims(guaranteed, &rooms);
+        let ending = eviction::ending(&rooms, &victims);
         let some_follow_seldom = rooms.iter().any(Room::must_be_asked);
         Self {
             fleet,
+            sources,
             rooms,
+            ending,
+            slowness: Vec::new(),
             victims,
             counts: HashMap::default(),
             holds: 0,
@@ -172,8 +193,13 @@
 
     /// Serves the demands in the given order.
     pub(super) fn run(&mut self, demands: &[Demand<'_>]) -> PassOutcome {
+        let mut largest: Option<&Demand<'_>> = None;
         for (before, demand) in demands.iter().enumerate() {
             let served = self.serve(demand);
+            let size = |d: &Demand<'_>| d.indexes.len() as u64 * d.shape.needs.accelerators;
+            if served != ServeResult::Started && largest.is_none_or(|l| size(l) < size(demand)) {
+                largest = Some(demand);
+            }
             // A job with many tasks can have many blocked demands; only the first one is reported.
             if served == ServeResult::Started || self.outcome.waiting.contains_key(&demand.job) {
                 continue;
@@ -181,9 +207,24 @@
             let waiting = demand.waiting(before, self.reason(demand, served));
             self.outcome.waiting.insert(demand.job.clone(), waiting);
         }
+        self.outcome.fragmented_accelerators = largest.map_or(0, |d| self.fragmented(d));
         std::mem::take(&mut self.outcome)
     }
 
+    /// Returns the idle accelerators that can't serve a waiting demand: all on workers that can't take
+    /// one of its tasks, and what would be left on the others.
+    fn fragmented(&self, demand: &Demand<'_>) -> u64 {
+        let needs = &demand.shape.needs;
+        let rooms = self.rooms.iter().filter(|r| r.service == demand.service);
+        let left = rooms.map(|room| {
+            let tasks = u64::from(room.free.count(needs, u32::MAX));
+            room.free
+                .accelerators
+                .saturating_sub(tasks.saturating_mul(needs.accelerators))
+        });
+        left.sum()
+    }
+
     /// Starts a demand, or else makes or holds room for it.
     fn serve(&mut self, demand: &Demand<'_>) -> ServeResult {
         let placed = self.count(demand);
@@ -262,27 +303,63 @@
     /// runs that are being stopped or, without a guarantee, from runs that are about to end. Where
     /// neither is enough, this orders evictions.
     fn make_room(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
-        if !may_evict(demand) {
+        if !may_claim_room(demand) {
             return false;
         }
         if let Some(found) = schedule::place(demand, &self.rooms, Horizon::AfterStops, placed) {
-            self.take(demand, &found);
+            self.take_soon(demand, &found);
             return true;
         }
         if !demand.guaranteed && self.wait_for_run_ends(demand, placed) {
             return true;
         }
-        let max_cost = max_cost(demand);
-        let found = eviction::evict(demand, &self.rooms, &self.victims, placed, max_cost);
-        let Some(found) = found else {
-            return false;
-        };
+        if self.slowness.is_empty() {
+            self.slowness = self.sources.slowness(&self.rooms);
+        }
+        let found = eviction::evict(
+            demand,
+            &self.rooms,
+            &self.ending,
+            &self.slowness,
+            &self.victims,
+            placed,
+            &self.sources,
+        );
+        match found {
+            Ok(found) => {
+                self.evict(demand, found);
+                true
+            }
+            Err(reason) => {
+                self.outcome.rooms_not_made.push(RoomNotMade {
+                    job: demand.job.clone(),
+                    step: demand.step,
+                    reason,
+                });
+                false
+            }
+        }
+    }
+
+    /// Orders the stops of an eviction and takes the room that they leave.
+    fn evict(&mut self, demand: &Demand<'_>, found: Eviction) {
         log::info!(
             job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
-            victims = found.victims.len(), lost_core_s = found.cost, most_core_s = max_cost,
-            slack_ms = demand.slack_ms;
+            victims = found.victims.len(), moved = found.moves.len(),
+            lost_core_s = found.core_s(), most_core_s = max_cost(demand),
+            slack_ms = demand.slack_ms, objective_ms = demand.objective_ms,
+            expected_end_ms = self.sources.view.unix_ms + found.end_in_ms;
             "room_made"
         );
+        let unsaved = found
+            .victims
+            .iter()
+            .map(|v| self.victims[*v].unsaved_core_s);
+        self.outcome.rooms_made.push(RoomMade {
+            job: demand.job.clone(),
+            step: demand.step,
+            discarded_core_s: unsaved.sum(),
+        });
         for v in found.victims {
             eviction::return_room(&mut self.rooms, &self.victims[v]);
             let parts = std::mem::take(&mut self.victims[v].parts);
@@ -291,8 +368,11 @@
                 .map(|(i, run, _)| (self.rooms[*i].worker.clone(), run.clone()));
             self.outcome.evictions.extend(runs);
         }
-        self.take(demand, &found.rooms);
-        true
+        self.take_soon(demand, &found.rooms);
+        // Otherwise a later demand, or a second victim, would count on the same room.
+        for moved in found.moves {
+            self.rooms[moved.room].take(&moved.needs, moved.for_ms);
+        }
     }
 
     /// Returns whether runs that are expected to end free the room as soon as an eviction would.
@@ -300,11 +380,31 @@
     fn wait_for_run_ends(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
         let found = schedule::place(demand, &self.rooms, Horizon::At(EXPECTED_STOP_MS), placed);
         if let Some(found) = &found {
-            self.take(demand, found);
+            self.take_soon(demand, found);
         }
         found.is_some()
     }
 
+    /// Takes room that is free after the stops and run ends of the next moments.
+    ///
+    /// The room that these free is taken as well. A second demand would otherwise count on the same
+    /// stops and have no room made for it until the first one has started.
+    fn take_soon(&mut self, demand: &Demand<'_>, found: &[usize]) {
+        let needs = &demand.shape.needs;
+        for i in found {
+            let room = &mut self.rooms[*i];
+            self.ending[*i] = self.ending[*i].minus(&needs.minus(&room.after_stops));
+            let mut missing = needs.minus(&room.free);
+            let soon = room.releases.iter_mut();
+            for (_, freed) in soon.filter(|(ms, _)| *ms <= EXPECTED_STOP_MS) {
+                let left = freed.minus(&missing);
+                missing = missing.minus(&freed.minus(&left));
+                *freed = left;
+            }
+            self.take(demand, &[*i]);
+        }
+    }
+
     fn start(&mut self, demand: &Demand<'_>, found: &[usize]) {
         self.take(demand, found);
         if self.idle && !is_idle(&self.rooms) {
--- a/dragonflyrun/src/workload/plan.rs
+++ b/dragonflyrun/src/workload/plan.rs
@@ -74,6 +74,10 @@
     /// When the job ended, in Unix milliseconds on the planner's clock; 0 before that.
     #[serde(rename = "e", default, skip_serializing_if = "is_zero_u64")]
     pub ended_ms: u64,
+    /// How many times running tasks of the job were stopped to make room for other work. It is stored
+    /// with the next change of the plan, which follows when the stopped runs are over.
+    #[serde(rename = "x", default, skip_serializing_if = "is_zero")]
+    pub evictions: u32,
     /// The tasks that have a plan, keyed by task number.
     #[serde(rename = "t", default, skip_serializing_if = "BTreeMap::is_empty")]
     pub tasks: BTreeMap<u32, TaskPlan>,
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -18,16 +18,17 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
-        Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
-        TaskStart, WaitReason, Waiting,
+        Attention, Contact, Demand, EvictionCounts, Fleet, FleetWorker, Job, JobPlan, JobRecord,
+        JobTable, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample,
+        TaskId, TaskPlan, TaskStart, WaitReason, Waiting,
         demands::Demands,
         departure,
+        eviction_records::EvictionRecords,
         idle_workers::{AttentionChanges, IdleWorkers},
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
-        pass::{Observations, Pass, Placed},
+        pass::{Observations, Pass, PassOutcome, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
         tickets::Tickets,
@@ -113,6 +114,8 @@
     pub waits: Vec<Duration>,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub waiting: HashMap<Name, Waiting>,
+    /// What the evictions of this pass and the ends of jobs add to the metrics.
+    pub evictions: EvictionCounts,
 }
 
 /// The planner's state.
@@ -128,6 +131,8 @@
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
+    eviction_records: EvictionRecords,
+    fragmented_accelerators: u64,
 }
 
 impl Planner {
@@ -145,6 +150,8 @@
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
+            eviction_records: EvictionRecords::default(),
+            fragmented_accelerators: 0,
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -415,6 +422,9 @@
         }
         decisions.plans.extend(self.remove_ended_jobs(view));
         decisions.waits = std::mem::take(&mut self.waits);
+        decisions.evictions = self
+            .eviction_records
+            .take_counts(self.fragmented_accelerators);
         decisions.questions = self.tickets.get_mut().take_questions();
         for (worker, order) in std::mem::take(&mut self.orders) {
             let known = self.fleet.get(&worker);
@@ -486,8 +496,7 @@
             };
             return demands.iter().enumerate().map(stale).collect();
         }
-        self.peaks
-            .observe(view.now, &pass.load(&self.jobs, &demands));
+        let load = pass.load(&self.jobs, &demands);
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut outcome = pass.run(&demands);
@@ -501,14 +510,21 @@
         // The moves of overdue and leaving runs ask for workers too.
         changes.asked.append(&mut outcome.asked);
         changes.asked.append(&mut pass.take_asked());
+        self.peaks.observe(view.now, &load);
         self.stop_overdue(overdue);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
         }
-        for (worker, run) in outcome.evictions {
-            if let Some(live) = self.jobs.get_mut(&run.task.job) {
-                live.evictions += 1;
+        self.record_evictions(&mut outcome);
+        let evicted = outcome.evictions.iter().map(|(_, run)| &run.task.job);
+        // A job is counted once, however many of its runs this pass stops.
+        let evicted: HashSet<Name> = evicted.cloned().collect();
+        for job in evicted {
+            if let Some(live) = self.jobs.get_mut(&job) {
+                live.plan.evictions += 1;
             }
+        }
+        for (worker, run) in outcome.evictions {
             self.stop(&worker, &run, "evicted");
         }
         for placed in outcome.starts {
@@ -518,6 +534,24 @@
         outcome.waiting
     }
 
+    /// Records the evictions of a pass, and logs for which demands no room was made.
+    fn record_evictions(&mut self, outcome: &mut PassOutcome) {
+        let records = &mut self.eviction_records;
+        records.add(
+            std::mem::take(&mut outcome.rooms_made),
+            outcome.evictions.len(),
+        );
+        self.fragmented_accelerators = outcome.fragmented_accelerators;
+        for not_made in &outcome.rooms_not_made {
+            if records.is_new(not_made) {
+                log::info!(
+                    job:% = not_made.job, step = not_made.step, reason = not_made.reason.label();
+                    "room_not_made"
+                );
+            }
+        }
+    }
+
     /// Asks the agents of idle workers for a report, or releases them.
     fn change_attention(&mut self, now: Timestamp, changes: AttentionChanges) {
         let released = changes.released.len();
--- a/dragonflyrun/src/workload/planner/run_ends.rs
+++ b/dragonflyrun/src/workload/planner/run_ends.rs
@@ -126,6 +126,22 @@
             if live.plan.outcome.is_none() {
                 let outcome = live.outcome();
                 if let Some(outcome) = outcome {
+                    let last = live.job.request.repeats().saturating_sub(1);
+                    let objective_ms = live.objective_ms(&self.run_times, last);
+                    let in_time = match outcome {
+                        Outcome::Completed => view.unix_ms <= objective_ms,
+                        Outcome::Failed => false,
+                        // Nobody waits for the result any more.
+                        Outcome::Cancelled => true,
+                    };
+                    let in_vain = self.eviction_records.job_ended(name, in_time);
+                    if in_vain > 0 {
+                        log::info!(
+                            job:% = name, evictions = in_vain, objective_ms,
+                            late_ms = view.unix_ms.saturating_sub(objective_ms);
+                            "eviction_in_vain"
+                        );
+                    }
                     live.plan.end(outcome, view.unix_ms.max(1));
                     self.changed.insert(name.clone());
                     log::info!(
--- a/dragonflyrun/src/workload/run_times.rs
+++ b/dragonflyrun/src/workload/run_times.rs
@@ -62,6 +62,13 @@
         }
     }
 
+    /// Returns the mean error of the estimates of `queue`, as the absolute value of the logarithm of
+    /// their ratio to the true time; `None` before enough tasks have completed.
+    pub fn estimate_error(&self, queue: &Name) -> Option<f64> {
+        let known = self.queues.get(queue)?;
+        (known.count >= MIN_TASKS_FOR_MEAN).then(|| known.mean_error.min(known.caller_error))
+    }
+
     /// Returns the learned speeds of workers.
     pub fn speeds(&self) -> &WorkerSpeeds {
         &self.speeds
