Weigh evictions by loss and urgency, keep the room made for its demand, and halve the bound

Earlier stops of a job came before all losses, so work that was far dearer, or urgent, was stopped to spare a job that had been stopped once. Urgent work now comes last, then counts the loss, once more for each earlier stop, twice where the victim is only one priority less urgent, and the wait.

Room that was made for a demand is the demand's for 1.5 s: later demands took it, and more runs were stopped for the first one. An eviction loses at most the demand's own work, not twice that.

--- a/dragonflyrun/src/workload/eviction.rs
+++ b/dragonflyrun/src/workload/eviction.rs
@@ -25,13 +25,13 @@
     },
 };
 
-/// Limit on the work that an eviction may discard for an urgent demand, as a multiple of the
-/// demand's own work. Above it, the eviction loses more than the urgent task is worth.
-const MAX_EVICTION_COST_RATIO: f64 = 2.0;
+/// Limit on what an eviction may lose for a demand without a guarantee, as a multiple of the demand's
+/// own work. Above it, more work is lost than is served.
+const MAX_EVICTION_COST_RATIO: f64 = 1.0;
 
-/// Cost in core-seconds that is added to the eviction of urgent work. It exceeds what any task has
-/// to lose.
-const URGENT_EVICTION_COST_CORE_S: f64 = 1e6;
+/// Weight of the loss of work that is only one priority less urgent than the demand. Its objective is
+/// nearly as close, so work with more time is stopped unless that loses far more.
+const NEARLY_AS_URGENT_WEIGHT: f64 = 2.0;
 
 /// Cost of making a job useless to its caller, as a multiple of the evicted run's own work: the
 /// caller has then waited for nothing.
@@ -104,16 +104,29 @@
         self.ends_in_ms <= EXPECTED_STOP_MS
     }
 
-    fn cost(&self, moves: bool) -> Cost {
-        let (lateness, queueing_core_s) = if moves {
+    /// Returns the cost of evicting the runs for a demand of `priority`.
+    fn cost(&self, priority: u32, moves: bool) -> Cost {
+        let (lateness, waits) = if moves {
             (self.moved_core_s, 0.0)
         } else {
-            (self.waiting_core_s, self.queueing_core_s)
+            (self.waiting_core_s, 1.0)
+        };
+        let stops = f64::from(self.stops);
+        let lost_core_s = (self.unsaved_core_s + lateness) * (1.0 + stops);
+        let is_nearly_as_urgent = self.priority <= priority + 1;
+        let weight = if is_nearly_as_urgent {
+            NEARLY_AS_URGENT_WEIGHT
+        } else {
+            1.0
         };
         Cost {
-            stops: self.stops,
-            lost_core_s: self.unsaved_core_s + lateness,
-            queueing_core_s,
+            urgent: if self.priority == 0 {
+                self.parts.len()
+            } else {
+                0
+            },
+            lost_core_s,
+            weighted_core_s: (lost_core_s + self.queueing_core_s * (waits + stops)) * weight,
         }
     }
 }
@@ -121,29 +134,29 @@
 /// The cost of an eviction.
 #[derive(Clone, Copy, Debug, Default)]
 struct Cost {
-    /// The number of times that the jobs were stopped before. A job isn't stopped again while others
-    /// can be.
-    stops: u32,
-    /// Core-seconds of discarded work, and of work that becomes late.
+    /// The number of urgent runs. They are stopped only where nothing else can be.
+    urgent: usize,
+    /// Core-seconds of discarded work, and of work that becomes late. What a job loses that was
+    /// stopped before counts once more for each of those stops.
     lost_core_s: f64,
-    /// Core-seconds for which the victims wait. They decide between evictions, but nothing is lost by
-    /// them.
-    queueing_core_s: f64,
+    /// What decides between evictions: the loss, weighted by urgency, and the time for which the
+    /// victims wait.
+    weighted_core_s: f64,
 }
 
 impl Cost {
     fn plus(self, other: Self) -> Self {
         Self {
-            stops: self.stops + other.stops,
+            urgent: self.urgent + other.urgent,
             lost_core_s: self.lost_core_s + other.lost_core_s,
-            queueing_core_s: self.queueing_core_s + other.queueing_core_s,
+            weighted_core_s: self.weighted_core_s + other.weighted_core_s,
         }
     }
 
     fn compare(&self, other: &Self) -> Ordering {
-        let steps = |c: &Self| ((c.lost_core_s + c.queueing_core_s) / COST_STEP_CORE_S) as u64;
-        self.stops
-            .cmp(&other.stops)
+        let steps = |cost: &Self| (cost.weighted_core_s / COST_STEP_CORE_S) as u64;
+        self.urgent
+            .cmp(&other.urgent)
             .then_with(|| steps(self).cmp(&steps(other)))
     }
 }
@@ -157,6 +170,8 @@
     pub(super) rooms: Vec<usize>,
     /// Free room in which victims start again at once.
     pub(super) moves: Vec<Move>,
+    /// The priority of the demand.
+    priority: u32,
     /// Milliseconds until the demand is expected to end.
     pub(super) end_in_ms: u64,
     cost: Cost,
@@ -345,11 +360,6 @@
         let slowness = slowness.map(|w| self.times.speeds().slowness(w));
         let slowness = slowness.fold(0.0, f64::max).max(f64::MIN_POSITIVE);
         let again_ms = (ends_in_ms as f64 + longest_unsaved_s * 1_000.0) / slowness;
-        let urgent_core_s = if live.job.priority == 0 {
-            URGENT_EVICTION_COST_CORE_S
-        } else {
-            0.0
-        };
         let objective_ms = live.objective_ms(self.times, first.task.occurrence);
         let restart = Restart {
             objective_ms,
@@ -369,8 +379,8 @@
             is_spared: live.plan.evictions >= MAX_STOPS && view.unix_ms <= objective_ms,
             gang: parts.len() > 1 || self.is_gang(live, first),
             unsaved_core_s: states().map(|s| unsaved_s(s) * core_equivalents(s)).sum(),
-            moved_core_s: urgent_core_s + restart.lateness_core_s(work, 0),
-            waiting_core_s: urgent_core_s + restart.lateness_core_s(work, restart.waited_ms),
+            moved_core_s: restart.lateness_core_s(work, 0),
+            waiting_core_s: restart.lateness_core_s(work, restart.waited_ms),
             queueing_core_s: occupied * QUEUEING_COST_S,
             ends_in_ms,
             again_ms: again_ms as u64,
@@ -549,7 +559,7 @@
             tried += 1;
             schedule::place(demand, &other_rooms, Horizon::Now, &HashMap::default())
         });
-        cost = cost.plus(victim.cost(found.is_some()));
+        cost = cost.plus(victim.cost(eviction.priority, found.is_some()));
         let (Some(demand), Some(found)) = (demand, found) else {
             without_room.extend(kind.filter(|_| !victim.gang));
             continue;
@@ -708,7 +718,7 @@
             && self.movable.iter().any(|(priority, of_kind, has_room)| {
                 *has_room && *priority == victim.priority && Some(*of_kind) == needs
             });
-        victim.cost(moves)
+        victim.cost(self.demand.priority, moves)
     }
 }
 
@@ -732,6 +742,7 @@
                 victims: Vec::new(),
                 rooms: Vec::new(),
                 moves: Vec::new(),
+                priority: base.demand.priority,
                 end_in_ms: 0,
                 cost: Cost::default(),
             },
--- a/dragonflyrun/src/workload/eviction_records.rs
+++ b/dragonflyrun/src/workload/eviction_records.rs
@@ -1,18 +1,30 @@
 //! Records of the evictions of a planner's term: what they discarded, and whether the work for which
 //! they made room was in time.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use crate::{
-    utils::{HashMap, HashSet, Name},
-    workload::eviction::NoEviction,
+    utils::{HashMap, HashSet, Name, Timestamp},
+    workload::{Demand, eviction::NoEviction},
 };
 
+/// How long a demand for which room was made is served first. It covers the stop and its report; after
+/// that the room has probably been lost with its worker.
+const MAX_CLAIM_TIME: Duration = Duration::from_millis(1_500);
+
+/// Tasks that wait together: the job, the occurrence, the step, and the first task.
+pub(super) type DemandKey = (Name, u32, u32, u32);
+
+/// Returns the key of a demand.
+pub(super) fn demand_key(demand: &Demand<'_>) -> DemandKey {
+    let first = demand.indexes.first().copied().unwrap_or(0);
+    (demand.job.clone(), demand.occurrence, demand.step, first)
+}
+
 /// Room that a pass has made for a demand.
 #[derive(Clone, Debug)]
 pub(super) struct RoomMade {
-    pub(super) job: Name,
-    pub(super) step: u32,
+    pub(super) demand: DemandKey,
     /// Core-seconds of unsaved work of the evicted runs.
     pub(super) discarded_core_s: f64,
 }
@@ -38,31 +50,37 @@
     pub fragmented_accelerators: u64,
 }
 
-/// The evictions of a planner's term. Successors begin with empty records, which are for operators
-/// only: no decision depends on them.
+/// The evictions of a planner's term. A successor begins with empty records: it may order the same
+/// stops again, and counts from zero.
 #[derive(Debug, Default)]
 pub(super) struct EvictionRecords {
     /// The number of evictions for each job that has not ended.
     made: BTreeMap<Name, u32>,
     /// The reasons that were logged for each job and step.
     logged: HashMap<Name, HashSet<(u32, NoEviction)>>,
+    /// The demands for which room was made, and when. The room is theirs until they start.
+    claims: HashMap<DemandKey, Timestamp>,
     counts: EvictionCounts,
 }
 
 impl EvictionRecords {
     /// Records the evictions of a pass.
-    pub(super) fn add(&mut self, made: Vec<RoomMade>, runs_evicted: usize) {
+    pub(super) fn add(&mut self, now: Timestamp, made: Vec<RoomMade>, runs_evicted: usize) {
         self.counts.runs_evicted += u32::try_from(runs_evicted).unwrap_or(u32::MAX);
         for room in made {
             self.counts.core_seconds_discarded += room.discarded_core_s;
-            log::debug!(
-                job:% = room.job, step = room.step, discarded_core_s = room.discarded_core_s;
-                "work_discarded"
-            );
-            *self.made.entry(room.job).or_default() += 1;
+            *self.made.entry(room.demand.0.clone()).or_default() += 1;
+            self.claims.insert(room.demand, now);
         }
     }
 
+    /// Returns the demands for which room was made that may not be free yet.
+    pub(super) fn claims(&mut self, now: Timestamp) -> HashSet<DemandKey> {
+        self.claims
+            .retain(|_, since| now.since(*since) < MAX_CLAIM_TIME);
+        self.claims.keys().cloned().collect()
+    }
+
     /// Returns whether the reason is new for the job and step, so that it is logged only once.
     pub(super) fn is_new(&mut self, not_made: &RoomNotMade) -> bool {
         let logged = self.logged.entry(not_made.job.clone()).or_default();
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -8,7 +8,7 @@
     workload::{
         Contact, Demand, Fleet, Resources, Room, RunId, RunTimes, WaitReason, Waiting,
         eviction::{self, Eviction, Sources, Victim, max_cost, may_claim_room},
-        eviction_records::{RoomMade, RoomNotMade},
+        eviction_records::{DemandKey, RoomMade, RoomNotMade, demand_key},
         live::LiveJob,
         load::PeakLoad,
         planner::View,
@@ -191,8 +191,20 @@
         self.idle
     }
 
-    /// Serves the demands in the given order.
-    pub(super) fn run(&mut self, demands: &[Demand<'_>]) -> PassOutcome {
+    /// Serves the demands in the given order. Those for which room is being made come first within
+    /// their priority: a demand that arrived later would otherwise take the room, and more work would
+    /// be stopped for the first one.
+    pub(super) fn run(
+        &mut self,
+        demands: &mut [Demand<'_>],
+        claims: &HashSet<DemandKey>,
+    ) -> PassOutcome {
+        if !claims.is_empty() {
+            demands.sort_by_cached_key(|d| {
+                let claims_room = claims.contains(&demand_key(d));
+                (d.priority, !d.guaranteed, !claims_room)
+            });
+        }
         let mut largest: Option<&Demand<'_>> = None;
         for (before, demand) in demands.iter().enumerate() {
             let served = self.serve(demand);
@@ -356,8 +368,7 @@
             .iter()
             .map(|v| self.victims[*v].unsaved_core_s);
         self.outcome.rooms_made.push(RoomMade {
-            job: demand.job.clone(),
-            step: demand.step,
+            demand: demand_key(demand),
             discarded_core_s: unsaved.sum(),
         });
         for v in found.victims {
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -499,7 +499,8 @@
         let load = pass.load(&self.jobs, &demands);
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
-        let mut outcome = pass.run(&demands);
+        let claims = self.eviction_records.claims(view.now);
+        let mut outcome = pass.run(&mut demands, &claims);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut changes = self.idle_workers.changes(
             view.now,
@@ -515,7 +516,7 @@
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
         }
-        self.record_evictions(&mut outcome);
+        self.record_evictions(view.now, &mut outcome);
         let evicted = outcome.evictions.iter().map(|(_, run)| &run.task.job);
         // A job is counted once, however many of its runs this pass stops.
         let evicted: HashSet<Name> = evicted.cloned().collect();
@@ -535,9 +536,10 @@
     }
 
     /// Records the evictions of a pass, and logs for which demands no room was made.
-    fn record_evictions(&mut self, outcome: &mut PassOutcome) {
+    fn record_evictions(&mut self, now: Timestamp, outcome: &mut PassOutcome) {
         let records = &mut self.eviction_records;
         records.add(
+            now,
             std::mem::take(&mut outcome.rooms_made),
             outcome.evictions.len(),
         );
--- a/dragonflyrun/tests/replay/mod.rs
+++ b/dragonflyrun/tests/replay/mod.rs
@@ -100,6 +100,11 @@
     pub(crate) useful: f64,
     pub(crate) wasted: f64,
     pub(crate) idle: f64,
+    /// Accelerator-seconds, until the last job's arrival, of idle accelerators that could not serve
+    /// the largest waiting shape.
+    pub(crate) fragmented: f64,
+    /// The number of runs that the policy stopped.
+    pub(crate) stops: usize,
     /// The milliseconds from a job's arrival to the start of its gang, for each gang that needs at
     /// least the accelerators of two workers.
     pub(crate) large_starts_ms: Vec<u64>,
@@ -190,9 +195,54 @@
                 .sum();
             let all = self.pattern.workers as u64 * ACCELERATORS;
             self.outcome.idle += all.saturating_sub(busy) as f64 * TICK_MS as f64 / 1_000.0;
+            self.outcome.fragmented += self.fragmented() as f64 * TICK_MS as f64 / 1_000.0;
         }
     }
 
+    /// Returns the idle accelerators that can't serve the largest waiting shape: all on workers that
+    /// can't take one of its tasks, and what one worker after the other would have left over.
+    fn fragmented(&self) -> u64 {
+        let arrived = self.pattern.jobs.iter().enumerate();
+        let arrived = arrived
+            .filter(|(number, job)| job.at_ms <= self.now_ms && self.ended_ms[*number].is_none());
+        let steps = arrived.flat_map(|(number, job)| {
+            let steps = job.steps.iter().enumerate();
+            steps.filter(move |(step, _)| self.waits(number, *step as u32))
+        });
+        let size = |step: &PatternStep| {
+            let tasks = if step.gang { u64::from(step.tasks) } else { 1 };
+            tasks * step.accelerators
+        };
+        let Some((_, largest)) = steps.max_by_key(|(_, step)| size(step)) else {
+            return 0;
+        };
+        let free = |worker: usize| {
+            let used: u64 = self
+                .runs_on(worker)
+                .map(|r| self.step_of(r).accelerators)
+                .sum();
+            ACCELERATORS.saturating_sub(used)
+        };
+        let present = (0..self.pattern.workers).filter(|w| self.state[*w] != Change::Gone);
+        present.map(|w| free(w) % largest.accelerators.max(1)).sum()
+    }
+
+    /// Returns whether a task of a step could start but doesn't run.
+    fn waits(&self, job: usize, step: u32) -> bool {
+        let is_done = |step: u32| {
+            let tasks = self.pattern.jobs[job].steps[step as usize].tasks;
+            (0..tasks).all(|index| self.done.contains_key(&(job, step, index)))
+        };
+        let pattern_step = &self.pattern.jobs[job].steps[step as usize];
+        let of_step = |r: &&Running| r.job == job && r.run.task.step == step;
+        let running = self.running.iter().filter(of_step).count();
+        let done = (0..pattern_step.tasks)
+            .filter(|index| self.done.contains_key(&(job, step, *index)))
+            .count();
+        pattern_step.after.iter().all(|s| is_done(*s))
+            && running + done < pattern_step.tasks as usize
+    }
+
     fn apply_change(&mut self, worker: usize, change: Change, policy: &mut dyn Policy) {
         let was = std::mem::replace(&mut self.state[worker], change);
         if change == Change::Gone {
@@ -223,7 +273,8 @@
             } => {
                 let job = job_number(&run.task.job);
                 if run.task.index == 0 && self.is_large(job, run.task.step) {
-                    let waited = self.now_ms - self.pattern.jobs[job].at_ms;
+                    // A job that arrives within a tick is submitted at its beginning.
+                    let waited = self.now_ms.saturating_sub(self.pattern.jobs[job].at_ms);
                     self.outcome.large_starts_ms.push(waited);
                 }
                 self.running.push(Running {
@@ -245,6 +296,7 @@
                 let stop_at = self.now_ms + STOP_MS;
                 let running = self.running.iter_mut().find(|r| r.run == run);
                 if let Some(running) = running {
+                    self.outcome.stops += usize::from(running.stop_at_ms.is_none());
                     running.stop_at_ms.get_or_insert(stop_at);
                 }
             }
