--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -38,6 +38,8 @@
     pub(crate) store_delay: Duration,
     /// The newest report of each worker.
     pub(crate) reports: Vec<Report>,
+    /// All jobs that were submitted.
+    pub(crate) accepted_records: Vec<JobRecord>,
     /// All plan records that the planner has written.
     pub(crate) written_records: Vec<JobRecord>,
     offset: u64,
@@ -84,6 +86,7 @@
             is_fresh: true,
             store_delay: Duration::ZERO,
             reports: Vec::new(),
+            accepted_records: Vec::new(),
             written_records: Vec::new(),
             offset: 10,
         };
@@ -161,11 +164,28 @@
             },
         };
         let name = job.name.clone();
-        self.planner
-            .apply_job_record(&JobRecord::Accepted(Box::new(job)));
+        let record = JobRecord::Accepted(Box::new(job));
+        self.planner.apply_job_record(&record);
+        self.accepted_records.push(record);
         name
     }
 
+    /// Replaces the planner by a successor that knows the stored records and reads all reports.
+    pub(crate) fn change_planner(&mut self) {
+        let mut table = JobTable::default();
+        let records = self.accepted_records.iter().chain(&self.written_records);
+        for record in records {
+            table.fold(record.clone());
+        }
+        let now = Timestamp::from_millis(self.now_ms);
+        self.planner = Planner::take_over(bounds(), &table, now);
+        for report in &self.reports {
+            let worker = &report.heartbeat.worker;
+            self.planner.set_orders_end(worker, self.offset + 1);
+        }
+        self.report_all();
+    }
+
     /// Runs one pass of the planner and lets the workers execute its orders.
     pub(crate) fn pass(&mut self) -> Decisions {
         let decisions = self.planner.decide(&View {
