--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,18 +20,19 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, ExpectedWaits, Fleet, Job, JobPlan, JobRecord, JobTable,
-        LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedEstimate,
-        TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting, WorkerSpeeds,
-        WorkspaceShare,
+        Attention, Contact, Demand, EvictionCounts, ExpectedWaits, Fleet, Job, JobPlan, JobRecord,
+        JobTable, LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState,
+        SpeedEstimate, TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting,
+        WorkerSpeeds, WorkspaceShare,
         admission::PlannerWork,
         demands::{self, Demands},
         departure,
+        eviction_records::EvictionRecords,
         idle_workers::{AttentionChanges, IdleWorkers},
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
-        pass::{Observations, Pass, Placed},
+        pass::{Observations, Pass, PassOutcome, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
         shares::Shares,
@@ -118,6 +119,8 @@
     pub waiting: HashMap<Name, Waiting>,
     /// The share of each workspace that holds or asks for something, before this pass's starts.
     pub shares: Vec<WorkspaceShare>,
+    /// What the evictions of this pass and the ends of jobs add to the metrics.
+    pub evictions: EvictionCounts,
 }
 
 /// The planner's state.
@@ -140,6 +143,8 @@
     load: LoadRecord,
     /// The workspaces that are above their entitlement.
     above: HashSet<Name>,
+    eviction_records: EvictionRecords,
+    fragmented_accelerators: u64,
 }
 
 impl Planner {
@@ -162,6 +167,8 @@
             expected_waits: Vec::new(),
             load: LoadRecord::default(),
             above: HashSet::default(),
+            eviction_records: EvictionRecords::default(),
+            fragmented_accelerators: 0,
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -473,6 +480,9 @@
         }
         decisions.plans.extend(self.remove_ended_jobs(view));
         decisions.waits = std::mem::take(&mut self.waits);
+        decisions.evictions = self
+            .eviction_records
+            .take_counts(self.fragmented_accelerators);
         decisions.questions = self.tickets.get_mut().take_questions();
         for (worker, order) in std::mem::take(&mut self.orders) {
             let known = self.fleet.get(&worker);
@@ -569,8 +579,7 @@
             self.set_expected_waits(Vec::new(), view.configuration);
             return (waiting, shares.list());
         }
-        self.peaks
-            .observe(view.now, &pass.load(&self.jobs, &demands));
+        let load = pass.load(&self.jobs, &demands);
         if shares.mark(&mut demands) {
             demands::sort(&mut demands);
         }
@@ -594,7 +603,8 @@
         }
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
-        let mut outcome = pass.run(&demands);
+        let claims = self.eviction_records.claims(view.now);
+        let mut outcome = pass.run(&mut demands, &claims);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut changes = self.idle_workers.changes(
             view.now,
@@ -608,14 +618,21 @@
         if let Some(waits) = estimated_waits {
             self.set_expected_waits(waits, view.configuration);
         }
+        self.peaks.observe(view.now, &load);
         self.stop_overdue(overdue);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
         }
-        for (worker, run) in outcome.evictions {
-            if let Some(live) = self.jobs.get_mut(&run.task.job) {
-                live.evictions += 1;
+        self.record_evictions(view.now, &mut outcome);
+        let evicted = outcome.evictions.iter().map(|(_, run)| &run.task.job);
+        // A job is counted once, however many of its runs this pass stops.
+        let evicted: HashSet<Name> = evicted.cloned().collect();
+        for job in evicted {
+            if let Some(live) = self.jobs.get_mut(&job) {
+                live.plan.evictions += 1;
             }
+        }
+        for (worker, run) in outcome.evictions {
             self.stop(&worker, &run, "evicted");
         }
         for placed in outcome.starts {
@@ -625,6 +642,25 @@
         (outcome.waiting, shares.list())
     }
 
+    /// Records the evictions of a pass, and logs for which demands no room was made.
+    fn record_evictions(&mut self, now: Timestamp, outcome: &mut PassOutcome) {
+        let records = &mut self.eviction_records;
+        records.add(
+            now,
+            std::mem::take(&mut outcome.rooms_made),
+            outcome.evictions.len(),
+        );
+        self.fragmented_accelerators = outcome.fragmented_accelerators;
+        for not_made in &outcome.rooms_not_made {
+            if records.is_new(not_made) {
+                log::info!(
+                    job:% = not_made.job, step = not_made.step, reason = not_made.reason.label();
+                    "room_not_made"
+                );
+            }
+        }
+    }
+
     /// Asks the agents of idle workers for a report, or releases them.
     fn change_attention(&mut self, now: Timestamp, changes: AttentionChanges) {
         let released = changes.released.len();
