--- a/dragonflyrun/src/workload/speed_samples.rs
+++ b/dragonflyrun/src/workload/speed_samples.rs
@@ -57,11 +57,6 @@
 /// Largest residual of a single step. A larger one comes from a wrong measurement.
 const MAX_RESIDUAL: f64 = 2.0;
 
-/// Uncertainty of the amount of work of a step, as the standard deviation of its logarithm, up to
-/// which it shows the bias of the caller's estimate. With a larger one, the pool's own slowness would
-/// be taken for a bias of the callers.
-const MAX_BIAS_UNCERTAINTY: f64 = 0.12;
-
 /// Number of other runs of a step with which each one is compared. More would add little, and the
 /// work would grow with the square of the step's workers.
 const MAX_COMPARED: usize = 16;
@@ -335,6 +330,12 @@
             step.is_learned = true;
             let residual = work.ln - (step.estimate_ms as f64).ln();
             let queue = self.queues.entry(step.queue.clone()).or_default();
+            // Only checkpoints measure the work independently of the estimates. By other measurements,
+            // the slowness of the pool would be taken for a bias of its callers.
+            let has_pace = step.groups.iter().any(|g| !g.paces.is_empty());
+            if has_pace {
+                queue.learn_bias(residual);
+            }
             queue.learn(residual, work.error);
         }
     }
@@ -434,10 +435,14 @@
         let square = (weight * rest).powi(2) + weight * unknown;
         self.squares = self.squares * keep + weight * square;
         self.weight = self.weight * keep + weight;
-        if uncertainty <= MAX_BIAS_UNCERTAINTY {
-            self.bias_sum = self.bias_sum * keep + residual;
-            self.bias_weight = self.bias_weight * keep + 1.0;
-        }
+    }
+
+    /// Learns the bias from a step whose work is known from its checkpoints.
+    fn learn_bias(&mut self, residual: f64) {
+        let residual = residual.clamp(-MAX_RESIDUAL, MAX_RESIDUAL);
+        let keep = 1.0 - 1.0 / MAX_STEPS;
+        self.bias_sum = self.bias_sum * keep + residual;
+        self.bias_weight = self.bias_weight * keep + 1.0;
     }
 }
 
--- a/dragonflyrun/tests/speed_samples.rs
+++ b/dragonflyrun/tests/speed_samples.rs
@@ -5,7 +5,7 @@
 use dragonflyrun::{
     port::EndKind,
     utils::{HashMap, Name},
-    workload::{Progress, RunId, Step},
+    workload::{Pace, Progress, RunId, Step},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use workload_tables::{Harness, task};
@@ -436,3 +436,41 @@
         }
     }
 }
+
+/// Guards against callers that count as too hopeful because the whole pool is slow: only a pace by
+/// checkpoints tells the two apart. All tasks take 1.6 times their estimate, on slow workers in one
+/// pool, and by the callers' fault in the other.
+#[test]
+fn slow_pool_or_wrong_callers() {
+    let slowness_with = |interval_ms: u64| {
+        let mut harness = Harness::new(3);
+        for i in 0..8 {
+            let job = format!("job-{i}");
+            let step = Step {
+                tasks: 3,
+                checkpoints: true,
+                estimate_ms: 6_000,
+                ..task(8)
+            };
+            harness.submit(&job, 1, vec![step]);
+            harness.pass();
+            for (worker, run) in harness.running(&job) {
+                harness.change_report(&worker, |report| {
+                    report.paces = vec![Pace {
+                        run,
+                        intervals: 3,
+                        took_ms: 3 * interval_ms,
+                    }];
+                });
+                report_total(&mut harness, &worker, &job, 9_600);
+            }
+            harness.now_ms += 9_900;
+            harness.end_runs(&job, EndKind::Done);
+            harness.pass();
+        }
+        slowness(&harness, "w0")
+    };
+    let (slow, nominal) = (slowness_with(3_200), slowness_with(2_000));
+    assert!((1.5..1.7).contains(&slow), "{slow}");
+    assert!((0.95..1.05).contains(&nominal), "{nominal}");
+}
