--- a/dragonflyrun/src/workload/speeds/belief.rs
+++ b/dragonflyrun/src/workload/speeds/belief.rs
@@ -1,5 +1,7 @@
 //! Probability distributions over the slowness of a worker, on a fixed grid of its logarithm.
 
+use std::sync::LazyLock;
+
 /// Number of grid points: from 0.32 to 4.6 times the nominal time.
 pub(super) const POINTS: usize = 29;
 
@@ -108,6 +110,15 @@
         points.map(|(i, p)| p * f(ln_slowness(i))).sum()
     }
 
+    /// Returns the expected slowness, for a normalized distribution.
+    pub(super) fn mean_slowness(&self) -> f64 {
+        /// The slowness at each grid point. A pass asks for that of each worker and run.
+        static SLOWNESS: LazyLock<[f64; POINTS]> =
+            LazyLock::new(|| std::array::from_fn(|point| ln_slowness(point).exp()));
+        let points = self.0.iter().zip(SLOWNESS.iter());
+        points.map(|(p, slowness)| p * slowness).sum()
+    }
+
     /// Returns the probability that the slowness is nominal, for a normalized distribution.
     pub(super) fn nominal_probability(&self) -> f64 {
         self.0[NOMINAL]
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -399,7 +399,7 @@
 
     /// Returns how many times longer tasks are expected to take on a worker than on a nominal one.
     pub fn slowness(&self, worker: &Name) -> f64 {
-        self.belief(worker).expect(f64::exp)
+        self.belief(worker).mean_slowness()
     }
 
     /// Returns the standard deviation of the logarithm of a worker's slowness.
@@ -420,7 +420,7 @@
     /// Returns the expected slowness of a gang on these workers, which is that of its slowest one.
     pub fn gang_slowness<'a>(&self, workers: impl Iterator<Item = &'a Name>) -> f64 {
         let beliefs: Vec<Belief> = workers.map(|w| self.belief(w)).collect();
-        largest(beliefs.iter()).expect(f64::exp)
+        largest(beliefs.iter()).mean_slowness()
     }
 
     /// Returns the slowness of a worker in steps; 0 is nominal, and faster workers have negative
@@ -429,7 +429,7 @@
     /// most one step.
     pub fn step(&self, worker: &Name) -> i32 {
         let belief = self.belief(worker);
-        let steps = belief.expect(f64::exp).ln() / STEP_RATIO.ln();
+        let steps = belief.mean_slowness().ln() / STEP_RATIO.ln();
         let steps = (steps.round() as i32).min(SLOWEST_STEP - 1);
         match belief.nominal_probability() {
             p if p >= PROBABLY_NOMINAL => 0,
