--- a/dragonflyrun/tests/eviction_value.rs
+++ b/dragonflyrun/tests/eviction_value.rs
@@ -5,7 +5,7 @@
 
 use dragonflyrun::{
     port::EndKind,
-    workload::{Decisions, Pace, Progress, Step},
+    workload::{Decisions, Pace, Progress, Report, Step},
 };
 use workload_tables::{Harness, task};
 
@@ -350,6 +350,19 @@
 /// start.
 #[test]
 fn cleared_worker_lost() {
+    start_after_change(|report| {
+        report.closed = true;
+        report.running.clear();
+    });
+    start_after_change(|report| {
+        report.heartbeat.draining = true;
+        report.heartbeat.remaining_ms = Some(2_000);
+    });
+}
+
+/// Checks that an urgent job starts elsewhere if the report of the worker that is cleared for it changes
+/// before the stop is complete.
+fn start_after_change(change: impl FnOnce(&mut Report)) {
     let mut harness = full_pool(2);
     harness.submit("urgent", 0, vec![task(8)]);
     let decisions = harness.pass();
@@ -359,10 +372,7 @@
         .find(|o| !o.order.stops.is_empty())
         .map(|o| o.worker.clone())
         .expect("an eviction");
-    harness.change_report(&worker, |report| {
-        report.closed = true;
-        report.running.clear();
-    });
+    harness.change_report(&worker, change);
     let decisions = harness.pass();
     assert_eq!(stopped(&decisions).len(), 1, "room is made elsewhere");
     end_stopped(&mut harness, &decisions);
