--- a/dragonflyrun/benches/passes.rs
+++ b/dragonflyrun/benches/passes.rs
@@ -19,6 +19,7 @@
 
 const QUEUES: [usize; 2] = [45, 4_245];
 const WORKERS: usize = 50;
+const EVICTION_WORKERS: usize = 300;
 const ACCELERATORS: u64 = 8;
 const WAITING_JOBS: [usize; 2] = [1, 300];
 
@@ -39,6 +40,44 @@
     bencher.bench_local(|| harness.decide());
 }
 
+/// Measures a pass in which urgent gangs arrive at a large pool full of small tasks, so that many
+/// workers are cleared.
+#[divan::bench(args = [1, 20])]
+fn pass_with_evictions(bencher: Bencher<'_, '_>, gangs: usize) {
+    let full = || {
+        let mut harness = PlannerHarness::with_workers(EVICTION_WORKERS, 45);
+        harness.submit("small", EVICTION_WORKERS * ACCELERATORS as usize, 1);
+        let placed = harness.decide();
+        for (offset, order) in (0..).zip(&placed.orders) {
+            let now = Timestamp::default();
+            harness.planner.order_stored(now, order, offset);
+        }
+        for number in 0..gangs {
+            let mut gang = job(format!("urgent-{number}"), 0, ACCELERATORS);
+            gang.priority = 0;
+            let step = &mut gang.request.steps[0];
+            (step.tasks, step.gang, step.one_rack) = (3, true, true);
+            let accepted = JobRecord::Accepted(Box::new(gang));
+            harness.planner.apply_job_record(&accepted);
+        }
+        harness
+    };
+    let stops: usize = full()
+        .decide()
+        .orders
+        .iter()
+        .map(|o| o.order.stops.len())
+        .sum();
+    assert_eq!(
+        stops,
+        gangs * 3 * ACCELERATORS as usize,
+        "each gang gets room"
+    );
+    bencher
+        .with_inputs(full)
+        .bench_local_values(|mut harness| harness.decide());
+}
+
 struct PlannerHarness {
     planner: Planner,
     configuration: Configuration,
@@ -46,6 +85,19 @@
 
 impl PlannerHarness {
     fn new(queues: usize, waiting: usize) -> Self {
+        let mut harness = Self::with_workers(WORKERS, queues);
+        harness.submit("fill", WORKERS, ACCELERATORS);
+        assert_eq!(
+            harness.decide().orders.len(),
+            WORKERS,
+            "all workers are full"
+        );
+        harness.submit("wait", waiting, 1);
+        harness
+    }
+
+    /// Returns a planner with idle workers.
+    fn with_workers(workers: usize, queues: usize) -> Self {
         let bounds = PlannerBounds {
             max_silence: Duration::from_secs(3),
             lease_expiry: Duration::from_secs(6),
@@ -62,18 +114,11 @@
                 ..Configuration::default()
             },
         };
-        for worker in 0..WORKERS {
+        for worker in 0..workers {
             harness
                 .planner
                 .apply_report(Timestamp::default(), report(worker));
         }
-        harness.submit("fill", WORKERS, ACCELERATORS);
-        assert_eq!(
-            harness.decide().orders.len(),
-            WORKERS,
-            "all workers are full"
-        );
-        harness.submit("wait", waiting, 1);
         harness
     }
 
