Show the shares of workspaces and the state of workers to operators

Change: the planner's entry answers GET /v1/workspaces and GET /v1/workers from its last pass, others answer null with the planner's name; the tool has the commands workspaces and workers. A pass logs share_decided where shares put a job behind others, at most once in 5 s per workspace, and sets the levels workspaces_above_share and workspaces_waiting. A replay, tests/loads/burst.json, has one of eleven workspaces submit ten times as much as each of the others.

--- a/dragonflyrun/src/process/on_store/api.rs
+++ b/dragonflyrun/src/process/on_store/api.rs
@@ -11,7 +11,8 @@
 use crate::{
     port::{Advisor, CallerAnswer, CallerCall, CallerHandler, CallerRequest, JobState, Store},
     process::on_store::{
-        BootTime, DeploymentView, StepJobFile, StepJobView, StepView, StoreEntry, view::state_name,
+        BootTime, DeploymentView, StepJobFile, StepJobView, StepView, StoreEntry, WorkersView,
+        WorkspacesView, entry::unix_ms, view::state_name,
     },
     utils::{Name, lock},
     workload::{JobLookup, KnownJob},
@@ -85,6 +86,8 @@
         let path = call.path.strip_prefix("/v1/").unwrap_or_default();
         match (call.method, path.split_once('/').unwrap_or((path, ""))) {
             ("GET", ("deployment", "")) => ApiAnswer::ok(&self.deployment()),
+            ("GET", ("workspaces", "")) => ApiAnswer::ok(&self.workspaces()),
+            ("GET", ("workers", "")) => ApiAnswer::ok(&self.workers()),
             ("GET", ("jobs" | "why", job)) => match self.step_job(job) {
                 Some(view) => ApiAnswer::ok(&view),
                 None => ApiAnswer::error(404, "no such job, or it is no longer known", None),
@@ -132,6 +135,25 @@
         }
     }
 
+    fn workspaces(&self) -> WorkspacesView {
+        let state = lock(&self.state);
+        WorkspacesView {
+            entry: self.settings.name.clone(),
+            planner: state.election.term().entry.clone(),
+            unix_ms: unix_ms(),
+            workspaces: state.shares.clone(),
+        }
+    }
+
+    fn workers(&self) -> WorkersView {
+        let state = lock(&self.state);
+        WorkersView {
+            entry: self.settings.name.clone(),
+            planner: state.election.term().entry.clone(),
+            workers: state.workers.clone(),
+        }
+    }
+
     fn step_job(&self, name: &str) -> Option<StepJobView> {
         let state = lock(&self.state);
         let JobLookup::Known(job_state) = state.job_table.look_up(name) else {
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -29,7 +29,7 @@
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
         Backoff, Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable,
-        StoreReachability, Waiting,
+        StoreReachability, Waiting, WorkerStatus, WorkspaceShare,
     },
 };
 
@@ -98,6 +98,11 @@
     /// Why jobs wait, as the planner of this entry found in its last pass; empty while the entry
     /// does not plan.
     pub(super) waiting: HashMap<Name, Waiting>,
+    /// The shares of the workspaces in the last pass of the planner of this entry; `None` while the
+    /// entry does not plan.
+    pub(super) shares: Option<Vec<WorkspaceShare>>,
+    /// The state of the workers, likewise.
+    pub(super) workers: Option<Vec<WorkerStatus>>,
 }
 
 /// An entry that follows the store.
@@ -148,6 +153,8 @@
                 is_planner: false,
                 new_records: Vec::new(),
                 waiting: HashMap::default(),
+                shares: None,
+                workers: None,
             }),
             job_read_pause: ReadPause::default(),
             planner_wakeup: Notify::new(),
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -33,4 +33,7 @@
 pub use follower::{Batch, Follower};
 pub use lanes::Lanes;
 pub use settings::{StoreBounds, StoreSettings};
-pub use view::{DeploymentView, OccurrencesFile, StepFile, StepJobFile, StepJobView, StepView};
+pub use view::{
+    DeploymentView, OccurrencesFile, StepFile, StepJobFile, StepJobView, StepView, WorkersView,
+    WorkspacesView,
+};
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -85,6 +85,10 @@
 /// sign that an agent is silent.
 const REPORT_READ_OVERDUE: Duration = Duration::from_millis(1_300);
 
+/// Time between two lists of the workers for operators. Listing a thousand workers in each pass
+/// would take a noticeable part of the pass.
+const WORKER_LIST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -103,6 +107,8 @@
     unread_partitions: Cell<HashSet<u32>>,
     heartbeats: RefCell<PlannerHeartbeat>,
     withheld_starts: RefCell<WithheldStarts>,
+    /// When the state of the workers was last listed for operators.
+    workers_listed_at: Cell<Option<Timestamp>>,
 }
 
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
@@ -174,6 +180,7 @@
             unread_partitions: Cell::default(),
             heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.stale)),
             withheld_starts: RefCell::default(),
+            workers_listed_at: Cell::default(),
             term,
         }))
     }
@@ -195,6 +202,8 @@
             state.is_planner = false;
             state.should_yield = false;
             state.waiting.clear();
+            state.shares = None;
+            state.workers = None;
         }
         reports.abort();
         heartbeats.abort();
@@ -395,7 +404,7 @@
         };
         self.record_metrics(&decisions, started_at);
         self.log_withheld_starts(&decisions, configuration_age);
-        lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
+        self.publish_views(&mut decisions);
         if !decisions.plans.is_empty() {
             self.heartbeats.borrow_mut().plan_sent();
             if self
@@ -419,6 +428,21 @@
         }
     }
 
+    /// Keeps what operators may ask for until the next pass.
+    fn publish_views(&self, decisions: &mut Decisions) {
+        let now = self.entry.now();
+        let due = self.workers_listed_at.get();
+        let due = due.is_none_or(|listed_at| now.since(listed_at) >= WORKER_LIST_INTERVAL);
+        let workers = due.then(|| self.planner.borrow().worker_statuses(now));
+        let mut state = lock(&self.entry.state);
+        state.waiting = std::mem::take(&mut decisions.waiting);
+        state.shares = Some(std::mem::take(&mut decisions.shares));
+        if workers.is_some() {
+            self.workers_listed_at.set(Some(now));
+            state.workers = workers;
+        }
+    }
+
     fn record_metrics(&self, decisions: &Decisions, started_at: Instant) {
         let counters = &self.entry.counters;
         counters.latency("pass", started_at.elapsed());
@@ -430,6 +454,11 @@
                 counters.event("run_stopped");
             }
         }
+        let shares = decisions.shares.iter();
+        let above = shares.clone().filter(|s| s.is_above_entitlement());
+        let waiting = shares.filter(|s| s.waiting_demands > 0);
+        counters.level("workspaces_above_share", above.count() as f64);
+        counters.level("workspaces_waiting", waiting.count() as f64);
         let planner = self.planner.borrow();
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
--- a/dragonflyrun/src/process/on_store/view.rs
+++ b/dragonflyrun/src/process/on_store/view.rs
@@ -10,7 +10,7 @@
 use crate::{
     port::JobState,
     utils::Name,
-    workload::{JobRequest, Occurrences, Resources, Step, Waiting},
+    workload::{JobRequest, Occurrences, Resources, Step, Waiting, WorkerStatus, WorkspaceShare},
 };
 
 /// The answer to `GET /v1/deployment`: the deployment as seen by one entry.
@@ -87,6 +87,31 @@
     pub on: Vec<Name>,
 }
 
+/// The answer to `GET /v1/workspaces`: the shares of the workspaces.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WorkspacesView {
+    /// The entry that answers.
+    pub entry: Name,
+    /// The entry that plans, which is the one to ask.
+    pub planner: Name,
+    /// The time of the answer, in Unix milliseconds.
+    pub unix_ms: u64,
+    /// The share of each workspace that holds or asks for something, as of the planner's last pass;
+    /// `None` at entries that do not plan.
+    pub workspaces: Option<Vec<WorkspaceShare>>,
+}
+
+/// The answer to `GET /v1/workers`: the workers as the planner sees them.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct WorkersView {
+    /// The entry that answers.
+    pub entry: Name,
+    /// The entry that plans, which is the one to ask.
+    pub planner: Name,
+    /// The state of each worker, up to a second old; `None` at entries that do not plan.
+    pub workers: Option<Vec<WorkerStatus>>,
+}
+
 /// A job of steps as described in its file, which is the body of `POST /v1/jobs/ID`.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/dragonflyrun/src/tool/commands/mod.rs
+++ b/dragonflyrun/src/tool/commands/mod.rs
@@ -4,6 +4,7 @@
 mod edit;
 mod job;
 mod key;
+mod planned;
 mod request;
 mod status;
 mod steps;
@@ -41,6 +42,8 @@
         Command::Request(o) => request::request(&settings()?, o),
         Command::Why(o) => steps::why(&settings()?, &o.job),
         Command::Deployment(_) => steps::deployment(&settings()?),
+        Command::Workspaces(_) => planned::workspaces(&settings()?),
+        Command::Workers(_) => planned::workers(&settings()?),
         Command::IssueKey(o) => key::issue(&settings()?, o),
     }
 }
--- a/dragonflyrun/src/tool/commands/steps.rs
+++ b/dragonflyrun/src/tool/commands/steps.rs
@@ -125,7 +125,7 @@
 }
 
 /// Returns the answers of all entries that have one. It is an error if no entry could be reached.
-fn query_all_entries<T: DeserializeOwned>(
+pub(super) fn query_all_entries<T: DeserializeOwned>(
     settings: &ToolSettings,
     path: &str,
 ) -> Result<Vec<(SocketAddr, T)>, ToolError> {
--- a/dragonflyrun/src/tool/options.rs
+++ b/dragonflyrun/src/tool/options.rs
@@ -60,6 +60,10 @@
     Why(JobOptions),
     /// show the planner, and what each entry on the store knows and how fresh that is
     Deployment(PlainOptions),
+    /// show what each workspace is guaranteed, holds, is entitled to and waits for
+    Workspaces(PlainOptions),
+    /// show the workers with their speeds, runs and free accelerators
+    Workers(PlainOptions),
     /// send a request to a service
     Request(RequestOptions),
     /// print the key of an editor or a backend server, derived from the deployment's secret
@@ -77,6 +81,7 @@
             Self::Explain(o) => o.json,
             Self::Drain(o) | Self::Return(o) => o.json,
             Self::Status(o) | Self::Jobs(o) | Self::Deployment(o) => o.json,
+            Self::Workspaces(o) | Self::Workers(o) => o.json,
             Self::Submit(o) => o.json,
             Self::Job(o) | Self::Cancel(o) | Self::Why(o) => o.json,
             Self::Request(o) => o.json,
--- a/dragonflyrun/src/tool/printed.rs
+++ b/dragonflyrun/src/tool/printed.rs
@@ -48,7 +48,7 @@
     pub fn new<T: fmt::Display + Serialize>(answer: &T, exit: Exit) -> Self {
         Self {
             text: answer.to_string(),
-            // This can't fail, as answers have only string keys and integers.
+            // This can't fail, as answers have only string keys.
             json: serde_json::to_value(answer).unwrap_or_default(),
             exit,
         }
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -44,6 +44,7 @@
 mod tickets;
 mod waiting;
 mod withheld;
+mod worker_status;
 
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use attention::{Attention, Contact, SELDOM_REPORT_INTERVAL};
@@ -69,3 +70,4 @@
 pub use term::{Candidate, Election, TermStep};
 pub use waiting::{WaitReason, Waiting};
 pub use withheld::{WithheldChange, WithheldStarts};
+pub use worker_status::{WorkerState, WorkerStatus};
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,8 +20,8 @@
     workload::{
         Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
         Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
-        TaskStart, WaitReason, Waiting, WorkspaceShare,
-        demands::{self, Demands},
+        TaskStart, WaitReason, Waiting, WorkerStatus, WorkspaceShare,
+        demands::Demands,
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
         live::{LiveJob, guaranteed_jobs},
@@ -30,8 +30,9 @@
         pass::{Observations, Pass, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
-        shares::Shares,
+        shares::{ShareLog, Shares},
         tickets::Tickets,
+        worker_status::worker_statuses,
     },
 };
 
@@ -130,6 +131,7 @@
     idle_workers: IdleWorkers,
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
+    share_log: ShareLog,
     waits: Vec<Duration>,
 }
 
@@ -147,6 +149,7 @@
             idle_workers: IdleWorkers::new(now, book.jobs().next().is_some()),
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
+            share_log: ShareLog::default(),
             waits: Vec::new(),
         };
         for (name, entry) in book.jobs() {
@@ -377,6 +380,11 @@
         &self.fleet
     }
 
+    /// Returns the state of each worker for operators.
+    pub fn worker_statuses(&self, now: Timestamp) -> Vec<WorkerStatus> {
+        worker_statuses(now, &self.fleet, self.run_times.speeds())
+    }
+
     /// Returns the number of jobs that have not started any task.
     pub fn waiting(&self) -> usize {
         let jobs = self.jobs.values();
@@ -500,9 +508,8 @@
         }
         self.peaks
             .observe(view.now, &pass.load(&self.jobs, &demands));
-        if shares.mark(&mut demands) {
-            demands::sort(&mut demands);
-        }
+        let decisions = shares.order(&mut demands);
+        self.share_log.log(view.now, decisions);
         pass.apply_shares(&shares, &self.jobs);
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
--- a/dragonflyrun/src/workload/shares.rs
+++ b/dragonflyrun/src/workload/shares.rs
@@ -12,14 +12,17 @@
 //! configuration in each pass, and a new planner comes to the same shares.
 //! `docs/design/workspace-shares.md` compares this with decayed use.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     port::Configuration,
-    utils::{HashMap, HashSet, Name},
-    workload::{Demand, Fleet, Resources, Room, live::LiveJob},
+    utils::{HashMap, HashSet, Name, Timestamp},
+    workload::{Demand, Fleet, Resources, Room, demands, live::LiveJob},
 };
 
 /// Number of kinds of resources.
@@ -33,6 +36,13 @@
 /// small difference in shares.
 const MAX_COST_FACTOR: f64 = 1.5;
 
+/// Time after which a decision for the same workspace is logged again. A burst lasts for many
+/// passes, of which there are ten and more per second.
+const LOG_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Maximum number of decisions that are logged in one pass, whatever the number of workspaces.
+const MAX_LOGGED_PER_PASS: usize = 3;
+
 /// The share that a workspace has of a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct WorkspaceShare {
@@ -44,6 +54,8 @@
     pub guaranteed: u32,
     /// The accelerators that its runs hold.
     pub held_accelerators: u64,
+    /// The accelerators that it holds beyond its guarantee.
+    pub borrowed_accelerators: u64,
     /// Its dominant share of the capacity.
     pub held: f64,
     /// What its dominant share would be if everything that waits were started too.
@@ -65,12 +77,21 @@
     pub fn is_above_entitlement(&self) -> bool {
         self.is_short && self.held > self.entitlement + ROUNDING
     }
+}
 
-    /// Returns the accelerators that the workspace holds beyond its guarantee.
-    pub fn borrowed_accelerators(&self) -> u64 {
-        self.held_accelerators
-            .saturating_sub(u64::from(self.guaranteed))
-    }
+/// Demands of a workspace that come later because the workspace would exceed its entitlement.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct ShareDecision {
+    /// The job of the first such demand.
+    pub(super) job: Name,
+    /// The workspace.
+    pub(super) workspace: Option<Name>,
+    /// The dominant share that the workspace holds with work of this or a more urgent priority.
+    pub(super) held: f64,
+    /// The dominant share that it is entitled to for such work.
+    pub(super) entitlement: f64,
+    /// The number of demands that are served before it.
+    pub(super) before: usize,
 }
 
 /// The shares of all workspaces during a pass.
@@ -216,13 +237,41 @@
         };
     }
 
+    /// Puts the demands with which their workspaces exceed what they are entitled to behind others of
+    /// the same priority. Returns the first such demand of each workspace that now comes later.
+    pub(super) fn order(&self, demands: &mut [Demand<'_>]) -> Vec<ShareDecision> {
+        if !self.mark(demands) {
+            return Vec::new();
+        }
+        let before_sort = first_marked(demands);
+        demands::sort(demands);
+        let mut moved = first_marked(demands);
+        moved.retain(|key, position| before_sort.get(key).is_some_and(|old| old < position));
+        let mut positions: Vec<usize> = moved.into_values().collect();
+        positions.sort_unstable();
+        let decisions = positions.into_iter().filter_map(|before| {
+            let demand = &demands[before];
+            let service = self.services.get(&demand.service)?;
+            let usage = service.workspaces.get(&demand.workspace)?;
+            let share = service.contended(demand.priority, usage)?;
+            Some(ShareDecision {
+                job: demand.job.clone(),
+                workspace: demand.workspace.clone(),
+                held: share.held.share_of(&service.capacity),
+                entitlement: share.entitlement,
+                before,
+            })
+        });
+        decisions.collect()
+    }
+
     /// Marks the demands with which their workspaces exceed what they are entitled to.
     ///
     /// Each demand adds to the use of its workspace, in the given order, which is by priority. A
     /// demand that begins below the entitlement is not marked even if it ends above it; otherwise a
     /// gang that is larger than its workspace's entitlement would always come last. Returns whether
     /// any demand is marked.
-    pub(super) fn mark(&self, demands: &mut [Demand<'_>]) -> bool {
+    fn mark(&self, demands: &mut [Demand<'_>]) -> bool {
         let mut any = false;
         let mut waiting: HashMap<&Name, Vec<Resources>> = HashMap::default();
         for demand in demands {
@@ -283,6 +332,10 @@
                     workspace: workspace.clone(),
                     guaranteed: usage.guaranteed,
                     held_accelerators: share.held.accelerators,
+                    borrowed_accelerators: share
+                        .held
+                        .accelerators
+                        .saturating_sub(u64::from(usage.guaranteed)),
                     held: share.held.share_of(&service.capacity),
                     asked: share.asked.share_of(&service.capacity),
                     entitlement: share.entitlement,
@@ -349,6 +402,16 @@
     }
 }
 
+/// Returns the position of the first marked demand of each workspace and service.
+fn first_marked(demands: &[Demand<'_>]) -> HashMap<(Name, Option<Name>), usize> {
+    let mut first = HashMap::default();
+    for (position, demand) in demands.iter().enumerate().filter(|(_, d)| d.exceeds_share) {
+        let key = (demand.service.clone(), demand.workspace.clone());
+        first.entry(key).or_insert(position);
+    }
+    first
+}
+
 /// Returns the share of each kind of resource that `part` has of `whole`.
 fn shares_of_kinds(part: &Resources, whole: &Resources) -> [f64; KINDS] {
     let kinds = [
@@ -478,3 +541,30 @@
         self.askers[i].is_done = true;
     }
 }
+
+/// Logs decisions, at most one per workspace and interval.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ShareLog {
+    logged_at: HashMap<Option<Name>, Timestamp>,
+}
+
+impl ShareLog {
+    /// Logs those of a pass's decisions that are due.
+    pub(super) fn log(&mut self, now: Timestamp, decisions: Vec<ShareDecision>) {
+        self.logged_at
+            .retain(|_, logged_at| now.since(*logged_at) < LOG_INTERVAL);
+        let logged_at = &mut self.logged_at;
+        let due = decisions
+            .into_iter()
+            .filter(|d| !logged_at.contains_key(&d.workspace));
+        let due: Vec<ShareDecision> = due.take(MAX_LOGGED_PER_PASS).collect();
+        for decision in due {
+            log::info!(
+                job:% = decision.job, workspace:% = decision.workspace.as_deref().unwrap_or(""),
+                held = decision.held, entitlement = decision.entitlement, before = decision.before;
+                "share_decided"
+            );
+            self.logged_at.insert(decision.workspace, now);
+        }
+    }
+}
--- a/dragonflyrun/tests/load_replay.rs
+++ b/dragonflyrun/tests/load_replay.rs
@@ -65,3 +65,28 @@
         assert_eq!(planned.unfinished, 0, "{name}: jobs that never ended");
     }
 }
+
+/// Guards against a burst of one workspace for which all others pay: they submit a tenth as much each,
+/// and their jobs would wait behind the older ones of the burst. Without shares the worst of the
+/// others has 0.50 of its jobs in time, and 0.54 of all jobs are.
+#[test]
+fn burst_shared() {
+    let pattern = Pattern::read("burst");
+    let outcome = replay(&pattern, &mut Planned::new(pattern.workers));
+    let in_time = |name: &str| {
+        let counts = outcome.by_workspace[name];
+        counts.in_time as f64 / counts.jobs as f64
+    };
+    let others = outcome.by_workspace.keys().filter(|name| *name != "burst");
+    let worst = others.map(|name| in_time(name)).fold(1.0, f64::min);
+    let all = outcome.by_workspace.values();
+    let (met, jobs) = all.fold((0, 0), |sum, c| (sum.0 + c.in_time, sum.1 + c.jobs));
+    let total = met as f64 / jobs as f64;
+    let burst = in_time("burst");
+    println!("worst other {worst:.3}, burst {burst:.3}, all {total:.3}");
+    assert!(
+        worst > 0.6,
+        "{worst}: jobs in time of the worst other workspace"
+    );
+    assert!(total > 0.54, "{total}: jobs in time");
+}
--- a/dragonflyrun/tests/tool_output.rs
+++ b/dragonflyrun/tests/tool_output.rs
@@ -152,11 +152,13 @@
     std::fs::copy(data("section.json"), dir.join("section.json")).unwrap();
     let job = json!({ "workspace": "audit", "tasks": 1, "accelerators": 1 });
     std::fs::write(dir.join("job.json"), job.to_string()).unwrap();
-    let cases: [(&[&str], i32, &str); 6] = [
+    let cases: [(&[&str], i32, &str); 8] = [
         (&["show"], 3, "error"),
         (&["edit", "a", "section.json"], 3, "not_sent"),
         (&["drain", "murau"], 3, "error"),
         (&["status"], 3, "error"),
+        (&["workspaces"], 3, "error"),
+        (&["workers"], 3, "error"),
         (&["submit", "job.json"], 3, "error"),
         (&["request", "grade-check"], 1, "not_run"),
     ];
--- a/dragonflyrun/tests/workspace_shares.rs
+++ b/dragonflyrun/tests/workspace_shares.rs
@@ -125,6 +125,33 @@
     assert!(harness.running("patient").is_empty());
 }
 
+/// Guards against capacity that counts as short for good because of a job that no worker can run, and
+/// against sums that overflow.
+#[test]
+fn impossible_demand() {
+    let mut harness = harness(8, &[("a", 0), ("b", 0)]);
+    let impossible = || {
+        let mut step = whole_workers(2);
+        step.needs.memory_mb = u64::MAX;
+        step
+    };
+    let unplaceable = Step {
+        gang: true,
+        ..whole_workers(9)
+    };
+    harness.submit_as("a", "impossible", 1, vec![impossible()]);
+    harness.submit_as("a", "unplaceable", 1, vec![unplaceable]);
+    harness.submit_as("a", "a", 1, vec![whole_workers(5)]);
+    harness.submit_as("b", "b", 1, vec![whole_workers(3)]);
+    let shares = harness.pass().shares;
+    let share = share_of(&shares, "a");
+    assert!(!share.is_short);
+    assert_near(share.asked, 5.0 / 8.0);
+    assert_eq!(share.waiting_demands, 2 + 1 + 5);
+    assert_eq!(harness.running("a").len(), 5);
+    assert_eq!(harness.running("b").len(), 3);
+}
+
 /// Guards against a gang that never starts because it is larger than its workspace's entitlement.
 #[test]
 fn large_gang_starts() {
