--- a/dragonflyrun/src/workload/shares.rs
+++ b/dragonflyrun/src/workload/shares.rs
@@ -166,8 +166,8 @@
             service.workers += 1;
         }
         shares.add_running(fleet, rooms, jobs);
-        for demand in demands {
-            shares.add_demand(demand, jobs);
+        for of_step in demands.chunk_by(is_same_step) {
+            shares.add_demands(of_step, jobs);
         }
         let guarantees = configuration.workspaces.iter();
         let guarantees = guarantees.map(|w| (&*w.name, w.guaranteed_accelerators));
@@ -214,20 +214,26 @@
         }
     }
 
-    fn add_demand(&mut self, demand: &Demand<'_>, jobs: &BTreeMap<Name, LiveJob>) {
-        let live = jobs.get(&demand.job);
-        let since_ms = live.map(|l| l.waiting_since_ms(demand.occurrence));
-        let service = self.service(&demand.service);
+    /// Adds demands of the same step. A step may have thousands of them, and they differ only in the
+    /// tasks.
+    fn add_demands(&mut self, demands: &[Demand<'_>], jobs: &BTreeMap<Name, LiveJob>) {
+        let Some(first) = demands.first() else {
+            return;
+        };
+        let live = jobs.get(&first.job);
+        let since_ms = live.map(|l| l.waiting_since_ms(first.occurrence));
+        let tasks: usize = demands.iter().map(|d| d.indexes.len()).sum();
+        let needs = first.shape.needs.times(tasks as u64);
+        let service = self.service(&first.service);
         // Work that is too large for every worker would make the capacity short for good.
         let can_run =
-            service.largest.fits(&demand.shape.needs) && service.capacity.fits(&demand.needs());
-        let usage = service.usage(demand.workspace.as_ref());
-        let needs = demand.needs();
+            service.largest.fits(&first.shape.needs) && service.capacity.fits(&first.needs());
+        let usage = service.usage(first.workspace.as_ref());
         if can_run {
-            let of_priority = usage.by_priority.entry(demand.priority).or_default();
+            let of_priority = usage.by_priority.entry(first.priority).or_default();
             of_priority.asked = of_priority.asked.plus(&needs);
         }
-        usage.waiting_demands += 1;
+        usage.waiting_demands += demands.len();
         usage.waiting_accelerators = usage
             .waiting_accelerators
             .saturating_add(needs.accelerators);
@@ -274,24 +280,30 @@
     fn mark(&self, demands: &mut [Demand<'_>]) -> bool {
         let mut any = false;
         let mut waiting: HashMap<&Name, Vec<Resources>> = HashMap::default();
-        for demand in demands {
-            let Some((name, service)) = self.services.get_key_value(&demand.service) else {
+        for of_step in demands.chunk_by_mut(|a, b| is_same_step(a, b)) {
+            let service = of_step
+                .first()
+                .and_then(|d| Some((d, self.services.get_key_value(&d.service)?)));
+            let Some((first, (name, service))) = service else {
                 continue;
             };
-            let Some(usage) = service.workspaces.get(&demand.workspace) else {
+            let Some(usage) = service.workspaces.get(&first.workspace) else {
                 continue;
             };
+            let share = service.contended(first.priority, usage);
             let waiting = waiting
                 .entry(name)
                 .or_insert_with(|| vec![Resources::default(); service.workspaces.len()]);
             let waiting = &mut waiting[usage.index];
-            if let Some(share) = service.contended(demand.priority, usage) {
-                let used = share.held.plus(waiting).share_of(&service.capacity);
-                let exceeds_share = used + ROUNDING >= share.entitlement;
-                demand.exceeds_share = exceeds_share && !demand.guaranteed;
-                any |= demand.exceeds_share;
+            for demand in of_step {
+                if let Some(share) = share {
+                    let used = share.held.plus(waiting).share_of(&service.capacity);
+                    let exceeds_share = used + ROUNDING >= share.entitlement;
+                    demand.exceeds_share = exceeds_share && !demand.guaranteed;
+                    any |= demand.exceeds_share;
+                }
+                *waiting = waiting.plus(&demand.needs());
             }
-            *waiting = waiting.plus(&demand.needs());
         }
         any
     }
@@ -402,6 +414,10 @@
     }
 }
 
+fn is_same_step(a: &Demand<'_>, b: &Demand<'_>) -> bool {
+    a.job == b.job && a.occurrence == b.occurrence && a.step == b.step
+}
+
 /// Returns the position of the first marked demand of each workspace and service.
 fn first_marked(demands: &[Demand<'_>]) -> HashMap<(Name, Option<Name>), usize> {
     let mut first = HashMap::default();
