Test that shares choose between runs that can be stopped

The test victims_above_share stopped nothing and so passed without the factor on costs. It now requires that one run is stopped, that of the workspace above its entitlement, although stopping one of the other workspace would lose a little less work. Without the factor it fails.

--- a/dragonflyrun/tests/workspace_shares.rs
+++ b/dragonflyrun/tests/workspace_shares.rs
@@ -282,23 +282,32 @@
 }
 
 /// Guards against stopping the runs of a workspace that is below its entitlement while those of one
-/// that is above it could be stopped at the same cost.
+/// that is above it could be stopped at about the same cost, here for a little more lost work.
 #[test]
 fn victims_above_share() {
+    let long = |tasks| Step {
+        estimate_ms: 60_000,
+        ..whole_workers(tasks)
+    };
     let mut harness = harness(8, &[("above", 0), ("below", 0), ("urgent", 0)]);
-    harness.submit_as("below", "below", 2, vec![whole_workers(2)]);
-    harness.pass();
-    harness.report_all();
-    harness.advance(9_000);
-    harness.submit_as("above", "above", 2, vec![whole_workers(10)]);
+    harness.submit_as("above", "above", 2, vec![long(6)]);
     harness.pass();
     harness.report_all();
-    harness.advance(9_000);
+    harness.advance(500);
+    harness.submit_as("below", "below", 2, vec![long(2)]);
     harness.pass();
     harness.report_all();
-    harness.submit_as("urgent", "urgent", 0, vec![whole_workers(2)]);
+    assert_eq!(harness.running("above").len(), 6);
+    assert_eq!(harness.running("below").len(), 2);
+    harness.submit_as("above", "more", 2, vec![long(6)]);
+    harness.advance(7_500);
+    let urgent = Step {
+        estimate_ms: 20_000,
+        ..whole_workers(1)
+    };
+    harness.submit_as("urgent", "urgent", 0, vec![urgent]);
     let decisions = harness.pass();
     let stops = decisions.orders.iter().flat_map(|o| &o.order.stops);
     let stopped: Vec<_> = stops.map(|run| &*run.task.job).collect();
-    assert!(stopped.iter().all(|job| *job == "above"), "{stopped:?}");
+    assert_eq!(stopped, ["above"]);
 }
