--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -30,7 +30,7 @@
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
         Backoff, Election, EntryRecord, EntryTable, HostRoom, JobRecord, JobTable, LoadAdmission,
-        StoreReachability, Waiting,
+        StoreReachability, Waiting, WorkerStatus, WorkspaceShare,
     },
 };
 
@@ -101,6 +101,11 @@
     pub(super) waiting: HashMap<Name, Waiting>,
     pub(super) admission: LoadAdmission,
     pub(super) refusal_log: RefusalLog,
+    /// The shares of the workspaces in the last pass of the planner of this entry; `None` while the
+    /// entry does not plan.
+    pub(super) shares: Option<Vec<WorkspaceShare>>,
+    /// The state of the workers, likewise.
+    pub(super) workers: Option<Vec<WorkerStatus>>,
 }
 
 /// An entry that follows the store.
@@ -153,6 +158,8 @@
                 waiting: HashMap::default(),
                 admission: LoadAdmission::default(),
                 refusal_log: RefusalLog::default(),
+                shares: None,
+                workers: None,
             }),
             job_read_pause: ReadPause::default(),
             planner_wakeup: Notify::new(),
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -88,6 +88,9 @@
 
 /// The store's usual delay up to which the load record is appended without a plan.
 const MAX_LONE_LOAD_DELAY: Duration = Duration::from_millis(100);
+/// Time between two lists of the workers for operators. Listing a thousand workers in each pass
+/// would take a noticeable part of the pass.
+const WORKER_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -108,6 +111,8 @@
     heartbeats: RefCell<PlannerHeartbeat>,
     withheld_starts: RefCell<WithheldStarts>,
     load_publisher: RefCell<LoadPublisher>,
+    /// When the state of the workers was last listed for operators.
+    workers_listed_at: Cell<Option<Timestamp>>,
 }
 
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
@@ -180,6 +185,7 @@
             heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.stale)),
             withheld_starts: RefCell::default(),
             load_publisher: RefCell::default(),
+            workers_listed_at: Cell::default(),
             term,
         }))
     }
@@ -201,6 +207,8 @@
             state.is_planner = false;
             state.should_yield = false;
             state.waiting.clear();
+            state.shares = None;
+            state.workers = None;
         }
         reports.abort();
         heartbeats.abort();
@@ -401,7 +409,7 @@
         };
         self.record_metrics(&decisions, started_at);
         self.log_withheld_starts(&decisions, configuration_age);
-        lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
+        self.publish_views(&mut decisions);
         let has_plans = !decisions.plans.is_empty();
         let mut records = decisions.plans;
         records.extend(self.load_record(has_plans).map(|record| record.encode()));
@@ -452,6 +460,21 @@
         due.map(JobRecord::Load)
     }
 
+    /// Keeps what operators may ask for until the next pass.
+    fn publish_views(&self, decisions: &mut Decisions) {
+        let now = self.entry.now();
+        let due = self.workers_listed_at.get();
+        let due = due.is_none_or(|listed_at| now.since(listed_at) >= WORKER_LIST_INTERVAL);
+        let workers = due.then(|| self.planner.borrow().worker_statuses(now));
+        let mut state = lock(&self.entry.state);
+        state.waiting = std::mem::take(&mut decisions.waiting);
+        state.shares = Some(std::mem::take(&mut decisions.shares));
+        if workers.is_some() {
+            self.workers_listed_at.set(Some(now));
+            state.workers = workers;
+        }
+    }
+
     fn record_metrics(&self, decisions: &Decisions, started_at: Instant) {
         let counters = &self.entry.counters;
         counters.latency("pass", started_at.elapsed());
@@ -473,6 +496,11 @@
         let fragmented = evictions.fragmented_accelerators;
         counters.level("fragmented_accelerators", fragmented as f64);
         counters.level("core_seconds_discarded", evictions.core_seconds_discarded);
+        let shares = decisions.shares.iter();
+        let above = shares.clone().filter(|s| s.is_above_entitlement());
+        let waiting = shares.filter(|s| s.waiting_demands > 0);
+        counters.level("workspaces_above_share", above.count() as f64);
+        counters.level("workspaces_waiting", waiting.count() as f64);
         let planner = self.planner.borrow();
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -48,6 +48,7 @@
 mod waiting;
 mod withheld;
 mod worker_sets;
+mod worker_status;
 
 pub use admission::{
     EntryView, ExpectedWaits, LoadAdmission, LoadPublisher, LoadRecord, LoadRefusal, PoolWork,
@@ -78,3 +79,4 @@
 pub use term::{Candidate, Election, TermStep};
 pub use waiting::{WaitReason, Waiting};
 pub use withheld::{WithheldChange, WithheldStarts};
+pub use worker_status::{WorkerState, WorkerStatus};
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -23,9 +23,9 @@
         Attention, Contact, Demand, EvictionCounts, ExpectedWaits, Fleet, Job, JobPlan, JobRecord,
         JobTable, LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState,
         SpeedEstimate, TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting,
-        WorkerSpeeds, WorkspaceShare,
+        WorkerSpeeds, WorkerStatus, WorkspaceShare,
         admission::PlannerWork,
-        demands::{self, Demands},
+        demands::Demands,
         departure,
         eviction_records::EvictionRecords,
         idle_workers::{AttentionChanges, IdleWorkers},
@@ -35,9 +35,10 @@
         pass::{Observations, Pass, PassOutcome, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
-        shares::Shares,
+        shares::{ShareLog, Shares},
         speed_samples::{SpeedSampler, TimedRun},
         tickets::Tickets,
+        worker_status::worker_statuses,
     },
 };
 
@@ -136,6 +137,7 @@
     idle_workers: IdleWorkers,
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
+    share_log: ShareLog,
     waits: Vec<Duration>,
     wait_estimator: WaitEstimator,
     expected_waits: Vec<ExpectedWaits>,
@@ -162,6 +164,7 @@
             idle_workers: IdleWorkers::new(now, book.jobs().next().is_some()),
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
+            share_log: ShareLog::default(),
             waits: Vec::new(),
             wait_estimator: WaitEstimator::default(),
             expected_waits: Vec::new(),
@@ -411,6 +414,11 @@
         self.run_times.speeds()
     }
 
+    /// Returns the state of each worker for operators.
+    pub fn worker_statuses(&self, now: Timestamp) -> Vec<WorkerStatus> {
+        worker_statuses(now, &self.fleet, self.run_times.speeds())
+    }
+
     /// Returns the number of jobs that have not started any task.
     pub fn waiting(&self) -> usize {
         let jobs = self.jobs.values();
@@ -580,9 +588,8 @@
             return (waiting, shares.list());
         }
         let load = pass.load(&self.jobs, &demands);
-        if shares.mark(&mut demands) {
-            demands::sort(&mut demands);
-        }
+        let decisions = shares.order(&mut demands);
+        self.share_log.log(view.now, decisions);
         pass.apply_shares(&shares, &self.jobs);
         let listed = shares.list().into_iter();
         let above = listed.filter(WorkspaceShare::is_above_entitlement);
