Move late gangs to faster workers, and use speeds in slack and remaining times

A gang or urgent task that is late by its own progress begins again on free workers that are known to be faster, once per job. Work with time to spare starts first where it shows the speed of a worker that is unknown, in a pool whose known workers differ. Counts both, and reports the workers of each speed.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -419,6 +419,7 @@
         }
     }
 
+    /// Records the metrics of a pass.
     fn record_metrics(&self, decisions: &Decisions, started_at: Instant) {
         let counters = &self.entry.counters;
         counters.latency("pass", started_at.elapsed());
@@ -430,7 +431,17 @@
                 counters.event("run_stopped");
             }
         }
+        for _ in 0..decisions.probe_starts {
+            counters.event("speed_probe_starts");
+        }
+        for _ in 0..decisions.gangs_moved {
+            counters.event("gang_moved_faster");
+        }
         let planner = self.planner.borrow();
+        let steps = planner.speed_steps();
+        for (step, level) in (FASTEST_STEP..).zip(SPEED_STEP_LEVELS) {
+            counters.level(level, steps.get(&step).copied().unwrap_or(0) as f64);
+        }
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
         counters.level("workers", planner.fleet().workers().count() as f64);
@@ -537,6 +548,34 @@
     }
 }
 
+/// The step of the fastest workers, with which `SPEED_STEP_LEVELS` begins.
+const FASTEST_STEP: i32 = -12;
+
+/// The level of each step with the number of workers of that speed; 0 is nominal.
+const SPEED_STEP_LEVELS: [&str; 21] = [
+    "speed_step_-12",
+    "speed_step_-11",
+    "speed_step_-10",
+    "speed_step_-9",
+    "speed_step_-8",
+    "speed_step_-7",
+    "speed_step_-6",
+    "speed_step_-5",
+    "speed_step_-4",
+    "speed_step_-3",
+    "speed_step_-2",
+    "speed_step_-1",
+    "speed_step_0",
+    "speed_step_1",
+    "speed_step_2",
+    "speed_step_3",
+    "speed_step_4",
+    "speed_step_5",
+    "speed_step_6",
+    "speed_step_7",
+    "speed_step_8",
+];
+
 /// Returns the term that this entry should claim and the offset at which the partition has to end
 /// for the claim to succeed; `None` if it should not claim one.
 fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<(Term, u64)> {
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -44,6 +44,8 @@
     pub(super) guaranteed: &'a HashSet<Name>,
     /// Whether less than half of the pool is in use.
     pub(super) idle: bool,
+    /// How much slower than nominal the workers typically are that suit the work of each priority.
+    pub(super) typical_slowness: &'a BTreeMap<u32, f64>,
     /// Whether several workers fail every run that they start.
     pub(super) workers_faulty: bool,
 }
@@ -119,6 +121,8 @@
     ) -> Demand<'a> {
         let job = &live.job;
         let estimate_ms = live.estimate_ms(self.times, occurrence, step, shape, &indexes);
+        let typical = self.typical_slowness.get(&job.priority).copied();
+        let expected_ms = (estimate_ms as f64 * typical.unwrap_or(1.0)) as u64;
         Demand {
             job: job.name.clone(),
             occurrence,
@@ -129,10 +133,10 @@
             priority: job.priority,
             guaranteed: false,
             estimate_ms,
-            slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64,
+            slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - expected_ms as i64,
             objective_ms,
             left_ms: objective_ms as i64 - self.view.unix_ms as i64,
-            still_useful: self.view.unix_ms + estimate_ms
+            still_useful: self.view.unix_ms + expected_ms
                 < live.useful_until_ms(objective_ms, occurrence),
             avoid: live.failed_on.clone(),
             far_allowed: self.far_allowed(live.waiting_since_ms(occurrence), estimate_ms),
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -27,6 +27,8 @@
     /// The tasks of which an overdue run was stopped. Their next run isn't stopped, however long it
     /// takes.
     pub(super) overdue_stopped: HashSet<TaskId>,
+    /// Whether a gang or a task of the job was stopped to begin again on faster workers.
+    pub(super) moved_faster: bool,
     /// The durations of tasks in milliseconds, derived from the progress of their runs and keyed by
     /// task number.
     measured_ms: BTreeMap<u32, u64>,
@@ -45,6 +47,7 @@
             failed_at: None,
             evictions: 0,
             overdue_stopped: HashSet::default(),
+            moved_faster: false,
             measured_ms: BTreeMap::new(),
             longest_ms: HashMap::default(),
         }
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -17,6 +17,7 @@
 mod idle_workers;
 mod job;
 mod job_table;
+mod late_gangs;
 mod live;
 mod load;
 mod message;
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -19,9 +19,11 @@
             rooms,
             set_open_to_all,
             slowness_limits,
-            sum, //
+            sum,
+            typical_slowness, //
         },
         schedule::{self, Horizon},
+        speeds::{KNOWN_DEVIATION, STEP_RATIO},
         worker_sets::{self, WorkerSet},
     },
 };
@@ -47,6 +49,9 @@
     pub(super) evictions: Vec<(Name, RunId)>,
     /// Workers whose agents follow seldom and on which something will start once they report.
     pub(super) asked: Vec<Name>,
+    /// The number of tasks that start where they also show the speed of a worker that is hardly
+    /// known.
+    pub(super) probe_starts: u32,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub(super) waiting: HashMap<Name, Waiting>,
 }
@@ -62,6 +67,8 @@
 pub(super) struct Pass<'a> {
     fleet: &'a Fleet,
     rooms: Vec<Room>,
+    /// How slow a worker may be for the work of each priority.
+    slowness_limits: BTreeMap<u32, f64>,
     /// Runs that may be evicted. A victim that this pass has already chosen has no parts left.
     victims: Vec<Victim>,
     counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
@@ -93,14 +100,15 @@
     ) -> Self {
         let mut rooms = rooms(fleet, jobs, learned, view);
         let idle = is_idle(&rooms);
-        let limits = slowness_limits(learned.times, view);
-        reserve_workers(&mut rooms, learned.peaks, &limits);
+        let slowness_limits = slowness_limits(learned.times, view);
+        reserve_workers(&mut rooms, learned.peaks, &slowness_limits);
         set_open_to_all(&mut rooms, idle);
         let victims = victims(fleet, jobs, guaranteed, learned.times, view, &rooms);
         let some_follow_seldom = rooms.iter().any(Room::must_be_asked);
         Self {
             fleet,
             rooms,
+            slowness_limits,
             victims,
             counts: HashMap::default(),
             holds: 0,
@@ -125,6 +133,28 @@
         found.is_some()
     }
 
+    /// Takes room that is free now on healthy workers that are known to be faster, on which a demand
+    /// that now runs at `slowness` would end in time. Returns whether there was such room.
+    pub(super) fn take_faster_room(&mut self, demand: &Demand<'_>, slowness: f64) -> bool {
+        let placed = self.count(demand);
+        let set = worker_sets::choose(demand, &self.rooms, Horizon::Now, &placed);
+        let Some(set) = set else {
+            return false;
+        };
+        let is_known = |i: &usize| {
+            let room = &self.rooms[*i];
+            room.fault_count == 0
+                && !demand.avoid.contains(&room.worker)
+                && room.deviation < KNOWN_DEVIATION
+        };
+        let is_better =
+            set.in_time && set.slowness * STEP_RATIO <= slowness && set.rooms.iter().all(is_known);
+        if is_better {
+            self.take(demand, &set.rooms);
+        }
+        is_better
+    }
+
     fn healthy_room(&mut self, demand: &Demand<'_>) -> Option<Vec<usize>> {
         let placed = self.count(demand);
         let found = schedule::place(demand, &self.rooms, Horizon::OnceAsked, &placed);
@@ -168,6 +198,15 @@
         load
     }
 
+    /// Returns how much slower than nominal the workers typically are on which the work of each
+    /// priority can end in time.
+    pub(super) fn typical_slowness(&self) -> BTreeMap<u32, f64> {
+        let limits = self.slowness_limits.iter();
+        let typical =
+            limits.map(|(priority, limit)| (*priority, typical_slowness(&self.rooms, *limit)));
+        typical.collect()
+    }
+
     /// Returns whether less than half of the pool is in use.
     pub(super) fn is_idle(&self) -> bool {
         self.idle
@@ -361,6 +400,10 @@
                 *counts.entry(worker.clone()).or_default() += 1;
             }
         }
+        if demand.has_time_to_explore() {
+            let is_probe = |i: &&usize| self.rooms[**i].is_speed_unknown;
+            self.outcome.probe_starts += found.iter().filter(is_probe).count() as u32;
+        }
         self.outcome.starts.push(Placed {
             job: demand.job.clone(),
             occurrence: demand.occurrence,
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -24,6 +24,7 @@
         demands::Demands,
         departure,
         idle_workers::{AttentionChanges, IdleWorkers},
+        late_gangs,
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
@@ -111,6 +112,10 @@
     pub questions: Vec<AdviceQuestion>,
     /// How long each job whose first tasks start now has waited.
     pub waits: Vec<Duration>,
+    /// The number of tasks that start where they also show the speed of a worker that is hardly known.
+    pub probe_starts: u32,
+    /// The number of jobs of which a gang or a task is moved to faster workers.
+    pub gangs_moved: u32,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub waiting: HashMap<Name, Waiting>,
 }
@@ -128,6 +133,8 @@
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
     waits: Vec<Duration>,
+    probe_starts: u32,
+    gangs_moved: u32,
 }
 
 impl Planner {
@@ -145,6 +152,8 @@
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
             waits: Vec::new(),
+            probe_starts: 0,
+            gangs_moved: 0,
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -335,11 +344,20 @@
 
     /// Records how long the tasks on a worker would take on a full-speed worker, by their progress.
     fn learn_task_times(&mut self, worker: &Name) {
-        let slowness = self.run_times.speeds().slowness(worker);
+        let speeds = self.run_times.speeds();
         let runs = self.fleet.get(worker).into_iter().flat_map(|w| &w.runs);
-        for (run, state) in runs {
-            let live = self.jobs.get_mut(&run.task.job);
-            if let (Some(live), Some(total_ms)) = (live, state.total_ms) {
+        let measured = runs.filter_map(|(run, state)| Some((run.clone(), state.total_ms?)));
+        let measured: Vec<(RunId, u64)> = measured.collect();
+        for (run, total_ms) in measured {
+            // All members of a gang progress at the speed of the slowest one.
+            let slowness = match self.timed_workers(worker, &run) {
+                Some((_, workers)) => {
+                    let slowness = workers.iter().map(|w| speeds.slowness(w));
+                    slowness.fold(0.0, f64::max)
+                }
+                None => speeds.slowness(worker),
+            };
+            if let Some(live) = self.jobs.get_mut(&run.task.job) {
                 live.record_task_ms(&run.task, (total_ms as f64 / slowness) as u64);
             }
         }
@@ -415,6 +433,8 @@
         }
         decisions.plans.extend(self.remove_ended_jobs(view));
         decisions.waits = std::mem::take(&mut self.waits);
+        decisions.probe_starts = std::mem::take(&mut self.probe_starts);
+        decisions.gangs_moved = std::mem::take(&mut self.gangs_moved);
         decisions.questions = self.tickets.get_mut().take_questions();
         for (worker, order) in std::mem::take(&mut self.orders) {
             let known = self.fleet.get(&worker);
@@ -467,6 +487,7 @@
         };
         let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &learned, view);
         let queues = Queues::of(view.configuration);
+        let typical_slowness = pass.typical_slowness();
         let builder = Demands {
             bounds: &self.bounds,
             view,
@@ -474,6 +495,7 @@
             times: &self.run_times,
             guaranteed: &guaranteed,
             idle: pass.is_idle(),
+            typical_slowness: &typical_slowness,
             workers_faulty: self
                 .failures
                 .are_workers_faulty(self.fleet.workers().count()),
@@ -491,6 +513,7 @@
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut outcome = pass.run(&demands);
+        let late = late_gangs::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut changes = self.idle_workers.changes(
             view.now,
@@ -502,6 +525,8 @@
         changes.asked.append(&mut outcome.asked);
         changes.asked.append(&mut pass.take_asked());
         self.stop_overdue(overdue);
+        self.probe_starts += outcome.probe_starts;
+        self.move_faster(late);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
         }
@@ -563,6 +588,29 @@
         }
     }
 
+    /// Stops runs that begin again on faster workers once they are over.
+    fn move_faster(&mut self, runs: Vec<(Name, RunId)>) {
+        for (worker, run) in runs {
+            if let Some(live) = self.jobs.get_mut(&run.task.job)
+                && !std::mem::replace(&mut live.moved_faster, true)
+            {
+                self.gangs_moved += 1;
+            }
+            self.stop(&worker, &run, "moved_faster");
+        }
+    }
+
+    /// Returns the number of workers of each speed, in steps from nominal.
+    pub fn speed_steps(&self) -> BTreeMap<i32, usize> {
+        let mut steps = BTreeMap::new();
+        for (worker, _) in self.fleet.workers() {
+            *steps
+                .entry(self.run_times.speeds().step(worker))
+                .or_default() += 1;
+        }
+        steps
+    }
+
     /// Limits the demands of queues whose policy asks the advisor to workers with a ticket.
     fn apply_tickets(
         &self,
--- a/dragonflyrun/src/workload/rooms.rs
+++ b/dragonflyrun/src/workload/rooms.rs
@@ -13,7 +13,7 @@
         pass::Observations,
         planner::View,
         schedule,
-        speeds::SLOWEST_STEP,
+        speeds::{KNOWN_DEVIATION, SLOWEST_STEP, STEP_RATIO},
         worker_sets::{EXPECTED_START_MS, TIME_MARGIN},
     },
 };
@@ -21,6 +21,9 @@
 /// Milliseconds from the order to stop a run until its room is known to be free.
 pub(super) const EXPECTED_STOP_MS: u64 = 250;
 
+/// Steps from nominal at which a worker is of another kind: estimates of equal workers differ by one.
+const MIN_DIFFERENT_STEP: i32 = 2;
+
 /// Minimum remaining time in milliseconds that is assumed for a run, also past its expected end.
 const MIN_REMAINING_MS: u64 = 500;
 
@@ -45,8 +48,12 @@
         let mut releases = Vec::new();
         let mut overdue = false;
         for (run, state) in &worker.runs {
-            let slowness = times.slowness(name).max(times.speeds().slowness(name));
-            let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
+            let known = run_slowness(jobs, times, name, run);
+            // A fast worker's tasks end sooner unless it is degraded. A low ratio on other workers
+            // comes from estimates that are too long.
+            let least = if known < 1.0 { known } else { 1.0 };
+            let slowness = times.slowness(name).max(least).max(known);
+            let expected = expected_ms(jobs, times, run) as f64 * slowness;
             let elapsed = elapsed_ms(state, view) as f64;
             overdue |= is_overdue(expected, elapsed);
             let left = match measured_remaining_ms(state, view) {
@@ -75,10 +82,30 @@
             proven: failing_since.is_none_or(|since| worker.last_good_start >= Some(since)),
             slowness_step,
             slowness,
+            deviation: times.speeds().deviation(name),
+            is_speed_unknown: false,
             contact: worker.contact,
         })
     });
-    rooms.collect()
+    let mut rooms: Vec<Room> = rooms.collect();
+    mark_unknown_speeds(&mut rooms);
+    rooms
+}
+
+/// Marks the workers whose speed is unknown, if others are known to differ. With equal workers there
+/// is nothing to find out.
+fn mark_unknown_speeds(rooms: &mut [Room]) {
+    let is_known = |r: &Room| r.deviation < KNOWN_DEVIATION;
+    let differs = |r: &Room| r.slowness_step.abs() >= MIN_DIFFERENT_STEP;
+    if !rooms
+        .iter()
+        .any(|r| is_known(r) && r.slowness_step < SLOWEST_STEP && differs(r))
+    {
+        return;
+    }
+    for room in rooms {
+        room.is_speed_unknown = !is_known(room);
+    }
 }
 
 pub(super) fn is_idle(rooms: &[Room]) -> bool {
@@ -153,6 +180,16 @@
     }
 }
 
+/// Returns the median slowness of the workers that aren't slower than `limit`, in whole steps so that
+/// it is 1 in a pool of equal workers.
+pub(super) fn typical_slowness(rooms: &[Room], limit: f64) -> f64 {
+    let fast = rooms.iter().filter(|r| r.slowness <= limit);
+    let mut steps: Vec<i32> = fast.map(|r| r.slowness_step).collect();
+    steps.sort_unstable();
+    let median = steps.get(steps.len() / 2).copied().unwrap_or(0);
+    STEP_RATIO.powi(median)
+}
+
 /// Sets whether the reserved workers also accept other work. They do while less than half of the
 /// pool is in use.
 pub(super) fn set_open_to_all(rooms: &mut [Room], open_to_all: bool) {
@@ -180,6 +217,29 @@
     step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
 }
 
+/// Returns how many times longer than nominal a run takes on its worker: as long as on the slowest
+/// worker of its gang. The result is in whole steps, and 1 in a pool of equal workers.
+fn run_slowness(
+    jobs: &BTreeMap<Name, LiveJob>,
+    times: &RunTimes,
+    worker: &Name,
+    run: &RunId,
+) -> f64 {
+    let own = times.speeds().step(worker);
+    let live = jobs.get(&run.task.job);
+    let of_gang = live.filter(|live| {
+        let shape = live.job.request.steps.get(run.task.step as usize);
+        shape.is_some_and(|s| s.gang && s.tasks > 1)
+    });
+    let step = of_gang.map_or(own, |live| {
+        let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
+        let places = numbers.filter_map(|n| live.plan.tasks.get(&n)?.place.as_ref());
+        let steps = places.map(|p| times.speeds().step(&p.worker));
+        steps.fold(own, i32::max)
+    });
+    STEP_RATIO.powi(step)
+}
+
 /// Returns the milliseconds that a run is still expected to take.
 pub(super) fn expected_remaining_ms(
     jobs: &BTreeMap<Name, LiveJob>,
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -62,6 +62,12 @@
 }
 
 impl Demand<'_> {
+    /// Returns whether the demand can wait for as long again as its work takes and more, so that its
+    /// tasks may start where they show the speed of a worker.
+    pub(super) fn has_time_to_explore(&self) -> bool {
+        self.priority > 0 && self.left_ms > EXPLORING_WORK_RATIO * self.estimate_ms as i64
+    }
+
     /// Returns the status of a demand that was not served and has `before` demands ahead of it.
     pub(super) fn waiting(&self, before: usize, reason: WaitReason) -> Waiting {
         Waiting {
@@ -125,6 +131,10 @@
     pub slowness_step: i32,
     /// How many times longer tasks are expected to take on it than on a nominal worker.
     pub slowness: f64,
+    /// The standard deviation of the logarithm of its slowness.
+    pub deviation: f64,
+    /// Whether its speed is unknown in a pool of workers of different speeds.
+    pub is_speed_unknown: bool,
     /// How closely the worker's agent follows. Only where it follows closely can a task start at
     /// once.
     pub contact: Contact,
@@ -147,6 +157,10 @@
 /// takes longer than the few milliseconds that an entry's share of a core allows.
 const MAX_HOLD_TIMES: usize = 24;
 
+/// Multiple of its work that a demand has to have left to start on workers whose speed is unknown:
+/// on the slowest kind of worker it still ends in time.
+const EXPLORING_WORK_RATIO: i64 = 2;
+
 /// Maximum number of release times that are tried for a gang that could start now but late.
 const MAX_WAIT_TIMES: usize = 6;
 
@@ -261,6 +275,7 @@
         .filter_map(|i| candidate(demand, &rooms[*i], *i, horizon, placed));
     let mut open: Vec<Candidate> = open.collect();
     let mut found = Vec::with_capacity(demand.indexes.len());
+    let explores = demand.has_time_to_explore();
     for _ in &demand.indexes {
         let fits = |c: &&mut Candidate| {
             c.tasks_left > 0 && c.free.fits(needs) && c.spare.is_none_or(|s| s.fits(needs))
@@ -280,6 +295,7 @@
                 left,
                 room.must_be_asked(),
                 c.free.cpu_millis,
+                explores && !room.is_speed_unknown,
             )
         })?;
         best.free = best.free.minus(needs);
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -59,6 +59,11 @@
 /// Smallest standard deviation of a sample's logarithm: the grid is not finer.
 const MIN_DEVIATION: f64 = 0.05;
 
+/// Standard deviation of the logarithm of a worker's slowness from which on its speed counts as
+/// unknown: with a larger one, a worker that takes 1.6 times the nominal time can't be told from a
+/// nominal one.
+pub(super) const KNOWN_DEVIATION: f64 = 0.2;
+
 /// The step of a worker that is degraded.
 pub(super) const SLOWEST_STEP: i32 = 9;
 
