--- a/dragonflyrun/src/workload/speed_samples.rs
+++ b/dragonflyrun/src/workload/speed_samples.rs
@@ -140,6 +140,11 @@
 }
 
 impl TimedRun {
+    /// Returns all workers of the run or the gang, without repetitions.
+    pub(super) fn workers(&self) -> &[Name] {
+        &self.workers
+    }
+
     /// Returns the run or gang that a run on `worker` measures. Returns `None` if the run is slowed
     /// down by where it executes, if it doesn't end by itself, or if the workers of its gang are not
     /// known any more.
