--- a/dragonflyrun/tests/worker_speeds.rs
+++ b/dragonflyrun/tests/worker_speeds.rs
@@ -31,6 +31,11 @@
 /// Returns six workers on each of which a patient task has run. The second one of each three is
 /// slower by a third.
 fn workers_with_paces() -> Harness {
+    workers_of_two_speeds(2_600)
+}
+
+/// Returns the same workers with a checkpoint of the slower ones every `slow_ms`.
+fn workers_of_two_speeds(slow_ms: u64) -> Harness {
     let mut harness = Harness::new(6);
     let steps = Step {
         tasks: 6,
@@ -42,7 +47,7 @@
     harness.report_all();
     for i in 0..6 {
         let slow = i % 3 == 1;
-        let interval_ms = if slow { 2_600 } else { 2_000 };
+        let interval_ms = if slow { slow_ms } else { 2_000 };
         report_pace(&mut harness, &format!("w{i}"), "patient", interval_ms);
     }
     harness
@@ -146,3 +151,37 @@
     harness.pass();
     assert_eq!(workers_of(&harness, "patient"), ["w1"].map(Name::from));
 }
+
+/// Guards against tasks that never show the speed of a worker that is hardly known, although the pool
+/// mixes kinds of workers and the tasks have time to spare.
+#[test]
+fn unknown_probed_first() {
+    let mut harness = workers_of_two_speeds(5_000);
+    harness.end_runs("patient", EndKind::Done);
+    // A second sample of each slow worker leaves no doubt that the pool mixes kinds of workers.
+    let again = Step {
+        tasks: 6,
+        checkpoints: true,
+        ..task(8)
+    };
+    harness.submit("again", 2, vec![again]);
+    harness.pass();
+    harness.report_all();
+    for i in 0..6 {
+        let interval_ms = if i % 3 == 1 { 5_000 } else { 2_000 };
+        report_pace(&mut harness, &format!("w{i}"), "again", interval_ms);
+    }
+    harness.end_runs("again", EndKind::Done);
+    harness.add_worker("w6", "r2");
+    // The slow workers, which such work takes first, are occupied.
+    let slow = Step {
+        tasks: 2,
+        ..task(8)
+    };
+    harness.submit("slow", 2, vec![slow]);
+    harness.pass();
+    harness.submit("later", 2, vec![task(1)]);
+    let decisions = harness.pass();
+    assert_eq!(workers_of(&harness, "later"), ["w6"].map(Name::from));
+    assert_eq!(decisions.probe_starts, 1);
+}
