Serve demands for which runs were stopped in the usual order, and stop nothing more for them at once

Cause: a demand for which room was made came first in its priority for 1.5 s, renewed each pass where it only waited for runs that end, so late urgent gangs held up those that could be in time. Change: no precedence; nothing more is stopped for such a demand within 1.5 s; only stops count as room made.

--- a/dragonflyrun/src/workload/eviction_records.rs
+++ b/dragonflyrun/src/workload/eviction_records.rs
@@ -8,9 +8,9 @@
     workload::{Demand, eviction::NoEviction},
 };
 
-/// How long a demand for which room was made is served first. It covers the stop and its report; after
-/// that the room has probably been lost with its worker.
-const MAX_CLAIM_TIME: Duration = Duration::from_millis(1_500);
+/// How long nothing more is stopped for a demand for which runs were stopped. It covers the stop and its
+/// report; after that the room has probably been lost with its worker.
+const REPEAT_DELAY: Duration = Duration::from_millis(1_500);
 
 /// Tasks that wait together: the job, the occurrence, the step, and the first task.
 pub(super) type DemandKey = (Name, u32, u32, u32);
@@ -58,8 +58,8 @@
     made: BTreeMap<Name, u32>,
     /// The reasons that were logged for each job and step.
     logged: HashMap<Name, HashSet<(u32, NoEviction)>>,
-    /// The demands for which room was made, and when. The room is theirs until they start.
-    claims: HashMap<DemandKey, Timestamp>,
+    /// The demands for which runs were stopped, and when.
+    recent: HashMap<DemandKey, Timestamp>,
     counts: EvictionCounts,
 }
 
@@ -70,15 +70,15 @@
         for room in made {
             self.counts.core_seconds_discarded += room.discarded_core_s;
             *self.made.entry(room.demand.0.clone()).or_default() += 1;
-            self.claims.insert(room.demand, now);
+            self.recent.insert(room.demand, now);
         }
     }
 
     /// Returns the demands for which room was made that may not be free yet.
-    pub(super) fn claims(&mut self, now: Timestamp) -> HashSet<DemandKey> {
-        self.claims
-            .retain(|_, since| now.since(*since) < MAX_CLAIM_TIME);
-        self.claims.keys().cloned().collect()
+    pub(super) fn recent_demands(&mut self, now: Timestamp) -> HashSet<DemandKey> {
+        self.recent
+            .retain(|_, since| now.since(*since) < REPEAT_DELAY);
+        self.recent.keys().cloned().collect()
     }
 
     /// Returns whether the reason is new for the job and step, so that it is logged only once.
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -83,6 +83,8 @@
     slowness_limits: BTreeMap<u32, f64>,
     /// Runs that may be evicted. A victim that this pass has already chosen has no parts left.
     victims: Vec<Victim>,
+    /// The demands for which runs were stopped a moment ago.
+    recently_evicted_for: HashSet<DemandKey>,
     counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
     holds: u32,
     idle: bool,
@@ -132,6 +134,7 @@
             slowness: Vec::new(),
             slowness_limits,
             victims,
+            recently_evicted_for: HashSet::default(),
             counts: HashMap::default(),
             holds: 0,
             idle,
@@ -248,20 +251,14 @@
         self.idle
     }
 
-    /// Serves the demands in the given order. Those for which room is being made come first within
-    /// their priority: a demand that arrived later would otherwise take the room, and more work would
-    /// be stopped for the first one.
+    /// Serves the demands in the given order. Nothing more is stopped for those in `recently_evicted_for`:
+    /// their room is about to be free, or a more urgent demand has taken it.
     pub(super) fn run(
         &mut self,
-        demands: &mut [Demand<'_>],
-        claims: &HashSet<DemandKey>,
+        demands: &[Demand<'_>],
+        recently_evicted_for: HashSet<DemandKey>,
     ) -> PassOutcome {
-        if !claims.is_empty() {
-            demands.sort_by_cached_key(|d| {
-                let claims_room = claims.contains(&demand_key(d));
-                (d.priority, !d.guaranteed, !claims_room)
-            });
-        }
+        self.recently_evicted_for = recently_evicted_for;
         let mut largest: Option<&Demand<'_>> = None;
         for (before, demand) in demands.iter().enumerate() {
             let served = self.serve(demand);
@@ -419,6 +416,9 @@
         if !demand.guaranteed && self.wait_for_run_ends(demand, placed) {
             return true;
         }
+        if !demand.guaranteed && self.recently_evicted_for.contains(&demand_key(demand)) {
+            return false;
+        }
         if self.slowness.is_empty() {
             self.slowness = self.sources.slowness(&self.rooms);
         }
@@ -449,22 +449,25 @@
 
     /// Orders the stops of an eviction and takes the room that they leave.
     fn evict(&mut self, demand: &Demand<'_>, found: Eviction) {
-        log::info!(
-            job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
-            victims = found.victims.len(), moved = found.moves.len(),
-            lost_core_s = found.core_s(), most_core_s = max_cost(demand),
-            slack_ms = demand.slack_ms, objective_ms = demand.objective_ms,
-            expected_end_ms = self.sources.view.unix_ms + found.end_in_ms;
-            "room_made"
-        );
-        let unsaved = found
-            .victims
-            .iter()
-            .map(|v| self.victims[*v].unsaved_core_s);
-        self.outcome.rooms_made.push(RoomMade {
-            demand: demand_key(demand),
-            discarded_core_s: unsaved.sum(),
-        });
+        // Room that runs leave by ending is not made for the demand.
+        if !found.victims.is_empty() {
+            log::info!(
+                job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
+                victims = found.victims.len(), moved = found.moves.len(),
+                lost_core_s = found.core_s(), most_core_s = max_cost(demand),
+                slack_ms = demand.slack_ms, objective_ms = demand.objective_ms,
+                expected_end_ms = self.sources.view.unix_ms + found.end_in_ms;
+                "room_made"
+            );
+            let unsaved = found
+                .victims
+                .iter()
+                .map(|v| self.victims[*v].unsaved_core_s);
+            self.outcome.rooms_made.push(RoomMade {
+                demand: demand_key(demand),
+                discarded_core_s: unsaved.sum(),
+            });
+        }
         for v in found.victims {
             eviction::return_room(&mut self.rooms, &self.victims[v]);
             let parts = std::mem::take(&mut self.victims[v].parts);
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -632,8 +632,8 @@
         }
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
-        let claims = self.eviction_records.claims(view.now);
-        let mut outcome = pass.run(&mut demands, &claims);
+        let recently_evicted_for = self.eviction_records.recent_demands(view.now);
+        let mut outcome = pass.run(&demands, recently_evicted_for);
         let late = late_gangs::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut changes = self.idle_workers.changes(
