--- a/dragonflyrun/src/workload/eviction_records.rs
+++ b/dragonflyrun/src/workload/eviction_records.rs
@@ -10,7 +10,7 @@
 
 /// How long nothing more is stopped for a demand for which runs were stopped. It covers the stop and its
 /// report; after that the room has probably been lost with its worker.
-const REPEAT_DELAY: Duration = Duration::from_millis(1_500);
+const REPEAT_DELAY: Duration = Duration::from_millis(500);
 
 /// Tasks that wait together: the job, the occurrence, the step, and the first task.
 pub(super) type DemandKey = (Name, u32, u32, u32);
