--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -10,6 +10,7 @@
 mod api;
 mod append_timeout;
 mod boot_clock;
+mod caller_load;
 mod caller_records;
 mod caller_requests;
 mod counted_store;
@@ -33,4 +34,7 @@
 pub use follower::{Batch, Follower};
 pub use lanes::Lanes;
 pub use settings::{StoreBounds, StoreSettings};
-pub use view::{DeploymentView, OccurrencesFile, StepFile, StepJobFile, StepJobView, StepView};
+pub use view::{
+    DeploymentView, OccurrencesFile, StepFile, StepJobFile, StepJobView, StepView, WorkersView,
+    WorkspacesView,
+};
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -29,8 +29,9 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Candidate, Decisions, JobRecord, OrderMessage, Planner, PlannerBounds, PlannerHeartbeat,
-        Report, Term, TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
+        Candidate, Decisions, JobRecord, LoadPublisher, LoadRecord, OrderMessage, Planner,
+        PlannerBounds, PlannerHeartbeat, Report, Term, TermStep, View, WithheldChange,
+        WithheldStarts, WorkerOrder, decode, encode,
     },
 };
 
@@ -85,6 +86,12 @@
 /// sign that an agent is silent.
 const REPORT_READ_OVERDUE: Duration = Duration::from_millis(1_300);
 
+/// The store's usual delay up to which the load record is appended without a plan.
+const MAX_LONE_LOAD_DELAY: Duration = Duration::from_millis(100);
+/// Time between two lists of the workers for operators. Listing a thousand workers in each pass
+/// would take a noticeable part of the pass.
+const WORKER_LIST_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Delay before a failed read is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -103,6 +110,9 @@
     unread_partitions: Cell<HashSet<u32>>,
     heartbeats: RefCell<PlannerHeartbeat>,
     withheld_starts: RefCell<WithheldStarts>,
+    load_publisher: RefCell<LoadPublisher>,
+    /// When the state of the workers was last listed for operators.
+    workers_listed_at: Cell<Option<Timestamp>>,
 }
 
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
@@ -174,6 +184,8 @@
             unread_partitions: Cell::default(),
             heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.stale)),
             withheld_starts: RefCell::default(),
+            load_publisher: RefCell::default(),
+            workers_listed_at: Cell::default(),
             term,
         }))
     }
@@ -195,6 +207,8 @@
             state.is_planner = false;
             state.should_yield = false;
             state.waiting.clear();
+            state.shares = None;
+            state.workers = None;
         }
         reports.abort();
         heartbeats.abort();
@@ -395,18 +409,21 @@
         };
         self.record_metrics(&decisions, started_at);
         self.log_withheld_starts(&decisions, configuration_age);
-        lock(&self.entry.state).waiting = std::mem::take(&mut decisions.waiting);
-        if !decisions.plans.is_empty() {
-            self.heartbeats.borrow_mut().plan_sent();
-            if self
-                .writer
-                .append(Partition::JOBS, decisions.plans)
-                .await
-                .is_none()
-            {
+        self.publish_views(&mut decisions);
+        let has_plans = !decisions.plans.is_empty();
+        let mut records = decisions.plans;
+        records.extend(self.load_record(has_plans).map(|record| record.encode()));
+        if !records.is_empty() {
+            if has_plans {
+                self.heartbeats.borrow_mut().plan_sent();
+            }
+            let appended = self.writer.append(Partition::JOBS, records).await;
+            if appended.is_none() {
                 return;
             }
-            self.heartbeats.borrow_mut().plan_stored();
+            if has_plans {
+                self.heartbeats.borrow_mut().plan_stored();
+            }
         }
         for order in decisions.orders {
             self.queue_order(order);
@@ -419,6 +436,46 @@
         }
     }
 
+    /// Returns the load record if one is due. On a slow store it waits for the next plan: an append of
+    /// its own would delay the pass.
+    fn load_record(&self, has_plans: bool) -> Option<JobRecord> {
+        let now = self.entry.now();
+        let (is_doubtful, is_slow) = {
+            let state = lock(&self.entry.state);
+            let is_slow = state.store_delay > MAX_LONE_LOAD_DELAY;
+            (state.admission.is_doubtful(now), is_slow)
+        };
+        if is_slow && !has_plans {
+            return None;
+        }
+        let mut load = self.planner.borrow().load(self.term.number, unix_ms());
+        if is_doubtful {
+            load = LoadRecord {
+                term: load.term,
+                at_ms: load.at_ms,
+                ..LoadRecord::default()
+            };
+        }
+        let due = self.load_publisher.borrow_mut().due(now, load);
+        due.map(JobRecord::Load)
+    }
+
+    /// Keeps what operators may ask for until the next pass.
+    fn publish_views(&self, decisions: &mut Decisions) {
+        let now = self.entry.now();
+        let due = self.workers_listed_at.get();
+        let due = due.is_none_or(|listed_at| now.since(listed_at) >= WORKER_LIST_INTERVAL);
+        let workers = due.then(|| self.planner.borrow().worker_statuses(now));
+        let mut state = lock(&self.entry.state);
+        state.waiting = std::mem::take(&mut decisions.waiting);
+        state.shares = Some(std::mem::take(&mut decisions.shares));
+        if workers.is_some() {
+            self.workers_listed_at.set(Some(now));
+            state.workers = workers;
+        }
+    }
+
+    /// Records the metrics of a pass.
     fn record_metrics(&self, decisions: &Decisions, started_at: Instant) {
         let counters = &self.entry.counters;
         counters.latency("pass", started_at.elapsed());
@@ -430,10 +487,40 @@
                 counters.event("run_stopped");
             }
         }
+        let evictions = &decisions.evictions;
+        for _ in 0..evictions.runs_evicted {
+            counters.event("runs_evicted");
+        }
+        for _ in 0..evictions.in_vain {
+            counters.event("eviction_in_vain");
+        }
+        let fragmented = evictions.fragmented_accelerators;
+        counters.level("fragmented_accelerators", fragmented as f64);
+        counters.level("core_seconds_discarded", evictions.core_seconds_discarded);
+        let shares = decisions.shares.iter();
+        let above = shares.clone().filter(|s| s.is_above_entitlement());
+        let waiting = shares.filter(|s| s.waiting_demands > 0);
+        counters.level("workspaces_above_share", above.count() as f64);
+        counters.level("workspaces_waiting", waiting.count() as f64);
+        for _ in 0..decisions.probe_starts {
+            counters.event("speed_probe_starts");
+        }
+        for _ in 0..decisions.gangs_moved {
+            counters.event("gang_moved_faster");
+        }
         let planner = self.planner.borrow();
+        let steps = planner.speed_steps();
+        for (step, level) in (FASTEST_STEP..).zip(SPEED_STEP_LEVELS) {
+            counters.level(level, steps.get(&step).copied().unwrap_or(0) as f64);
+        }
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
         counters.level("workers", planner.fleet().workers().count() as f64);
+        let speeds = planner.speeds();
+        counters.level("speed_deviation", speeds.mean_deviation());
+        counters.level("speed_workers_known", speeds.known_workers() as f64);
+        let expected_wait = planner.longest_expected_wait();
+        counters.level("expected_wait_ms", expected_wait.as_millis() as f64);
         counters.level("term", self.term.number as f64);
     }
 
@@ -537,6 +624,34 @@
     }
 }
 
+/// The step of the fastest workers, with which `SPEED_STEP_LEVELS` begins.
+const FASTEST_STEP: i32 = -12;
+
+/// The level of each step with the number of workers of that speed; 0 is nominal.
+const SPEED_STEP_LEVELS: [&str; 21] = [
+    "speed_step_-12",
+    "speed_step_-11",
+    "speed_step_-10",
+    "speed_step_-9",
+    "speed_step_-8",
+    "speed_step_-7",
+    "speed_step_-6",
+    "speed_step_-5",
+    "speed_step_-4",
+    "speed_step_-3",
+    "speed_step_-2",
+    "speed_step_-1",
+    "speed_step_0",
+    "speed_step_1",
+    "speed_step_2",
+    "speed_step_3",
+    "speed_step_4",
+    "speed_step_5",
+    "speed_step_6",
+    "speed_step_7",
+    "speed_step_8",
+];
+
 /// Returns the term that this entry should claim and the offset at which the partition has to end
 /// for the claim to succeed; `None` if it should not claim one.
 fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<(Term, u64)> {
--- a/dragonflyrun/src/workload/demands.rs
+++ b/dragonflyrun/src/workload/demands.rs
@@ -44,13 +44,15 @@
     pub(super) guaranteed: &'a HashSet<Name>,
     /// Whether less than half of the pool is in use.
     pub(super) idle: bool,
+    /// How much slower than nominal the workers typically are that suit the work of each priority.
+    pub(super) typical_slowness: &'a BTreeMap<u32, f64>,
     /// Whether several workers fail every run that they start.
     pub(super) workers_faulty: bool,
 }
 
-impl Demands<'_, '_> {
+impl<'a> Demands<'a, '_> {
     /// Returns the waiting demands in the order in which they should be served.
-    pub(super) fn all<'j>(&self, jobs: &'j BTreeMap<Name, LiveJob>) -> Vec<Demand<'j>> {
+    pub(super) fn all(&self, jobs: &'a BTreeMap<Name, LiveJob>) -> Vec<Demand<'a>> {
         let mut demands = Vec::new();
         for (name, live) in jobs {
             if live.plan.outcome.is_some() || live.cancelled {
@@ -68,16 +70,16 @@
                 );
             }
         }
-        demands.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.job.cmp(&b.job)));
+        sort(&mut demands);
         demands
     }
 
-    fn add_job<'j>(
+    fn add_job(
         &self,
-        live: &'j LiveJob,
+        live: &'a LiveJob,
         occurrence: u32,
         guaranteed: bool,
-        demands: &mut Vec<Demand<'j>>,
+        demands: &mut Vec<Demand<'a>>,
     ) {
         let objective_ms = live.objective_ms(self.times, occurrence);
         for (step, shape) in (0_u32..).zip(&live.job.request.steps) {
@@ -109,16 +111,18 @@
     }
 
     /// Returns the demand of some tasks of a step, without a guarantee.
-    pub(super) fn for_tasks<'j>(
+    pub(super) fn for_tasks(
         &self,
         live: &LiveJob,
         (occurrence, step): (u32, u32),
-        shape: &'j Step,
+        shape: &'a Step,
         objective_ms: u64,
         indexes: Vec<u32>,
-    ) -> Demand<'j> {
+    ) -> Demand<'a> {
         let job = &live.job;
         let estimate_ms = live.estimate_ms(self.times, occurrence, step, shape, &indexes);
+        let typical = self.typical_slowness.get(&job.priority).copied();
+        let expected_ms = (estimate_ms as f64 * typical.unwrap_or(1.0)) as u64;
         Demand {
             job: job.name.clone(),
             occurrence,
@@ -126,15 +130,20 @@
             indexes,
             shape,
             service: service_of(job, self.queues),
+            workspace: job.workspace.clone(),
             priority: job.priority,
             guaranteed: false,
+            exceeds_share: false,
             estimate_ms,
-            slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - estimate_ms as i64,
+            slack_ms: objective_ms as i64 - self.view.unix_ms as i64 - expected_ms as i64,
             objective_ms,
-            still_useful: self.view.unix_ms + estimate_ms
+            left_ms: objective_ms as i64 - self.view.unix_ms as i64,
+            still_useful: self.view.unix_ms + expected_ms
                 < live.useful_until_ms(objective_ms, occurrence),
             avoid: live.failed_on.clone(),
             far_allowed: self.far_allowed(live.waiting_since_ms(occurrence), estimate_ms),
+            far_factor: self.bounds.far_factor.max(1.0),
+            speeds: self.times.speeds(),
             is_starved: false,
             allowed_workers: None,
             caution: Caution::None,
@@ -172,12 +181,18 @@
     }
 }
 
-fn rank(demand: &Demand<'_>) -> (u32, bool, bool, u64) {
+/// Sorts demands into the order in which they should be served.
+pub(super) fn sort(demands: &mut [Demand<'_>]) {
+    demands.sort_by(|a, b| rank(a).cmp(&rank(b)).then_with(|| a.job.cmp(&b.job)));
+}
+
+fn rank(demand: &Demand<'_>) -> (u32, bool, bool, bool, u64) {
     let objective_lost = demand.slack_ms < 0;
     (
         demand.priority,
         !demand.guaranteed,
         objective_lost,
+        demand.exceeds_share,
         demand.objective_ms,
     )
 }
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -10,7 +10,7 @@
 
 /// An occurrence that takes longer than this multiple of the time that its objective allows is of no
 /// use to its caller.
-const USEFUL_OBJECTIVES: u64 = 3;
+pub(super) const USEFUL_OBJECTIVES: u64 = 3;
 
 /// A job, its stored plan, and the planner's volatile state about its runs.
 #[derive(Clone, Debug)]
@@ -22,11 +22,11 @@
     pub(super) failed_on: Vec<Name>,
     /// When a run of the job last failed.
     pub(super) failed_at: Option<Timestamp>,
-    /// The number of evictions of the job's runs.
-    pub(super) evictions: u32,
     /// The tasks of which an overdue run was stopped. Their next run isn't stopped, however long it
     /// takes.
     pub(super) overdue_stopped: HashSet<TaskId>,
+    /// Whether a gang or a task of the job was stopped to begin again on faster workers.
+    pub(super) moved_faster: bool,
     /// The durations of tasks in milliseconds, derived from the progress of their runs and keyed by
     /// task number.
     measured_ms: BTreeMap<u32, u64>,
@@ -43,8 +43,8 @@
             plan: JobPlan::default(),
             failed_on: Vec::new(),
             failed_at: None,
-            evictions: 0,
             overdue_stopped: HashSet::default(),
+            moved_faster: false,
             measured_ms: BTreeMap::new(),
             longest_ms: HashMap::default(),
         }
@@ -186,12 +186,8 @@
             .iter()
             .find(|w| w.name == *workspace);
         let guarantee = guarantee.map_or(0, |w| u64::from(w.guaranteed_accelerators));
-        let steps = live.job.request.steps.iter();
-        let needs: u64 = steps
-            .map(|s| u64::from(s.tasks) * s.needs.accelerators)
-            .sum();
         let used = used.entry(workspace).or_default();
-        *used += needs;
+        *used += live.job.request.accelerators();
         if *used <= guarantee {
             found.insert(live.job.name.clone());
         }
--- a/dragonflyrun/src/workload/mod.rs
+++ b/dragonflyrun/src/workload/mod.rs
@@ -6,6 +6,7 @@
 //! modules are best read in the order `job`, `plan`, `fleet`, `schedule`, `planner`.
 //! `docs/SYSTEM.md` describes the design.
 
+mod admission;
 mod agent_table;
 mod attention;
 mod backoff;
@@ -13,10 +14,12 @@
 mod departure;
 mod entries;
 mod eviction;
+mod eviction_records;
 mod fleet;
 mod idle_workers;
 mod job;
 mod job_table;
+mod late_gangs;
 mod live;
 mod load;
 mod message;
@@ -35,7 +38,9 @@
 mod rooms;
 mod run_times;
 mod schedule;
+mod shares;
 mod skip;
+mod speed_samples;
 mod speeds;
 mod store_reachability;
 mod task;
@@ -43,11 +48,18 @@
 mod tickets;
 mod waiting;
 mod withheld;
+mod worker_sets;
+mod worker_status;
 
+pub use admission::{
+    EntryView, ExpectedWaits, LoadAdmission, LoadPublisher, LoadRecord, LoadRefusal, PoolWork,
+    RunningWork, WaitEstimator, WaitingWork, Waits, is_covered,
+};
 pub use agent_table::{AgentAction, AgentTable, StartResult};
 pub use attention::{Attention, Contact, SELDOM_REPORT_INTERVAL};
 pub use backoff::Backoff;
 pub use entries::{EntryRecord, EntryTable, HostRoom};
+pub use eviction_records::EvictionCounts;
 pub use fleet::{Fleet, FleetWorker, RunOver, RunOverReason, SessionState, WorkerRun};
 pub use job::{Job, JobRequest, Occurrences, Resources, Step};
 pub use job_table::{JobLookup, JobTable, KnownJob};
@@ -61,9 +73,11 @@
 pub use record::{JobRecord, MAX_JOB_NAME_BYTES, Term, decode, encode};
 pub use run_times::RunTimes;
 pub use schedule::{Demand, Hold, Room};
+pub use shares::WorkspaceShare;
 pub use speeds::{SpeedEstimate, SpeedSample, WorkerSpeeds};
 pub use store_reachability::StoreReachability;
 pub use task::{RunId, TaskId};
 pub use term::{Candidate, Election, TermStep};
 pub use waiting::{WaitReason, Waiting};
 pub use withheld::{WithheldChange, WithheldStarts};
+pub use worker_status::{WorkerState, WorkerStatus};
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -7,7 +7,8 @@
     utils::{HashMap, HashSet, Name},
     workload::{
         Contact, Demand, Fleet, Resources, Room, RunId, RunTimes, WaitReason, Waiting,
-        eviction::{self, Victim, max_cost, may_evict, victims},
+        eviction::{self, Eviction, Sources, Victim, max_cost, may_claim_room},
+        eviction_records::{DemandKey, RoomMade, RoomNotMade, demand_key},
         live::LiveJob,
         load::PeakLoad,
         planner::View,
@@ -18,9 +19,14 @@
             reserve_workers,
             rooms,
             set_open_to_all,
-            sum, //
+            slowness_limits,
+            sum,
+            typical_slowness, //
         },
         schedule::{self, Horizon},
+        shares::Shares,
+        speeds::{KNOWN_DEVIATION, STEP_RATIO},
+        worker_sets::{self, WorkerSet},
     },
 };
 
@@ -43,8 +49,15 @@
 pub(super) struct PassOutcome {
     pub(super) starts: Vec<Placed>,
     pub(super) evictions: Vec<(Name, RunId)>,
+    pub(super) rooms_made: Vec<RoomMade>,
+    pub(super) rooms_not_made: Vec<RoomNotMade>,
+    /// Idle accelerators that can't serve the largest waiting shape.
+    pub(super) fragmented_accelerators: u64,
     /// Workers whose agents follow seldom and on which something will start once they report.
     pub(super) asked: Vec<Name>,
+    /// The number of tasks that start where they also show the speed of a worker that is hardly
+    /// known.
+    pub(super) probe_starts: u32,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub(super) waiting: HashMap<Name, Waiting>,
 }
@@ -59,9 +72,19 @@
 /// The room of all workers. A pass subtracts from it what it assigns.
 pub(super) struct Pass<'a> {
     fleet: &'a Fleet,
+    sources: Sources<'a>,
     rooms: Vec<Room>,
+    /// The room on each worker that runs free which end before a stop would free it, without what
+    /// this pass has given away.
+    ending: Vec<Resources>,
+    /// The slowness of each room's worker; empty until an eviction is considered.
+    slowness: Vec<f64>,
+    /// How slow a worker may be for the work of each priority.
+    slowness_limits: BTreeMap<u32, f64>,
     /// Runs that may be evicted. A victim that this pass has already chosen has no parts left.
     victims: Vec<Victim>,
+    /// The demands for which runs were stopped a moment ago.
+    recently_evicted_for: HashSet<DemandKey>,
     counts: HashMap<(Name, u32, u32), HashMap<Name, u32>>,
     holds: u32,
     idle: bool,
@@ -84,21 +107,34 @@
     /// into the guarantees of their workspaces.
     pub(super) fn new(
         fleet: &'a Fleet,
-        jobs: &BTreeMap<Name, LiveJob>,
+        jobs: &'a BTreeMap<Name, LiveJob>,
         guaranteed: &HashSet<Name>,
-        learned: &Observations<'_>,
-        view: &View<'_>,
+        learned: &Observations<'a>,
+        view: &View<'a>,
     ) -> Self {
         let mut rooms = rooms(fleet, jobs, learned, view);
         let idle = is_idle(&rooms);
-        reserve_workers(&mut rooms, learned.peaks);
+        let slowness_limits = slowness_limits(learned.times, view);
+        reserve_workers(&mut rooms, learned.peaks, &slowness_limits);
         set_open_to_all(&mut rooms, idle);
-        let victims = victims(fleet, jobs, guaranteed, learned.times, view, &rooms);
+        let sources = Sources {
+            fleet,
+            jobs,
+            times: learned.times,
+            view: *view,
+        };
+        let victims = sources.victims(guaranteed, &rooms);
+        let ending = eviction::ending(&rooms, &victims);
         let some_follow_seldom = rooms.iter().any(Room::must_be_asked);
         Self {
             fleet,
+            sources,
             rooms,
+            ending,
+            slowness: Vec::new(),
+            slowness_limits,
             victims,
+            recently_evicted_for: HashSet::default(),
             counts: HashMap::default(),
             holds: 0,
             idle,
@@ -107,6 +143,20 @@
         }
     }
 
+    /// Scales the costs of stopping runs by the shares of their workspaces, so that of two runs with
+    /// about the same cost the one whose workspace is further above its entitlement is stopped.
+    pub(super) fn apply_shares(&mut self, shares: &Shares, jobs: &BTreeMap<Name, LiveJob>) {
+        for victim in &mut self.victims {
+            let Some((i, run, _)) = victim.parts.first() else {
+                continue;
+            };
+            let live = jobs.get(&run.task.job);
+            let workspace = live.and_then(|l| l.job.workspace.as_ref());
+            let service = &self.rooms[*i].service;
+            victim.share_factor = shares.stop_cost_factor(service, workspace, victim.priority);
+        }
+    }
+
     /// Returns whether a demand could start now on healthy workers.
     pub(super) fn has_healthy_room(&mut self, demand: &Demand<'_>) -> bool {
         self.healthy_room(demand).is_some()
@@ -122,6 +172,28 @@
         found.is_some()
     }
 
+    /// Takes room that is free now on healthy workers that are known to be faster, on which a demand
+    /// that now runs at `slowness` would end in time. Returns whether there was such room.
+    pub(super) fn take_faster_room(&mut self, demand: &Demand<'_>, slowness: f64) -> bool {
+        let placed = self.count(demand);
+        let set = worker_sets::choose(demand, &self.rooms, Horizon::Now, &placed);
+        let Some(set) = set else {
+            return false;
+        };
+        let is_known = |i: &usize| {
+            let room = &self.rooms[*i];
+            room.fault_count == 0
+                && !demand.avoid.contains(&room.worker)
+                && room.deviation < KNOWN_DEVIATION
+        };
+        let is_better =
+            set.in_time && set.slowness * STEP_RATIO <= slowness && set.rooms.iter().all(is_known);
+        if is_better {
+            self.take(demand, &set.rooms);
+        }
+        is_better
+    }
+
     fn healthy_room(&mut self, demand: &Demand<'_>) -> Option<Vec<usize>> {
         let placed = self.count(demand);
         let found = schedule::place(demand, &self.rooms, Horizon::OnceAsked, &placed);
@@ -165,15 +237,35 @@
         load
     }
 
+    /// Returns how much slower than nominal the workers typically are on which the work of each
+    /// priority can end in time.
+    pub(super) fn typical_slowness(&self) -> BTreeMap<u32, f64> {
+        let limits = self.slowness_limits.iter();
+        let typical =
+            limits.map(|(priority, limit)| (*priority, typical_slowness(&self.rooms, *limit)));
+        typical.collect()
+    }
+
     /// Returns whether less than half of the pool is in use.
     pub(super) fn is_idle(&self) -> bool {
         self.idle
     }
 
-    /// Serves the demands in the given order.
-    pub(super) fn run(&mut self, demands: &[Demand<'_>]) -> PassOutcome {
+    /// Serves the demands in the given order. Nothing more is stopped for those in `recently_evicted_for`:
+    /// their room is about to be free, or a more urgent demand has taken it.
+    pub(super) fn run(
+        &mut self,
+        demands: &[Demand<'_>],
+        recently_evicted_for: HashSet<DemandKey>,
+    ) -> PassOutcome {
+        self.recently_evicted_for = recently_evicted_for;
+        let mut largest: Option<&Demand<'_>> = None;
         for (before, demand) in demands.iter().enumerate() {
             let served = self.serve(demand);
+            let size = |d: &Demand<'_>| d.indexes.len() as u64 * d.shape.needs.accelerators;
+            if served != ServeResult::Started && largest.is_none_or(|l| size(l) < size(demand)) {
+                largest = Some(demand);
+            }
             // A job with many tasks can have many blocked demands; only the first one is reported.
             if served == ServeResult::Started || self.outcome.waiting.contains_key(&demand.job) {
                 continue;
@@ -181,9 +273,24 @@
             let waiting = demand.waiting(before, self.reason(demand, served));
             self.outcome.waiting.insert(demand.job.clone(), waiting);
         }
+        self.outcome.fragmented_accelerators = largest.map_or(0, |d| self.fragmented(d));
         std::mem::take(&mut self.outcome)
     }
 
+    /// Returns the idle accelerators that can't serve a waiting demand: all on workers that can't take
+    /// one of its tasks, and what would be left on the others.
+    fn fragmented(&self, demand: &Demand<'_>) -> u64 {
+        let needs = &demand.shape.needs;
+        let rooms = self.rooms.iter().filter(|r| r.service == demand.service);
+        let left = rooms.map(|room| {
+            let tasks = u64::from(room.free.count(needs, u32::MAX));
+            room.free
+                .accelerators
+                .saturating_sub(tasks.saturating_mul(needs.accelerators))
+        });
+        left.sum()
+    }
+
     /// Starts a demand, or else makes or holds room for it.
     fn serve(&mut self, demand: &Demand<'_>) -> ServeResult {
         let placed = self.count(demand);
@@ -246,8 +353,12 @@
         demand: &Demand<'_>,
         placed: &HashMap<Name, u32>,
     ) -> Option<ServeResult> {
-        if let Some(found) = schedule::place(demand, &self.rooms, Horizon::Now, placed) {
-            self.start(demand, &found);
+        if let Some(set) = worker_sets::choose(demand, &self.rooms, Horizon::Now, placed) {
+            if !set.in_time && self.wait_for_faster_room(demand, placed, set.slowness) {
+                return Some(ServeResult::RoomHeld);
+            }
+            self.log_speed(demand, &set);
+            self.start(demand, &set.rooms);
             return Some(ServeResult::Started);
         }
         if !self.some_follow_seldom {
@@ -258,31 +369,105 @@
         Some(ServeResult::WorkersAsked)
     }
 
+    /// Holds room on faster workers for a gang that needs one rack and would end late if it started
+    /// now. Returns whether there is such room.
+    fn wait_for_faster_room(
+        &mut self,
+        demand: &Demand<'_>,
+        placed: &HashMap<Name, u32>,
+        slowness: f64,
+    ) -> bool {
+        let may_wait = demand.shape.one_rack
+            && demand.indexes.len() > 1
+            && self.holds < MAX_HOLDS_PER_PASS
+            && schedule::hold_in_time(demand, &mut self.rooms, placed, slowness);
+        self.holds += u32::from(may_wait);
+        may_wait
+    }
+
+    /// Logs that the speeds of workers have decided where a demand starts: once per step and pass,
+    /// as the tasks of a step are treated alike.
+    fn log_speed(&mut self, demand: &Demand<'_>, set: &WorkerSet) {
+        let is_first = self
+            .outcome
+            .starts
+            .last()
+            .is_none_or(|last| last.job != demand.job || last.step != demand.step);
+        if is_first && set.is_by_speed {
+            log::info!(
+                job:% = demand.job, step = demand.step, slowness = set.slowness,
+                slowest = set.slowest, in_time = set.in_time, slack_ms = demand.slack_ms;
+                "placed_by_speed"
+            );
+        }
+    }
+
     /// Returns whether the demand has been given room that will be free soon. The room comes from
     /// runs that are being stopped or, without a guarantee, from runs that are about to end. Where
     /// neither is enough, this orders evictions.
     fn make_room(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
-        if !may_evict(demand) {
+        if !may_claim_room(demand) {
             return false;
         }
         if let Some(found) = schedule::place(demand, &self.rooms, Horizon::AfterStops, placed) {
-            self.take(demand, &found);
+            self.take_soon(demand, &found);
             return true;
         }
         if !demand.guaranteed && self.wait_for_run_ends(demand, placed) {
             return true;
         }
-        let max_cost = max_cost(demand);
-        let found = eviction::evict(demand, &self.rooms, &self.victims, placed, max_cost);
-        let Some(found) = found else {
+        if !demand.guaranteed && self.recently_evicted_for.contains(&demand_key(demand)) {
             return false;
-        };
-        log::info!(
-            job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
-            victims = found.victims.len(), lost_core_s = found.cost, most_core_s = max_cost,
-            slack_ms = demand.slack_ms;
-            "room_made"
+        }
+        if self.slowness.is_empty() {
+            self.slowness = self.sources.slowness(&self.rooms);
+        }
+        let found = eviction::evict(
+            demand,
+            &self.rooms,
+            &self.ending,
+            &self.slowness,
+            &self.victims,
+            placed,
+            &self.sources,
         );
+        match found {
+            Ok(found) => {
+                self.evict(demand, found);
+                true
+            }
+            Err(reason) => {
+                self.outcome.rooms_not_made.push(RoomNotMade {
+                    job: demand.job.clone(),
+                    step: demand.step,
+                    reason,
+                });
+                false
+            }
+        }
+    }
+
+    /// Orders the stops of an eviction and takes the room that they leave.
+    fn evict(&mut self, demand: &Demand<'_>, found: Eviction) {
+        // Room that runs leave by ending is not made for the demand.
+        if !found.victims.is_empty() {
+            log::info!(
+                job:% = demand.job, step = demand.step, guaranteed = demand.guaranteed,
+                victims = found.victims.len(), moved = found.moves.len(),
+                lost_core_s = found.core_s(), most_core_s = max_cost(demand),
+                slack_ms = demand.slack_ms, objective_ms = demand.objective_ms,
+                expected_end_ms = self.sources.view.unix_ms + found.end_in_ms;
+                "room_made"
+            );
+            let unsaved = found
+                .victims
+                .iter()
+                .map(|v| self.victims[*v].unsaved_core_s);
+            self.outcome.rooms_made.push(RoomMade {
+                demand: demand_key(demand),
+                discarded_core_s: unsaved.sum(),
+            });
+        }
         for v in found.victims {
             eviction::return_room(&mut self.rooms, &self.victims[v]);
             let parts = std::mem::take(&mut self.victims[v].parts);
@@ -291,8 +476,11 @@
                 .map(|(i, run, _)| (self.rooms[*i].worker.clone(), run.clone()));
             self.outcome.evictions.extend(runs);
         }
-        self.take(demand, &found.rooms);
-        true
+        self.take_soon(demand, &found.rooms);
+        // Otherwise a later demand, or a second victim, would count on the same room.
+        for moved in found.moves {
+            self.rooms[moved.room].take(&moved.needs, moved.for_ms);
+        }
     }
 
     /// Returns whether runs that are expected to end free the room as soon as an eviction would.
@@ -300,11 +488,31 @@
     fn wait_for_run_ends(&mut self, demand: &Demand<'_>, placed: &HashMap<Name, u32>) -> bool {
         let found = schedule::place(demand, &self.rooms, Horizon::At(EXPECTED_STOP_MS), placed);
         if let Some(found) = &found {
-            self.take(demand, found);
+            self.take_soon(demand, found);
         }
         found.is_some()
     }
 
+    /// Takes room that is free after the stops and run ends of the next moments.
+    ///
+    /// The room that these free is taken as well. A second demand would otherwise count on the same
+    /// stops and have no room made for it until the first one has started.
+    fn take_soon(&mut self, demand: &Demand<'_>, found: &[usize]) {
+        let needs = &demand.shape.needs;
+        for i in found {
+            let room = &mut self.rooms[*i];
+            self.ending[*i] = self.ending[*i].minus(&needs.minus(&room.after_stops));
+            let mut missing = needs.minus(&room.free);
+            let soon = room.releases.iter_mut();
+            for (_, freed) in soon.filter(|(ms, _)| *ms <= EXPECTED_STOP_MS) {
+                let left = freed.minus(&missing);
+                missing = missing.minus(&freed.minus(&left));
+                *freed = left;
+            }
+            self.take(demand, &[*i]);
+        }
+    }
+
     fn start(&mut self, demand: &Demand<'_>, found: &[usize]) {
         self.take(demand, found);
         if self.idle && !is_idle(&self.rooms) {
@@ -321,6 +529,10 @@
                 *counts.entry(worker.clone()).or_default() += 1;
             }
         }
+        if demand.has_time_to_explore() {
+            let is_probe = |i: &&usize| self.rooms[**i].is_speed_unknown;
+            self.outcome.probe_starts += found.iter().filter(is_probe).count() as u32;
+        }
         self.outcome.starts.push(Placed {
             job: demand.job.clone(),
             occurrence: demand.occurrence,
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -14,23 +14,32 @@
         AdviceAnswer,
         AdviceQuestion,
         Configuration,
+        EndKind,
+        Heartbeat,
         StoreRecord, //
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, Fleet, FleetWorker, Job, JobPlan, JobRecord, JobTable, Order,
-        Pace, Place, Report, Room, RunId, RunTimes, SessionState, SpeedSample, TaskId, TaskPlan,
-        TaskStart, WaitReason, Waiting,
+        Attention, Contact, Demand, EvictionCounts, ExpectedWaits, Fleet, Job, JobPlan, JobRecord,
+        JobTable, LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState,
+        SpeedEstimate, TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting,
+        WorkerSpeeds, WorkerStatus, WorkspaceShare,
+        admission::PlannerWork,
         demands::Demands,
         departure,
+        eviction_records::EvictionRecords,
         idle_workers::{AttentionChanges, IdleWorkers},
+        late_gangs,
         live::{LiveJob, guaranteed_jobs},
         load::PeakLoad,
         overdue,
-        pass::{Observations, Pass, Placed},
+        pass::{Observations, Pass, PassOutcome, Placed},
         queues::Queues,
         recent_failures::RecentFailures,
+        shares::{ShareLog, Shares},
+        speed_samples::{SpeedSampler, TimedRun},
         tickets::Tickets,
+        worker_status::worker_statuses,
     },
 };
 
@@ -42,9 +51,6 @@
 /// again within 1.2 s, and the hosts' clocks differ a little.
 const RECENT_REPORT_MS: u64 = 2_500;
 
-/// Error in seconds of the measured time between two checkpoints: an agent checks every 0.4 s.
-const PACE_TIMING_ERROR_S: f64 = 0.3;
-
 /// How long a worker stays quarantined.
 const QUARANTINE_TIME: Duration = Duration::from_secs(6);
 
@@ -111,8 +117,16 @@
     pub questions: Vec<AdviceQuestion>,
     /// How long each job whose first tasks start now has waited.
     pub waits: Vec<Duration>,
+    /// The number of tasks that start where they also show the speed of a worker that is hardly known.
+    pub probe_starts: u32,
+    /// The number of jobs of which a gang or a task is moved to faster workers.
+    pub gangs_moved: u32,
     /// Why each waiting job waits, by the first of its demands that was not served.
     pub waiting: HashMap<Name, Waiting>,
+    /// The share of each workspace that holds or asks for something, before this pass's starts.
+    pub shares: Vec<WorkspaceShare>,
+    /// What the evictions of this pass and the ends of jobs add to the metrics.
+    pub evictions: EvictionCounts,
 }
 
 /// The planner's state.
@@ -123,11 +137,23 @@
     changed: HashSet<Name>,
     orders: BTreeMap<Name, Order>,
     run_times: RunTimes,
+    samples: SpeedSampler,
     peaks: PeakLoad,
     idle_workers: IdleWorkers,
     failures: RecentFailures,
     tickets: RefCell<Tickets>,
+    share_log: ShareLog,
     waits: Vec<Duration>,
+    wait_estimator: WaitEstimator,
+    expected_waits: Vec<ExpectedWaits>,
+    /// The load as it was last estimated, without what no job would be refused by.
+    load: LoadRecord,
+    /// The workspaces that are above their entitlement.
+    above: HashSet<Name>,
+    eviction_records: EvictionRecords,
+    fragmented_accelerators: u64,
+    probe_starts: u32,
+    gangs_moved: u32,
 }
 
 impl Planner {
@@ -140,11 +166,21 @@
             changed: HashSet::default(),
             orders: BTreeMap::new(),
             run_times: RunTimes::default(),
+            samples: SpeedSampler::default(),
             peaks: PeakLoad::default(),
             idle_workers: IdleWorkers::new(now, book.jobs().next().is_some()),
             failures: RecentFailures::default(),
             tickets: RefCell::default(),
+            share_log: ShareLog::default(),
             waits: Vec::new(),
+            wait_estimator: WaitEstimator::default(),
+            expected_waits: Vec::new(),
+            load: LoadRecord::default(),
+            above: HashSet::default(),
+            eviction_records: EvictionRecords::default(),
+            fragmented_accelerators: 0,
+            probe_starts: 0,
+            gangs_moved: 0,
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
@@ -209,7 +245,8 @@
             | JobRecord::Plan(..)
             | JobRecord::Planner(_)
             | JobRecord::Entry(_)
-            | JobRecord::EntryGone(_) => {}
+            | JobRecord::EntryGone(_)
+            | JobRecord::Load(_) => {}
         }
     }
 
@@ -259,9 +296,20 @@
         let paces = report.paces.clone();
         let before = self.fleet.get(&worker).and_then(|w| w.report.as_ref());
         let has_news = report.has_news_since(before);
+        let born_before = before.map(|r| r.heartbeat.born_ms);
+        let (heartbeat, told) = (report.heartbeat.clone(), report.speed);
+        let totals = report.ends.iter().zip(&report.end_totals_ms);
+        let totals = totals.filter(|(end, _)| end.kind == EndKind::Done);
+        let totals: Vec<(RunId, u64)> = totals.map(|(end, ms)| (end.run.clone(), *ms)).collect();
         let over = self.fleet.report(now, report, needs_of);
         let has_news = has_news || !over.is_empty();
-        self.learn_paces(&worker, &paces);
+        self.restore_speed(born_before, &heartbeat, told);
+        self.learn_speeds(&worker, &paces);
+        for (run, total_ms) in totals {
+            if over.iter().any(|o| o.run == run) {
+                self.learn_total(&worker, &run, total_ms);
+            }
+        }
         self.learn_task_times(&worker);
         for run in over {
             self.run_over(now, run);
@@ -281,65 +329,70 @@
         has_news
     }
 
-    /// Learns the speed of workers from the pace of the runs on one of them.
-    ///
-    /// A run on another rack than its data is slow on any worker, and so is a gang over several racks
-    /// that should run in one, so their pace is ignored.
-    fn learn_paces(&mut self, worker: &Name, paces: &[Pace]) {
+    /// Learns the speed of workers from the runs on one of them: from the time between checkpoints,
+    /// and from the progress of the runs.
+    fn learn_speeds(&mut self, worker: &Name, paces: &[Pace]) {
         let every_s = self.bounds.checkpoint_every.as_secs_f64();
+        let (fleet, jobs) = (&self.fleet, &self.jobs);
+        let speeds = self.run_times.speeds_mut();
         for pace in paces {
-            let Some((run, workers)) = self.timed_workers(worker, &pace.run) else {
+            if let Some(timed) = TimedRun::of(fleet, jobs, worker, &pace.run) {
+                self.samples.observe_pace(speeds, &timed, pace, every_s);
+            }
+        }
+        let runs = fleet.get(worker).into_iter().flat_map(|w| &w.runs);
+        for (run, state) in runs.filter(|(_, state)| !state.stopping) {
+            let Some(total_ms) = state.total_ms else {
                 continue;
             };
-            let work_s = f64::from(pace.intervals) * every_s;
-            let took_s = pace.took_ms as f64 / 1_000.0;
-            if work_s <= 0.0 || took_s <= 0.0 {
-                continue;
+            if let Some(timed) = TimedRun::of(fleet, jobs, worker, run) {
+                self.samples.observe_progress(speeds, &timed, total_ms);
             }
-            self.run_times.speeds_mut().observe(SpeedSample {
-                run,
-                ratio: took_s / work_s,
-                deviation: PACE_TIMING_ERROR_S / took_s,
-                workers,
-            });
         }
     }
 
-    /// Returns the run or gang that the pace of a run on `worker` measures, and its workers. Returns
-    /// `None` if the run is slowed down by where it runs, or if the workers of its gang are not known
-    /// any more.
-    fn timed_workers(&self, worker: &Name, run: &RunId) -> Option<(RunId, Vec<Name>)> {
-        let live = self.jobs.get(&run.task.job)?;
-        let shape = live.job.request.steps.get(run.task.step as usize)?;
-        let rack_of = |worker: &Name| self.fleet.get(worker).and_then(FleetWorker::rack);
-        let mut workers = vec![worker.clone()];
-        if shape.gang && shape.tasks > 1 {
-            let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
-            let places = numbers.map(|number| {
-                let task = live.plan.tasks.get(&number)?;
-                let place = task.place.as_ref()?;
-                (task.run == run.number).then(|| place.worker.clone())
-            });
-            workers = places.collect::<Option<Vec<Name>>>()?;
-            workers.sort_unstable();
-            workers.dedup();
-        }
-        let mut racks: Vec<Option<&Name>> = workers.iter().map(rack_of).collect();
-        racks.dedup();
-        let near = match &shape.rack {
-            Some(rack) => racks == [Some(rack)],
-            None => !shape.one_rack || racks.len() == 1,
-        };
-        near.then(|| (run.of_gang(shape.gang), workers))
+    /// Learns the speed of workers from the time that the whole work of a run took by its progress.
+    fn learn_total(&mut self, worker: &Name, run: &RunId, total_ms: u64) {
+        if let Some(timed) = TimedRun::of(&self.fleet, &self.jobs, worker, run) {
+            let speeds = self.run_times.speeds_mut();
+            self.samples.observe_progress(speeds, &timed, total_ms);
+        }
+    }
+
+    /// Applies what the report says about the speed of its worker: the estimate that an earlier
+    /// planner has told the agent, or that the worker has booted again.
+    fn restore_speed(
+        &mut self,
+        before: Option<u64>,
+        report: &Heartbeat,
+        told: Option<SpeedEstimate>,
+    ) {
+        let worker = &report.worker;
+        if before.is_some_and(|born_ms| born_ms < report.born_ms) {
+            self.run_times.speeds_mut().remove_worker(worker);
+            self.samples.remove_worker(worker);
+        }
+        if let Some(estimate) = told {
+            self.run_times.speeds_mut().restore(worker, estimate);
+        }
     }
 
     /// Records how long the tasks on a worker would take on a full-speed worker, by their progress.
     fn learn_task_times(&mut self, worker: &Name) {
-        let slowness = self.run_times.speeds().slowness(worker);
+        let speeds = self.run_times.speeds();
         let runs = self.fleet.get(worker).into_iter().flat_map(|w| &w.runs);
-        for (run, state) in runs {
-            let live = self.jobs.get_mut(&run.task.job);
-            if let (Some(live), Some(total_ms)) = (live, state.total_ms) {
+        let measured = runs.filter_map(|(run, state)| Some((run.clone(), state.total_ms?)));
+        let measured: Vec<(RunId, u64)> = measured.collect();
+        for (run, total_ms) in measured {
+            // All members of a gang progress at the speed of the slowest one.
+            let slowness = match TimedRun::of(&self.fleet, &self.jobs, worker, &run) {
+                Some(timed) => {
+                    let slowness = timed.workers().iter().map(|w| speeds.slowness(w));
+                    slowness.fold(0.0, f64::max)
+                }
+                None => speeds.slowness(worker),
+            };
+            if let Some(live) = self.jobs.get_mut(&run.task.job) {
                 live.record_task_ms(&run.task, (total_ms as f64 / slowness) as u64);
             }
         }
@@ -374,6 +427,16 @@
         &self.fleet
     }
 
+    /// Returns the learned speeds of workers.
+    pub fn speeds(&self) -> &WorkerSpeeds {
+        self.run_times.speeds()
+    }
+
+    /// Returns the state of each worker for operators.
+    pub fn worker_statuses(&self, now: Timestamp) -> Vec<WorkerStatus> {
+        worker_statuses(now, &self.fleet, self.run_times.speeds())
+    }
+
     /// Returns the number of jobs that have not started any task.
     pub fn waiting(&self) -> usize {
         let jobs = self.jobs.values();
@@ -381,6 +444,33 @@
             .count()
     }
 
+    /// Returns the load as it was last estimated, without what no job would be refused by.
+    pub fn load(&self, term: u64, unix_ms: u64) -> LoadRecord {
+        LoadRecord {
+            term,
+            at_ms: unix_ms,
+            ..self.load.clone()
+        }
+    }
+
+    /// Returns the longest time that new work of any service and priority is expected to wait.
+    pub fn longest_expected_wait(&self) -> Duration {
+        let longest = self.expected_waits.iter().map(ExpectedWaits::longest_ms);
+        Duration::from_millis(longest.max().unwrap_or(0))
+    }
+
+    fn set_expected_waits(&mut self, waits: Vec<ExpectedWaits>, configuration: &Configuration) {
+        let mut above: Vec<Name> = self.above.iter().cloned().collect();
+        above.sort_unstable();
+        let load = LoadRecord {
+            waits: waits.clone(),
+            above,
+            ..LoadRecord::default()
+        };
+        self.load = load.reduced(configuration);
+        self.expected_waits = waits;
+    }
+
     /// Returns the number of jobs that have started and not ended.
     pub fn running(&self) -> usize {
         let jobs = self.jobs.values();
@@ -396,9 +486,10 @@
         self.fence_silent_agents(view);
         self.ask_doubtful_domains(view);
         self.finish_jobs(view);
-        let waiting = self.start_tasks(view);
+        let (waiting, shares) = self.start_tasks(view);
         Decisions {
             waiting,
+            shares,
             ..self.collect(view)
         }
     }
@@ -415,6 +506,11 @@
         }
         decisions.plans.extend(self.remove_ended_jobs(view));
         decisions.waits = std::mem::take(&mut self.waits);
+        decisions.evictions = self
+            .eviction_records
+            .take_counts(self.fragmented_accelerators);
+        decisions.probe_starts = std::mem::take(&mut self.probe_starts);
+        decisions.gangs_moved = std::mem::take(&mut self.gangs_moved);
         decisions.questions = self.tickets.get_mut().take_questions();
         for (worker, order) in std::mem::take(&mut self.orders) {
             let known = self.fleet.get(&worker);
@@ -422,20 +518,36 @@
                 continue;
             };
             if !order.is_empty() {
+                let speed = self.speed_to_tell(&worker);
                 decisions.orders.push(WorkerOrder {
                     worker,
                     session,
-                    order,
+                    order: Order { speed, ..order },
                 });
             }
         }
         decisions.gone_workers = self.fleet.forget(view.now, self.bounds.keep_ended);
         for worker in &decisions.gone_workers {
             self.run_times.remove_worker(worker);
+            self.samples.remove_worker(worker);
         }
         decisions
     }
 
+    /// Returns the estimate of a worker's speed to send along with an order, if the agent doesn't keep
+    /// a similar one already.
+    fn speed_to_tell(&mut self, worker: &Name) -> Option<SpeedEstimate> {
+        let speeds = self.run_times.speeds_mut();
+        let estimate = speeds.estimate(worker)?;
+        let report = self.fleet.get(worker)?.report.as_ref();
+        let kept = report.and_then(|r| r.speed);
+        if kept.is_some_and(|kept| !estimate.replaces(kept)) {
+            return None;
+        }
+        speeds.told(worker);
+        Some(estimate)
+    }
+
     fn remove_ended_jobs(&mut self, view: &View<'_>) -> Vec<StoreRecord> {
         let keep_ms = u64::try_from(self.bounds.keep_ended.as_millis()).unwrap_or(u64::MAX);
         let old = self.jobs.iter().filter(|(_, l)| {
@@ -454,10 +566,10 @@
         records
     }
 
-    /// Starts the tasks that fit and returns why the other jobs wait. Without a fresh proof of the
-    /// configuration nothing is started, because a failure domain may have been taken out of
-    /// service in the meantime.
-    fn start_tasks(&mut self, view: &View<'_>) -> HashMap<Name, Waiting> {
+    /// Starts the tasks that fit. Returns why the other jobs wait, and the shares of the workspaces.
+    /// Without a fresh proof of the configuration nothing is started, because a failure domain may
+    /// have been taken out of service in the meantime.
+    fn start_tasks(&mut self, view: &View<'_>) -> (HashMap<Name, Waiting>, Vec<WorkspaceShare>) {
         let guaranteed = guaranteed_jobs(&self.jobs, view.configuration);
         self.failures.remove_old(view.now);
         let learned = Observations {
@@ -467,6 +579,7 @@
         };
         let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &learned, view);
         let queues = Queues::of(view.configuration);
+        let typical_slowness = pass.typical_slowness();
         let builder = Demands {
             bounds: &self.bounds,
             view,
@@ -474,23 +587,54 @@
             times: &self.run_times,
             guaranteed: &guaranteed,
             idle: pass.is_idle(),
+            typical_slowness: &typical_slowness,
             workers_faulty: self
                 .failures
                 .are_workers_faulty(self.fleet.workers().count()),
         };
         let mut demands = builder.all(&self.jobs);
+        let shares = Shares::of(
+            view.configuration,
+            &self.fleet,
+            pass.rooms(),
+            &self.jobs,
+            &demands,
+        );
         if !view.is_fresh {
             let stale = |(before, demand): (usize, &Demand<'_>)| {
                 let waiting = demand.waiting(before, WaitReason::ConfigurationStale);
                 (demand.job.clone(), waiting)
             };
-            return demands.iter().enumerate().map(stale).collect();
+            let waiting = demands.iter().enumerate().map(stale).collect();
+            self.set_expected_waits(Vec::new(), view.configuration);
+            return (waiting, shares.list());
+        }
+        let load = pass.load(&self.jobs, &demands);
+        let decisions = shares.order(&mut demands);
+        self.share_log.log(view.now, decisions);
+        pass.apply_shares(&shares, &self.jobs);
+        let listed = shares.list().into_iter();
+        let above = listed.filter(WorkspaceShare::is_above_entitlement);
+        self.above = above.filter_map(|share| share.workspace).collect();
+        let mut estimated_waits = None;
+        if self.wait_estimator.is_due(view.now) {
+            let work = PlannerWork {
+                fleet: &self.fleet,
+                jobs: &self.jobs,
+                times: &self.run_times,
+                view,
+                queues: &queues,
+                above: &self.above,
+            };
+            let pools = work.pools(pass.rooms(), &demands);
+            let waits = self.wait_estimator.estimate(view.now, &pools);
+            estimated_waits = Some(waits);
         }
-        self.peaks
-            .observe(view.now, &pass.load(&self.jobs, &demands));
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
-        let mut outcome = pass.run(&demands);
+        let recently_evicted_for = self.eviction_records.recent_demands(view.now);
+        let mut outcome = pass.run(&demands, recently_evicted_for);
+        let late = late_gangs::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let mut changes = self.idle_workers.changes(
             view.now,
@@ -501,21 +645,52 @@
         // The moves of overdue and leaving runs ask for workers too.
         changes.asked.append(&mut outcome.asked);
         changes.asked.append(&mut pass.take_asked());
+        if let Some(waits) = estimated_waits {
+            self.set_expected_waits(waits, view.configuration);
+        }
+        self.peaks.observe(view.now, &load);
         self.stop_overdue(overdue);
+        self.probe_starts += outcome.probe_starts;
+        self.move_faster(late);
         for (worker, run) in leaving {
             self.stop(&worker, &run, "worker_leaves");
         }
-        for (worker, run) in outcome.evictions {
-            if let Some(live) = self.jobs.get_mut(&run.task.job) {
-                live.evictions += 1;
+        self.record_evictions(view.now, &mut outcome);
+        let evicted = outcome.evictions.iter().map(|(_, run)| &run.task.job);
+        // A job is counted once, however many of its runs this pass stops.
+        let evicted: HashSet<Name> = evicted.cloned().collect();
+        for job in evicted {
+            if let Some(live) = self.jobs.get_mut(&job) {
+                live.plan.evictions += 1;
             }
+        }
+        for (worker, run) in outcome.evictions {
             self.stop(&worker, &run, "evicted");
         }
         for placed in outcome.starts {
             self.start(view, &placed);
         }
         self.change_attention(view.now, changes);
-        outcome.waiting
+        (outcome.waiting, shares.list())
+    }
+
+    /// Records the evictions of a pass, and logs for which demands no room was made.
+    fn record_evictions(&mut self, now: Timestamp, outcome: &mut PassOutcome) {
+        let records = &mut self.eviction_records;
+        records.add(
+            now,
+            std::mem::take(&mut outcome.rooms_made),
+            outcome.evictions.len(),
+        );
+        self.fragmented_accelerators = outcome.fragmented_accelerators;
+        for not_made in &outcome.rooms_not_made {
+            if records.is_new(not_made) {
+                log::info!(
+                    job:% = not_made.job, step = not_made.step, reason = not_made.reason.label();
+                    "room_not_made"
+                );
+            }
+        }
     }
 
     /// Asks the agents of idle workers for a report, or releases them.
@@ -563,6 +738,29 @@
         }
     }
 
+    /// Stops runs that begin again on faster workers once they are over.
+    fn move_faster(&mut self, runs: Vec<(Name, RunId)>) {
+        for (worker, run) in runs {
+            if let Some(live) = self.jobs.get_mut(&run.task.job)
+                && !std::mem::replace(&mut live.moved_faster, true)
+            {
+                self.gangs_moved += 1;
+            }
+            self.stop(&worker, &run, "moved_faster");
+        }
+    }
+
+    /// Returns the number of workers of each speed, in steps from nominal.
+    pub fn speed_steps(&self) -> BTreeMap<i32, usize> {
+        let mut steps = BTreeMap::new();
+        for (worker, _) in self.fleet.workers() {
+            *steps
+                .entry(self.run_times.speeds().step(worker))
+                .or_default() += 1;
+        }
+        steps
+    }
+
     /// Limits the demands of queues whose policy asks the advisor to workers with a ticket.
     fn apply_tickets(
         &self,
--- a/dragonflyrun/src/workload/rooms.rs
+++ b/dragonflyrun/src/workload/rooms.rs
@@ -1,19 +1,29 @@
 //! The room of all workers at the beginning of a pass, and the workers that are reserved for urgent
 //! work.
 
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 use crate::{
     utils::{HashMap, Name},
     workload::{
-        Fleet, FleetWorker, Resources, Room, RunId, RunTimes, Step, WorkerRun, live::LiveJob,
-        load::PeakLoad, overdue::is_overdue, pass::Observations, planner::View, schedule,
+        Fleet, FleetWorker, Resources, Room, RunId, RunTimes, Step, WorkerRun,
+        live::LiveJob,
+        load::PeakLoad,
+        overdue::is_overdue,
+        pass::Observations,
+        planner::View,
+        schedule,
+        speeds::{KNOWN_DEVIATION, SLOWEST_STEP, STEP_RATIO},
+        worker_sets::{EXPECTED_START_MS, TIME_MARGIN},
     },
 };
 
 /// Milliseconds from the order to stop a run until its room is known to be free.
 pub(super) const EXPECTED_STOP_MS: u64 = 250;
 
+/// Steps from nominal at which a worker is of another kind: estimates of equal workers differ by one.
+const MIN_DIFFERENT_STEP: i32 = 2;
+
 /// Minimum remaining time in milliseconds that is assumed for a run, also past its expected end.
 const MIN_REMAINING_MS: u64 = 500;
 
@@ -38,8 +48,12 @@
         let mut releases = Vec::new();
         let mut overdue = false;
         for (run, state) in &worker.runs {
-            let slowness = times.slowness(name).max(times.speeds().slowness(name));
-            let expected = expected_ms(jobs, times, run) as f64 * slowness.max(1.0);
+            let known = run_slowness(jobs, times, name, run);
+            // A fast worker's tasks end sooner unless it is degraded. A low ratio on other workers
+            // comes from estimates that are too long.
+            let least = if known < 1.0 { known } else { 1.0 };
+            let slowness = times.slowness(name).max(least).max(known);
+            let expected = expected_ms(jobs, times, run) as f64 * slowness;
             let elapsed = elapsed_ms(state, view) as f64;
             overdue |= is_overdue(expected, elapsed);
             let left = match measured_remaining_ms(state, view) {
@@ -49,6 +63,7 @@
             };
             releases.push((left, state.needs));
         }
+        let (slowness_step, slowness) = schedule::slowness(times, name);
         Some(Room {
             worker: name.clone(),
             service: heartbeat.service.clone(),
@@ -65,11 +80,32 @@
             has_leftover_tasks: runs_step_where(jobs, worker, |s| s.leftovers),
             fault_count: worker.failures + u32::from(overdue),
             proven: failing_since.is_none_or(|since| worker.last_good_start >= Some(since)),
-            slowness_step: schedule::slowness_step(times, name),
+            slowness_step,
+            slowness,
+            deviation: times.speeds().deviation(name),
+            is_speed_unknown: false,
             contact: worker.contact,
         })
     });
-    rooms.collect()
+    let mut rooms: Vec<Room> = rooms.collect();
+    mark_unknown_speeds(&mut rooms);
+    rooms
+}
+
+/// Marks the workers whose speed is unknown, if others are known to differ. With equal workers there
+/// is nothing to find out.
+fn mark_unknown_speeds(rooms: &mut [Room]) {
+    let is_known = |r: &Room| r.deviation < KNOWN_DEVIATION;
+    let differs = |r: &Room| r.slowness_step.abs() >= MIN_DIFFERENT_STEP;
+    if !rooms
+        .iter()
+        .any(|r| is_known(r) && r.slowness_step < SLOWEST_STEP && differs(r))
+    {
+        return;
+    }
+    for room in rooms {
+        room.is_speed_unknown = !is_known(room);
+    }
 }
 
 pub(super) fn is_idle(rooms: &[Room]) -> bool {
@@ -84,29 +120,76 @@
         .fold(Resources::default(), |sum, room| sum.plus(&of(room)))
 }
 
+/// Returns how slow a worker may be for the work of each priority to end in time on it, as a multiple
+/// of the time on a nominal worker.
+pub(super) fn slowness_limits(times: &RunTimes, view: &View<'_>) -> BTreeMap<u32, f64> {
+    let mut limits: BTreeMap<u32, f64> = BTreeMap::new();
+    for queue in &view.configuration.queues {
+        // Without a known run time only the part of the objective counts that grows with it.
+        let constant = times.mean_ms(&queue.name).map_or(0.0, |mean_ms| {
+            (queue.target.as_millis() as f64 - EXPECTED_START_MS as f64) / mean_ms.max(1.0)
+        });
+        let limit = limits.entry(queue.priority).or_insert(f64::INFINITY);
+        *limit = limit.min((queue.stretch + constant) / TIME_MARGIN);
+    }
+    limits
+}
+
 /// Reserves shares of the workers for more urgent work. The reserved workers are always the same
 /// ones, rack by rack, so that they run empty and gangs find whole workers next to each other;
-/// small tasks spread over all workers would have to be evicted for each gang. The racks with the
-/// fewest slow workers come first, as urgent work has the least time to lose.
-pub(super) fn reserve_workers(rooms: &mut [Room], peaks: &PeakLoad) {
-    let mut order: Vec<usize> = (0..rooms.len()).collect();
-    let mut slow_on: HashMap<Option<Name>, i32> = HashMap::default();
-    for room in &*rooms {
-        *slow_on.entry(room.rack.clone()).or_default() += room.slowness_step;
-    }
-    order.sort_by_cached_key(|i| {
-        let room = &rooms[*i];
-        let slow = slow_on.get(&room.rack).copied();
-        (slow, room.rack.clone(), room.worker.clone())
-    });
-    for (priority, share) in peaks.reserved_shares() {
-        let count = (rooms.len() as f64 * share) as usize;
-        for i in order.iter().take(count) {
-            rooms[*i].reserved_against = priority;
+/// small tasks spread over all workers would have to be evicted for each gang.
+///
+/// The racks come first in which the most workers can serve the priority in time, and only these
+/// workers are reserved there: the slower ones stay open to other work.
+pub(super) fn reserve_workers(rooms: &mut [Room], peaks: &PeakLoad, limits: &BTreeMap<u32, f64>) {
+    let total = rooms.len();
+    let mut shares: Vec<(u32, f64)> = peaks.reserved_shares().collect();
+    shares.reverse();
+    for (reserved_against, share) in shares {
+        let limit = limits.get(&(reserved_against - 1)).copied();
+        let is_fast = |r: &Room| {
+            r.slowness_step < SLOWEST_STEP && r.slowness <= limit.unwrap_or(f64::INFINITY)
+        };
+        let all_fast = rooms.iter().all(is_fast);
+        let mut fast_on: HashMap<Option<Name>, usize> = HashMap::default();
+        for room in rooms.iter().filter(|r| !all_fast && is_fast(r)) {
+            *fast_on.entry(room.rack.clone()).or_default() += 1;
+        }
+        let mut slow_on: HashMap<Option<Name>, i32> = HashMap::default();
+        for room in &*rooms {
+            *slow_on.entry(room.rack.clone()).or_default() += room.slowness_step;
+        }
+        let mut order: Vec<usize> = (0..total).filter(|i| is_fast(&rooms[*i])).collect();
+        order.sort_by_cached_key(|i| {
+            let room = &rooms[*i];
+            let fast = fast_on.get(&room.rack).copied();
+            // What more urgent work has reserved is part of this priority's share.
+            let is_reserved = room.reserved_against < u32::MAX;
+            (
+                !is_reserved,
+                Reverse(fast),
+                slow_on.get(&room.rack).copied(),
+                room.rack.clone(),
+                room.worker.clone(),
+            )
+        });
+        for i in order.into_iter().take((total as f64 * share) as usize) {
+            let room = &mut rooms[i];
+            room.reserved_against = room.reserved_against.min(reserved_against);
         }
     }
 }
 
+/// Returns the median slowness of the workers that aren't slower than `limit`, in whole steps so that
+/// it is 1 in a pool of equal workers.
+pub(super) fn typical_slowness(rooms: &[Room], limit: f64) -> f64 {
+    let fast = rooms.iter().filter(|r| r.slowness <= limit);
+    let mut steps: Vec<i32> = fast.map(|r| r.slowness_step).collect();
+    steps.sort_unstable();
+    let median = steps.get(steps.len() / 2).copied().unwrap_or(0);
+    STEP_RATIO.powi(median)
+}
+
 /// Sets whether the reserved workers also accept other work. They do while less than half of the
 /// pool is in use.
 pub(super) fn set_open_to_all(rooms: &mut [Room], open_to_all: bool) {
@@ -134,6 +217,29 @@
     step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
 }
 
+/// Returns how many times longer than nominal a run takes on its worker: as long as on the slowest
+/// worker of its gang. The result is in whole steps, and 1 in a pool of equal workers.
+fn run_slowness(
+    jobs: &BTreeMap<Name, LiveJob>,
+    times: &RunTimes,
+    worker: &Name,
+    run: &RunId,
+) -> f64 {
+    let own = times.speeds().step(worker);
+    let live = jobs.get(&run.task.job);
+    let of_gang = live.filter(|live| {
+        let shape = live.job.request.steps.get(run.task.step as usize);
+        shape.is_some_and(|s| s.gang && s.tasks > 1)
+    });
+    let step = of_gang.map_or(own, |live| {
+        let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
+        let places = numbers.filter_map(|n| live.plan.tasks.get(&n)?.place.as_ref());
+        let steps = places.map(|p| times.speeds().step(&p.worker));
+        steps.fold(own, i32::max)
+    });
+    STEP_RATIO.powi(step)
+}
+
 /// Returns the milliseconds that a run is still expected to take.
 pub(super) fn expected_remaining_ms(
     jobs: &BTreeMap<Name, LiveJob>,
--- a/dragonflyrun/src/workload/run_times.rs
+++ b/dragonflyrun/src/workload/run_times.rs
@@ -62,6 +62,18 @@
         }
     }
 
+    /// Returns the mean milliseconds that tasks of `queue` have taken; `None` if none has completed.
+    pub fn mean_ms(&self, queue: &Name) -> Option<f64> {
+        self.queues.get(queue).map(|q| q.mean_ms)
+    }
+
+    /// Returns the mean error of the estimates of `queue`, as the absolute value of the logarithm of
+    /// their ratio to the true time; `None` before enough tasks have completed.
+    pub fn estimate_error(&self, queue: &Name) -> Option<f64> {
+        let known = self.queues.get(queue)?;
+        (known.count >= MIN_TASKS_FOR_MEAN).then(|| known.mean_error.min(known.caller_error))
+    }
+
     /// Returns the learned speeds of workers.
     pub fn speeds(&self) -> &WorkerSpeeds {
         &self.speeds
--- a/dragonflyrun/src/workload/speeds/belief.rs
+++ b/dragonflyrun/src/workload/speeds/belief.rs
@@ -1,5 +1,7 @@
 //! Probability distributions over the slowness of a worker, on a fixed grid of its logarithm.
 
+use std::sync::LazyLock;
+
 /// Number of grid points: from 0.32 to 4.6 times the nominal time.
 pub(super) const POINTS: usize = 29;
 
@@ -8,7 +10,7 @@
 
 /// Ratio between the slowness of two neighbouring grid points. Callers can't notice a smaller
 /// difference between two workers.
-pub(super) const STEP_RATIO: f64 = 1.1;
+pub(in crate::workload) const STEP_RATIO: f64 = 1.1;
 
 /// Smallest factor by which evidence changes the probability of a grid point, relative to the most
 /// likely one. Newer evidence can therefore always overturn older evidence.
@@ -29,6 +31,11 @@
         Self([1.0; POINTS])
     }
 
+    /// Returns the sum of no distributions.
+    pub(super) fn zero() -> Self {
+        Self([0.0; POINTS])
+    }
+
     /// Returns the distribution or likelihood with the given value for each logarithm of a slowness.
     pub(super) fn from_fn(f: impl Fn(f64) -> f64) -> Self {
         Self(std::array::from_fn(|point| f(ln_slowness(point))))
@@ -73,6 +80,12 @@
         Self(self.0.map(|p| p / sum))
     }
 
+    /// Returns the likelihood with a maximum of 1.
+    pub(super) fn scaled(&self) -> Self {
+        let max = self.0.iter().copied().fold(f64::MIN_POSITIVE, f64::max);
+        Self(self.0.map(|p| p / max))
+    }
+
     /// Returns the likelihood with a maximum of 1 and no value below the minimum.
     pub(super) fn bounded(&self) -> Self {
         let max = self.0.iter().copied().fold(0.0, f64::max);
@@ -97,6 +110,20 @@
         points.map(|(i, p)| p * f(ln_slowness(i))).sum()
     }
 
+    /// Returns the expected slowness, for a normalized distribution.
+    pub(super) fn mean_slowness(&self) -> f64 {
+        /// The slowness at each grid point. A pass asks for that of each worker and run.
+        static SLOWNESS: LazyLock<[f64; POINTS]> =
+            LazyLock::new(|| std::array::from_fn(|point| ln_slowness(point).exp()));
+        let points = self.0.iter().zip(SLOWNESS.iter());
+        points.map(|(p, slowness)| p * slowness).sum()
+    }
+
+    /// Returns the probability that the slowness is nominal, for a normalized distribution.
+    pub(super) fn nominal_probability(&self) -> f64 {
+        self.0[NOMINAL]
+    }
+
     /// Returns the mean and the standard deviation of the logarithm.
     pub(super) fn moments(&self) -> (f64, f64) {
         let mean = self.expect(|x| x);
--- a/dragonflyrun/tests/replay/mod.rs
+++ b/dragonflyrun/tests/replay/mod.rs
@@ -6,7 +6,11 @@
 
 use std::collections::BTreeMap;
 
-use dragonflyrun::{port::EndKind, utils::Name, workload::RunId};
+use dragonflyrun::{
+    port::{EndKind, RunningTask},
+    utils::Name,
+    workload::RunId,
+};
 
 pub(crate) use naive::Naive;
 pub(crate) use pattern::Pattern;
@@ -31,12 +35,15 @@
 /// Milliseconds of work between two checkpoints.
 const CHECKPOINT_MS: u64 = 2_000;
 
-/// Number of workers per rack. Each rack is a failure domain.
-const WORKERS_PER_RACK: usize = 3;
+/// Milliseconds between two readings of a worker's list of running tasks by its agent.
+const READ_MS: u64 = 400;
 
 /// A late job is still useful if it takes at most this multiple of its objective.
 const USEFUL_FACTOR: u64 = 3;
 
+/// Number of times that a caller submits a job that is refused.
+const MAX_SUBMISSIONS: u32 = 3;
+
 /// Number of accelerators per worker.
 pub(crate) const ACCELERATORS: u64 = 8;
 
@@ -57,6 +64,10 @@
 pub(crate) trait Policy {
     /// A job has arrived.
     fn submit(&mut self, number: usize, job: &PatternJob);
+    /// Returns the milliseconds after which the caller of a job should return if the job is refused.
+    fn refuse(&mut self, _now_ms: u64, _number: usize, _job: &PatternJob) -> Option<u64> {
+        None
+    }
     /// The caller of a job has cancelled it.
     fn cancel(&mut self, number: usize);
     /// A run has ended. `saved_ms` milliseconds of the task's work are checkpointed.
@@ -65,6 +76,8 @@
     fn worker_changed(&mut self, worker: usize, is_present: bool);
     /// A failure domain was taken out of service, or put back into it.
     fn domain_changed(&mut self, domain: &str, out: bool);
+    /// The agent of a worker has read its list of running tasks.
+    fn runs_read(&mut self, _now_ms: u64, _worker: usize, _running: &[RunningTask]) {}
     /// Returns the commands to execute now.
     fn decide(&mut self, now_ms: u64) -> Vec<Command>;
 }
@@ -82,7 +95,7 @@
     stop_at_ms: Option<u64>,
 }
 
-/// The results for the jobs of one priority.
+/// The results for the jobs of one priority or workspace.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct PriorityOutcome {
     pub(crate) jobs: usize,
@@ -90,21 +103,54 @@
     pub(crate) late: usize,
 }
 
+impl PriorityOutcome {
+    fn add(&mut self, result: JobResult) {
+        self.jobs += 1;
+        self.in_time += usize::from(result == JobResult::InTime);
+        self.late += usize::from(result == JobResult::Late);
+    }
+}
+
+/// What became of a job.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum JobResult {
+    InTime,
+    Late,
+    /// It ended when its result was of no use any more.
+    Useless,
+    /// It was refused as often as its caller returned.
+    Refused,
+    /// It was cancelled, or did not end.
+    #[default]
+    Other,
+}
+
 /// The results of a replay.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Outcome {
     /// The results by priority.
     pub(crate) by_priority: [PriorityOutcome; 3],
+    /// The results by workspace, for the jobs that name one.
+    pub(crate) by_workspace: BTreeMap<String, PriorityOutcome>,
     /// Accelerator-seconds of work that counted and of work that was lost, and idle ones until the
     /// last job's arrival.
     pub(crate) useful: f64,
     pub(crate) wasted: f64,
     pub(crate) idle: f64,
+    /// Accelerator-seconds, until the last job's arrival, of idle accelerators that could not serve
+    /// the largest waiting shape.
+    pub(crate) fragmented: f64,
+    /// The number of runs that the policy stopped.
+    pub(crate) stops: usize,
     /// The milliseconds from a job's arrival to the start of its gang, for each gang that needs at
     /// least the accelerators of two workers.
     pub(crate) large_starts_ms: Vec<u64>,
     /// The number of jobs that did not end.
     pub(crate) unfinished: usize,
+    /// The results of all jobs, in the order of their arrival.
+    pub(crate) results: Vec<JobResult>,
+    /// The number of refusals of each job.
+    pub(crate) refusals: Vec<u32>,
 }
 
 impl Outcome {
@@ -128,6 +174,9 @@
     running: Vec<Running>,
     state: Vec<Change>,
     ended_ms: Vec<Option<u64>>,
+    /// The refused jobs that will return, with the time and the number of their submissions.
+    returning: Vec<(u64, usize, u32)>,
+    refused: Vec<bool>,
     done: BTreeMap<(usize, u32, u32), bool>,
     outcome: Outcome,
 }
@@ -140,12 +189,16 @@
         running: Vec::new(),
         state: vec![Change::Healthy; pattern.workers],
         ended_ms: vec![None; pattern.jobs.len()],
+        returning: Vec::new(),
+        refused: vec![false; pattern.jobs.len()],
         done: BTreeMap::new(),
-        outcome: Outcome::default(),
+        outcome: Outcome {
+            refusals: vec![0; pattern.jobs.len()],
+            ..Outcome::default()
+        },
     };
     let last_ms = pattern.jobs.last().map_or(0, |j| j.at_ms);
-    while replay.now_ms < last_ms + AFTER_LAST_JOB_MS && replay.ended_ms.iter().any(Option::is_none)
-    {
+    while replay.now_ms < last_ms + AFTER_LAST_JOB_MS && replay.has_open_jobs() {
         replay.step(policy, last_ms);
         replay.now_ms += TICK_MS;
     }
@@ -153,6 +206,30 @@
 }
 
 impl Replay<'_> {
+    fn has_open_jobs(&self) -> bool {
+        let mut jobs = self.ended_ms.iter().zip(&self.refused);
+        jobs.any(|(ended, refused)| ended.is_none() && !refused)
+    }
+
+    /// Submits a job for the given time, unless the policy refuses it.
+    fn submit(&mut self, policy: &mut dyn Policy, number: usize, submission: u32) {
+        let job = PatternJob {
+            at_ms: self.now_ms.max(self.pattern.jobs[number].at_ms),
+            ..self.pattern.jobs[number].clone()
+        };
+        let Some(after_ms) = policy.refuse(self.now_ms, number, &job) else {
+            policy.submit(number, &job);
+            return;
+        };
+        self.outcome.refusals[number] += 1;
+        if submission < MAX_SUBMISSIONS {
+            self.returning
+                .push((self.now_ms + after_ms, number, submission + 1));
+        } else {
+            self.refused[number] = true;
+        }
+    }
+
     fn step(&mut self, policy: &mut dyn Policy, last_ms: u64) {
         let due = self.now_ms..self.now_ms + TICK_MS;
         for event in self
@@ -170,7 +247,7 @@
         }
         for (number, job) in self.pattern.jobs.iter().enumerate() {
             if due.contains(&job.at_ms) {
-                policy.submit(number, job);
+                self.submit(policy, number, 1);
             }
             if job.cancel_ms.is_some_and(|at| due.contains(&at)) && self.ended_ms[number].is_none()
             {
@@ -178,7 +255,14 @@
                 self.ended_ms[number] = Some(self.now_ms);
             }
         }
+        let returning = self.returning.extract_if(.., |r| due.contains(&r.0));
+        for (_, number, submission) in returning.collect::<Vec<_>>() {
+            self.submit(policy, number, submission);
+        }
         self.advance_runs(policy);
+        if self.now_ms.is_multiple_of(READ_MS) {
+            self.read_runs(policy);
+        }
         for command in policy.decide(self.now_ms) {
             self.execute(command);
         }
@@ -190,9 +274,54 @@
                 .sum();
             let all = self.pattern.workers as u64 * ACCELERATORS;
             self.outcome.idle += all.saturating_sub(busy) as f64 * TICK_MS as f64 / 1_000.0;
+            self.outcome.fragmented += self.fragmented() as f64 * TICK_MS as f64 / 1_000.0;
         }
     }
 
+    /// Returns the idle accelerators that can't serve the largest waiting shape: all on workers that
+    /// can't take one of its tasks, and what one worker after the other would have left over.
+    fn fragmented(&self) -> u64 {
+        let arrived = self.pattern.jobs.iter().enumerate();
+        let arrived = arrived
+            .filter(|(number, job)| job.at_ms <= self.now_ms && self.ended_ms[*number].is_none());
+        let steps = arrived.flat_map(|(number, job)| {
+            let steps = job.steps.iter().enumerate();
+            steps.filter(move |(step, _)| self.waits(number, *step as u32))
+        });
+        let size = |step: &PatternStep| {
+            let tasks = if step.gang { u64::from(step.tasks) } else { 1 };
+            tasks * step.accelerators
+        };
+        let Some((_, largest)) = steps.max_by_key(|(_, step)| size(step)) else {
+            return 0;
+        };
+        let free = |worker: usize| {
+            let used: u64 = self
+                .runs_on(worker)
+                .map(|r| self.step_of(r).accelerators)
+                .sum();
+            ACCELERATORS.saturating_sub(used)
+        };
+        let present = (0..self.pattern.workers).filter(|w| self.state[*w] != Change::Gone);
+        present.map(|w| free(w) % largest.accelerators.max(1)).sum()
+    }
+
+    /// Returns whether a task of a step could start but doesn't run.
+    fn waits(&self, job: usize, step: u32) -> bool {
+        let is_done = |step: u32| {
+            let tasks = self.pattern.jobs[job].steps[step as usize].tasks;
+            (0..tasks).all(|index| self.done.contains_key(&(job, step, index)))
+        };
+        let pattern_step = &self.pattern.jobs[job].steps[step as usize];
+        let of_step = |r: &&Running| r.job == job && r.run.task.step == step;
+        let running = self.running.iter().filter(of_step).count();
+        let done = (0..pattern_step.tasks)
+            .filter(|index| self.done.contains_key(&(job, step, *index)))
+            .count();
+        pattern_step.after.iter().all(|s| is_done(*s))
+            && running + done < pattern_step.tasks as usize
+    }
+
     fn apply_change(&mut self, worker: usize, change: Change, policy: &mut dyn Policy) {
         let was = std::mem::replace(&mut self.state[worker], change);
         if change == Change::Gone {
@@ -206,6 +335,24 @@
         }
     }
 
+    /// Lets the agents of all workers read the running tasks.
+    fn read_runs(&self, policy: &mut dyn Policy) {
+        let mut running = vec![Vec::new(); self.pattern.workers];
+        for run in &self.running {
+            let pattern_step = self.step_of(run);
+            let total_ms = run.restored_work_ms + run.worked_ms as u64;
+            let saved_ms = saved_ms(pattern_step, total_ms).max(run.restored_work_ms);
+            running[run.worker].push(RunningTask {
+                run: run.run.clone(),
+                checkpoint: checkpoint(saved_ms),
+                percent: (total_ms * 100 / pattern_step.true_ms.max(1)) as u32,
+            });
+        }
+        for (worker, running) in running.iter().enumerate() {
+            policy.runs_read(self.now_ms, worker, running);
+        }
+    }
+
     fn runs_on(&self, worker: usize) -> impl Iterator<Item = &Running> {
         self.running.iter().filter(move |r| r.worker == worker)
     }
@@ -223,7 +370,8 @@
             } => {
                 let job = job_number(&run.task.job);
                 if run.task.index == 0 && self.is_large(job, run.task.step) {
-                    let waited = self.now_ms - self.pattern.jobs[job].at_ms;
+                    // A job that arrives within a tick is submitted at its beginning.
+                    let waited = self.now_ms.saturating_sub(self.pattern.jobs[job].at_ms);
                     self.outcome.large_starts_ms.push(waited);
                 }
                 self.running.push(Running {
@@ -245,6 +393,7 @@
                 let stop_at = self.now_ms + STOP_MS;
                 let running = self.running.iter_mut().find(|r| r.run == run);
                 if let Some(running) = running {
+                    self.outcome.stops += usize::from(running.stop_at_ms.is_none());
                     running.stop_at_ms.get_or_insert(stop_at);
                 }
             }
@@ -294,15 +443,24 @@
         } else {
             vec![run]
         };
-        let stalled = members
-            .iter()
-            .any(|r| self.state[r.worker] == Change::Stalled);
+        let stalled = members.iter().any(|r| {
+            let starting = self.now_ms < r.started_ms + self.pattern.start_ms;
+            starting || self.state[r.worker] == Change::Stalled
+        });
         let slow = members.iter().any(|r| self.state[r.worker] == Change::Slow);
-        let rack = run.worker / WORKERS_PER_RACK;
-        let is_far =
-            pattern_step.one_rack && members.iter().any(|r| r.worker / WORKERS_PER_RACK != rack);
+        let rack = self.pattern.rack_of(run.worker);
+        let is_far = pattern_step.one_rack
+            && members
+                .iter()
+                .any(|r| self.pattern.rack_of(r.worker) != rack);
         let factor = if slow { SLOW_FACTOR } else { 1 } * if is_far { FAR_FACTOR } else { 1 };
-        if stalled { 0.0 } else { 1.0 / factor as f64 }
+        let slowness = members.iter().map(|r| self.pattern.slowness_of(r.worker));
+        let slowness = slowness.fold(0.0, f64::max);
+        if stalled {
+            0.0
+        } else {
+            1.0 / (factor as f64 * slowness)
+        }
     }
 
     fn end_run(&mut self, run: &RunId, kind: EndKind, policy: &mut dyn Policy) {
@@ -344,15 +502,10 @@
     fn remove_run(&mut self, run: &RunId, done: bool) -> Option<(usize, u64)> {
         let at = self.running.iter().position(|r| r.run == *run)?;
         let pattern_step = self.step_of(&self.running[at]);
-        let (accelerators, checkpoints) =
-            (pattern_step.accelerators as f64, pattern_step.checkpoints);
+        let accelerators = pattern_step.accelerators as f64;
+        let total = self.running[at].restored_work_ms + self.running[at].worked_ms as u64;
+        let saved_ms = saved_ms(pattern_step, total);
         let run = self.running.remove(at);
-        let total = run.restored_work_ms + run.worked_ms as u64;
-        let saved_ms = if checkpoints {
-            total - total % CHECKPOINT_MS
-        } else {
-            0
-        };
         let kept_ms = if done {
             total
         } else {
@@ -365,25 +518,54 @@
     }
 
     fn summarize(mut self) -> Outcome {
-        for (job, ended) in self.pattern.jobs.iter().zip(&self.ended_ms) {
+        self.outcome.results = vec![JobResult::default(); self.pattern.jobs.len()];
+        for (number, (job, ended)) in self.pattern.jobs.iter().zip(&self.ended_ms).enumerate() {
             if job.cancel_ms.is_some() {
                 continue;
             }
-            let counts = &mut self.outcome.by_priority[job.priority as usize];
-            counts.jobs += 1;
-            let Some(ended) = ended else {
-                self.outcome.unfinished += 1;
-                continue;
-            };
-            let took = ended - job.at_ms;
+            let took = ended.map(|ended| ended - job.at_ms);
             let objective = job.objective_ms();
-            counts.in_time += usize::from(took <= objective);
-            counts.late += usize::from(took > objective && took <= objective * USEFUL_FACTOR);
+            let result = match took {
+                _ if self.refused[number] => JobResult::Refused,
+                None => JobResult::Other,
+                Some(took) if took <= objective => JobResult::InTime,
+                Some(took) if took <= objective * USEFUL_FACTOR => JobResult::Late,
+                Some(_) => JobResult::Useless,
+            };
+            self.outcome.results[number] = result;
+            self.outcome.unfinished += usize::from(result == JobResult::Other);
+            let by_workspace = &mut self.outcome.by_workspace;
+            let of_workspace = job
+                .workspace
+                .clone()
+                .map(|w| by_workspace.entry(w).or_default());
+            let of_priority = &mut self.outcome.by_priority[job.priority as usize];
+            for counts in of_workspace.into_iter().chain([of_priority]) {
+                counts.add(result);
+            }
         }
         self.outcome
     }
 }
 
+/// Returns the milliseconds of a task's work that are checkpointed once `total_ms` are done.
+fn saved_ms(pattern_step: &PatternStep, total_ms: u64) -> u64 {
+    if pattern_step.checkpoints {
+        total_ms - total_ms % CHECKPOINT_MS
+    } else {
+        0
+    }
+}
+
+/// Returns the checkpoint after `saved_ms` milliseconds of work; empty if nothing is saved.
+fn checkpoint(saved_ms: u64) -> String {
+    if saved_ms > 0 {
+        saved_ms.to_string()
+    } else {
+        String::new()
+    }
+}
+
 /// Returns the name of the job with a number.
 pub(crate) fn job_name(number: usize) -> Name {
     format!("job-{number}").into()
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -38,6 +38,8 @@
     pub(crate) store_delay: Duration,
     /// The newest report of each worker.
     pub(crate) reports: Vec<Report>,
+    /// All jobs that were submitted.
+    pub(crate) accepted_records: Vec<JobRecord>,
     /// All plan records that the planner has written.
     pub(crate) written_records: Vec<JobRecord>,
     offset: u64,
@@ -74,6 +76,15 @@
         Self::with_bounds(workers, bounds())
     }
 
+    /// Returns a planner with workers of 8 accelerators in racks of the given size.
+    pub(crate) fn with_racks(workers: usize, per_rack: usize) -> Self {
+        let mut harness = Self::new(0);
+        for i in 0..workers {
+            harness.add_worker(&format!("w{i}"), &format!("r{}", i / per_rack));
+        }
+        harness
+    }
+
     /// Returns a planner with other bounds and the same workers.
     pub(crate) fn with_bounds(workers: usize, bounds: PlannerBounds) -> Self {
         let mut harness = Self {
@@ -84,6 +95,7 @@
             is_fresh: true,
             store_delay: Duration::ZERO,
             reports: Vec::new(),
+            accepted_records: Vec::new(),
             written_records: Vec::new(),
             offset: 10,
         };
@@ -123,10 +135,12 @@
             progress: Vec::new(),
             paces: Vec::new(),
             ends: Vec::new(),
+            end_totals_ms: Vec::new(),
             closed: false,
             left: false,
             unreachable: false,
             attention: Attention::Close,
+            speed: None,
         });
         self.report(name);
     }
@@ -144,7 +158,17 @@
         priority: u32,
         steps: Vec<Step>,
     ) -> Name {
-        let job = Job {
+        let job = self.job(workspace, name, priority, steps);
+        let name = job.name.clone();
+        let record = JobRecord::Accepted(Box::new(job));
+        self.planner.apply_job_record(&record);
+        self.accepted_records.push(record);
+        name
+    }
+
+    /// Returns a job that is accepted now.
+    pub(crate) fn job(&self, workspace: &str, name: &str, priority: u32, steps: Vec<Step>) -> Job {
+        Job {
             name: name.into(),
             queue: "q".into(),
             service: "svc".into(),
@@ -159,11 +183,23 @@
                 steps,
                 occurrences: None,
             },
-        };
-        let name = job.name.clone();
-        self.planner
-            .apply_job_record(&JobRecord::Accepted(Box::new(job)));
-        name
+        }
+    }
+
+    /// Replaces the planner by a successor that knows the stored records and reads all reports.
+    pub(crate) fn change_planner(&mut self) {
+        let mut table = JobTable::default();
+        let records = self.accepted_records.iter().chain(&self.written_records);
+        for record in records {
+            table.fold(record.clone());
+        }
+        let now = Timestamp::from_millis(self.now_ms);
+        self.planner = Planner::take_over(bounds(), &table, now);
+        for report in &self.reports {
+            let worker = &report.heartbeat.worker;
+            self.planner.set_orders_end(worker, self.offset + 1);
+        }
+        self.report_all();
     }
 
     /// Runs one pass of the planner and lets the workers execute its orders.
