--- a/dragonflyrun/src/workload/eviction_records.rs
+++ b/dragonflyrun/src/workload/eviction_records.rs
@@ -9,7 +9,7 @@
 };
 
 /// How long nothing more is stopped for a demand for which runs were stopped. It covers the stop and its
-/// report; after that the room has probably been lost with its worker.
+/// report; after that another demand has taken the room.
 const REPEAT_DELAY: Duration = Duration::from_millis(500);
 
 /// Tasks that wait together: the job, the occurrence, the step, and the first task.
@@ -25,6 +25,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct RoomMade {
     pub(super) demand: DemandKey,
+    /// The workers on which the demand is to start.
+    pub(super) workers: Vec<Name>,
     /// Core-seconds of unsaved work of the evicted runs.
     pub(super) discarded_core_s: f64,
 }
@@ -58,8 +60,8 @@
     made: BTreeMap<Name, u32>,
     /// The reasons that were logged for each job and step.
     logged: HashMap<Name, HashSet<(u32, NoEviction)>>,
-    /// The demands for which runs were stopped, and when.
-    recent: HashMap<DemandKey, Timestamp>,
+    /// The demands for which runs were stopped, when, and the workers that are cleared for them.
+    recent: HashMap<DemandKey, (Timestamp, Vec<Name>)>,
     counts: EvictionCounts,
 }
 
@@ -70,14 +72,20 @@
         for room in made {
             self.counts.core_seconds_discarded += room.discarded_core_s;
             *self.made.entry(room.demand.0.clone()).or_default() += 1;
-            self.recent.insert(room.demand, now);
+            self.recent.insert(room.demand, (now, room.workers));
         }
     }
 
-    /// Returns the demands for which room was made that may not be free yet.
-    pub(super) fn recent_demands(&mut self, now: Timestamp) -> HashSet<DemandKey> {
-        self.recent
-            .retain(|_, since| now.since(*since) < REPEAT_DELAY);
+    /// Returns the demands for which room was made that may not be free yet. A demand whose room is lost
+    /// because a worker no longer accepts tasks is not among them.
+    pub(super) fn recent_demands(
+        &mut self,
+        now: Timestamp,
+        accepts_tasks: impl Fn(&Name) -> bool,
+    ) -> HashSet<DemandKey> {
+        self.recent.retain(|_, (since, workers)| {
+            now.since(*since) < REPEAT_DELAY && workers.iter().all(&accepts_tasks)
+        });
         self.recent.keys().cloned().collect()
     }
 
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -459,12 +459,14 @@
                 expected_end_ms = self.sources.view.unix_ms + found.end_in_ms;
                 "room_made"
             );
+            let workers = found.rooms.iter().map(|i| &self.rooms[*i].worker);
             let unsaved = found
                 .victims
                 .iter()
                 .map(|v| self.victims[*v].unsaved_core_s);
             self.outcome.rooms_made.push(RoomMade {
                 demand: demand_key(demand),
+                workers: workers.cloned().collect(),
                 discarded_core_s: unsaved.sum(),
             });
         }
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -20,10 +20,10 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
-        Attention, Contact, Demand, EvictionCounts, ExpectedWaits, Fleet, Job, JobPlan, JobRecord,
-        JobTable, LoadRecord, Order, Pace, Place, Report, Room, RunId, RunTimes, SessionState,
-        SpeedEstimate, TaskId, TaskPlan, TaskStart, WaitEstimator, WaitReason, Waiting,
-        WorkerSpeeds, WorkerStatus, WorkspaceShare,
+        Attention, Contact, Demand, EvictionCounts, ExpectedWaits, Fleet, FleetWorker, Job,
+        JobPlan, JobRecord, JobTable, LoadRecord, Order, Pace, Place, Report, Room, RunId,
+        RunTimes, SessionState, SpeedEstimate, TaskId, TaskPlan, TaskStart, WaitEstimator,
+        WaitReason, Waiting, WorkerSpeeds, WorkerStatus, WorkspaceShare,
         admission::PlannerWork,
         demands::Demands,
         departure,
@@ -632,7 +632,14 @@
         }
         self.apply_tickets(view.now, &queues, pass.rooms(), &mut demands);
         let overdue = overdue::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
-        let recently_evicted_for = self.eviction_records.recent_demands(view.now);
+        let accepts_tasks = |worker: &Name| {
+            self.fleet
+                .get(worker)
+                .is_some_and(FleetWorker::accepts_tasks)
+        };
+        let recently_evicted_for = self
+            .eviction_records
+            .recent_demands(view.now, accepts_tasks);
         let mut outcome = pass.run(&demands, recently_evicted_for);
         let late = late_gangs::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
         let leaving = departure::runs_to_stop(&self.fleet, &self.jobs, &builder, &mut pass);
