Test moves to faster workers with speeds that the estimator takes for kinds of workers

Two tests of late_gangs reported workers at four times the nominal time. The estimator ignores samples beyond 3.2 times as degraded workers, and takes a single one for an outlier, so on the merged code no speed was known and nothing moved. They now report three times, repeatedly, and the job's objective is 1.5 times its work, since with 3 times no worker that slow is too late.

--- a/dragonflyrun/tests/late_gangs.rs
+++ b/dragonflyrun/tests/late_gangs.rs
@@ -5,11 +5,11 @@
 use dragonflyrun::{
     port::EndKind,
     utils::Name,
-    workload::{Decisions, Pace, Progress, Step},
+    workload::{Decisions, Job, JobRecord, Pace, Progress, Step},
 };
 use workload_tables::{Harness, task};
 
-/// Reports paces for a patient task that runs on each worker. The first two workers take four times
+/// Reports paces for a patient task that runs on each worker. The first two workers take three times
 /// the nominal time.
 fn learn_speeds(harness: &mut Harness) {
     let tasks = Step {
@@ -22,18 +22,21 @@
     harness.report_all();
     for (worker, run) in harness.running("patient") {
         let slow = ["w0", "w1"].contains(&&*worker);
-        harness.change_report(&worker, |report| {
-            report.paces.push(Pace {
-                run,
-                intervals: 5,
-                took_ms: if slow { 40_000 } else { 10_000 },
+        // A single measurement counts as an outlier: the workers of the pool may be equal.
+        for _ in 0..20 {
+            harness.change_report(&worker, |report| {
+                report.paces = vec![Pace {
+                    run: run.clone(),
+                    intervals: 5,
+                    took_ms: if slow { 30_000 } else { 10_000 },
+                }];
             });
-        });
+        }
     }
 }
 
 /// Returns a harness in which an urgent gang runs on the slow workers `w0` and `w1` because the
-/// others were occupied. Its estimate gives it 7 s, and by its progress it takes 8 s.
+/// others were occupied. Its estimate gives it 4 s, and by its progress it takes 8 s.
 fn late_gang() -> Harness {
     let mut harness = Harness::new(6);
     learn_speeds(&mut harness);
@@ -48,7 +51,13 @@
         gang: true,
         ..task(8)
     };
-    harness.submit("urgent", 0, vec![gang]);
+    // With more time than this, a worker that is three times as slow isn't too late.
+    let job = Job {
+        stretch: 1.5,
+        ..harness.job("w", "urgent", 0, vec![gang])
+    };
+    let record = JobRecord::Accepted(Box::new(job));
+    harness.planner.apply_job_record(&record);
     harness.pass();
     harness.advance(1_000);
     harness
