Do work of each pass once: shares listed, slow workers by rack counted, evidence looked up

Cause: the shares of all workspaces were listed twice a pass, the slow workers of each rack counted once for each reserved priority although they don't depend on it, and whether a worker is known was asked by computing the moments of its distribution. Change: one list, one count, and WorkerSpeeds::is_known. Decisions are the same.

--- a/dragonflyrun/src/workload/eviction.rs
+++ b/dragonflyrun/src/workload/eviction.rs
@@ -265,8 +265,7 @@
     pub(super) fn slowness(&self, rooms: &[Room]) -> Vec<f64> {
         let speeds = self.times.speeds();
         let of_room = |room: &Room| {
-            let known = speeds.estimate(&room.worker).is_some();
-            if known {
+            if speeds.is_known(&room.worker) {
                 speeds.slowness(&room.worker)
             } else {
                 1.0
@@ -284,7 +283,7 @@
         workers.sort_unstable();
         workers.dedup();
         let count = workers.len();
-        workers.retain(|w| speeds.estimate(w).is_some());
+        workers.retain(|w| speeds.is_known(w));
         if workers.is_empty() {
             return 1.0;
         }
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -613,9 +613,9 @@
         let decisions = shares.order(&mut demands);
         self.share_log.log(view.now, decisions);
         pass.apply_shares(&shares, &self.jobs);
-        let listed = shares.list().into_iter();
-        let above = listed.filter(WorkspaceShare::is_above_entitlement);
-        self.above = above.filter_map(|share| share.workspace).collect();
+        let listed = shares.list();
+        let above = listed.iter().filter(|s| s.is_above_entitlement());
+        self.above = above.filter_map(|s| s.workspace.clone()).collect();
         let mut estimated_waits = None;
         if self.wait_estimator.is_due(view.now) {
             let work = PlannerWork {
@@ -678,7 +678,7 @@
             self.start(view, &placed);
         }
         self.change_attention(view.now, changes);
-        (outcome.waiting, shares.list())
+        (outcome.waiting, listed)
     }
 
     /// Records the evictions of a pass, and logs for which demands no room was made.
--- a/dragonflyrun/src/workload/rooms.rs
+++ b/dragonflyrun/src/workload/rooms.rs
@@ -145,6 +145,10 @@
     let total = rooms.len();
     let mut shares: Vec<(u32, f64)> = peaks.reserved_shares().collect();
     shares.reverse();
+    let mut slow_on: HashMap<Option<Name>, i32> = HashMap::default();
+    for room in &*rooms {
+        *slow_on.entry(room.rack.clone()).or_default() += room.slowness_step;
+    }
     for (reserved_against, share) in shares {
         let limit = limits.get(&(reserved_against - 1)).copied();
         let is_fast = |r: &Room| {
@@ -155,10 +159,6 @@
         for room in rooms.iter().filter(|r| !all_fast && is_fast(r)) {
             *fast_on.entry(room.rack.clone()).or_default() += 1;
         }
-        let mut slow_on: HashMap<Option<Name>, i32> = HashMap::default();
-        for room in &*rooms {
-            *slow_on.entry(room.rack.clone()).or_default() += room.slowness_step;
-        }
         let mut order: Vec<usize> = (0..total).filter(|i| is_fast(&rooms[*i])).collect();
         order.sort_by_cached_key(|i| {
             let room = &rooms[*i];
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -460,6 +460,11 @@
         deviations.sum::<f64>() / self.workers.len().max(1) as f64
     }
 
+    /// Returns whether there is evidence about a worker.
+    pub fn is_known(&self, worker: &Name) -> bool {
+        self.workers.contains_key(worker)
+    }
+
     /// Returns the number of workers about which there is evidence.
     pub fn known_workers(&self) -> usize {
         self.workers.len()
