Look up speeds, gangs and queues once a pass, and give the pass its sources whole

Cause: for each run the slowest worker of its gang was looked up anew, so that a pass computed as many distributions as the square of each gang; each worker's distribution was computed three times; each small run that might move searched all queues, of which operators may have thousands; and the number of workers of each speed was counted in each pass for metrics that are read every few seconds. Change: SpeedCache in rooms, WorkerSpeeds::speed, the queues in Sources, which Pass::new takes in place of its parts, speed levels once a second beside the list of workers, and Counters::events in place of five loops.

--- a/dragonflyrun/src/process/counters.rs
+++ b/dragonflyrun/src/process/counters.rs
@@ -87,7 +87,15 @@
 
     /// Counts an event that operators should know of, such as a refused job or a broken gang.
     pub fn event(&self, name: &'static str) {
-        self.events.add(1, &[KeyValue::new("event", name)]);
+        self.events(name, 1);
+    }
+
+    /// Counts `count` events of one kind.
+    pub fn events(&self, name: &'static str, count: usize) {
+        if count > 0 {
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            self.events.add(count, &[KeyValue::new("event", name)]);
+        }
     }
 
     /// Counts a call to the store: `append`, `read` or `newest`.
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -88,8 +88,8 @@
 
 /// The store's usual delay up to which the load record is appended without a plan.
 const MAX_LONE_LOAD_DELAY: Duration = Duration::from_millis(100);
-/// Time between two lists of the workers for operators. Listing a thousand workers in each pass
-/// would take a noticeable part of the pass.
+/// Time between two lists of the workers and their speeds for operators. Listing a thousand workers
+/// in each pass would take a noticeable part of the pass.
 const WORKER_LIST_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Delay before a failed read is retried.
@@ -472,9 +472,23 @@
         if workers.is_some() {
             self.workers_listed_at.set(Some(now));
             state.workers = workers;
+            drop(state);
+            self.record_speeds();
         }
     }
 
+    fn record_speeds(&self) {
+        let counters = &self.entry.counters;
+        let planner = self.planner.borrow();
+        let steps = planner.speed_steps();
+        for (step, level) in (FASTEST_STEP..).zip(SPEED_STEP_LEVELS) {
+            counters.level(level, steps.get(&step).copied().unwrap_or(0) as f64);
+        }
+        let speeds = planner.speeds();
+        counters.level("speed_deviation", speeds.mean_deviation());
+        counters.level("speed_workers_known", speeds.known_workers() as f64);
+    }
+
     /// Records the metrics of a pass.
     fn record_metrics(&self, decisions: &Decisions, started_at: Instant) {
         let counters = &self.entry.counters;
@@ -482,18 +496,13 @@
         for waited in &decisions.waits {
             counters.latency("wait", *waited);
         }
-        for order in &decisions.orders {
-            for _ in &order.order.stops {
-                counters.event("run_stopped");
-            }
-        }
+        let stops = decisions.orders.iter().map(|order| order.order.stops.len());
+        counters.events("run_stopped", stops.sum());
         let evictions = &decisions.evictions;
-        for _ in 0..evictions.runs_evicted {
-            counters.event("runs_evicted");
-        }
-        for _ in 0..evictions.in_vain {
-            counters.event("eviction_in_vain");
-        }
+        counters.events("runs_evicted", evictions.runs_evicted as usize);
+        counters.events("eviction_in_vain", evictions.in_vain as usize);
+        counters.events("speed_probe_starts", decisions.probe_starts as usize);
+        counters.events("gang_moved_faster", decisions.gangs_moved as usize);
         let fragmented = evictions.fragmented_accelerators;
         counters.level("fragmented_accelerators", fragmented as f64);
         counters.level("core_seconds_discarded", evictions.core_seconds_discarded);
@@ -502,23 +511,10 @@
         let waiting = shares.filter(|s| s.waiting_demands > 0);
         counters.level("workspaces_above_share", above.count() as f64);
         counters.level("workspaces_waiting", waiting.count() as f64);
-        for _ in 0..decisions.probe_starts {
-            counters.event("speed_probe_starts");
-        }
-        for _ in 0..decisions.gangs_moved {
-            counters.event("gang_moved_faster");
-        }
         let planner = self.planner.borrow();
-        let steps = planner.speed_steps();
-        for (step, level) in (FASTEST_STEP..).zip(SPEED_STEP_LEVELS) {
-            counters.level(level, steps.get(&step).copied().unwrap_or(0) as f64);
-        }
         counters.level("jobs_waiting", planner.waiting() as f64);
         counters.level("jobs_running", planner.running() as f64);
         counters.level("workers", planner.fleet().workers().count() as f64);
-        let speeds = planner.speeds();
-        counters.level("speed_deviation", speeds.mean_deviation());
-        counters.level("speed_workers_known", speeds.known_workers() as f64);
         let expected_wait = planner.longest_expected_wait();
         counters.level("expected_wait_ms", expected_wait.as_millis() as f64);
         counters.level("term", self.term.number as f64);
--- a/dragonflyrun/src/workload/admission/waits.rs
+++ b/dragonflyrun/src/workload/admission/waits.rs
@@ -406,8 +406,6 @@
     }
 
     fn waiting(&self, demand: &Demand<'_>, amount: Amount) -> WaitingWork {
-        let live = self.jobs.get(&demand.job);
-        let workspace = live.and_then(|l| l.job.workspace.as_ref());
         let due_in_ms = demand.objective_ms.saturating_sub(self.view.unix_ms);
         WaitingWork {
             priority: demand.priority,
@@ -416,7 +414,10 @@
             estimate_ms: demand.estimate_ms,
             due_in_ms: (demand.slack_ms >= 0).then_some(due_in_ms),
             guaranteed: demand.guaranteed,
-            above: workspace.is_some_and(|w| self.above.contains(w)),
+            above: demand
+                .workspace
+                .as_ref()
+                .is_some_and(|w| self.above.contains(w)),
         }
     }
 }
--- a/dragonflyrun/src/workload/eviction.rs
+++ b/dragonflyrun/src/workload/eviction.rs
@@ -19,6 +19,7 @@
         WorkerRun,
         live::LiveJob,
         planner::View,
+        queues::Queues,
         rooms::{EXPECTED_STOP_MS, elapsed_ms, expected_remaining_ms},
         schedule::{self, Horizon, by_rack, is_suitable, on_rack},
         speeds::SLOWEST_STEP, //
@@ -257,6 +258,7 @@
     pub(super) fleet: &'a Fleet,
     pub(super) jobs: &'a BTreeMap<Name, LiveJob>,
     pub(super) times: &'a RunTimes,
+    pub(super) queues: &'a Queues<'a>,
     pub(super) view: View<'a>,
 }
 
@@ -592,8 +594,7 @@
     let (i, run, _) = victim.parts.first()?;
     let live = sources.jobs.get(&run.task.job)?;
     let shape = live.job.request.steps.get(run.task.step as usize)?;
-    let queues = &sources.view.configuration.queues;
-    let queue = queues.iter().find(|q| q.name == live.job.queue);
+    let queue = sources.queues.get(&live.job.queue);
     if queue.is_some_and(|q| q.advice.is_some()) || shape.per_worker > 0 {
         return None;
     }
--- a/dragonflyrun/src/workload/pass.rs
+++ b/dragonflyrun/src/workload/pass.rs
@@ -6,12 +6,10 @@
 use crate::{
     utils::{HashMap, HashSet, Name},
     workload::{
-        Contact, Demand, Fleet, Resources, Room, RunId, RunTimes, WaitReason, Waiting,
+        Contact, Demand, Resources, Room, RunId, RunTimes, WaitReason, Waiting,
         eviction::{self, Eviction, Sources, Victim, max_cost, may_claim_room},
         eviction_records::{DemandKey, RoomMade, RoomNotMade, demand_key},
-        live::LiveJob,
         load::PeakLoad,
-        planner::View,
         recent_failures::RecentFailures,
         rooms::{
             EXPECTED_STOP_MS,
@@ -71,7 +69,6 @@
 
 /// The room of all workers. A pass subtracts from it what it assigns.
 pub(super) struct Pass<'a> {
-    fleet: &'a Fleet,
     sources: Sources<'a>,
     rooms: Vec<Room>,
     /// The room on each worker that runs free which end before a stop would free it, without what
@@ -106,28 +103,19 @@
     /// Returns a pass over the current state of the workers. `guaranteed` lists the jobs that fit
     /// into the guarantees of their workspaces.
     pub(super) fn new(
-        fleet: &'a Fleet,
-        jobs: &'a BTreeMap<Name, LiveJob>,
+        sources: Sources<'a>,
         guaranteed: &HashSet<Name>,
-        learned: &Observations<'a>,
-        view: &View<'a>,
+        learned: &Observations<'_>,
     ) -> Self {
-        let mut rooms = rooms(fleet, jobs, learned, view);
+        let mut rooms = rooms(sources.fleet, sources.jobs, learned, &sources.view);
         let idle = is_idle(&rooms);
-        let slowness_limits = slowness_limits(learned.times, view);
+        let slowness_limits = slowness_limits(sources.times, &sources.view);
         reserve_workers(&mut rooms, learned.peaks, &slowness_limits);
         set_open_to_all(&mut rooms, idle);
-        let sources = Sources {
-            fleet,
-            jobs,
-            times: learned.times,
-            view: *view,
-        };
         let victims = sources.victims(guaranteed, &rooms);
         let ending = eviction::ending(&rooms, &victims);
         let some_follow_seldom = rooms.iter().any(Room::must_be_asked);
         Self {
-            fleet,
             sources,
             rooms,
             ending,
@@ -145,12 +133,12 @@
 
     /// Scales the costs of stopping runs by the shares of their workspaces, so that of two runs with
     /// about the same cost the one whose workspace is further above its entitlement is stopped.
-    pub(super) fn apply_shares(&mut self, shares: &Shares, jobs: &BTreeMap<Name, LiveJob>) {
+    pub(super) fn apply_shares(&mut self, shares: &Shares) {
         for victim in &mut self.victims {
             let Some((i, run, _)) = victim.parts.first() else {
                 continue;
             };
-            let live = jobs.get(&run.task.job);
+            let live = self.sources.jobs.get(&run.task.job);
             let workspace = live.and_then(|l| l.job.workspace.as_ref());
             let service = &self.rooms[*i].service;
             victim.share_factor = shares.stop_cost_factor(service, workspace, victim.priority);
@@ -215,20 +203,16 @@
     }
 
     /// Returns the running and waiting work by priority, as shares of the pool's capacity.
-    pub(super) fn load(
-        &self,
-        jobs: &BTreeMap<Name, LiveJob>,
-        waiting: &[Demand<'_>],
-    ) -> BTreeMap<u32, f64> {
+    pub(super) fn load(&self, waiting: &[Demand<'_>]) -> BTreeMap<u32, f64> {
         let all = sum(&self.rooms, |r| r.capacity);
         let mut load: BTreeMap<u32, f64> = BTreeMap::new();
         for demand in waiting {
             let tasks = demand.indexes.len() as f64;
             *load.entry(demand.priority).or_default() += demand.shape.needs.share_of(&all) * tasks;
         }
-        for (_, worker) in self.fleet.workers() {
+        for (_, worker) in self.sources.fleet.workers() {
             for (run, state) in worker.runs.iter().filter(|(_, state)| !state.stopping) {
-                if let Some(live) = jobs.get(&run.task.job) {
+                if let Some(live) = self.sources.jobs.get(&run.task.job) {
                     let share = state.needs.share_of(&all);
                     *load.entry(live.job.priority).or_default() += share;
                 }
@@ -561,7 +545,7 @@
             return HashMap::default();
         }
         let key = (demand.job.clone(), demand.occurrence, demand.step);
-        let fleet = self.fleet;
+        let fleet = self.sources.fleet;
         let counted = self.counts.entry(key);
         let count = || fleet.count_step(&demand.job, demand.occurrence, demand.step);
         counted.or_insert_with(count).clone()
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -27,6 +27,7 @@
         admission::PlannerWork,
         demands::Demands,
         departure,
+        eviction::Sources,
         eviction_records::EvictionRecords,
         idle_workers::{AttentionChanges, IdleWorkers},
         late_gangs,
@@ -577,8 +578,15 @@
             peaks: &self.peaks,
             failures: &self.failures,
         };
-        let mut pass = Pass::new(&self.fleet, &self.jobs, &guaranteed, &learned, view);
         let queues = Queues::of(view.configuration);
+        let sources = Sources {
+            fleet: &self.fleet,
+            jobs: &self.jobs,
+            times: &self.run_times,
+            queues: &queues,
+            view: *view,
+        };
+        let mut pass = Pass::new(sources, &guaranteed, &learned);
         let typical_slowness = pass.typical_slowness();
         let builder = Demands {
             bounds: &self.bounds,
@@ -609,10 +617,10 @@
             self.set_expected_waits(Vec::new(), view.configuration);
             return (waiting, shares.list());
         }
-        let load = pass.load(&self.jobs, &demands);
+        let load = pass.load(&demands);
         let decisions = shares.order(&mut demands);
         self.share_log.log(view.now, decisions);
-        pass.apply_shares(&shares, &self.jobs);
+        pass.apply_shares(&shares);
         let listed = shares.list();
         let above = listed.iter().filter(|s| s.is_above_entitlement());
         self.above = above.filter_map(|s| s.workspace.clone()).collect();
--- a/dragonflyrun/src/workload/rooms.rs
+++ b/dragonflyrun/src/workload/rooms.rs
@@ -13,7 +13,7 @@
         pass::Observations,
         planner::View,
         schedule,
-        speeds::{KNOWN_DEVIATION, SLOWEST_STEP, STEP_RATIO},
+        speeds::{KNOWN_DEVIATION, SLOWEST_STEP, STEP_RATIO, WorkerSpeed},
         worker_sets::{EXPECTED_START_MS, TIME_MARGIN},
     },
 };
@@ -35,6 +35,7 @@
 ) -> Vec<Room> {
     let times = learned.times;
     let failing_since = learned.failures.failing_since();
+    let mut speeds = SpeedCache::new(jobs, times);
     let usable = fleet
         .workers()
         .filter(|(_, w)| w.accepts_tasks() && w.quarantined_until <= view.now)
@@ -48,7 +49,7 @@
         let mut releases = Vec::new();
         let mut overdue = false;
         for (run, state) in &worker.runs {
-            let known = run_slowness(jobs, times, name, run);
+            let known = speeds.run_slowness(name, run);
             // A fast worker's tasks end sooner unless it is degraded. A low ratio on other workers
             // comes from estimates that are too long.
             let least = if known < 1.0 { known } else { 1.0 };
@@ -63,7 +64,7 @@
             };
             releases.push((left, state.needs));
         }
-        let (slowness_step, slowness) = schedule::slowness(times, name);
+        let speed = schedule::effective_speed(times, name, speeds.of_worker(name));
         Some(Room {
             worker: name.clone(),
             service: heartbeat.service.clone(),
@@ -80,9 +81,9 @@
             has_leftover_tasks: runs_step_where(jobs, worker, |s| s.leftovers),
             fault_count: worker.failures + u32::from(overdue),
             proven: failing_since.is_none_or(|since| worker.last_good_start >= Some(since)),
-            slowness_step,
-            slowness,
-            deviation: times.speeds().deviation(name),
+            slowness_step: speed.step,
+            slowness: speed.slowness,
+            deviation: speed.deviation,
             is_speed_unknown: false,
             contact: worker.contact,
         })
@@ -217,27 +218,62 @@
     step.map_or(0, |(l, s)| times.estimate_ms(&l.job.queue, s.estimate_ms))
 }
 
-/// Returns how many times longer than nominal a run takes on its worker: as long as on the slowest
-/// worker of its gang. The result is in whole steps, and 1 in a pool of equal workers.
-fn run_slowness(
-    jobs: &BTreeMap<Name, LiveJob>,
-    times: &RunTimes,
-    worker: &Name,
-    run: &RunId,
-) -> f64 {
-    let own = times.speeds().step(worker);
-    let live = jobs.get(&run.task.job);
-    let of_gang = live.filter(|live| {
-        let shape = live.job.request.steps.get(run.task.step as usize);
-        shape.is_some_and(|s| s.gang && s.tasks > 1)
-    });
-    let step = of_gang.map_or(own, |live| {
-        let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
-        let places = numbers.filter_map(|n| live.plan.tasks.get(&n)?.place.as_ref());
-        let steps = places.map(|p| times.speeds().step(&p.worker));
-        steps.fold(own, i32::max)
-    });
-    STEP_RATIO.powi(step)
+/// The learned speeds of workers and gangs, each looked up once a pass: the members of a gang would
+/// otherwise look up one another, and the work would grow with the square of the gang.
+struct SpeedCache<'a> {
+    jobs: &'a BTreeMap<Name, LiveJob>,
+    times: &'a RunTimes,
+    workers: HashMap<&'a Name, WorkerSpeed>,
+    /// The step of the slowest worker of each gang, by job, occurrence and step of the job.
+    gangs: HashMap<(&'a Name, u32, u32), Option<i32>>,
+}
+
+impl<'a> SpeedCache<'a> {
+    fn new(jobs: &'a BTreeMap<Name, LiveJob>, times: &'a RunTimes) -> Self {
+        Self {
+            jobs,
+            times,
+            workers: HashMap::default(),
+            gangs: HashMap::default(),
+        }
+    }
+
+    fn of_worker(&mut self, worker: &'a Name) -> WorkerSpeed {
+        let speeds = self.times.speeds();
+        *self
+            .workers
+            .entry(worker)
+            .or_insert_with(|| speeds.speed(worker))
+    }
+
+    /// Returns how many times longer than nominal a run takes on its worker: as long as on the slowest
+    /// worker of its gang. The result is in whole steps, and 1 in a pool of equal workers.
+    fn run_slowness(&mut self, worker: &'a Name, run: &'a RunId) -> f64 {
+        let own = self.of_worker(worker).step;
+        let of_gang = self.gang_step(run);
+        STEP_RATIO.powi(of_gang.map_or(own, |step| step.max(own)))
+    }
+
+    /// Returns the step of the slowest worker of the gang that a run belongs to; `None` if it belongs to
+    /// none.
+    fn gang_step(&mut self, run: &'a RunId) -> Option<i32> {
+        let key = (&run.task.job, run.task.occurrence, run.task.step);
+        if let Some(known) = self.gangs.get(&key) {
+            return *known;
+        }
+        let live = self.jobs.get(&run.task.job);
+        let of_gang = live.filter(|live| {
+            let shape = live.job.request.steps.get(run.task.step as usize);
+            shape.is_some_and(|s| s.gang && s.tasks > 1)
+        });
+        let step = of_gang.and_then(|live| {
+            let numbers = live.job.task_numbers(run.task.occurrence, run.task.step);
+            let places = numbers.filter_map(|n| live.plan.tasks.get(&n)?.place.as_ref());
+            places.map(|p| self.of_worker(&p.worker).step).max()
+        });
+        self.gangs.insert(key, step);
+        step
+    }
 }
 
 /// Returns the milliseconds that a run is still expected to take.
--- a/dragonflyrun/src/workload/schedule.rs
+++ b/dragonflyrun/src/workload/schedule.rs
@@ -8,7 +8,7 @@
     utils::{HashMap, Name},
     workload::{
         Caution, Contact, Resources, RunTimes, Step, WaitReason, Waiting, WorkerSpeeds,
-        speeds::{SLOWEST_STEP, STEP_RATIO},
+        speeds::{SLOWEST_STEP, STEP_RATIO, WorkerSpeed},
         worker_sets::{self, WorkerSet},
     },
 };
@@ -177,14 +177,22 @@
 /// times are rough, so the limit is far above the differences between kinds of workers.
 const DEGRADED_SLOWNESS: f64 = 2.5;
 
-/// Returns how much slower than a nominal worker a worker is, in steps and as a ratio. Faster workers
-/// have negative steps.
-pub(super) fn slowness(times: &RunTimes, worker: &Name) -> (i32, f64) {
+/// Returns the speed at which work on a worker counts, given what is learned about it: a degraded
+/// worker counts as the slowest kind.
+pub(super) fn effective_speed(
+    times: &RunTimes,
+    worker: &Name,
+    learned: WorkerSpeed,
+) -> WorkerSpeed {
     let measured = times.slowness(worker);
-    if measured > DEGRADED_SLOWNESS {
-        return (SLOWEST_STEP, measured);
+    if measured <= DEGRADED_SLOWNESS {
+        return learned;
+    }
+    WorkerSpeed {
+        step: SLOWEST_STEP,
+        slowness: measured,
+        ..learned
     }
-    (times.speeds().step(worker), times.speeds().slowness(worker))
 }
 
 impl Room {
--- a/dragonflyrun/src/workload/speeds/mod.rs
+++ b/dragonflyrun/src/workload/speeds/mod.rs
@@ -117,6 +117,17 @@
     }
 }
 
+/// The speed of a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct WorkerSpeed {
+    /// The slowness in steps; see [`WorkerSpeeds::step`].
+    pub(super) step: i32,
+    /// The expected slowness.
+    pub(super) slowness: f64,
+    /// The standard deviation of its logarithm.
+    pub(super) deviation: f64,
+}
+
 #[derive(Clone, Debug)]
 struct KnownWorker {
     /// The product of the messages of all samples that are no longer kept for the worker, and of the
@@ -434,13 +445,17 @@
     /// placed, so a worker that is probably nominal has step 0, and one that may well be nominal at
     /// most one step.
     pub fn step(&self, worker: &Name) -> i32 {
+        step_of(&self.belief(worker))
+    }
+
+    /// Returns all that placement needs to know about a worker, which costs as much as one of its
+    /// parts.
+    pub(super) fn speed(&self, worker: &Name) -> WorkerSpeed {
         let belief = self.belief(worker);
-        let steps = belief.mean_slowness().ln() / STEP_RATIO.ln();
-        let steps = (steps.round() as i32).min(SLOWEST_STEP - 1);
-        match belief.nominal_probability() {
-            p if p >= PROBABLY_NOMINAL => 0,
-            p if p >= MAYBE_NOMINAL => steps.clamp(-1, 1),
-            _ => steps,
+        WorkerSpeed {
+            step: step_of(&belief),
+            slowness: belief.mean_slowness(),
+            deviation: belief.moments().1,
         }
     }
 
@@ -495,6 +510,16 @@
     }
 }
 
+fn step_of(belief: &Belief) -> i32 {
+    let steps = belief.mean_slowness().ln() / STEP_RATIO.ln();
+    let steps = (steps.round() as i32).min(SLOWEST_STEP - 1);
+    match belief.nominal_probability() {
+        p if p >= PROBABLY_NOMINAL => 0,
+        p if p >= MAYBE_NOMINAL => steps.clamp(-1, 1),
+        _ => steps,
+    }
+}
+
 /// Returns what a sample says about each of its workers, given what is known otherwise about the
 /// others.
 fn messages_to_members(likelihood: &Belief, others: &[Belief]) -> Vec<Belief> {
