--- a/dragonflyrun/tests/eviction_value.rs
+++ b/dragonflyrun/tests/eviction_value.rs
@@ -174,12 +174,8 @@
     assert_eq!(stopped(&harness.pass()).len(), 1);
 }
 
-/// Returns three workers. The first is full of saved small tasks, for which the other two have room
-/// beside a task of four accelerators each.
-fn movable_tasks() -> Harness {
-    let mut harness = Harness::new(3);
-    harness.submit("small", 2, vec![small_tasks(8)]);
-    harness.pass();
+/// Starts a long task of four accelerators on each of two workers, and lets half a second pass.
+fn add_wide_step(harness: &mut Harness) {
     let wide = Step {
         tasks: 2,
         per_worker: 1,
@@ -190,6 +186,15 @@
     harness.pass();
     harness.report_all();
     harness.advance(500);
+}
+
+/// Returns three workers. The first is full of saved small tasks, for which the other two have room
+/// beside a task of four accelerators each.
+fn movable_tasks() -> Harness {
+    let mut harness = Harness::new(3);
+    harness.submit("small", 2, vec![small_tasks(8)]);
+    harness.pass();
+    add_wide_step(&mut harness);
     save(&mut harness, "small");
     save(&mut harness, "wide");
     harness
@@ -221,16 +226,7 @@
     let before = harness.running("gang");
     harness.submit("small", 2, vec![small_tasks(8)]);
     harness.pass();
-    let wide = Step {
-        tasks: 2,
-        per_worker: 1,
-        estimate_ms: 60_000,
-        ..task(4)
-    };
-    harness.submit("wide", 2, vec![wide]);
-    harness.pass();
-    harness.report_all();
-    harness.advance(500);
+    add_wide_step(&mut harness);
     for job in ["gang", "small", "wide"] {
         save(&mut harness, job);
     }
--- a/dragonflyrun/tests/load_admission.rs
+++ b/dragonflyrun/tests/load_admission.rs
@@ -6,7 +6,7 @@
 
 use dragonflyrun::{
     Timestamp,
-    port::{Configuration, Queue, Workspace},
+    port::{Configuration, Workspace},
     utils::Name,
     workload::{
         EntryView, ExpectedWaits, Job, JobPlan, JobRecord, JobRequest, JobTable, LoadAdmission,
@@ -14,7 +14,7 @@
         WaitEstimator, WaitingWork, Waits, is_covered,
     },
 };
-use workload_tables::{EPOCH_MS, Harness, task};
+use workload_tables::{EPOCH_MS, Harness, queue, task};
 
 const TERM: u64 = 7;
 
@@ -477,20 +477,8 @@
 /// Guards against records about waits that refuse no job.
 #[test]
 fn short_waits() {
-    let queue = Queue {
-        name: "q".into(),
-        host: "host".into(),
-        prefix: "/q/".into(),
-        service: "svc".into(),
-        priority: 1,
-        max_attempts: 3,
-        stretch: 3.0,
-        target: Duration::from_secs(1),
-        public: true,
-        advice: None,
-    };
     let configuration = Configuration {
-        queues: vec![queue],
+        queues: vec![queue()],
         ..Configuration::default()
     };
     let load = |ms: u64| record(1, waits(ms), None);
--- a/dragonflyrun/tests/run_progress.rs
+++ b/dragonflyrun/tests/run_progress.rs
@@ -1,43 +1,17 @@
 //! Run times predicted from the progress of runs.
 
+mod agent_inputs;
 mod workload_tables;
 
 use std::time::{Duration, Instant};
 
+use agent_inputs::{heartbeat, run};
 use dragonflyrun::{
-    port::{Heartbeat, RunningTask, WorkerLists},
-    workload::{AgentTable, Progress, Resources, RunId, Step, TaskId},
+    port::{RunningTask, WorkerLists},
+    workload::{AgentTable, Progress, Step},
 };
 use workload_tables::{Harness, task};
 
-fn run() -> RunId {
-    RunId {
-        task: TaskId {
-            job: "job".into(),
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: 1,
-    }
-}
-
-fn heartbeat() -> Heartbeat {
-    Heartbeat {
-        worker: "w".into(),
-        born_ms: 5,
-        address: "w:1".into(),
-        service: "svc".into(),
-        failure_domain: "d".into(),
-        draining: false,
-        capacity: Resources::default(),
-        labels: Vec::new(),
-        rack: None,
-        remaining_ms: None,
-        sequence: 1,
-    }
-}
-
 /// Returns the progress that an agent reports after it has read the given percents of a run at
 /// intervals of 400 ms.
 fn progress_after(percents: &[u32]) -> Progress {
--- a/dragonflyrun/tests/run_timing.rs
+++ b/dragonflyrun/tests/run_timing.rs
@@ -1,10 +1,13 @@
 //! How exactly an agent measures the speed of runs from the lists of its worker.
 
+mod agent_inputs;
+
 use std::time::{Duration, Instant};
 
+use agent_inputs::{heartbeat, run};
 use dragonflyrun::{
-    port::{End, EndKind, Heartbeat, RunningTask, WorkerLists},
-    workload::{AgentTable, Order, Report, Resources, RunId, TaskId, TaskStart},
+    port::{End, EndKind, RunningTask, WorkerLists},
+    workload::{AgentTable, Order, Report, TaskStart},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -25,18 +28,6 @@
     resumed: u64,
 }
 
-fn run() -> RunId {
-    RunId {
-        task: TaskId {
-            job: "job".into(),
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        },
-        number: 1,
-    }
-}
-
 impl Work {
     /// Returns the work done at a time on the worker's clock, as its duration at full speed.
     fn done_ms(&self, clock_ms: u64) -> f64 {
@@ -104,22 +95,6 @@
     }
 }
 
-fn heartbeat() -> Heartbeat {
-    Heartbeat {
-        worker: "w".into(),
-        born_ms: 5,
-        address: "w:1".into(),
-        service: "svc".into(),
-        failure_domain: "d".into(),
-        draining: false,
-        capacity: Resources::default(),
-        labels: Vec::new(),
-        rack: None,
-        remaining_ms: None,
-        sequence: 1,
-    }
-}
-
 /// Returns the mean and the standard deviation.
 fn moments(values: &[f64]) -> (f64, f64) {
     let count = values.len() as f64;
--- a/dragonflyrun/tests/speed_persistence.rs
+++ b/dragonflyrun/tests/speed_persistence.rs
@@ -85,6 +85,16 @@
     harness.planner.speeds().step(&Name::from(worker))
 }
 
+/// Starts a job with a task on each worker.
+fn start_next(harness: &mut Harness) -> Decisions {
+    let tasks = Step {
+        tasks: 4,
+        ..task(8)
+    };
+    harness.submit("next", 2, vec![tasks]);
+    harness.pass()
+}
+
 /// Guards against a new planner that places urgent gangs on slow workers until it has learned all
 /// speeds again.
 #[test]
@@ -108,15 +118,7 @@
         report.paces.clear();
     });
     assert!(step(&harness, "w0") >= 4);
-    harness.submit(
-        "next",
-        2,
-        vec![Step {
-            tasks: 4,
-            ..task(8)
-        }],
-    );
-    let decisions = harness.pass();
+    let decisions = start_next(&mut harness);
     assert_eq!(apply_estimates(&mut harness, &decisions), ["w0".into()]);
 }
 
@@ -199,15 +201,7 @@
     assert!(alone.is_empty());
     let mut harness = told_workers();
     assert!(harness.pass().orders.is_empty());
-    harness.submit(
-        "next",
-        2,
-        vec![Step {
-            tasks: 4,
-            ..task(8)
-        }],
-    );
-    let decisions = harness.pass();
+    let decisions = start_next(&mut harness);
     assert!(!decisions.orders.is_empty());
     assert_eq!(apply_estimates(&mut harness, &decisions), [] as [Name; 0]);
 }
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -358,21 +358,26 @@
     }
 }
 
+/// Returns the queue of all jobs.
+pub(crate) fn queue() -> Queue {
+    Queue {
+        name: "q".into(),
+        host: "host".into(),
+        prefix: "/q/".into(),
+        service: "svc".into(),
+        priority: 1,
+        max_attempts: 3,
+        stretch: 3.0,
+        target: Duration::from_secs(1),
+        public: true,
+        advice: None,
+    }
+}
+
 fn configuration() -> Configuration {
     Configuration {
         version: 1,
-        queues: vec![Queue {
-            name: "q".into(),
-            host: "host".into(),
-            prefix: "/q/".into(),
-            service: "svc".into(),
-            priority: 1,
-            max_attempts: 3,
-            stretch: 3.0,
-            target: Duration::from_secs(1),
-            public: true,
-            advice: None,
-        }],
+        queues: vec![queue()],
         services: vec![Service {
             name: "svc".into(),
             rejects_overload: true,
