--- a/dragonflyrun/src/tool/commands/planned.rs
+++ b/dragonflyrun/src/tool/commands/planned.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use serde::Serialize;
+use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
     process::on_store::{WorkersView, WorkspacesView},
@@ -13,45 +13,45 @@
 
 /// Shows the shares of the workspaces.
 pub(super) fn workspaces(settings: &ToolSettings) -> Result<Printed, ToolError> {
-    let views = query_all_entries::<WorkspacesView>(settings, "/v1/workspaces")?;
-    let mut planner = None;
-    for (_, view) in views {
-        if let Some(workspaces) = view.workspaces {
-            let shown = ShownWorkspaces {
-                entry: view.entry,
-                unix_ms: view.unix_ms,
-                workspaces,
-            };
-            return Ok(Printed::new(&shown, Exit::Done));
-        }
-        planner = Some(view.planner);
-    }
-    Err(not_planned(planner))
+    show_of_planner(settings, "/v1/workspaces", |view: WorkspacesView| {
+        let workspaces = view.workspaces.ok_or(view.planner)?;
+        Ok(ShownWorkspaces {
+            entry: view.entry,
+            unix_ms: view.unix_ms,
+            workspaces,
+        })
+    })
 }
 
 /// Shows the workers.
 pub(super) fn workers(settings: &ToolSettings) -> Result<Printed, ToolError> {
-    let views = query_all_entries::<WorkersView>(settings, "/v1/workers")?;
+    show_of_planner(settings, "/v1/workers", |view: WorkersView| {
+        let workers = view.workers.ok_or(view.planner)?;
+        Ok(ShownWorkers {
+            entry: view.entry,
+            workers,
+        })
+    })
+}
+
+/// Shows the answer of the entry that plans. `shown` returns what is shown of an answer or, where the
+/// entry doesn't plan, the name of the one that does.
+fn show_of_planner<V: DeserializeOwned, T: fmt::Display + Serialize>(
+    settings: &ToolSettings,
+    path: &str,
+    shown: impl Fn(V) -> Result<T, Name>,
+) -> Result<Printed, ToolError> {
     let mut planner = None;
-    for (_, view) in views {
-        if let Some(workers) = view.workers {
-            let shown = ShownWorkers {
-                entry: view.entry,
-                workers,
-            };
-            return Ok(Printed::new(&shown, Exit::Done));
+    for (_, view) in query_all_entries(settings, path)? {
+        match shown(view) {
+            Ok(shown) => return Ok(Printed::new(&shown, Exit::Done)),
+            Err(name) => planner = Some(name),
         }
-        planner = Some(view.planner);
     }
-    Err(not_planned(planner))
-}
-
-/// Returns the error for the case that none of the queried entries plans.
-fn not_planned(planner: Option<Name>) -> ToolError {
-    ToolError::NotKnown(match planner {
+    Err(ToolError::NotKnown(match planner {
         Some(planner) => format!("none of the queried entries plans; planner: {planner}"),
         None => "none of the queried entries knows this call".to_owned(),
-    })
+    }))
 }
 
 #[derive(Serialize)]
