--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# Builds the stand-ins of the scripts. They use the standard library only.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+rustc --edition 2024 -O -o target/review/stand review/standin/main.rs
