--- a/review/standin/deployment.rs
+++ b/review/standin/deployment.rs
@@ -66,7 +66,13 @@
         let mut events: Vec<&Event> = events.iter().collect();
         events.sort_by_key(|e| e.at);
         for event in events {
-            let Event { what, task, run, how, .. } = event;
+            let Event {
+                what,
+                task,
+                run,
+                how,
+                ..
+            } = event;
             self.add(event.at, &format!("worker: {what} {task} run {run} {how}"));
         }
     }
@@ -90,7 +96,6 @@
         let command = format!("kill -{name} {pid}");
         let _ = Command::new("sh").args(["-c", &command]).status();
     }
-
 }
 
 impl Drop for Process {
@@ -217,9 +222,8 @@
     /// Starts an entry whose store is at `store`.
     pub fn entry(&self, name: &str, store: SocketAddr) -> Entry {
         let [callers, ready, api] = free_addresses();
-        let of_role = format!(
-            r#""role":"entry","callers":"{callers}","ready":"{ready}","metrics":"{api}""#
-        );
+        let of_role =
+            format!(r#""role":"entry","callers":"{callers}","ready":"{ready}","metrics":"{api}""#);
         Entry {
             _process: self.start(name, store, &of_role),
             name: name.to_owned(),
@@ -239,7 +243,6 @@
             heartbeats,
         }
     }
-
 }
 
 /// Tells `run.sh` of a process, so that it ends it if the case itself is interrupted.
@@ -302,12 +305,18 @@
         let sent = Instant::now();
         let answer = call(self.callers, method, &path, &headers, body, BUDGET).ok();
         if let Some(record) = record {
-            record.line_at(sent, &format!("consumer -> {}: {method} {path} {body}", self.name));
+            record.line_at(
+                sent,
+                &format!("consumer -> {}: {method} {path} {body}", self.name),
+            );
             let text = match &answer {
                 Some((status, body)) => format!("{status} {body}"),
                 None => "no answer".to_owned(),
             };
-            record.line(&format!("consumer <- {}: {method} {path}: {text}", self.name));
+            record.line(&format!(
+                "consumer <- {}: {method} {path}: {text}",
+                self.name
+            ));
         }
         answer
     }
@@ -319,7 +328,8 @@
     }
 
     fn is_ready(&self) -> bool {
-        self.call(None, "GET", "q", "", "").is_some_and(|(status, _)| status == 200)
+        self.call(None, "GET", "q", "", "")
+            .is_some_and(|(status, _)| status == 200)
     }
 }
 
--- a/review/standin/ends.rs
+++ b/review/standin/ends.rs
@@ -77,7 +77,11 @@
         record.line("not all tasks were started");
         return Outcome::NotRun;
     }
-    record.line(&format!("{} tasks run on {}", workers[0].running(), "i-7f3a91c0"));
+    record.line(&format!(
+        "{} tasks run on {}",
+        workers[0].running(),
+        "i-7f3a91c0"
+    ));
     std::thread::sleep(FREEZE_AFTER);
     if trouble {
         record.line("agent-1 is stopped (SIGSTOP)");
@@ -129,11 +133,16 @@
             record.line_at(ended, &line);
             let line = format!("{} run {} was started again", start.task, start.run);
             record.line_at(start.at, &line);
-            let line = format!("{} run {}: its end was taken note of", noted.task, noted.run);
+            let line = format!(
+                "{} run {}: its end was taken note of",
+                noted.task, noted.run
+            );
             record.line_at(noted.at, &line);
         }
     }
-    record.line(&format!("{broken} tasks were started after a run of them had ended done"));
+    record.line(&format!(
+        "{broken} tasks were started after a run of them had ended done"
+    ));
     match broken {
         0 if done == 0 => Outcome::NotRun,
         0 => Outcome::Held,
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -80,7 +80,10 @@
     String::from_utf8_lossy(&out).into_owned()
 }
 
-fn serve_connection<H: Fn(Request) -> Option<Answer>>(stream: TcpStream, handler: &H) -> io::Result<()> {
+fn serve_connection<H: Fn(Request) -> Option<Answer>>(
+    stream: TcpStream,
+    handler: &H,
+) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream;
--- a/review/standin/plan.rs
+++ b/review/standin/plan.rs
@@ -17,13 +17,14 @@
 const LARGE: &str = "5c0e7a21d94b36f8";
 const SMALL: [&str; 3] = ["a10e7a21d94b36f1", "a20e7a21d94b36f2", "a30e7a21d94b36f3"];
 
-const TASKS: u64 = 500;
+/// The tasks of an occurrence, as many as the widest step of the site has.
+const TASKS: u64 = 55;
 
 /// How often the large job is repeated; `times` of the site is 6.
-const OCCURRENCES: u64 = 24;
+const OCCURRENCES: u64 = 200;
 const OCCURRENCES_WITHOUT_TROUBLE: u64 = 6;
 
-const INTERVAL: Duration = Duration::from_millis(2_500);
+const INTERVAL: Duration = Duration::from_millis(350);
 
 /// `finish_s` of the site.
 const FINISH: Duration = Duration::from_secs(14);
@@ -62,7 +63,10 @@
             cpu: 64_000,
             mem_mb: 131_072,
         };
-        let mut work: HashMap<_, _> = SMALL.iter().map(|id| ((*id).to_owned(), SMALL_WORK)).collect();
+        let mut work: HashMap<_, _> = SMALL
+            .iter()
+            .map(|id| ((*id).to_owned(), SMALL_WORK))
+            .collect();
         work.insert(LARGE.to_owned(), LARGE_WORK);
         workers.push(Worker::start(kind, listener, agent.heartbeats, work));
         agents.push(agent);
@@ -72,8 +76,14 @@
     }
     sleep(Duration::from_secs(4));
     let events = || -> Vec<Event> { workers.iter().flat_map(|w| w.events()).collect() };
-    let occurrences = if trouble { OCCURRENCES } else { OCCURRENCES_WITHOUT_TROUBLE };
-    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let occurrences = if trouble {
+        OCCURRENCES
+    } else {
+        OCCURRENCES_WITHOUT_TROUBLE
+    };
+    let unix = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     let body = format!(
         concat!(
             r#"{{"spec":"s","steps":[{{"count":{},"cpu":{},"mem_mb":{},"estimate_ms":2100,"#,
@@ -106,7 +116,8 @@
         "the store has refused {refused} appends to {topics:?} with a record of up to {size} bytes (record_bytes is 262144)"
     ));
     for id in SMALL {
-        let body = r#"{"spec":"s","steps":[{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":1000}]}"#;
+        let body =
+            r#"{"spec":"s","steps":[{"count":2,"cpu":500,"mem_mb":256,"estimate_ms":1000}]}"#;
         let entry = &entries[1];
         let accepted = wait_until(Duration::from_secs(10), || {
             let answer = entry.call(Some(record), "POST", "r", id, body);
@@ -122,19 +133,23 @@
     for id in SMALL {
         let answer = entries[1].call(Some(record), "GET", "r", id, "");
         let events = events();
-        let starts = events.iter().filter(|e| e.what == "start" && e.task.starts_with(id));
+        let starts = events
+            .iter()
+            .filter(|e| e.what == "start" && e.task.starts_with(id));
         let starts = starts.count();
         let is_completed = answer.is_some_and(|(_, body)| body.contains("completed"));
         record.line(&format!("job {id}: {starts} of its 2 tasks were started"));
         lost += usize::from(starts == 0 && !is_completed);
     }
     entries[1].call(Some(record), "GET", "q", LARGE, "");
-    for occurrence in 0..occurrences {
+    // One line for each tenth occurrence; all of them would be the same.
+    for occurrence in (0..occurrences).step_by(10) {
         let prefix = format!("{LARGE}.{occurrence}.");
         let events = events();
         let of = |what: &'static str| {
             let of = events.iter().filter(move |e| e.what == what);
-            of.filter(|e| e.task.starts_with(&prefix)).collect::<Vec<_>>()
+            of.filter(|e| e.task.starts_with(&prefix))
+                .collect::<Vec<_>>()
         };
         let (starts, ends, noted) = (of("start"), of("end"), of("noted"));
         if let Some(first) = starts.iter().map(|e| e.at).min() {
@@ -148,14 +163,23 @@
         }
     }
     let running: usize = workers.iter().map(|w| w.running()).sum();
-    let last = events().iter().filter(|e| e.what == "start").map(|e| e.at).max();
+    let last = events()
+        .iter()
+        .filter(|e| e.what == "start")
+        .map(|e| e.at)
+        .max();
     if let Some(last) = last {
         record.line_at(last, "the last start of any task");
     }
     record.line(&format!("{running} tasks are running on the three workers"));
     let (refused, ..) = store.too_large(began);
-    record.line(&format!("the store has refused {refused} appends because of the size of a record"));
-    record.line(&format!("{lost} accepted jobs had nothing running {} s after they were accepted", FINISH.as_secs()));
+    record.line(&format!(
+        "the store has refused {refused} appends because of the size of a record"
+    ));
+    record.line(&format!(
+        "{lost} accepted jobs had nothing running {} s after they were accepted",
+        FINISH.as_secs()
+    ));
     drop((entries, links, agents));
     match lost {
         0 => Outcome::Held,
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -68,7 +68,11 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut out = String::new();
     for chunk in data.chunks(3) {
-        let bytes = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let bytes = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let bits = u32::from(bytes[0]) << 16 | u32::from(bytes[1]) << 8 | u32::from(bytes[2]);
         for i in 0..4 {
             if i <= chunk.len() {
@@ -163,7 +167,10 @@
         let ok = format!(r#"{{"offset":{offset},"end":{end}}}"#);
         let moved = number("at").is_some_and(|at| at != offset);
         if let Some(name) = req.query.get("producer") {
-            let (epoch, sequence) = (number("epoch").unwrap_or(0), number("sequence").unwrap_or(0));
+            let (epoch, sequence) = (
+                number("epoch").unwrap_or(0),
+                number("sequence").unwrap_or(0),
+            );
             let producer = partition.producers.entry(name.clone()).or_default();
             if epoch < producer.epoch {
                 return Answer::new(409, r#"{"reason":"fenced"}"#);
@@ -246,7 +253,9 @@
             }
             bytes += value.len();
             let value = base64(value);
-            out.push(format!(r#"{{"key":"{key}","value":"{value}","offset":{offset}}}"#));
+            out.push(format!(
+                r#"{{"key":"{key}","value":"{value}","offset":{offset}}}"#
+            ));
         }
         let body = format!(
             r#"{{"items":[{}],"has_more":{more},"end":{}}}"#,
--- a/review/standin/worker.rs
+++ b/review/standin/worker.rs
@@ -93,7 +93,9 @@
         work: HashMap<String, Work>,
     ) -> Arc<Self> {
         let address = listener.local_addr().expect("an address");
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let unix = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let worker = Arc::new(Self {
             kind,
             work,
@@ -240,8 +242,9 @@
         if acked <= state.acked {
             return;
         }
-        let (noted, left): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut state.ends).into_iter().partition(|e| e.0 <= acked);
+        let (noted, left): (Vec<_>, Vec<_>) = std::mem::take(&mut state.ends)
+            .into_iter()
+            .partition(|e| e.0 <= acked);
         state.ends = left;
         state.acked = acked;
         for (_, task, run, how, _) in noted {
@@ -273,11 +276,16 @@
         let Some(mut work) = self.work.get(job).copied() else {
             return Answer::new(400, "{}");
         };
-        let index: u32 = task.rsplit('.').next().and_then(|i| i.parse().ok()).unwrap_or(0);
+        let index: u32 = task
+            .rsplit('.')
+            .next()
+            .and_then(|i| i.parse().ok())
+            .unwrap_or(0);
         work.task += work.uneven * (index % 100) / 100;
-        let used = state.running.values().fold((0, 0), |sum, r| {
-            (sum.0 + r.work.cpu, sum.1 + r.work.mem_mb)
-        });
+        let used = state
+            .running
+            .values()
+            .fold((0, 0), |sum, r| (sum.0 + r.work.cpu, sum.1 + r.work.mem_mb));
         if used.0 + work.cpu > self.kind.cpu || used.1 + work.mem_mb > self.kind.mem_mb {
             return self.refuse("room");
         }
@@ -302,9 +310,8 @@
         });
         let running: Vec<String> = running.collect();
         let ends = state.ends.iter().take(LISTED_ENDS);
-        let ends = ends.map(|(n, task, run, how, saved)| {
-            format!(r#"[{n},"{task}",{run},"{how}","{saved}"]"#)
-        });
+        let ends = ends
+            .map(|(n, task, run, how, saved)| format!(r#"[{n},"{task}",{run},"{how}","{saved}"]"#));
         let ends: Vec<String> = ends.collect();
         format!(
             r#"{{"clock_ms":{},"born":{},"running":[{}],"finished":[{}]}}"#,
@@ -321,7 +328,10 @@
 
     fn refuse(&self, reason: &str) -> Option<Answer> {
         let clock = self.clock_ms();
-        Answer::new(409, format!(r#"{{"clock_ms":{clock},"reason":"{reason}"}}"#))
+        Answer::new(
+            409,
+            format!(r#"{{"clock_ms":{clock},"reason":"{reason}"}}"#),
+        )
     }
 }
 
@@ -331,6 +341,8 @@
     if !running.work.saves || saved == 0 {
         return String::new();
     }
-    let name = task.bytes().fold(7_u32, |h, b| h.wrapping_mul(31).wrapping_add(u32::from(b)));
+    let name = task
+        .bytes()
+        .fold(7_u32, |h, b| h.wrapping_mul(31).wrapping_add(u32::from(b)));
     format!("{saved:08x}{name:08x}")
 }
