--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod ends;
 mod net;
+mod orders;
 mod plan;
 mod store;
 mod worker;
@@ -28,6 +29,7 @@
     let outcome = match case.as_str() {
         "ends" => ends::play(&record, !trouble),
         "cancel" => cancel::play(&record, !trouble),
+        "orders" => orders::play(&record, !trouble),
         "plan" => plan::play(&record, !trouble),
         _ => Outcome::NotRun,
     };
