--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    deployment::{AGENTS, Deployment},
+    deployment::{AGENTS, Deployment, SURE_KEY},
     net::Record,
     worker::{Capacity, Start},
 };
@@ -367,3 +367,50 @@
     }
     Ok(())
 }
+
+/// RECLAIM: a guaranteed job comes while tasks that last fill the workers.
+pub fn reclaim(record: &Record, trouble: bool) -> Verdict {
+    const RECLAIM_MS: u64 = 2_900;
+    let deployment = Deployment::start(record.clone(), 2, 3);
+    let needs = Capacity {
+        cpu: 26_000,
+        mem_mb: 38_000,
+        gpu: 8,
+    };
+    for number in 0..3 {
+        let (zone, rack) = PLACES[number];
+        deployment.add_worker(number, zone, rack, WORKER, all_need(needs));
+    }
+    deployment.wait_ready();
+    pause(2_500);
+    let step = "\"cpu\":26000,\"mem_mb\":38000,\"gpu\":8";
+    let (spec, lasts) = match trouble {
+        true => ("lasts", ",\"long_running\":true"),
+        false => ("done 60000", ",\"estimate_ms\":60000"),
+    };
+    let body = format!("{{\"spec\":\"{spec}\",\"steps\":[{{\"count\":3,{step}{lasts}}}]}}");
+    if !deployment.submit(0, "0000000000ec0000", &body) {
+        crate::cannot_run("the first job was not accepted");
+    }
+    pause(5_000);
+    let sure = "0000000000ec0001";
+    let path = format!("/u/{sure}");
+    let body = format!("{{\"spec\":\"done 2500\",\"steps\":[{{\"count\":1,{step},\"estimate_ms\":2500}}]}}");
+    let (status, _) = deployment.call_at(0, "POST", &path, SURE_KEY, &body);
+    if status != 200 {
+        crate::cannot_run("the guaranteed job was not accepted");
+    }
+    let confirmed = record.ms();
+    pause(30_000);
+    let (_, shown) = deployment.call_at(0, "GET", &path, SURE_KEY, "");
+    let starts = deployment.history.starts.lock().expect("the lock").clone();
+    let begun = starts.iter().find(|s| job_of(s) == sure);
+    let after = begun.map(|s| s.at_ms.saturating_sub(confirmed));
+    match after {
+        Some(ms) if ms <= RECLAIM_MS => Ok(()),
+        _ => Err(format!(
+            "RECLAIM: a job of priority 0 within its tenant's guarantee has begun after {after:?} ms, the bound is {RECLAIM_MS} ms; it is shown as {}",
+            shown.text("state")
+        )),
+    }
+}
--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -23,6 +23,8 @@
 pub const AGENTS: usize = 100;
 
 pub const KEY: &str = "a-key";
+/// The key of the tenant with a guarantee.
+pub const SURE_KEY: &str = "a-sure-key";
 pub const HOST: &str = "jobs.example";
 /// How long a consumer waits for an answer.
 const PATIENCE_MS: u64 = 3_000;
@@ -54,10 +56,18 @@
     std::env::temp_dir().join(format!("review-2-{}", std::process::id()))
 }
 
-/// Returns a manifest of one queue, as the operator writes it.
+/// Returns a manifest as the operator writes it: queue `q` of priority 1, and queue `u` of priority 0, in
+/// which a tenant has 8 GPUs guaranteed.
 pub fn manifest(version: u64, max_attempts: u32) -> String {
+    let route = |name: &str, priority: u32| {
+        format!(
+            "{{\"name\":\"{name}\",\"host\":\"{HOST}\",\"path_prefix\":\"/{name}/\",\"service\":\"svc\",\"priority\":{priority},\"max_attempts\":{max_attempts},\"stretch\":3.0,\"target_latency_ms\":1000,\"public\":false}}"
+        )
+    };
     format!(
-        "{{\"version\":{version},\"routes\":[{{\"name\":\"q\",\"host\":\"{HOST}\",\"path_prefix\":\"/q/\",\"service\":\"svc\",\"priority\":1,\"max_attempts\":{max_attempts},\"stretch\":3.0,\"target_latency_ms\":1000,\"public\":false}}],\"services\":[{{\"name\":\"svc\",\"rejects_overload\":true}}],\"tenants\":[{{\"name\":\"t\",\"api_keys\":[\"{KEY}\"],\"guaranteed\":{{\"gpu\":0}}}}],\"limits\":{{}}}}"
+        "{{\"version\":{version},\"routes\":[{},{}],\"services\":[{{\"name\":\"svc\",\"rejects_overload\":true}}],\"tenants\":[{{\"name\":\"t\",\"api_keys\":[\"{KEY}\"],\"guaranteed\":{{\"gpu\":0}}}},{{\"name\":\"s\",\"api_keys\":[\"{SURE_KEY}\"],\"guaranteed\":{{\"gpu\":8}}}}],\"limits\":{{}}}}",
+        route("q", 1),
+        route("u", 0)
     )
 }
 
@@ -156,18 +166,30 @@
         }
     }
 
-    /// Makes a consumer's call at an entry; returns the status, 0 without an answer, and the body.
+    /// Makes a consumer's call at an entry about a job of queue `q`; returns the status, 0 without an
+    /// answer, and the body.
     pub fn call(&self, entry: usize, method: &str, job: &str, body: &str) -> (u16, Json) {
+        self.call_at(entry, method, &format!("/q/{job}"), KEY, body)
+    }
+
+    /// Makes a consumer's call at an entry with the key of a tenant.
+    pub fn call_at(
+        &self,
+        entry: usize,
+        method: &str,
+        path: &str,
+        key: &str,
+        body: &str,
+    ) -> (u16, Json) {
         let patience = PATIENCE_MS.to_string();
         let headers = [
             ("Host", HOST),
-            ("X-Api-Key", KEY),
+            ("X-Api-Key", key),
             ("Dragonflyrun-Request-Deadline", &*patience),
         ];
         let within = Duration::from_millis(PATIENCE_MS);
-        let path = format!("/q/{job}");
         let sent = self.record.ms();
-        let answer = call(self.entries[entry], method, &path, &headers, body, within);
+        let answer = call(self.entries[entry], method, path, &headers, body, within);
         let (status, body) = answer.unwrap_or_default();
         let text = String::from_utf8_lossy(&body).into_owned();
         self.record.line(format!(
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -30,6 +30,7 @@
     record.line(format!("case {case}, with the disruption: {trouble}"));
     let play = match case.as_str() {
         "ends" => cases::ends,
+        "reclaim" => cases::reclaim,
         "backlog" => cases::backlog,
         "cancel" => cases::cancel,
         "heartbeat" => cases::heartbeat,
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -1,7 +1,8 @@
 //! A stand-in of a worker, by PROTOCOL.md: it guards its capacity, runs tasks under a lease and says
 //! what has ended.
 //!
-//! The spec of a task begins with what becomes of it: `done MS` or `failed MS`.
+//! The spec of a task begins with what becomes of it: `done MS` or `failed MS`. With `lasts` it runs until it
+//! is stopped.
 
 use std::{
     collections::BTreeMap,
@@ -16,6 +17,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MAX_HOLD_MS: u64 = 6_000;
 const STOP_MS: u64 = 50;
+/// The time for which a task that lasts would run; no case takes as long.
+const LASTS_MS: u64 = 1_000_000;
 
 /// What a worker offers.
 #[derive(Clone, Copy)]
@@ -281,11 +284,10 @@
                     return refused("room");
                 }
                 let mut words = body.text("spec").split(' ');
-                let how = match words.next() {
-                    Some("failed") => "failed",
-                    _ => "done",
-                };
-                let ms: u64 = words.next().and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
+                let word = words.next().unwrap_or_default();
+                let how = if word == "failed" { "failed" } else { "done" };
+                let ms = words.next().and_then(|ms| ms.parse().ok());
+                let ms: u64 = if word == "lasts" { LASTS_MS } else { ms.unwrap_or(1_000) };
                 let running = Running {
                     run,
                     needs,
@@ -351,7 +353,9 @@
         let clock = self.clock_ms();
         let running = state.running.iter().map(|(task, r)| {
             let whole = (r.ends_ms - r.begun_ms).max(1);
-            let percent = (clock.saturating_sub(r.begun_ms) * 100 / whole).min(99);
+            let done = (clock.saturating_sub(r.begun_ms) * 100 / whole).min(99);
+            // A task that lasts is at work when its percent is 100.
+            let percent = if whole >= LASTS_MS { 100 } else { done };
             format!("[\"{task}\",{},\"\",{percent},0]", r.run)
         });
         let ends = state.ends.iter().take(500);
