--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -19,9 +19,6 @@
 /// The program and the option of `deploy/system.toml`.
 const PROGRAM: &str = "target/release/dragonflyrund";
 
-/// The number of the first agent among the clients of the store; the entries come before.
-pub const AGENTS: usize = 100;
-
 pub const KEY: &str = "a-key";
 /// The key of the tenant with a guarantee.
 pub const SURE_KEY: &str = "a-sure-key";
@@ -87,7 +84,7 @@
         };
         for i in 0..entries {
             let (callers, ready) = (free_port(), free_port());
-            let store = deployment.store.listen(i);
+            let store = deployment.store.listen();
             let listeners = format!(
                 "\"role\":\"entry\",\"callers\":\"{callers}\",\"ready\":\"{ready}\",\"cpu_share\":0.25"
             );
@@ -128,7 +125,7 @@
         needs: Arc<dyn Fn(&str) -> Capacity + Send + Sync>,
     ) -> Arc<Worker> {
         let (address, agent) = (free_port(), free_port());
-        let store = self.store.listen(AGENTS + number);
+        let store = self.store.listen();
         let listeners = format!(
             "\"role\":\"agent\",\"worker\":\"{address}\",\"heartbeats\":\"{agent}\",\"cpu_share\":0.15"
         );
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -29,10 +29,7 @@
     let record = Record::create(&PathBuf::from(folder).join("record.txt"));
     record.line(format!("case {case}, with the disruption: {trouble}"));
     let play = match case.as_str() {
-        "ends" => cases::ends,
         "reclaim" => cases::reclaim,
-        "backlog" => cases::backlog,
-        "cancel" => cases::cancel,
         "heartbeat" => cases::heartbeat,
         "attempts" => cases::attempts,
         _ => cannot_run("no such case"),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -29,15 +29,8 @@
     writers: HashMap<String, Writer>,
 }
 
-#[derive(Default)]
-struct State {
-    partitions: BTreeMap<(String, u32), Partition>,
-    /// The clients that the store turns away, by the number of their listener.
-    refused: Vec<usize>,
-}
-
 pub struct Store {
-    state: Mutex<State>,
+    partitions: Mutex<BTreeMap<(String, u32), Partition>>,
     changed: Condvar,
     record: Record,
 }
@@ -45,27 +38,15 @@
 impl Store {
     pub fn new(record: Record) -> Arc<Store> {
         Arc::new(Store {
-            state: Mutex::default(),
+            partitions: Mutex::default(),
             changed: Condvar::new(),
             record,
         })
     }
 
-    /// Listens for one client, so that the store can turn it away.
-    pub fn listen(self: &Arc<Self>, client: usize) -> SocketAddr {
+    pub fn listen(self: &Arc<Self>) -> SocketAddr {
         let store = self.clone();
-        serve(([127, 0, 0, 1], 0).into(), move |req| store.answer(client, &req))
-    }
-
-    /// Turns a client away with 503, or serves it again.
-    pub fn refuse(&self, client: usize, refused: bool) {
-        let mut state = self.state.lock().expect("the lock");
-        state.refused.retain(|c| *c != client);
-        if refused {
-            state.refused.push(client);
-        }
-        drop(state);
-        self.changed.notify_all();
+        serve(([127, 0, 0, 1], 0).into(), move |req| store.answer(&req))
     }
 
     /// Writes a record of the operator.
@@ -73,21 +54,14 @@
         let mut record = vec![key.len() as u8];
         record.extend(key.bytes());
         record.extend(value.bytes());
-        let mut state = self.state.lock().expect("the lock");
-        let partition = state.partitions.entry(("keyed.op".to_owned(), 0));
+        let mut partitions = self.partitions.lock().expect("the lock");
+        let partition = partitions.entry(("keyed.op".to_owned(), 0));
         partition.or_default().records.push(record);
-        drop(state);
+        drop(partitions);
         self.changed.notify_all();
     }
 
-    fn answer(&self, client: usize, req: &Request) -> Reply {
-        let is_refused = || {
-            let state = self.state.lock().expect("the lock");
-            state.refused.contains(&client)
-        };
-        if is_refused() {
-            return json(503, "{}".to_owned());
-        }
+    fn answer(&self, req: &Request) -> Reply {
         let number = |name: &str| req.query.get(name).and_then(|n| n.parse::<u64>().ok());
         let topic = req.query.get("topic").cloned().unwrap_or_default();
         let key = (topic, number("part").unwrap_or(0) as u32);
@@ -96,7 +70,7 @@
                 thread::sleep(APPEND_TIME);
                 self.append(&key, req)
             }
-            "/api/log-read" => self.read(client, &key, req),
+            "/api/log-read" => self.read(&key, req),
             "/api/log-newest" => self.newest(&key, req),
             _ => json(404, "{}".to_owned()),
         }
@@ -128,8 +102,8 @@
             return json(400, "{}".to_owned());
         }
         let number = |name: &str| req.query.get(name).and_then(|n| n.parse::<u64>().ok());
-        let mut state = self.state.lock().expect("the lock");
-        let partition = state.partitions.entry(key.clone()).or_default();
+        let mut partitions = self.partitions.lock().expect("the lock");
+        let partition = partitions.entry(key.clone()).or_default();
         let offset = partition.records.len() as u64;
         let end = offset + records.len() as u64;
         let at_end = number("at").is_none_or(|at| at == offset);
@@ -170,22 +144,19 @@
             return json(412, format!("{{\"end\":{offset}}}"));
         }
         partition.records.extend(records);
-        drop(state);
+        drop(partitions);
         self.changed.notify_all();
         json(200, format!("{{\"offset\":{offset},\"end\":{end}}}"))
     }
 
-    fn read(&self, client: usize, key: &(String, u32), req: &Request) -> Reply {
+    fn read(&self, key: &(String, u32), req: &Request) -> Reply {
         let number = |name: &str| req.query.get(name).and_then(|n| n.parse::<u64>().ok());
         let from = number("from").unwrap_or(0) as usize;
         let max = number("max_kb").unwrap_or(1_024) as usize * 1_024;
         let until = Instant::now() + Duration::from_millis(number("wait_ms").unwrap_or(0));
-        let mut state = self.state.lock().expect("the lock");
+        let mut partitions = self.partitions.lock().expect("the lock");
         loop {
-            if state.refused.contains(&client) {
-                return json(503, "{}".to_owned());
-            }
-            let records = state.partitions.get(key).map_or(&[][..], |p| &p.records[..]);
+            let records = partitions.get(key).map_or(&[][..], |p| &p.records[..]);
             let left = until.saturating_duration_since(Instant::now());
             if records.len() > from || left.is_zero() {
                 let mut body = (records.len() as u64).to_be_bytes().to_vec();
@@ -199,13 +170,13 @@
                 }
                 return Reply(200, body);
             }
-            state = self.changed.wait_timeout(state, left).expect("the lock").0;
+            partitions = self.changed.wait_timeout(partitions, left).expect("the lock").0;
         }
     }
 
     fn newest(&self, key: &(String, u32), req: &Request) -> Reply {
-        let state = self.state.lock().expect("the lock");
-        let records = state.partitions.get(key).map_or(&[][..], |p| &p.records[..]);
+        let partitions = self.partitions.lock().expect("the lock");
+        let records = partitions.get(key).map_or(&[][..], |p| &p.records[..]);
         let mut newest: BTreeMap<String, (usize, &[u8])> = BTreeMap::new();
         for (offset, record) in records.iter().enumerate() {
             let Some((length, tail)) = record.split_first() else {
--- a/review/standin-2/worker.rs
+++ b/review/standin-2/worker.rs
@@ -61,24 +61,20 @@
     ends: Vec<(u64, String, u64, &'static str)>,
     last_end: u64,
     sequence: u64,
-    has_lapsed: bool,
 }
 
 /// A start that a worker has begun.
 #[derive(Clone, Debug)]
 pub struct Start {
     pub at_ms: u64,
-    pub worker: String,
     pub task: String,
 }
 
-/// An end that was taken note of.
+/// An end of a run that was taken note of.
 #[derive(Clone, Debug)]
 pub struct Noted {
     pub at_ms: u64,
-    pub worker: String,
     pub task: String,
-    pub run: u64,
     pub how: &'static str,
 }
 
@@ -88,10 +84,7 @@
     pub starts: Mutex<Vec<Start>>,
     /// When, which task, which run and how.
     pub ends: Mutex<Vec<(u64, String, u64, &'static str)>>,
-    /// When the end of which run was taken note of, on which worker.
     pub noted: Mutex<Vec<Noted>>,
-    /// When the lease of which worker lapsed.
-    pub lapses: Mutex<Vec<(u64, String)>>,
 }
 
 pub struct Worker {
@@ -212,12 +205,6 @@
         let clock = self.clock_ms();
         let mut state = self.state.lock().expect("the lock");
         let lapsed = clock >= state.lease_ms;
-        if lapsed && !state.has_lapsed && state.lease_ms > 0 {
-            self.record.line(format!("{}: its lease lapses", self.id));
-            let mut lapses = self.history.lapses.lock().expect("the lock");
-            lapses.push((self.record.ms(), self.id.clone()));
-        }
-        state.has_lapsed = lapsed;
         let over = state.running.iter().filter_map(|(task, r)| {
             let how = if clock >= r.ends_ms { r.how } else { "lapsed" };
             (lapsed || clock >= r.ends_ms).then(|| (task.clone(), r.run, how))
@@ -301,7 +288,6 @@
                 let mut starts = self.history.starts.lock().expect("the lock");
                 starts.push(Start {
                     at_ms: self.record.ms(),
-                    worker: self.id.clone(),
                     task,
                 });
                 json(200, format!("{{\"clock_ms\":{clock}}}"))
@@ -325,11 +311,9 @@
                 let acked = body.number("acked_through").unwrap_or(0);
                 let noted = state.ends.iter().filter(|e| e.0 <= acked);
                 let mut all = self.history.noted.lock().expect("the lock");
-                all.extend(noted.map(|(_, task, run, how)| Noted {
+                all.extend(noted.map(|(_, task, _, how)| Noted {
                     at_ms: self.record.ms(),
-                    worker: self.id.clone(),
                     task: task.clone(),
-                    run: *run,
                     how,
                 }));
                 drop(all);
