--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -135,6 +135,20 @@
     }
 }
 
+/// A read of a partition.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PageRequest {
+    /// The partition to read.
+    pub partition: Partition,
+    /// The offset of the first record.
+    pub from: u64,
+    /// How long the store may wait for a first record.
+    pub wait: Duration,
+    /// The size in bytes up to which the store returns records. The first one is returned whatever
+    /// its size.
+    pub max_bytes: usize,
+}
+
 /// Records that were read from a partition.
 #[derive(Clone, Debug, Default)]
 pub struct Page {
@@ -206,14 +220,8 @@
     /// Appends records, waiting up to `within` for the store's confirmation.
     async fn append(&self, append: &Append, within: Duration) -> Result<Appended, AppendError>;
 
-    /// Reads from offset `from` on, waiting up to `wait` for a record. Returns as soon as the
-    /// answer starts to arrive.
-    async fn read(
-        &self,
-        partition: Partition,
-        from: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError>;
+    /// Reads a page of records. Returns as soon as the answer starts to arrive.
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError>;
 
     /// Reads the newest record of each key, starting after the key `after`.
     async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<Newest, ReadError>;
--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -6,8 +6,8 @@
 
 use crate::{
     port::{
-        Advisor, Append, AppendError, CallerAnswer, CallerRequest, JobState, Partition, ReadError,
-        Refusal, Store,
+        Advisor, Append, AppendError, CallerAnswer, CallerRequest, JobState, PageRequest,
+        Partition, ReadError, Refusal, Store,
     },
     process::on_store::{StoreEntry, append_timeout},
     utils::{Name, lock},
@@ -181,7 +181,12 @@
         let limit = PROBE_TIMEOUT.max(delay * PROBE_STORE_DELAYS).min(remaining);
         // The operators' records are known up to their end, so the answer is empty. A read of the jobs
         // would return all that has happened since this entry last read them.
-        let read = self.store.read(Partition::OPERATOR, end, Duration::ZERO);
+        let read = self.store.read(PageRequest {
+            partition: Partition::OPERATOR,
+            from: end,
+            wait: Duration::ZERO,
+            max_bytes: 0,
+        });
         let answered = match timeout(limit, read).await {
             Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
             Ok(Err(ReadError::Unavailable(_))) | Err(_) => false,
--- a/dragonflyrun/src/process/on_store/counted_store.rs
+++ b/dragonflyrun/src/process/on_store/counted_store.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    port::{Append, AppendError, Appended, Newest, PageBody, Partition, ReadError, Store, Topic},
+    port::{
+        Append, AppendError, Appended, Newest, PageBody, PageRequest, Partition, ReadError, Store,
+        Topic,
+    },
     process::Counters,
 };
 
@@ -37,14 +40,9 @@
         appended
     }
 
-    async fn read(
-        &self,
-        partition: Partition,
-        from: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
-        let page = self.store.read(partition, from, wait).await;
-        self.count("read", partition.topic, page.is_ok());
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let page = self.store.read(req).await;
+        self.count("read", req.partition.topic, page.is_ok());
         page
     }
 
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -19,7 +19,10 @@
     time::{Instant, timeout},
 };
 
-use crate::port::{Page, PageBody, Partition, ReadError, Store};
+use crate::port::{Page, PageBody, PageRequest, Partition, ReadError, Store};
+
+/// Maximum size of a page in bytes.
+const MAX_PAGE_BYTES: usize = 512 << 10;
 
 /// Minimum time beyond its wait after which an answer is overdue.
 const MIN_OVERDUE: Duration = Duration::from_millis(150);
@@ -174,7 +177,14 @@
     wait: Duration,
 ) -> Result<StartedAnswer<'_>, ReadError> {
     let sent = Instant::now();
-    let body = store.read(partition, from, wait).await?;
+    let body = store
+        .read(PageRequest {
+            partition,
+            from,
+            wait,
+            max_bytes: MAX_PAGE_BYTES,
+        })
+        .await?;
     Ok(StartedAnswer {
         body,
         took: sent.elapsed(),
--- a/dragonflyrun/tests/caller_patience.rs
+++ b/dragonflyrun/tests/caller_patience.rs
@@ -13,7 +13,8 @@
 use dragonflyrun::{
     port::{
         Append, AppendError, Appended, CallerAnswer, CallerCall, CallerHandler, CallerRequest,
-        Newest, OperatorRecord, Page, PageBody, Partition, ReadError, Store, StoreRecord, Topic,
+        Newest, OperatorRecord, Page, PageBody, PageRequest, Partition, ReadError, Store,
+        StoreRecord, Topic,
     },
     process::{Counters, on_store::StoreEntry},
     workload::{JobRequest, Step},
@@ -46,12 +47,13 @@
         Err(AppendError::Unknown("no answer".to_owned()))
     }
 
-    async fn read(
-        &self,
-        partition: Partition,
-        end: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            partition,
+            from: end,
+            wait,
+            ..
+        } = req;
         sleep(wait + STORE_DELAY).await;
         let probe = wait.is_zero() && self.answers_probes.load(Ordering::Relaxed);
         if self.is_silent.load(Ordering::Relaxed) && !probe {
--- a/dragonflyrun/tests/hedged_reads.rs
+++ b/dragonflyrun/tests/hedged_reads.rs
@@ -9,7 +9,10 @@
 };
 
 use dragonflyrun::{
-    port::{Append, AppendError, Appended, Newest, Page, PageBody, Partition, ReadError, Store},
+    port::{
+        Append, AppendError, Appended, Newest, Page, PageBody, PageRequest, Partition, ReadError,
+        Store,
+    },
     process::on_store::Follower,
     utils::lock,
 };
@@ -39,12 +42,10 @@
         ))
     }
 
-    async fn read(
-        &self,
-        _: Partition,
-        end: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            from: end, wait, ..
+        } = req;
         let number = self.reads.fetch_add(1, Ordering::Relaxed);
         if self.refuses_reads.load(Ordering::Relaxed) {
             return Err(ReadError::Unavailable("refused".to_owned()));
--- a/dragonflyrun/tests/partial_pages.rs
+++ b/dragonflyrun/tests/partial_pages.rs
@@ -13,8 +13,8 @@
 use dragonflyrun::{
     port::{
         Append, AppendError, Appended, CallerAnswer, CallerCall, CallerHandler, CallerRequest,
-        Configuration, Newest, OperatorRecord, Page, PageBody, Partition, ReadError, Refusal,
-        Store, StoreRecord, Workspace,
+        Configuration, Newest, OperatorRecord, Page, PageBody, PageRequest, Partition, ReadError,
+        Refusal, Store, StoreRecord, Workspace,
     },
     process::{Counters, on_store::StoreEntry},
     utils::lock,
@@ -65,12 +65,13 @@
         ))
     }
 
-    async fn read(
-        &self,
-        partition: Partition,
-        from: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            partition,
+            from,
+            wait,
+            ..
+        } = req;
         sleep(PAGE_TIME).await;
         let has_news = || lock(self.records(partition)).len() as u64 > from;
         if !has_news() {
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -10,7 +10,7 @@
 use dragonflyrun::{
     port::{
         Append, AppendError, Appended, Heartbeat, Newest, OperatorRecord, Page, PageBody,
-        Partition, ReadError, Store, StoreRecord, Topic,
+        PageRequest, Partition, ReadError, Store, StoreRecord, Topic,
     },
     process::{
         Counters,
@@ -124,12 +124,13 @@
         Ok(Appended { offset, end })
     }
 
-    async fn read(
-        &self,
-        partition: Partition,
-        from: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            partition,
+            from,
+            wait,
+            ..
+        } = req;
         if partition == Partition::JOBS && lock(&self.jobs).len() as u64 > from {
             sleep(Duration::from_millis(2)).await;
         } else {
--- a/dragonflyrun/tests/unstored_records.rs
+++ b/dragonflyrun/tests/unstored_records.rs
@@ -14,8 +14,8 @@
 use agent_inputs::heartbeat;
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, CallError, Heartbeat, Newest, Page, PageBody, Partition,
-        ReadError, Registry, StartOrder, StartOutcome, Store, Worker, WorkerLists,
+        Append, AppendError, Appended, CallError, Heartbeat, Newest, Page, PageBody, PageRequest,
+        Partition, ReadError, Registry, StartOrder, StartOutcome, Store, Worker, WorkerLists,
     },
     process::{Counters, on_store::StoreAgent},
     utils::{HashMap, Name, lock},
@@ -75,12 +75,10 @@
         Ok(Appended { offset, end: *end })
     }
 
-    async fn read(
-        &self,
-        _: Partition,
-        end: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            from: end, wait, ..
+        } = req;
         sleep(wait).await;
         let page = Page {
             end,
--- a/standins/src/steps/store.rs
+++ b/standins/src/steps/store.rs
@@ -4,8 +4,8 @@
 
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, Newest, Page, PageBody, Partition, ReadError, Store,
-        StoreRecord, Writer,
+        Append, AppendError, Appended, Newest, Page, PageBody, PageRequest, Partition, ReadError,
+        Store, StoreRecord, Writer,
     },
     utils::{HashMap, Name},
 };
@@ -82,12 +82,13 @@
         Ok(appended)
     }
 
-    async fn read(
-        &self,
-        partition: Partition,
-        from: u64,
-        wait: Duration,
-    ) -> Result<PageBody<'_>, ReadError> {
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            partition,
+            from,
+            wait,
+            ..
+        } = req;
         let end = Instant::now() + wait;
         loop {
             let changed = self.changed.notified();
