--- a/dragonflyrun/src/port/mod.rs
+++ b/dragonflyrun/src/port/mod.rs
@@ -14,8 +14,8 @@
 pub use caller::{CallerAnswer, CallerCall, CallerHandler, CallerRequest, JobState, Refusal};
 pub use operator::{Advice, Configuration, OperatorRecord, Queue, Service, Workspace};
 pub use store::{
-    Append, AppendError, Appended, Newest, Page, PageBody, PageRequest, Partition, ReadError,
-    Store, StoreRecord, Topic, Writer,
+    Append, AppendError, Appended, Newest, NewestRequest, Page, PageBody, PageRequest, Partition,
+    ReadError, Store, StoreRecord, Topic, Writer,
 };
 pub use worker::{
     CallError, End, EndKind, Heartbeat, Registry, RunningTask, StartOrder, StartOutcome, Worker,
--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -147,6 +147,8 @@
     /// The size in bytes up to which the store returns records. The first one is returned whatever
     /// its size.
     pub max_bytes: usize,
+    /// Time limit for the start of the answer, which includes `wait`.
+    pub within: Duration,
 }
 
 /// Records that were read from a partition.
@@ -185,6 +187,17 @@
     }
 }
 
+/// A read of the newest record of each key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct NewestRequest<'a> {
+    /// The partition to read.
+    pub partition: Partition,
+    /// The key that the page starts after; `None` for the first page.
+    pub after: Option<&'a str>,
+    /// Time limit for the start of the answer.
+    pub within: Duration,
+}
+
 /// A page of the newest records of each key.
 #[derive(Clone, Debug, Default)]
 pub struct Newest {
@@ -223,6 +236,6 @@
     /// Reads a page of records. Returns as soon as the answer starts to arrive.
     async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError>;
 
-    /// Reads the newest record of each key, starting after the key `after`.
-    async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<Newest, ReadError>;
+    /// Reads the newest record of each key.
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError>;
 }
--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -186,6 +186,7 @@
             from: end,
             wait: Duration::ZERO,
             max_bytes: 0,
+            within: limit,
         });
         let answered = match timeout(limit, read).await {
             Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
--- a/dragonflyrun/src/process/on_store/counted_store.rs
+++ b/dragonflyrun/src/process/on_store/counted_store.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     port::{
-        Append, AppendError, Appended, Newest, PageBody, PageRequest, Partition, ReadError, Store,
-        Topic,
+        Append, AppendError, Appended, Newest, NewestRequest, PageBody, PageRequest, ReadError,
+        Store, Topic,
     },
     process::Counters,
 };
@@ -46,9 +46,9 @@
         page
     }
 
-    async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<Newest, ReadError> {
-        let newest = self.store.newest(partition, after).await;
-        self.count("newest", partition.topic, newest.is_ok());
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let newest = self.store.newest(req).await;
+        self.count("newest", req.partition.topic, newest.is_ok());
         newest
     }
 }
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -3,8 +3,11 @@
 use std::{sync::Arc, time::Duration};
 
 use crate::{
-    port::{Partition, ReadError, Store, StoreRecord},
-    process::on_store::{BootTime, reader::Reader},
+    port::{NewestRequest, Partition, ReadError, Store, StoreRecord},
+    process::on_store::{
+        BootTime,
+        reader::{READ_LIMIT, Reader},
+    },
 };
 
 /// The records from one step of a follower.
@@ -87,7 +90,14 @@
         let mut end = None;
         loop {
             let after = records.last().map(|r| r.key.clone());
-            let page = self.store.newest(self.partition, after.as_deref()).await?;
+            let page = self
+                .store
+                .newest(NewestRequest {
+                    partition: self.partition,
+                    after: after.as_deref(),
+                    within: READ_LIMIT,
+                })
+                .await?;
             let start = *end.get_or_insert(page.end);
             let is_empty_page = page.records.is_empty();
             records.extend(page.records);
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -24,6 +24,9 @@
 /// Maximum size of a page in bytes.
 const MAX_PAGE_BYTES: usize = 512 << 10;
 
+/// Time limit for the start of an answer beyond its wait.
+pub(super) const READ_LIMIT: Duration = Duration::from_millis(900);
+
 /// Minimum time beyond its wait after which an answer is overdue.
 const MIN_OVERDUE: Duration = Duration::from_millis(150);
 
@@ -183,6 +186,7 @@
             from,
             wait,
             max_bytes: MAX_PAGE_BYTES,
+            within: wait + READ_LIMIT,
         })
         .await?;
     Ok(StartedAnswer {
--- a/dragonflyrun/tests/caller_patience.rs
+++ b/dragonflyrun/tests/caller_patience.rs
@@ -13,8 +13,8 @@
 use dragonflyrun::{
     port::{
         Append, AppendError, Appended, CallerAnswer, CallerCall, CallerHandler, CallerRequest,
-        Newest, OperatorRecord, Page, PageBody, PageRequest, Partition, ReadError, Store,
-        StoreRecord, Topic,
+        Newest, NewestRequest, OperatorRecord, Page, PageBody, PageRequest, Partition, ReadError,
+        Store, StoreRecord, Topic,
     },
     process::{Counters, on_store::StoreEntry},
     workload::{JobRequest, Step},
@@ -69,7 +69,8 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let NewestRequest { partition, .. } = req;
         let record = StoreRecord {
             key: "config".into(),
             value: Some(Vec::new()),
--- a/dragonflyrun/tests/hedged_reads.rs
+++ b/dragonflyrun/tests/hedged_reads.rs
@@ -10,8 +10,8 @@
 
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, Newest, Page, PageBody, PageRequest, Partition, ReadError,
-        Store,
+        Append, AppendError, Appended, Newest, NewestRequest, Page, PageBody, PageRequest,
+        Partition, ReadError, Store,
     },
     process::on_store::Follower,
     utils::lock,
@@ -66,7 +66,7 @@
         }))
     }
 
-    async fn newest(&self, _: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+    async fn newest(&self, _: NewestRequest<'_>) -> Result<Newest, ReadError> {
         Ok(Newest {
             records: Vec::new(),
             more: false,
--- a/dragonflyrun/tests/partial_pages.rs
+++ b/dragonflyrun/tests/partial_pages.rs
@@ -13,8 +13,8 @@
 use dragonflyrun::{
     port::{
         Append, AppendError, Appended, CallerAnswer, CallerCall, CallerHandler, CallerRequest,
-        Configuration, Newest, OperatorRecord, Page, PageBody, PageRequest, Partition, ReadError,
-        Refusal, Store, StoreRecord, Workspace,
+        Configuration, Newest, NewestRequest, OperatorRecord, Page, PageBody, PageRequest,
+        Partition, ReadError, Refusal, Store, StoreRecord, Workspace,
     },
     process::{Counters, on_store::StoreEntry},
     utils::lock,
@@ -89,7 +89,8 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let NewestRequest { partition, .. } = req;
         let records = lock(self.records(partition)).clone();
         Ok(Newest {
             end: records.len() as u64,
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -9,8 +9,8 @@
 
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, Heartbeat, Newest, OperatorRecord, Page, PageBody,
-        PageRequest, Partition, ReadError, Store, StoreRecord, Topic,
+        Append, AppendError, Appended, Heartbeat, Newest, NewestRequest, OperatorRecord, Page,
+        PageBody, PageRequest, Partition, ReadError, Store, StoreRecord, Topic,
     },
     process::{
         Counters,
@@ -148,7 +148,8 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, partition: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let NewestRequest { partition, .. } = req;
         let records = match partition.topic {
             Topic::Jobs => lock(&self.jobs).clone(),
             Topic::Workers => self.reports_in(partition),
--- a/dragonflyrun/tests/unstored_records.rs
+++ b/dragonflyrun/tests/unstored_records.rs
@@ -14,8 +14,9 @@
 use agent_inputs::heartbeat;
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, CallError, Heartbeat, Newest, Page, PageBody, PageRequest,
-        Partition, ReadError, Registry, StartOrder, StartOutcome, Store, Worker, WorkerLists,
+        Append, AppendError, Appended, CallError, Heartbeat, Newest, NewestRequest, Page, PageBody,
+        PageRequest, Partition, ReadError, Registry, StartOrder, StartOutcome, Store, Worker,
+        WorkerLists,
     },
     process::{Counters, on_store::StoreAgent},
     utils::{HashMap, Name, lock},
@@ -87,7 +88,7 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, _: Partition, _: Option<&str>) -> Result<Newest, ReadError> {
+    async fn newest(&self, _: NewestRequest<'_>) -> Result<Newest, ReadError> {
         Ok(Newest::default())
     }
 }
--- a/standins/src/steps/store.rs
+++ b/standins/src/steps/store.rs
@@ -4,8 +4,8 @@
 
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, Newest, Page, PageBody, PageRequest, Partition, ReadError,
-        Store, StoreRecord, Writer,
+        Append, AppendError, Appended, Newest, NewestRequest, Page, PageBody, PageRequest,
+        Partition, ReadError, Store, StoreRecord, Writer,
     },
     utils::{HashMap, Name},
 };
@@ -111,7 +111,10 @@
         }
     }
 
-    async fn newest(&self, partition: Partition, after: Option<&str>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let NewestRequest {
+            partition, after, ..
+        } = req;
         let partitions = self.partitions.borrow();
         let known = partitions.get(&partition);
         let records = known.map_or(&[][..], |p| &p.records);
