--- a/dragonflyrun/src/process/counters.rs
+++ b/dragonflyrun/src/process/counters.rs
@@ -21,6 +21,9 @@
     answers: Counter<u64>,
     events: Counter<u64>,
     store_calls: Counter<u64>,
+    read_bytes: Counter<u64>,
+    reads_discarded: Counter<u64>,
+    discarded_bytes: Counter<u64>,
     latencies: Histogram<f64>,
     levels: Gauge<f64>,
 }
@@ -53,6 +56,9 @@
             answers: meter.u64_counter("answers").build(),
             events: meter.u64_counter("events").build(),
             store_calls: meter.u64_counter("store_calls").build(),
+            read_bytes: meter.u64_counter("store_read_bytes").build(),
+            reads_discarded: meter.u64_counter("store_reads_discarded").build(),
+            discarded_bytes: meter.u64_counter("store_discarded_bytes").build(),
             latencies: meter
                 .f64_histogram("latency_ms")
                 .with_boundaries(LATENCY_BUCKETS.to_vec())
@@ -110,6 +116,31 @@
         );
     }
 
+    /// Counts the bytes of the records that a read of the store returned.
+    pub fn read_bytes(&self, call: &'static str, topic: &'static str, bytes: u64) {
+        self.read_bytes.add(
+            bytes,
+            &[KeyValue::new("call", call), KeyValue::new("topic", topic)],
+        );
+    }
+
+    /// Counts a read of the store whose answer was not used, and the bytes that it had asked for.
+    pub fn read_discarded(
+        &self,
+        call: &'static str,
+        topic: &'static str,
+        why: &'static str,
+        asked_bytes: u64,
+    ) {
+        let labels = [
+            KeyValue::new("call", call),
+            KeyValue::new("topic", topic),
+            KeyValue::new("why", why),
+        ];
+        self.reads_discarded.add(1, &labels);
+        self.discarded_bytes.add(asked_bytes, &labels);
+    }
+
     /// Records a duration: `hand_in`, `append`, `wait`, `start`, `state_read` or `renewal`.
     pub fn latency(&self, of: &'static str, took: Duration) {
         let ms = took.as_secs_f64() * 1_000.0;
--- a/dragonflyrun/src/process/on_store/counted_store.rs
+++ b/dragonflyrun/src/process/on_store/counted_store.rs
@@ -1,4 +1,5 @@
-//! Counts the calls to the store by kind, topic and result, since each of them costs.
+//! Counts the calls to the store by kind, topic and result, since each of them costs, and the bytes
+//! that reads return or discard.
 
 use std::{sync::Arc, time::Duration};
 
@@ -7,29 +8,31 @@
         Append, AppendError, Appended, Newest, NewestRequest, PageBody, PageRequest, ReadError,
         Store, Topic,
     },
-    process::Counters,
+    process::{
+        Counters,
+        on_store::read_counts::{ReadCounts, topic_name}, //
+    },
 };
 
 /// A store whose calls are counted.
 pub struct CountedStore<S> {
     store: S,
     counters: Arc<Counters>,
+    reads: ReadCounts,
 }
 
 impl<S> CountedStore<S> {
     /// Returns a store that passes all calls on to `store`.
     pub fn new(store: S, counters: Arc<Counters>) -> Self {
-        Self { store, counters }
+        Self {
+            store,
+            reads: ReadCounts::new(counters.clone()),
+            counters,
+        }
     }
 
     fn count(&self, call: &'static str, topic: Topic, is_ok: bool) {
-        let topic = match topic {
-            Topic::Operator => "operator",
-            Topic::Jobs => "jobs",
-            Topic::Workers => "workers",
-            Topic::Orders(_) => "orders",
-        };
-        self.counters.store_call(call, topic, is_ok);
+        self.counters.store_call(call, topic_name(topic), is_ok);
     }
 }
 
@@ -41,14 +44,40 @@
     }
 
     async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
-        let page = self.store.read(req).await;
-        self.count("read", req.partition.topic, page.is_ok());
-        page
+        let topic = req.partition.topic;
+        let pending = self.reads.start("read", topic, req.max_bytes);
+        let pending = pending.waiting(req.wait);
+        let body = self.store.read(req).await;
+        self.count("read", topic, body.is_ok());
+        match body {
+            Ok(body) => Ok(PageBody::new(async move {
+                match body.read_all().await {
+                    Ok(page) => {
+                        pending.answered(&page.records);
+                        Ok(page)
+                    }
+                    Err(error) => {
+                        pending.cut();
+                        Err(error)
+                    }
+                }
+            })),
+            Err(error) => {
+                pending.failed(&error, req.within);
+                Err(error)
+            }
+        }
     }
 
     async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let topic = req.partition.topic;
+        let pending = self.reads.start("newest", topic, 0);
         let newest = self.store.newest(req).await;
-        self.count("newest", req.partition.topic, newest.is_ok());
+        self.count("newest", topic, newest.is_ok());
+        match &newest {
+            Ok(newest) => pending.answered(&newest.records),
+            Err(error) => pending.failed(error, req.within),
+        }
         newest
     }
 }
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -19,6 +19,7 @@
 mod lanes;
 mod link_load;
 mod planner_term;
+mod read_counts;
 mod read_pause;
 mod reader;
 mod settings;
