Keep reads that are late instead of sending them again from the beginning

Cause: a read that waits longer than 0.9 s for its first byte was given up, after a second copy of up to 512 KB was sent, and sent again. Ruled out: the hosts' links (0 bytes received).

A late read is reported as failed as before, but kept, and its answer counts whenever it arrives; beside it only reads of one record are sent. Hedges ask for one record, and for a tenth of the reads at most. Pages are 128 KB. The pages of newest records that were read before a failure are kept, and their time limit doubles. An agent does not extend a lease by the answer of a read that was sent before it read the worker's clock.

--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -217,6 +217,10 @@
         Dropped(first: u64) {
             display("records before offset {first} are no longer retained")
         }
+        /// The answer is late. It may still arrive.
+        Late {
+            display("the store's answer is late")
+        }
         /// The store returned no usable answer.
         Unavailable(reason: String) {
             display("the store gave no answer: {reason}")
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -21,9 +21,9 @@
     process::{
         Counters,
         on_store::{
-            Lanes, StoreSettings,
+            BootTime, Lanes, StoreSettings,
             entry::{unix_ms, wait_for},
-            reader::Reader,
+            reader::{Answer, Reader},
         },
     },
     utils::{HashSet, Name, lock},
@@ -290,6 +290,7 @@
         let mut backoff = Backoff::default();
         let mut reader = Reader::new(self.store.clone(), partition);
         loop {
+            let clock_read_at = BootTime::now();
             let worker_clock_ms = {
                 let table = lock(&self.table);
                 if table.worker().as_ref() != Some(id) || table.is_closed() {
@@ -307,7 +308,7 @@
                 true => Duration::ZERO,
                 false => self.order_wait(),
             };
-            let sent_at = Instant::now();
+            let began = Instant::now();
             let read = select! {
                 read = reader.read(next, wait) => read,
                 // The worker has changed; a session of another worker or incarnation may have to
@@ -317,8 +318,14 @@
             match read {
                 // The worker's clock was read before the read was sent, which is too long ago for a
                 // lease. The orders are read once more with a newer reading.
-                Ok(page) if wait > IDLE_ORDER_WAIT && !page.records.is_empty() => woken = true,
-                Ok(page) => {
+                Ok(Answer { page, .. }) if wait > IDLE_ORDER_WAIT && !page.records.is_empty() => {
+                    woken = true;
+                }
+                Ok(Answer {
+                    page,
+                    sent,
+                    sent_at,
+                }) => {
                     next += page.records.len() as u64;
                     backoff.succeeded();
                     if !reachable {
@@ -326,13 +333,15 @@
                         reachable = true;
                     }
                     // Without the worker's clock the lease is not extended: if the page ends before
-                    // the partition does, a fence may follow.
-                    let worker_clock_ms = worker_clock_ms.filter(|_| next >= page.end);
+                    // the partition does, a fence may follow, and a late answer is that of a read
+                    // that was sent before the clock was read.
+                    let is_current = next >= page.end && sent_at >= clock_read_at;
+                    let worker_clock_ms = worker_clock_ms.filter(|_| is_current);
                     let orders = orders_for(&page.records, worker, session);
                     let has_orders = !orders.is_empty();
                     let (actions, must_report) = {
                         let mut table = lock(&self.table);
-                        let actions = table.orders(worker_clock_ms, orders, next, sent_at);
+                        let actions = table.orders(worker_clock_ms, orders, next, sent);
                         (actions, table.take_report_due())
                     };
                     if has_orders {
@@ -355,7 +364,7 @@
                         log::warn!(what = "orders", why:% = error; "store_lost");
                         reachable = false;
                     }
-                    sleep(backoff.failed(sent_at.elapsed(), self.max_retry_delay())).await;
+                    sleep(backoff.failed(began.elapsed(), self.max_retry_delay())).await;
                 }
             }
         }
--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -190,7 +190,7 @@
         });
         let answered = match timeout(limit, read).await {
             Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
-            Ok(Err(ReadError::Unavailable(_))) | Err(_) => false,
+            Ok(Err(ReadError::Unavailable(_) | ReadError::Late)) | Err(_) => false,
         };
         let mut state = lock(&self.state);
         if answered {
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -1,15 +1,21 @@
 //! Follows a keyed partition of the store, starting with the newest record of each key.
 
-use std::{sync::Arc, time::Duration};
+use std::{mem::take, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
 
 use crate::{
-    port::{NewestRequest, Partition, ReadError, Store, StoreRecord},
-    process::on_store::{
-        BootTime,
-        reader::{READ_LIMIT, Reader},
-    },
+    port::{Newest, NewestRequest, Partition, ReadError, Store, StoreRecord},
+    process::on_store::{BootTime, reader::Reader},
 };
 
+/// Time limit for the start of a page of newest records. All hosts read them at once after a loss of
+/// power; pages that are read again from the beginning would congest the store for good.
+const NEWEST_LIMIT: Duration = Duration::from_millis(900);
+
+/// The time limit doubles with each page in a row that is not answered within it, up to this limit.
+const MAX_NEWEST_LIMIT: Duration = Duration::from_secs(20);
+
 /// The records from one step of a follower.
 #[derive(Debug)]
 pub struct Batch {
@@ -32,6 +38,19 @@
     partition: Partition,
     reader: Reader<S>,
     next: Option<u64>,
+    /// The pages of newest records that have been read of an unfinished step.
+    newest: Option<NewestPages>,
+    /// Number of pages of newest records in a row that were not answered.
+    unanswered_pages: u32,
+}
+
+/// Pages of newest records.
+#[derive(Debug)]
+struct NewestPages {
+    requested_at: BootTime,
+    /// The end of the partition at the first page.
+    end: u64,
+    records: Vec<StoreRecord>,
 }
 
 impl<S: Store> Follower<S> {
@@ -42,6 +61,8 @@
             store,
             partition,
             next: None,
+            newest: None,
+            unanswered_pages: 0,
         }
     }
 
@@ -60,13 +81,13 @@
         let Some(next) = self.next else {
             return self.read_newest().await;
         };
-        let requested_at = BootTime::now();
         match self.reader.read(next, wait).await {
-            Ok(page) => {
+            Ok(answer) => {
+                let page = answer.page;
                 let end = next + page.records.len() as u64;
                 self.next = Some(end);
                 Ok(Batch {
-                    requested_at,
+                    requested_at: answer.sent_at,
                     is_current: end >= page.end,
                     replaces: false,
                     records: page.records,
@@ -83,34 +104,54 @@
     }
 
     /// Reads the newest record of each key. The pages are no consistent snapshot, so following
-    /// continues from the end of the partition as it was at the first page.
+    /// continues from the end of the partition as it was at the first page. After a failure the next
+    /// call continues after the last page that was read.
     async fn read_newest(&mut self) -> Result<Batch, ReadError> {
-        let requested_at = BootTime::now();
-        let mut records: Vec<StoreRecord> = Vec::new();
-        let mut end = None;
         loop {
-            let after = records.last().map(|r| r.key.clone());
-            let page = self
-                .store
-                .newest(NewestRequest {
-                    partition: self.partition,
-                    after: after.as_deref(),
-                    within: READ_LIMIT,
-                })
-                .await?;
-            let start = *end.get_or_insert(page.end);
-            let is_empty_page = page.records.is_empty();
-            records.extend(page.records);
-            if !page.more || is_empty_page {
-                self.next = Some(start);
-                return Ok(Batch {
-                    requested_at,
-                    is_current: true,
-                    replaces: true,
-                    records,
-                    end: start,
-                });
+            let requested_at = BootTime::now();
+            let page = self.read_newest_page().await?;
+            let is_last = !page.more || page.records.is_empty();
+            let pages = self.newest.get_or_insert_with(|| NewestPages {
+                requested_at,
+                end: page.end,
+                records: Vec::new(),
+            });
+            pages.records.extend(page.records);
+            if is_last {
+                break;
+            }
+        }
+        let Some(pages) = take(&mut self.newest) else {
+            return Err(ReadError::Unavailable("no page was read".to_owned()));
+        };
+        self.next = Some(pages.end);
+        Ok(Batch {
+            requested_at: pages.requested_at,
+            is_current: true,
+            replaces: true,
+            records: pages.records,
+            end: pages.end,
+        })
+    }
+
+    async fn read_newest_page(&mut self) -> Result<Newest, ReadError> {
+        let after = self.newest.as_ref().and_then(|pages| pages.records.last());
+        let doubled = NEWEST_LIMIT.saturating_mul(1 << self.unanswered_pages.min(16));
+        let req = NewestRequest {
+            partition: self.partition,
+            after: after.map(|record| &*record.key),
+            within: doubled.min(MAX_NEWEST_LIMIT),
+        };
+        let sent = Instant::now();
+        let page = self.store.newest(req).await;
+        match page {
+            Ok(_) => self.unanswered_pages = 0,
+            Err(_) if sent.elapsed() >= req.within => {
+                self.unanswered_pages += 1;
+                return Err(ReadError::Late);
             }
+            Err(_) => {}
         }
+        page
     }
 }
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -1,31 +1,55 @@
-//! Reads one partition without being held up by a connection that has gone silent.
+//! Reads one partition without being held up by a connection that has gone silent, and without
+//! making a congested store do its work twice.
 //!
 //! Open connections to the store sometimes go silent while new ones work. A read spends most of
 //! its time waiting for new records, so a silent connection is noticed only once the answer is
 //! overdue. A second read is then sent on another connection, and the first answer counts: a
-//! hedged request (Dean and Barroso, "The Tail at Scale", CACM 2013). On a store that is slow
-//! altogether the second read is sent later, so that it does not double the store's load. An
-//! answer that has started to arrive is not overdue, however long the rest takes: a second copy
-//! would take half of the link from the first.
+//! hedged request (Dean and Barroso, "The Tail at Scale", CACM 2013). An answer that has started to
+//! arrive is not overdue, however long the rest takes: a second copy would take half of the link
+//! from the first.
+//!
+//! A read can also be late because all reads share the store's rate. The store does the work of a
+//! read whether or not its client still waits, so reads that are given up and sent again would keep
+//! the store congested for good (`docs/incidents/congested-reads.md`). Therefore:
+//!
+//! - A read that is late is reported as failed, but kept. Its answer counts whenever it arrives, so
+//!   that the store's work is not lost, until the read is so old that its connection must be silent.
+//! - The reads beside it ask for no more than one record.
+//! - Hedges are limited to a share of the reads that were answered.
 //!
 //! After a failed read the next one does not wait for new records. It shows at once that the store
 //! is back, whereas a waiting read on a store without new records would show that only at the end
 //! of its wait.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::VecDeque,
+    future::Future,
+    pin::Pin,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use futures_util::future::select_all;
+use tokio::time::{Instant, timeout};
 
-use tokio::{
-    pin, select,
-    time::{Instant, timeout},
+use crate::{
+    port::{Page, PageRequest, Partition, ReadError, Store},
+    process::on_store::BootTime,
 };
 
-use crate::port::{Page, PageBody, PageRequest, Partition, ReadError, Store};
+/// Maximum size of a page in bytes: a few orders or plans, or a single large record. While all
+/// hosts catch up at once, each waits for a page of every other one.
+const MAX_PAGE_BYTES: usize = 128 << 10;
 
-/// Maximum size of a page in bytes.
-const MAX_PAGE_BYTES: usize = 512 << 10;
+/// Maximum size in bytes of a page that is read only in case another one doesn't arrive: one record.
+const MIN_PAGE_BYTES: usize = 1 << 10;
 
-/// Time limit for the start of an answer beyond its wait.
-pub(super) const READ_LIMIT: Duration = Duration::from_millis(900);
+/// Time beyond its wait after which a read is reported as failed.
+const READ_LIMIT: Duration = Duration::from_millis(900);
+
+/// Time beyond its wait for which a late read is kept. A store whose queue of reads is longer serves
+/// nobody in time, and a read on a silent connection occupies one of the connections until then.
+const MAX_READ_AGE: Duration = Duration::from_secs(20);
 
 /// Minimum time beyond its wait after which an answer is overdue.
 const MIN_OVERDUE: Duration = Duration::from_millis(150);
@@ -35,18 +59,31 @@
 
 /// Time limit for a read after a failed one, to which [`PROBE_STORE_DELAYS`] is added. A store
 /// that was silent never answers a read that was sent before it came back.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
-/// Multiple of the store's usual delay that is added to [`PROBE_TIMEOUT`].
+/// Multiple of the store's usual delay that is added to [`PROBE_LIMIT`].
 const PROBE_STORE_DELAYS: u32 = 8;
 
+/// A page and when it was current.
+pub(super) struct Answer {
+    /// The page.
+    pub(super) page: Page,
+    /// When its read was sent.
+    pub(super) sent: std::time::Instant,
+    /// The same on the clock that includes suspended time.
+    pub(super) sent_at: BootTime,
+}
+
 /// Reads one partition.
 pub(super) struct Reader<S> {
     store: Arc<S>,
     partition: Partition,
     delay: StoreDelay,
+    hedges: HedgeAllowance,
     /// Whether the last read failed.
     failing: bool,
+    /// A read that was not answered in time.
+    late: Option<PendingRead>,
 }
 
 /// How long the store takes for an answer, apart from the wait for new records.
@@ -79,6 +116,62 @@
     }
 }
 
+/// How many hedges may be sent.
+#[derive(Debug)]
+struct HedgeAllowance {
+    hedges: f64,
+}
+
+impl Default for HedgeAllowance {
+    fn default() -> Self {
+        Self {
+            hedges: Self::MAX_HEDGES,
+        }
+    }
+}
+
+impl HedgeAllowance {
+    /// Hedges that may follow each other. After a pause of all traffic several connections of one
+    /// reader may be silent.
+    const MAX_HEDGES: f64 = 2.0;
+
+    /// Hedges per answered read.
+    const HEDGES_PER_ANSWER: f64 = 0.1;
+
+    fn record_answer(&mut self) {
+        self.hedges = (self.hedges + Self::HEDGES_PER_ANSWER).min(Self::MAX_HEDGES);
+    }
+
+    fn take(&mut self) -> bool {
+        let is_allowed = self.hedges >= 1.0;
+        if is_allowed {
+            self.hedges -= 1.0;
+        }
+        is_allowed
+    }
+}
+
+/// A read that has been sent. Dropping it closes its connection.
+struct PendingRead {
+    from: u64,
+    wait: Duration,
+    sent: Instant,
+    sent_at: BootTime,
+    /// Time from the request until the answer started to arrive.
+    started_after: Arc<OnceLock<Duration>>,
+    page: Pin<Box<dyn Future<Output = Result<Page, ReadError>>>>,
+}
+
+impl PendingRead {
+    fn has_started(&self) -> bool {
+        self.started_after.get().is_some()
+    }
+
+    fn is_kept(&self, from: u64) -> bool {
+        self.from == from && (self.has_started() || self.sent.elapsed() < self.wait + MAX_READ_AGE)
+    }
+}
+
 impl<S: Store> Reader<S> {
     /// Returns a reader that has not measured the store's delay yet.
     pub(super) fn new(store: Arc<S>, partition: Partition) -> Self {
@@ -86,7 +179,9 @@
             store,
             partition,
             delay: StoreDelay::default(),
+            hedges: HedgeAllowance::default(),
             failing: false,
+            late: None,
         }
     }
 
@@ -96,102 +191,127 @@
     }
 
     /// Returns the records from offset `from` on, waiting for the first for up to `wait`, or not
-    /// at all if the previous read failed.
+    /// at all if the previous read failed. The answer may be that of an earlier read that failed.
     ///
     /// # Errors
     ///
-    /// Returns an error if neither the read nor its hedge gets an answer.
-    pub(super) async fn read(&mut self, from: u64, wait: Duration) -> Result<Page, ReadError> {
+    /// Returns an error if neither the read nor its hedge gets an answer in time.
+    pub(super) async fn read(&mut self, from: u64, wait: Duration) -> Result<Answer, ReadError> {
+        let late = self.late.take().filter(|late| late.is_kept(from));
         let answer = if self.failing {
-            self.probe(from).await
+            self.probe(from, late).await
         } else {
             self.read_hedged(from, wait).await
         };
-        self.failing = matches!(answer, Err(ReadError::Unavailable(_)));
+        self.failing = matches!(answer, Err(ReadError::Unavailable(_) | ReadError::Late));
+        if answer.is_ok() {
+            self.hedges.record_answer();
+        }
         answer
     }
 
-    async fn probe(&mut self, from: u64) -> Result<Page, ReadError> {
-        let limit = PROBE_TIMEOUT + self.delay.usual() * PROBE_STORE_DELAYS;
-        let store = self.store.clone();
-        let read = self.start_hedged(&store, from, Duration::ZERO);
-        let timed_out = |_| Err(ReadError::Unavailable("timeout".to_owned()));
-        let started = timeout(limit, read).await.unwrap_or_else(timed_out);
-        self.finish(started?).await
-    }
-
-    async fn read_hedged(&mut self, from: u64, wait: Duration) -> Result<Page, ReadError> {
-        let store = self.store.clone();
-        let started = self.start_hedged(&store, from, wait).await?;
-        self.finish(started).await
+    /// Reads after a failed read, whose answer may still arrive.
+    async fn probe(&mut self, from: u64, late: Option<PendingRead>) -> Result<Answer, ReadError> {
+        let limit = PROBE_LIMIT + self.delay.usual() * PROBE_STORE_DELAYS;
+        let max_bytes = match late {
+            Some(_) => MIN_PAGE_BYTES,
+            None => MAX_PAGE_BYTES,
+        };
+        let probe = self.start_read(from, Duration::ZERO, max_bytes);
+        let mut reads: Vec<PendingRead> = late.into_iter().chain([probe]).collect();
+        match self.first_answer(&mut reads, limit).await {
+            Some(answer) => answer,
+            None => self.keep_late(reads),
+        }
     }
 
     /// Sends the read, and a second one if the answer is overdue; returns the first answer that
     /// starts to arrive.
-    async fn start_hedged<'s>(
-        &self,
-        store: &'s S,
-        from: u64,
-        wait: Duration,
-    ) -> Result<StartedAnswer<'s>, ReadError> {
-        let partition = self.partition;
-        let first = start_read(store, partition, from, wait);
-        pin!(first);
+    async fn read_hedged(&mut self, from: u64, wait: Duration) -> Result<Answer, ReadError> {
         let overdue = wait + MIN_OVERDUE.max(self.delay.usual() * OVERDUE_STORE_DELAYS);
-        if let Ok(answer) = timeout(overdue, &mut first).await {
+        let mut reads = vec![self.start_read(from, wait, MAX_PAGE_BYTES)];
+        if let Some(answer) = self.first_answer(&mut reads, overdue).await {
             return answer;
         }
-        log::debug!(partition:? = partition, from, overdue_ms = overdue.as_millis() as u64; "read_overdue");
-        let second = start_read(store, partition, from, Duration::ZERO);
-        pin!(second);
-        select! {
-            answer = &mut first => match answer {
-                Err(ReadError::Unavailable(_)) => second.await,
-                answer => answer,
-            },
-            answer = &mut second => match answer {
-                Err(ReadError::Unavailable(_)) => first.await,
-                answer => answer,
-            },
+        let is_hedged = self.hedges.take();
+        log::debug!(
+            partition:? = self.partition, from, is_hedged, overdue_ms = overdue.as_millis() as u64;
+            "read_overdue"
+        );
+        if is_hedged {
+            reads.push(self.start_read(from, Duration::ZERO, MIN_PAGE_BYTES));
+        }
+        match self.first_answer(&mut reads, READ_LIMIT).await {
+            Some(answer) => answer,
+            None => self.keep_late(reads),
         }
     }
 
-    async fn finish(&mut self, started: StartedAnswer<'_>) -> Result<Page, ReadError> {
-        let page = started.body.read_all().await?;
-        self.delay
-            .record(started.took, started.wait, !page.records.is_empty());
-        Ok(page)
+    /// Keeps the oldest of `reads`, which is nearest to its answer.
+    fn keep_late(&mut self, reads: Vec<PendingRead>) -> Result<Answer, ReadError> {
+        self.late = reads.into_iter().next();
+        Err(ReadError::Late)
     }
-}
 
-/// An answer that has started to arrive.
-struct StartedAnswer<'s> {
-    body: PageBody<'s>,
-    /// Time from the request until the answer started to arrive.
-    took: Duration,
-    /// How long the store was allowed to wait for new records.
-    wait: Duration,
-}
-
-async fn start_read<S: Store>(
-    store: &S,
-    partition: Partition,
-    from: u64,
-    wait: Duration,
-) -> Result<StartedAnswer<'_>, ReadError> {
-    let sent = Instant::now();
-    let body = store
-        .read(PageRequest {
-            partition,
+    fn start_read(&self, from: u64, wait: Duration, max_bytes: usize) -> PendingRead {
+        let store = self.store.clone();
+        let started_after = Arc::new(OnceLock::new());
+        let started = started_after.clone();
+        let sent = Instant::now();
+        let req = PageRequest {
+            partition: self.partition,
+            from,
+            wait,
+            max_bytes,
+            within: wait + MAX_READ_AGE,
+        };
+        PendingRead {
             from,
             wait,
-            max_bytes: MAX_PAGE_BYTES,
-            within: wait + READ_LIMIT,
-        })
-        .await?;
-    Ok(StartedAnswer {
-        body,
-        took: sent.elapsed(),
-        wait,
-    })
+            sent,
+            sent_at: BootTime::now(),
+            started_after,
+            page: Box::pin(async move {
+                let body = store.read(req).await?;
+                started.get_or_init(|| sent.elapsed());
+                body.read_all().await
+            }),
+        }
+    }
+
+    /// Waits up to `limit` for the first answer to start to arrive, and then for the rest of it.
+    /// An error counts only if no other read is pending.
+    async fn first_answer(
+        &mut self,
+        reads: &mut Vec<PendingRead>,
+        limit: Duration,
+    ) -> Option<Result<Answer, ReadError>> {
+        let end = Instant::now() + limit;
+        loop {
+            let pages = select_all(reads.iter_mut().map(|read| &mut read.page));
+            let left = end.saturating_duration_since(Instant::now());
+            let (page, index) = match timeout(left, pages).await {
+                Ok((page, index, _)) => (page, index),
+                Err(_) => {
+                    let index = reads.iter().position(PendingRead::has_started)?;
+                    ((&mut reads[index].page).await, index)
+                }
+            };
+            let read = reads.remove(index);
+            match page {
+                Ok(page) => {
+                    let took = read.started_after.get().copied();
+                    let took = took.unwrap_or_else(|| read.sent.elapsed());
+                    self.delay.record(took, read.wait, !page.records.is_empty());
+                    return Some(Ok(Answer {
+                        page,
+                        sent: read.sent.into_std(),
+                        sent_at: read.sent_at,
+                    }));
+                }
+                Err(ReadError::Unavailable(_)) if !reads.is_empty() => {}
+                Err(error) => return Some(Err(error)),
+            }
+        }
+    }
 }
