--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -59,7 +59,7 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Longest delay before a failed read is retried. Callers are refused until a read succeeds.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
+pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// Age of the last current read above which the entry reports itself as not ready, so that the
 /// load balancer sends requests elsewhere. A read is current if it returned everything that the
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -25,12 +25,12 @@
     },
     process::on_store::{
         Batch, BootTime, Follower, Lanes, StoreEntry,
-        entry::{READ_WAIT, unix_ms, wait_for},
+        entry::{MAX_RETRY_DELAY, READ_WAIT, unix_ms, wait_for},
         term_writer::{APPEND_TIMEOUT, FIRST_SEQUENCE, TermWriter, WRITER},
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Candidate, Decisions, JobRecord, JobTable, JobWait, LoadPublisher, LoadRecord,
+        Backoff, Candidate, Decisions, JobRecord, JobTable, JobWait, LoadPublisher, LoadRecord,
         OrderMessage, Planner, PlannerBounds, PlannerHeartbeat, Report, ReportReads, Term,
         TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
     },
@@ -98,9 +98,6 @@
 /// store all partitions answer in that time.
 const MAX_TAKE_OVER_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Delay before a failed read is retried.
-const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// A planner term held by this entry.
 pub(super) struct PlannerTerm<S, A> {
     entry: Arc<StoreEntry<S, A>>,
@@ -352,7 +349,9 @@
         let partition = Partition::workers(number);
         let mut follower = Follower::new(self.entry.store.clone(), partition);
         let mut reachable = true;
+        let mut backoff = Backoff::default();
         loop {
+            let began = Instant::now();
             let read = follower.next(REPORT_WAIT);
             pin!(read);
             let answer = match timeout(REPORT_READ_OVERDUE, &mut read).await {
@@ -364,6 +363,7 @@
             };
             match answer {
                 Ok(batch) => {
+                    backoff.succeeded();
                     self.entry
                         .log_reachability(&mut reachable, true, "workers", "");
                     let is_current = batch.is_current;
@@ -375,7 +375,7 @@
                     let why = error.to_string();
                     self.entry
                         .log_reachability(&mut reachable, false, "workers", &why);
-                    sleep(READ_RETRY_DELAY).await;
+                    sleep(backoff.failed(began.elapsed(), MAX_RETRY_DELAY)).await;
                 }
             }
         }
