Let an entry that is behind read the newest configuration only

It now reads one page to learn how far it is behind, and then the newest records if these are smaller. If they can't be read, it reads on.

partial_pages::newest_version_first fails on (not in force within 3 s) and passes. unread_version checks the entry that reads one version after the other; since the entry would go to the newest, its store now refuses these reads. Its assertion is the same.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -198,7 +198,7 @@
     }
 
     async fn follow_operators(self: Arc<Self>, decoder: Arc<OperatorDecoder>) {
-        let mut follower = Follower::new(self.store.clone(), Partition::OPERATOR);
+        let mut follower = Follower::new(self.store.clone(), Partition::OPERATOR).skipping();
         let mut reachable = true;
         let mut backoff = Backoff::default();
         let mut wait = READ_WAIT;
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -1,4 +1,8 @@
 //! Follows a keyed partition of the store, starting with the newest record of each key.
+//!
+//! A follower that is far behind goes to the newest records again where these are fewer bytes than
+//! all that it has missed: every version of a large record would have to be read otherwise, by every
+//! process, faster than the store can serve them.
 
 use std::{mem::take, sync::Arc, time::Duration};
 
@@ -7,8 +11,13 @@
 use crate::{
     port::{Newest, NewestRequest, Partition, ReadError, Store, StoreRecord},
     process::on_store::{BootTime, reader::Reader},
+    utils::{HashMap, Name},
 };
 
+/// Size of a page of newest records, as a multiple of that of the same records in a partition.
+/// Stores encode them as text.
+const NEWEST_SIZE_FACTOR: f64 = 4.0 / 3.0;
+
 /// Time limit for the start of a page of newest records. All hosts read them at once after a loss of
 /// power; pages that are read again from the beginning would congest the store for good.
 const NEWEST_LIMIT: Duration = Duration::from_millis(900);
@@ -30,6 +39,8 @@
     pub records: Vec<StoreRecord>,
     /// The offset up to which everything has been read.
     pub end: u64,
+    /// The size of the answers in bytes, approximately.
+    pub bytes: usize,
 }
 
 /// Follows one keyed partition.
@@ -38,10 +49,14 @@
     partition: Partition,
     reader: Reader<S>,
     next: Option<u64>,
+    may_skip: bool,
+    /// Whether the next step reads the newest records although it could read on.
+    skips: bool,
     /// The pages of newest records that have been read of an unfinished step.
     newest: Option<NewestPages>,
     /// Number of pages of newest records in a row that were not answered.
     unanswered_pages: u32,
+    sizes: RecordSizes,
 }
 
 /// Pages of newest records.
@@ -53,6 +68,45 @@
     records: Vec<StoreRecord>,
 }
 
+/// The sizes of the newest records.
+#[derive(Debug, Default)]
+struct RecordSizes {
+    by_key: HashMap<Name, usize>,
+    total: usize,
+    /// Mean size of the records of the last page.
+    page_mean: usize,
+}
+
+impl RecordSizes {
+    /// Records the sizes of `records` and returns their sum.
+    fn apply(&mut self, records: &[StoreRecord]) -> usize {
+        let mut bytes = 0;
+        for record in records {
+            let size = record.key.len() + record.value.as_ref().map_or(0, Vec::len);
+            bytes += size;
+            let before = match record.value {
+                Some(_) => self.by_key.insert(record.key.clone(), size),
+                None => self.by_key.remove(&record.key),
+            };
+            self.total -= before.unwrap_or(0);
+            self.total += record.value.as_ref().map_or(0, |_| size);
+        }
+        if !records.is_empty() {
+            self.page_mean = bytes / records.len();
+        }
+        bytes
+    }
+
+    fn newest_bytes(&self) -> usize {
+        (self.total as f64 * NEWEST_SIZE_FACTOR) as usize
+    }
+
+    fn are_newest_smaller(&self, records: u64) -> bool {
+        let missed = usize::try_from(records).unwrap_or(usize::MAX);
+        missed.saturating_mul(self.page_mean) > self.newest_bytes()
+    }
+}
+
 impl<S: Store> Follower<S> {
     /// Returns a follower that has read nothing.
     pub fn new(store: Arc<S>, partition: Partition) -> Self {
@@ -61,16 +115,35 @@
             store,
             partition,
             next: None,
+            may_skip: false,
+            skips: false,
             newest: None,
             unanswered_pages: 0,
+            sizes: RecordSizes::default(),
         }
     }
 
+    /// Lets the follower go to the newest records instead of reading all that it has missed. Whoever
+    /// applies its batches must need no record but the newest of each key.
+    pub fn skipping(mut self) -> Self {
+        self.may_skip = true;
+        self
+    }
+
     /// Returns the store's usual delay before it answers.
     pub fn usual_delay(&self) -> Duration {
         self.reader.usual_delay()
     }
 
+    /// Returns the number of bytes that the store may have read in vain for a step that failed: one
+    /// record, or the newest of each key.
+    pub fn step_bytes(&self) -> usize {
+        match self.may_skip {
+            true => self.sizes.page_mean.max(self.sizes.newest_bytes()),
+            false => self.sizes.page_mean,
+        }
+    }
+
     /// Returns new records, waiting for the first for up to `wait`.
     ///
     /// # Errors
@@ -78,20 +151,26 @@
     /// Returns an error if the store can't be read. A follower that has fallen behind the retained
     /// records restarts by itself with the newest record of each key.
     pub async fn next(&mut self, wait: Duration) -> Result<Batch, ReadError> {
-        let Some(next) = self.next else {
-            return self.read_newest().await;
+        let next = match self.next {
+            // If the newest records can't be read, the next step reads on.
+            Some(next) if !take(&mut self.skips) => next,
+            _ => return self.read_newest().await,
         };
         match self.reader.read(next, wait).await {
             Ok(answer) => {
                 let page = answer.page;
+                let bytes = self.sizes.apply(&page.records);
                 let end = next + page.records.len() as u64;
+                let missing = page.end.saturating_sub(end);
                 self.next = Some(end);
+                self.skips = self.may_skip && self.sizes.are_newest_smaller(missing);
                 Ok(Batch {
                     requested_at: answer.sent_at,
-                    is_current: end >= page.end,
+                    is_current: missing == 0,
                     replaces: false,
                     records: page.records,
                     end,
+                    bytes,
                 })
             }
             Err(ReadError::Dropped(first)) => {
@@ -124,6 +203,17 @@
         let Some(pages) = take(&mut self.newest) else {
             return Err(ReadError::Unavailable("no page was read".to_owned()));
         };
+        self.sizes = RecordSizes {
+            page_mean: self.sizes.page_mean,
+            ..RecordSizes::default()
+        };
+        let missed = self.next.map_or(0, |next| pages.end.saturating_sub(next));
+        let bytes = self.sizes.apply(&pages.records);
+        // More than one record since the last read: more will probably follow before the next one.
+        self.skips = self.may_skip && missed > 1 && self.sizes.are_newest_smaller(missed);
+        if let Some(next) = self.next {
+            log::info!(partition:? = self.partition, next, end = pages.end, bytes; "records_skipped");
+        }
         self.next = Some(pages.end);
         Ok(Batch {
             requested_at: pages.requested_at,
@@ -131,6 +221,7 @@
             replaces: true,
             records: pages.records,
             end: pages.end,
+            bytes: (bytes as f64 * NEWEST_SIZE_FACTOR) as usize,
         })
     }
 
--- a/dragonflyrun/tests/partial_pages.rs
+++ b/dragonflyrun/tests/partial_pages.rs
@@ -5,7 +5,7 @@
 use std::{
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -46,6 +46,8 @@
     operators: Mutex<Vec<StoreRecord>>,
     /// Number of records that have been returned to the entry.
     returned_records: AtomicU64,
+    /// Whether reads of the newest records are refused.
+    refuses_newest: AtomicBool,
 }
 
 impl PagedStore {
@@ -91,6 +93,9 @@
 
     async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
         let NewestRequest { partition, .. } = req;
+        if self.refuses_newest.load(Ordering::Relaxed) {
+            return Err(ReadError::Unavailable("refused".to_owned()));
+        }
         let records = lock(self.records(partition)).clone();
         Ok(Newest {
             end: records.len() as u64,
@@ -211,6 +216,8 @@
     let test = async {
         let store = Arc::new(PagedStore::default());
         let entry = start_entry(&store, SHORT_REVOKE).await;
+        // The entry can't go to the newest version, so it reads one after the other.
+        store.refuses_newest.store(true, Ordering::Relaxed);
         lock(&store.operators).extend((2..=BACKLOG).map(version));
         wait_for_partial_read(&store).await;
         let answer = entry.call(query("")).await;
@@ -222,3 +229,24 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against an entry that is behind and reads each version of the configuration in turn: with many
+/// entries that is more than the store can return.
+#[tokio::test]
+async fn newest_version_first() {
+    let test = async {
+        let store = Arc::new(PagedStore::default());
+        let entry = start_entry(&store, LONG_REVOKE).await;
+        lock(&store.operators).extend((2..=BACKLOG).map(version));
+        // The last version revokes the key.
+        let is_newest = async {
+            while !matches!(entry.call(query("")).await, CallerAnswer::UnknownKey) {
+                sleep(PAGE_TIME).await;
+            }
+        };
+        let newest = tokio::time::timeout(PAGE_TIME * 30, is_newest).await;
+        newest.expect("the newest version in force");
+        assert!(store.returned_records.load(Ordering::Relaxed) < READ_BEFORE_CALL);
+    };
+    LocalSet::new().run_until(test).await;
+}
