Bound the load of the entries' reads of the configuration on the store

Each entry read each version as soon as it was stored: the load was the number of entries times the size times the frequency of the changes, without bound. The store's rate is a setting now, and an entry pauses after each read for as long as all entries together need for as much at half of that rate, also after a read that was late. The planner and those that stand by don't pause. If a change can't be in force within the bound of the settings, the entry logs configuration_spreads_slowly.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -1,6 +1,7 @@
 //! The entry: follows the store on behalf of its callers and of the planner that it may become.
 
 use std::{
+    mem::take,
     sync::{
         Arc,
         Mutex,
@@ -16,7 +17,7 @@
 };
 
 use crate::{
-    port::{Advisor, Configuration, OperatorRecord, Partition, Store, StoreRecord},
+    port::{Advisor, Configuration, OperatorRecord, Partition, ReadError, Store, StoreRecord},
     process::{
         Counters,
         on_store::{
@@ -24,6 +25,7 @@
             caller_load::RefusalLog,
             link_load::LinkLoad,
             planner_term::PlannerTerm,
+            read_pace::ReadPace,
             read_pause::{PauseEnd, ReadPause},
         },
     },
@@ -58,6 +60,10 @@
 /// How long a caller's request waits for a read that it has triggered.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// How long a read of a changed configuration is expected to take, including its transfer to a host
+/// with a slow link. A change is in force within this time and the pause before the read.
+const OPERATORS_READ_TIME: Duration = Duration::from_secs(1);
+
 /// Longest delay before a failed read is retried. Callers are refused until a read succeeds.
 pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -119,6 +125,9 @@
     pub(super) state: Mutex<EntryState>,
     pub(super) job_read_pause: ReadPause,
     pub(super) link_load: LinkLoad,
+    operators_pace: ReadPace,
+    /// Ends the pause after a failed read of the operators' records when the jobs can be read again.
+    store_regained: Notify,
     /// Wakes the planner after a new job, cancellation, configuration or report.
     pub(super) planner_wakeup: Notify,
     /// Ends a long read of the operators' records when this entry has won a term.
@@ -138,6 +147,8 @@
         let election = Election::new(settings.name.clone(), rand::random(), Timestamp::default());
         Arc::new(Self {
             link_load: LinkLoad::new(settings.link_bytes_per_s),
+            operators_pace: ReadPace::new(settings.store_read_bytes_per_s),
+            store_regained: Notify::new(),
             settings,
             store,
             advisor,
@@ -202,6 +213,8 @@
         let mut reachable = true;
         let mut backoff = Backoff::default();
         let mut wait = READ_WAIT;
+        // Bytes of the reads since the last pause.
+        let mut unpaused_bytes = 0;
         loop {
             let sent_at = Instant::now();
             let read = select! {
@@ -223,17 +236,65 @@
                         true => self.operators_wait(),
                         false => Duration::ZERO,
                     };
+                    unpaused_bytes += batch.bytes;
+                    let is_current = batch.is_current;
                     self.fold_operators(batch, &decoder);
+                    if is_current {
+                        let pause = self.operators_pause(take(&mut unpaused_bytes));
+                        self.pause_unless_planner(pause).await;
+                    }
                 }
                 Err(error) => {
                     self.log_reachability(&mut reachable, false, "operators", &error.to_string());
                     lock(&self.state).reachability.read_failed();
-                    sleep(backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY)).await;
+                    let mut pause = backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY);
+                    // The store may still do the work of a late read.
+                    if error == ReadError::Late {
+                        pause = pause.max(self.operators_pause(follower.step_bytes()));
+                    }
+                    select! {
+                        () = self.pause_unless_planner(pause) => {}
+                        () = self.store_regained.notified() => {}
+                    }
                 }
             }
         }
     }
 
+    /// Returns the pause after a read of the operators' records of `bytes` bytes. The planner and those
+    /// that stand by don't pause: they are few whatever the number of entries, and tasks are started
+    /// only with a new proof of the configuration.
+    fn operators_pause(&self, bytes: usize) -> Duration {
+        let readers = {
+            let mut state = lock(&self.state);
+            let term = state.election.term().number;
+            let is_standby = state.entries.is_known_standby(&self.settings.name, term);
+            if state.is_planner || is_standby {
+                return Duration::ZERO;
+            }
+            state.entries.len()
+        };
+        let mean = self.operators_pace.mean_pause(bytes, readers);
+        self.counters
+            .level("operators_pause_ms", mean.as_millis() as f64);
+        if mean + OPERATORS_READ_TIME > self.settings.bounds.apply {
+            log::warn!(
+                bytes, readers, pause_ms = mean.as_millis() as u64,
+                apply_ms = self.settings.bounds.apply.as_millis() as u64;
+                "configuration_spreads_slowly"
+            );
+        }
+        self.operators_pace.pause(bytes, readers)
+    }
+
+    /// Sleeps for `pause`, or until this entry has won a term.
+    async fn pause_unless_planner(&self, pause: Duration) {
+        select! {
+            () = sleep(pause) => {}
+            () = self.term_won.notified() => {}
+        }
+    }
+
     /// Returns how long a read of the operators' records may wait. The planner and those that may
     /// succeed it need a newer proof of the configuration than callers' requests do.
     fn operators_wait(&self) -> Duration {
@@ -297,6 +358,9 @@
                     let regained = !reachable;
                     let is_current = batch.is_current;
                     self.log_reachability(&mut reachable, true, "jobs", "");
+                    if regained {
+                        self.store_regained.notify_one();
+                    }
                     self.fold_jobs(batch, regained);
                     lock(&self.state).store_delay = follower.usual_delay();
                     if is_current {
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -20,6 +20,7 @@
 mod link_load;
 mod planner_term;
 mod read_counts;
+mod read_pace;
 mod read_pause;
 mod reader;
 mod settings;
--- a/dragonflyrun/src/process/on_store/settings.rs
+++ b/dragonflyrun/src/process/on_store/settings.rs
@@ -37,6 +37,8 @@
     pub cpu_millis: Option<u64>,
     /// Bytes per second that the host's link carries, if known.
     pub link_bytes_per_s: Option<u64>,
+    /// Bytes per second that the store returns to all its readers together, if known.
+    pub store_read_bytes_per_s: Option<u64>,
     /// Time limits and factors.
     pub bounds: StoreBounds,
 }
--- a/dragonflyrun/src/workload/entries.rs
+++ b/dragonflyrun/src/workload/entries.rs
@@ -133,6 +133,11 @@
         self.rank(name, term).is_none_or(is_standby)
     }
 
+    /// Returns whether an entry is known to stand by for the succession to a term.
+    pub fn is_known_standby(&mut self, name: &Name, term: u64) -> bool {
+        self.rank(name, term).is_some_and(is_standby)
+    }
+
     /// Returns whether a planner whose host has the capacity `own` should leave its term to the entry
     /// that has just announced itself, which shows that it is alive.
     pub fn should_yield(&self, own: HostRoom, announced: &EntryRecord) -> bool {
--- a/dragonflyrun/tests/store_entry/mod.rs
+++ b/dragonflyrun/tests/store_entry/mod.rs
@@ -45,6 +45,7 @@
         partitions: 12,
         cpu_millis: None,
         link_bytes_per_s: None,
+        store_read_bytes_per_s: None,
         bounds: StoreBounds {
             lease: Duration::from_secs(10),
             revoke: Duration::from_secs(60),
--- a/standins/src/steps/deployment.rs
+++ b/standins/src/steps/deployment.rs
@@ -167,6 +167,7 @@
         partitions: 4,
         cpu_millis: None,
         link_bytes_per_s: None,
+        store_read_bytes_per_s: None,
         bounds: StoreBounds {
             lease: Duration::from_secs(6),
             revoke: Duration::from_secs(5),
