Wait for late pages of newest records instead of requesting them again

What callers saw: after a restart of all entries beside a large job table nobody is served for more than 18 s. Cause: a page of newest records that didn't start to arrive within 0.9 s was given up and requested again, by all entries at once; a megabyte for each of 60 entries is a queue of 2.3 s. The same as with the reads of single partitions, but each page is larger.

A late page is waited for. Beside it the store is probed by reads of one record, and a second page is requested only after such a probe was answered, since the first connection, or the store, may have been silent. That the body has started to arrive counts as an answer, so a slow link delays nothing.

--- a/dragonflyrun/src/port/store.rs
+++ b/dragonflyrun/src/port/store.rs
@@ -163,11 +163,11 @@
 /// A page whose answer has started to arrive, which shows that the store is reachable. The time
 /// that the rest takes depends on its size and on the host's link, so no time limit for the
 /// store's answers may include it (`docs/incidents/planner-without-configuration.md`).
-pub struct PageBody<'a>(Pin<Box<dyn Future<Output = Result<Page, ReadError>> + 'a>>);
+pub struct PageBody<'a, P = Page>(Pin<Box<dyn Future<Output = Result<P, ReadError>> + 'a>>);
 
-impl<'a> PageBody<'a> {
+impl<'a, P> PageBody<'a, P> {
     /// Returns a page that the future `rest` yields.
-    pub fn new(rest: impl Future<Output = Result<Page, ReadError>> + 'a) -> Self {
+    pub fn new(rest: impl Future<Output = Result<P, ReadError>> + 'a) -> Self {
         Self(Box::pin(rest))
     }
 
@@ -176,13 +176,13 @@
     /// # Errors
     ///
     /// Returns an error if the answer ends early, stops arriving or is invalid.
-    pub async fn read_all(self) -> Result<Page, ReadError> {
+    pub async fn read_all(self) -> Result<P, ReadError> {
         self.0.await
     }
 }
 
-impl From<Page> for PageBody<'_> {
-    fn from(page: Page) -> Self {
+impl<P: 'static> From<P> for PageBody<'_, P> {
+    fn from(page: P) -> Self {
         Self::new(async { Ok(page) })
     }
 }
@@ -240,6 +240,6 @@
     /// Reads a page of records. Returns as soon as the answer starts to arrive.
     async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError>;
 
-    /// Reads the newest record of each key.
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError>;
+    /// Reads a page of the newest record of each key. Returns as soon as the answer starts to arrive.
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError>;
 }
--- a/dragonflyrun/src/process/on_store/counted_store.rs
+++ b/dragonflyrun/src/process/on_store/counted_store.rs
@@ -69,15 +69,28 @@
         }
     }
 
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         let topic = req.partition.topic;
         let pending = self.reads.start("newest", topic, 0);
-        let newest = self.store.newest(req).await;
-        self.count("newest", topic, newest.is_ok());
-        match &newest {
-            Ok(newest) => pending.answered(&newest.records),
-            Err(error) => pending.failed(error, req.within),
+        let body = self.store.newest(req).await;
+        self.count("newest", topic, body.is_ok());
+        match body {
+            Ok(body) => Ok(PageBody::new(async move {
+                match body.read_all().await {
+                    Ok(newest) => {
+                        pending.answered(&newest.records);
+                        Ok(newest)
+                    }
+                    Err(error) => {
+                        pending.cut();
+                        Err(error)
+                    }
+                }
+            })),
+            Err(error) => {
+                pending.failed(&error, req.within);
+                Err(error)
+            }
         }
-        newest
     }
 }
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -4,13 +4,17 @@
 //! all that it has missed: every version of a large record would have to be read otherwise, by every
 //! process, faster than the store can serve them.
 
-use std::{mem::take, sync::Arc, time::Duration};
+use std::{mem::take, pin::pin, sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use tokio::select;
 
 use crate::{
-    port::{Newest, NewestRequest, Partition, ReadError, Store, StoreRecord},
-    process::on_store::{BootTime, reader::Reader},
+    port::{Newest, NewestRequest, PageRequest, Partition, ReadError, Store, StoreRecord},
+    process::on_store::{
+        BootTime,
+        pending_read::{MAX_READ_AGE, PendingRead},
+        reader::Reader,
+    },
     utils::{HashMap, Name},
 };
 
@@ -18,12 +22,15 @@
 /// Stores encode them as text.
 const NEWEST_SIZE_FACTOR: f64 = 4.0 / 3.0;
 
-/// Time limit for the start of a page of newest records. All hosts read them at once after a loss of
-/// power; pages that are read again from the beginning would congest the store for good.
-const NEWEST_LIMIT: Duration = Duration::from_millis(900);
+/// Time without an answer to a page of newest records after which the store is probed. All hosts read
+/// these pages at once after a loss of power, so that most of them are late.
+const PROBE_INTERVAL: Duration = Duration::from_millis(900);
 
-/// The time limit doubles with each page in a row that is not answered within it, up to this limit.
-const MAX_NEWEST_LIMIT: Duration = Duration::from_secs(20);
+/// How long a probe, and then a page that should have been answered before it, is waited for.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Number of pages that are requested at once while the store answers probes, but no page.
+const MAX_PAGES_AT_ONCE: usize = 3;
 
 /// The records from one step of a follower.
 #[derive(Debug)]
@@ -54,8 +61,6 @@
     skips: bool,
     /// The pages of newest records that have been read of an unfinished step.
     newest: Option<NewestPages>,
-    /// Number of pages of newest records in a row that were not answered.
-    unanswered_pages: u32,
     sizes: RecordSizes,
 }
 
@@ -118,7 +123,6 @@
             may_skip: false,
             skips: false,
             newest: None,
-            unanswered_pages: 0,
             sizes: RecordSizes::default(),
         }
     }
@@ -225,24 +229,70 @@
         })
     }
 
-    async fn read_newest_page(&mut self) -> Result<Newest, ReadError> {
-        let after = self.newest.as_ref().and_then(|pages| pages.records.last());
-        let doubled = NEWEST_LIMIT.saturating_mul(1 << self.unanswered_pages.min(16));
-        let req = NewestRequest {
-            partition: self.partition,
-            after: after.map(|record| &*record.key),
-            within: doubled.min(MAX_NEWEST_LIMIT),
-        };
-        let sent = Instant::now();
-        let page = self.store.newest(req).await;
-        match page {
-            Ok(_) => self.unanswered_pages = 0,
-            Err(_) if sent.elapsed() >= req.within => {
-                self.unanswered_pages += 1;
+    /// Reads the next page of newest records.
+    ///
+    /// A page that is late is waited for, since the store would have to read it once more otherwise. A
+    /// second one is requested only after a probe that was sent later has been answered: the first
+    /// connection may have gone silent, or the store have been.
+    async fn read_newest_page(&self) -> Result<Newest, ReadError> {
+        let mut pages = vec![self.start_newest_page()];
+        loop {
+            if let Some((_, page)) = PendingRead::first_answer(&mut pages, PROBE_INTERVAL).await {
+                return page;
+            }
+            if !pages[0].is_kept() {
                 return Err(ReadError::Late);
             }
-            Err(_) => {}
+            let mut probe = pin!(self.probe());
+            let answered = select! {
+                page = PendingRead::first_answer(&mut pages, PROBE_LIMIT) => match page {
+                    Some((_, page)) => return page,
+                    None => false,
+                },
+                answered = &mut probe => answered,
+            };
+            if !answered {
+                continue;
+            }
+            if let Some((_, page)) = PendingRead::first_answer(&mut pages, PROBE_LIMIT).await {
+                return page;
+            }
+            if pages.len() < MAX_PAGES_AT_ONCE {
+                log::debug!(partition:? = self.partition, pending = pages.len(); "newest_page_repeated");
+                pages.push(self.start_newest_page());
+            }
+        }
+    }
+
+    fn start_newest_page(&self) -> PendingRead<Newest> {
+        let after = self.newest.as_ref().and_then(|pages| pages.records.last());
+        let (partition, after) = (self.partition, after.map(|record| record.key.clone()));
+        PendingRead::send(
+            self.store.clone(),
+            Duration::ZERO,
+            async move |store: &S| {
+                let req = NewestRequest {
+                    partition,
+                    after: after.as_deref(),
+                    within: MAX_READ_AGE,
+                };
+                store.newest(req).await
+            },
+        )
+    }
+
+    /// Returns whether the store answers a read of a single record.
+    async fn probe(&self) -> bool {
+        let req = PageRequest {
+            partition: Partition::JOBS,
+            from: 0,
+            wait: Duration::ZERO,
+            max_bytes: 0,
+            within: PROBE_LIMIT,
+        };
+        match self.store.read(req).await {
+            Ok(_) | Err(ReadError::Dropped(_)) => true,
+            Err(ReadError::Late | ReadError::Unavailable(_)) => false,
         }
-        page
     }
 }
--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -18,6 +18,7 @@
 mod follower;
 mod lanes;
 mod link_load;
+mod pending_read;
 mod planner_term;
 mod read_counts;
 mod read_pace;
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -21,20 +21,14 @@
 //! is back, whereas a waiting read on a store without new records would show that only at the end
 //! of its wait.
 
-use std::{
-    collections::VecDeque,
-    future::Future,
-    pin::Pin,
-    sync::{Arc, OnceLock},
-    time::Duration,
-};
-
-use futures_util::future::select_all;
-use tokio::time::{Instant, timeout};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use crate::{
     port::{Page, PageRequest, Partition, ReadError, Store},
-    process::on_store::BootTime,
+    process::on_store::{
+        BootTime,
+        pending_read::{MAX_READ_AGE, PendingRead},
+    },
 };
 
 /// Maximum size of a page in bytes: a few orders or plans, or a single large record. While all
@@ -47,10 +41,6 @@
 /// Time beyond its wait after which a read is reported as failed.
 const READ_LIMIT: Duration = Duration::from_millis(900);
 
-/// Time beyond its wait for which a late read is kept. A store whose queue of reads is longer serves
-/// nobody in time, and a read on a silent connection occupies one of the connections until then.
-const MAX_READ_AGE: Duration = Duration::from_secs(20);
-
 /// Minimum time beyond its wait after which an answer is overdue.
 const MIN_OVERDUE: Duration = Duration::from_millis(150);
 
@@ -82,8 +72,8 @@
     hedges: HedgeAllowance,
     /// Whether the last read failed.
     failing: bool,
-    /// A read that was not answered in time.
-    late: Option<PendingRead>,
+    /// A read that was not answered in time, with the offset of its first record.
+    late: Option<(u64, PendingRead<Page>)>,
 }
 
 /// How long the store takes for an answer, apart from the wait for new records.
@@ -151,27 +141,6 @@
     }
 }
 
-/// A read that has been sent. Dropping it closes its connection.
-struct PendingRead {
-    from: u64,
-    wait: Duration,
-    sent: Instant,
-    sent_at: BootTime,
-    /// Time from the request until the answer started to arrive.
-    started_after: Arc<OnceLock<Duration>>,
-    page: Pin<Box<dyn Future<Output = Result<Page, ReadError>>>>,
-}
-
-impl PendingRead {
-    fn has_started(&self) -> bool {
-        self.started_after.get().is_some()
-    }
-
-    fn is_kept(&self, from: u64) -> bool {
-        self.from == from && (self.has_started() || self.sent.elapsed() < self.wait + MAX_READ_AGE)
-    }
-}
-
 impl<S: Store> Reader<S> {
     /// Returns a reader that has not measured the store's delay yet.
     pub(super) fn new(store: Arc<S>, partition: Partition) -> Self {
@@ -197,7 +166,9 @@
     ///
     /// Returns an error if neither the read nor its hedge gets an answer in time.
     pub(super) async fn read(&mut self, from: u64, wait: Duration) -> Result<Answer, ReadError> {
-        let late = self.late.take().filter(|late| late.is_kept(from));
+        let late = self.late.take();
+        let late = late.filter(|(late_from, read)| *late_from == from && read.is_kept());
+        let late = late.map(|(_, read)| read);
         let answer = if self.failing {
             self.probe(from, late).await
         } else {
@@ -211,17 +182,21 @@
     }
 
     /// Reads after a failed read, whose answer may still arrive.
-    async fn probe(&mut self, from: u64, late: Option<PendingRead>) -> Result<Answer, ReadError> {
+    async fn probe(
+        &mut self,
+        from: u64,
+        late: Option<PendingRead<Page>>,
+    ) -> Result<Answer, ReadError> {
         let limit = PROBE_LIMIT + self.delay.usual() * PROBE_STORE_DELAYS;
         let max_bytes = match late {
             Some(_) => MIN_PAGE_BYTES,
             None => MAX_PAGE_BYTES,
         };
         let probe = self.start_read(from, Duration::ZERO, max_bytes);
-        let mut reads: Vec<PendingRead> = late.into_iter().chain([probe]).collect();
+        let mut reads: Vec<PendingRead<Page>> = late.into_iter().chain([probe]).collect();
         match self.first_answer(&mut reads, limit).await {
             Some(answer) => answer,
-            None => self.keep_late(reads),
+            None => self.keep_late(from, reads),
         }
     }
 
@@ -243,21 +218,17 @@
         }
         match self.first_answer(&mut reads, READ_LIMIT).await {
             Some(answer) => answer,
-            None => self.keep_late(reads),
+            None => self.keep_late(from, reads),
         }
     }
 
     /// Keeps the oldest of `reads`, which is nearest to its answer.
-    fn keep_late(&mut self, reads: Vec<PendingRead>) -> Result<Answer, ReadError> {
-        self.late = reads.into_iter().next();
+    fn keep_late(&mut self, from: u64, reads: Vec<PendingRead<Page>>) -> Result<Answer, ReadError> {
+        self.late = reads.into_iter().next().map(|read| (from, read));
         Err(ReadError::Late)
     }
 
-    fn start_read(&self, from: u64, wait: Duration, max_bytes: usize) -> PendingRead {
-        let store = self.store.clone();
-        let started_after = Arc::new(OnceLock::new());
-        let started = started_after.clone();
-        let sent = Instant::now();
+    fn start_read(&self, from: u64, wait: Duration, max_bytes: usize) -> PendingRead<Page> {
         let req = PageRequest {
             partition: self.partition,
             from,
@@ -265,53 +236,27 @@
             max_bytes,
             within: wait + MAX_READ_AGE,
         };
-        PendingRead {
-            from,
-            wait,
-            sent,
-            sent_at: BootTime::now(),
-            started_after,
-            page: Box::pin(async move {
-                let body = store.read(req).await?;
-                started.get_or_init(|| sent.elapsed());
-                body.read_all().await
-            }),
-        }
+        PendingRead::send(self.store.clone(), wait, async move |store: &S| {
+            store.read(req).await
+        })
     }
 
     /// Waits up to `limit` for the first answer to start to arrive, and then for the rest of it.
-    /// An error counts only if no other read is pending.
     async fn first_answer(
         &mut self,
-        reads: &mut Vec<PendingRead>,
+        reads: &mut Vec<PendingRead<Page>>,
         limit: Duration,
     ) -> Option<Result<Answer, ReadError>> {
-        let end = Instant::now() + limit;
-        loop {
-            let pages = select_all(reads.iter_mut().map(|read| &mut read.page));
-            let left = end.saturating_duration_since(Instant::now());
-            let (page, index) = match timeout(left, pages).await {
-                Ok((page, index, _)) => (page, index),
-                Err(_) => {
-                    let index = reads.iter().position(PendingRead::has_started)?;
-                    ((&mut reads[index].page).await, index)
-                }
-            };
-            let read = reads.remove(index);
-            match page {
-                Ok(page) => {
-                    let took = read.started_after.get().copied();
-                    let took = took.unwrap_or_else(|| read.sent.elapsed());
-                    self.delay.record(took, read.wait, !page.records.is_empty());
-                    return Some(Ok(Answer {
-                        page,
-                        sent: read.sent.into_std(),
-                        sent_at: read.sent_at,
-                    }));
-                }
-                Err(ReadError::Unavailable(_)) if !reads.is_empty() => {}
-                Err(error) => return Some(Err(error)),
+        let (read, page) = PendingRead::first_answer(reads, limit).await?;
+        Some(page.map(|page| {
+            let took = read.started_after();
+            let took = took.unwrap_or_else(|| read.sent.elapsed());
+            self.delay.record(took, read.wait, !page.records.is_empty());
+            Answer {
+                page,
+                sent: read.sent.into_std(),
+                sent_at: read.sent_at,
             }
-        }
+        }))
     }
 }
--- a/dragonflyrun/tests/caller_patience.rs
+++ b/dragonflyrun/tests/caller_patience.rs
@@ -69,7 +69,7 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         let NewestRequest { partition, .. } = req;
         let record = StoreRecord {
             key: "config".into(),
@@ -84,7 +84,8 @@
             records,
             more: false,
             end: 0,
-        })
+        }
+        .into())
     }
 }
 
--- a/dragonflyrun/tests/congested_reads.rs
+++ b/dragonflyrun/tests/congested_reads.rs
@@ -87,11 +87,12 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, _: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, _: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         Ok(Newest {
             end: *lock(&self.records),
             ..Newest::default()
-        })
+        }
+        .into())
     }
 }
 
--- a/dragonflyrun/tests/discarded_reads.rs
+++ b/dragonflyrun/tests/discarded_reads.rs
@@ -122,14 +122,14 @@
         }
     }
 
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         let reply = *lock(&self.reply);
         if matches!(reply, Reply::Records) {
-            return Ok(Newest {
+            return Ok(PageBody::from(Newest {
                 end: 1,
                 records: vec![record()],
                 more: false,
-            });
+            }));
         }
         sleep(req.within).await;
         Err(unavailable())
@@ -206,7 +206,8 @@
         after: None,
         within: WITHIN,
     };
-    f.store.newest(newest).await.expect("records");
+    let body = f.store.newest(newest).await.expect("an answer");
+    body.read_all().await.expect("records");
     let bytes = |call, topic| {
         f.metric(
             "store_read_bytes_total",
--- a/dragonflyrun/tests/hedged_reads.rs
+++ b/dragonflyrun/tests/hedged_reads.rs
@@ -66,12 +66,13 @@
         }))
     }
 
-    async fn newest(&self, _: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, _: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         Ok(Newest {
             records: Vec::new(),
             more: false,
             end: 0,
-        })
+        }
+        .into())
     }
 }
 
--- a/dragonflyrun/tests/partial_pages.rs
+++ b/dragonflyrun/tests/partial_pages.rs
@@ -91,7 +91,7 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         let NewestRequest { partition, .. } = req;
         if self.refuses_newest.load(Ordering::Relaxed) {
             return Err(ReadError::Unavailable("refused".to_owned()));
@@ -101,7 +101,8 @@
             end: records.len() as u64,
             records,
             more: false,
-        })
+        }
+        .into())
     }
 }
 
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -148,7 +148,7 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         let NewestRequest { partition, .. } = req;
         let records = match partition.topic {
             Topic::Jobs => lock(&self.jobs).clone(),
@@ -163,7 +163,8 @@
             end: records.len() as u64,
             records,
             more: false,
-        })
+        }
+        .into())
     }
 }
 
--- a/dragonflyrun/tests/unstored_records.rs
+++ b/dragonflyrun/tests/unstored_records.rs
@@ -88,8 +88,8 @@
         Ok(page.into())
     }
 
-    async fn newest(&self, _: NewestRequest<'_>) -> Result<Newest, ReadError> {
-        Ok(Newest::default())
+    async fn newest(&self, _: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
+        Ok(Newest::default().into())
     }
 }
 
--- a/standins/src/steps/store.rs
+++ b/standins/src/steps/store.rs
@@ -111,7 +111,7 @@
         }
     }
 
-    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<PageBody<'_, Newest>, ReadError> {
         let NewestRequest {
             partition, after, ..
         } = req;
@@ -128,6 +128,7 @@
             end: known.map_or(0, PartitionState::end),
             records: records.collect(),
             more: false,
-        })
+        }
+        .into())
     }
 }
