--- a/dragonflyrun/src/process/on_store/read_counts.rs
+++ b/dragonflyrun/src/process/on_store/read_counts.rs
@@ -68,6 +68,8 @@
     since: Instant,
     reads: u64,
     failed: u64,
+    /// How many of the failed reads were refused, which costs the store little.
+    refused: u64,
     dropped: u64,
     answered_bytes: u64,
     asked_bytes: u64,
@@ -79,6 +81,7 @@
             since: Instant::now(),
             reads: 0,
             failed: 0,
+            refused: 0,
             dropped: 0,
             answered_bytes: 0,
             asked_bytes: 0,
@@ -100,6 +103,7 @@
             over_ms = over.as_millis() as u64,
             reads = tally.reads,
             failed = tally.failed,
+            refused = tally.refused,
             dropped = tally.dropped,
             answered_bytes = tally.answered_bytes,
             asked_bytes = tally.asked_bytes;
@@ -214,7 +218,10 @@
             .read_discarded(self.call, topic, why.name(), bytes);
         self.counts.tally(self.topic, |tally| match why {
             Discard::Dropped => tally.dropped += 1,
-            _ => tally.failed += 1,
+            _ => {
+                tally.failed += 1;
+                tally.refused += u64::from(why == Discard::Refused);
+            }
         });
     }
 }
--- a/dragonflyrun/tests/discarded_reads.rs
+++ b/dragonflyrun/tests/discarded_reads.rs
@@ -272,6 +272,7 @@
     assert!((1_000..=1_100).contains(&value("over_ms")), "{last:?}");
     assert!((10..=11).contains(&value("reads")), "{last:?}");
     assert!((10..=11).contains(&value("failed")), "{last:?}");
+    assert_eq!(value("refused"), value("failed"));
     assert_eq!(value("dropped"), 0);
     assert_eq!(value("answered_bytes"), 0);
     assert_eq!(value("asked_bytes"), value("reads") * MAX_BYTES as u64);
