Let agents wait longer after each refused session

Cause: an agent whose session record the store refuses sent it again after a constant 100 ms, and each time a second record for its place at the worker's address, which is of no use without the session. By the rates, 800 agents make some 15,000 calls a second of it where the store takes 4,000: after a loss of all power the store refuses calls because of their number, and each refusal is the reason for two more.

Ruled out: the lanes as bottleneck. There are 64 topics of orders with 24 partitions, so a partition carries one session a second at the most.

Change: the delay grows up to 0.4 s (1.6 s where nothing runs on the worker), with jitter, as that of the agent's other calls does. A retry sends the session only; its place follows, as after a refused place. A new incarnation of the worker ends the delay.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -77,7 +77,7 @@
 /// takes about 2 ms.
 const FIRST_POLL_DELAY: Duration = Duration::from_millis(10);
 
-/// Delay before a failed call to the worker, or the opening of a session, is retried.
+/// Delay before a failed call to the worker is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Longest delay before a failed call to the store is retried while something runs on the worker,
@@ -182,6 +182,7 @@
 
     /// Opens a session for each incarnation of the worker and follows its orders.
     async fn run_sessions(self: Arc<Self>) {
+        let mut backoff = Backoff::default();
         loop {
             let current = lock(&self.table).worker();
             let Some(id) = current else {
@@ -192,14 +193,21 @@
             let partition = self.lanes.partition(lane);
             let address = self.address.clone();
             let places = self.lanes.partition(self.lanes.lane_of(&address));
-            let (number, place) = join!(
-                self.append_session(partition, &id.worker),
-                self.append_session(places, &address),
-            );
+            let sent_at = Instant::now();
+            // A place is useless without a session, so a retry leaves it for later.
+            let (number, place) = match backoff.has_failed() {
+                true => (self.append_session(partition, &id.worker).await, None),
+                false => join!(
+                    self.append_session(partition, &id.worker),
+                    self.append_session(places, &address),
+                ),
+            };
             let Some(number) = number else {
-                sleep(RETRY_DELAY).await;
+                let delay = backoff.failed(sent_at.elapsed(), self.max_retry_delay());
+                wait_for(&self.session_wakeup, delay).await;
                 continue;
             };
+            backoff.succeeded();
             {
                 let mut table = lock(&self.table);
                 let succession = place.map(|number| Succession {
--- a/dragonflyrun/src/workload/backoff.rs
+++ b/dragonflyrun/src/workload/backoff.rs
@@ -22,6 +22,11 @@
 }
 
 impl Backoff {
+    /// Returns whether the last attempt has failed.
+    pub fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Records that an attempt has succeeded.
     pub fn succeeded(&mut self) {
         self.failures = 0;
--- /dev/null
+++ b/dragonflyrun/tests/repeated_appends.rs
@@ -0,0 +1,227 @@
+//! How often appends are repeated that the store refuses for a long time.
+//!
+//! Bounds follow from the largest installation, whose processes together must not exceed the store's
+//! limits: a store that refuses calls because of their number would otherwise never recover.
+
+mod agent_inputs;
+mod store_entry;
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU32, Ordering},
+    },
+    time::Duration,
+};
+
+use agent_inputs::heartbeat;
+use dragonflyrun::{
+    port::{
+        Append, AppendError, Appended, CallError, Newest, NewestRequest, Page, PageBody,
+        PageRequest, Partition, ReadError, Registry, StartOrder, StartOutcome, Store, StoreRecord,
+        Worker, WorkerLists,
+    },
+    process::{Counters, on_store::StoreAgent},
+    utils::{Name, lock},
+    workload::{JobRecord, OrderMessage, RunId, decode},
+};
+use store_entry::settings;
+use tokio::{
+    task::LocalSet,
+    time::{Instant, sleep, sleep_until},
+};
+
+/// Number of agents of the largest installation.
+const AGENTS: u32 = 800;
+
+/// Number of writing calls per second that its store allows.
+const WRITES_PER_S: u32 = 4_000;
+
+/// How long the store refuses.
+const OUTAGE_S: u32 = 8;
+
+/// The kinds of appends that a test counts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Kind {
+    Announcement,
+    /// A claim of a term, a heartbeat of its planner or its end.
+    Term,
+    Session,
+    Other,
+}
+
+fn kind(append: &Append) -> Kind {
+    let Some(record) = append.records.first() else {
+        return Kind::Other;
+    };
+    if append.partition == Partition::JOBS {
+        return match JobRecord::decode(record) {
+            Some(JobRecord::Entry(_)) => Kind::Announcement,
+            Some(JobRecord::Planner(_)) => Kind::Term,
+            _ => Kind::Other,
+        };
+    }
+    let value = record.value.as_deref().unwrap_or_default();
+    match decode::<OrderMessage>(value) {
+        Some(OrderMessage::Session { .. }) => Kind::Session,
+        _ => Kind::Other,
+    }
+}
+
+/// A store that answers all reads, and refuses appends of one kind but for the first few.
+struct RefusingStore {
+    refused: Kind,
+    /// Number of appends of that kind that are still confirmed.
+    confirmed: AtomicU32,
+    /// When appends of that kind were refused.
+    refused_at: Mutex<Vec<Instant>>,
+    jobs: Mutex<Vec<StoreRecord>>,
+}
+
+impl RefusingStore {
+    fn new(refused: Kind, confirmed: u32) -> Arc<Self> {
+        Arc::new(Self {
+            refused,
+            confirmed: confirmed.into(),
+            refused_at: Mutex::default(),
+            jobs: Mutex::default(),
+        })
+    }
+
+    /// Waits for the first refusal and returns the number of refusals from then on for `period`.
+    async fn count_refusals(&self, period: Duration) -> usize {
+        while lock(&self.refused_at).is_empty() {
+            sleep(Duration::from_millis(20)).await;
+        }
+        let first = lock(&self.refused_at)[0];
+        sleep_until(first + period).await;
+        let refused_at = lock(&self.refused_at);
+        refused_at
+            .iter()
+            .filter(|at| **at <= first + period)
+            .count()
+    }
+}
+
+impl Store for RefusingStore {
+    async fn append(&self, append: &Append, _: Duration) -> Result<Appended, AppendError> {
+        sleep(Duration::from_millis(4)).await;
+        if kind(append) == self.refused {
+            let confirmed =
+                self.confirmed
+                    .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(1));
+            if confirmed.is_err() {
+                lock(&self.refused_at).push(Instant::now());
+                return Err(AppendError::NotAppended("refused".to_owned()));
+            }
+        }
+        if append.partition != Partition::JOBS {
+            return Ok(Appended { offset: 0, end: 1 });
+        }
+        let mut jobs = lock(&self.jobs);
+        let offset = jobs.len() as u64;
+        if append.expected_end.is_some_and(|at| at != offset) {
+            return Err(AppendError::EndMoved(offset));
+        }
+        jobs.extend(append.records.iter().cloned());
+        let end = jobs.len() as u64;
+        Ok(Appended { offset, end })
+    }
+
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        let PageRequest {
+            partition,
+            from,
+            wait,
+            ..
+        } = req;
+        let has_news = || partition == Partition::JOBS && lock(&self.jobs).len() as u64 > from;
+        sleep(if has_news() {
+            Duration::from_millis(4)
+        } else {
+            wait
+        })
+        .await;
+        let records = match partition {
+            Partition::JOBS => lock(&self.jobs)[from as usize..].to_vec(),
+            _ => Vec::new(),
+        };
+        let page = Page {
+            end: from + records.len() as u64,
+            records,
+        };
+        Ok(page.into())
+    }
+
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        let is_operator = req.partition == Partition::OPERATOR && req.after.is_none();
+        let records = is_operator.then(|| StoreRecord {
+            key: "config".into(),
+            value: Some(Vec::new()),
+        });
+        let end = match req.partition {
+            Partition::JOBS => lock(&self.jobs).len() as u64,
+            _ => 1,
+        };
+        Ok(Newest {
+            end,
+            records: records.into_iter().collect(),
+            more: false,
+        })
+    }
+}
+
+/// An idle worker.
+struct IdleWorker(Instant);
+
+impl Worker for IdleWorker {
+    fn address(&self) -> Name {
+        "w:1".into()
+    }
+
+    async fn start(&self, _: &str, _: &StartOrder) -> Result<StartOutcome, CallError> {
+        Ok(StartOutcome::NoRoom)
+    }
+
+    async fn stop(&self, _: &str, _: &RunId, _: u64) -> Result<(), CallError> {
+        Ok(())
+    }
+
+    async fn renew(
+        &self,
+        _: &str,
+        _: u64,
+        _: u64,
+        _: Option<u64>,
+        _: Duration,
+    ) -> Result<WorkerLists, CallError> {
+        Ok(WorkerLists {
+            clock_ms: 1_000 + self.0.elapsed().as_millis() as u64,
+            born_ms: Some(heartbeat().born_ms),
+            ..WorkerLists::default()
+        })
+    }
+}
+
+/// Guards against agents that together exceed the store's limit on writing calls by opening their
+/// sessions after a power failure, for as long as the store refuses them.
+#[tokio::test(flavor = "current_thread")]
+async fn refused_sessions() {
+    let sessions = async {
+        let store = RefusingStore::new(Kind::Session, 0);
+        let worker = Arc::new(IdleWorker(Instant::now()));
+        let counters = Arc::new(Counters::new().expect("counters"));
+        let agent = StoreAgent::new(settings(), store.clone(), worker, counters);
+        agent.start();
+        agent.heartbeat(heartbeat());
+        store
+            .count_refusals(Duration::from_secs(OUTAGE_S.into()))
+            .await
+    };
+    let refusals = LocalSet::new().run_until(sessions).await;
+    let limit = OUTAGE_S * WRITES_PER_S / AGENTS;
+    assert!(
+        refusals <= limit as usize,
+        "{refusals} in {OUTAGE_S} s, limit {limit}"
+    );
+}
