Let the planner's appends wait longer after each failure

Cause: an append of a planner that the store refuses was sent again each 50 ms for as long as the term lasts. A planner has a writer for each lane; a new one fences all of them at once, some 800 on a fleet of 800 agents. By the rates these are 15,000 calls a second, bounded only by 64 connections, where the store takes 4,000 from all processes together. Besides, an append that is given up after 0.8 s may still be queued for up to 2 s. Sent again it is queued twice, and where the queue of a partition is longer than 0.8 s while reads are prompt no attempt was awaited for long enough.

Change: AppendRetry gives the delays, which grow up to 0.4 s with jitter, and the time limits: the first two attempts keep theirs, since open connections may have gone silent; later ones last as long as an append may be queued.

--- a/dragonflyrun/src/process/on_store/mod.rs
+++ b/dragonflyrun/src/process/on_store/mod.rs
@@ -27,7 +27,7 @@
 
 pub use agent::StoreAgent;
 pub use api::{ApiAnswer, ApiCall, ApiError, WORKSPACE_KEY_HEADER};
-pub use append_timeout::append_timeout;
+pub use append_timeout::{AppendRetry, append_timeout};
 pub use boot_clock::BootTime;
 pub use counted_store::CountedStore;
 pub use entry::{OperatorDecoder, StoreEntry};
--- a/dragonflyrun/src/process/on_store/term_writer.rs
+++ b/dragonflyrun/src/process/on_store/term_writer.rs
@@ -5,14 +5,14 @@
     cell::{Cell, RefCell},
     rc::Rc,
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use tokio::time::sleep;
 
 use crate::{
     port::{Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord, Writer},
-    process::on_store::{StoreEntry, append_timeout},
+    process::on_store::{AppendRetry, StoreEntry},
     utils::{HashMap, lock},
 };
 
@@ -22,8 +22,9 @@
 /// Time limit for one append of the planner.
 pub(super) const APPEND_TIMEOUT: Duration = Duration::from_millis(800);
 
-/// Delay between two attempts of an append.
-const APPEND_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Longest delay between two attempts of an append. A planner has a writer for each agent, and all of
+/// them may be refused at once.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 /// The sequence number of the append that claims a term.
 pub(super) const FIRST_SEQUENCE: u64 = 1;
@@ -73,29 +74,34 @@
         let _guard = append_lock.lock().await;
         let mut append = self.next_append(partition, records);
         let _transfer = self.entry.link_load.begin(append.bytes());
+        let mut retry = AppendRetry::new(APPEND_TIMEOUT, MAX_RETRY_DELAY);
         loop {
             if self.is_lost() {
                 return None;
             }
-            let limit = append_timeout(APPEND_TIMEOUT, lock(&self.entry.state).store_delay);
+            let limit = retry.time_limit(lock(&self.entry.state).store_delay);
             let limit = limit + self.entry.link_load.time_limit();
-            match self.entry.store.append(&append, limit).await {
+            let sent_at = Instant::now();
+            let error = match self.entry.store.append(&append, limit).await {
                 Ok(appended) => return Some(appended),
-                Err(AppendError::Fenced | AppendError::EndMoved(_)) => {
+                Err(error) => error,
+            };
+            match &error {
+                AppendError::Fenced | AppendError::EndMoved(_) => {
                     log::warn!(term = self.term, partition:? = partition; "term_lost");
                     self.mark_lost();
                     return None;
                 }
-                Err(AppendError::OutOfOrder(expected)) => {
+                AppendError::OutOfOrder(expected) => {
                     // All earlier appends of this term to the partition are confirmed, so the
                     // number that the store expects is that of this append.
                     log::info!(partition:? = partition, expected:?; "append_out_of_order");
-                    if let (Some(expected), Some(writer)) = (expected, &mut append.writer) {
+                    if let (Some(expected), Some(writer)) = (*expected, &mut append.writer) {
                         writer.sequence = expected;
                         self.sequences.borrow_mut().insert(partition, expected + 1);
                     }
                 }
-                Err(error) => {
+                AppendError::Unknown(_) | AppendError::NotAppended(_) => {
                     if matches!(error, AppendError::Unknown(_)) {
                         let now = self.entry.now();
                         lock(&self.entry.state).admission.append_doubtful(now);
@@ -103,7 +109,7 @@
                     log::debug!(reason:% = error; "append_retried");
                 }
             }
-            sleep(APPEND_RETRY_DELAY).await;
+            sleep(retry.failed(&error, sent_at.elapsed())).await;
         }
     }
 
--- a/dragonflyrun/tests/repeated_appends.rs
+++ b/dragonflyrun/tests/repeated_appends.rs
@@ -17,15 +17,18 @@
 use agent_inputs::heartbeat;
 use dragonflyrun::{
     port::{
-        Append, AppendError, Appended, CallError, Newest, NewestRequest, Page, PageBody,
-        PageRequest, Partition, ReadError, Registry, StartOrder, StartOutcome, Store, StoreRecord,
-        Worker, WorkerLists,
+        Append, AppendError, Appended, CallError, Newest, NewestRequest, OperatorRecord, Page,
+        PageBody, PageRequest, Partition, ReadError, Registry, StartOrder, StartOutcome, Store,
+        StoreRecord, Worker, WorkerLists,
+    },
+    process::{
+        Counters,
+        on_store::{StoreAgent, StoreEntry},
     },
-    process::{Counters, on_store::StoreAgent},
     utils::{Name, lock},
     workload::{JobRecord, OrderMessage, RunId, decode},
 };
-use store_entry::settings;
+use store_entry::{NoAdvisor, configuration, settings};
 use tokio::{
     task::LocalSet,
     time::{Instant, sleep, sleep_until},
@@ -171,6 +174,14 @@
     }
 }
 
+/// Starts an entry. Must be called inside a `LocalSet`.
+fn start_entry(store: &Arc<RefusingStore>) {
+    let counters = Arc::new(Counters::new().expect("counters"));
+    let entry = StoreEntry::new(settings(), store.clone(), NoAdvisor, counters);
+    let decoder = |_: &StoreRecord| Some(OperatorRecord::Configuration(Box::new(configuration())));
+    entry.start(Arc::new(decoder));
+}
+
 /// An idle worker.
 struct IdleWorker(Instant);
 
@@ -225,3 +236,22 @@
         "{refusals} in {OUTAGE_S} s, limit {limit}"
     );
 }
+
+/// Guards against a planner whose writers of all lanes, one for each agent, together exceed the
+/// store's limit on writing calls while they are refused.
+#[tokio::test(flavor = "current_thread")]
+async fn refused_heartbeats() {
+    let heartbeats = async {
+        let store = RefusingStore::new(Kind::Term, 1);
+        start_entry(&store);
+        store
+            .count_refusals(Duration::from_secs(OUTAGE_S.into()))
+            .await
+    };
+    let refusals = LocalSet::new().run_until(heartbeats).await;
+    let limit = OUTAGE_S * WRITES_PER_S / AGENTS;
+    assert!(
+        refusals <= limit as usize,
+        "{refusals} in {OUTAGE_S} s, limit {limit}"
+    );
+}
--- a/dragonflyrun/tests/slow_appends.rs
+++ b/dragonflyrun/tests/slow_appends.rs
@@ -2,7 +2,11 @@
 
 use std::time::Duration;
 
-use dragonflyrun::{process::on_store::append_timeout, workload::PlannerHeartbeat};
+use dragonflyrun::{
+    port::AppendError,
+    process::on_store::{AppendRetry, append_timeout},
+    workload::PlannerHeartbeat,
+};
 
 const MIN_TIMEOUT: Duration = Duration::from_millis(900);
 
@@ -16,6 +20,22 @@
     );
 }
 
+/// Guards against appends that are given up again and again while they are queued on a store whose reads
+/// are prompt, and against waiting that long on a connection that has gone silent.
+#[test]
+fn unanswered_append_awaited() {
+    let prompt = Duration::from_millis(5);
+    let mut retry = AppendRetry::new(MIN_TIMEOUT, Duration::from_millis(400));
+    let unknown = AppendError::Unknown("timeout".to_owned());
+    for _ in 0..2 {
+        assert_eq!(retry.time_limit(prompt), MIN_TIMEOUT);
+        retry.failed(&unknown, MIN_TIMEOUT);
+    }
+    assert!(retry.time_limit(prompt) > Duration::from_secs(2));
+    retry.failed(&AppendError::NotAppended("refused".to_owned()), prompt);
+    assert_eq!(retry.time_limit(prompt), MIN_TIMEOUT);
+}
+
 /// Guards against heartbeat records that carry no news and delay the next plan.
 #[test]
 fn plans_as_heartbeats() {
