Give up claims of a term only when they can't be queued any more

Cause: a claim was given up after 0.8 s and a new one sent 0.1 s later, by each candidate, for ever. The store keeps up to 2 s of appends in the queue of a partition and carries them out although their callers have gone. Where that queue is longer than 0.8 s no candidate learns that it has won: it finds its own name in the term, takes itself for restarted and claims the next one, and there is no planner. By the rates, 183 entries send some 200 claims a second that time out, and some 1,800 where claims are refused at once. A partition takes 250 to 500 appends a second, and 5 to 10 on a store that is slow by a factor of 50: there the claims alone keep the queue full.

Change: claims use AppendRetry as the planner's appends do, over all claims of an entry, with delays up to 0.8 s. A claim that is answered, with another end or a later term, is followed by the next one as soon as before: the store isn't overloaded then, and the candidate has to read.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -24,7 +24,7 @@
         Writer,
     },
     process::on_store::{
-        Batch, BootTime, Follower, Lanes, StoreEntry,
+        AppendRetry, Batch, BootTime, Follower, Lanes, StoreEntry,
         entry::{READ_WAIT, unix_ms, wait_for},
         term_writer::{APPEND_TIMEOUT, FIRST_SEQUENCE, TermWriter, WRITER},
     },
@@ -45,6 +45,10 @@
 /// How often an entry checks whether the planner is silent.
 const ELECTION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest delay between two claims of an entry that the store refuses or doesn't answer. All entries
+/// may claim at once, and their claims share a partition with the records of the planner.
+const MAX_CLAIM_DELAY: Duration = Duration::from_millis(800);
+
 /// Age up to which the last current read counts as fresh. A read is current if it returned
 /// everything that the store had when the read was sent. Tasks are started only with a fresh read
 /// of the operators' records, which limits the time during which they may still start in a failure
@@ -129,6 +133,7 @@
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
     /// Watches the planner, and plans whenever this entry wins the term.
     pub(super) async fn run(entry: Arc<StoreEntry<S, A>>) {
+        let mut retry = AppendRetry::new(APPEND_TIMEOUT, MAX_CLAIM_DELAY);
         loop {
             sleep(ELECTION_CHECK_INTERVAL).await;
             if entry.stopping.load(Ordering::Relaxed) {
@@ -143,13 +148,30 @@
             let Some((term, end)) = candidacy(&entry) else {
                 continue;
             };
-            if let Some(planner_term) = Self::claim(&entry, term, end).await {
-                planner_term.plan_until_lost().await;
+            let sent_at = Instant::now();
+            let limit = retry.time_limit(lock(&entry.state).store_delay);
+            match Self::claim(&entry, term, end, limit).await {
+                Ok(planner_term) => {
+                    retry.answered();
+                    planner_term.plan_until_lost().await;
+                }
+                // Another record has moved the end or the term; the next claim takes it into account.
+                Err(
+                    AppendError::Fenced | AppendError::EndMoved(_) | AppendError::OutOfOrder(_),
+                ) => retry.answered(),
+                Err(error @ (AppendError::Unknown(_) | AppendError::NotAppended(_))) => {
+                    sleep(retry.failed(&error, sent_at.elapsed())).await;
+                }
             }
         }
     }
 
-    async fn claim(entry: &Arc<StoreEntry<S, A>>, term: Term, end: u64) -> Option<Rc<Self>> {
+    async fn claim(
+        entry: &Arc<StoreEntry<S, A>>,
+        term: Term,
+        end: u64,
+        within: Duration,
+    ) -> Result<Rc<Self>, AppendError> {
         let before = lock(&entry.state).election.term().clone();
         let append = Append {
             partition: Partition::JOBS,
@@ -161,14 +183,14 @@
             }),
             expected_end: Some(end),
         };
-        match entry.store.append(&append, APPEND_TIMEOUT).await {
+        match entry.store.append(&append, within).await {
             Ok(Appended { .. }) => {}
             Err(error) => {
                 log::info!(term = term.number, reason:% = error; "term_not_won");
                 if error == AppendError::Fenced {
                     lock(&entry.state).election.claim_refused();
                 }
-                return None;
+                return Err(error);
             }
         }
         entry.counters.event("term_won");
@@ -185,7 +207,7 @@
         };
         entry.follow_as_planner();
         let lanes = Lanes::new(entry.settings.partitions);
-        Some(Rc::new(Self {
+        Ok(Rc::new(Self {
             entry: entry.clone(),
             writer: TermWriter::new(entry.clone(), term.number),
             lanes,
--- a/dragonflyrun/tests/repeated_appends.rs
+++ b/dragonflyrun/tests/repeated_appends.rs
@@ -1,4 +1,5 @@
-//! How often appends are repeated that the store refuses for a long time.
+//! How appends are repeated that the store refuses for a long time, or that wait in its queue for longer
+//! than the limit of the first attempt.
 //!
 //! Bounds follow from the largest installation, whose processes together must not exceed the store's
 //! limits: a store that refuses calls because of their number would otherwise never recover.
@@ -25,21 +26,27 @@
         Counters,
         on_store::{StoreAgent, StoreEntry},
     },
-    utils::{Name, lock},
+    utils::{HashMap, HashSet, Name, lock},
     workload::{JobRecord, OrderMessage, RunId, decode},
 };
 use store_entry::{NoAdvisor, configuration, settings};
 use tokio::{
     task::LocalSet,
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 /// Number of agents of the largest installation.
 const AGENTS: u32 = 800;
 
+/// Number of entries there.
+const ENTRIES: u32 = 183;
+
 /// Number of writing calls per second that its store allows.
 const WRITES_PER_S: u32 = 4_000;
 
+/// Number of appends per second to one partition there, at 2 ms each.
+const PARTITION_APPENDS_PER_S: u32 = 500;
+
 /// How long the store refuses.
 const OUTAGE_S: u32 = 8;
 
@@ -175,13 +182,83 @@
 }
 
 /// Starts an entry. Must be called inside a `LocalSet`.
-fn start_entry(store: &Arc<RefusingStore>) {
+fn start_entry<S: Store>(store: &Arc<S>) {
     let counters = Arc::new(Counters::new().expect("counters"));
     let entry = StoreEntry::new(settings(), store.clone(), NoAdvisor, counters);
     let decoder = |_: &StoreRecord| Some(OperatorRecord::Configuration(Box::new(configuration())));
     entry.start(Arc::new(decoder));
 }
 
+/// How long an append waits in the queue of its partition. The store refuses appends when more than
+/// 2 s are waiting.
+const QUEUE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// The time after a disturbance in which a job that can run has to run.
+const PLANNED_WITHIN: Duration = Duration::from_secs(16);
+
+/// A store that answers reads at once but carries out each append only after [`QUEUE_WAIT`], even if
+/// its caller has given it up.
+#[derive(Clone)]
+struct QueueingStore {
+    store: Arc<RefusingStore>,
+    /// The answers to the appends of each term and sequence number.
+    answered: Arc<Mutex<HashMap<(u64, u64), Appended>>>,
+}
+
+impl QueueingStore {
+    fn new() -> Self {
+        Self {
+            store: RefusingStore::new(Kind::Other, u32::MAX),
+            answered: Arc::default(),
+        }
+    }
+
+    async fn execute(&self, append: &Append) -> Result<Appended, AppendError> {
+        let repeat = append.writer.as_ref().map(|w| (w.term, w.sequence));
+        let answered = repeat.and_then(|key| lock(&self.answered).get(&key).copied());
+        if let Some(answer) = answered {
+            return Ok(answer);
+        }
+        let appended = self.store.append(append, Duration::MAX).await?;
+        if let Some(key) = repeat {
+            lock(&self.answered).insert(key, appended);
+        }
+        Ok(appended)
+    }
+
+    /// Returns whether a planner has stored a heartbeat after its claim.
+    fn has_planner(&self) -> bool {
+        let jobs = lock(&self.store.jobs);
+        let mut terms = HashSet::default();
+        jobs.iter().any(|record| match JobRecord::decode(record) {
+            Some(JobRecord::Planner(term)) => !terms.insert(term.number),
+            _ => false,
+        })
+    }
+}
+
+impl Store for QueueingStore {
+    async fn append(&self, append: &Append, within: Duration) -> Result<Appended, AppendError> {
+        let (store, append) = (self.clone(), append.clone());
+        let executed = tokio::task::spawn_local(async move {
+            sleep(QUEUE_WAIT).await;
+            store.execute(&append).await
+        });
+        match timeout(within, executed).await {
+            Ok(answer) => answer.expect("the append was executed"),
+            Err(_) => Err(AppendError::Unknown("timeout".to_owned())),
+        }
+    }
+
+    async fn read(&self, req: PageRequest) -> Result<PageBody<'_>, ReadError> {
+        self.store.read(req).await
+    }
+
+    async fn newest(&self, req: NewestRequest<'_>) -> Result<Newest, ReadError> {
+        self.store.newest(req).await
+    }
+}
+
 /// An idle worker.
 struct IdleWorker(Instant);
 
@@ -237,6 +314,25 @@
     );
 }
 
+/// Guards against claims of all entries that fill the queue of the partition that the winner of the
+/// term has to write to.
+#[tokio::test(flavor = "current_thread")]
+async fn refused_claims() {
+    let claims = async {
+        let store = RefusingStore::new(Kind::Term, 0);
+        start_entry(&store);
+        store
+            .count_refusals(Duration::from_secs(OUTAGE_S.into()))
+            .await
+    };
+    let refusals = LocalSet::new().run_until(claims).await;
+    let limit = OUTAGE_S * PARTITION_APPENDS_PER_S / ENTRIES;
+    assert!(
+        refusals <= limit as usize,
+        "{refusals} in {OUTAGE_S} s, limit {limit}"
+    );
+}
+
 /// Guards against a planner whose writers of all lanes, one for each agent, together exceed the
 /// store's limit on writing calls while they are refused.
 #[tokio::test(flavor = "current_thread")]
@@ -255,3 +351,19 @@
         "{refusals} in {OUTAGE_S} s, limit {limit}"
     );
 }
+
+/// Guards against having no planner for as long as the queue of the jobs' partition is longer than the
+/// limit of a claim, although its reads are prompt: each claim is given up while it is queued.
+#[tokio::test(flavor = "current_thread")]
+async fn queued_claims() {
+    let planned = async {
+        let store = Arc::new(QueueingStore::new());
+        start_entry(&store);
+        let until = Instant::now() + PLANNED_WITHIN;
+        while Instant::now() < until && !store.has_planner() {
+            sleep(Duration::from_millis(50)).await;
+        }
+        store.has_planner()
+    };
+    assert!(LocalSet::new().run_until(planned).await);
+}
