Let entries wait longer after each announcement that isn't stored

Cause: an entry whose announcement failed sent it again each second. The announcements go to the partition of the planner. On a store that takes 0.1 to 0.2 s for an append that partition takes 5 to 10 a second, and each of 183 entries sends one each 1.9 s: once they time out, they keep the queue full, and the planner's plans and heartbeats are refused with them, for as long as the store is slow.

Change: delays from 1 s up to 45 s, doubled each time, with jitter. Only the order of the succession hangs on announcements, and an entry stays in it for 150 s. The time limit grows with the store's delay, as that of other appends.

--- a/dragonflyrun/src/process/on_store/announcement.rs
+++ b/dragonflyrun/src/process/on_store/announcement.rs
@@ -1,15 +1,19 @@
 //! Announces an entry to the others, as [`EntryTable`](crate::workload::EntryTable) describes.
 
-use std::{sync::Arc, sync::atomic::Ordering, time::Duration};
+use std::{
+    sync::Arc,
+    sync::atomic::Ordering,
+    time::{Duration, Instant},
+};
 
 use rand::Rng;
 use tokio::time::sleep;
 
 use crate::{
     port::{Advisor, Append, Partition, Store, StoreRecord},
-    process::on_store::StoreEntry,
+    process::on_store::{StoreEntry, append_timeout},
     utils::{Timestamp, lock},
-    workload::{EntryRecord, JobRecord},
+    workload::{Backoff, EntryRecord, JobRecord},
 };
 
 /// Interval between two checks whether an announcement is due.
@@ -22,7 +26,15 @@
 /// Range in milliseconds of the delay before the next announcement.
 const NEXT_DELAY_MS: std::ops::Range<u64> = 45_000..60_000;
 
-/// Time limit for one append.
+/// Delay before an announcement that was not stored is repeated; it doubles with each attempt. The
+/// announcements of a large fleet share a partition with the planner, and on a slow store one takes up
+/// to 0.2 s of it.
+const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
+
+/// Longest of these delays: the time between two announcements.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(45);
+
+/// Minimum time limit for one append.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
 
 impl<S: Store, A: Advisor> StoreEntry<S, A> {
@@ -30,6 +42,7 @@
     /// are gone.
     pub(super) async fn announce(self: Arc<Self>) {
         let mut due_at: Option<Timestamp> = None;
+        let mut backoff = Backoff::new(MIN_RETRY_DELAY);
         loop {
             sleep(CHECK_INTERVAL).await;
             let now = self.now();
@@ -56,9 +69,18 @@
                 FIRST_DELAY_MS
             };
             let due = *due_at.get_or_insert_with(|| now + random_delay(first_delay));
-            if now >= due && self.append_announcement(self.announcement()).await {
-                due_at = Some(now + random_delay(NEXT_DELAY_MS));
+            if now < due {
+                continue;
             }
+            let sent_at = Instant::now();
+            let delay = match self.append_announcement(self.announcement()).await {
+                true => {
+                    backoff.succeeded();
+                    random_delay(NEXT_DELAY_MS)
+                }
+                false => backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY),
+            };
+            due_at = Some(self.now() + delay);
         }
     }
 
@@ -78,7 +100,8 @@
             writer: None,
             expected_end: None,
         };
-        let appended = self.store.append(&append, APPEND_TIMEOUT).await;
+        let limit = append_timeout(APPEND_TIMEOUT, lock(&self.state).store_delay);
+        let appended = self.store.append(&append, limit).await;
         if let Err(error) = &appended {
             log::info!(reason:% = error; "announcement_not_stored");
         }
--- a/dragonflyrun/tests/repeated_appends.rs
+++ b/dragonflyrun/tests/repeated_appends.rs
@@ -352,6 +352,22 @@
     );
 }
 
+/// Guards against announcements that keep the queue of the planner's partition full for as long as it
+/// is full.
+#[tokio::test(flavor = "current_thread")]
+async fn refused_announcements() {
+    /// Number of attempts in 16 s if the pause after each is at least twice the one before, from 1 s
+    /// on, and a quarter shorter at random.
+    const MAX_ATTEMPTS: usize = 6;
+    let announcements = async {
+        let store = RefusingStore::new(Kind::Announcement, 0);
+        start_entry(&store);
+        store.count_refusals(Duration::from_secs(16)).await
+    };
+    let refusals = LocalSet::new().run_until(announcements).await;
+    assert!(refusals <= MAX_ATTEMPTS, "{refusals} in 16 s");
+}
+
 /// Guards against having no planner for as long as the queue of the jobs' partition is longer than the
 /// limit of a claim, although its reads are prompt: each claim is given up while it is queued.
 #[tokio::test(flavor = "current_thread")]
