Hand over the term of a planner that can't read the reports

What callers saw: their jobs run and never complete, for as long as the planner can't read a partition of reports: it learns of no end there, and keeps its term by its heartbeats although another entry could read.

Cause: a heartbeat showed that the planner reads the jobs and, since the incident with configurations, said whether it can prove its configuration.

Change: the heartbeat names the partitions of reports that could not be read for 3 s (and four delays of the store), or for 10 s if they have not been read in this term. An entry with a fresh configuration takes over if it can read just these partitions: it reads a record of each, within 0.4 s, less than the planner's reads may take, so that on a store that is slow for all no entry has a better proof. Without a proof the term stays. Entries that stand by try first; after a failed try an entry waits 0.5 s, up to 5 s, with jitter, and the reads are small: 183 entries with 24 partitions make some 900 calls a second of the store's 16,000 at most.

Weighed: a planner that resigns by itself. It can't know whether anybody does better, so the term would pass on without end while the store is in trouble for everybody.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -20,8 +20,8 @@
 
 use crate::{
     port::{
-        AdviceQuestion, Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord,
-        Writer,
+        AdviceQuestion, Advisor, Append, AppendError, Appended, PageRequest, Partition, ReadError,
+        Store, StoreRecord, Writer,
     },
     process::on_store::{
         AppendRetry, Batch, BootTime, Follower, Lanes, StoreEntry,
@@ -30,7 +30,7 @@
     },
     utils::{HashMap, HashSet, Name, Timestamp, lock},
     workload::{
-        Candidate, Decisions, JobRecord, JobTable, JobWait, LoadPublisher, LoadRecord,
+        Backoff, Candidate, Decisions, JobRecord, JobTable, JobWait, LoadPublisher, LoadRecord,
         OrderMessage, Planner, PlannerBounds, PlannerHeartbeat, Report, ReportReads, Term,
         TermStep, View, WithheldChange, WithheldStarts, WorkerOrder, decode, encode,
     },
@@ -68,6 +68,25 @@
 /// store every entry reads late, and a change of planner would not help.
 const STALE_AGE_STORE_DELAYS: u32 = 4;
 
+/// Time without a read of a partition of reports, after one that succeeded, above which the planner
+/// declares itself impaired. It is as long as for the configuration, for the same reason.
+const MAX_UNREAD_AGE: Duration = STALE_CONFIGURATION_AGE;
+
+/// The same time if the planner hasn't read the partition since it took over. A new planner gets more
+/// time, so that the term doesn't pass on too often while reads fail at some entries by chance.
+const MAX_FIRST_READ_AGE: Duration = Duration::from_secs(10);
+
+/// Time limit for the reads that show a candidate that it can read reports. It is shorter than that of
+/// the planner's reads: on a store that is slow altogether no candidate does better.
+const REPORT_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Delay after such reads have failed for the first time.
+const MIN_PROBE_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest of these delays. On the largest fleet the reads of all entries, one of each partition of
+/// reports, are then about a twentieth of the store's reading calls.
+const MAX_PROBE_DELAY: Duration = Duration::from_secs(5);
+
 /// Silence after which an agent's session is closed. An agent reports every 1.2 s or more often,
 /// and on a slow store at least every 2.6 s.
 const MAX_AGENT_SILENCE: Duration = Duration::from_millis(3_000);
@@ -121,6 +140,8 @@
     report_reads: RefCell<ReportReads>,
     /// Report partitions that have not been read yet.
     unread_partitions: RefCell<HashSet<u32>>,
+    /// The number of these partitions of which the heartbeats say that they can't be read.
+    unread_reports: Cell<usize>,
     heartbeats: RefCell<PlannerHeartbeat>,
     withheld_starts: RefCell<WithheldStarts>,
     load_publisher: RefCell<LoadPublisher>,
@@ -134,20 +155,39 @@
     /// Watches the planner, and plans whenever this entry wins the term.
     pub(super) async fn run(entry: Arc<StoreEntry<S, A>>) {
         let mut retry = AppendRetry::new(APPEND_TIMEOUT, MAX_CLAIM_DELAY);
+        let mut probe_backoff = Backoff::new(MIN_PROBE_DELAY);
+        let mut probe_due_at = entry.now();
         loop {
             sleep(ELECTION_CHECK_INTERVAL).await;
             if entry.stopping.load(Ordering::Relaxed) {
                 continue;
             }
-            if candidacy(&entry).is_none() {
+            let Some(Claim { unread_reports, .. }) = candidacy(&entry) else {
                 continue;
+            };
+            if !unread_reports.is_empty() {
+                let sent_at = Instant::now();
+                if entry.now() < probe_due_at {
+                    continue;
+                }
+                if !can_read_reports(&entry, &unread_reports).await {
+                    let delay = probe_backoff.failed(sent_at.elapsed(), MAX_PROBE_DELAY);
+                    probe_due_at = entry.now() + delay;
+                    continue;
+                }
+                probe_backoff.succeeded();
             }
             // The claim succeeds only at the end of the partition, and the planner may have sent a
             // heartbeat since the last read.
             entry.catch_up_jobs().await;
-            let Some((term, end)) = candidacy(&entry) else {
+            let Some(claim) = candidacy(&entry) else {
                 continue;
             };
+            let is_proven = |partition| unread_reports.contains(partition);
+            if !claim.unread_reports.iter().all(is_proven) {
+                continue;
+            }
+            let Claim { term, end, .. } = claim;
             let sent_at = Instant::now();
             let limit = retry.time_limit(lock(&entry.state).store_delay);
             match Self::claim(&entry, term, end, limit).await {
@@ -196,7 +236,8 @@
         entry.counters.event("term_won");
         log::info!(
             term = term.number, entry:% = term.entry, end, stale = term.stale,
-            before:% = before.entry, before_resigned = before.resigned, before_stale = before.stale;
+            before:% = before.entry, before_resigned = before.resigned, before_stale = before.stale,
+            before_unread = before.unread_reports.len();
             "term_won"
         );
         let planner = {
@@ -217,7 +258,8 @@
             reads_overdue: Cell::new(false),
             report_reads: RefCell::new(ReportReads::new(lanes.report_partitions())),
             unread_partitions: RefCell::new((0..lanes.report_partitions()).collect()),
-            heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.stale)),
+            unread_reports: Cell::default(),
+            heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.is_impaired())),
             withheld_starts: RefCell::default(),
             load_publisher: RefCell::default(),
             workers_listed_at: Cell::default(),
@@ -286,7 +328,9 @@
             };
             let max_age = STALE_CONFIGURATION_AGE + delay * STALE_AGE_STORE_DELAYS;
             let stale = operators_current_at.is_none_or(|p| p.elapsed() > max_age);
-            if !self.heartbeats.borrow_mut().is_due(stale) {
+            let unread_reports = self.unread_reports(delay);
+            let impaired = stale || !unread_reports.is_empty();
+            if !self.heartbeats.borrow_mut().is_due(impaired) {
                 continue;
             }
             // A planner that can't read the jobs sends no heartbeat, so that another entry can
@@ -294,15 +338,34 @@
             if job_table_current_at.is_some_and(|p| p.elapsed() < MAX_FRESH_READ_AGE) {
                 let term = Term {
                     stale,
+                    unread_reports,
                     ..self.term.clone()
                 };
-                self.heartbeats.borrow_mut().record_sent(stale);
+                self.heartbeats.borrow_mut().record_sent(impaired);
                 let heartbeat = JobRecord::Planner(term).encode();
                 self.writer.append(Partition::JOBS, vec![heartbeat]).await;
             }
         }
     }
 
+    /// Returns the partitions of reports that have not been read for so long that another entry should
+    /// take over, on a store with the usual delay `delay`.
+    fn unread_reports(&self, delay: Duration) -> Vec<u32> {
+        let now = self.entry.now();
+        let delays = delay * STALE_AGE_STORE_DELAYS;
+        let reads = self.report_reads.borrow();
+        let mut unread = reads.unreadable_for(now, MAX_UNREAD_AGE + delays);
+        if !unread.is_empty() {
+            let never_read = self.unread_partitions.borrow();
+            let overdue = reads.unreadable_for(now, MAX_FIRST_READ_AGE + delays);
+            unread.retain(|number| !never_read.contains(number) || overdue.contains(number));
+        }
+        if self.unread_reports.replace(unread.len()) != unread.len() {
+            log::warn!(term = self.term.number, partitions = unread.len(); "reports_unread");
+        }
+        unread
+    }
+
     /// Fences off the orders of earlier planners, then reads the reports.
     ///
     /// A run that no agent lists could otherwise still be started by an order that the store
@@ -759,9 +822,42 @@
     "speed_step_8",
 ];
 
-/// Returns the term that this entry should claim and the offset at which the partition has to end
-/// for the claim to succeed; `None` if it should not claim one.
-fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<(Term, u64)> {
+/// A term that an entry should claim.
+struct Claim {
+    term: Term,
+    /// The offset at which the partition of the jobs has to end for the claim to succeed.
+    end: u64,
+    /// Partitions of reports that the entry must be able to read.
+    unread_reports: Vec<u32>,
+}
+
+/// Returns whether this entry can read these partitions of reports.
+async fn can_read_reports<S: Store, A: Advisor>(
+    entry: &StoreEntry<S, A>,
+    partitions: &[u32],
+) -> bool {
+    let probes = partitions.iter().map(|number| async {
+        // A small page is enough, or the answer that its records are no longer retained.
+        let read = entry.store.read(PageRequest {
+            partition: Partition::workers(*number),
+            from: 0,
+            wait: Duration::ZERO,
+            max_bytes: 0,
+            within: REPORT_PROBE_TIMEOUT,
+        });
+        match timeout(REPORT_PROBE_TIMEOUT, read).await {
+            Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
+            Ok(Err(ReadError::Unavailable(_))) | Err(_) => false,
+        }
+    });
+    let answered = join_all(probes).await;
+    let unanswered = answered.iter().filter(|answered| !**answered).count();
+    log::info!(partitions = partitions.len(), unanswered; "reports_probed");
+    unanswered == 0
+}
+
+/// Returns the term that this entry should claim; `None` if it should not claim one.
+fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<Claim> {
     /// Age of the last current read of the jobs up to which an entry may be a candidate. An entry
     /// whose reads are late would also plan from outdated state.
     const MAX_CANDIDATE_READ_AGE: Duration = Duration::from_millis(1_700);
@@ -782,10 +878,16 @@
             .operators_current_at
             .is_some_and(|p| p.elapsed() < MAX_FRESH_READ_AGE),
     };
-    match state.election.step(now, candidate) {
-        TermStep::Wait => None,
-        TermStep::Claim(term) => Some((term, state.job_table_end)),
-    }
+    let (term, unread_reports) = match state.election.step(now, candidate) {
+        TermStep::Wait => return None,
+        TermStep::Claim(term) => (term, Vec::new()),
+        TermStep::ClaimIfReadable(term, unread_reports) => (term, unread_reports),
+    };
+    Some(Claim {
+        term,
+        end: state.job_table_end,
+        unread_reports,
+    })
 }
 
 fn planner_bounds<S, A>(entry: &StoreEntry<S, A>) -> PlannerBounds {
--- a/dragonflyrun/src/workload/planner_heartbeat.rs
+++ b/dragonflyrun/src/workload/planner_heartbeat.rs
@@ -2,7 +2,7 @@
 //!
 //! On a slow store each append to the jobs' partition takes half a second. A stored plan proves as
 //! well as a heartbeat that its planner is alive, and a heartbeat beside it would only delay the next
-//! plan. Only a heartbeat reports whether the planner is stale, so a change of that is always due.
+//! plan. Only a heartbeat reports whether the planner is impaired, so a change of that is always due.
 
 /// What a planner has recently appended that proves that it is alive.
 #[derive(Clone, Copy, Debug, Default)]
@@ -11,15 +11,15 @@
     appending: bool,
     /// Whether a plan was stored since `is_due` was last called.
     plan_stored: bool,
-    /// Whether the newest heartbeat reports that the planner is stale.
-    stale: bool,
+    /// Whether the newest heartbeat reports that the planner is impaired.
+    impaired: bool,
 }
 
 impl PlannerHeartbeat {
-    /// Returns the state after a claim of the term, which reported whether the planner is `stale`.
-    pub fn claimed(stale: bool) -> Self {
+    /// Returns the state after a claim of the term, which reported whether the planner is `impaired`.
+    pub fn claimed(impaired: bool) -> Self {
         Self {
-            stale,
+            impaired,
             ..Self::default()
         }
     }
@@ -35,15 +35,15 @@
         self.plan_stored = true;
     }
 
-    /// Returns whether a heartbeat is due, where `stale` is the planner's current state. To be called
+    /// Returns whether a heartbeat is due, where `impaired` is the planner's current state. To be called
     /// at regular intervals.
-    pub fn is_due(&mut self, stale: bool) -> bool {
+    pub fn is_due(&mut self, impaired: bool) -> bool {
         let plan_stored = std::mem::take(&mut self.plan_stored);
-        stale != self.stale || (!self.appending && !plan_stored)
+        impaired != self.impaired || (!self.appending && !plan_stored)
     }
 
-    /// Records that a heartbeat was sent, which reports whether the planner is `stale`.
-    pub fn record_sent(&mut self, stale: bool) {
-        self.stale = stale;
+    /// Records that a heartbeat was sent, which reports whether the planner is `impaired`.
+    pub fn record_sent(&mut self, impaired: bool) {
+        self.impaired = impaired;
     }
 }
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -44,6 +44,17 @@
     /// An entry that can prove it may take over.
     #[serde(default)]
     pub stale: bool,
+    /// The numbers of the partitions of reports that the planner has been unable to read for some time,
+    /// so that it learns of no end there. An entry that can read them may take over.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub unread_reports: Vec<u32>,
+}
+
+impl Term {
+    /// Returns whether the planner is alive but can't do all of its work.
+    pub fn is_impaired(&self) -> bool {
+        self.stale || !self.unread_reports.is_empty()
+    }
 }
 
 /// A record of the jobs' topic.
--- a/dragonflyrun/src/workload/report_reads.rs
+++ b/dragonflyrun/src/workload/report_reads.rs
@@ -1,5 +1,7 @@
 //! Since when the reports of each partition have been read without interruption.
 
+use std::time::Duration;
+
 use crate::utils::{Timestamp, stable_hash};
 
 /// Since when the planner has read the reports of each partition without interruption.
@@ -10,6 +12,8 @@
 #[derive(Clone, Debug)]
 pub struct ReportReads {
     readable_since: Vec<Option<Timestamp>>,
+    /// Since when each partition can't be read; `None` also before the first attempt has ended.
+    unreadable_since: Vec<Option<Timestamp>>,
 }
 
 impl ReportReads {
@@ -17,6 +21,7 @@
     pub fn new(partitions: u32) -> Self {
         Self {
             readable_since: vec![None; partitions.max(1) as usize],
+            unreadable_since: vec![None; partitions.max(1) as usize],
         }
     }
 
@@ -26,6 +31,16 @@
         if let Some(since) = self.readable_since.get_mut(partition as usize) {
             *since = readable.then(|| since.unwrap_or(now));
         }
+        if let Some(since) = self.unreadable_since.get_mut(partition as usize) {
+            *since = (!readable).then(|| since.unwrap_or(now));
+        }
+    }
+
+    /// Returns the partitions that could not be read for `limit` or longer.
+    pub fn unreadable_for(&self, now: Timestamp, limit: Duration) -> Vec<u32> {
+        let unread = (0..).zip(&self.unreadable_since);
+        let unread = unread.filter(|(_, since)| since.is_some_and(|at| now.since(at) >= limit));
+        unread.map(|(partition, _)| partition).collect()
     }
 
     /// Returns since when the reports of a worker have been read without interruption; `None` while
--- a/dragonflyrun/src/workload/term.rs
+++ b/dragonflyrun/src/workload/term.rs
@@ -6,10 +6,12 @@
 //! all later appends of the planner. Of two candidates therefore only one wins, and a planner that
 //! was replaced can't append any more, however late its calls arrive.
 //!
-//! A planner that is alive but can't prove that its configuration is in force is stale: it starts no
-//! tasks, and its heartbeats say so. It continues to record the ends of runs, so only an entry that
-//! has such a proof replaces it. If no entry has one, the planner keeps its term
-//! (`docs/incidents/planner-without-configuration.md`).
+//! A planner that is alive but can't do all of its work is impaired, and its heartbeats say why. Only an
+//! entry that can do that work replaces it; if no entry can, the planner keeps its term and continues
+//! with the rest of the work (`docs/incidents/planner-without-configuration.md`). There are two causes:
+//! it can't prove that its configuration is in force, so that it starts no tasks, or it can't read some
+//! partitions of reports, so that it doesn't learn of ends. The first an entry can prove by what it
+//! follows itself; for the second it has to read those partitions.
 
 use std::time::Duration;
 
@@ -28,9 +30,9 @@
 /// and plans queue behind all other appends.
 const SILENCE_STORE_DELAYS: u32 = 8;
 
-/// How long a planner has to be stale before another entry takes over. Its next heartbeat may
+/// How long a planner has to be impaired before another entry takes over. Its next heartbeat may
 /// already report that it no longer is.
-const STALE_GRACE: Duration = Duration::from_millis(250);
+const IMPAIRED_GRACE: Duration = Duration::from_millis(250);
 
 /// Additional wait of a candidate that can't prove its configuration, as a multiple of the allowed
 /// silence. As planner it would start no tasks, and other entries may have the proof.
@@ -60,6 +62,8 @@
     Wait,
     /// Try to become planner by claiming this term.
     Claim(Term),
+    /// Likewise, but only if these partitions of reports can be read.
+    ClaimIfReadable(Term, Vec<u32>),
 }
 
 /// The conditions under which a candidate would plan.
@@ -80,8 +84,8 @@
     nonce: u64,
     term: Term,
     seen: Timestamp,
-    /// Since when the planner has been reporting that it is stale.
-    stale_since: Option<Timestamp>,
+    /// Since when the planner has been reporting that it is impaired.
+    impaired_since: Option<Timestamp>,
     /// The number of claims since the newest term that the store refused because it had seen a higher
     /// number.
     refused: u64,
@@ -96,7 +100,7 @@
             nonce: nonce % NONCES,
             term: Term::default(),
             seen: now,
-            stale_since: None,
+            impaired_since: None,
             refused: 0,
         }
     }
@@ -104,8 +108,9 @@
     /// Applies a heartbeat of a planner. Those of earlier terms are ignored.
     pub fn saw_heartbeat(&mut self, now: Timestamp, term: &Term) {
         if term.number >= self.term.number {
-            let since = self.stale_since.filter(|_| term.number == self.term.number);
-            self.stale_since = term.stale.then(|| since.unwrap_or(now));
+            let is_same = term.number == self.term.number;
+            let since = self.impaired_since.filter(|_| is_same);
+            self.impaired_since = term.is_impaired().then(|| since.unwrap_or(now));
             self.refused = 0;
             self.term = term.clone();
             self.seen = now;
@@ -120,10 +125,10 @@
     }
 
     /// Records that the store could not be read until now. The planner's silence counts from here, and
-    /// so does the time for which it has been stale, since it may no longer be.
+    /// so does the time for which it has been impaired, since it may no longer be.
     pub fn store_regained(&mut self, now: Timestamp) {
         self.seen = now;
-        self.stale_since = self.stale_since.map(|_| now);
+        self.impaired_since = self.impaired_since.map(|_| now);
     }
 
     /// Returns the newest term.
@@ -162,20 +167,31 @@
             false => silence * UNVERIFIED_EXTRA_SILENCES,
         };
         let is_silent = now.since(self.seen) >= wait + extra_wait;
-        let stale = self
-            .stale_since
+        let impaired = self
+            .impaired_since
             .filter(|_| candidate.has_fresh_configuration);
-        let grace = STALE_GRACE + candidate.store_delay * SILENCE_STORE_DELAYS + stagger / 4;
-        let is_stale = stale.is_some_and(|since| now.since(since) >= grace);
-        if !is_silent && !is_stale {
+        // The reads that have to succeed before the claim take a part of the stagger.
+        let impaired_stagger = match self.term.stale {
+            true => stagger / 4,
+            false => stagger,
+        };
+        let delays = candidate.store_delay * SILENCE_STORE_DELAYS;
+        let grace = IMPAIRED_GRACE + delays + impaired_stagger;
+        let is_impaired = impaired.is_some_and(|since| now.since(since) >= grace);
+        if !is_silent && !is_impaired {
             return TermStep::Wait;
         }
-        TermStep::Claim(Term {
+        let term = Term {
             number: (self.term.number / NONCES + 1 + self.refused) * NONCES + self.nonce,
             entry: self.entry.clone(),
             resigned: false,
             stale: !candidate.has_fresh_configuration,
-        })
+            unread_reports: Vec::new(),
+        };
+        if is_silent || self.term.stale {
+            return TermStep::Claim(term);
+        }
+        TermStep::ClaimIfReadable(term, self.term.unread_reports.clone())
     }
 
     /// Returns whether an earlier process of this entry held the term until it ended.
--- a/dragonflyrun/tests/planner_succession.rs
+++ b/dragonflyrun/tests/planner_succession.rs
@@ -32,14 +32,14 @@
         number: rank << 20,
         entry: entry.into(),
         resigned,
-        stale: false,
+        ..Term::default()
     }
 }
 
 fn claimed(step: TermStep) -> Term {
     match step {
         TermStep::Claim(term) => term,
-        TermStep::Wait => panic!("it should claim a term"),
+        step => panic!("it should claim a term, not {step:?}"),
     }
 }
 
@@ -258,3 +258,45 @@
         assert!(claimed(election.step(at(stale_at), STALE_CONFIGURATION)).stale);
     }
 }
+
+/// Returns the term in the heartbeat of a planner that can't read these partitions of reports.
+fn unread_term(unread_reports: &[u32]) -> Term {
+    Term {
+        unread_reports: unread_reports.to_vec(),
+        ..term(1, "other", false)
+    }
+}
+
+/// Guards against a planner that keeps the term by its heartbeats although it learns of no end, and
+/// against a successor that can't read the reports either.
+#[test]
+fn unread_reports() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    for ms in (1_000..=3_000).step_by(200) {
+        election.saw_heartbeat(at(ms), &unread_term(&[3, 7]));
+    }
+    let TermStep::ClaimIfReadable(next, partitions) = election.step(at(3_100), PROMPT) else {
+        panic!("it should claim a term if it can read the reports");
+    };
+    assert!(!next.is_impaired());
+    assert_eq!(partitions, [3, 7]);
+    assert_eq!(
+        election.step(at(3_100), STALE_CONFIGURATION),
+        TermStep::Wait
+    );
+    // No planner at all is worse than one that can't read all reports.
+    assert!(matches!(
+        election.step(at(30_000), PROMPT),
+        TermStep::Claim(_)
+    ));
+}
+
+/// Guards against replacing a planner that reads the reports again.
+#[test]
+fn briefly_unread() {
+    let mut election = Election::new("one".into(), 17, at(0));
+    election.saw_heartbeat(at(1_000), &unread_term(&[3]));
+    assert_eq!(election.step(at(1_100), PROMPT), TermStep::Wait);
+    election.saw_heartbeat(at(1_200), &unread_term(&[]));
+    assert_eq!(election.step(at(1_900), PROMPT), TermStep::Wait);
+}
