Split orders that are larger than a record of the store

Work that waited while its zone was out of service is ordered at once; 90 jobs with a payload of 4,000 bytes make an order of 360 kB, and the store allows 256 KiB for a record.

Cause: the store refuses such an append for good, and the planner repeats it without end; all later orders of the lane wait behind it.

Change: an order is split into parts of at most 128 KiB of starts, which agents carry out one after the other as they do with several orders; a fence comes last, stops first. One append holds at most 1 MiB of them, as the store allows 2 MiB for a call.

--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -87,6 +87,13 @@
 /// reports, are then about a twentieth of the store's reading calls.
 const MAX_PROBE_DELAY: Duration = Duration::from_secs(5);
 
+/// Maximum size of the starts in one record of an order: half of what the store allows for a record, so
+/// that the rest of the order, and a single start with a large payload, fit as well.
+const MAX_ORDER_BYTES: usize = 128 << 10;
+
+/// Maximum size of the records of orders in one append, half of what the store allows for a call.
+const MAX_ORDER_APPEND_BYTES: usize = 1 << 20;
+
 /// Silence after which an agent's session is closed. An agent reports every 1.2 s or more often,
 /// and on a slow store at least every 2.6 s.
 const MAX_AGENT_SILENCE: Duration = Duration::from_millis(3_000);
@@ -721,27 +728,33 @@
 
     /// Sends the orders of one lane (see [`Lanes`]), one append at a time.
     async fn send_lane(self: Rc<Self>, lane: u32, mut rx: mpsc::UnboundedReceiver<WorkerOrder>) {
-        /// Most orders that are sent in one append.
-        const MAX_ORDERS_PER_APPEND: usize = 32;
+        /// Most orders that are taken at once.
+        const MAX_ORDERS: usize = 32;
+        let partition = self.lanes.partition(lane);
         let mut orders = Vec::new();
-        while rx.recv_many(&mut orders, MAX_ORDERS_PER_APPEND).await > 0 {
-            let records = orders.iter().map(|order| StoreRecord {
-                key: Name::from(""),
-                value: Some(encode(&OrderMessage::Order {
-                    worker: order.worker.clone(),
-                    session: order.session,
-                    order: order.order.clone(),
-                })),
-            });
-            let partition = self.lanes.partition(lane);
-            let appended = self.writer.append(partition, records.collect()).await;
-            let Some(appended) = appended else {
-                return;
-            };
-            let now = self.entry.now();
-            let mut planner = self.planner.borrow_mut();
-            for (offset, order) in (appended.offset..).zip(orders.drain(..)) {
-                planner.order_stored(now, &order, offset);
+        while rx.recv_many(&mut orders, MAX_ORDERS).await > 0 {
+            let parts = orders.drain(..).flat_map(split_order);
+            let mut parts = parts.map(|part| (order_record(&part), part)).peekable();
+            while let Some((record, part)) = parts.next() {
+                let mut bytes = record_bytes(&record);
+                let mut records = vec![record];
+                let mut appending = vec![part];
+                let fits = |record: &StoreRecord, bytes| {
+                    bytes + record_bytes(record) <= MAX_ORDER_APPEND_BYTES
+                };
+                while let Some((record, part)) = parts.next_if(|(record, _)| fits(record, bytes)) {
+                    bytes += record_bytes(&record);
+                    records.push(record);
+                    appending.push(part);
+                }
+                let Some(appended) = self.writer.append(partition, records).await else {
+                    return;
+                };
+                let now = self.entry.now();
+                let mut planner = self.planner.borrow_mut();
+                for (offset, part) in (appended.offset..).zip(appending) {
+                    planner.order_stored(now, &part, offset);
+                }
             }
         }
     }
@@ -822,6 +835,37 @@
     "speed_step_8",
 ];
 
+/// Returns the parts of an order whose records are small enough for the store.
+fn split_order(order: WorkerOrder) -> Vec<WorkerOrder> {
+    let WorkerOrder {
+        worker,
+        session,
+        order,
+    } = order;
+    let parts = order.split(MAX_ORDER_BYTES).into_iter();
+    let parts = parts.map(|order| WorkerOrder {
+        worker: worker.clone(),
+        session,
+        order,
+    });
+    parts.collect()
+}
+
+fn order_record(order: &WorkerOrder) -> StoreRecord {
+    StoreRecord {
+        key: Name::from(""),
+        value: Some(encode(&OrderMessage::Order {
+            worker: order.worker.clone(),
+            session: order.session,
+            order: order.order.clone(),
+        })),
+    }
+}
+
+fn record_bytes(record: &StoreRecord) -> usize {
+    record.value.as_ref().map_or(0, Vec::len)
+}
+
 /// A term that an entry should claim.
 struct Claim {
     term: Term,
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -18,6 +18,10 @@
     },
 };
 
+/// Bytes that a start takes in its order besides its payload, checkpoint and ticket: the name of its job
+/// of up to 253 bytes, some numbers, and the keys of the fields.
+const START_OVERHEAD_BYTES: usize = 400;
+
 /// A run that an agent has to start.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TaskStart {
@@ -62,7 +66,57 @@
     pub speed: Option<SpeedEstimate>,
 }
 
+impl TaskStart {
+    /// Returns an upper bound of the bytes that the start takes in an order after the start `previous`,
+    /// with which it may share the payload.
+    fn bytes_after(&self, previous: Option<&Self>) -> usize {
+        let is_shared = previous.is_some_and(|previous| previous.payload == self.payload);
+        let payload = if is_shared { 0 } else { self.payload.len() };
+        let ticket = self.ticket.as_ref().map_or(0, String::len);
+        START_OVERHEAD_BYTES + payload + self.checkpoint.len() + ticket
+    }
+}
+
 impl Order {
+    /// Splits the order into parts that have the same effect one after the other. The starts of each
+    /// take at most `max_bytes`, unless it is a single one.
+    pub fn split(mut self, max_bytes: usize) -> Vec<Self> {
+        let mut groups: Vec<Vec<TaskStart>> = Vec::new();
+        let mut bytes = 0;
+        for start in std::mem::take(&mut self.starts) {
+            let added = groups.last().and_then(|group| group.last());
+            let added = start.bytes_after(added);
+            match groups.last_mut() {
+                Some(group) if bytes + added <= max_bytes => {
+                    bytes += added;
+                    group.push(start);
+                }
+                _ => {
+                    bytes = start.bytes_after(None);
+                    groups.push(vec![start]);
+                }
+            }
+        }
+        // A fence, and the agent's attention after the order, take effect after all starts.
+        let last = Self {
+            starts: groups.pop().unwrap_or_default(),
+            fence: self.fence,
+            attention: self.attention,
+            ..Self::default()
+        };
+        let others = groups.into_iter().map(|starts| Self {
+            starts,
+            ..Self::default()
+        });
+        let mut parts: Vec<Self> = others.chain([last]).collect();
+        if let Some(first) = parts.first_mut() {
+            first.stops = self.stops;
+            first.confirmed = self.confirmed;
+            first.speed = self.speed;
+        }
+        parts
+    }
+
     /// Returns whether the order requires nothing. An estimate of the speed alone isn't worth an
     /// append.
     pub fn is_empty(&self) -> bool {
--- a/dragonflyrun/tests/slow_orders.rs
+++ b/dragonflyrun/tests/slow_orders.rs
@@ -1,4 +1,4 @@
-//! Orders of a planner on a host with a slow link.
+//! Orders of a planner on a host with a slow link, and orders larger than a record of the store.
 
 mod store_entry;
 
@@ -39,6 +39,15 @@
 /// The largest payload that a caller submits with a job.
 const PAYLOAD_BYTES: usize = 4_000;
 
+/// Number of jobs with one task each whose payloads together exceed a record of the store.
+const JOBS_BEYOND_RECORD: u32 = 90;
+
+/// Maximum size of a record of the store in bytes.
+const RECORD_BYTES: usize = 256 << 10;
+
+/// The time within which a job that can run has to run.
+const ORDERED_WITHIN: Duration = Duration::from_secs(16);
+
 /// The bandwidth of a link of 2 Mbit/s, in bytes per second.
 const LINK_BYTES_PER_S: u32 = 250_000;
 
@@ -49,8 +58,10 @@
 const MAX_TIMEOUTS: u32 = 8;
 
 /// A store behind a slow link that all appends share.
-#[derive(Default)]
 struct SlowLinkStore {
+    workers: u32,
+    /// The capacity that each worker reports.
+    capacity: Resources,
     link: tokio::sync::Mutex<()>,
     jobs: Mutex<Vec<StoreRecord>>,
     /// Runs whose start orders are stored.
@@ -62,6 +73,18 @@
 }
 
 impl SlowLinkStore {
+    fn new(workers: u32, capacity: Resources) -> Arc<Self> {
+        Arc::new(Self {
+            workers,
+            capacity,
+            link: tokio::sync::Mutex::default(),
+            jobs: Mutex::default(),
+            ordered_runs: Mutex::default(),
+            timeouts: Mutex::default(),
+            report_sequence: Mutex::default(),
+        })
+    }
+
     async fn transfer(&self, bytes: usize) {
         for _ in 0..bytes.div_ceil(CHUNK_BYTES) {
             let _turn = self.link.lock().await;
@@ -73,13 +96,13 @@
     fn reports_in(&self, partition: Partition) -> Vec<StoreRecord> {
         let mut sequence = lock(&self.report_sequence);
         let lanes = Lanes::new(PARTITIONS);
-        let names = (0..WORKERS).map(|i| format!("w{i}"));
+        let names = (0..self.workers).map(|i| format!("w{i}"));
         let in_partition = names.filter(|name| lanes.reports_of(name) == partition);
         let reports = in_partition.map(|name| {
             *sequence += 1;
             StoreRecord {
                 key: name.as_str().into(),
-                value: Some(encode(&report(&name, *sequence))),
+                value: Some(encode(&report(&name, *sequence, self.capacity))),
             }
         });
         reports.collect()
@@ -99,6 +122,9 @@
 impl Store for SlowLinkStore {
     async fn append(&self, append: &Append, within: Duration) -> Result<Appended, AppendError> {
         let values = append.records.iter().filter_map(|r| r.value.as_ref());
+        if values.clone().any(|value| value.len() > RECORD_BYTES) {
+            return Err(AppendError::NotAppended("record too large".to_owned()));
+        }
         let bytes = values.map(Vec::len).sum();
         let is_order = matches!(append.partition.topic, Topic::Orders(_));
         if timeout(within, self.transfer(bytes)).await.is_err() {
@@ -172,7 +198,7 @@
     since.expect("a time after 1970").as_millis() as u64
 }
 
-fn report(worker: &str, sequence: u64) -> Report {
+fn report(worker: &str, sequence: u64, capacity: Resources) -> Report {
     Report {
         heartbeat: Heartbeat {
             worker: worker.into(),
@@ -181,11 +207,7 @@
             service: "svc".into(),
             failure_domain: "d".into(),
             draining: false,
-            capacity: Resources {
-                cpu_millis: 64_000,
-                memory_mb: 128_000,
-                accelerators: 8,
-            },
+            capacity,
             labels: Vec::new(),
             rack: None,
             remaining_ms: None,
@@ -211,7 +233,8 @@
     }
 }
 
-fn accepted(name: String) -> StoreRecord {
+/// Returns the record of a job with so many tasks, each on another worker.
+fn accepted(name: String, tasks: u32, payload: String) -> StoreRecord {
     let job = Job {
         name: name.into(),
         queue: "q".into(),
@@ -223,9 +246,9 @@
         target_ms: 1_000,
         accepted_ms: unix_ms(),
         request: JobRequest {
-            payload: "x".repeat(PAYLOAD_BYTES).into(),
+            payload: payload.into(),
             steps: vec![Step {
-                tasks: WORKERS,
+                tasks,
                 needs: Resources {
                     cpu_millis: 1_000,
                     memory_mb: 1_000,
@@ -250,18 +273,30 @@
     }
 }
 
+/// Starts an entry. Must be called inside a `LocalSet`.
+fn start_entry(store: &Arc<SlowLinkStore>) {
+    let counters = Arc::new(Counters::new().expect("counters"));
+    let entry = StoreEntry::new(settings(), store.clone(), NoAdvisor, counters);
+    entry.start(Arc::new(|_: &StoreRecord| {
+        Some(OperatorRecord::Configuration(Box::new(configuration())))
+    }));
+}
+
 /// Guards against orders that are never stored. Those for many workers share a slow link, all time
 /// out at once and are appended again from the start, while the planner's heartbeats keep its term.
 #[tokio::test]
 async fn burst_orders_sent() {
     let test = async {
-        let store = Arc::new(SlowLinkStore::default());
-        lock(&store.jobs).extend((0..JOBS).map(|i| accepted(format!("{i:016x}"))));
-        let counters = Arc::new(Counters::new().expect("counters"));
-        let entry = StoreEntry::new(settings(), store.clone(), NoAdvisor, counters);
-        entry.start(Arc::new(|_: &StoreRecord| {
-            Some(OperatorRecord::Configuration(Box::new(configuration())))
-        }));
+        let capacity = Resources {
+            cpu_millis: 64_000,
+            memory_mb: 128_000,
+            accelerators: 8,
+        };
+        let store = SlowLinkStore::new(WORKERS, capacity);
+        lock(&store.jobs).extend(
+            (0..JOBS).map(|i| accepted(format!("{i:016x}"), WORKERS, "x".repeat(PAYLOAD_BYTES))),
+        );
+        start_entry(&store);
         let all = JOBS * WORKERS as usize;
         loop {
             let ordered_runs = lock(&store.ordered_runs).len();
@@ -278,3 +313,33 @@
     };
     LocalSet::new().run_until(test).await;
 }
+
+/// Guards against a worker on which nothing is started any more: the order for it, and all that wait
+/// behind it, are appended again without end because it is larger than a record may be.
+#[tokio::test]
+async fn large_order_sent() {
+    let test = async {
+        let capacity = Resources {
+            cpu_millis: 1_000 * u64::from(JOBS_BEYOND_RECORD),
+            memory_mb: 1_000 * u64::from(JOBS_BEYOND_RECORD),
+            accelerators: u64::from(JOBS_BEYOND_RECORD),
+        };
+        let store = SlowLinkStore::new(1, capacity);
+        let jobs = (0..JOBS_BEYOND_RECORD)
+            .map(|i| accepted(format!("{i:016x}"), 1, format!("{i:0PAYLOAD_BYTES$}")));
+        lock(&store.jobs).extend(jobs);
+        start_entry(&store);
+        let all_ordered = async {
+            while lock(&store.ordered_runs).len() < JOBS_BEYOND_RECORD as usize {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let ordered = timeout(ORDERED_WITHIN, all_ordered).await;
+        let runs = lock(&store.ordered_runs).len();
+        assert!(
+            ordered.is_ok(),
+            "orders of {runs} of {JOBS_BEYOND_RECORD} runs"
+        );
+    };
+    LocalSet::new().run_until(test).await;
+}
