--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -20,11 +20,11 @@
 
 use crate::{
     port::{
-        AdviceQuestion, Advisor, Append, AppendError, Appended, Partition, Store, StoreRecord,
-        Writer,
+        AdviceQuestion, Advisor, Append, AppendError, Appended, PageRequest, Partition, ReadError,
+        Store, StoreRecord, Writer,
     },
     process::on_store::{
-        Batch, BootTime, Follower, Lanes, StoreEntry,
+        AppendRetry, Batch, BootTime, Follower, Lanes, StoreEntry,
         entry::{MAX_RETRY_DELAY, READ_WAIT, unix_ms, wait_for},
         term_writer::{APPEND_TIMEOUT, FIRST_SEQUENCE, TermWriter, WRITER},
     },
@@ -45,6 +45,10 @@
 /// How often an entry checks whether the planner is silent.
 const ELECTION_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Longest delay between two claims of an entry that the store refuses or doesn't answer. All entries
+/// may claim at once, and their claims share a partition with the records of the planner.
+const MAX_CLAIM_DELAY: Duration = Duration::from_millis(800);
+
 /// Age up to which the last current read counts as fresh. A read is current if it returned
 /// everything that the store had when the read was sent. Tasks are started only with a fresh read
 /// of the operators' records, which limits the time during which they may still start in a failure
@@ -64,6 +68,32 @@
 /// store every entry reads late, and a change of planner would not help.
 const STALE_AGE_STORE_DELAYS: u32 = 4;
 
+/// Time without a read of a partition of reports, after one that succeeded, above which the planner
+/// declares itself impaired. It is as long as for the configuration, for the same reason.
+const MAX_UNREAD_AGE: Duration = STALE_CONFIGURATION_AGE;
+
+/// The same time if the planner hasn't read the partition since it took over. A new planner gets more
+/// time, so that the term doesn't pass on too often while reads fail at some entries by chance.
+const MAX_FIRST_READ_AGE: Duration = Duration::from_secs(10);
+
+/// Time limit for the reads that show a candidate that it can read reports. It is shorter than that of
+/// the planner's reads: on a store that is slow altogether no candidate does better.
+const REPORT_PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Delay after such reads have failed for the first time.
+const MIN_PROBE_DELAY: Duration = Duration::from_millis(500);
+
+/// Longest of these delays. On the largest fleet the reads of all entries, one of each partition of
+/// reports, are then about a twentieth of the store's reading calls.
+const MAX_PROBE_DELAY: Duration = Duration::from_secs(5);
+
+/// Maximum size of the starts in one record of an order: half of what the store allows for a record, so
+/// that the rest of the order, and a single start with a large payload, fit as well.
+const MAX_ORDER_BYTES: usize = 128 << 10;
+
+/// Maximum size of the records of orders in one append, half of what the store allows for a call.
+const MAX_ORDER_APPEND_BYTES: usize = 1 << 20;
+
 /// Silence after which an agent's session is closed. An agent reports every 1.2 s or more often,
 /// and on a slow store at least every 2.6 s.
 const MAX_AGENT_SILENCE: Duration = Duration::from_millis(3_000);
@@ -114,6 +144,8 @@
     report_reads: RefCell<ReportReads>,
     /// Report partitions that have not been read yet.
     unread_partitions: RefCell<HashSet<u32>>,
+    /// The number of these partitions of which the heartbeats say that they can't be read.
+    unread_reports: Cell<usize>,
     heartbeats: RefCell<PlannerHeartbeat>,
     withheld_starts: RefCell<WithheldStarts>,
     load_publisher: RefCell<LoadPublisher>,
@@ -126,27 +158,64 @@
 impl<S: Store, A: Advisor> PlannerTerm<S, A> {
     /// Watches the planner, and plans whenever this entry wins the term.
     pub(super) async fn run(entry: Arc<StoreEntry<S, A>>) {
+        let mut retry = AppendRetry::new(APPEND_TIMEOUT, MAX_CLAIM_DELAY);
+        let mut probe_backoff = Backoff::new(MIN_PROBE_DELAY);
+        let mut probe_due_at = entry.now();
         loop {
             sleep(ELECTION_CHECK_INTERVAL).await;
             if entry.stopping.load(Ordering::Relaxed) {
                 continue;
             }
-            if candidacy(&entry).is_none() {
+            let Some(Claim { unread_reports, .. }) = candidacy(&entry) else {
                 continue;
+            };
+            if !unread_reports.is_empty() {
+                let sent_at = Instant::now();
+                if entry.now() < probe_due_at {
+                    continue;
+                }
+                if !can_read_reports(&entry, &unread_reports).await {
+                    let delay = probe_backoff.failed(sent_at.elapsed(), MAX_PROBE_DELAY);
+                    probe_due_at = entry.now() + delay;
+                    continue;
+                }
+                probe_backoff.succeeded();
             }
             // The claim succeeds only at the end of the partition, and the planner may have sent a
             // heartbeat since the last read.
             entry.catch_up_jobs().await;
-            let Some((term, end)) = candidacy(&entry) else {
+            let Some(claim) = candidacy(&entry) else {
                 continue;
             };
-            if let Some(planner_term) = Self::claim(&entry, term, end).await {
-                planner_term.plan_until_lost().await;
+            let is_proven = |partition| unread_reports.contains(partition);
+            if !claim.unread_reports.iter().all(is_proven) {
+                continue;
+            }
+            let Claim { term, end, .. } = claim;
+            let sent_at = Instant::now();
+            let limit = retry.time_limit(lock(&entry.state).store_delay);
+            match Self::claim(&entry, term, end, limit).await {
+                Ok(planner_term) => {
+                    retry.answered();
+                    planner_term.plan_until_lost().await;
+                }
+                // Another record has moved the end or the term; the next claim takes it into account.
+                Err(
+                    AppendError::Fenced | AppendError::EndMoved(_) | AppendError::OutOfOrder(_),
+                ) => retry.answered(),
+                Err(error @ (AppendError::Unknown(_) | AppendError::NotAppended(_))) => {
+                    sleep(retry.failed(&error, sent_at.elapsed())).await;
+                }
             }
         }
     }
 
-    async fn claim(entry: &Arc<StoreEntry<S, A>>, term: Term, end: u64) -> Option<Rc<Self>> {
+    async fn claim(
+        entry: &Arc<StoreEntry<S, A>>,
+        term: Term,
+        end: u64,
+        within: Duration,
+    ) -> Result<Rc<Self>, AppendError> {
         let before = lock(&entry.state).election.term().clone();
         let append = Append {
             partition: Partition::JOBS,
@@ -158,20 +227,21 @@
             }),
             expected_end: Some(end),
         };
-        match entry.store.append(&append, APPEND_TIMEOUT).await {
+        match entry.store.append(&append, within).await {
             Ok(Appended { .. }) => {}
             Err(error) => {
                 log::info!(term = term.number, reason:% = error; "term_not_won");
                 if error == AppendError::Fenced {
                     lock(&entry.state).election.claim_refused();
                 }
-                return None;
+                return Err(error);
             }
         }
         entry.counters.event("term_won");
         log::info!(
             term = term.number, entry:% = term.entry, end, stale = term.stale,
-            before:% = before.entry, before_resigned = before.resigned, before_stale = before.stale;
+            before:% = before.entry, before_resigned = before.resigned, before_stale = before.stale,
+            before_unread = before.unread_reports.len();
             "term_won"
         );
         let planner = {
@@ -182,7 +252,7 @@
         };
         entry.follow_as_planner();
         let lanes = Lanes::new(entry.settings.partitions);
-        Some(Rc::new(Self {
+        Ok(Rc::new(Self {
             entry: entry.clone(),
             writer: TermWriter::new(entry.clone(), term.number),
             lanes,
@@ -192,7 +262,8 @@
             reads_overdue: Cell::new(false),
             report_reads: RefCell::new(ReportReads::new(lanes.report_partitions())),
             unread_partitions: RefCell::new((0..lanes.report_partitions()).collect()),
-            heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.stale)),
+            unread_reports: Cell::default(),
+            heartbeats: RefCell::new(PlannerHeartbeat::claimed(term.is_impaired())),
             withheld_starts: RefCell::default(),
             load_publisher: RefCell::default(),
             workers_listed_at: Cell::default(),
@@ -261,7 +332,9 @@
             };
             let max_age = STALE_CONFIGURATION_AGE + delay * STALE_AGE_STORE_DELAYS;
             let stale = operators_current_at.is_none_or(|p| p.elapsed() > max_age);
-            if !self.heartbeats.borrow_mut().is_due(stale) {
+            let unread_reports = self.unread_reports(delay);
+            let impaired = stale || !unread_reports.is_empty();
+            if !self.heartbeats.borrow_mut().is_due(impaired) {
                 continue;
             }
             // A planner that can't read the jobs sends no heartbeat, so that another entry can
@@ -269,15 +342,34 @@
             if job_table_current_at.is_some_and(|p| p.elapsed() < MAX_FRESH_READ_AGE) {
                 let term = Term {
                     stale,
+                    unread_reports,
                     ..self.term.clone()
                 };
-                self.heartbeats.borrow_mut().record_sent(stale);
+                self.heartbeats.borrow_mut().record_sent(impaired);
                 let heartbeat = JobRecord::Planner(term).encode();
                 self.writer.append(Partition::JOBS, vec![heartbeat]).await;
             }
         }
     }
 
+    /// Returns the partitions of reports that have not been read for so long that another entry should
+    /// take over, on a store with the usual delay `delay`.
+    fn unread_reports(&self, delay: Duration) -> Vec<u32> {
+        let now = self.entry.now();
+        let delays = delay * STALE_AGE_STORE_DELAYS;
+        let reads = self.report_reads.borrow();
+        let mut unread = reads.unreadable_for(now, MAX_UNREAD_AGE + delays);
+        if !unread.is_empty() {
+            let never_read = self.unread_partitions.borrow();
+            let overdue = reads.unreadable_for(now, MAX_FIRST_READ_AGE + delays);
+            unread.retain(|number| !never_read.contains(number) || overdue.contains(number));
+        }
+        if self.unread_reports.replace(unread.len()) != unread.len() {
+            log::warn!(term = self.term.number, partitions = unread.len(); "reports_unread");
+        }
+        unread
+    }
+
     /// Fences off the orders of earlier planners, then reads the reports.
     ///
     /// A run that no agent lists could otherwise still be started by an order that the store
@@ -636,27 +728,33 @@
 
     /// Sends the orders of one lane (see [`Lanes`]), one append at a time.
     async fn send_lane(self: Rc<Self>, lane: u32, mut rx: mpsc::UnboundedReceiver<WorkerOrder>) {
-        /// Most orders that are sent in one append.
-        const MAX_ORDERS_PER_APPEND: usize = 32;
+        /// Most orders that are taken at once.
+        const MAX_ORDERS: usize = 32;
+        let partition = self.lanes.partition(lane);
         let mut orders = Vec::new();
-        while rx.recv_many(&mut orders, MAX_ORDERS_PER_APPEND).await > 0 {
-            let records = orders.iter().map(|order| StoreRecord {
-                key: Name::from(""),
-                value: Some(encode(&OrderMessage::Order {
-                    worker: order.worker.clone(),
-                    session: order.session,
-                    order: order.order.clone(),
-                })),
-            });
-            let partition = self.lanes.partition(lane);
-            let appended = self.writer.append(partition, records.collect()).await;
-            let Some(appended) = appended else {
-                return;
-            };
-            let now = self.entry.now();
-            let mut planner = self.planner.borrow_mut();
-            for (offset, order) in (appended.offset..).zip(orders.drain(..)) {
-                planner.order_stored(now, &order, offset);
+        while rx.recv_many(&mut orders, MAX_ORDERS).await > 0 {
+            let parts = orders.drain(..).flat_map(split_order);
+            let mut parts = parts.map(|part| (order_record(&part), part)).peekable();
+            while let Some((record, part)) = parts.next() {
+                let mut bytes = record_bytes(&record);
+                let mut records = vec![record];
+                let mut appending = vec![part];
+                let fits = |record: &StoreRecord, bytes| {
+                    bytes + record_bytes(record) <= MAX_ORDER_APPEND_BYTES
+                };
+                while let Some((record, part)) = parts.next_if(|(record, _)| fits(record, bytes)) {
+                    bytes += record_bytes(&record);
+                    records.push(record);
+                    appending.push(part);
+                }
+                let Some(appended) = self.writer.append(partition, records).await else {
+                    return;
+                };
+                let now = self.entry.now();
+                let mut planner = self.planner.borrow_mut();
+                for (offset, part) in (appended.offset..).zip(appending) {
+                    planner.order_stored(now, &part, offset);
+                }
             }
         }
     }
@@ -737,9 +835,73 @@
     "speed_step_8",
 ];
 
-/// Returns the term that this entry should claim and the offset at which the partition has to end
-/// for the claim to succeed; `None` if it should not claim one.
-fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<(Term, u64)> {
+/// Returns the parts of an order whose records are small enough for the store.
+fn split_order(order: WorkerOrder) -> Vec<WorkerOrder> {
+    let WorkerOrder {
+        worker,
+        session,
+        order,
+    } = order;
+    let parts = order.split(MAX_ORDER_BYTES).into_iter();
+    let parts = parts.map(|order| WorkerOrder {
+        worker: worker.clone(),
+        session,
+        order,
+    });
+    parts.collect()
+}
+
+fn order_record(order: &WorkerOrder) -> StoreRecord {
+    StoreRecord {
+        key: Name::from(""),
+        value: Some(encode(&OrderMessage::Order {
+            worker: order.worker.clone(),
+            session: order.session,
+            order: order.order.clone(),
+        })),
+    }
+}
+
+fn record_bytes(record: &StoreRecord) -> usize {
+    record.value.as_ref().map_or(0, Vec::len)
+}
+
+/// A term that an entry should claim.
+struct Claim {
+    term: Term,
+    /// The offset at which the partition of the jobs has to end for the claim to succeed.
+    end: u64,
+    /// Partitions of reports that the entry must be able to read.
+    unread_reports: Vec<u32>,
+}
+
+/// Returns whether this entry can read these partitions of reports.
+async fn can_read_reports<S: Store, A: Advisor>(
+    entry: &StoreEntry<S, A>,
+    partitions: &[u32],
+) -> bool {
+    let probes = partitions.iter().map(|number| async {
+        // A small page is enough, or the answer that its records are no longer retained.
+        let read = entry.store.read(PageRequest {
+            partition: Partition::workers(*number),
+            from: 0,
+            wait: Duration::ZERO,
+            max_bytes: 0,
+            within: REPORT_PROBE_TIMEOUT,
+        });
+        match timeout(REPORT_PROBE_TIMEOUT, read).await {
+            Ok(Ok(_) | Err(ReadError::Dropped(_))) => true,
+            Ok(Err(ReadError::Unavailable(_) | ReadError::Late)) | Err(_) => false,
+        }
+    });
+    let answered = join_all(probes).await;
+    let unanswered = answered.iter().filter(|answered| !**answered).count();
+    log::info!(partitions = partitions.len(), unanswered; "reports_probed");
+    unanswered == 0
+}
+
+/// Returns the term that this entry should claim; `None` if it should not claim one.
+fn candidacy<S: Store, A: Advisor>(entry: &StoreEntry<S, A>) -> Option<Claim> {
     /// Age of the last current read of the jobs up to which an entry may be a candidate. An entry
     /// whose reads are late would also plan from outdated state.
     const MAX_CANDIDATE_READ_AGE: Duration = Duration::from_millis(1_700);
@@ -760,10 +922,16 @@
             .operators_current_at
             .is_some_and(|p| p.elapsed() < MAX_FRESH_READ_AGE),
     };
-    match state.election.step(now, candidate) {
-        TermStep::Wait => None,
-        TermStep::Claim(term) => Some((term, state.job_table_end)),
-    }
+    let (term, unread_reports) = match state.election.step(now, candidate) {
+        TermStep::Wait => return None,
+        TermStep::Claim(term) => (term, Vec::new()),
+        TermStep::ClaimIfReadable(term, unread_reports) => (term, unread_reports),
+    };
+    Some(Claim {
+        term,
+        end: state.job_table_end,
+        unread_reports,
+    })
 }
 
 fn planner_bounds<S, A>(entry: &StoreEntry<S, A>) -> PlannerBounds {
