Check in the model that jobs are started again in time after faults

The schedules looked at jobs one by one and gave each 18.2 s, by the silences and leases that free a lost place. That all starts end with a fault and do not come back showed only where the jobs of that moment were followed to their end.

Nothing may be started for 12 s at most (recovery_s of the users' small deployments) after the last fault that may keep everybody from starting, while a job waits next to room for it twice over on workers that no fault touches. After the faults a small job is submitted each second until one starts, so that the check has something to look at even if all jobs ended before. The draws of the schedules stay as they were, so the seeds that have failed keep their faults.

--- a/dragonflyrun/tests/run_schedules.rs
+++ b/dragonflyrun/tests/run_schedules.rs
@@ -1,5 +1,6 @@
 //! Under seeded schedules of faults, no task has two runs at once, none runs again after it was
-//! completed, no job waits next to room for it twice over, and every job ends.
+//! completed, no job waits next to room for it twice over, jobs are started again in time after faults,
+//! and every job ends.
 
 mod workload_world;
 
@@ -8,6 +9,9 @@
 /// Number of seeds that CI runs; `docs/PROMISES.md` says how many were run by hand.
 const SEEDS: u64 = 60;
 
+/// Number of steps between two small jobs after the faults.
+const PROBE_STEPS: u32 = 100;
+
 /// Number of steps with faults, and of the steps without faults that follow.
 const FAULT_STEPS: u32 = 4_000;
 const FAULTLESS_STEPS: u32 = 6_000;
@@ -81,9 +85,13 @@
         );
     }
     world.fault_rates = NO_FAULTS;
-    for _ in 0..FAULTLESS_STEPS {
+    world.progress.disturb(world.now);
+    for step in 0..FAULTLESS_STEPS {
+        if step % PROBE_STEPS == 0 && !world.is_served() {
+            world.submit_small();
+        }
         world.step();
-        if world.all_ended() {
+        if world.all_ended() && world.is_served() {
             break;
         }
     }
@@ -92,9 +100,17 @@
         "seed {seed}: {:?}",
         world.violations
     );
+    assert!(
+        world.is_served(),
+        "seed {seed}: nothing was started after the faults"
+    );
     assert!(world.all_ended(), "seed {seed}: jobs did not end");
     if std::env::var_os("DRAGONFLYRUN_SEEDS").is_some() {
-        println!("seed {seed}: longest wait {} ms", world.longest_wait_ms());
+        println!(
+            "seed {seed}: longest wait {} ms, longest gap {} ms",
+            world.longest_wait_ms(),
+            world.longest_gap_ms()
+        );
     }
 }
 
--- a/dragonflyrun/tests/workload_world/faults.rs
+++ b/dragonflyrun/tests/workload_world/faults.rs
@@ -158,6 +158,7 @@
     planner::end_all(world);
     let back_at = world.now + world.rng.random_range(500..2_000);
     world.outages.no_planner_until = back_at + world.rng.random_range(200..1_500);
+    world.progress.disturb(world.outages.no_planner_until);
     for i in 0..world.workers.len() {
         let until = back_at + world.rng.random_range(0..1_000);
         agent::take_down(world, i, until);
@@ -181,6 +182,7 @@
 fn cut_store(world: &mut World) {
     let until = world.now + world.rng.random_range(1_000..6_000);
     world.outages.store_cut_until = until;
+    world.progress.disturb(until);
     for i in 0..world.agents.len() {
         agent::disconnect(world, i, until);
     }
--- a/dragonflyrun/tests/workload_world/mod.rs
+++ b/dragonflyrun/tests/workload_world/mod.rs
@@ -11,6 +11,7 @@
 mod agent;
 mod faults;
 mod planner;
+mod progress;
 mod store;
 mod waits;
 mod worker;
@@ -36,6 +37,7 @@
 use agent::ModelAgent;
 use faults::Outages;
 use planner::ModelPlanner;
+use progress::Progress;
 use store::ModelStore;
 use waits::Waits;
 use worker::{ACCELERATORS, EPOCH_MS, ModelWorker};
@@ -114,6 +116,7 @@
     steps: BTreeMap<Name, Vec<Step>>,
     pub(crate) outages: Outages,
     pub(crate) waits: Waits,
+    pub(crate) progress: Progress,
     /// Tasks for which a completed run was confirmed to its worker, with the time of the
     /// confirmation.
     pub(crate) confirmed_done: BTreeMap<TaskId, u64>,
@@ -142,6 +145,7 @@
             steps: BTreeMap::new(),
             outages: Outages::new(workers),
             waits: Waits::default(),
+            progress: Progress::default(),
             confirmed_done: BTreeMap::new(),
             violations: Vec::new(),
         }
@@ -169,6 +173,23 @@
         self.waits.longest_ms
     }
 
+    /// Returns the longest time in milliseconds for which nothing was started although a job waited next
+    /// to room for it and no fault kept everybody from starting it.
+    pub(crate) fn longest_gap_ms(&self) -> u64 {
+        self.progress.longest_ms
+    }
+
+    /// Returns when a run last began, 0 if none did.
+    pub(crate) fn last_start(&self) -> u64 {
+        let starts = self.workers.iter().map(|w| w.last_start);
+        starts.max().unwrap_or(0)
+    }
+
+    /// Returns whether a job was started after the last fault that may keep everybody from starting one.
+    pub(crate) fn is_served(&self) -> bool {
+        self.progress.is_served(self.last_start())
+    }
+
     /// Returns whether any planner can act.
     pub(crate) fn can_plan(&self) -> bool {
         let is_planner = |p: &ModelPlanner| p.holds_term(&self.store);
@@ -217,7 +238,27 @@
             },
             ..first.clone()
         };
-        let steps = vec![first, second];
+        self.submit_steps(name, vec![first, second]);
+    }
+
+    /// Submits a job of a single task that fits wherever an accelerator is free.
+    pub(crate) fn submit_small(&mut self) {
+        let name: Name = format!("job-{}", self.submitted_jobs).into();
+        self.submitted_jobs += 1;
+        let step = Step {
+            tasks: 1,
+            needs: Resources {
+                cpu_millis: 1_000,
+                memory_mb: 1,
+                accelerators: 1,
+            },
+            estimate_ms: 800,
+            ..Step::default()
+        };
+        self.submit_steps(name, vec![step]);
+    }
+
+    fn submit_steps(&mut self, name: Name, steps: Vec<Step>) {
         self.steps.insert(name.clone(), steps.clone());
         let job = Job {
             name: name.clone(),
@@ -251,6 +292,7 @@
         planner::step_all(self);
         self.check_single_runs();
         waits::check(self);
+        progress::check(self);
     }
 
     fn inject_faults(&mut self) {
@@ -261,6 +303,7 @@
         if self.outages.may_claim(self.now) && (replaced || !self.can_plan()) {
             let planner = ModelPlanner::take_over(self);
             self.planners.push(planner);
+            self.progress.disturb(self.now);
         }
         let faults = self.fault_rates.agent_faults;
         if self.happens(faults) {
--- a/dragonflyrun/tests/workload_world/waits.rs
+++ b/dragonflyrun/tests/workload_world/waits.rs
@@ -39,6 +39,11 @@
 }
 
 impl Waits {
+    /// Returns whether any job waits next to room for it twice over.
+    pub(crate) fn is_any_waiting(&self) -> bool {
+        !self.since.is_empty()
+    }
+
     /// Reads the records of jobs that have been stored since the last call.
     fn read(&mut self, records: &[JobRecord]) {
         for record in &records[self.records_read..] {
--- a/dragonflyrun/tests/workload_world/worker.rs
+++ b/dragonflyrun/tests/workload_world/worker.rs
@@ -48,6 +48,8 @@
     index: usize,
     restarts: u32,
     started_at: u64,
+    /// When a run last began, 0 if none did.
+    pub(crate) last_start: u64,
     /// The time of day of its start. The host's clock may have been wrong.
     born_ms: u64,
     /// A heartbeat of each earlier incarnation, which the network may deliver late.
@@ -75,6 +77,7 @@
             index,
             restarts: 0,
             started_at: now,
+            last_start: 0,
             born_ms,
             late_heartbeats: Vec::new(),
             down_until: None,
@@ -178,6 +181,7 @@
             gang: shape.gang,
         };
         self.running.insert(order.run.clone(), run);
+        self.last_start = now;
         StartOutcome::Started
     }
 
