Apply the review of the reads: bounded delays, kept probes, limited pauses

Mended of its findings: - answers that are late by seconds raised the store's usual delay, and with it all time limits; - only the oldest late read was kept: after a silence of the store it is never answered, and all probes beside it were given up after 0.4 s. The newest two are kept as well; - the pause after a read of the configuration could outlast the proof of it. It is limited to half of the bound, and a single late read causes none; - pages of newest records that were read in part were used after the follower had read on; - reads after a refused one asked for a full page; a candidate probed the reports without pause.

--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -60,10 +60,6 @@
 /// How long a caller's request waits for a read that it has triggered.
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// How long a read of a changed configuration is expected to take, including its transfer to a host
-/// with a slow link. A change is in force within this time and the pause before the read.
-const OPERATORS_READ_TIME: Duration = Duration::from_secs(1);
-
 /// Longest delay before a failed read is retried. Callers are refused until a read succeeds.
 pub(super) const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -215,6 +211,7 @@
         let mut wait = READ_WAIT;
         // Bytes of the reads since the last pause.
         let mut unpaused_bytes = 0;
+        let mut was_current = false;
         loop {
             let sent_at = Instant::now();
             let read = select! {
@@ -228,6 +225,7 @@
             match read {
                 Ok(batch) => {
                     backoff.succeeded();
+                    was_current = true;
                     self.log_reachability(&mut reachable, true, "operators", "");
                     // A large record may take long to arrive, and confirms only what was in force
                     // when its read was sent. The read after a batch with records therefore
@@ -241,19 +239,24 @@
                     self.fold_operators(batch, &decoder);
                     if is_current {
                         let pause = self.operators_pause(take(&mut unpaused_bytes));
-                        self.pause_unless_planner(pause).await;
+                        if self.pause_unless_planner(pause).await {
+                            wait = Duration::ZERO;
+                        }
                     }
                 }
                 Err(error) => {
                     self.log_reachability(&mut reachable, false, "operators", &error.to_string());
                     lock(&self.state).reachability.read_failed();
                     let mut pause = backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY);
-                    // The store may still do the work of a late read.
-                    if error == ReadError::Late {
+                    // The store may still do the work of late reads; a single one is more likely that of
+                    // a silent connection.
+                    if error == ReadError::Late && take(&mut was_current) {
+                        log::debug!(why:% = error; "operators_read_late");
+                    } else if error == ReadError::Late {
                         pause = pause.max(self.operators_pause(follower.step_bytes()));
                     }
                     select! {
-                        () = self.pause_unless_planner(pause) => {}
+                        _ = self.pause_unless_planner(pause) => {}
                         () = self.store_regained.notified() => {}
                     }
                 }
@@ -277,21 +280,24 @@
         let mean = self.operators_pace.mean_pause(bytes, readers);
         self.counters
             .level("operators_pause_ms", mean.as_millis() as f64);
-        if mean + OPERATORS_READ_TIME > self.settings.bounds.apply {
+        if mean * 2 > self.settings.bounds.apply {
             log::warn!(
                 bytes, readers, pause_ms = mean.as_millis() as u64,
                 apply_ms = self.settings.bounds.apply.as_millis() as u64;
                 "configuration_spreads_slowly"
             );
         }
-        self.operators_pace.pause(bytes, readers)
+        // Longer pauses would let the proof of the configuration expire, and callers be refused.
+        let bounds = &self.settings.bounds;
+        let max_pause = bounds.apply.min(bounds.max_configuration_age()) / 2;
+        self.operators_pace.pause(bytes, readers).min(max_pause)
     }
 
-    /// Sleeps for `pause`, or until this entry has won a term.
-    async fn pause_unless_planner(&self, pause: Duration) {
+    /// Sleeps for `pause`, or until this entry has won a term; returns whether it has.
+    async fn pause_unless_planner(&self, pause: Duration) -> bool {
         select! {
-            () = sleep(pause) => {}
-            () = self.term_won.notified() => {}
+            () = sleep(pause) => false,
+            () = self.term_won.notified() => true,
         }
     }
 
--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -30,7 +30,7 @@
 const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Number of pages that are requested at once while the store answers probes, but no page.
-const MAX_PAGES_AT_ONCE: usize = 3;
+const MAX_PAGES_AT_ONCE: usize = 2;
 
 /// The records from one step of a follower.
 #[derive(Debug)]
@@ -160,6 +160,7 @@
             Some(next) if !take(&mut self.skips) => next,
             _ => return self.read_newest().await,
         };
+        self.newest = None;
         match self.reader.read(next, wait).await {
             Ok(answer) => {
                 let page = answer.page;
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -180,6 +180,8 @@
                     continue;
                 }
                 probe_backoff.succeeded();
+                // The claim that follows may fail because other records arrive.
+                probe_due_at = entry.now() + MIN_PROBE_DELAY;
             }
             // The claim succeeds only at the end of the partition, and the planner may have sent a
             // heartbeat since the last read.
--- a/dragonflyrun/src/process/on_store/reader.rs
+++ b/dragonflyrun/src/process/on_store/reader.rs
@@ -21,7 +21,7 @@
 //! is back, whereas a waiting read on a store without new records would show that only at the end
 //! of its wait.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{collections::VecDeque, mem::take, sync::Arc, time::Duration};
 
 use crate::{
     port::{Page, PageRequest, Partition, ReadError, Store},
@@ -41,6 +41,9 @@
 /// Time beyond its wait after which a read is reported as failed.
 const READ_LIMIT: Duration = Duration::from_millis(900);
 
+/// Number of late reads that are kept. With a probe each 0.8 s, the answer to one counts for 2 s.
+const MAX_LATE_READS: usize = 3;
+
 /// Minimum time beyond its wait after which an answer is overdue.
 const MIN_OVERDUE: Duration = Duration::from_millis(150);
 
@@ -72,8 +75,8 @@
     hedges: HedgeAllowance,
     /// Whether the last read failed.
     failing: bool,
-    /// A read that was not answered in time, with the offset of its first record.
-    late: Option<(u64, PendingRead<Page>)>,
+    /// Reads that were not answered in time, oldest first, with the offset of their first record.
+    late: (u64, Vec<PendingRead<Page>>),
 }
 
 /// How long the store takes for an answer, apart from the wait for new records.
@@ -98,7 +101,8 @@
         } else {
             took.saturating_sub(wait)
         };
-        self.samples.push_back(delay);
+        // A store that is later than this fails reads, and time limits are multiples of the delay.
+        self.samples.push_back(delay.min(READ_LIMIT));
     }
 
     fn usual(&self) -> Duration {
@@ -123,10 +127,10 @@
 impl HedgeAllowance {
     /// Hedges that may follow each other. After a pause of all traffic several connections of one
     /// reader may be silent.
-    const MAX_HEDGES: f64 = 2.0;
+    const MAX_HEDGES: f64 = 4.0;
 
     /// Hedges per answered read.
-    const HEDGES_PER_ANSWER: f64 = 0.1;
+    const HEDGES_PER_ANSWER: f64 = 0.25;
 
     fn record_answer(&mut self) {
         self.hedges = (self.hedges + Self::HEDGES_PER_ANSWER).min(Self::MAX_HEDGES);
@@ -150,7 +154,7 @@
             delay: StoreDelay::default(),
             hedges: HedgeAllowance::default(),
             failing: false,
-            late: None,
+            late: (0, Vec::new()),
         }
     }
 
@@ -166,9 +170,8 @@
     ///
     /// Returns an error if neither the read nor its hedge gets an answer in time.
     pub(super) async fn read(&mut self, from: u64, wait: Duration) -> Result<Answer, ReadError> {
-        let late = self.late.take();
-        let late = late.filter(|(late_from, read)| *late_from == from && read.is_kept());
-        let late = late.map(|(_, read)| read);
+        let (late_from, mut late) = take(&mut self.late);
+        late.retain(|read| late_from == from && read.is_kept());
         let answer = if self.failing {
             self.probe(from, late).await
         } else {
@@ -181,19 +184,15 @@
         answer
     }
 
-    /// Reads after a failed read, whose answer may still arrive.
+    /// Reads after a failed read. The answers of the `late` ones may still arrive.
     async fn probe(
         &mut self,
         from: u64,
-        late: Option<PendingRead<Page>>,
+        late: Vec<PendingRead<Page>>,
     ) -> Result<Answer, ReadError> {
         let limit = PROBE_LIMIT + self.delay.usual() * PROBE_STORE_DELAYS;
-        let max_bytes = match late {
-            Some(_) => MIN_PAGE_BYTES,
-            None => MAX_PAGE_BYTES,
-        };
-        let probe = self.start_read(from, Duration::ZERO, max_bytes);
-        let mut reads: Vec<PendingRead<Page>> = late.into_iter().chain([probe]).collect();
+        let mut reads = late;
+        reads.push(self.start_read(from, Duration::ZERO, MIN_PAGE_BYTES));
         match self.first_answer(&mut reads, limit).await {
             Some(answer) => answer,
             None => self.keep_late(from, reads),
@@ -222,9 +221,16 @@
         }
     }
 
-    /// Keeps the oldest of `reads`, which is nearest to its answer.
-    fn keep_late(&mut self, from: u64, reads: Vec<PendingRead<Page>>) -> Result<Answer, ReadError> {
-        self.late = reads.into_iter().next().map(|read| (from, read));
+    /// Keeps the oldest of `reads`, which is nearest to its answer, and the newest, since the store may
+    /// have been silent when the oldest was sent.
+    fn keep_late(
+        &mut self,
+        from: u64,
+        mut reads: Vec<PendingRead<Page>>,
+    ) -> Result<Answer, ReadError> {
+        let excess = reads.len().saturating_sub(MAX_LATE_READS);
+        reads.drain(1..=excess);
+        self.late = (from, reads);
         Err(ReadError::Late)
     }
 
