--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -211,7 +211,7 @@
         let mut wait = READ_WAIT;
         // Bytes of the reads since the last pause.
         let mut unpaused_bytes = 0;
-        let mut was_current = false;
+        let mut was_answered = false;
         loop {
             let sent_at = Instant::now();
             let read = select! {
@@ -225,7 +225,7 @@
             match read {
                 Ok(batch) => {
                     backoff.succeeded();
-                    was_current = true;
+                    was_answered = true;
                     self.log_reachability(&mut reachable, true, "operators", "");
                     // A large record may take long to arrive, and confirms only what was in force
                     // when its read was sent. The read after a batch with records therefore
@@ -248,11 +248,9 @@
                     self.log_reachability(&mut reachable, false, "operators", &error.to_string());
                     lock(&self.state).reachability.read_failed();
                     let mut pause = backoff.failed(sent_at.elapsed(), MAX_RETRY_DELAY);
-                    // The store may still do the work of late reads; a single one is more likely that of
-                    // a silent connection.
-                    if error == ReadError::Late && take(&mut was_current) {
-                        log::debug!(why:% = error; "operators_read_late");
-                    } else if error == ReadError::Late {
+                    // The store may still do the work of late reads. A single one is more likely due to a
+                    // silent connection.
+                    if !take(&mut was_answered) && error == ReadError::Late {
                         pause = pause.max(self.operators_pause(follower.step_bytes()));
                     }
                     select! {
