--- a/dragonflyrun/src/process/on_store/follower.rs
+++ b/dragonflyrun/src/process/on_store/follower.rs
@@ -232,11 +232,12 @@
 
     /// Reads the next page of newest records.
     ///
-    /// A page that is late is waited for, since the store would have to read it once more otherwise. A
-    /// second one is requested only after a probe that was sent later has been answered: the first
-    /// connection may have gone silent, or the store have been.
+    /// A page that is late is waited for, since the store would have to read it once more otherwise. It is
+    /// requested again, at growing intervals, only after a probe that was sent later has been answered:
+    /// the first connection may have gone silent, or the partition have been.
     async fn read_newest_page(&self) -> Result<Newest, ReadError> {
         let mut pages = vec![self.start_newest_page()];
+        let mut repeat_after = PROBE_INTERVAL;
         loop {
             if let Some((_, page)) = PendingRead::first_answer(&mut pages, PROBE_INTERVAL).await {
                 return page;
@@ -258,9 +259,14 @@
             if let Some((_, page)) = PendingRead::first_answer(&mut pages, PROBE_LIMIT).await {
                 return page;
             }
-            if pages.len() < MAX_PAGES_AT_ONCE {
+            if pages
+                .last()
+                .is_some_and(|page| page.sent.elapsed() >= repeat_after)
+            {
                 log::debug!(partition:? = self.partition, pending = pages.len(); "newest_page_repeated");
+                pages.truncate(MAX_PAGES_AT_ONCE - 1);
                 pages.push(self.start_newest_page());
+                repeat_after *= 2;
             }
         }
     }
@@ -282,10 +288,10 @@
         )
     }
 
-    /// Returns whether the store answers a read of a single record.
+    /// Returns whether the store answers a read of a single record of the partition.
     async fn probe(&self) -> bool {
         let req = PageRequest {
-            partition: Partition::JOBS,
+            partition: self.partition,
             from: 0,
             wait: Duration::ZERO,
             max_bytes: 0,
