--- a/review/standin-3/src/cases.rs
+++ b/review/standin-3/src/cases.rs
@@ -7,7 +7,7 @@
 };
 
 use serde_json::json;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::{
     deployment::Deployment,
@@ -25,6 +25,13 @@
 /// Lines of the record about starts of the same kind.
 const MOST_LINES: usize = 20;
 
+/// When the process of a machine is killed, in milliseconds, and how soon it is started again.
+const KILLS_MS: [u64; 3] = [0, 900, 2_450];
+const RESTART: Duration = Duration::from_millis(500);
+/// When a partition of the store goes down after the first kill, and for how long.
+const PARTITION_DOWN_AFTER: Duration = Duration::from_millis(4_030);
+const PARTITION_DOWN: Duration = Duration::from_secs(5);
+
 /// The name of the first job of a case; the others end otherwise.
 const JOB: &str = "5c0e7a21d94b36f8";
 
@@ -32,6 +39,7 @@
 pub async fn run(case: &str, record: Rc<Record>, trouble: bool) -> Option<bool> {
     match case {
         "long-schedule" => long_schedule(record, trouble).await,
+        "restarted-agent" => restarted_agent(record, trouble).await,
         "many-ends" => many_ends(record, trouble).await,
         "crash-loop" => crash_loop(record, trouble).await,
         "cancelled-elsewhere" => cancelled_elsewhere(record, trouble).await,
@@ -161,7 +169,7 @@
     all.iter().filter(is_repeated).cloned().collect()
 }
 
-/// The tasks of a lasting job fail again and again, and a gang of another job needs 4 of 11 whole workers.
+/// The tasks of a lasting job fail again and again, and a gang of another job needs 5 of 11 whole workers.
 /// Without trouble they don't fail.
 async fn crash_loop(record: Rc<Record>, trouble: bool) -> Option<bool> {
     let deployment = Deployment::start(record.clone(), 3, 11).await?;
@@ -183,10 +191,8 @@
         gpu: 8,
         ..Shape::new(4_000, 4_000, 2_000, 0)
     };
-    if !deployment
-        .submit(1, &gang, shape, json!({"count": 4, "gang": true}))
-        .await
-    {
+    let steps = json!({"count": 5, "gang": true});
+    if !deployment.submit(1, &gang, shape, steps).await {
         return None;
     }
     let accepted = Instant::now();
@@ -204,9 +210,8 @@
     let all = starts(&deployment);
     let of_gang = all.iter().filter(|s| s.task.starts_with(&gang));
     let first = of_gang.map(|s| s.began).min();
-    let waited = first
-        .unwrap_or_else(Instant::now)
-        .saturating_duration_since(accepted);
+    let waited = first.unwrap_or_else(Instant::now);
+    let waited = waited.saturating_duration_since(accepted);
     record.line(&format!(
         "the gang {} {:.1} s after it was accepted; {} starts of the lasting job",
         if first.is_some() {
@@ -270,6 +275,85 @@
     Some(!late.is_empty())
 }
 
+/// An agent is killed again and again for 3 s, while its worker runs on. The partition of its reports is down for
+/// 5 s, from shortly before its first report of the new session.
+async fn restarted_agent(record: Rc<Record>, trouble: bool) -> Option<bool> {
+    let deployment = Deployment::start(record.clone(), 3, 4).await?;
+    let shape = Shape::new(10_000, 10_000, 25_000, 0);
+    if !deployment.submit(0, JOB, shape, json!({"count": 4})).await {
+        return None;
+    }
+    sleep(Duration::from_secs(2)).await;
+    let number = deployment
+        .workers
+        .iter()
+        .position(|w| !w.tasks().is_empty())?;
+    let worker = deployment.workers[number].clone();
+    record.line(&format!("worker {} runs {:?}", worker.id, worker.tasks()));
+    let part = deployment.store.partition_of("keyed.workers", &worker.id)?;
+    // The worker sends a heartbeat each 1.5 s. The one 1.2 s and the one 2.7 s after the first
+    // kill find no agent, and the next one comes after 4.2 s.
+    loop {
+        sleep(Duration::from_millis(5)).await;
+        let reported = deployment.store.appended_at(&part, &worker.id)?;
+        let since_beat = worker.beat_at.get().elapsed();
+        let is_due =
+            since_beat > Duration::from_millis(300) && since_beat < Duration::from_millis(420);
+        if is_due && reported.elapsed() > Duration::from_millis(600) {
+            break;
+        }
+    }
+    let killed = Instant::now();
+    if trouble {
+        for after_ms in KILLS_MS {
+            sleep_until(killed + Duration::from_millis(after_ms)).await;
+            deployment.kill_agent(number);
+            record.line(&format!("the agent of {} is killed", worker.id));
+            sleep(RESTART).await;
+            if !deployment.start_agent(number) {
+                return None;
+            }
+            record.line("it is started again");
+        }
+    }
+    sleep_until(killed + PARTITION_DOWN_AFTER).await;
+    if trouble {
+        record.line(&format!("the store refuses calls to {part:?}"));
+        deployment.store.set_down(Some(part));
+    }
+    sleep(PARTITION_DOWN).await;
+    if trouble {
+        deployment.store.set_down(None);
+        record.line("the store serves all calls again");
+    }
+    sleep(Duration::from_secs(5)).await;
+    let all = starts(&deployment);
+    let now = Instant::now();
+    let mut doubled = 0;
+    for (i, a) in all.iter().enumerate() {
+        for b in all.iter().skip(i + 1).filter(|b| b.task == a.task) {
+            let end = |s: &Start| s.ended.map_or(now, |(at, _, _)| at);
+            let both = end(a)
+                .min(end(b))
+                .saturating_duration_since(a.began.max(b.began));
+            if !both.is_zero() {
+                doubled += 1;
+                record.line(&format!(
+                    "{}: run {} on {} and run {} on {} at the same time for {:.2} s",
+                    a.task,
+                    a.run,
+                    a.worker,
+                    b.run,
+                    b.worker,
+                    both.as_secs_f64()
+                ));
+            }
+        }
+    }
+    record.line(&format!("{doubled} tasks ran twice at the same time"));
+    Some(doubled > 0)
+}
+
 fn starts(deployment: &Deployment) -> Vec<Start> {
     let workers = deployment.workers.iter();
     workers.flat_map(|w| w.starts.borrow().clone()).collect()
--- a/review/standin-3/src/deployment.rs
+++ b/review/standin-3/src/deployment.rs
@@ -9,6 +9,7 @@
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     rc::Rc,
+    sync::atomic::{AtomicU16, Ordering},
     time::Duration,
 };
 
@@ -65,14 +66,17 @@
     /// The workers.
     pub workers: Vec<Rc<Worker>>,
     shapes: Rc<RefCell<BTreeMap<String, Shape>>>,
-    _agents: Vec<Process>,
+    agents: Vec<RefCell<Option<Process>>>,
+    agent_roles: Vec<Value>,
     dir: PathBuf,
 }
 
 impl Drop for Deployment {
     fn drop(&mut self) {
         // The processes are killed when they are dropped, after this; they need the files no more.
-        let _ = fs::remove_dir_all(&self.dir);
+        if std::env::var_os("KEEP_LOGS").is_none() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
     }
 }
 
@@ -92,7 +96,8 @@
             agents_store,
             workers: Vec::new(),
             shapes,
-            _agents: Vec::new(),
+            agents: Vec::new(),
+            agent_roles: Vec::new(),
             dir,
         };
         for i in 0..entries {
@@ -118,9 +123,11 @@
                 "role": "agent", "worker": worker.to_string(), "heartbeats": heartbeats.to_string(),
                 "cpu_share": 0.15,
             });
-            let store = deployment.agents_store.address;
-            let process = start(&deployment.dir, &format!("side-{i}"), store, role)?;
-            deployment._agents.push(process);
+            deployment.agent_roles.push(role);
+            deployment.agents.push(RefCell::new(None));
+            if !deployment.start_agent(i) {
+                return None;
+            }
             let shapes = deployment.shapes.clone();
             let worker = Worker::start(i, worker, heartbeats, shapes).await;
             deployment.workers.push(worker);
@@ -152,6 +159,21 @@
         true
     }
 
+    /// Starts the process of an agent; returns whether it could be started.
+    pub fn start_agent(&self, number: usize) -> bool {
+        let role = self.agent_roles[number].clone();
+        let store = self.agents_store.address;
+        let process = start(&self.dir, &format!("side-{number}"), store, role);
+        let is_started = process.is_some();
+        *self.agents[number].borrow_mut() = process;
+        is_started
+    }
+
+    /// Kills the process of an agent.
+    pub fn kill_agent(&self, number: usize) {
+        self.agents[number].borrow_mut().take();
+    }
+
     /// Sets what the tasks of a job need and how long they take.
     pub fn set_shape(&self, job: &str, shape: Shape) {
         self.shapes.borrow_mut().insert(job.to_owned(), shape);
@@ -278,7 +300,17 @@
     })
 }
 
+/// Returns a loopback address whose port is free and below those that the system gives to connections, so that
+/// none of these takes it before its process listens.
 fn free_port() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+    /// The next port to try; the process's id spreads scripts that run at the same time.
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let first = 10_000 + (std::process::id() % 170) as u16 * 128;
+    loop {
+        let port = first + NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
--- a/review/standin-3/src/store.rs
+++ b/review/standin-3/src/store.rs
@@ -45,6 +45,7 @@
 struct Part {
     records: Vec<Vec<u8>>,
     newest: BTreeMap<String, (Vec<u8>, u64)>,
+    appended_at: HashMap<String, Instant>,
     writers: HashMap<String, Writer>,
     busy_until: Option<Instant>,
 }
@@ -63,6 +64,8 @@
 pub struct Store {
     parts: RefCell<BTreeMap<(String, u32), Part>>,
     changed: Notify,
+    /// The partition whose calls are refused with 503.
+    down: RefCell<Option<(String, u32)>>,
     record: Rc<Record>,
     oversized: Cell<u32>,
 }
@@ -81,6 +84,7 @@
         Rc::new(Self {
             parts: RefCell::default(),
             changed: Notify::new(),
+            down: RefCell::default(),
             record,
             oversized: Cell::new(0),
         })
@@ -91,6 +95,30 @@
         self.oversized.get()
     }
 
+    /// Refuses all calls to a partition, or to none.
+    pub fn set_down(&self, partition: Option<(String, u32)>) {
+        *self.down.borrow_mut() = partition;
+    }
+
+    /// Returns the partition of a topic that has a record with this key.
+    pub fn partition_of(&self, topic: &str, key: &str) -> Option<(String, u32)> {
+        let parts = self.parts.borrow();
+        let mut parts = parts.iter().filter(|(id, _)| id.0 == topic);
+        parts
+            .find(|(_, part)| part.newest.contains_key(key))
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Returns when the newest record of a key was appended.
+    pub fn appended_at(&self, partition: &(String, u32), key: &str) -> Option<Instant> {
+        self.parts
+            .borrow()
+            .get(partition)?
+            .appended_at
+            .get(key)
+            .copied()
+    }
+
     /// Listens on a free loopback port.
     pub async fn listen(self: &Rc<Self>) -> Rc<Listener> {
         let listener = Rc::new(RefCell::new(None::<Rc<Listener>>));
@@ -136,6 +164,9 @@
             .filter_map(|pair| pair.split_once('='))
             .map(|(name, value)| (name.to_owned(), decode(value)))
             .collect();
+        if self.down.borrow().as_ref() == Some(&partition(&query)) {
+            return WireAnswer::status(StatusCode::SERVICE_UNAVAILABLE);
+        }
         match req.path.as_str() {
             "/api/log-append" => self.append(&query, &req.body).await,
             "/api/log-read" => self.read(&query).await,
@@ -282,6 +313,7 @@
         } else {
             let offset = part.records.len() as u64;
             part.newest.insert(key.to_owned(), (value.to_vec(), offset));
+            part.appended_at.insert(key.to_owned(), Instant::now());
         }
     }
     part.records.push(record);
--- a/review/standin-3/src/worker.rs
+++ b/review/standin-3/src/worker.rs
@@ -102,6 +102,8 @@
     token: Cell<u64>,
     until_ms: Cell<u64>,
     ended: Notify,
+    /// When it last sent a heartbeat.
+    pub beat_at: Cell<Instant>,
     /// All starts.
     pub starts: RefCell<Vec<Start>>,
 }
@@ -132,6 +134,7 @@
             token: Cell::new(0),
             until_ms: Cell::new(0),
             ended: Notify::new(),
+            beat_at: Cell::new(Instant::now()),
             starts: RefCell::default(),
         });
         let (keep, stop) = watch::channel(Phase::default());
@@ -162,6 +165,7 @@
     async fn send_heartbeats(self: Rc<Self>) {
         let client = Client::new(self.agent, 2);
         let path = format!("/api/instances/{}/heartbeat", self.id);
+        let mut is_known = false;
         for sequence in 1_u64.. {
             let body = json!({
                 "service": "svc", "address": self.address.to_string(), "zone": self.zone,
@@ -173,12 +177,14 @@
             let body = body.to_string().into_bytes();
             let second = Duration::from_secs(1);
             let answer = client.call(Method::POST, &path, &[], body, second).await;
-            // The agent may not have started yet.
-            let again = if answer.is_ok() {
+            // The agent may not have started yet at the begin.
+            is_known |= answer.is_ok();
+            let again = if is_known {
                 HEARTBEAT
             } else {
                 Duration::from_millis(200)
             };
+            self.beat_at.set(Instant::now());
             sleep(again).await;
         }
     }
