--- a/review/standin-3/src/record.rs
+++ b/review/standin-3/src/record.rs
@@ -19,6 +19,11 @@
         })
     }
 
+    /// Returns the seconds from the begin to a moment.
+    pub fn at(&self, moment: Instant) -> f64 {
+        moment.saturating_duration_since(self.began).as_secs_f64()
+    }
+
     /// Writes a line with the time since the begin.
     pub fn line(&self, text: &str) {
         let at = self.began.elapsed().as_secs_f64();
