--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -4,4 +4,4 @@
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-3/release/review-3 ] && [ -x target/release/dragonflyrund ] || exit 2
-exec target/review-3/release/review-3 cancelled-elsewhere review/10
+exec target/review-3/release/review-3 repeated-starts review/10
