Extend leases only in sessions that the planner can know of

Cause: the expiry of the leases of a fenced session counted as proof that its runs are over. The fence binds one session, and the agent's next session extends the leases of the same runs. Only its report says so, and nobody asked whether reports could be read.

Ruled out: late orders of the old session (dropped by the agent), runs that outlast their lease on the worker, a fence that counts from before its append was confirmed.

Change: an agent extends no lease before the store has a report of its session, and the planner counts leases as expired only after a complete read of the reports that was sent after the expiry. A session that extended a lease before is in that read.

--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -575,10 +575,21 @@
                 writer: None,
                 expected_end: None,
             };
-            if let Err(error) = self.store.append(&append, REPORT_TIMEOUT).await {
-                self.counters.event("report_not_stored");
-                log::debug!(reason:% = error; "report_not_stored");
-                unstored.push(report);
+            match self.store.append(&append, REPORT_TIMEOUT).await {
+                Ok(_) => {
+                    if lock(&self.table).report_stored(&report) {
+                        log::info!(
+                            worker:% = report.heartbeat.worker, session = report.session,
+                            running = report.running.len();
+                            "session_reported"
+                        );
+                    }
+                }
+                Err(error) => {
+                    self.counters.event("report_not_stored");
+                    log::debug!(reason:% = error; "report_not_stored");
+                    unstored.push(report);
+                }
             }
         }
         unstored
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -461,7 +461,11 @@
                     self.entry
                         .log_reachability(&mut reachable, true, "workers", "");
                     let is_current = batch.is_current;
+                    let sent_at = self.entry.now() - batch.requested_at.elapsed();
                     self.apply_reports(batch);
+                    if is_current {
+                        self.report_reads.borrow_mut().set_complete(sent_at, number);
+                    }
                     self.set_report_partition_readable(number, is_current);
                 }
                 Err(error) => {
--- a/dragonflyrun/src/utils/timestamp.rs
+++ b/dragonflyrun/src/utils/timestamp.rs
@@ -1,7 +1,7 @@
 //! Points in time that are passed to the decision tables.
 
 use std::{
-    ops::Add,
+    ops::{Add, Sub},
     time::Duration, //
 };
 
@@ -42,3 +42,12 @@
         Self(self.0.saturating_add(ms))
     }
 }
+
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, by: Duration) -> Self {
+        let ms = u64::try_from(by.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(ms))
+    }
+}
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -2,8 +2,12 @@
 //!
 //! The agent extends the worker's lease only on proof from the store: a read that was sent after
 //! the worker's clock was read, and that returns no fence. The process that stores a fence
-//! therefore knows that every lease has expired one lease time later, whatever happened to the
-//! agent.
+//! therefore knows that every lease of the fenced session has expired one lease time later, whatever
+//! happened to the agent.
+//!
+//! A fence binds one session, but the runs continue in the next one of the same incarnation. The agent
+//! therefore extends no lease before the store has a report of the session, which tells the planner that
+//! the runs are not over. See `docs/incidents/fenced-runs-extended.md`.
 
 use std::{
     collections::BTreeMap,
@@ -84,6 +88,8 @@
     place: Option<(Succession, u64)>,
     orders_seen: u64,
     fenced: bool,
+    /// Whether the store certainly has a report of the session.
+    is_reported: bool,
     pending: BTreeMap<RunId, Pending>,
     refused: Vec<(RunId, StartOutcome)>,
     /// Runs that the agent has ordered to stop.
@@ -353,6 +359,7 @@
             place: succession.map(|place| (place, self.lists_requested)),
             orders_seen: number + 1,
             fenced: false,
+            is_reported: false,
             pending: BTreeMap::new(),
             refused: Vec::new(),
             stopped: HashSet::default(),
@@ -424,7 +431,10 @@
         let attention = orders.iter().rev().find_map(Order::attention_after);
         session.attention = attention.unwrap_or(session.attention);
         session.is_report_due |= orders.iter().any(|order| order.attention.is_some());
-        if let (Some(read_ms), false) = (clock_read_ms, session.fenced) {
+        // Only a planner that has read a report of the session sends it orders.
+        session.is_reported |= !orders.is_empty();
+        let may_extend = session.is_reported && !session.fenced;
+        if let Some(read_ms) = clock_read_ms.filter(|_| may_extend) {
             incarnation.lease_until_ms = incarnation.lease_until_ms.max(Some(read_ms + lease));
         }
         let mut actions = Vec::new();
@@ -694,6 +704,14 @@
         reports
     }
 
+    /// Records that the store has a report, and returns whether it is the first one of the current
+    /// session, whose leases may be extended from now on.
+    pub fn report_stored(&mut self, report: &Report) -> bool {
+        let session = self.in_session(report.session);
+        let session = session.and_then(|l| l.session.as_mut());
+        session.is_some_and(|s| !std::mem::replace(&mut s.is_reported, true))
+    }
+
     /// Keeps those of the reports that could not be stored which no later one repeats: the final ones
     /// about workers that have ended or were replaced. The next reports begin with them.
     pub fn keep_final_reports(&mut self, unstored: Vec<Report>) {
--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -11,7 +11,7 @@
 use crate::{
     port::{End, EndKind, StartOutcome},
     utils::{HashMap, Name, Timestamp},
-    workload::{Contact, Report, Resources, RunId},
+    workload::{Contact, Report, ReportReads, Resources, RunId},
 };
 
 /// A run that has been running for this long proves that its worker doesn't fail every start.
@@ -452,13 +452,23 @@
 
     /// Closes the sessions whose fence has been stored for at least `lease`, including those of
     /// workers that never reported, and returns their runs: their leases have expired.
-    pub fn expire(&mut self, now: Timestamp, lease: std::time::Duration) -> Vec<RunOver> {
+    ///
+    /// A fence binds one session only, and a restarted agent may extend the leases of the same runs in its
+    /// next one. It does so only after a report of that session is stored, so no lease was extended if a
+    /// read that was sent after the last lease had expired returns no such report. See
+    /// `docs/incidents/fenced-runs-extended.md`.
+    pub fn expire(
+        &mut self,
+        now: Timestamp,
+        lease: std::time::Duration,
+        reads: &ReportReads,
+    ) -> Vec<RunOver> {
         let mut over = Vec::new();
         for (name, worker) in &mut self.workers {
             let SessionState::Fenced(since) = worker.session_state else {
                 continue;
             };
-            if now.since(since) >= lease {
+            if now.since(since) >= lease && reads.are_complete(name, since + lease) {
                 worker.session_state = SessionState::Closed;
                 log::warn!(
                     worker:% = name, session = worker.session, runs = worker.runs.len(),
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -90,8 +90,8 @@
     pub evacuated: &'a HashSet<Name>,
     /// Whether the configuration is proven to be in force. Nothing is started without that.
     pub is_fresh: bool,
-    /// Since when reports have been read without interruption. While those of an agent can't be
-    /// read, its silence says nothing about it.
+    /// Since when reports have been read without interruption, and which are certainly known. While
+    /// those of an agent can't be read, its silence says nothing about it.
     pub report_reads: &'a ReportReads,
     /// The store's usual delay before it answers.
     pub store_delay: Duration,
@@ -518,7 +518,10 @@
 
     /// Returns the decisions for the current state.
     pub fn decide(&mut self, view: &View<'_>) -> Decisions {
-        for run in self.fleet.expire(view.now, self.bounds.lease_expiry) {
+        for run in self
+            .fleet
+            .expire(view.now, self.bounds.lease_expiry, view.report_reads)
+        {
             self.run_over(view.now, run);
         }
         self.fence_silent_agents(view);
--- a/dragonflyrun/tests/agent_orders.rs
+++ b/dragonflyrun/tests/agent_orders.rs
@@ -101,6 +101,12 @@
     table.reports(0).pop().expect("a report")
 }
 
+/// Lets the store acknowledge a report.
+fn store_report(table: &mut AgentTable) {
+    let report = report(table);
+    table.report_stored(&report);
+}
+
 fn lease(table: &mut AgentTable) -> Option<u64> {
     table.request_lists().expect("a session").3
 }
@@ -113,6 +119,7 @@
     let mut table = agent();
     assert_eq!(lease(&mut table), None);
     let clock_read_ms = table.clock_ms();
+    store_report(&mut table);
     update_lists(&mut table, lists(9_000, &[]));
     table.orders(clock_read_ms, Vec::new(), 9, Instant::now());
     assert_eq!(lease(&mut table), Some(1_000 + LEASE_MS));
--- a/dragonflyrun/tests/freed_places.rs
+++ b/dragonflyrun/tests/freed_places.rs
@@ -13,7 +13,7 @@
         Report, ReportReads, RunId, Step, Succession, TaskId, TaskPlan, View, report_partition,
     },
 };
-use workload_tables::{EPOCH_MS, Harness, bounds, reads_since, task};
+use workload_tables::{EPOCH_MS, Harness, bounds, complete_reads, task};
 
 /// The time after a disturbance in which a job that can run has to run.
 const FINISH_MS: u64 = 16_000;
@@ -319,6 +319,11 @@
         }
     }
 
+    /// Returns the state of reads that return everything at the time of the next step.
+    fn next_reads(&self) -> ReportReads {
+        complete_reads(Timestamp::from_millis(self.now_ms + STEP_MS))
+    }
+
     /// Advances the time by a step, lets the live workers report once a second, and decides.
     fn step(&mut self, report_reads: &ReportReads) -> Vec<(String, RunId)> {
         self.now_ms += STEP_MS;
@@ -355,7 +360,7 @@
                 self.begin(fate);
             }
             self.continue_fate(fate);
-            let started = self.step(&reads_since(Some(Timestamp::default())));
+            let started = self.step(&self.next_reads());
             if started.iter().any(|(_, run)| run.number > 1) {
                 return Some(self.now_ms);
             }
@@ -497,7 +502,11 @@
         let now = takeover.now();
         let fails = takeover.now_ms.is_multiple_of(2_000);
         for partition in 0..PARTITIONS {
-            reads.set_readable(now, partition, !(fails && partition == failing));
+            let is_readable = !(fails && partition == failing);
+            reads.set_readable(now, partition, is_readable);
+            if is_readable {
+                reads.set_complete(now, partition);
+            }
         }
         let started = takeover.step(&reads);
         is_restarted |= started.iter().any(|(_, run)| run.number > 1);
@@ -547,7 +556,7 @@
             takeover.planner = Planner::take_over(takeover_bounds(), &placed_gang(), now);
             takeover.read_stored();
         }
-        let started = takeover.step(&reads_since(Some(Timestamp::default())));
+        let started = takeover.step(&takeover.next_reads());
         is_restarted |= started.iter().any(|(_, run)| run.number > 1);
     }
     assert!(is_restarted);
--- a/dragonflyrun/tests/run_schedules.rs
+++ b/dragonflyrun/tests/run_schedules.rs
@@ -40,6 +40,10 @@
     fault_steps: u32,
     /// Number of steps between two jobs.
     job_steps: u32,
+    /// The longest time in milliseconds that a task takes.
+    max_task_ms: u64,
+    /// The number of idle workers whose agents planners keep following closely.
+    min_close_workers: usize,
 }
 
 /// A few workers, with a fault nearly every second.
@@ -47,6 +51,17 @@
     workers: 4,
     fault_steps: FAULT_STEPS,
     job_steps: 150,
+    max_task_ms: 2_500,
+    min_close_workers: 0,
+};
+
+/// Tasks that may outlast several leases, beside workers that are ready for others.
+const LONG_TASKS: Schedule = Schedule {
+    workers: 10,
+    job_steps: 200,
+    max_task_ms: 12_000,
+    min_close_workers: 10,
+    ..SHORT
 };
 
 /// Number of seeds that CI runs of each kind of long day, beside those that have failed.
@@ -65,6 +80,8 @@
         } else {
             400
         },
+        max_task_ms: SHORT.max_task_ms,
+        min_close_workers: SHORT.min_close_workers,
     }
 }
 
@@ -73,6 +90,8 @@
         dragonflyrun::process::logging::start();
     }
     let mut world = World::new(seed, schedule.workers, fault_rates.clone());
+    world.task_ms.end = schedule.max_task_ms;
+    world.min_close_workers = schedule.min_close_workers;
     for step in 0..schedule.fault_steps {
         if step % schedule.job_steps == 0 {
             world.submit();
@@ -134,6 +153,8 @@
         store_cuts: 0,
         rereads: 0,
         successions: 0,
+        absences: 0,
+        report_cuts: 0,
     },
 };
 
@@ -213,6 +234,23 @@
     }
 }
 
+/// Guards against tasks that run twice at once because an agent whose session is fenced starts again and
+/// extends the leases of their runs, while reports can't be read.
+#[test]
+fn absent_agents() {
+    for seed in long_seeds(&[19, 36]) {
+        let fault_rates = FaultRates {
+            rare: RareFaults {
+                absences: 600,
+                report_cuts: 7_000,
+                ..NO_FAULTS.rare
+            },
+            ..NO_FAULTS
+        };
+        run_schedule(seed, LONG_TASKS, &fault_rates);
+    }
+}
+
 /// Guards against a run that counts as over although it goes on, because the agent obtained the
 /// worker's place at its address long after the session had begun.
 #[test]
@@ -343,6 +381,7 @@
                 store_cuts: 60_000,
                 rereads: 20_000,
                 successions: 30_000,
+                ..NO_FAULTS.rare
             },
             ..NO_FAULTS
         };
--- a/dragonflyrun/tests/worker_candidates.rs
+++ b/dragonflyrun/tests/worker_candidates.rs
@@ -261,6 +261,8 @@
 fn superseded_session() {
     let now = Instant::now();
     let mut table = agent(now);
+    let report = reports(&mut table).pop().expect("a report");
+    table.report_stored(&report);
     table.orders(Some(1_000), Vec::new(), 9, now);
     let lease = |table: &mut AgentTable| table.request_lists().expect("a session").3;
     assert!(lease(&mut table).is_some());
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -77,6 +77,13 @@
     reads
 }
 
+/// Returns the state of reads that have never been interrupted and have just returned everything.
+pub(crate) fn complete_reads(now: Timestamp) -> ReportReads {
+    let mut reads = reads_since(Some(Timestamp::default()));
+    reads.set_complete(now, 0);
+    reads
+}
+
 impl Harness {
     /// Returns a planner with the given number of workers of 8 accelerators, three per rack.
     pub(crate) fn new(workers: usize) -> Self {
@@ -218,7 +225,7 @@
             configuration: &self.configuration,
             evacuated: &self.evacuated,
             is_fresh: self.is_fresh,
-            report_reads: &reads_since(Some(Timestamp::default())),
+            report_reads: &complete_reads(Timestamp::from_millis(self.now_ms)),
             store_delay: self.store_delay,
         });
         self.written_records
--- a/dragonflyrun/tests/workload_world/agent.rs
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -22,6 +22,9 @@
 /// Age of the reading of the worker's clock up to which a read of orders extends the lease.
 const MAX_CLOCK_AGE_MS: u64 = 1_500;
 
+/// Milliseconds for which an agent that restarts is away.
+pub(crate) const RESTART_MS: u64 = 100;
+
 /// A message in flight between an agent and its worker or the store.
 #[derive(Debug)]
 enum Event {
@@ -122,12 +125,12 @@
     match kind {
         0 => agent.frozen_until = until,
         1 => agent.disconnected_until = until,
-        _ => restart(world, i),
+        _ => restart(world, i, RESTART_MS),
     }
 }
 
-/// Restarts an agent.
-pub(crate) fn restart(world: &mut World, i: usize) {
+/// Ends an agent, which starts again after `away_ms`.
+pub(crate) fn restart(world: &mut World, i: usize, away_ms: u64) {
     let now = world.now;
     let agent = &mut world.agents[i];
     // Calls that the worker has not executed yet still arrive; their answers are lost.
@@ -154,7 +157,7 @@
     let events = calls.collect();
     *agent = ModelAgent {
         events,
-        frozen_until: now + 100,
+        frozen_until: now + away_ms,
         ..ModelAgent::new()
     };
 }
@@ -259,6 +262,7 @@
 
 fn open_session(world: &mut World, i: usize) {
     let connected = world.now >= world.agents[i].disconnected_until;
+    let are_reports_cut = world.outages.are_reports_cut(world.now);
     let agent = &mut world.agents[i];
     let closed = agent.table.is_closed();
     if !connected || (agent.table.session().is_some() && !closed) {
@@ -269,8 +273,12 @@
             let reports = agent.table.reports(world.now);
             agent.table.forget_departed();
             let departed = agent.table.worker().is_none();
-            for report in reports {
-                world.store.report(report);
+            if are_reports_cut {
+                agent.table.keep_final_reports(reports);
+            } else {
+                for report in reports {
+                    world.store.report(report);
+                }
             }
             if departed {
                 return;
@@ -412,13 +420,19 @@
     }
     let interval = if follows_seldom(world, i) { 4_000 } else { 150 };
     world.agents[i].next_report_at = now + interval;
-    for report in world.agents[i].table.reports(now) {
+    let reports = world.agents[i].table.reports(now);
+    if world.outages.are_reports_cut(now) {
+        world.agents[i].table.keep_final_reports(reports);
+        return;
+    }
+    for report in reports {
         let late = world.fault_rates.late_appends;
         if world.happens(late) {
             let at = now + world.rng.random_range(1_000..MAX_LATE_APPEND_MS);
             world.store.report_late(at, report);
         } else {
-            world.store.report(report);
+            world.store.report(report.clone());
+            world.agents[i].table.report_stored(&report);
         }
     }
 }
@@ -503,7 +517,7 @@
 
 fn deliver_call(world: &mut World, i: usize, name: &str, call: Call, answered: bool) {
     let now = world.now;
-    let task_ms = world.rng.random_range(200..2_500);
+    let task_ms = world.rng.random_range(world.task_ms.clone());
     if world.outages.is_hung(now, i) {
         match call {
             Call::Lists { .. } => {
--- a/dragonflyrun/tests/workload_world/faults.rs
+++ b/dragonflyrun/tests/workload_world/faults.rs
@@ -1,6 +1,6 @@
 //! Rare faults of the model: losses of power at all hosts, hosts that are lost for good, workers that
-//! refuse every start or answer no call, agents that restart again and again or read no orders, planners that read old reports, and a store
-//! that nobody reaches.
+//! refuse every start or answer no call, agents that restart again and again, are away or read no
+//! orders, planners that read old reports, and a store that nobody reaches, wholly or for reports.
 
 use dragonflyrun::port::StartOutcome;
 use rand::{Rng, seq::IndexedRandom};
@@ -40,6 +40,8 @@
     power_loss_at: Option<u64>,
     no_planner_until: u64,
     store_cut_until: u64,
+    /// The time until which reports can neither be stored nor read.
+    reports_cut_until: u64,
     /// The time until which each agent restarts again and again.
     flapping_until: Vec<u64>,
     /// The time until which each worker answers no call.
@@ -57,6 +59,7 @@
             power_loss_at: None,
             no_planner_until: 0,
             store_cut_until: 0,
+            reports_cut_until: 0,
             flapping_until: vec![0; hosts],
             hung_until: vec![0; hosts],
             reads_lost_until: vec![0; hosts],
@@ -74,6 +77,11 @@
         now < self.store_cut_until
     }
 
+    /// Returns whether reports can neither be stored nor read.
+    pub(crate) fn are_reports_cut(&self, now: u64) -> bool {
+        now < self.reports_cut_until.max(self.store_cut_until)
+    }
+
     /// Returns whether a worker answers no call.
     pub(crate) fn is_hung(&self, now: u64, i: usize) -> bool {
         now < self.hung_until[i]
@@ -137,10 +145,20 @@
     if world.happens_every(rare.rereads) {
         planner::read_again(world, None);
     }
+    if world.happens_every(rare.absences) {
+        let i = world.rng.random_range(0..world.workers.len());
+        let away_ms = planner::MAX_SILENCE_MS + world.rng.random_range(100..1_000);
+        agent::restart(world, i, away_ms);
+    }
+    if world.happens_every(rare.report_cuts) {
+        let until = world.now + world.rng.random_range(2_000..8_000);
+        world.outages.reports_cut_until = until;
+        world.progress.disturb(until);
+    }
     for i in 0..world.agents.len() {
         let is_flapping = world.now < world.outages.flapping_until[i] && !world.outages.lost[i];
         if is_flapping && agent::is_connected(world, i) && world.happens_every(FLAP_INTERVAL_MS) {
-            agent::restart(world, i);
+            agent::restart(world, i, agent::RESTART_MS);
         }
     }
 }
--- a/dragonflyrun/tests/workload_world/mod.rs
+++ b/dragonflyrun/tests/workload_world/mod.rs
@@ -18,6 +18,7 @@
 
 use std::{
     collections::BTreeMap,
+    ops::Range,
     time::{Duration, Instant}, //
 };
 
@@ -99,6 +100,10 @@
     pub(crate) rereads: u64,
     /// A new planner takes over although the current one may be healthy.
     pub(crate) successions: u64,
+    /// An agent is away for so long that its session is fenced, and starts again.
+    pub(crate) absences: u64,
+    /// Nobody can store or read reports for a while.
+    pub(crate) report_cuts: u64,
 }
 
 /// The model.
@@ -112,6 +117,10 @@
     pub(crate) agents: Vec<ModelAgent>,
     planners: Vec<ModelPlanner>,
     submitted_jobs: u32,
+    /// The shortest and the longest time in milliseconds that a task takes.
+    pub(crate) task_ms: Range<u64>,
+    /// The number of idle workers whose agents planners keep following closely.
+    pub(crate) min_close_workers: usize,
     /// The steps of each job.
     steps: BTreeMap<Name, Vec<Step>>,
     pub(crate) outages: Outages,
@@ -142,6 +151,8 @@
             agents,
             planners: Vec::new(),
             submitted_jobs: 0,
+            task_ms: 200..2_500,
+            min_close_workers: 0,
             steps: BTreeMap::new(),
             outages: Outages::new(workers),
             waits: Waits::default(),
@@ -224,7 +235,7 @@
                 memory_mb: 1,
                 accelerators: if whole { ACCELERATORS } else { 1 },
             },
-            estimate_ms: 800,
+            estimate_ms: self.estimate_ms(),
             gang,
             ..Step::default()
         };
@@ -252,12 +263,17 @@
                 memory_mb: 1,
                 accelerators: 1,
             },
-            estimate_ms: 800,
+            estimate_ms: self.estimate_ms(),
             ..Step::default()
         };
         self.submit_steps(name, vec![step]);
     }
 
+    /// Returns the callers' estimate, which is so long that few runs are stopped as overdue.
+    fn estimate_ms(&self) -> u64 {
+        (self.task_ms.end / 4).max(800)
+    }
+
     fn submit_steps(&mut self, name: Name, steps: Vec<Step>) {
         self.steps.insert(name.clone(), steps.clone());
         let job = Job {
--- a/dragonflyrun/tests/workload_world/planner.rs
+++ b/dragonflyrun/tests/workload_world/planner.rs
@@ -53,13 +53,11 @@
             keep_ended: Duration::from_secs(10_000),
             far_factor: 3.0,
             checkpoint_every: Duration::from_secs(2),
-            min_close_workers: 0,
+            min_close_workers: world.min_close_workers,
         };
         let planner = Planner::take_over(bounds, &job_table, Timestamp::from_millis(world.now));
         let workers = planner.fleet().workers().map(|(name, _)| name.to_string());
         let fences = workers.map(Write::Fence);
-        let mut report_reads = ReportReads::new(1);
-        report_reads.set_readable(Timestamp::from_millis(world.now), 0, true);
         let writes: VecDeque<_> = (0_u64..).zip(fences).collect();
         Self {
             next_write: writes.len() as u64,
@@ -70,7 +68,7 @@
             writes,
             retry_at: 0,
             next_step_at: world.now,
-            report_reads,
+            report_reads: ReportReads::new(1),
             is_replaced: false,
         }
     }
@@ -135,6 +133,9 @@
         return;
     }
     read(world, planner);
+    if planner.reports_read.is_none() {
+        return;
+    }
     let configuration = Configuration {
         version: 1,
         ..Configuration::default()
@@ -172,6 +173,12 @@
     }
     planner.jobs_read = world.store.jobs.len();
     let now = Timestamp::from_millis(world.now);
+    let is_readable = !world.outages.are_reports_cut(world.now);
+    planner.report_reads.set_readable(now, 0, is_readable);
+    if !is_readable {
+        return;
+    }
+    planner.report_reads.set_complete(now, 0);
     if let Some(read) = planner.reports_read {
         for report in &world.store.reports[read..] {
             planner.planner.apply_report(now, report.clone());
--- a/dragonflyrun/tests/workload_world/waits.rs
+++ b/dragonflyrun/tests/workload_world/waits.rs
@@ -74,7 +74,9 @@
     }
     let mut waits = std::mem::take(&mut world.waits);
     waits.read(&world.store.jobs);
-    let waiting: BTreeSet<Name> = match world.can_plan() {
+    // Without reports a planner learns of no place that becomes free.
+    let can_plan = world.can_plan() && !world.outages.are_reports_cut(world.now);
+    let waiting: BTreeSet<Name> = match can_plan {
         true => waiting_jobs(world, &waits.jobs),
         false => BTreeSet::new(),
     };
