Keep ended jobs by a clock that doesn't step

Cause: the planner stored the time of day of the end and compared it with the time of day later, maybe on another host. The stored time was also that of the decision, not of the moment from which callers can learn of the end.

Ruled out: a margin for steps, since their number has no limit and two hosts differ by both of their steps.

Change: each process measures the age of an end on its monotonic clock, from when it first read the stored end. Planners take that time over from their entry. JobTable::fold takes the time of the read. The time in which members of a completed gang report their own end is measured in the same way.

--- a/dragonflyrun/src/process/on_store/caller_records.rs
+++ b/dragonflyrun/src/process/on_store/caller_records.rs
@@ -95,7 +95,7 @@
     /// so that this entry's answers reflect it at once.
     fn fold_stored(&self, record: JobRecord) {
         let mut state = lock(&self.state);
-        if state.job_table.fold(record.clone()) {
+        if state.job_table.fold(self.now(), record.clone()) {
             state.queue_for_planner(record);
         }
         drop(state);
--- a/dragonflyrun/src/process/on_store/entry.rs
+++ b/dragonflyrun/src/process/on_store/entry.rs
@@ -442,7 +442,8 @@
                 JobRecord::Load(load) => state.admission.apply(load.clone()),
                 JobRecord::Accepted(_) | JobRecord::Cancelled(_) => {}
             }
-            if state.job_table.fold(record.clone()) && !matches!(record, JobRecord::Planner(_)) {
+            if state.job_table.fold(now, record.clone()) && !matches!(record, JobRecord::Planner(_))
+            {
                 changed = true;
                 state.queue_for_planner(record);
             }
--- a/dragonflyrun/src/process/on_store/planner_term.rs
+++ b/dragonflyrun/src/process/on_store/planner_term.rs
@@ -102,8 +102,8 @@
 /// that is reserved against a priority: about a rack, so that a gang that needs one can start.
 const MIN_CLOSE_WORKERS: usize = 20;
 
-/// How much slower a worker's clock may run than the planner's, as the ratio of the planner's rate
-/// to the worker's.
+/// How much slower another host's clock may run than the planner's, as the ratio of the planner's rate
+/// to the other's.
 const MAX_CLOCK_RATE_RATIO: f64 = 1.02;
 
 /// Margin added to the time after which a lease has expired, for steps in either clock.
@@ -945,7 +945,7 @@
     PlannerBounds {
         max_silence: MAX_AGENT_SILENCE,
         lease_expiry: bounds.lease.mul_f64(MAX_CLOCK_RATE_RATIO) + CLOCK_STEP_MARGIN,
-        keep_ended: bounds.keep_ended,
+        keep_ended: bounds.keep_ended.mul_f64(MAX_CLOCK_RATE_RATIO),
         far_factor: bounds.far_factor,
         checkpoint_every: bounds.checkpoint_every,
         min_close_workers: MIN_CLOSE_WORKERS,
--- a/dragonflyrun/src/workload/job_table.rs
+++ b/dragonflyrun/src/workload/job_table.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     port::JobState,
-    utils::{HashMap, Name},
+    utils::{HashMap, Name, Timestamp},
     workload::{Job, JobPlan, JobRecord, Outcome, Term},
 };
 
@@ -15,6 +15,8 @@
     pub cancelled: bool,
     /// The newest plan of the job: how far its tasks are and how it ended.
     pub plan: JobPlan,
+    /// When this process first read that the job has ended, on its own clock.
+    pub ended_at: Option<Timestamp>,
 }
 
 /// The result of looking up a job for a caller.
@@ -34,9 +36,9 @@
 }
 
 impl JobTable {
-    /// Folds a record into the table and returns whether it changed anything. The result depends
-    /// neither on the order of the records nor on repeats.
-    pub fn fold(&mut self, record: JobRecord) -> bool {
+    /// Folds a record that was read by `now` into the table and returns whether it changed anything. The
+    /// result depends neither on the order of the records nor on repeats.
+    pub fn fold(&mut self, now: Timestamp, record: JobRecord) -> bool {
         match record {
             JobRecord::Accepted(job) => {
                 let known = self.jobs.entry(job.name.clone()).or_default();
@@ -55,6 +57,9 @@
                 let newer = plan.revision > known.plan.revision;
                 if newer {
                     known.plan = *plan;
+                    if known.plan.outcome.is_some() {
+                        known.ended_at.get_or_insert(now);
+                    }
                 }
                 newer
             }
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -18,6 +18,12 @@
     pub(super) job: Box<Job>,
     pub(super) cancelled: bool,
     pub(super) plan: JobPlan,
+    /// When the planner decided that the job has ended, or took it over.
+    pub(super) ended_at: Option<Timestamp>,
+    /// Whether the end has been read from the store, so that callers may have learned of it.
+    pub(super) is_end_stored: bool,
+    /// When that was first known to this process.
+    pub(super) end_stored_at: Option<Timestamp>,
     /// The workers on which runs of the job have failed.
     pub(super) failed_on: Vec<Name>,
     /// When a run of the job last failed.
@@ -41,6 +47,9 @@
             job,
             cancelled: false,
             plan: JobPlan::default(),
+            ended_at: None,
+            is_end_stored: false,
+            end_stored_at: None,
             failed_on: Vec::new(),
             failed_at: None,
             overdue_stopped: HashSet::default(),
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -22,9 +22,9 @@
     utils::{HashMap, HashSet, Name, Timestamp},
     workload::{
         Attention, Contact, Demand, EvictionCounts, ExpectedWaits, Fleet, FleetWorker, Job,
-        JobPlan, JobRecord, JobTable, JobWait, LoadRecord, Order, Pace, Place, Report, ReportReads,
-        Room, RunId, RunTimes, SessionState, SpeedEstimate, TaskId, TaskPlan, TaskStart,
-        WaitEstimator, WaitReason, Waiting, WorkerSpeeds, WorkerStatus, WorkspaceShare,
+        JobRecord, JobTable, JobWait, KnownJob, LoadRecord, Order, Pace, Place, Report,
+        ReportReads, Room, RunId, RunTimes, SessionState, SpeedEstimate, TaskId, TaskPlan,
+        TaskStart, WaitEstimator, WaitReason, Waiting, WorkerSpeeds, WorkerStatus, WorkspaceShare,
         admission::PlannerWork,
         demands::Demands,
         departure,
@@ -199,7 +199,7 @@
         };
         for (name, entry) in book.jobs() {
             if let Some(job) = &entry.job {
-                planner.adopt(now, name, job.clone(), entry.cancelled, entry.plan.clone());
+                planner.adopt(now, name, job.clone(), entry);
             } else if entry.cancelled {
                 planner.cancelled_first.insert(name.clone());
             }
@@ -207,14 +207,8 @@
         planner
     }
 
-    fn adopt(
-        &mut self,
-        now: Timestamp,
-        name: &Name,
-        job: Box<Job>,
-        cancelled: bool,
-        plan: JobPlan,
-    ) {
+    fn adopt(&mut self, now: Timestamp, name: &Name, job: Box<Job>, known: &KnownJob) {
+        let plan = known.plan.clone();
         for occurrence in 0..job.request.repeats() {
             for (step, shape) in (0_u32..).zip(&job.request.steps) {
                 for (index, number) in (0_u32..).zip(job.task_numbers(occurrence, step)) {
@@ -239,7 +233,10 @@
             }
         }
         let mut live = LiveJob::new(job);
-        live.cancelled = cancelled;
+        live.cancelled = known.cancelled;
+        live.ended_at = plan.outcome.map(|_| now);
+        live.is_end_stored = plan.outcome.is_some();
+        live.end_stored_at = known.ended_at;
         live.plan = plan;
         self.jobs.insert(name.clone(), live);
     }
@@ -259,8 +256,13 @@
                     self.cancelled_first.insert(name.clone());
                 }
             },
-            // Only the planner writes plans, and its own state is newer than what the store
-            // returns.
+            // Only the planner writes plans, and its own state is newer than what the store returns. The
+            // record shows which of that is stored.
+            JobRecord::Plan(name, Some(plan)) if plan.outcome.is_some() => {
+                if let Some(live) = self.jobs.get_mut(name) {
+                    live.is_end_stored = true;
+                }
+            }
             JobRecord::Accepted(_)
             | JobRecord::Plan(..)
             | JobRecord::Planner(_)
@@ -597,19 +599,31 @@
         Some(estimate)
     }
 
+    /// Removes the state of jobs whose end has been stored for long enough.
+    ///
+    /// The time of day may step and differs between hosts, so the age of an end is that of its first read
+    /// by this process. See `docs/incidents/early-removal.md`.
     fn remove_ended_jobs(&mut self, view: &View<'_>) -> Vec<StoreRecord> {
-        let keep_ms = u64::try_from(self.bounds.keep_ended.as_millis()).unwrap_or(u64::MAX);
-        let old = self.jobs.iter().filter(|(_, l)| {
-            l.plan.outcome.is_some()
-                && !l.plan.has_runs()
-                && l.plan.ended_ms.saturating_add(keep_ms) < view.unix_ms
-        });
-        let old: Vec<Name> = old.map(|(name, _)| name.clone()).collect();
+        let mut old = Vec::new();
+        for (name, live) in &mut self.jobs {
+            if !live.is_end_stored {
+                continue;
+            }
+            let stored_at = *live.end_stored_at.get_or_insert(view.now);
+            let kept = view.now.since(stored_at);
+            if kept > self.bounds.keep_ended && !live.plan.has_runs() {
+                old.push((name.clone(), kept, live.plan.ended_ms));
+            }
+        }
         let mut records = Vec::new();
-        for name in old {
+        for (name, kept, ended_ms) in old {
             self.jobs.remove(&name);
             self.tickets.get_mut().remove_job(&name);
-            log::debug!(job:% = name; "job_state_removed");
+            log::debug!(
+                job:% = name, kept_ms = kept.as_millis() as u64,
+                by_time_of_day_ms = view.unix_ms.saturating_sub(ended_ms);
+                "job_state_removed"
+            );
             records.extend(JobRecord::tombstones(&name));
         }
         records
--- a/dragonflyrun/src/workload/planner/run_ends.rs
+++ b/dragonflyrun/src/workload/planner/run_ends.rs
@@ -14,9 +14,8 @@
     },
 };
 
-/// Milliseconds after a completed gang's first reported end in which the other members report
-/// theirs.
-const GANG_END_REPORTS_MS: u64 = 2_000;
+/// Time after a completed gang's first reported end in which the other members report theirs.
+const GANG_END_REPORTS: Duration = Duration::from_secs(2);
 
 impl Planner {
     /// Applies the end of a run to its task and its job.
@@ -161,6 +160,7 @@
                         );
                     }
                     live.plan.end(outcome, view.unix_ms.max(1));
+                    live.ended_at = Some(view.now);
                     self.changed.insert(name.clone());
                     log::info!(
                         job:% = name, outcome:? = outcome,
@@ -213,7 +213,8 @@
         match live.plan.outcome {
             // The members of a gang end together, so the ends of the others will be reported soon.
             Some(Outcome::Completed) => {
-                return view.unix_ms < live.plan.ended_ms + GANG_END_REPORTS_MS;
+                let ended_at = live.ended_at.unwrap_or(view.now);
+                return view.now.since(ended_at) < GANG_END_REPORTS;
             }
             Some(Outcome::Failed | Outcome::Cancelled) => return false,
             None => {}
--- a/dragonflyrun/tests/freed_places.rs
+++ b/dragonflyrun/tests/freed_places.rs
@@ -176,8 +176,11 @@
         ..JobPlan::default()
     };
     let mut table = JobTable::default();
-    table.fold(JobRecord::Accepted(Box::new(gang())));
-    table.fold(JobRecord::Plan("gang".into(), Some(Box::new(plan))));
+    table.fold(Timestamp::default(), JobRecord::Accepted(Box::new(gang())));
+    table.fold(
+        Timestamp::default(),
+        JobRecord::Plan("gang".into(), Some(Box::new(plan))),
+    );
     table
 }
 
--- a/dragonflyrun/tests/load_admission.rs
+++ b/dragonflyrun/tests/load_admission.rs
@@ -245,7 +245,10 @@
         "a guarantee is for urgent jobs"
     );
     assert!(!covered(&table, "w", 0, 1));
-    table.fold(JobRecord::Accepted(Box::new(job_of("sure", "old", 0, 5))));
+    table.fold(
+        Timestamp::default(),
+        JobRecord::Accepted(Box::new(job_of("sure", "old", 0, 5))),
+    );
     assert!(covered(&table, "sure", 0, 3));
     assert!(!covered(&table, "sure", 0, 4));
     let ended = JobPlan {
@@ -253,7 +256,10 @@
         outcome: Some(Outcome::Completed),
         ..JobPlan::default()
     };
-    table.fold(JobRecord::Plan("old".into(), Some(Box::new(ended))));
+    table.fold(
+        Timestamp::default(),
+        JobRecord::Plan("old".into(), Some(Box::new(ended))),
+    );
     assert!(covered(&table, "sure", 0, 8));
 
     let entry = Entry::new(record(0, waits(600_000), None));
@@ -442,7 +448,7 @@
         Some(JobRecord::Load(load.clone()))
     );
     let mut table = JobTable::default();
-    assert!(!table.fold(JobRecord::Load(load)));
+    assert!(!table.fold(Timestamp::default(), JobRecord::Load(load)));
     assert_eq!(table.jobs().count(), 0);
 }
 
@@ -617,10 +623,10 @@
     for i in 0..100 {
         let mut job = job_of("w", &format!("job-{i}"), 1, 8);
         job.request.steps = vec![task(8)];
-        table.fold(JobRecord::Accepted(Box::new(job)));
+        table.fold(Timestamp::default(), JobRecord::Accepted(Box::new(job)));
     }
     for record in harness.written_records.drain(..) {
-        table.fold(record);
+        table.fold(Timestamp::default(), record);
     }
     harness.planner = dragonflyrun::workload::Planner::take_over(
         workload_tables::bounds(),
--- a/dragonflyrun/tests/run_proofs.rs
+++ b/dragonflyrun/tests/run_proofs.rs
@@ -259,20 +259,23 @@
         }],
         occurrences: None,
     };
-    job_table.fold(JobRecord::Accepted(Box::new(dragonflyrun::workload::Job {
-        name: job,
-        queue: "q".into(),
-        service: "svc".into(),
-        workspace: None,
-        priority: 1,
-        max_attempts: 3,
-        stretch: 3.0,
-        target_ms: 1_000,
-        accepted_ms: EPOCH_MS,
-        request,
-    })));
+    job_table.fold(
+        Timestamp::default(),
+        JobRecord::Accepted(Box::new(dragonflyrun::workload::Job {
+            name: job,
+            queue: "q".into(),
+            service: "svc".into(),
+            workspace: None,
+            priority: 1,
+            max_attempts: 3,
+            stretch: 3.0,
+            target_ms: 1_000,
+            accepted_ms: EPOCH_MS,
+            request,
+        })),
+    );
     for record in &harness.written_records {
-        job_table.fold(record.clone());
+        job_table.fold(Timestamp::default(), record.clone());
     }
     let now = Timestamp::from_millis(0);
     let mut successor = Planner::take_over(bounds(), &job_table, now);
@@ -306,7 +309,7 @@
         .iter()
         .chain(&harness.written_records)
     {
-        table.fold(record.clone());
+        table.fold(Timestamp::default(), record.clone());
     }
     let now = Timestamp::from_millis(harness.now_ms);
     harness.planner = Planner::take_over(bounds(), &table, now);
--- a/dragonflyrun/tests/served_demands.rs
+++ b/dragonflyrun/tests/served_demands.rs
@@ -409,7 +409,7 @@
         let harness = &mut self.harness;
         let records = harness.accepted_records.iter();
         for record in records.chain(&harness.written_records) {
-            table.fold(record.clone());
+            table.fold(Timestamp::default(), record.clone());
         }
         let now = Timestamp::from_millis(harness.now_ms);
         let mut planner = Planner::take_over(self.bounds.clone(), &table, now);
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -206,7 +206,7 @@
         let mut table = JobTable::default();
         let records = self.accepted_records.iter().chain(&self.written_records);
         for record in records {
-            table.fold(record.clone());
+            table.fold(Timestamp::from_millis(self.now_ms), record.clone());
         }
         let now = Timestamp::from_millis(self.now_ms);
         self.planner = Planner::take_over(bounds(), &table, now);
@@ -228,8 +228,10 @@
             report_reads: &complete_reads(Timestamp::from_millis(self.now_ms)),
             store_delay: self.store_delay,
         });
-        self.written_records
-            .extend(decisions.plans.iter().filter_map(JobRecord::decode));
+        for record in decisions.plans.iter().filter_map(JobRecord::decode) {
+            self.planner.apply_job_record(&record);
+            self.written_records.push(record);
+        }
         for order in &decisions.orders {
             self.offset += 1;
             self.planner
--- a/dragonflyrun/tests/workload_world/planner.rs
+++ b/dragonflyrun/tests/workload_world/planner.rs
@@ -45,7 +45,7 @@
         world.store.term += 1;
         let mut job_table = JobTable::default();
         for record in &world.store.jobs {
-            job_table.fold(record.clone());
+            job_table.fold(Timestamp::from_millis(world.now), record.clone());
         }
         let bounds = PlannerBounds {
             max_silence: Duration::from_millis(MAX_SILENCE_MS),
--- a/dragonflyrun/tests/workspace_shares.rs
+++ b/dragonflyrun/tests/workspace_shares.rs
@@ -241,13 +241,13 @@
             let job = harness.job(workspace, workspace, 1, vec![whole_workers(tasks)]);
             let record = JobRecord::Accepted(Box::new(job));
             harness.planner.apply_job_record(&record);
-            table.fold(record);
+            table.fold(Timestamp::default(), record);
         }
         harness.pass();
         harness.report_all();
         if replaced {
             for record in &harness.written_records {
-                table.fold(record.clone());
+                table.fold(Timestamp::default(), record.clone());
             }
             let now = Timestamp::from_millis(harness.now_ms);
             harness.planner = Planner::take_over(bounds(), &table, now);
