Check before each attempt whether a start may still be sent

Cause: the conditions of a start were checked as its order was accepted. A first attempt waits for a connection, and attempts without an answer are repeated for as long as the lease could last.

Ruled out: new orders (refused from the heartbeat on) and late execution of calls that were sent in time (excepted by the rule).

Change: AgentTable::start_refusal is asked just before each attempt is sent, and its answer is the result of the start. Starts without an answer are repeated for 2 s at most, so that a failure domain that is taken out of service has no new runs after evacuate_ms. Calls that were not sent are told apart from those without an answer.

--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -137,8 +137,8 @@
     /// When the lease of everything on the worker expires, in milliseconds of the worker's own
     /// clock.
     pub lease_until_ms: u64,
-    /// When the planner may count the lease as expired. The call must not be sent after that: a worker
-    /// that has restarted under its name doesn't refuse the old lease, since its clock began anew.
+    /// When the call must no longer be sent. It is before the planner may count the lease as expired: a
+    /// worker that has restarted under its name doesn't refuse the old lease, since its clock began anew.
     pub send_before: Instant,
     /// The fencing token.
     pub token: u64,
@@ -175,6 +175,10 @@
     /// Why a call to a worker returned no result.
     #[derive(Clone, Debug, Eq, PartialEq)]
     pub enum CallError {
+        /// The call was not sent; nothing was done.
+        NotSent(reason: String) {
+            display("not sent: {reason}")
+        }
         /// The call may have been carried out, or may still be.
         NoAnswer(reason: String) {
             display("no answer: {reason}")
@@ -207,8 +211,14 @@
     /// Returns the address that all calls go to. No two workers are there at the same time.
     fn address(&self) -> Name;
 
-    /// Starts a run.
-    async fn start(&self, worker: &str, order: &StartOrder) -> Result<StartOutcome, CallError>;
+    /// Starts a run. The call may have to wait for a connection, so `may_send` is asked just before it is
+    /// sent; if it returns `false`, the result is [`CallError::NotSent`].
+    async fn start(
+        &self,
+        worker: &str,
+        order: &StartOrder,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<StartOutcome, CallError>;
 
     /// Stops a run, or ensures that it never starts.
     async fn stop(&self, worker: &str, run: &RunId, token: u64) -> Result<(), CallError>;
--- a/dragonflyrun/src/process/on_store/agent.rs
+++ b/dragonflyrun/src/process/on_store/agent.rs
@@ -1,6 +1,7 @@
 //! The agent: carries out the planner's orders on its worker and reports the results.
 
 use std::{
+    cell::Cell,
     future::pending,
     sync::{Arc, Mutex},
     time::{Duration, Instant},
@@ -440,17 +441,29 @@
         match action {
             AgentAction::Start(order) => {
                 let sent = Instant::now();
-                let answer = match sent < order.send_before {
-                    true => self.worker.start(worker, &order).await,
-                    false => Ok(StartOutcome::Expired),
+                let refused = Cell::new(None);
+                let may_send = || {
+                    refused.set(lock(&self.table).start_refusal(&order, Instant::now()));
+                    refused.get().is_none()
                 };
+                // A start that is known to be refused doesn't wait for a connection.
+                let answer = match may_send() {
+                    true => self.worker.start(worker, &order, &may_send).await,
+                    false => Err(CallError::NotSent("no longer wanted".to_owned())),
+                };
+                let refused = refused.get();
                 self.counters.latency("start", sent.elapsed());
                 log::info!(
                     job:% = order.run.task.job, run:% = order.run, worker:% = worker,
-                    outcome:? = answer, lease_until_ms = order.lease_until_ms;
+                    outcome:? = answer, refused:? = refused,
+                    lease_until_ms = order.lease_until_ms,
+                    left_ms = order.send_before.saturating_duration_since(sent).as_millis() as u64;
                     "run_start"
                 );
-                let result = start_result(&answer);
+                let result = match refused {
+                    Some(outcome) => StartResult::Answered(outcome),
+                    None => start_result(&answer),
+                };
                 if result != StartResult::Answered(StartOutcome::Started) {
                     self.counters.event("start_not_done");
                 }
@@ -654,6 +667,7 @@
         Err(CallError::OtherLife) => StartResult::Answered(StartOutcome::OtherLife),
         Err(CallError::Fenced) => StartResult::Answered(StartOutcome::Fenced),
         Err(CallError::Refused(_)) => StartResult::Answered(StartOutcome::Unhealthy),
+        Err(CallError::NotSent(_)) => StartResult::NotSent,
         Err(CallError::NoAnswer(_) | CallError::NotListening) => StartResult::Unknown,
     }
 }
--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -39,6 +39,8 @@
 pub enum StartResult {
     /// The worker answered the call with this outcome.
     Answered(StartOutcome),
+    /// The call was not sent; the start has to be retried.
+    NotSent,
     /// The call had no answer; the start has to be retried.
     Unknown,
 }
@@ -73,6 +75,8 @@
         order: Box<StartOrder>,
         /// Whether the worker may have carried out an earlier attempt whose answer was lost.
         may_have_started: bool,
+        /// When the first attempt was to be sent.
+        tried_since: Option<Instant>,
     },
     /// The worker has not answered the stop.
     StopSent,
@@ -158,6 +162,11 @@
 /// a second.
 const UNREACHABLE_AFTER_CHECKS: u32 = 2;
 
+/// Time in which a start without an answer is repeated. What the planner knew when it ordered the start is
+/// outdated after that: a failure domain that operators take out of service must have no new runs after
+/// 5 s, and the planner may take 2 s to learn of it.
+const START_REPEAT_TIME: Duration = Duration::from_secs(2);
+
 /// Maximum number of refused starts in a report; the planner needs only the newest ones.
 const MAX_REPORTED_REFUSALS: usize = 64;
 
@@ -474,9 +483,13 @@
         else {
             return false;
         };
-        let StartResult::Answered(outcome) = result else {
-            *may_have_started = true;
-            return false;
+        let outcome = match result {
+            StartResult::Answered(outcome) => outcome,
+            StartResult::NotSent => return false,
+            StartResult::Unknown => {
+                *may_have_started = true;
+                return false;
+            }
         };
         let may_have_started = *may_have_started;
         if outcome == StartOutcome::Started {
@@ -498,6 +511,29 @@
         true
     }
 
+    /// Returns why a start must not be sent to the worker now; `None` if it may be.
+    ///
+    /// Whatever forbids a start may have happened after its order was accepted: a first attempt waits for
+    /// a connection, and later ones repeat it for as long as it has no answer. So this is asked before each
+    /// attempt, and its answer is applied as the result of the start. See
+    /// `docs/incidents/repeated-starts.md`.
+    pub fn start_refusal(&mut self, order: &StartOrder, now: Instant) -> Option<StartOutcome> {
+        let Some(incarnation) = self.in_session(order.token) else {
+            return Some(StartOutcome::OtherLife);
+        };
+        if let Some(refusal) = incarnation.start_refusal() {
+            return Some(refusal);
+        }
+        let session = incarnation.session.as_mut();
+        let pending = session.and_then(|s| s.pending.get_mut(&order.run));
+        let Some(Pending::StartSent { tried_since, .. }) = pending else {
+            return Some(StartOutcome::Superseded);
+        };
+        let tried_since = *tried_since.get_or_insert(now);
+        let is_late = now >= order.send_before.min(tried_since + START_REPEAT_TIME);
+        is_late.then_some(StartOutcome::Expired)
+    }
+
     /// Applies the result of a stop.
     pub fn stop_result(&mut self, run: &RunId, token: u64, result: &Result<(), CallError>) {
         if let (Some((session, lists_requested)), Ok(())) = (self.session_of(token), result)
@@ -755,21 +791,13 @@
     }
 
     fn start(&mut self, start: TaskStart, send_before: Instant) -> Option<AgentAction> {
-        let leaving = self.heartbeat.draining || self.left;
         let lease = self.lease_until_ms;
-        let is_elsewhere = self.is_superseded || self.process_gone;
+        let refusal = self.start_refusal();
         if start.checkpoint.is_empty() {
             self.paces.start(&start.run);
         }
         let session = self.session.as_mut()?;
-        if leaving || session.fenced || is_elsewhere {
-            let outcome = if leaving {
-                StartOutcome::Draining
-            } else if session.fenced {
-                StartOutcome::Fenced
-            } else {
-                StartOutcome::OtherLife
-            };
+        if let Some(outcome) = refusal {
             session.refused.push((start.run, outcome));
             session.is_report_due = true;
             return None;
@@ -786,11 +814,26 @@
         let start_sent = Pending::StartSent {
             order: Box::new(order.clone()),
             may_have_started: false,
+            tried_since: None,
         };
         session.pending.insert(start.run, start_sent);
         Some(AgentAction::Start(order))
     }
 
+    /// Returns why nothing may be started on the worker.
+    fn start_refusal(&self) -> Option<StartOutcome> {
+        let is_fenced = self.session.as_ref().is_some_and(|s| s.fenced);
+        if self.heartbeat.draining || self.left {
+            Some(StartOutcome::Draining)
+        } else if is_fenced {
+            Some(StartOutcome::Fenced)
+        } else if self.is_superseded || self.process_gone {
+            Some(StartOutcome::OtherLife)
+        } else {
+            None
+        }
+    }
+
     fn stop(&mut self, run: RunId) -> AgentAction {
         if let Some(session) = &mut self.session {
             session.pending.insert(run.clone(), Pending::StopSent);
--- a/dragonflyrun/src/workload/candidates.rs
+++ b/dragonflyrun/src/workload/candidates.rs
@@ -144,9 +144,12 @@
             })
             | Err(CallError::OtherLife) => Self::Absent,
             Ok(WorkerLists { born_ms: None, .. }) | Err(CallError::Fenced) => Self::NamePresent,
-            Err(CallError::NoAnswer(_) | CallError::NotListening | CallError::Refused(_)) => {
-                Self::Unknown
-            }
+            Err(
+                CallError::NotSent(_)
+                | CallError::NoAnswer(_)
+                | CallError::NotListening
+                | CallError::Refused(_),
+            ) => Self::Unknown,
         }
     }
 }
--- a/dragonflyrun/tests/repeated_appends.rs
+++ b/dragonflyrun/tests/repeated_appends.rs
@@ -268,7 +268,12 @@
         "w:1".into()
     }
 
-    async fn start(&self, _: &str, _: &StartOrder) -> Result<StartOutcome, CallError> {
+    async fn start(
+        &self,
+        _: &str,
+        _: &StartOrder,
+        _: &dyn Fn() -> bool,
+    ) -> Result<StartOutcome, CallError> {
         Ok(StartOutcome::NoRoom)
     }
 
--- a/dragonflyrun/tests/workload_world/agent.rs
+++ b/dragonflyrun/tests/workload_world/agent.rs
@@ -383,12 +383,11 @@
     };
     let now = world.instant();
     for action in actions {
+        let table = &mut world.agents[i].table;
         if let AgentAction::Start(order) = &action
-            && now >= order.send_before
+            && let Some(refusal) = table.start_refusal(order, now)
         {
-            let expired = StartResult::Answered(StartOutcome::Expired);
-            let table = &mut world.agents[i].table;
-            table.start_result(&order.run, session, expired);
+            table.start_result(&order.run, session, StartResult::Answered(refusal));
             continue;
         }
         send(world, i, worker.to_string(), Call::Act(session, action));
--- a/standins/src/steps/worker.rs
+++ b/standins/src/steps/worker.rs
@@ -173,7 +173,15 @@
         self.0.shape.name.clone()
     }
 
-    async fn start(&self, _worker: &str, order: &StartOrder) -> Result<StartOutcome, CallError> {
+    async fn start(
+        &self,
+        _worker: &str,
+        order: &StartOrder,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<StartOutcome, CallError> {
+        if !may_send() {
+            return Err(CallError::NotSent("no longer wanted".to_owned()));
+        }
         let worker = &self.0;
         if !worker.accept_token(order.token) {
             return Ok(StartOutcome::Fenced);
