Don't hold failures against workers if the job fails everywhere

Cause: each failure was held against the worker, whatever job it was of, so that one job had worker after worker set aside for 6 s.

Ruled out: room (at most 16 of 704 cores in use), and the gang itself, which begins at once if the tasks don't fail.

Change: once a job has failed on three workers within 10 s and none of its tasks has completed since, its failures are no longer held against workers. They also no longer make the last attempts of other jobs wait for proven workers. The list of workers on which a job has failed has each of them once.

--- a/dragonflyrun/src/workload/fleet.rs
+++ b/dragonflyrun/src/workload/fleet.rs
@@ -90,7 +90,7 @@
     pub runs: BTreeMap<RunId, WorkerRun>,
     /// The number up to which the ends of runs are recorded in the plan.
     pub confirmed: u64,
-    /// The number of consecutive failed runs.
+    /// The number of consecutive failed runs that are held against the worker.
     pub failures: u32,
     /// When the newest run was ordered that has finished there or has been running for
     /// `HEALTHY_RUN_TIME`.
@@ -562,11 +562,6 @@
                 full_run_since: run.filter(|r| r.is_full_run).map(|r| r.placed_at),
                 why: RunOverReason::Ended(end.clone()),
             });
-            match end.kind {
-                EndKind::Failed => self.failures += 1,
-                EndKind::Done => self.failures = 0,
-                _ => {}
-            }
         }
         let last = report.ends.iter().map(|e| e.number).max().unwrap_or(0);
         self.confirmed = self.confirmed.max(last);
--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -97,6 +97,13 @@
         failed > 0 && failed + 1 >= self.job.max_attempts
     }
 
+    /// Records that a run of the job has failed on a worker.
+    pub(super) fn record_failed_on(&mut self, worker: &Name) {
+        if !self.failed_on.contains(worker) {
+            self.failed_on.push(worker.clone());
+        }
+    }
+
     /// Records the duration of a task, as derived from the progress of one of its runs.
     pub(super) fn record_task_ms(&mut self, task: &TaskId, total_ms: u64) {
         let Some(number) = self.job.task_number(task) else {
--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -47,7 +47,7 @@
     },
 };
 
-/// Number of runs that have to fail in a row on a worker, of whatever jobs, before it is
+/// Number of failed runs in a row that have to be held against a worker, of whatever jobs, before it is
 /// quarantined.
 const QUARANTINE_AFTER_FAILURES: u32 = 2;
 
@@ -813,7 +813,7 @@
         for (worker, run) in runs {
             if let Some(live) = self.jobs.get_mut(&run.task.job) {
                 live.overdue_stopped.insert(run.task.clone());
-                live.failed_on.push(worker.clone());
+                live.record_failed_on(&worker);
             }
             self.stop(&worker, &run, "overdue");
         }
--- a/dragonflyrun/src/workload/planner/run_ends.rs
+++ b/dragonflyrun/src/workload/planner/run_ends.rs
@@ -118,15 +118,7 @@
                     counted.failed += 1;
                 }
                 live.failed_at = Some(now);
-                let consecutive = self.fleet.get(&worker).map_or(1, |w| w.failures);
-                self.failures.add(Failure {
-                    at: now,
-                    worker: worker.clone(),
-                    job: run.task.job.clone(),
-                    ran: running_since.map_or(Duration::ZERO, |since| now.since(since)),
-                    consecutive,
-                });
-                live.failed_on.push(worker);
+                live.record_failed_on(&worker);
             }
             EndKind::Stopped
             | EndKind::LeaseExpired
@@ -134,6 +126,52 @@
             | EndKind::GangIncomplete
             | EndKind::Other => {}
         }
+        let ran = running_since.map_or(Duration::ZERO, |since| now.since(since));
+        self.count_end(now, &run, &worker, end.kind, ran);
+    }
+
+    /// Counts the end of a run that has been running for `ran` as evidence for or against its worker and
+    /// its job.
+    fn count_end(
+        &mut self,
+        now: Timestamp,
+        run: &RunId,
+        worker: &Name,
+        kind: EndKind,
+        ran: Duration,
+    ) {
+        let job = &run.task.job;
+        match kind {
+            EndKind::Done => {
+                self.failures.task_done(job);
+                if let Some(known) = self.fleet.get_mut(worker) {
+                    known.failures = 0;
+                }
+            }
+            EndKind::Failed => {
+                let blames_worker = self.failures.blames_worker(worker, job);
+                let known = self.fleet.get_mut(worker);
+                let consecutive = known.map_or(1, |known| {
+                    known.failures += u32::from(blames_worker);
+                    known.failures
+                });
+                log::info!(
+                    job:% = job, run:% = run, worker:% = worker, blames_worker, consecutive,
+                    ran_ms = ran.as_millis() as u64;
+                    "run_failed"
+                );
+                self.failures.add(Failure {
+                    at: now,
+                    worker: worker.clone(),
+                    job: job.clone(),
+                    ran,
+                    consecutive,
+                    blames_worker,
+                    is_job_proven: false,
+                });
+            }
+            _ => {}
+        }
     }
 
     /// Ends the jobs that are complete, failed or cancelled, and stops runs that are no longer
--- a/dragonflyrun/src/workload/recent_failures.rs
+++ b/dragonflyrun/src/workload/recent_failures.rs
@@ -1,4 +1,9 @@
-//! Recent failures of runs, and which workers they make suspect.
+//! Recent failures of runs, and which workers or jobs they make suspect.
+//!
+//! A failure is the fault of the task or of its worker. Failures of several jobs on one worker are
+//! evidence against the worker, and those of one job on several workers against the job. Without that
+//! difference a lasting job whose tasks keep failing would have one worker after the other set aside,
+//! while other jobs wait for them (`docs/incidents/crash-loop.md`).
 //!
 //! Sometimes several workers begin to fail everything that they start. A gang over 35 of 240
 //! workers, 18 of which are faulty, is certain to include one of them, and uses up its attempts
@@ -19,6 +24,10 @@
 /// Share of all workers from which on failures on that many workers aren't chance.
 const MIN_FAULTY_SHARE: f64 = 0.02;
 
+/// Number of workers with recent failures of a job, none of whose tasks has completed since, from which on
+/// the job is to blame. Two workers are not enough: several may be faulty.
+const MIN_BLAMED_JOB_WORKERS: usize = 3;
+
 /// Consecutive failures after which a worker counts as faulty; single failures happen anywhere.
 const MIN_CONSECUTIVE_FAILURES: u32 = 2;
 
@@ -53,14 +62,19 @@
     pub(super) job: Name,
     /// How long the run had been running.
     pub(super) ran: Duration,
-    /// Number of runs that failed in a row on the worker.
+    /// Number of runs that failed in a row on the worker and are held against it.
     pub(super) consecutive: u32,
+    /// Whether the failure is held against the worker.
+    pub(super) blames_worker: bool,
+    /// Whether a task of the job has completed since.
+    pub(super) is_job_proven: bool,
 }
 
 impl Failure {
     /// Returns whether the failure is likely the worker's fault rather than the task's.
     fn indicates_faulty_worker(&self) -> bool {
-        self.consecutive >= MIN_CONSECUTIVE_FAILURES || self.ran < EARLY_FAILURE
+        self.blames_worker
+            && (self.consecutive >= MIN_CONSECUTIVE_FAILURES || self.ran < EARLY_FAILURE)
     }
 }
 
@@ -81,10 +95,27 @@
         }
     }
 
+    /// Records that a task of a job has completed, so that earlier failures are no evidence against it.
+    pub(super) fn task_done(&mut self, job: &Name) {
+        for failure in self.failures.iter_mut().filter(|f| f.job == *job) {
+            failure.is_job_proven = true;
+        }
+    }
+
+    /// Returns whether the next failure of a run of `job` on `worker` is to be held against the worker: the
+    /// job has not failed on so many workers that it is to blame itself.
+    pub(super) fn blames_worker(&self, worker: &Name, job: &Name) -> bool {
+        let of_job = self.failures.iter().filter(|f| f.job == *job);
+        let workers = of_job.filter(|f| !f.is_job_proven).map(|f| &f.worker);
+        let workers: HashSet<&Name> = workers.chain([worker]).collect();
+        workers.len() < MIN_BLAMED_JOB_WORKERS
+    }
+
     /// Returns the time since which several workers have been failing; `None` if at most one is.
     pub(super) fn failing_since(&self) -> Option<Timestamp> {
-        let first = self.failures.front()?;
-        let workers: HashSet<&Name> = self.failures.iter().map(|f| &f.worker).collect();
+        let of_workers = self.failures.iter().filter(|f| f.blames_worker);
+        let first = of_workers.clone().next()?;
+        let workers: HashSet<&Name> = of_workers.map(|f| &f.worker).collect();
         (workers.len() >= MIN_FAULTY_WORKERS).then_some(first.at)
     }
 
