Refuse heartbeats and records with oversized fields or counters

Reported by other operators: one odd entry among those of the workers ends the processes that read it, or stops them. Deep nesting, numbers beyond their type and ports out of range do neither here. Two other faults were found on the way.

A heartbeat with a text of 256 KB was accepted, and the agent could never report again, since its reports repeat the text and exceed the size of a record. A counter near 2^64 made a report, plan, term, load record or end newer than all later ones, or overflowed: with a worker's clock of 2^64 - 1 the agent's task ended in a build with overflow checks.

Messages with a counter above 2^53 are refused as a whole.

--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    utils::Name,
+    utils::{Name, exact_number},
     workload::{Resources, RunId},
 };
 
@@ -39,10 +39,36 @@
     #[serde(default)]
     pub remaining_ms: Option<u64>,
     /// Increases with each heartbeat of one incarnation.
+    #[serde(deserialize_with = "exact_number")]
     pub sequence: u64,
 }
 
+/// Maximum size of a name that a worker sends about itself: that of a key in the store.
+const MAX_NAME_BYTES: usize = 253;
+
+/// Maximum number of a worker's labels.
+const MAX_LABELS: usize = 64;
+
 impl Heartbeat {
+    /// Returns the first field that is too large. A report repeats all of them and has to fit into a record
+    /// of the store beside the lists of a busy worker, so a heartbeat with such a field must not be accepted.
+    pub fn oversized_field(&self) -> Option<&'static str> {
+        let is_long = |name: &Name| name.len() > MAX_NAME_BYTES;
+        let fields = [
+            ("worker", is_long(&self.worker)),
+            ("address", is_long(&self.address)),
+            ("service", is_long(&self.service)),
+            ("failure_domain", is_long(&self.failure_domain)),
+            ("rack", self.rack.as_ref().is_some_and(is_long)),
+            (
+                "labels",
+                self.labels.len() > MAX_LABELS || self.labels.iter().any(is_long),
+            ),
+        ];
+        let oversized = fields.into_iter().find(|(_, is_large)| *is_large);
+        oversized.map(|(field, _)| field)
+    }
+
     /// Returns whether this names the service, address and failure domain of `other`, which don't change
     /// while a worker lives.
     pub fn has_place_of(&self, other: &Self) -> bool {
@@ -99,7 +125,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct End {
     /// The number of this end among those of one incarnation of the worker, from 1 on.
-    #[serde(rename = "n")]
+    #[serde(rename = "n", deserialize_with = "exact_number")]
     pub number: u64,
     /// Which run of which task.
     #[serde(rename = "r")]
--- a/dragonflyrun/src/workload/admission.rs
+++ b/dragonflyrun/src/workload/admission.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     port::Configuration,
-    utils::{HashMap, Name, Timestamp},
+    utils::{HashMap, Name, Timestamp, exact_number},
     workload::{Job, JobTable, Term, live::USEFUL_OBJECTIVES},
 };
 
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LoadRecord {
     /// The number of the planner's term.
-    #[serde(rename = "n")]
+    #[serde(rename = "n", deserialize_with = "exact_number")]
     pub term: u64,
     /// When the record was written, in Unix milliseconds on the planner's clock.
     #[serde(rename = "t")]
--- a/dragonflyrun/src/workload/message.rs
+++ b/dragonflyrun/src/workload/message.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     port::{End, Heartbeat, RunningTask, StartOutcome},
-    utils::Name,
+    utils::{Name, exact_number},
     workload::{
         Attention,
         Pace,
@@ -50,7 +50,12 @@
     )]
     pub starts: Vec<TaskStart>,
     /// The number up to which ends are recorded in the plan and may be confirmed to the worker.
-    #[serde(rename = "n", default, skip_serializing_if = "is_zero_u64")]
+    #[serde(
+        rename = "n",
+        default,
+        deserialize_with = "exact_number",
+        skip_serializing_if = "is_zero_u64"
+    )]
     pub confirmed: u64,
     /// Whether the session is fenced: the agent must stop all runs, must not extend the lease any more
     /// and has to begin a new session, since the tasks may be started elsewhere.
@@ -168,7 +173,7 @@
     #[serde(rename = "a")]
     pub address: Name,
     /// The offset of a session record in the lane of the address.
-    #[serde(rename = "n")]
+    #[serde(rename = "n", deserialize_with = "exact_number")]
     pub number: u64,
 }
 
@@ -180,17 +185,17 @@
     #[serde(rename = "h")]
     pub heartbeat: Heartbeat,
     /// The number of the agent's session.
-    #[serde(rename = "s")]
+    #[serde(rename = "s", deserialize_with = "exact_number")]
     pub session: u64,
     /// The number of the report, which increases with each report of a session.
-    #[serde(rename = "q")]
+    #[serde(rename = "q", deserialize_with = "exact_number")]
     pub sequence: u64,
     /// When the report was sent, in Unix milliseconds on the agent's host. It only hints at the age of
     /// the report, since clocks may jump.
     #[serde(rename = "a", default)]
     pub sent_ms: u64,
     /// The offset before which all orders are carried out, except for the runs in `starting`.
-    #[serde(rename = "o")]
+    #[serde(rename = "o", deserialize_with = "exact_number")]
     pub orders_seen: u64,
     /// The runs with a start or stop that the worker hasn't answered or whose result its lists don't
     /// reflect yet.
--- a/dragonflyrun/src/workload/plan.rs
+++ b/dragonflyrun/src/workload/plan.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    utils::Name,
+    utils::{Name, exact_number},
     workload::{
         Job,
         TaskId,
@@ -31,7 +31,7 @@
     #[serde(rename = "w")]
     pub worker: Name,
     /// The session of the worker's agent.
-    #[serde(rename = "s")]
+    #[serde(rename = "s", deserialize_with = "exact_number")]
     pub session: u64,
 }
 
@@ -63,7 +63,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobPlan {
     /// Increases with each change, so that an older record never replaces a newer one.
-    #[serde(rename = "v")]
+    #[serde(rename = "v", deserialize_with = "exact_number")]
     pub revision: u64,
     /// Whether any task has been ordered.
     #[serde(rename = "b", default, skip_serializing_if = "is_false")]
--- a/dragonflyrun/src/workload/record.rs
+++ b/dragonflyrun/src/workload/record.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     port::StoreRecord,
-    utils::Name,
+    utils::{Name, exact_number},
     workload::{EntryRecord, Job, JobPlan, LoadRecord},
 };
 
@@ -34,6 +34,7 @@
 pub struct Term {
     /// The number of the term, which is the fencing token of the planner's appends. It increases with
     /// each change of the planner.
+    #[serde(deserialize_with = "exact_number")]
     pub number: u64,
     /// The entry that is planner in this term.
     pub entry: Name,
