--- a/dragonflyrun/src/workload/planner.rs
+++ b/dragonflyrun/src/workload/planner.rs
@@ -606,7 +606,7 @@
     fn remove_ended_jobs(&mut self, view: &View<'_>) -> Vec<StoreRecord> {
         let mut old = Vec::new();
         for (name, live) in &mut self.jobs {
-            if !live.is_end_stored {
+            if !live.is_end_stored || live.plan.outcome.is_none() {
                 continue;
             }
             let stored_at = *live.end_stored_at.get_or_insert(view.now);
