Hold failures of jobs with a limit of attempts against workers as before

A gang that fails on several faulty workers was taken for the cause from the third worker on, so that these were found later or not at all.

Only jobs without one, those with a lasting step, may now be to blame.

--- a/dragonflyrun/src/workload/live.rs
+++ b/dragonflyrun/src/workload/live.rs
@@ -83,7 +83,7 @@
     }
 
     /// Returns whether the next run of a task, or of its gang, is a retry that uses up the attempts.
-    /// If it fails, the job fails, unless the job has a lasting step.
+    /// If it fails, the job fails if it [limits the attempts](Self::limits_attempts).
     pub(super) fn is_last_attempt(&self, occurrence: u32, step: u32, index: u32) -> bool {
         let gang = self
             .job
@@ -168,8 +168,12 @@
         }
         let tasks = self.plan.tasks.values();
         let mut exhausted = tasks.filter(|t| !t.done && t.failed >= self.job.max_attempts.max(1));
-        let lasting = self.job.request.steps.iter().any(|s| s.lasting);
-        (!lasting && exhausted.next().is_some()).then_some(Outcome::Failed)
+        (self.limits_attempts() && exhausted.next().is_some()).then_some(Outcome::Failed)
+    }
+
+    /// Returns whether the job fails once a task has used up its attempts.
+    pub(super) fn limits_attempts(&self) -> bool {
+        !self.job.request.steps.iter().any(|s| s.lasting)
     }
 }
 
--- a/dragonflyrun/src/workload/planner/run_ends.rs
+++ b/dragonflyrun/src/workload/planner/run_ends.rs
@@ -8,6 +8,7 @@
     utils::{Name, Timestamp},
     workload::{
         Outcome, RunId, RunOver, RunOverReason,
+        live::LiveJob,
         planner::{Planner, View},
         recent_failures::Failure,
         speed_samples::TimedRun,
@@ -149,7 +150,10 @@
                 }
             }
             EndKind::Failed => {
-                let blames_worker = self.failures.blames_worker(worker, job);
+                // Limited attempts bound what a job that fails everywhere can cost, and faulty workers have
+                // to be found also where a gang fails on several of them.
+                let is_limited = self.jobs.get(job).is_none_or(LiveJob::limits_attempts);
+                let blames_worker = is_limited || self.failures.blames_worker(worker, job);
                 let known = self.fleet.get_mut(worker);
                 let consecutive = known.map_or(1, |known| {
                     known.failures += u32::from(blames_worker);
