Count a stored report only for the worker that it is about

The sessions of two workers may have the same number.

lease_proofs::extension_needs_report has the case and fails without the change.

--- a/dragonflyrun/src/workload/agent_table.rs
+++ b/dragonflyrun/src/workload/agent_table.rs
@@ -743,8 +743,10 @@
     /// Records that the store has a report, and returns whether it is the first one of the current
     /// session, whose leases may be extended from now on.
     pub fn report_stored(&mut self, report: &Report) -> bool {
-        let session = self.in_session(report.session);
-        let session = session.and_then(|l| l.session.as_mut());
+        // Sessions of two workers may have the same number.
+        let incarnation = self.in_session(report.session);
+        let incarnation = incarnation.filter(|l| l.id() == IncarnationId::of(&report.heartbeat));
+        let session = incarnation.and_then(|l| l.session.as_mut());
         session.is_some_and(|s| !std::mem::replace(&mut s.is_reported, true))
     }
 
--- a/dragonflyrun/tests/lease_proofs.rs
+++ b/dragonflyrun/tests/lease_proofs.rs
@@ -9,7 +9,7 @@
 use agent_inputs::{heartbeat, register, run, sender};
 use dragonflyrun::{
     Timestamp,
-    port::{RunningTask, WorkerLists},
+    port::{Heartbeat, RunningTask, WorkerLists},
     utils::Name,
     workload::{AgentTable, Order, Report, ReportReads, RunId, View},
 };
@@ -57,8 +57,17 @@
         session: SESSION - 1,
         ..report.clone()
     };
-    assert!(!table.report_stored(&earlier));
-    assert_eq!(lease_after(&mut table, Vec::new()), None);
+    let other_worker = Report {
+        heartbeat: Heartbeat {
+            worker: "replaced".into(),
+            ..heartbeat()
+        },
+        ..report.clone()
+    };
+    for other in [earlier, other_worker] {
+        assert!(!table.report_stored(&other));
+        assert_eq!(lease_after(&mut table, Vec::new()), None);
+    }
     assert!(table.report_stored(&report));
     assert_eq!(lease_after(&mut table, Vec::new()), Some(7_000));
 }
