--- a/dragonflyrun/src/port/worker.rs
+++ b/dragonflyrun/src/port/worker.rs
@@ -43,7 +43,7 @@
     pub sequence: u64,
 }
 
-/// Maximum size of a name that a worker sends about itself: that of a key in the store.
+/// Maximum size in bytes of a name that a worker sends about itself; a key of the store holds more.
 const MAX_NAME_BYTES: usize = 253;
 
 /// Maximum number of a worker's labels.
--- a/dragonflyrun/src/workload/planner/run_ends.rs
+++ b/dragonflyrun/src/workload/planner/run_ends.rs
@@ -8,7 +8,6 @@
     utils::{Name, Timestamp},
     workload::{
         Outcome, RunId, RunOver, RunOverReason,
-        live::LiveJob,
         planner::{Planner, View},
         recent_failures::Failure,
         speed_samples::TimedRun,
@@ -94,6 +93,13 @@
             }
             return;
         };
+        let job = &run.task.job;
+        if end.kind == EndKind::Done {
+            self.failures.task_done(job);
+            if let Some(known) = self.fleet.get_mut(&worker) {
+                known.failures = 0;
+            }
+        }
         match end.kind {
             EndKind::Done if shape.lasting => {}
             EndKind::Done => {
@@ -120,45 +126,15 @@
                 }
                 live.failed_at = Some(now);
                 live.record_failed_on(&worker);
-            }
-            EndKind::Stopped
-            | EndKind::LeaseExpired
-            | EndKind::GangBroken
-            | EndKind::GangIncomplete
-            | EndKind::Other => {}
-        }
-        let ran = running_since.map_or(Duration::ZERO, |since| now.since(since));
-        self.count_end(now, &run, &worker, end.kind, ran);
-    }
-
-    /// Counts the end of a run that has been running for `ran` as evidence for or against its worker and
-    /// its job.
-    fn count_end(
-        &mut self,
-        now: Timestamp,
-        run: &RunId,
-        worker: &Name,
-        kind: EndKind,
-        ran: Duration,
-    ) {
-        let job = &run.task.job;
-        match kind {
-            EndKind::Done => {
-                self.failures.task_done(job);
-                if let Some(known) = self.fleet.get_mut(worker) {
-                    known.failures = 0;
-                }
-            }
-            EndKind::Failed => {
                 // Limited attempts bound what a job that fails everywhere can cost, and faulty workers have
                 // to be found also where a gang fails on several of them.
-                let is_limited = self.jobs.get(job).is_none_or(LiveJob::limits_attempts);
-                let blames_worker = is_limited || self.failures.blames_worker(worker, job);
-                let known = self.fleet.get_mut(worker);
-                let consecutive = known.map_or(1, |known| {
+                let blames_worker =
+                    live.limits_attempts() || self.failures.blames_worker(&worker, job);
+                let consecutive = self.fleet.get_mut(&worker).map_or(1, |known| {
                     known.failures += u32::from(blames_worker);
                     known.failures
                 });
+                let ran = running_since.map_or(Duration::ZERO, |since| now.since(since));
                 log::info!(
                     job:% = job, run:% = run, worker:% = worker, blames_worker, consecutive,
                     ran_ms = ran.as_millis() as u64;
@@ -166,15 +142,19 @@
                 );
                 self.failures.add(Failure {
                     at: now,
-                    worker: worker.clone(),
                     job: job.clone(),
+                    worker,
                     ran,
                     consecutive,
                     blames_worker,
                     is_job_proven: false,
                 });
             }
-            _ => {}
+            EndKind::Stopped
+            | EndKind::LeaseExpired
+            | EndKind::GangBroken
+            | EndKind::GangIncomplete
+            | EndKind::Other => {}
         }
     }
 
--- a/dragonflyrun/src/workload/recent_failures.rs
+++ b/dragonflyrun/src/workload/recent_failures.rs
@@ -1,8 +1,7 @@
 //! Recent failures of runs, and which workers or jobs they make suspect.
 //!
-//! A failure is the fault of the task or of its worker. Failures of several jobs on one worker are
-//! evidence against the worker, and those of one job on several workers against the job. Without that
-//! difference a job without a limit of attempts whose tasks keep failing would have one worker after the
+//! A failure is the fault of the task or of its worker. Failures of one job on several workers are
+//! evidence against the job. Without that difference a job without a limit of attempts whose tasks keep failing would have one worker after the
 //! other set aside, while other jobs wait for them (`docs/incidents/crash-loop.md`).
 //!
 //! Sometimes several workers begin to fail everything that they start. A gang over 35 of 240
--- a/dragonflyrun/tests/ended_jobs.rs
+++ b/dragonflyrun/tests/ended_jobs.rs
@@ -6,9 +6,9 @@
 use dragonflyrun::{
     Timestamp,
     port::EndKind,
-    workload::{Decisions, JobRecord, JobTable, Outcome, Planner, Step, View},
+    workload::{Decisions, JobRecord, Outcome, Step, View},
 };
-use workload_tables::{EPOCH_MS, Harness, bounds, complete_reads, task};
+use workload_tables::{EPOCH_MS, Harness, complete_reads, task};
 
 const KEEP_MS: u64 = 120_000;
 
@@ -68,17 +68,6 @@
         let removed = plans.iter().filter(|record| record.value.is_none());
         removed.count() > 0
     }
-
-    /// Lets the planner of another process take over, which has read all records at `read_at_ms`.
-    fn take_over(&mut self, read_at_ms: u64) {
-        let mut table = JobTable::default();
-        let records = self.harness.accepted_records.iter();
-        for record in records.chain(&self.harness.written_records) {
-            table.fold(Timestamp::from_millis(read_at_ms), record.clone());
-        }
-        self.harness.planner = Planner::take_over(bounds(), &table, self.now());
-        self.harness.report_all();
-    }
 }
 
 /// Guards against a job that is unknown too early, because the time of day was behind when it ended.
@@ -131,7 +120,7 @@
     let mut ended = Ended::new(0);
     ended.read_end();
     ended.harness.advance(60_000);
-    ended.take_over(60_000);
+    ended.harness.change_planner();
     ended.ahead_ms = 2_000;
     assert!(!ended.is_removed(KEEP_MS - 1_000));
     assert!(ended.is_removed(2_000));
@@ -145,7 +134,7 @@
     ended.read_end();
     for _ in 0..3 {
         ended.harness.advance(30_000);
-        ended.take_over(1_000);
+        ended.harness.change_planner_to(1_000);
     }
     assert!(ended.is_removed(KEEP_MS - 90_000 + 2_000));
 }
--- a/dragonflyrun/tests/failing_jobs.rs
+++ b/dragonflyrun/tests/failing_jobs.rs
@@ -7,17 +7,16 @@
 
 const WORKERS: usize = 11;
 
-/// Returns a harness with the lasting jobs `loop0`, `loop1` and so on, whose tasks have kept failing for a
-/// while, wherever they ran.
-fn failing_jobs(jobs: usize, tasks: u32) -> Harness {
+/// Returns a harness with the lasting jobs `loop0`, `loop1` and so on of this step, whose tasks have kept
+/// failing for a while, wherever they ran.
+fn failing_jobs(jobs: usize, step: Step) -> Harness {
     let mut harness = Harness::new(WORKERS);
+    let step = Step {
+        lasting: true,
+        ..step
+    };
     for i in 0..jobs {
-        let step = Step {
-            tasks,
-            lasting: true,
-            ..task(0)
-        };
-        harness.submit(&format!("loop{i}"), 1, vec![step]);
+        harness.submit(&format!("loop{i}"), 1, vec![step.clone()]);
     }
     for _ in 0..24 {
         fail_once(&mut harness, jobs);
@@ -25,6 +24,14 @@
     harness
 }
 
+/// Returns a step of tasks that run anywhere.
+fn small_tasks() -> Step {
+    Step {
+        tasks: 16,
+        ..task(0)
+    }
+}
+
 /// Lets all tasks of the failing jobs start and fail again.
 fn fail_once(harness: &mut Harness, jobs: usize) {
     harness.pass();
@@ -52,31 +59,26 @@
 /// worker after the other set aside.
 #[test]
 fn failing_job() {
-    let mut harness = failing_jobs(1, 16);
+    let mut harness = failing_jobs(1, small_tasks());
     assert!(begins_gang(&mut harness, 1));
 }
 
 /// Guards against the same where several jobs keep failing: they are no evidence for each other.
 #[test]
 fn several_failing_jobs() {
-    let mut harness = failing_jobs(3, 16);
+    let mut harness = failing_jobs(3, small_tasks());
     assert!(begins_gang(&mut harness, 3));
 }
 
 /// Guards against the same where each failing task of the job is a member of a gang.
 #[test]
 fn failing_gang() {
-    let mut harness = Harness::new(WORKERS);
-    let step = Step {
+    let gang = Step {
         tasks: 5,
         gang: true,
-        lasting: true,
         ..task(1)
     };
-    harness.submit("loop0", 1, vec![step]);
-    for _ in 0..24 {
-        fail_once(&mut harness, 1);
-    }
+    let mut harness = failing_jobs(1, gang);
     assert!(begins_gang(&mut harness, 1));
 }
 
@@ -84,7 +86,7 @@
 /// it runs makes workers look faulty.
 #[test]
 fn last_attempt_beside() {
-    let mut harness = failing_jobs(1, 16);
+    let mut harness = failing_jobs(1, small_tasks());
     harness.submit("job", 0, vec![task(8)]);
     for _ in 0..2 {
         harness.pass();
--- a/dragonflyrun/tests/start_refusals.rs
+++ b/dragonflyrun/tests/start_refusals.rs
@@ -22,6 +22,17 @@
     now: Instant,
 }
 
+/// Reads empty lists of the incarnation that was born at this time.
+fn read_lists(table: &mut AgentTable, born_ms: u64, now: Instant) {
+    let (request, token, ..) = table.request_lists().expect("a session");
+    let lists = WorkerLists {
+        clock_ms: 1_000,
+        born_ms: Some(born_ms),
+        ..WorkerLists::default()
+    };
+    table.lists(request, token, lists, now);
+}
+
 impl Starting {
     fn new() -> Self {
         let now = Instant::now();
@@ -38,25 +49,12 @@
             starts: vec![start],
             ..Order::default()
         };
-        let mut starting = Self {
-            order: StartOrder {
-                run: run(),
-                payload: "text".into(),
-                checkpoint: String::new(),
-                lease_until_ms: 0,
-                send_before: now + LEASE,
-                token: SESSION,
-                ticket: None,
-            },
-            table,
-            now,
-        };
-        starting.read_lists(5);
-        let actions = starting.table.orders(Some(1_000), vec![order], 9, now);
-        let Some(AgentAction::Start(order)) = actions.first() else {
-            panic!("a start: {actions:?}");
+        read_lists(&mut table, heartbeat().born_ms, now);
+        let mut actions = table.orders(Some(1_000), vec![order], 9, now);
+        let Some(AgentAction::Start(order)) = actions.pop() else {
+            panic!("a start");
         };
-        starting.order = order.clone();
+        let mut starting = Self { table, order, now };
         assert_eq!(starting.refusal(), None);
         starting
     }
@@ -65,17 +63,6 @@
         self.table.start_refusal(&self.order, self.now)
     }
 
-    /// Reads empty lists of the incarnation that was born at this time.
-    fn read_lists(&mut self, born_ms: u64) {
-        let (request, token, ..) = self.table.request_lists().expect("a session");
-        let lists = WorkerLists {
-            clock_ms: 1_000,
-            born_ms: Some(born_ms),
-            ..WorkerLists::default()
-        };
-        self.table.lists(request, token, lists, self.now);
-    }
-
     /// Lets the worker say that it drains.
     fn drain(&mut self) {
         let draining = Heartbeat {
@@ -161,7 +148,7 @@
 #[test]
 fn superseded_worker() {
     let mut starting = Starting::new();
-    starting.read_lists(9);
+    read_lists(&mut starting.table, 9, starting.now);
     assert_eq!(starting.refusal(), Some(StartOutcome::OtherLife));
 }
 
@@ -191,7 +178,6 @@
 #[test]
 fn expired_lease() {
     let mut starting = Starting::new();
-    let run = starting.order.run.clone();
     starting.order.send_before = starting.now;
-    assert_eq!(starting.refusal(), Some(StartOutcome::Expired), "{run}");
+    assert_eq!(starting.refusal(), Some(StartOutcome::Expired));
 }
--- a/dragonflyrun/tests/workload_tables/mod.rs
+++ b/dragonflyrun/tests/workload_tables/mod.rs
@@ -201,12 +201,17 @@
         }
     }
 
-    /// Replaces the planner by a successor that knows the stored records and reads all reports.
+    /// Replaces the planner by a successor that has just read the stored records and reads all reports.
     pub(crate) fn change_planner(&mut self) {
+        self.change_planner_to(self.now_ms);
+    }
+
+    /// Replaces the planner by one whose process has read the stored records at `read_at_ms`.
+    pub(crate) fn change_planner_to(&mut self, read_at_ms: u64) {
         let mut table = JobTable::default();
         let records = self.accepted_records.iter().chain(&self.written_records);
         for record in records {
-            table.fold(Timestamp::from_millis(self.now_ms), record.clone());
+            table.fold(Timestamp::from_millis(read_at_ms), record.clone());
         }
         let now = Timestamp::from_millis(self.now_ms);
         self.planner = Planner::take_over(bounds(), &table, now);
